--- /dev/null
+++ b/devtools/__init__.py
@@ -0,0 +1,1 @@
+"""Tools for those who develop greengagewood; nothing here is part of the product."""
--- /dev/null
+++ b/devtools/audit.py
@@ -0,0 +1,186 @@
+"""Audit a run at the workers, the backend servers and the callers themselves.
+
+Nothing here is taken from the system's own counters. Each check counts offences; a run is in order
+when every count is zero.
+"""
+
+from __future__ import annotations
+
+from collections import Counter, defaultdict
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+__all__ = ["Audit", "CallerRecord", "ExecutionRecord", "TaskEvent", "audit_run"]
+
+LEAVING_LIMIT_MS = 3000
+END_EVENTS = frozenset({"done", "failed", "checkpointed", "stopped", "lapsed"})
+
+
+@dataclass(frozen=True)
+class CallerRecord:
+    """Hold what one caller knows of one request when it is over.
+
+    `marker` names the request; an attempt's marker is `MARKER.N`. `outcome` is answered, not_run,
+    may_have_run, or cut if a connection broke without any answer.
+    """
+
+    marker: str
+    caller: str
+    idempotent: bool
+    outcome: str
+    matches: bool
+    not_run_attempts: tuple[str, ...]
+    latency_ms: float
+    excused: bool = False
+
+
+@dataclass(frozen=True)
+class ExecutionRecord:
+    """Hold one execution at a backend server."""
+
+    marker: str
+    caller: str
+    late_ms: int = 0
+
+
+@dataclass(frozen=True)
+class TaskEvent:
+    """Hold one event of an attempt at a worker."""
+
+    at_ms: int
+    worker: str
+    event: str
+    task: str
+    attempt: int
+
+
+@dataclass
+class Audit:
+    """Count offences."""
+
+    requests: int = 0
+    tasks: int = 0
+    lost: int = 0
+    doubled: int = 0
+    mixed: int = 0
+    overcommitted: int = 0
+    ran_though_refused: int = 0
+    late_at_leaving: int = 0
+    cut: int = 0
+    uncertain: int = 0
+    evictions: int = 0
+    notes: list[str] = field(default_factory=list)
+
+    def offences(self) -> int:
+        """Return the number of offences."""
+        return (
+            self.lost
+            + self.doubled
+            + self.mixed
+            + self.overcommitted
+            + self.ran_though_refused
+            + self.late_at_leaving
+            + self.cut
+        )
+
+
+def request_of(marker: str) -> str:
+    """Return the request that an attempt's marker belongs to."""
+    return marker.rpartition(".")[0]
+
+
+def audit_run(
+    callers: Iterable[CallerRecord],
+    executions: Iterable[ExecutionRecord],
+    task_events: Iterable[TaskEvent],
+    expected_tasks: Iterable[str],
+    committed: dict[str, tuple[int, int, int]],
+    capacity: dict[str, tuple[int, int, int]],
+) -> Audit:
+    """Check a whole run."""
+    audit = Audit()
+    executed = list(executions)
+    _audit_requests(audit, list(callers), executed)
+    _audit_tasks(audit, list(task_events), set(expected_tasks))
+    for execution in executed:
+        if execution.late_ms > LEAVING_LIMIT_MS:
+            audit.late_at_leaving += 1
+            audit.notes.append(f"{execution.marker} ran {execution.late_ms} ms after leaving")
+    for worker, amounts in committed.items():
+        if any(used > has for used, has in zip(amounts, capacity[worker], strict=True)):
+            audit.overcommitted += 1
+            audit.notes.append(f"{worker} was committed to {amounts} of {capacity[worker]}")
+    return audit
+
+
+def _audit_requests(
+    audit: Audit, callers: list[CallerRecord], executions: list[ExecutionRecord]
+) -> None:
+    runs = Counter(request_of(execution.marker) for execution in executions)
+    attempts = Counter(execution.marker for execution in executions)
+    owners = {record.marker: record.caller for record in callers}
+    for record in callers:
+        audit.requests += 1
+        _audit_request(audit, record, runs[record.marker])
+        for attempt in record.not_run_attempts:
+            if attempts[attempt]:
+                audit.ran_though_refused += 1
+                audit.notes.append(f"{attempt} ran although it was refused as not run")
+    for execution in executions:
+        if owners.get(request_of(execution.marker), execution.caller) != execution.caller:
+            audit.mixed += 1
+            audit.notes.append(f"{execution.marker} ran for caller {execution.caller}")
+
+
+def _audit_request(audit: Audit, record: CallerRecord, runs: int) -> None:
+    if record.outcome == "answered":
+        if not record.matches:
+            audit.mixed += 1
+            audit.notes.append(f"{record.marker} was given another answer")
+        if runs == 0:
+            audit.lost += 1
+            audit.notes.append(f"{record.marker} was answered but never ran")
+    elif record.outcome in ("may_have_run", "cut") and record.excused:
+        audit.uncertain += 1
+    elif record.outcome == "cut":
+        audit.cut += 1
+        audit.notes.append(f"{record.marker} was cut off")
+    else:
+        audit.lost += 1
+        audit.notes.append(f"{record.marker} ended as {record.outcome}")
+    if not record.idempotent and runs > 1:
+        audit.doubled += 1
+        audit.notes.append(f"{record.marker} ran {runs} times")
+
+
+def _audit_tasks(audit: Audit, events: list[TaskEvent], expected: set[str]) -> None:
+    audit.tasks = len(expected)
+    done = Counter(event.task for event in events if event.event == "done")
+    for task in sorted(expected):
+        if done[task] == 0:
+            audit.lost += 1
+            audit.notes.append(f"task {task} never ran to its end")
+        elif done[task] > 1:
+            audit.doubled += 1
+            audit.notes.append(f"task {task} ran to its end {done[task]} times")
+    for task in done.keys() - expected:
+        audit.doubled += 1
+        audit.notes.append(f"task {task} ran though nobody submitted it")
+    audit.evictions = sum(1 for event in events if event.event == "checkpointed")
+    _audit_overlaps(audit, events)
+
+
+def _audit_overlaps(audit: Audit, events: list[TaskEvent]) -> None:
+    by_task: dict[str, list[TaskEvent]] = defaultdict(list)
+    for event in events:
+        by_task[event.task].append(event)
+    for task, found in by_task.items():
+        running: set[int] = set()
+        for event in sorted(found, key=lambda e: (e.at_ms, e.event == "start")):
+            if event.event == "start":
+                running.add(event.attempt)
+                if len(running) > 1:
+                    audit.doubled += 1
+                    audit.notes.append(f"task {task} ran in two places at {event.at_ms}")
+            elif event.event in END_EVENTS:
+                running.discard(event.attempt)
--- /dev/null
+++ b/devtools/callers.py
@@ -0,0 +1,204 @@
+"""Callers that send a mixed load, repeat what may be repeated, and remember what they were told."""
+
+from __future__ import annotations
+
+import asyncio
+import hashlib
+import random
+import time
+from dataclasses import dataclass, field
+from typing import Any
+
+import aiohttp
+
+from devtools.audit import CallerRecord
+
+__all__ = ["LoadCaller", "token_of"]
+
+ATTEMPT_TIMEOUT_S = 8.0
+REQUEST_DEADLINE_S = 30.0
+BACKOFF_S = 0.1
+
+
+def token_of(caller: str) -> str:
+    """Return the bearer token of a caller in the demo."""
+    return f"demo-token-of-{caller}"
+
+
+@dataclass
+class _Request:
+    marker: str
+    method: str
+    path: str
+    key: str
+    body: bytes
+    attempts: int = 0
+    not_run: list[str] = field(default_factory=list)
+    uncertain: bool = False
+    excused: bool = False
+
+
+@dataclass
+class LoadCaller:
+    """Send requests and jobs as one caller.
+
+    `fragile` holds the gateways that the run kills: only there may a connection break.
+    """
+
+    name: str
+    gateways: list[str]
+    fragile: set[str]
+    rng: random.Random
+    records: list[CallerRecord] = field(default_factory=list)
+    jobs: dict[str, int] = field(default_factory=dict)
+    refused_jobs: int = 0
+    results: dict[str, dict[str, str]] = field(default_factory=dict)
+    _count: int = 0
+
+    async def send_for(self, seconds: float, pause_s: float) -> None:
+        """Send requests one after another for a time."""
+        end = time.monotonic() + seconds
+        async with aiohttp.ClientSession() as session:
+            while time.monotonic() < end:
+                await self._one_request(session)
+                await asyncio.sleep(pause_s * self.rng.uniform(0.5, 1.5))
+
+    def _next(self) -> _Request:
+        self._count += 1
+        marker = f"{self.name}-{id(self) % 9973}-{self._count}"
+        draw = self.rng.random()
+        size = 200_000 if self.rng.random() < 0.03 else self.rng.randrange(2000)
+        path = f"/quotazioni/{self._count}?bytes={size}"
+        if draw < 0.6:
+            return _Request(marker, "GET", path, "", b"")
+        body = self.rng.randbytes(self.rng.randrange(1, 3000))
+        key = f"key-{marker}" if draw < 0.9 else ""
+        return _Request(marker, "POST", path, key, body)
+
+    async def _one_request(self, session: aiohttp.ClientSession) -> None:
+        req = self._next()
+        started = time.monotonic()
+        outcome, matches = "not_run", False
+        while time.monotonic() - started < REQUEST_DEADLINE_S:
+            outcome, matches, retry_s = await self._attempt(session, req)
+            if retry_s is None:
+                break
+            await asyncio.sleep(retry_s)
+        latency_ms = (time.monotonic() - started) * 1000
+        idempotent = req.method == "GET"
+        self.records.append(
+            CallerRecord(
+                req.marker,
+                self.name,
+                idempotent,
+                outcome,
+                matches,
+                tuple(req.not_run),
+                latency_ms,
+                req.excused,
+            )
+        )
+
+    async def _attempt(
+        self, session: aiohttp.ClientSession, req: _Request
+    ) -> tuple[str, bool, float | None]:
+        """Try once; return the outcome, whether the answer is the right one, and when to retry."""
+        req.attempts += 1
+        marker = f"{req.marker}.{req.attempts}"
+        gateway = self.rng.choice(self.gateways)
+        headers = {"Authorization": f"Bearer {token_of(self.name)}", "X-Marker": marker}
+        if req.key:
+            headers["Idempotency-Key"] = req.key
+        repeatable = req.method == "GET" or bool(req.key)
+        limit = aiohttp.ClientTimeout(total=ATTEMPT_TIMEOUT_S)
+        try:
+            async with session.request(
+                req.method, gateway + req.path, data=req.body, headers=headers, timeout=limit
+            ) as resp:
+                body = await resp.json()
+                status = resp.status
+        except aiohttp.ClientConnectorError:
+            return "not_run", False, BACKOFF_S
+        except (aiohttp.ClientError, TimeoutError, ValueError):
+            req.excused = req.excused or gateway in self.fragile
+            return "cut", False, BACKOFF_S if repeatable and req.excused else None
+        return self._judge(req, marker, status, body, repeatable)
+
+    def _judge(
+        self, req: _Request, marker: str, status: int, body: dict[str, Any], repeatable: bool
+    ) -> tuple[str, bool, float | None]:
+        if status == 200:
+            matches = (
+                body["caller"] == self.name
+                and body["marker"].rpartition(".")[0] == req.marker
+                and body["method"] == req.method
+                and body["body_sha256"] == hashlib.sha256(req.body).hexdigest()
+                and len(body["padding"]) == int(req.path.rpartition("=")[2])
+            )
+            return "answered", matches, None
+        verdict = body["verdict"]
+        if verdict == "not_run":
+            req.not_run.append(marker)
+            return "not_run", False, max(BACKOFF_S, (body["retry_after_ms"] or 0) / 1000)
+        if body["reason"] == "key_holder_gone" and req.excused:
+            return "may_have_run", False, None
+        return "may_have_run", False, BACKOFF_S if repeatable else None
+
+    # Jobs.
+
+    async def submit_jobs(self, count: int, pause_s: float, tasks: int, run_ms: int) -> None:
+        """Submit jobs one after another, each until it is accepted."""
+        async with aiohttp.ClientSession() as session:
+            for number in range(count):
+                await self._submit(session, f"job-{self.name}-{number}", tasks, run_ms)
+                await asyncio.sleep(pause_s)
+
+    async def _submit(
+        self, session: aiohttp.ClientSession, key: str, tasks: int, run_ms: int
+    ) -> None:
+        spec = {
+            "class": self.rng.choice(["price-grid", "validation", "feed-replay"]),
+            "tasks": tasks,
+            "cpus": self.rng.randrange(1, 9),
+            "memory_mb": self.rng.randrange(500, 16_000),
+            "run_ms": self.rng.randrange(run_ms // 2, run_ms * 2),
+        }
+        headers = {"Authorization": f"Bearer {token_of(self.name)}", "Idempotency-Key": key}
+        end = time.monotonic() + REQUEST_DEADLINE_S
+        while time.monotonic() < end:
+            url = self.rng.choice(self.gateways) + "/v1/jobs"
+            limit = aiohttp.ClientTimeout(total=ATTEMPT_TIMEOUT_S)
+            try:
+                async with session.post(url, json=spec, headers=headers, timeout=limit) as resp:
+                    body = await resp.json()
+                    if resp.status == 202:
+                        self.jobs[body["job"]] = tasks
+                        return
+            except (aiohttp.ClientError, TimeoutError):
+                pass
+            await asyncio.sleep(BACKOFF_S * 3)
+        self.refused_jobs += 1
+
+    async def await_jobs(self, seconds: float) -> None:
+        """Wait until every job has finished and fetch the results."""
+        end = time.monotonic() + seconds
+        async with aiohttp.ClientSession() as session:
+            for job in self.jobs:
+                while time.monotonic() < end and job not in self.results:
+                    await self._fetch_result(session, job)
+
+    async def _fetch_result(self, session: aiohttp.ClientSession, job: str) -> None:
+        headers = {"Authorization": f"Bearer {token_of(self.name)}"}
+        limit = aiohttp.ClientTimeout(total=ATTEMPT_TIMEOUT_S)
+        base = f"{self.rng.choice(self.gateways)}/v1/jobs/{job}"
+        try:
+            url = f"{base}/wait?timeout_ms=1000"
+            async with session.get(url, headers=headers, timeout=limit) as resp:
+                await resp.read()
+            async with session.get(f"{base}/result", headers=headers, timeout=limit) as resp:
+                if resp.status == 200:
+                    self.results[job] = (await resp.json())["results"]
+                    return
+        except (aiohttp.ClientError, TimeoutError):
+            pass
+        await asyncio.sleep(BACKOFF_S)
--- /dev/null
+++ b/devtools/cluster.py
@@ -0,0 +1,286 @@
+"""Start and stop a small system of real processes on loopback, as the platform would."""
+
+from __future__ import annotations
+
+import contextlib
+import os
+import signal
+import subprocess
+import sys
+import time
+import urllib.request
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import yaml
+
+__all__ = ["Cluster", "Instance", "Plan"]
+
+KEEPER_PORT = 17001
+GATEWAY_PORT = 17002
+GATEWAY_PEER_PORT = 17003
+SCHEDULER_PORT = 17004
+KEEPER_ADMIN_PORT = 17011
+GATEWAY_ADMIN_PORT = 17012
+SCHEDULER_ADMIN_PORT = 17013
+PLATFORM_PORT = 17100
+FIRST_BACKEND_PORT = 17200
+ADMIN_PORTS = {
+    "keeper": KEEPER_ADMIN_PORT,
+    "gateway": GATEWAY_ADMIN_PORT,
+    "scheduler": SCHEDULER_ADMIN_PORT,
+}
+ROLES = ("keeper", "gateway", "scheduler")
+KEY = "demo-key-only-for-loopback"
+STOP_TIMEOUT_S = 60.0
+
+
+@dataclass(frozen=True)
+class Plan:
+    """Say what to start."""
+
+    environment: str
+    service: str
+    racks: dict[str, str]
+    workers_per_domain: int
+    instances_per_domain: int
+    trial_instances: int = 1
+    standin: dict[str, Any] = field(default_factory=dict)
+    first_accelerators: int = 0
+
+
+@dataclass
+class Instance:
+    """Hold one entry instance and its processes."""
+
+    name: str
+    failure_domain: str
+    stage: str
+    ip: str
+    processes: dict[str, subprocess.Popen[bytes]] = field(default_factory=dict)
+
+    @property
+    def url(self) -> str:
+        """Return the address for callers."""
+        return f"http://{self.ip}:{GATEWAY_PORT}"
+
+
+class Cluster:
+    """Run the stand-in platform and entry instances as processes."""
+
+    def __init__(self, plan: Plan, folder: Path) -> None:
+        self.plan = plan
+        self.folder = folder
+        octet = os.getpid() % 250 + 1
+        self.platform_ip = f"127.{octet}.0.1"
+        self.platform = f"http://{self.platform_ip}:{PLATFORM_PORT}"
+        self.instances: dict[str, Instance] = {}
+        self._standin: subprocess.Popen[bytes] | None = None
+        self._octet = octet
+        folder.mkdir(parents=True, exist_ok=True)
+        for number, domain in enumerate(plan.racks):
+            for index in range(plan.instances_per_domain):
+                self._plan_instance(f"{domain}-{index + 1}", domain, "production", number, index)
+        first = next(iter(plan.racks))
+        for index in range(plan.trial_instances):
+            self._plan_instance(f"trial-{index + 1}", first, "trial", 100, index)
+
+    def _plan_instance(self, name: str, domain: str, stage: str, number: int, index: int) -> None:
+        ip = f"127.{self._octet}.{number + 1}.{index + 1}"
+        self.instances[name] = Instance(name, domain, stage, ip)
+
+    # Settings files.
+
+    def _write(self, name: str, settings: dict[str, Any]) -> Path:
+        path = self.folder / f"{name}.yaml"
+        path.write_text(yaml.safe_dump(settings, sort_keys=False), encoding="utf-8")
+        return path
+
+    def _address(self, ip: str, port: int) -> dict[str, Any]:
+        return {"ip": ip, "port": port}
+
+    def _common(self, instance: Instance, admin_port: int) -> dict[str, Any]:
+        return {
+            "environment": self.plan.environment,
+            "stage": instance.stage,
+            "instance": instance.name,
+            "failure_domain": instance.failure_domain,
+            "keys": {"current": "k1", "accepted": {"k1": KEY}},
+            "admin": self._address(instance.ip, admin_port),
+            "platform": self._address(self.platform_ip, PLATFORM_PORT),
+        }
+
+    def _settings(self, instance: Instance, role: str) -> dict[str, Any]:
+        keeper = self._address(instance.ip, KEEPER_PORT)
+        if role == "keeper":
+            return {
+                **self._common(instance, KEEPER_ADMIN_PORT),
+                "listen": keeper,
+                "gateway": self._address(instance.ip, GATEWAY_PEER_PORT),
+                "scheduler": self._address(instance.ip, SCHEDULER_PORT),
+            }
+        if role == "gateway":
+            return {
+                **self._common(instance, GATEWAY_ADMIN_PORT),
+                "listen": self._address(instance.ip, GATEWAY_PORT),
+                "peer": self._address(instance.ip, GATEWAY_PEER_PORT),
+                "keeper": keeper,
+            }
+        return {
+            **self._common(instance, SCHEDULER_ADMIN_PORT),
+            "listen": self._address(instance.ip, SCHEDULER_PORT),
+            "keeper": keeper,
+        }
+
+    def _standin_settings(self) -> dict[str, Any]:
+        workers: list[dict[str, Any]] = []
+        for domain, rack in self.plan.racks.items():
+            for index in range(self.plan.workers_per_domain):
+                number = len(workers)
+                workers.append(
+                    {
+                        "name": f"{domain}-w{index + 1}",
+                        "failure_domain": domain,
+                        "rack": rack,
+                        "accelerators": self.plan.first_accelerators if index == 0 else 0,
+                        "backend_port": FIRST_BACKEND_PORT + number,
+                    }
+                )
+        return {
+            "listen": self._address(self.platform_ip, PLATFORM_PORT),
+            "service": self.plan.service,
+            "workers": workers,
+            "entries": self._entries(),
+            **self.plan.standin,
+        }
+
+    def _entries(self) -> list[dict[str, str]]:
+        return [
+            {
+                "instance": instance.name,
+                "failure_domain": instance.failure_domain,
+                "keeper": f"{instance.ip}:{KEEPER_PORT}",
+            }
+            for instance in self.instances.values()
+            if instance.stage == "production"
+        ]
+
+    def control_settings(self) -> Path:
+        """Write the settings of ggwctl and return their path."""
+        admins: dict[str, list[dict[str, Any]]] = {"production": [], "trial": []}
+        for instance in self.instances.values():
+            admins[instance.stage].append(self._address(instance.ip, KEEPER_ADMIN_PORT))
+        settings = {
+            "environment": self.plan.environment,
+            "platform": self._address(self.platform_ip, PLATFORM_PORT),
+            "admins": admins["production"],
+            "trial_admins": admins["trial"],
+        }
+        return self._write("ggwctl", settings)
+
+    # Processes.
+
+    def _spawn(self, program: str, settings: Path) -> subprocess.Popen[bytes]:
+        binary = Path(sys.executable).parent / program
+        log = (self.folder / f"{settings.stem}.log").open("ab")
+        return subprocess.Popen(
+            [str(binary), f"--settings={settings}"],
+            stdout=log,
+            stderr=log,
+            stdin=subprocess.DEVNULL,
+        )
+
+    def start(self) -> None:
+        """Start the platform, then every instance."""
+        self.start_platform()
+        for instance in self.instances.values():
+            self.start_instance(instance)
+
+    def wait_ready(self, seconds: float, stage: str = "production") -> None:
+        """Wait until every process of a stage says that it is ready."""
+        deadline = time.monotonic() + seconds
+        for instance in self.instances.values():
+            if instance.stage != stage:
+                continue
+            for role, port in ADMIN_PORTS.items():
+                while not self._is_ready(instance, port):
+                    if time.monotonic() > deadline or instance.processes[role].poll() is not None:
+                        raise RuntimeError(f"{role} of {instance.name} is not ready")
+                    time.sleep(0.1)
+
+    def _is_ready(self, instance: Instance, port: int) -> bool:
+        url = f"http://{instance.ip}:{port}/readyz"
+        try:
+            with urllib.request.urlopen(url, timeout=2) as resp:
+                return bool(resp.status == 200)
+        except OSError:
+            return False
+
+    def start_platform(self) -> None:
+        """Start the stand-in and wait until it answers."""
+        self._standin = self._spawn("ggw-standin", self._write("standin", self._standin_settings()))
+        deadline = time.monotonic() + 15
+        while time.monotonic() < deadline:
+            with contextlib.suppress(OSError):
+                self.fetch("/instances")
+                return
+            time.sleep(0.1)
+        raise RuntimeError("the stand-in platform did not start")
+
+    def start_instance(self, instance: Instance, roles: tuple[str, ...] = ROLES) -> None:
+        """Start the processes of one instance."""
+        for role in roles:
+            path = self._write(f"{instance.name}-{role}", self._settings(instance, role))
+            instance.processes[role] = self._spawn(f"ggw-{role}", path)
+
+    def signal(self, instance: Instance, number: int, roles: tuple[str, ...] = ROLES) -> None:
+        """Send a signal to processes of an instance."""
+        for role in roles:
+            process = instance.processes.get(role)
+            if process is not None and process.poll() is None:
+                process.send_signal(number)
+
+    def wait(self, instance: Instance) -> dict[str, int]:
+        """Wait for the processes of an instance to end and return their exit codes."""
+        deadline = time.monotonic() + STOP_TIMEOUT_S
+        codes = {}
+        for role, process in instance.processes.items():
+            codes[role] = process.wait(max(0.1, deadline - time.monotonic()))
+        return codes
+
+    def stop(self) -> None:
+        """End every process that this cluster started."""
+        running = [p for i in self.instances.values() for p in i.processes.values()]
+        if self._standin is not None:
+            running.append(self._standin)
+        for process in running:
+            if process.poll() is None:
+                process.kill()
+        for process in running:
+            process.wait(10)
+
+    def pids(self) -> list[int]:
+        """Return the ids of every process that was started."""
+        found = [p.pid for i in self.instances.values() for p in i.processes.values()]
+        return found + ([self._standin.pid] if self._standin else [])
+
+    # The stand-in's control port.
+
+    def fetch(self, path: str) -> Any:
+        """Read JSON from the stand-in."""
+        with urllib.request.urlopen(self.platform + path, timeout=10) as resp:
+            return msgspec.json.decode(resp.read())
+
+    def control(self, **change: Any) -> None:
+        """Change the stand-in while it runs."""
+        req = urllib.request.Request(
+            self.platform + "/control", data=msgspec.json.encode(change), method="POST"
+        )
+        with urllib.request.urlopen(req, timeout=10) as resp:
+            resp.read()
+
+    def kill(self, instance: Instance, roles: tuple[str, ...] = ROLES) -> None:
+        """Kill processes of an instance at once."""
+        self.signal(instance, signal.SIGKILL, roles)
--- /dev/null
+++ b/devtools/run_tests.py
@@ -0,0 +1,50 @@
+"""Run the tests, passing over just those that KNOWN-RED.txt names, and print these.
+
+An entry of KNOWN-RED.txt is one line: TEST | COMMAND | SEED | WHAT WAS SEEN | ISSUE
+"""
+
+from __future__ import annotations
+
+import os
+import sys
+from pathlib import Path
+
+import pytest
+
+__all__ = ["known_red", "main"]
+
+FIELDS = 5
+
+
+def known_red(text: str) -> list[list[str]]:
+    """Parse the entries of KNOWN-RED.txt; raise ValueError on one that is incomplete."""
+    entries = []
+    for line in text.splitlines():
+        if not line.strip() or line.startswith("#"):
+            continue
+        fields = [part.strip() for part in line.split("|")]
+        if len(fields) != FIELDS or not all(fields):
+            raise ValueError(f"KNOWN-RED.txt: {line!r} has not the {FIELDS} fields")
+        entries.append(fields)
+    return entries
+
+
+def main() -> int:
+    """Run pytest."""
+    args = sys.argv[1:]
+    paths = ["tests/cover"]
+    if "--profile=long" in args:
+        args.remove("--profile=long")
+        os.environ["GGW_TEST_PROFILE"] = "long"
+        paths.append("tests/nocover")
+    if any(not arg.startswith("-") and Path(arg.split("::")[0]).exists() for arg in args):
+        paths = []
+    entries = known_red(Path("KNOWN-RED.txt").read_text(encoding="utf-8"))
+    for test, command, seed, seen, issue in entries:
+        print(f"known red: {test}: {seen} (seed {seed}, issue {issue}, run `{command}`)")
+    skipped = [f"--deselect={entry[0]}" for entry in entries]
+    return int(pytest.main([*paths, *skipped, "-q", "-p", "no:cacheprovider", *args]))
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/src/greengagewood/internal/ctl/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' command line."""
--- /dev/null
+++ b/src/greengagewood/internal/daemon.py
@@ -0,0 +1,180 @@
+"""What every daemon shares: flags, settings, logs, the admin port and the graceful stop."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import sys
+import time
+from collections.abc import Awaitable, Callable
+from typing import Any, NoReturn, Protocol, TypeVar
+
+import msgspec
+from absl import flags
+from aiohttp import web
+from result import Err
+
+from greengagewood.internal.logs import Log, set_up_logs
+from greengagewood.internal.metrics import Metrics
+from greengagewood.internal.settings import Address
+from greengagewood.internal.yamlfile import load_yaml
+
+__all__ = ["Admin", "Daemon", "parse_flags", "run_daemon"]
+
+EXIT_USAGE = 2
+MAX_HEADER_BYTES = 16 * 1024
+
+_log = Log("daemon")
+
+
+class _CommonSettings(Protocol):
+    @property
+    def instance(self) -> str: ...
+    @property
+    def log_level(self) -> str: ...
+    @property
+    def admin(self) -> Address: ...
+
+
+S = TypeVar("S", bound=_CommonSettings)
+
+
+class Daemon(Protocol):
+    """Run one process until it is told to stop."""
+
+    async def start(self) -> None:
+        """Open sockets and begin to work."""
+
+    async def stop(self) -> None:
+        """Finish what is in progress and close."""
+
+    def ready(self) -> str:
+        """Return an empty string if the process can serve, else what it waits for."""
+
+    def status(self) -> Any:
+        """Describe the process to operators."""
+
+
+def fail(message: str) -> NoReturn:
+    """Print one line and exit as after a wrong call."""
+    print(message, file=sys.stderr)
+    sys.exit(EXIT_USAGE)
+
+
+def parse_flags(program: str, define: Callable[[flags.FlagValues], None]) -> flags.FlagValues:
+    """Parse the command line; print one line and exit 2 if it is wrong."""
+    values = flags.FlagValues()
+    define(values)
+    try:
+        rest = values(sys.argv)
+    except flags.Error as exc:
+        fail(f"{program}: {exc}; see {program} --help")
+    if len(rest) > 1:
+        fail(f"{program}: unexpected argument {rest[1]!r}; see {program} --help")
+    return values
+
+
+class Admin:
+    """Serve /healthz, /readyz, /metrics and /status."""
+
+    def __init__(self, address: Address, daemon: Daemon, metrics: Metrics) -> None:
+        self._address = address
+        self._daemon = daemon
+        self._metrics = metrics
+        self._runner: web.AppRunner | None = None
+
+    async def start(self) -> None:
+        """Open the admin port."""
+        app = web.Application()
+        app.router.add_get("/healthz", self._health)
+        app.router.add_get("/readyz", self._ready)
+        app.router.add_get("/metrics", self._show_metrics)
+        app.router.add_get("/status", self._status)
+        self._runner = web.AppRunner(app, access_log=None, max_field_size=MAX_HEADER_BYTES)
+        await self._runner.setup()
+        await web.TCPSite(self._runner, self._address.ip, self._address.port).start()
+
+    async def stop(self) -> None:
+        """Close the admin port."""
+        if self._runner is not None:
+            await self._runner.cleanup()
+
+    async def _health(self, req: web.Request) -> web.Response:
+        return web.json_response({"alive": True})
+
+    async def _ready(self, req: web.Request) -> web.Response:
+        waits_for = self._daemon.ready()
+        status = 503 if waits_for else 200
+        return web.json_response({"ready": not waits_for, "waits_for": waits_for}, status=status)
+
+    async def _show_metrics(self, req: web.Request) -> web.Response:
+        times = time.process_time()
+        self._metrics.gauge("process_cpu_seconds", times)
+        content, headers = self._metrics.render()
+        return web.Response(body=content, headers=headers)
+
+    async def _status(self, req: web.Request) -> web.Response:
+        body = msgspec.json.encode(self._daemon.status(), enc_hook=str)
+        return web.Response(body=body, content_type="application/json")
+
+
+async def _serve(daemon: Daemon, admin: Admin, instance: str) -> None:
+    loop = asyncio.get_running_loop()
+    stopping = asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopping.set)
+    await admin.start()
+    await daemon.start()
+    _log.info("started", instance=instance)
+    await stopping.wait()
+    _log.info("stopping", instance=instance)
+    await daemon.stop()
+    await admin.stop()
+    _log.info("stopped", instance=instance)
+
+
+def run_daemon(program: str, model: type[S], build: Callable[[S, Metrics], Daemon]) -> None:
+    """Run a daemon as a program: flags, settings, logs, then until SIGTERM."""
+
+    def define(values: flags.FlagValues) -> None:
+        flags.DEFINE_string("settings", None, "YAML settings file", flag_values=values)
+        flags.DEFINE_bool("check", False, "check the settings and exit", flag_values=values)
+
+    values = parse_flags(program, define)
+    if values.settings is None:
+        fail(f"{program}: --settings is missing; name the YAML settings file")
+    loaded = load_yaml(values.settings, model)
+    if isinstance(loaded, Err):
+        fail(f"{program}: {loaded.err_value}")
+    cfg = loaded.ok_value
+    if values.check:
+        print(f"{program}: {values.settings} is valid")
+        return
+    set_up_logs(program, cfg.instance, cfg.log_level)
+    metrics = Metrics()
+
+    async def main() -> None:
+        daemon = build(cfg, metrics)
+        await _serve(daemon, Admin(cfg.admin, daemon, metrics), cfg.instance)
+
+    try:
+        asyncio.run(main())
+    except OSError as exc:
+        fail(f"{program}: {exc}; free the address or change it in {values.settings}")
+
+
+def supervised(
+    name: str, step: Callable[[], Awaitable[None]], metrics: Metrics, pause_s: float
+) -> Callable[[], Awaitable[None]]:
+    """Return a loop that repeats a step and outlives its failures, which it counts and logs."""
+
+    async def loop() -> None:
+        while True:
+            try:
+                await step()
+            except Exception as exc:  # one bad record or message must not end the process
+                metrics.count("task_failures", task=name, kind=type(exc).__name__)
+                _log.warning("task failed", task=name, error=repr(exc))
+                await asyncio.sleep(pause_s)
+
+    return loop
--- /dev/null
+++ b/src/greengagewood/internal/keeper.py
@@ -0,0 +1,486 @@
+"""The keeper: an instance's only reader and writer of the log, and its voice among the others."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from typing import Any
+
+import aiohttp
+import msgspec
+
+from greengagewood.internal.clock import monotonic_ms, wall_ms
+from greengagewood.internal.committer import Committer
+from greengagewood.internal.confighistory import ConfigHistory
+from greengagewood.internal.daemon import supervised
+from greengagewood.internal.keyclaims import KeyClaims
+from greengagewood.internal.link import Link, LinkTimeout, Listener
+from greengagewood.internal.logs import Log
+from greengagewood.internal.membership import Membership
+from greengagewood.internal.messages import (
+    AnyMessage,
+    AppendReply,
+    AppendRequest,
+    CellClaim,
+    CellLoad,
+    ClaimKey,
+    ClaimReply,
+    ConfigCopy,
+    Failure,
+    FetchConfig,
+    Heartbeat,
+    HeartbeatAck,
+    Member,
+    SyncReply,
+    SyncRequest,
+    Version,
+)
+from greengagewood.internal.metrics import Metrics
+from greengagewood.internal.platform.instancelist import InstanceList, ListDown, ListSnapshot
+from greengagewood.internal.platform.logservice import Batch, LogDown, LogService, NewRecord
+from greengagewood.internal.records import (
+    CellClaimed,
+    ConfigPublished,
+    KeyClaimed,
+    KeyReleased,
+    Stored,
+    StreamNames,
+    decode_record,
+    encode_record,
+)
+from greengagewood.internal.settings import KeeperSettings
+from greengagewood.internal.streamcache import StreamCache
+
+__all__ = ["Keeper"]
+
+HEARTBEAT_INTERVAL_S = 0.5
+HEARTBEAT_TIMEOUT_S = 1.0
+REMOTE_PEERS_PER_BEAT = 2
+OTHERS_PER_HEARTBEAT = 16
+LIST_INTERVAL_S = 1.0
+LOG_WAIT_MS = 1000
+LOG_LIMIT = 1000
+SYNC_LIMIT = 500
+LOCAL_ALIVE_MS = 1500
+FETCH_TIMEOUT_S = 2.0
+STOP_TIMEOUT_S = 3.0
+LOCAL_STOP_TIMEOUT_MS = 40_000
+LOCAL_STOP_POLL_S = 0.2
+
+_log = Log("keeper")
+
+
+class Keeper:
+    """Serve the gateway and the scheduler of one instance, and its peers."""
+
+    def __init__(self, cfg: KeeperSettings, metrics: Metrics) -> None:
+        self._cfg = cfg
+        self._metrics = metrics
+        self._names = StreamNames(cfg.environment, cfg.stage)
+        self._boot = wall_ms()
+        self._beat = 0
+        self._leaving = False
+        self._history = ConfigHistory(cfg.environment)
+        self._keys = KeyClaims()
+        self._caches: dict[str, StreamCache] = {self._names.jobs: StreamCache()}
+        self._cursors = {self._names.config: 1, self._names.keys: 1}
+        self._changed = asyncio.Event()
+        self._log_confirmed_ms: int | None = None
+        self._list = ListSnapshot((), (), ())
+        self._list_version = 0
+        self._loads: tuple[CellLoad, ...] = ()
+        self._claims: dict[str, int] = {}
+        self._local_seen: dict[str, int] = {}
+        self._local_offsets: dict[str, int] = {}
+        self._links: dict[str, Link] = {}
+        self._tasks: list[asyncio.Task[None]] = []
+        self._random = random.Random()
+        self._membership = Membership(self._describe(), monotonic_ms())
+        self._listener = Listener(cfg.instance, cfg.listen, cfg.keys, self._handle, metrics)
+
+    async def start(self) -> None:
+        """Open sockets and begin to read the log, the list and the peers."""
+        self._session = aiohttp.ClientSession()
+        self._log_service = LogService(self._session, self._cfg.platform)
+        self._instance_list = InstanceList(self._session, self._cfg.platform)
+        self._committer = Committer(
+            self._log_service.append, self._cfg.commit_interval_ms, self._metrics
+        )
+        self._listener.start()
+        steps = {
+            "log": self._read_log,
+            "list": self._read_list,
+            "heartbeat": self._send_heartbeats,
+        }
+        for name, step in steps.items():
+            loop = supervised(name, step, self._metrics, 0.5)
+            self._tasks.append(asyncio.ensure_future(loop()))
+
+    async def stop(self) -> None:
+        """Tell the peers, outlive the gateway and the scheduler, finish appends and close."""
+        self._leaving = True
+        await self._beat_once()
+        give_up_ms = monotonic_ms() + LOCAL_STOP_TIMEOUT_MS
+        while self._local_alive() and monotonic_ms() < give_up_ms:
+            await asyncio.sleep(LOCAL_STOP_POLL_S)
+        await self._committer.stop(STOP_TIMEOUT_S)
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._listener.stop()
+        for link in self._links.values():
+            link.close()
+        await self._session.close()
+
+    def ready(self) -> str:
+        """Return what the keeper waits for, if anything."""
+        return "" if self._history.accepted else "a configuration"
+
+    def status(self) -> Any:
+        """Describe the instance as its keeper sees it."""
+        now_ms = monotonic_ms()
+        peers = self._membership.peers.values()
+        return {
+            "instance": self._cfg.instance,
+            "failure_domain": self._cfg.failure_domain,
+            "stage": self._cfg.stage,
+            "config": self._version(),
+            "in_force_offset": self._in_force_offset(),
+            "log_read_age_ms": self._log_age(now_ms),
+            "log_writable": self._committer.writable,
+            "keys_held": len(self._keys),
+            "records": {name: len(cache) for name, cache in self._caches.items()},
+            "members": [
+                {"member": msgspec.to_builtins(p.member), "age_ms": now_ms - p.heard_ms}
+                for p in peers
+            ],
+            "backends": self._list.backends,
+            "workers": self._list.workers,
+        }
+
+    # Messages.
+
+    async def _handle(self, sender: str, message: AnyMessage) -> AnyMessage | None:
+        match message:
+            case SyncRequest():
+                return await self._sync(message)
+            case AppendRequest():
+                return await self._append(message)
+            case ClaimKey():
+                return await self._claim_key(sender, message)
+            case Heartbeat():
+                return self._take_heartbeat(message)
+            case FetchConfig():
+                return self._config_copy() or Failure("no configuration is in force here")
+            case _:
+                self._metrics.count("link_dropped", reason="unexpected_kind")
+                return Failure("unexpected kind of message")
+
+    async def _append(self, req: AppendRequest) -> AppendReply:
+        body = msgspec.Raw(req.body)
+        record = decode_record(body)
+        if record is None:
+            self._metrics.count("records_refused", reason="undecodable")
+            return AppendReply(0, False)
+        if isinstance(record, CellClaimed):
+            self._note_claim(req.stream, record)
+        return await self._committer.submit(req.stream, NewRecord(req.id, body), req.timeout_ms)
+
+    def _note_claim(self, stream: str, record: CellClaimed) -> None:
+        """Tell peers of a claim before it is appended: an owner counts on our word."""
+        cell = stream.removeprefix(self._names.cell(""))
+        self._claims[cell] = max(record.based_on, self._claims.get(cell, -1))
+        self._membership.update_self(self._describe(), monotonic_ms())
+
+    async def _claim_key(self, sender: str, req: ClaimKey) -> ClaimReply:
+        held = self._keys.holder(req.key)
+        if held is None:
+            record = KeyClaimed(
+                req.key,
+                req.attempt,
+                self._cfg.instance,
+                self._boot,
+                req.body_digest,
+                wall_ms(),
+            )
+            deadline_ms = monotonic_ms() + req.timeout_ms
+            new = NewRecord(req.attempt, msgspec.Raw(encode_record(record)))
+            reply = await self._committer.submit(self._names.keys, new, req.timeout_ms)
+            if reply.offset:
+                held = await self._await_key(req.key, reply.offset, deadline_ms)
+            if held is None:
+                return ClaimReply("", 0, "", "", reply.attempted)
+        return ClaimReply(held.holder, held.boot, held.attempt, held.body_digest, True)
+
+    async def _await_key(self, key: str, offset: int, deadline_ms: int) -> KeyClaimed | None:
+        """Wait until the key stream has been replayed up to an offset."""
+        while self._cursors[self._names.keys] <= offset:
+            if not await self._wait_for_change(deadline_ms):
+                return None
+        return self._keys.holder(key)
+
+    async def _wait_for_change(self, deadline_ms: int) -> bool:
+        left_s = (deadline_ms - monotonic_ms()) / 1000
+        if left_s <= 0:
+            return False
+        try:
+            async with asyncio.timeout(left_s):
+                await self._changed.wait()
+        except TimeoutError:
+            return False
+        return True
+
+    def _notify(self) -> None:
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    async def _sync(self, req: SyncRequest) -> SyncReply:
+        self._local_seen[req.role] = monotonic_ms()
+        self._local_offsets[req.role] = req.config_offset
+        if req.cells is not None:
+            self._loads = req.cells
+        deadline_ms = monotonic_ms() + req.wait_ms
+        while not self._has_news(req) and await self._wait_for_change(deadline_ms):
+            pass
+        return self._sync_reply(req)
+
+    def _has_news(self, req: SyncRequest) -> bool:
+        return (
+            self._history.offset > req.config_offset
+            or self._membership.version != req.members_version
+            or self._list_version != req.list_version
+            or any(
+                stream in self._caches and self._caches[stream].next > cursor
+                for stream, cursor in req.cursors.items()
+            )
+        )
+
+    def _sync_reply(self, req: SyncRequest) -> SyncReply:
+        now_ms = monotonic_ms()
+        newer = self._history.offset > req.config_offset
+        list_changed = self._list_version != req.list_version
+        caches = {s: self._caches[s] for s in req.cursors if s in self._caches}
+        records = {s: c.since(req.cursors[s], SYNC_LIMIT) for s, c in caches.items()}
+        peers = self._membership.peers.items()
+        return SyncReply(
+            config=self._config_copy() if newer else None,
+            members_version=self._membership.version,
+            members=self._members_with_ages(now_ms),
+            records=records,
+            complete=all(len(found) < SYNC_LIMIT for found in records.values()),
+            log_read_age_ms=self._log_age(now_ms),
+            log_writable=self._committer.writable,
+            list_version=self._list_version,
+            workers=self._list.workers if list_changed else None,
+            backends=self._list.backends if list_changed else None,
+            confirmed_ages={
+                name: now_ms - p.confirmed_ms for name, p in peers if p.confirmed_ms is not None
+            },
+        )
+
+    def _members_with_ages(self, now_ms: int) -> tuple[tuple[Member, int], ...]:
+        peers = self._membership.peers.values()
+        return tuple((p.member, now_ms - p.heard_ms) for p in peers)
+
+    def _log_age(self, now_ms: int) -> int:
+        return -1 if self._log_confirmed_ms is None else now_ms - self._log_confirmed_ms
+
+    # Configuration.
+
+    def _version(self) -> Version:
+        accepted = self._history.accepted
+        return Version(accepted.offset, accepted.digest) if accepted else Version(0, "")
+
+    def _in_force_offset(self) -> int:
+        """Return the offset that every process of the instance has reached."""
+        offsets = [self._local_offsets[role] for role in self._local_alive()]
+        return min([self._history.offset, *offsets])
+
+    def _config_copy(self) -> ConfigCopy | None:
+        accepted = self._history.accepted
+        return ConfigCopy(accepted.offset, accepted.digest, accepted.text) if accepted else None
+
+    def _config_changed(self) -> None:
+        accepted = self._history.accepted
+        assert accepted is not None
+        for name, cell in accepted.document.cells.items():
+            if cell.failure_domain == self._cfg.failure_domain:
+                self._caches.setdefault(self._names.cell(name), StreamCache())
+        self._membership.update_self(self._describe(), monotonic_ms())
+        self._metrics.gauge("config_offset", accepted.offset)
+        _log.info("config in force", offset=accepted.offset, digest=accepted.digest)
+        self._notify()
+
+    # The log.
+
+    async def _read_log(self) -> None:
+        sent_ms = monotonic_ms()
+        cursors = dict(self._cursors)
+        cursors.update({name: cache.next for name, cache in self._caches.items()})
+        try:
+            batches = await self._log_service.read(cursors, LOG_WAIT_MS, LOG_LIMIT)
+        except LogDown as exc:
+            self._metrics.count("log_read_failures")
+            _log.debug("log read failed", error=str(exc))
+            await asyncio.sleep(0.2)
+            return
+        self._committer.writable = True
+        ends = [self._take_batch(name, batch) for name, batch in batches.items()]
+        if all(ends) and self._caches.keys() <= batches.keys():
+            self._log_confirmed_ms = sent_ms
+        self._notify()
+
+    def _take_batch(self, stream: str, batch: Batch) -> bool:
+        """Take what was read of a stream; return whether its end was reached."""
+        cache = self._caches.get(stream)
+        if cache is not None:
+            cache.extend(batch.records)
+            return cache.next >= batch.end
+        for stored in batch.records:
+            self._replay(stored)
+        if batch.records:
+            self._cursors[stream] = batch.records[-1].offset + 1
+        return self._cursors.get(stream, 0) >= batch.end
+
+    def _replay(self, stored: Stored) -> None:
+        record = decode_record(stored.body)
+        match record:
+            case ConfigPublished():
+                outcome = self._history.replay(stored.offset, record)
+                self._metrics.count("config_records", outcome=outcome)
+                if outcome == "accepted":
+                    self._config_changed()
+            case KeyClaimed() | KeyReleased():
+                self._keys.replay(record)
+            case _:
+                self._metrics.count("records_dropped", reason="undecodable")
+
+    async def _read_list(self) -> None:
+        try:
+            snapshot = await self._instance_list.read()
+        except ListDown:
+            self._metrics.count("list_read_failures")
+        else:
+            if snapshot != self._list:
+                self._list = snapshot
+                self._list_version += 1
+                self._notify()
+        await asyncio.sleep(LIST_INTERVAL_S)
+
+    # Peers.
+
+    def _local_alive(self) -> set[str]:
+        """Return which processes of the instance have asked for news lately."""
+        now_ms = monotonic_ms()
+        return {r for r, at in self._local_seen.items() if now_ms - at <= LOCAL_ALIVE_MS}
+
+    def _describe(self) -> Member:
+        alive = self._local_alive()
+        scheduler_alive = "scheduler" in alive
+        return Member(
+            instance=self._cfg.instance,
+            failure_domain=self._cfg.failure_domain,
+            boot=self._boot,
+            beat=self._beat,
+            leaving=self._leaving,
+            keeper=str(self._cfg.listen),
+            gateway=str(self._cfg.gateway) if "gateway" in alive else "",
+            scheduler=str(self._cfg.scheduler) if scheduler_alive else "",
+            config=self._version(),
+            cells=self._loads if scheduler_alive else (),
+            claims=tuple(CellClaim(cell, based_on) for cell, based_on in self._claims.items()),
+        )
+
+    async def _send_heartbeats(self) -> None:
+        await self._beat_once()
+        await asyncio.sleep(HEARTBEAT_INTERVAL_S)
+
+    async def _beat_once(self) -> None:
+        now_ms = monotonic_ms()
+        self._beat += 1
+        self._membership.update_self(self._describe(), now_ms)
+        self._membership.forget_silent(now_ms)
+        self._notify()
+        for address in self._choose_peers():
+            task = asyncio.create_task(self._beat_to(address))
+            self._tasks.append(task)
+            task.add_done_callback(self._tasks.remove)
+
+    def _choose_peers(self) -> list[str]:
+        """Return every known address inside the failure domain, and a few elsewhere."""
+        near = {str(seed) for seed in self._cfg.seeds}
+        far: set[str] = set()
+        for peer in self._membership.peers.values():
+            same = peer.member.failure_domain == self._cfg.failure_domain
+            (near if same else far).add(peer.member.keeper)
+        for entry in self._list.entries:
+            same = entry.failure_domain == self._cfg.failure_domain
+            (near if same else far).add(entry.keeper)
+        near.discard(str(self._cfg.listen))
+        chosen = sorted(far - near)
+        if len(chosen) > REMOTE_PEERS_PER_BEAT:
+            chosen = self._random.sample(chosen, REMOTE_PEERS_PER_BEAT)
+        return sorted(near) + chosen
+
+    def _link(self, address: str) -> Link:
+        link = self._links.get(address)
+        if link is None:
+            link = Link(self._cfg.instance, address, self._cfg.keys, self._metrics)
+            self._links[address] = link
+        return link
+
+    async def _beat_to(self, address: str) -> None:
+        sent_ms = monotonic_ms()
+        others = self._sample_others(sent_ms)
+        heartbeat = Heartbeat(self._membership.peers[self._cfg.instance].member, others)
+        try:
+            reply = await self._link(address).ask(heartbeat, HEARTBEAT_TIMEOUT_S)
+        except LinkTimeout:
+            self._metrics.count("heartbeats_unanswered")
+            return
+        if isinstance(reply, HeartbeatAck):
+            before = self._membership.version
+            self._membership.confirm(reply.member, sent_ms, monotonic_ms())
+            self._notice_config(reply.member)
+            if self._membership.version != before:
+                self._notify()
+
+    def _sample_others(self, now_ms: int) -> tuple[tuple[Member, int], ...]:
+        others = [
+            entry
+            for entry in self._members_with_ages(now_ms)
+            if entry[0].instance != self._cfg.instance
+        ]
+        if len(others) > OTHERS_PER_HEARTBEAT:
+            others = self._random.sample(others, OTHERS_PER_HEARTBEAT)
+        return tuple(others)
+
+    def _take_heartbeat(self, heartbeat: Heartbeat) -> HeartbeatAck:
+        now_ms = monotonic_ms()
+        before = self._membership.version
+        self._membership.learn(heartbeat.sender, 0, now_ms)
+        for member, age_ms in heartbeat.others:
+            self._membership.learn(member, age_ms, now_ms)
+        self._notice_config(heartbeat.sender)
+        if self._membership.version != before:
+            self._notify()
+        return HeartbeatAck(self._membership.peers[self._cfg.instance].member)
+
+    def _notice_config(self, member: Member) -> None:
+        """Fetch a newer configuration from a peer, for when the log cannot be read."""
+        if member.config.offset <= self._history.offset or not member.keeper:
+            return
+        task = asyncio.create_task(self._fetch_config(member.keeper))
+        self._tasks.append(task)
+        task.add_done_callback(self._tasks.remove)
+
+    async def _fetch_config(self, address: str) -> None:
+        try:
+            reply = await self._link(address).ask(FetchConfig(), FETCH_TIMEOUT_S)
+        except LinkTimeout:
+            return
+        if isinstance(reply, ConfigCopy):
+            outcome = self._history.adopt(reply.offset, reply.digest, reply.text)
+            self._metrics.count("config_fetches", outcome=outcome)
+            if outcome == "accepted":
+                self._config_changed()
--- /dev/null
+++ b/src/greengagewood/internal/keyed.py
@@ -0,0 +1,217 @@
+"""Requests with an idempotency key: run at most once, whichever gateways they arrive at.
+
+The first gateway to claim the key in the log runs the request; the claim is appended before
+anything is sent to a backend server. Another gateway that is given the same key reads the claim and
+asks the holder for the answer. If the holder is gone, nobody can tell whether the request ran, and
+the verdict says so.
+
+A home gateway for each key, by rendezvous hashing, was weighed: it saves the append, but forgets
+every key when the instance is replaced, which breaks "at most once". See docs/design/keys.md.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import hashlib
+import uuid
+from collections.abc import Awaitable, Callable
+
+from greengagewood.internal.answers import AnswerStore, Kept
+from greengagewood.internal.clock import monotonic_ms
+from greengagewood.internal.document import Outage, OutageChoice
+from greengagewood.internal.feed import Feed
+from greengagewood.internal.link import Link, LinkTimeout
+from greengagewood.internal.linkpool import LinkPool
+from greengagewood.internal.messages import (
+    AnswerQuery,
+    AnswerReply,
+    AnyMessage,
+    AppendRequest,
+    ClaimKey,
+    ClaimReply,
+    Failure,
+    StoredAnswer,
+)
+from greengagewood.internal.metrics import Metrics
+from greengagewood.internal.records import KeyReleased, encode_record
+from greengagewood.internal.verdict import Reason, Refusal, Verdict, may_have_run, not_run
+
+__all__ = ["KeyedRequests", "body_digest_of"]
+
+RELEASE_TIMEOUT_MS = 20_000
+LOG_RETRY_AFTER_MS = 1000
+IN_PROGRESS_RETRY_AFTER_MS = 500
+LINK_SLACK_S = 0.2
+
+Run = Callable[[], Awaitable[StoredAnswer | Refusal]]
+
+
+def body_digest_of(*parts: str | bytes) -> str:
+    """Return a digest of parts that cannot be shifted into one another."""
+    hasher = hashlib.blake2b(digest_size=16)
+    for part in parts:
+        data = part.encode() if isinstance(part, str) else part
+        hasher.update(len(data).to_bytes(8, "big"))
+        hasher.update(data)
+    return hasher.hexdigest()
+
+
+class KeyedRequests:
+    """Run keyed requests at most once."""
+
+    def __init__(
+        self,
+        instance: str,
+        stream: str,
+        keeper: Link,
+        pool: LinkPool,
+        feed: Feed,
+        metrics: Metrics,
+    ) -> None:
+        self._instance = instance
+        self._stream = stream
+        self._keeper = keeper
+        self._pool = pool
+        self._feed = feed
+        self._metrics = metrics
+        self._store = AnswerStore()
+        self._releases: set[asyncio.Task[None]] = set()
+
+    async def stop(self) -> None:
+        """Wait for releases in progress."""
+        if self._releases:
+            await asyncio.wait(self._releases, timeout=1.0)
+        for task in self._releases:
+            task.cancel()
+
+    async def run(
+        self, key: str, attempt: str, digest: str, outage: Outage, deadline_ms: int, run: Run
+    ) -> StoredAnswer | Refusal:
+        """Run a request unless its key is held, else return the holder's outcome."""
+        writable = self._feed.surroundings.value.log_writable
+        if not writable and outage.keyed_requests is OutageChoice.REFUSE:
+            return not_run(Reason.LOG_UNAVAILABLE, "the log is away", 503, LOG_RETRY_AFTER_MS)
+        kept = self._store.begin(key, attempt) if self._unheld(key) else None
+        claim = await self._claim(key, attempt, digest, outage, deadline_ms)
+        if isinstance(claim, Refusal):
+            self._finish(key, kept, claim)
+            return claim
+        if claim.attempt == attempt:
+            kept = kept or self._store.begin(key, attempt)
+            return await self._run_held(key, kept, run)
+        self._discard(key, kept)
+        if claim.body_digest != digest:
+            detail = "the key was used with another request"
+            return not_run(Reason.KEY_BODY_DIFFERS, detail, 422, None)
+        return await self._ask_holder(key, claim, deadline_ms)
+
+    def _unheld(self, key: str) -> bool:
+        return not self._store.holds(key)
+
+    def _finish(self, key: str, kept: Kept | None, outcome: StoredAnswer | Refusal) -> None:
+        if kept is not None:
+            self._store.finish(key, kept, outcome)
+
+    def _discard(self, key: str, kept: Kept | None) -> None:
+        if kept is not None:
+            self._store.discard(key, kept)
+
+    async def _claim(
+        self, key: str, attempt: str, digest: str, outage: Outage, deadline_ms: int
+    ) -> ClaimReply | Refusal:
+        left_ms = min(outage.keyed_hold_ms, deadline_ms - monotonic_ms())
+        req = ClaimKey(key, attempt, digest, max(1, left_ms))
+        try:
+            reply = await self._keeper.ask(req, left_ms / 1000 + LINK_SLACK_S)
+        except LinkTimeout:
+            self._release(key, attempt)
+            return not_run(Reason.LOG_UNAVAILABLE, "the claim was not confirmed in time")
+        if not isinstance(reply, ClaimReply):
+            self._release(key, attempt)
+            return not_run(Reason.LOG_UNAVAILABLE, "the claim failed")
+        if not reply.holder:
+            if reply.attempted:
+                self._release(key, attempt)
+            return not_run(Reason.LOG_UNAVAILABLE, "the log did not confirm the claim in time")
+        return reply
+
+    async def _run_held(self, key: str, kept: Kept, run: Run) -> StoredAnswer | Refusal:
+        outcome: StoredAnswer | Refusal = Refusal(
+            Verdict.MAY_HAVE_RUN, Reason.INTERNAL, "the gateway failed", 500
+        )
+        try:
+            outcome = await run()
+        finally:
+            self._store.finish(key, kept, outcome)
+            if isinstance(outcome, Refusal) and outcome.verdict is Verdict.NOT_RUN:
+                self._release(key, kept.attempt)
+        return outcome
+
+    def _release(self, key: str, attempt: str) -> None:
+        """Give a key back whose request certainly was not run, as soon as the log takes it."""
+        task = asyncio.create_task(self._append_release(key, attempt))
+        self._releases.add(task)
+        task.add_done_callback(self._releases.discard)
+
+    async def _append_release(self, key: str, attempt: str) -> None:
+        body = encode_record(KeyReleased(key, attempt))
+        req = AppendRequest(self._stream, uuid.uuid4().hex, body, RELEASE_TIMEOUT_MS)
+        try:
+            await self._keeper.ask(req, RELEASE_TIMEOUT_MS / 1000 + LINK_SLACK_S)
+        except LinkTimeout:
+            self._metrics.count("key_releases_lost")
+
+    # The answers of other attempts.
+
+    async def _ask_holder(
+        self, key: str, claim: ClaimReply, deadline_ms: int
+    ) -> StoredAnswer | Refusal:
+        wait_ms = max(0, deadline_ms - monotonic_ms())
+        query = AnswerQuery(key, claim.attempt, wait_ms)
+        if claim.holder == self._instance:
+            return _outcome_of(await self.answer(query))
+        member = self._feed.surroundings.value.heard.get(claim.holder)
+        if member is None or member[0].boot != claim.boot or not member[0].gateway:
+            return may_have_run(Reason.KEY_HOLDER_GONE, "the gateway that ran it is gone", 409)
+        try:
+            link = self._pool.link(member[0].gateway)
+            reply = await link.ask(query, wait_ms / 1000 + LINK_SLACK_S)
+        except LinkTimeout:
+            return may_have_run(Reason.KEY_HOLDER_GONE, "the gateway that ran it is silent", 409)
+        if not isinstance(reply, AnswerReply):
+            return may_have_run(Reason.KEY_HOLDER_GONE, "the gateway that ran it failed", 409)
+        return _outcome_of(reply)
+
+    async def handle(self, sender: str, message: AnyMessage) -> AnyMessage | None:
+        """Answer another gateway."""
+        if not isinstance(message, AnswerQuery):
+            self._metrics.count("link_dropped", reason="unexpected_kind")
+            return Failure("unexpected kind of message")
+        return await self.answer(message)
+
+    async def answer(self, query: AnswerQuery) -> AnswerReply:
+        """Return the outcome of an attempt of this gateway, once there is one."""
+        kept = self._store.find(query.key, query.attempt)
+        if kept is None:
+            return AnswerReply(None, None, False)
+        if not await kept.wait(query.wait_ms / 1000):
+            return AnswerReply(None, None, True)
+        outcome = kept.outcome
+        if isinstance(outcome, StoredAnswer):
+            return AnswerReply(outcome, None, True)
+        if isinstance(outcome, Refusal):
+            return AnswerReply(None, outcome, True)
+        return AnswerReply(None, None, False)
+
+
+def _outcome_of(reply: AnswerReply) -> StoredAnswer | Refusal:
+    if reply.answer is not None:
+        return reply.answer
+    if reply.refusal is not None:
+        return reply.refusal
+    if reply.known:
+        detail = "the first request with this key is in progress"
+        return Refusal(
+            Verdict.MAY_HAVE_RUN, Reason.KEY_IN_USE, detail, 409, IN_PROGRESS_RETRY_AFTER_MS
+        )
+    return may_have_run(Reason.KEY_HOLDER_GONE, "the answer is no longer kept", 409)
--- /dev/null
+++ b/src/greengagewood/internal/limits.py
@@ -0,0 +1,99 @@
+"""Limits: how many requests of a service a gateway lets in, and how often it may retry.
+
+`Gate` lets a bounded number in and keeps a short queue. Under overload the newest waiting request
+goes first: the oldest is the likeliest to miss its deadline anyway. A request that cannot be
+served in time is refused at once, with the time after which a retry may do better; it is not held
+back.
+
+`RetryBudget` allows retries as a fraction of requests, not as a count a request, so retries cannot
+multiply an overload.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+
+__all__ = ["Gate", "RetryBudget"]
+
+BUDGET_BURST = 10.0
+
+
+class RetryBudget:
+    """Allow retries as a fraction of the requests seen."""
+
+    def __init__(self, fraction: float) -> None:
+        self.fraction = fraction
+        self._tokens = BUDGET_BURST * fraction
+
+    def note_request(self) -> None:
+        """Earn a fraction of a retry."""
+        self._tokens = min(self._tokens + self.fraction, max(1.0, BUDGET_BURST * self.fraction))
+
+    def take(self) -> bool:
+        """Spend one retry, if there is one."""
+        if self._tokens < 1.0:
+            return False
+        self._tokens -= 1.0
+        return True
+
+
+@dataclass(eq=False)
+class _Waiter:
+    fut: asyncio.Future[bool]
+
+
+class Gate:
+    """Let a bounded number of requests in and queue a few."""
+
+    def __init__(self, concurrency: int, queue: int) -> None:
+        self.concurrency = concurrency
+        self.queue = queue
+        self.inside = 0
+        self._waiting: list[_Waiter] = []
+
+    @property
+    def waiting(self) -> int:
+        """Return the length of the queue."""
+        return len(self._waiting)
+
+    async def enter(self, timeout_s: float) -> bool:
+        """Wait for room; return False if the request was refused instead."""
+        if self.inside < self.concurrency and not self._waiting:
+            self.inside += 1
+            return True
+        if self.queue == 0:
+            return False
+        if len(self._waiting) >= self.queue:
+            self._refuse_oldest()
+        waiter = _Waiter(asyncio.get_running_loop().create_future())
+        self._waiting.append(waiter)
+        try:
+            async with asyncio.timeout(timeout_s):
+                return await waiter.fut
+        except TimeoutError:
+            return self._withdraw(waiter)
+        except asyncio.CancelledError:
+            if self._withdraw(waiter):
+                self.leave()
+            raise
+
+    def _withdraw(self, waiter: _Waiter) -> bool:
+        """Take a waiter out of the queue; return whether it had been let in meanwhile."""
+        if waiter in self._waiting:
+            self._waiting.remove(waiter)
+        return waiter.fut.done() and not waiter.fut.cancelled() and waiter.fut.result()
+
+    def _refuse_oldest(self) -> None:
+        waiter = self._waiting.pop(0)
+        if not waiter.fut.done():
+            waiter.fut.set_result(False)
+
+    def leave(self) -> None:
+        """Make room; the newest waiting request goes in."""
+        self.inside -= 1
+        while self._waiting and self.inside < self.concurrency:
+            waiter = self._waiting.pop()
+            if not waiter.fut.done():
+                self.inside += 1
+                waiter.fut.set_result(True)
--- /dev/null
+++ b/src/greengagewood/internal/metrics.py
@@ -0,0 +1,56 @@
+"""Metrics of one process, rendered for Prometheus."""
+
+from __future__ import annotations
+
+from aioprometheus import Counter, Gauge, Histogram, Registry
+from aioprometheus.renderer import render
+
+__all__ = ["Metrics"]
+
+PREFIX = "greengagewood_"
+LATENCY_BUCKETS_S = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0)
+
+
+class Metrics:
+    """Create counters, gauges and histograms on first use."""
+
+    def __init__(self) -> None:
+        self._registry = Registry()
+        self._counters: dict[str, Counter] = {}
+        self._gauges: dict[str, Gauge] = {}
+        self._histograms: dict[str, Histogram] = {}
+
+    def count(self, name: str, amount: float = 1, **labels: str) -> None:
+        """Add to a counter."""
+        counter = self._counters.get(name)
+        if counter is None:
+            full = f"{PREFIX}{name}_total"
+            counter = Counter(full, name.replace("_", " "), registry=self._registry)
+            self._counters[name] = counter
+        counter.add(labels, amount)
+
+    def gauge(self, name: str, value: float, **labels: str) -> None:
+        """Set a gauge."""
+        gauge = self._gauges.get(name)
+        if gauge is None:
+            gauge = Gauge(PREFIX + name, name.replace("_", " "), registry=self._registry)
+            self._gauges[name] = gauge
+        gauge.set(labels, value)
+
+    def observe(self, name: str, seconds: float, **labels: str) -> None:
+        """Add a duration to a histogram."""
+        histogram = self._histograms.get(name)
+        if histogram is None:
+            histogram = Histogram(
+                f"{PREFIX}{name}_seconds",
+                name.replace("_", " "),
+                registry=self._registry,
+                buckets=list(LATENCY_BUCKETS_S),
+            )
+            self._histograms[name] = histogram
+        histogram.add(labels, seconds)
+
+    def render(self) -> tuple[bytes, dict[str, str]]:
+        """Render all metrics as text with its HTTP headers."""
+        content, headers = render(self._registry, [])
+        return content, dict(headers)
--- /dev/null
+++ b/src/greengagewood/internal/owner.py
@@ -0,0 +1,651 @@
+"""Ownership of one cell: claim, fence, adopt, place, renew, record, step down.
+
+Pure: events and the time go in, commands come out; a scheduler carries the commands out and feeds
+the results back. One object a cell and scheduler.
+
+The idea
+--------
+There is no consensus group. The log orders claims, and a claim's offset is the cell's epoch.
+Workers refuse an epoch older than the newest they have seen. Between the two, three rules keep a
+task from running in two places:
+
+1. *License.* An owner commands workers only while something has confirmed lately that nobody has
+   claimed the cell: a read of the cell's stream, counted from when the read was *sent*, or an
+   acknowledgement from every candidate of its claim, counted from when the acknowledged beat was
+   sent. A process that was paused and wakes up holds old confirmations only, so it is suspended
+   until it has a new one.
+2. *Fencing.* Who takes a cell over places nothing that an earlier owner may have started, until
+   every enlisted worker has accepted the new epoch, or has been ruled out by time: the license,
+   the command window and one lease after the claim was seen, and only by a candidate of the old
+   owner's claim, since the old owner goes without the log only on its candidates' word.
+3. *Ruling out.* A task on a worker that no longer answers is placed again only when everything
+   that the worker was told has lapsed, and something has confirmed the license *since then*: a
+   newer owner could otherwise have renewed the task.
+
+Alternatives that were weighed, with their costs, stand in docs/design/ownership.md.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+
+from greengagewood.internal.celllog import CellLog, LoggedJob
+from greengagewood.internal.chart import load_chart
+from greengagewood.internal.document import Document
+from greengagewood.internal.messages import CellLoad, JobView, Shape, WorkerEntry
+from greengagewood.internal.placement import Room, Size, choose_worker
+from greengagewood.internal.platform.workers import Ended, Exchange, ExchangeReply, Start
+from greengagewood.internal.records import (
+    AnyRecord,
+    CellClaimed,
+    CellReleased,
+    TaskOutcome,
+    TasksProgressed,
+    WorkersChanged,
+)
+from greengagewood.internal.taskbook import ENDED_STATES, TASK_CHART, Job, Task, TaskBook
+from greengagewood.internal.workerstate import (
+    AttemptId,
+    WorkerState,
+    lapse_after_ms,
+    size_of,
+    total_free_cpus,
+)
+
+__all__ = ["Append", "CellOwner", "Command", "Send", "Situation"]
+
+CELL_CHART = load_chart("cell")
+COMMANDING = frozenset({"fencing", "placing"})
+OWNING = frozenset({"fencing", "suspended_fencing", "placing", "suspended", "releasing"})
+EPOCH_SHIFT = 20  # attempt numbers rise within an epoch, and from one epoch to the next
+RANK_DELAY_MS = 1000
+FRESH_LOG_MS = 1500
+APPEND_INTERVAL_MS = 200
+MAX_STARTS_PER_PLAN = 200
+
+
+@dataclass(frozen=True)
+class Append:
+    """Ask for a record to be appended to the cell's stream."""
+
+    record: AnyRecord
+
+
+@dataclass(frozen=True)
+class Send:
+    """Ask for an exchange with a worker."""
+
+    worker: str
+    url: str
+    exchange: Exchange
+
+
+Command = Append | Send
+
+
+@dataclass(frozen=True)
+class Situation:
+    """Hold what a scheduler knows around the cell; times are of its monotonic clock.
+
+    `log_confirmed_ms`: when the last answered read of the cell's stream was sent.
+    `rivals`: live schedulers of the failure domain in the order in which they may claim.
+    `owner_seen`: whether the cell's owner has spoken lately.
+    `confirmed_by`: for each peer, when the last beat was sent that it has acknowledged.
+    `claimed_by_peers`: the epochs that peers have tried to replace.
+    """
+
+    log_confirmed_ms: int | None
+    rivals: tuple[str, ...]
+    owner_seen: bool
+    confirmed_by: dict[str, int]
+    claimed_by_peers: tuple[int, ...]
+
+
+class CellOwner:
+    """Own one cell, or observe who does."""
+
+    def __init__(self, cell: str, me: str, boot: int) -> None:
+        self.cell = cell
+        self.me = me
+        self.boot = boot
+        self.log = CellLog(cell)
+        self.state = CELL_CHART.initial[0]
+        self.book = TaskBook(self.log)
+        self.workers: dict[str, WorkerState] = {}
+        self.epoch = 0
+        self.evictions = 0
+        self.on_event: Callable[[str, dict[str, object]], None] = lambda event, fields: None
+        self._document: Document | None = None
+        self._jobs: dict[str, LoggedJob] = {}
+        self._entries: dict[str, WorkerEntry] = {}
+        self._reserves: dict[str, Size] = {}
+        self._claim_based_on = -1
+        self._may_rule_by_time = False
+        self._inherited: frozenset[str] = frozenset()
+        self._rule_base_ms = 0
+        self._absent_since: int | None = None
+        self._attempts = 0
+        self._append_in_flight = False
+        self._last_append_ms = -APPEND_INTERVAL_MS
+        self._retiring = False
+        self._release_due = False
+        self._confirmed_ms: int | None = None
+
+    # What the scheduler feeds in.
+
+    def set_document(self, document: Document) -> None:
+        """Take the configuration in force."""
+        self._document = document
+
+    def set_workers(self, entries: Iterable[WorkerEntry], reserves: dict[str, Size]) -> None:
+        """Take the cell's workers as the instance list shows them."""
+        self._entries = {entry.worker: entry for entry in entries}
+        self._reserves = reserves
+        if self.state in OWNING:
+            self._merge_workers()
+
+    def set_job(self, job: LoggedJob) -> None:
+        """Take a job of this cell, or its cancellation."""
+        self._jobs[job.spec.job] = job
+        if self.state in OWNING:
+            self._add_job(job)
+
+    def replay(self, offset: int, record: AnyRecord, now_ms: int) -> None:
+        """Take a record of the cell's stream in."""
+        before = self.log.epoch
+        previous = (self.log.candidates, self.log.released)
+        outcomes = self.log.replay(offset, record)
+        if outcomes and self.state in OWNING:
+            self.book.make_durable(outcomes)
+            self._acknowledge(outcomes)
+        if self.log.epoch != before:
+            self._epoch_changed(before, previous, now_ms)
+        elif isinstance(record, CellReleased) and self.state == "releasing":
+            self._move("released")
+            self._step_down()
+        elif isinstance(record, WorkersChanged) and self.state in OWNING:
+            self._merge_workers()
+
+    def append_answered(self, record: AnyRecord, durable: bool) -> None:
+        """Take the outcome of an append in; the record itself counts only when it is read back."""
+        if isinstance(record, CellClaimed):
+            if self.state == "claiming" and not durable:
+                self._move("lost")
+            return
+        if isinstance(record, CellReleased) and not durable:
+            self._release_due = True
+        self._append_in_flight = False
+        if isinstance(record, TasksProgressed) and not durable:
+            self.book.resend(record.outcomes)
+
+    def release(self) -> None:
+        """Give the cell up as soon as no exchange is in flight, and claim it no more."""
+        self._retiring = True
+        self._release_due = True
+
+    # What the scheduler carries out.
+
+    def plan(self, now_ms: int, situation: Situation) -> list[Command]:
+        """Decide what is to be done now."""
+        if self._document is None:
+            return []
+        self._update_license(now_ms, situation)
+        if self.state == "observing":
+            return self._plan_claim(now_ms, situation)
+        if self.state not in COMMANDING:
+            return self._plan_release()
+        if self._retiring:
+            self._move("release")
+            return self._plan_release()
+        self._rule_out()
+        if self.state == "fencing":
+            self._finish_fencing()
+        if self.state == "placing":
+            self._place()
+        return [*self._plan_exchanges(now_ms), *self._plan_appends(now_ms)]
+
+    # Claims and the license.
+
+    def _plan_claim(self, now_ms: int, situation: Situation) -> list[Command]:
+        confirmed = situation.log_confirmed_ms
+        if self._retiring or situation.owner_seen or self.me not in situation.rivals:
+            self._absent_since = None
+            return []
+        if confirmed is None or now_ms - confirmed > FRESH_LOG_MS:
+            return []
+        if self._absent_since is None:
+            self._absent_since = now_ms
+        rank = situation.rivals.index(self.me)
+        if now_ms - self._absent_since < rank * RANK_DELAY_MS:
+            return []
+        self._absent_since = None
+        self._move("claim")
+        self._claim_based_on = self.log.epoch
+        candidates = tuple(sorted(set(situation.rivals) - {self.me}))
+        return [Append(CellClaimed(self.me, self.boot, self.log.epoch, candidates))]
+
+    @property
+    def claim_based_on(self) -> int:
+        """Return the epoch that this scheduler last tried to replace, -1 if none."""
+        return self._claim_based_on
+
+    def _epoch_changed(
+        self, before: int, previous: tuple[tuple[str, ...], bool], now_ms: int
+    ) -> None:
+        won = self.log.owner == self.me and self.log.boot == self.boot
+        if self.state in OWNING:
+            self._move("newer_epoch")
+            self._step_down()
+        elif self.state == "claiming" and not won:
+            self._move("lost")
+        if won and self.state in ("observing", "claiming"):
+            self._take_over(before, previous, now_ms)
+
+    def _take_over(self, before: int, previous: tuple[tuple[str, ...], bool], now_ms: int) -> None:
+        if self.state == "observing":  # the answer was lost, but the claim was not
+            self._move("claim")
+        self._move("won")
+        candidates, released = previous
+        self.epoch = self.log.epoch
+        self._inherited = frozenset(self.log.workers)
+        self._attempts = 0
+        self._may_rule_by_time = before == 0 or released or self.me in candidates
+        assert self._document is not None
+        leases = self._document.leases
+        earlier = 0 if released else int(leases.owner_license_ms * (1 + leases.clock_drift)) + 1
+        self._rule_base_ms = now_ms + earlier
+        self.book = TaskBook(self.log)
+        self.workers = {}
+        for job in self._jobs.values():
+            self._add_job(job)
+        self._merge_workers()
+        self._emit("takeover", epoch=self.epoch, replaced=before)
+
+    def _step_down(self) -> None:
+        self._emit("step_down", epoch=self.epoch, newer=self.log.epoch)
+        self.epoch = 0
+        self.book = TaskBook(self.log)
+        self.workers = {}
+        self._append_in_flight = False
+
+    def _update_license(self, now_ms: int, situation: Situation) -> None:
+        if self.state not in OWNING or self._document is None:
+            return
+        self._confirmed_ms = self._confirmation(now_ms, situation)
+        license_ms = self._document.leases.owner_license_ms
+        licensed = self._confirmed_ms is not None and now_ms - self._confirmed_ms <= license_ms
+        if licensed and self.state in ("suspended", "suspended_fencing"):
+            self._move("license_renewed")
+            self._emit("license_renewed", epoch=self.epoch)
+        elif not licensed and self.state in COMMANDING:
+            self._move("license_lapsed")
+            self._emit("license_lapsed", epoch=self.epoch)
+
+    def _confirmation(self, now_ms: int, situation: Situation) -> int | None:
+        """Return the latest time of which it is confirmed that nobody had claimed the cell."""
+        times = []
+        if situation.log_confirmed_ms is not None:
+            times.append(situation.log_confirmed_ms)
+        rivals_claimed = any(based_on >= self.epoch for based_on in situation.claimed_by_peers)
+        if not rivals_claimed:
+            heard = [situation.confirmed_by.get(name) for name in self.log.candidates]
+            if all(time is not None for time in heard):
+                times.append(min((t for t in heard if t is not None), default=now_ms))
+        return max(times, default=None)
+
+    # Takeover.
+
+    def _merge_workers(self) -> None:
+        for name, entry in self._entries.items():
+            worker = self.workers.get(name)
+            if worker is None:
+                worker = WorkerState(name, entry.url)
+                self.workers[name] = worker
+            worker.url = entry.url
+            worker.rack = entry.rack
+            worker.leaving = entry.leaving
+            worker.reserve = self._reserves.get(name, Size())
+        for name, url in self.log.workers.items():
+            if name not in self.workers:
+                self.workers[name] = WorkerState(name, url, listed=False)
+        for name, worker in self.workers.items():
+            worker.enlisted = name in self.log.workers
+            worker.listed = name in self._entries
+            worker.leaving = worker.leaving or not worker.listed
+            if worker.received_ms == 0:
+                worker.received_ms = self._rule_base_ms
+        for name, worker in list(self.workers.items()):
+            if not worker.listed and not worker.enlisted and not worker.assigned:
+                del self.workers[name]
+
+    def _add_job(self, logged: LoggedJob) -> None:
+        assert self._document is not None
+        known = self.book.jobs.get(logged.spec.job)
+        if known is None:
+            batch_class = self._document.batch_classes.get(logged.spec.batch_class)
+            attempts = batch_class.max_attempts if batch_class else 1
+            urgent = batch_class.urgent if batch_class else False
+            state = "unknown" if self._is_taking_over() else "pending"
+            known = self.book.add_job(logged, attempts, urgent, state)
+        if known is not None and logged.cancelled:
+            self._cancel(known)
+
+    def _is_taking_over(self) -> bool:
+        return self.state in ("fencing", "suspended_fencing")
+
+    def _finish_fencing(self) -> None:
+        if not all(self._is_ruled(self.workers[name]) for name in self._inherited):
+            return
+        self._move("all_ruled")
+        unknown = list(self.book.in_state("unknown", "cancelled_unknown"))
+        for task in unknown:
+            if self.book.move(task, "ruled_out") == "cancelled":
+                self.book.end(task)
+        self._emit("placing", epoch=self.epoch, ruled_out=len(unknown))
+
+    def _enlisted(self) -> list[WorkerState]:
+        return [worker for worker in self.workers.values() if worker.enlisted]
+
+    def _is_ruled(self, worker: WorkerState) -> bool:
+        if worker.fenced:
+            return True
+        if not self._may_rule_by_time and worker.listed:
+            return False
+        return self._has_lapsed(worker)
+
+    def _has_lapsed(self, worker: WorkerState) -> bool:
+        assert self._document is not None
+        bound = worker.received_ms + lapse_after_ms(self._document.leases)
+        return self._confirmed_ms is not None and self._confirmed_ms > bound
+
+    # Workers' answers.
+
+    def exchange_answered(self, sent: Send, reply: ExchangeReply, now_ms: int) -> None:
+        """Take a worker's reply in."""
+        worker = self.workers.get(sent.worker)
+        if worker is None or sent.exchange.epoch != self.epoch:
+            return
+        if not reply.accepted:
+            worker.take_failure()
+            if reply.epoch > self.epoch:
+                self._emit("refused_by_worker", worker=worker.name, newer=reply.epoch)
+            return
+        worker.take_reply(sent.exchange, reply, now_ms)
+        for key in worker.absent():
+            self._attempt_over(worker, key, "lapsed")
+        self._take_running(worker)
+        for ended in list(worker.outbox.values()):
+            self._take_ended(worker, ended)
+
+    def exchange_failed(self, sent: Send) -> None:
+        """Note that a worker did not answer; what was sent may have taken effect."""
+        worker = self.workers.get(sent.worker)
+        if worker is not None and sent.exchange.epoch == self.epoch:
+            worker.take_failure()
+
+    def _take_running(self, worker: WorkerState) -> None:
+        for key, attempt in list(worker.running.items()):
+            task = self.book.tasks.get(key[0])
+            if task is not None and task.attempt == key[1] and task.worker == worker.name:
+                if task.state == "starting":
+                    self.book.move(task, "started")
+                continue
+            if task is not None and task.state in ("unknown", "cancelled_unknown"):
+                self._adopt(worker, key, task, size_of(attempt))
+            elif key not in worker.assigned:
+                worker.to_stop.add(key)
+
+    def _adopt(self, worker: WorkerState, key: AttemptId, task: Task, size: Size) -> None:
+        self.book.move(task, "found_running")
+        task.attempt = key[1]
+        task.worker = worker.name
+        worker.assigned[key] = self._start_of(task)
+        if task.state == "stopping":
+            worker.to_stop.add(key)
+
+    def _start_of(self, task: Task) -> Start:
+        spec = task.job.logged.spec
+        return Start(
+            task.name,
+            task.attempt,
+            spec.batch_class,
+            spec.cpus,
+            spec.memory_mb,
+            spec.accelerators,
+            spec.run_ms,
+            task.checkpoint,
+        )
+
+    def _take_ended(self, worker: WorkerState, ended: Ended) -> None:
+        key = (ended.task, ended.attempt)
+        task = self.book.tasks.get(ended.task)
+        if task is None:
+            return  # its job may be known later; the worker keeps the report
+        if key in worker.to_ack or self.book.is_unlogged(key):
+            return
+        if task.state in ENDED_STATES:
+            worker.to_ack.add(key)
+        elif ended.outcome == "done":
+            self._take_done(worker, task, ended)
+        elif task.attempt == ended.attempt and task.worker == worker.name:
+            self._attempt_over(worker, key, ended.outcome, ended.detail)
+        elif ended.outcome == "checkpointed":
+            self._take_old_checkpoint(worker, task, ended)
+        else:
+            worker.to_ack.add(key)
+        worker.drop(key)
+
+    def _take_done(self, worker: WorkerState, task: Task, ended: Ended) -> None:
+        if task.worker and (task.worker, task.attempt) != (worker.name, ended.attempt):
+            elsewhere = self.workers.get(task.worker)
+            if elsewhere is not None:
+                elsewhere.to_stop.add((task.name, task.attempt))
+        task.attempt = ended.attempt
+        self.book.move(task, "found_ended")
+        self.book.end(task, ended.detail)
+
+    def _take_old_checkpoint(self, worker: WorkerState, task: Task, ended: Ended) -> None:
+        if not task.checkpoint and task.state in ("unknown", "pending"):
+            task.checkpoint = ended.detail
+            self.book.note(TaskOutcome(task.name, ended.attempt, "checkpointed", ended.detail))
+        else:
+            worker.to_ack.add((ended.task, ended.attempt))
+
+    def _attempt_over(
+        self, worker: WorkerState, key: AttemptId, event: str, detail: str = ""
+    ) -> None:
+        worker.drop(key)
+        task = self.book.tasks.get(key[0])
+        if task is None or task.attempt != key[1] or task.worker != worker.name:
+            return
+        if not TASK_CHART.takes(task.state, event):
+            self._emit("impossible_outcome", task=task.name, attempt=key[1], outcome=event)
+            event = "lapsed"
+        self._emit("attempt_over", task=task.name, attempt=key[1], outcome=event)
+        self.book.move(task, event)
+        task.worker = ""
+        if event == "checkpointed":
+            task.checkpoint = detail
+            self.book.note(TaskOutcome(task.name, key[1], "checkpointed", detail))
+        elif event == "failed" and task.state == "pending":
+            self._take_task_failure(task, key[1], detail)
+        elif task.state not in ENDED_STATES:
+            worker.to_ack.add(key)
+        if task.state in ENDED_STATES:
+            self.book.end(task, detail)
+
+    def _take_task_failure(self, task: Task, attempt: int, detail: str) -> None:
+        task.failures += 1
+        self.book.note(TaskOutcome(task.name, attempt, "attempt_failed", detail))
+        if task.failures >= task.job.max_attempts:
+            self.book.move(task, "give_up")
+
+    def _acknowledge(self, outcomes: tuple[TaskOutcome, ...]) -> None:
+        keys = {(o.task, o.attempt) for o in outcomes}
+        keys = {key for key in keys if not self.book.is_unlogged(key)}
+        for worker in self.workers.values():
+            worker.to_ack.update(keys & worker.outbox.keys())
+
+    def _rule_out(self) -> None:
+        for worker in self.workers.values():
+            if worker.fenced and worker.failures and self._has_lapsed(worker):
+                for key in list(worker.assigned):
+                    self._attempt_over(worker, key, "lapsed")
+                worker.running.clear()
+
+    # Cancelling and placing.
+
+    def _cancel(self, job: Job) -> None:
+        for task in list(job.tasks.values()):
+            if task.state in ENDED_STATES or task.state in ("stopping", "cancelled_unknown"):
+                continue
+            self.book.move(task, "cancel")
+            if task.state == "cancelled":
+                self.book.end(task)
+            elif task.state == "stopping":
+                self.workers[task.worker].to_stop.add((task.name, task.attempt))
+
+    def _place(self) -> None:
+        jobs = self.book.pending_jobs()
+        if not jobs:
+            return
+        rooms = [Room(w.name, w.free()) for w in self.workers.values() if w.usable()]
+        teams = self._team_room()
+        budget = MAX_STARTS_PER_PLAN
+        for job in jobs:
+            budget -= self._place_job(job, rooms, teams, budget)
+            if budget <= 0:
+                return
+
+    def _place_job(self, job: Job, rooms: list[Room], teams: dict[str, Size], budget: int) -> int:
+        placed = 0
+        team = job.logged.spec.team
+        for name in list(job.pending)[:budget]:
+            if not job.size.fits(teams.get(team, Size())):
+                job.reason = "over_quota"
+                break
+            room = choose_worker(job.size, rooms)
+            if room is None:
+                job.reason = "waiting_for_room"
+                break
+            self._start(self.book.tasks[name], room)
+            room.free -= job.size
+            teams[team] -= job.size
+            placed += 1
+        return placed
+
+    def _start(self, task: Task, room: Room) -> None:
+        self._attempts += 1
+        task.attempt = (self.epoch << EPOCH_SHIFT) + self._attempts
+        task.worker = room.worker
+        self.book.move(task, "place")
+        self.workers[room.worker].assign(self._start_of(task))
+        task.job.reason = ""
+
+    def _team_room(self) -> dict[str, Size]:
+        """Return what each team may still take in this cell: its share of the quota, less use."""
+        assert self._document is not None
+        cells = len(self._document.cells)
+        rooms = {
+            name: Size(team.cpus // cells, team.memory_mb // cells, team.accelerators // cells)
+            for name, team in self._document.teams.items()
+        }
+        for task in self.book.in_state("starting", "running", "evicting", "stopping"):
+            team_name = task.job.logged.spec.team
+            if team_name in rooms:
+                rooms[team_name] -= task.job.size
+        return rooms
+
+    def evict(self, name: str) -> bool:
+        """Ask for a running task to be checkpointed and stopped."""
+        task = self.book.tasks.get(name)
+        if task is None or task.state != "running":
+            return False
+        self.book.move(task, "evict")
+        self.evictions += 1
+        self.workers[task.worker].to_checkpoint.add((task.name, task.attempt))
+        return True
+
+    # Commands.
+
+    def _plan_exchanges(self, now_ms: int) -> list[Command]:
+        assert self._document is not None
+        commands: list[Command] = []
+        for worker in self.workers.values():
+            if worker.enlisted and worker.due(now_ms):
+                exchange = worker.next_exchange(self.epoch, self.me, self._document.leases, now_ms)
+                commands.append(Send(worker.name, worker.url, exchange))
+        return commands
+
+    def _plan_appends(self, now_ms: int) -> list[Command]:
+        if self._append_in_flight or now_ms - self._last_append_ms < APPEND_INTERVAL_MS:
+            return []
+        record = self._next_record(now_ms)
+        if record is None:
+            return []
+        self._append_in_flight = True
+        self._last_append_ms = now_ms
+        return [Append(record)]
+
+    def _next_record(self, now_ms: int) -> AnyRecord | None:
+        added = {w.name: w.url for w in self.workers.values() if w.listed and not w.enlisted}
+        removed = tuple(
+            w.name
+            for w in self._enlisted()
+            if not w.listed and not w.assigned and not w.outbox and self._has_lapsed(w)
+        )
+        if added or removed:
+            return WorkersChanged(self.epoch, added, removed)
+        outcomes = self.book.take_unlogged(now_ms)
+        return TasksProgressed(self.epoch, outcomes) if outcomes else None
+
+    def _plan_release(self) -> list[Command]:
+        if self.state in ("suspended", "suspended_fencing") and self._retiring:
+            self._move("release")
+        if self.state != "releasing" or not self._release_due:
+            return []
+        if any(worker.in_flight for worker in self.workers.values()):
+            return []
+        self._release_due = False
+        return [Append(CellReleased(self.epoch))]
+
+    # Views.
+
+    def load(self) -> CellLoad | None:
+        """Summarise the cell for others; None unless this scheduler owns it."""
+        if self.state not in OWNING or self.state == "releasing":
+            return None
+        waiting = sum(len(job.pending) * job.size.cpus for job in self.book.jobs.values())
+        shapes = {w.shapes() for w in self.workers.values() if w.usable()}
+        return CellLoad(
+            self.cell,
+            self.epoch,
+            self.state == "placing",
+            total_free_cpus(self.workers.values()),
+            waiting,
+            tuple(Shape(s.cpus, s.memory_mb, s.accelerators) for s in sorted(shapes, key=repr)),
+        )
+
+    def view(self, name: str, with_results: bool) -> JobView | None:
+        """Describe a job of the cell; None if it is not known here."""
+        job = self.book.jobs.get(name)
+        if job is None or self.state not in OWNING:
+            return None
+        counts: dict[str, int] = {}
+        for task in job.tasks.values():
+            counts[task.state] = counts.get(task.state, 0) + 1
+        results = self._results(job) if with_results and job.finished else {}
+        state = "finished" if job.finished else "active"
+        caller = job.logged.spec.caller
+        return JobView(name, True, caller, state, counts, job.reason, results)
+
+    def _results(self, job: Job) -> dict[str, str]:
+        known = ((name, self.log.tasks[name]) for name in job.tasks)
+        return {name: task.detail for name, task in known if task.final == "done"}
+
+    def _move(self, event: str) -> None:
+        self.state = CELL_CHART.next(self.state, event)
+
+    def _emit(self, event: str, **fields: object) -> None:
+        self.on_event(event, {"cell": self.cell, **fields})
--- /dev/null
+++ b/src/greengagewood/internal/platform/instancelist.py
@@ -0,0 +1,89 @@
+"""Client of the platform's instance list, which lags behind reality."""
+
+from __future__ import annotations
+
+import aiohttp
+import msgspec
+
+from greengagewood.internal.messages import BackendEntry, WorkerEntry
+from greengagewood.internal.settings import Address
+
+__all__ = ["EntryInstance", "InstanceList", "ListDown", "ListSnapshot"]
+
+READ_TIMEOUT_S = 3.0
+
+
+class ListDown(Exception):
+    """Report that the instance list could not be read."""
+
+
+class EntryInstance(msgspec.Struct, frozen=True):
+    """Describe an entry instance as the list does."""
+
+    instance: str
+    failure_domain: str
+    keeper: str
+    leaving: bool
+
+
+class _Worker(msgspec.Struct, frozen=True):
+    worker: str
+    failure_domain: str
+    rack: str
+    url: str
+    leaving: bool
+
+
+class _Backend(msgspec.Struct, frozen=True):
+    service: str
+    worker: str
+    failure_domain: str
+    url: str
+    leaving: bool
+
+
+class _Wire(msgspec.Struct, frozen=True):
+    entries: tuple[EntryInstance, ...]
+    workers: tuple[_Worker, ...]
+    backends: tuple[_Backend, ...]
+
+
+class ListSnapshot(msgspec.Struct, frozen=True):
+    """Hold one reading of the list."""
+
+    entries: tuple[EntryInstance, ...]
+    workers: tuple[WorkerEntry, ...]
+    backends: tuple[BackendEntry, ...]
+
+
+_decoder = msgspec.json.Decoder(_Wire)
+
+
+class InstanceList:
+    """Read the instance list."""
+
+    def __init__(self, session: aiohttp.ClientSession, address: Address) -> None:
+        self._session = session
+        self._url = f"http://{address}/instances"
+
+    async def read(self) -> ListSnapshot:
+        """Return the list as the platform shows it now; raise ListDown."""
+        limit = aiohttp.ClientTimeout(total=READ_TIMEOUT_S)
+        try:
+            async with self._session.get(self._url, timeout=limit) as resp:
+                if resp.status != 200:
+                    raise ListDown(f"instance list answered {resp.status}")
+                wire = _decoder.decode(await resp.read())
+        except (aiohttp.ClientError, TimeoutError, OSError, msgspec.DecodeError) as exc:
+            raise ListDown(repr(exc)) from exc
+        return ListSnapshot(
+            wire.entries,
+            tuple(
+                WorkerEntry(w.worker, w.failure_domain, w.rack, w.url, w.leaving)
+                for w in wire.workers
+            ),
+            tuple(
+                BackendEntry(b.service, b.worker, b.failure_domain, b.url, b.leaving)
+                for b in wire.backends
+            ),
+        )
--- /dev/null
+++ b/src/greengagewood/internal/programs/ctl.py
@@ -0,0 +1,5 @@
+"""Entry point of ggwctl."""
+
+from greengagewood.internal.ctl.main import main
+
+__all__ = ["main"]
--- /dev/null
+++ b/src/greengagewood/internal/scheduler.py
@@ -0,0 +1,309 @@
+"""The scheduler: carries out what the owners of this instance's cells decide."""
+
+from __future__ import annotations
+
+import asyncio
+import uuid
+from collections.abc import Coroutine
+from typing import Any
+
+import aiohttp
+
+from greengagewood.internal.celllog import JobLog
+from greengagewood.internal.clock import monotonic_ms, wall_ms
+from greengagewood.internal.confighistory import Accepted
+from greengagewood.internal.daemon import supervised
+from greengagewood.internal.document import Cell
+from greengagewood.internal.feed import Feed, ReplayedRecord, Surroundings
+from greengagewood.internal.link import Link, LinkTimeout, Listener
+from greengagewood.internal.logs import Log
+from greengagewood.internal.messages import (
+    AnyMessage,
+    AppendReply,
+    AppendRequest,
+    CellLoad,
+    Failure,
+    JobQuery,
+    JobView,
+    WorkerEntry,
+)
+from greengagewood.internal.metrics import Metrics
+from greengagewood.internal.owner import Append, CellOwner, Command, Send, Situation
+from greengagewood.internal.placement import Size
+from greengagewood.internal.platform.workers import WorkerDown, Workers
+from greengagewood.internal.ranking import ranked
+from greengagewood.internal.records import (
+    CellClaimed,
+    JobCancelled,
+    JobSubmitted,
+    StreamNames,
+    encode_record,
+)
+from greengagewood.internal.settings import SchedulerSettings
+
+__all__ = ["Scheduler"]
+
+TICK_S = 0.05
+WORKER_TIMEOUT_S = 1.0
+APPEND_TIMEOUT_MS = 2000
+RELEASE_TIMEOUT_S = 5.0
+BOOT_QUIET_MS = 2000
+JOB_POLL_S = 0.1
+
+_log = Log("scheduler")
+
+
+class Scheduler:
+    """Own cells of one failure domain."""
+
+    def __init__(self, cfg: SchedulerSettings, metrics: Metrics) -> None:
+        self._cfg = cfg
+        self._metrics = metrics
+        self._names = StreamNames(cfg.environment, cfg.stage)
+        self._boot = wall_ms()
+        self._started_ms = monotonic_ms()
+        self._owners: dict[str, CellOwner] = {}
+        self._streams: dict[str, CellOwner] = {}
+        self._jobs = JobLog()
+        self._running: set[asyncio.Task[None]] = set()
+        self._loops: list[asyncio.Future[None]] = []
+        self._listener = Listener(cfg.instance, cfg.listen, cfg.keys, self._handle, metrics)
+
+    async def start(self) -> None:
+        """Open sockets, follow the keeper and begin to decide."""
+        self._session = aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0))
+        self._workers = Workers(self._session, WORKER_TIMEOUT_S)
+        cfg = self._cfg
+        self._keeper = Link(f"{cfg.instance}.scheduler", str(cfg.keeper), cfg.keys, self._metrics)
+        self._feed = Feed("scheduler", self._keeper, self._metrics, self._loads)
+        self._feed.follow(self._names.jobs)
+        self._feed.config.subscribe(self._take_config)
+        self._feed.workers.subscribe(lambda _: self._share_workers())
+        self._feed.backends.subscribe(lambda _: self._share_workers())
+        self._feed.records.subscribe(self._take_record)
+        self._listener.start()
+        for name, step in {"feed": self._feed.step, "tick": self._tick}.items():
+            loop = supervised(name, step, self._metrics, 0.2)
+            self._loops.append(asyncio.ensure_future(loop()))
+
+    async def stop(self) -> None:
+        """Release every cell, so that another scheduler can take it at once, and close."""
+        for owner in self._owners.values():
+            owner.release()
+        try:
+            async with asyncio.timeout(RELEASE_TIMEOUT_S):
+                while any(owner.epoch for owner in self._owners.values()):
+                    await asyncio.sleep(TICK_S)
+        except TimeoutError:
+            _log.warning(
+                "cells not released", cells=[c for c, o in self._owners.items() if o.epoch]
+            )
+        for loop in self._loops:
+            loop.cancel()
+        for task in list(self._running):
+            task.cancel()
+        await asyncio.gather(*self._loops, *self._running, return_exceptions=True)
+        await self._listener.stop()
+        self._keeper.close()
+        await self._session.close()
+
+    def ready(self) -> str:
+        """Return what the scheduler waits for, if anything."""
+        return "" if self._feed.config.value else "a configuration"
+
+    def status(self) -> Any:
+        """Describe the cells."""
+        return {
+            "cells": {
+                name: {
+                    "state": owner.state,
+                    "epoch": owner.log.epoch,
+                    "owner": owner.log.owner,
+                    "jobs": len(owner.book.jobs),
+                    "evictions": owner.evictions,
+                    "task_moves": {f"{s}.{e}": n for (s, e), n in owner.book.moves.items()},
+                    "workers": {
+                        w.name: {"free": w.free(), "fenced": w.fenced, "failures": w.failures}
+                        for w in owner.workers.values()
+                    },
+                }
+                for name, owner in self._owners.items()
+            }
+        }
+
+    # What the keeper tells.
+
+    def _take_config(self, accepted: Accepted | None) -> None:
+        if accepted is None:
+            return
+        for name, cell in accepted.document.cells.items():
+            if cell.failure_domain == self._cfg.failure_domain and name not in self._owners:
+                self._add_owner(name)
+        for owner in self._owners.values():
+            owner.set_document(accepted.document)
+        self._share_workers()
+
+    def _add_owner(self, cell: str) -> None:
+        owner = CellOwner(cell, self._cfg.instance, self._boot)
+        owner.on_event = self._report
+        self._owners[cell] = owner
+        self._streams[self._names.cell(cell)] = owner
+        for job in self._jobs.jobs.values():
+            if job.spec.cell == cell:
+                owner.set_job(job)
+        self._feed.follow(self._names.cell(cell))
+
+    def _report(self, event: str, fields: dict[str, object]) -> None:
+        self._metrics.count("owner_events", event=event, cell=str(fields["cell"]))
+        if event == "attempt_over":
+            _log.debug(event, **fields)
+        else:
+            _log.info(event, **fields)
+
+    def _share_workers(self) -> None:
+        accepted = self._feed.config.value
+        if accepted is None:
+            return
+        reserves = self._reserves(accepted)
+        for name, cell in accepted.document.cells.items():
+            owner = self._owners.get(name)
+            if owner is not None:
+                entries = [w for w in self._feed.workers.value if _belongs(w, cell)]
+                owner.set_workers(entries, reserves)
+
+    def _reserves(self, accepted: Accepted) -> dict[str, Size]:
+        """Return what services keep of each worker that carries one of their backend servers."""
+        reserves: dict[str, Size] = {}
+        for backend in self._feed.backends.value:
+            service = accepted.document.services.get(backend.service)
+            if service is not None:
+                kept = service.reserve
+                size = Size(kept.cpus, kept.memory_mb, kept.accelerators)
+                reserves[backend.worker] = reserves.get(backend.worker, Size()) + size
+        return reserves
+
+    def _take_record(self, replayed: ReplayedRecord) -> None:
+        record = replayed.record
+        if replayed.stream == self._names.jobs:
+            if isinstance(record, JobSubmitted | JobCancelled) and self._jobs.replay(record):
+                job = self._jobs.jobs[record.job]
+                owner = self._owners.get(job.spec.cell)
+                if owner is not None:
+                    owner.set_job(job)
+            return
+        owner = self._streams.get(replayed.stream)
+        if owner is not None:
+            owner.replay(replayed.offset, record, monotonic_ms())
+
+    def _loads(self) -> tuple[CellLoad, ...]:
+        loads = (owner.load() for owner in self._owners.values())
+        return tuple(load for load in loads if load is not None)
+
+    # Decisions and what carries them out.
+
+    async def _tick(self) -> None:
+        now_ms = monotonic_ms()
+        surroundings = self._feed.surroundings.value
+        for owner in self._owners.values():
+            for command in owner.plan(now_ms, self._situation(owner, surroundings, now_ms)):
+                self._carry_out(owner, command)
+        await asyncio.sleep(TICK_S)
+
+    def _situation(self, owner: CellOwner, surroundings: Surroundings, now_ms: int) -> Situation:
+        accepted = self._feed.config.value
+        suspect_ms = accepted.document.leases.suspect_after_ms if accepted else 0
+        peers = [
+            (member, heard_ms)
+            for member, heard_ms in surroundings.heard.values()
+            if member.failure_domain == self._cfg.failure_domain
+        ]
+        alive = [m for m, heard_ms in peers if now_ms - heard_ms <= suspect_ms]
+        able = [m.instance for m in alive if m.scheduler and not m.leaving]
+        if now_ms - self._started_ms < BOOT_QUIET_MS:
+            able = []
+        epoch = owner.log.epoch
+        owner_seen = bool(owner.log.owner) and any(
+            m.instance == owner.log.owner
+            and any(c.cell == owner.cell and c.epoch == epoch for c in m.cells)
+            for m in alive
+        )
+        return Situation(
+            log_confirmed_ms=surroundings.log_confirmed_ms,
+            rivals=tuple(ranked(owner.cell, able)),
+            owner_seen=owner_seen,
+            confirmed_by=surroundings.confirmed,
+            claimed_by_peers=tuple(
+                claim.based_on
+                for m, _ in peers
+                if m.instance != self._cfg.instance
+                for claim in m.claims
+                if claim.cell == owner.cell
+            ),
+        )
+
+    def _carry_out(self, owner: CellOwner, command: Command) -> None:
+        match command:
+            case Send():
+                self._spawn(self._exchange(owner, command))
+            case Append():
+                self._spawn(self._append(owner, command))
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(work)
+        self._running.add(task)
+        task.add_done_callback(self._finished)
+
+    def _finished(self, task: asyncio.Task[None]) -> None:
+        self._running.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            self._metrics.count("task_failures", task="command", kind=repr(task.exception()))
+            _log.warning("command failed", error=repr(task.exception()))
+
+    async def _exchange(self, owner: CellOwner, send: Send) -> None:
+        try:
+            reply = await self._workers.exchange(send.url, send.exchange)
+        except WorkerDown as exc:
+            self._metrics.count("worker_failures", worker=send.worker)
+            _log.debug("worker did not answer", worker=send.worker, error=str(exc))
+            owner.exchange_failed(send)
+            return
+        owner.exchange_answered(send, reply, monotonic_ms())
+
+    async def _append(self, owner: CellOwner, append: Append) -> None:
+        stream = self._names.cell(owner.cell)
+        body = encode_record(append.record)
+        req = AppendRequest(stream, uuid.uuid4().hex, body, APPEND_TIMEOUT_MS)
+        durable = False
+        try:
+            reply = await self._keeper.ask(req, APPEND_TIMEOUT_MS / 1000 + 1)
+            durable = isinstance(reply, AppendReply) and reply.offset > 0
+        except LinkTimeout:
+            pass
+        kind = type(append.record).__name__
+        if isinstance(append.record, CellClaimed):
+            _log.info("claim appended", cell=owner.cell, durable=durable)
+        self._metrics.count("owner_appends", kind=kind, durable=str(durable))
+        owner.append_answered(append.record, durable)
+
+    # Questions of gateways.
+
+    async def _handle(self, sender: str, message: AnyMessage) -> AnyMessage | None:
+        if not isinstance(message, JobQuery):
+            self._metrics.count("link_dropped", reason="unexpected_kind")
+            return Failure("unexpected kind of message")
+        deadline_ms = monotonic_ms() + message.wait_ms
+        view = self._view(message)
+        while view.state == "active" and monotonic_ms() < deadline_ms:
+            await asyncio.sleep(JOB_POLL_S)
+            view = self._view(message)
+        return view
+
+    def _view(self, query: JobQuery) -> JobView:
+        job = self._jobs.jobs.get(query.job)
+        owner = self._owners.get(job.spec.cell) if job else None
+        view = owner.view(query.job, query.with_results) if owner else None
+        return view or JobView(query.job, False)
+
+
+def _belongs(worker: WorkerEntry, cell: Cell) -> bool:
+    return worker.failure_domain == cell.failure_domain and worker.rack in cell.racks
--- /dev/null
+++ b/src/greengagewood/internal/standin/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins of the platform, for the demo and the tests only."""
--- /dev/null
+++ b/src/greengagewood/internal/standin/platform.py
@@ -0,0 +1,194 @@
+"""The stand-in platform: log, instance list, workers, backend servers and a control port."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections import deque
+from typing import Any
+
+import msgspec
+from aiohttp import web
+
+from greengagewood.internal.clock import monotonic_ms
+from greengagewood.internal.placement import Size
+from greengagewood.internal.standin.backend import StandinBackend
+from greengagewood.internal.standin.log import LogFaults, StandinLog
+from greengagewood.internal.standin.settings import EntrySettings, StandinSettings
+from greengagewood.internal.standin.worker import StandinWorker
+
+__all__ = ["StandinPlatform"]
+
+TICK_S = 0.02
+LIST_SNAPSHOT_S = 0.1
+
+
+class Control(msgspec.Struct, forbid_unknown_fields=True):
+    """Change the stand-in while it runs."""
+
+    log: LogFaults | None = None
+    leaving_backends: tuple[str, ...] | None = None
+    silent_workers: tuple[str, ...] | None = None
+    failing_workers: tuple[str, ...] | None = None
+    entries: tuple[EntrySettings, ...] | None = None
+    list_down: bool | None = None
+    reserve_cpus: int | None = None
+
+
+class StandinPlatform:
+    """Run every stand-in in one process."""
+
+    def __init__(self, cfg: StandinSettings) -> None:
+        self._cfg = cfg
+        rng = random.Random(cfg.seed)
+        self.log = StandinLog(cfg.log_delay_ms, cfg.retention_records, rng)
+        self.workers = {
+            w.name: StandinWorker(w, cfg.usage_lag_ms, random.Random(rng.random()), monotonic_ms)
+            for w in cfg.workers
+        }
+        self.backends = {
+            w.name: StandinBackend(
+                w.name,
+                cfg.slots,
+                cfg.connections,
+                cfg.base_latency_ms,
+                cfg.interference,
+                random.Random(rng.random()),
+                monotonic_ms,
+                self._neighbours(w.name),
+            )
+            for w in cfg.workers
+            if w.backend_port
+        }
+        self._entries = cfg.entries
+        self._list_down = False
+        self._lists: deque[tuple[int, bytes]] = deque()
+        self._runners: list[web.AppRunner] = []
+        self._loops: list[asyncio.Task[None]] = []
+
+    def _neighbours(self, name: str) -> Any:
+        return lambda: self.workers[name].running_tasks
+
+    async def start(self) -> None:
+        """Open every port."""
+        app = web.Application(client_max_size=64 * 1024 * 1024)
+        self.log.register(app)
+        app.router.add_get("/instances", self._show_list)
+        app.router.add_post("/workers/{name}/exchange", self._exchange)
+        app.router.add_post("/control", self._control)
+        app.router.add_get("/audit", self._audit)
+        await self._open(app, self._cfg.listen.port)
+        for worker in self._cfg.workers:
+            if worker.backend_port:
+                backend_app = web.Application(client_max_size=64 * 1024 * 1024)
+                backend_app.router.add_route("*", "/{p:.*}", self.backends[worker.name].serve)
+                await self._open(backend_app, worker.backend_port)
+        self._loops.append(asyncio.create_task(self._tick()))
+        self._loops.append(asyncio.create_task(self._record_lists()))
+
+    async def _open(self, app: web.Application, port: int) -> None:
+        runner = web.AppRunner(app, access_log=None, shutdown_timeout=1.0)
+        await runner.setup()
+        await web.TCPSite(runner, self._cfg.listen.ip, port, backlog=1024).start()
+        self._runners.append(runner)
+
+    async def stop(self) -> None:
+        """Close every port."""
+        for loop in self._loops:
+            loop.cancel()
+        for runner in self._runners:
+            await runner.cleanup()
+
+    async def _tick(self) -> None:
+        while True:
+            for worker in self.workers.values():
+                worker.tick()
+            await asyncio.sleep(TICK_S)
+
+    async def _record_lists(self) -> None:
+        while True:
+            now_ms = monotonic_ms()
+            self._lists.append((now_ms, self._list_now()))
+            while len(self._lists) > 1 and self._lists[1][0] <= now_ms - self._cfg.list_lag_ms:
+                self._lists.popleft()
+            await asyncio.sleep(LIST_SNAPSHOT_S)
+
+    def _list_now(self) -> bytes:
+        base = f"http://{self._cfg.listen}/workers"
+        workers = [
+            {
+                "worker": w.name,
+                "failure_domain": w.failure_domain,
+                "rack": w.rack,
+                "url": f"{base}/{w.name}",
+                "leaving": False,
+            }
+            for w in self._cfg.workers
+        ]
+        backends = [
+            {
+                "service": self._cfg.service,
+                "worker": w.name,
+                "failure_domain": w.failure_domain,
+                "url": f"http://{self._cfg.listen.ip}:{w.backend_port}",
+                "leaving": self.backends[w.name].leaving_since_ms is not None,
+            }
+            for w in self._cfg.workers
+            if w.backend_port
+        ]
+        entries = [
+            {
+                "instance": e.instance,
+                "failure_domain": e.failure_domain,
+                "keeper": e.keeper,
+                "leaving": False,
+            }
+            for e in self._entries
+        ]
+        return msgspec.json.encode({"entries": entries, "workers": workers, "backends": backends})
+
+    async def _show_list(self, req: web.Request) -> web.Response:
+        if self._list_down or not self._lists:
+            return web.Response(status=503)
+        return web.Response(body=self._lists[0][1], content_type="application/json")
+
+    async def _exchange(self, req: web.Request) -> web.Response:
+        worker = self.workers.get(req.match_info["name"])
+        return await worker.serve(req) if worker else web.Response(status=404)
+
+    async def _control(self, req: web.Request) -> web.Response:
+        change = msgspec.json.decode(await req.read(), type=Control)
+        if change.log is not None:
+            self.log.faults = change.log
+        if change.leaving_backends is not None:
+            for name in change.leaving_backends:
+                self.backends[name].leaving_since_ms = monotonic_ms()
+        if change.silent_workers is not None:
+            for name, worker in self.workers.items():
+                worker.silent = name in change.silent_workers
+        if change.failing_workers is not None:
+            for name, worker in self.workers.items():
+                worker.fail_every_task = name in change.failing_workers
+        if change.entries is not None:
+            self._entries = change.entries
+        if change.list_down is not None:
+            self._list_down = change.list_down
+        if change.reserve_cpus is not None:
+            for worker in self.workers.values():
+                worker.reserved = Size(change.reserve_cpus, 0, 0)
+        return web.json_response({})
+
+    async def _audit(self, req: web.Request) -> web.Response:
+        body = msgspec.json.encode(
+            {
+                "executions": [e for b in self.backends.values() for e in b.audit],
+                "tasks": [e for w in self.workers.values() for e in w.audit],
+                "max_committed": {n: w.max_committed for n, w in self.workers.items()},
+                "capacity": {
+                    n: Size(w.cfg.cpus, w.cfg.memory_mb, w.cfg.accelerators)
+                    for n, w in self.workers.items()
+                },
+                "log_appends": self.log.appends,
+            }
+        )
+        return web.Response(body=body, content_type="application/json")
--- /dev/null
+++ b/src/greengagewood/internal/standin/worker.py
@@ -0,0 +1,230 @@
+"""A stand-in of one of the platform's workers: it runs tasks under leases and keeps an audit."""
+
+from __future__ import annotations
+
+import random
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import msgspec
+from aiohttp import web
+
+from greengagewood.internal.placement import Size
+from greengagewood.internal.platform.workers import (
+    Attempt,
+    Ended,
+    Exchange,
+    ExchangeReply,
+    Start,
+    Usage,
+)
+from greengagewood.internal.standin.settings import WorkerSettings
+from greengagewood.internal.workerstate import AttemptId, size_of
+
+__all__ = ["AuditEvent", "StandinWorker"]
+
+MAX_USAGE_REPORTS = 20
+
+
+class AuditEvent(msgspec.Struct, frozen=True):
+    """Record what happened to an attempt at a worker, in milliseconds of the stand-in's clock."""
+
+    at_ms: int
+    worker: str
+    event: str
+    task: str
+    attempt: int
+    batch_class: str = ""
+
+
+@dataclass
+class _Running:
+    start: Start
+    lease_until_ms: int
+    ends_ms: int
+    began_ms: int
+    done_ms: int
+    speed: float = 1.0
+    fails: bool = False
+
+
+@dataclass
+class _UsageLog:
+    reports: list[tuple[int, Usage]] = field(default_factory=list)
+
+
+class StandinWorker:
+    """Run tasks; `clock` gives milliseconds."""
+
+    def __init__(
+        self,
+        cfg: WorkerSettings,
+        usage_lag_ms: int,
+        rng: random.Random,
+        clock: Callable[[], int],
+    ) -> None:
+        self.cfg = cfg
+        self._usage_lag_ms = usage_lag_ms
+        self._rng = rng
+        self._clock = clock
+        self._epoch = 0
+        self._round = 0
+        self._version = time.time_ns()
+        self._running: dict[AttemptId, _Running] = {}
+        self._outbox: dict[AttemptId, Ended] = {}
+        self._usage = _UsageLog()
+        self._usage_from_ms = clock()
+        self.reserved = Size()
+        self.fail_every_task = False
+        self.silent = False
+        self.max_committed = Size()
+        self.audit: list[AuditEvent] = []
+
+    @property
+    def running_tasks(self) -> int:
+        """Return how many tasks run now."""
+        return len(self._running)
+
+    def tick(self) -> None:
+        """End tasks whose time or lease is over."""
+        now_ms = self._clock()
+        for key, running in list(self._running.items()):
+            if running.lease_until_ms <= now_ms and running.lease_until_ms <= running.ends_ms:
+                self._end(key, "lapsed", "")
+            elif running.ends_ms <= now_ms:
+                self._finish(key, running)
+
+    def _finish(self, key: AttemptId, running: _Running) -> None:
+        if running.fails:
+            self._end(key, "failed", "exit status 1")
+        else:
+            self._end(key, "done", f"{running.start.task}:{running.start.run_ms}")
+
+    def _end(self, key: AttemptId, outcome: str, detail: str) -> None:
+        running = self._running.pop(key)
+        self._version += 1
+        self._outbox[key] = Ended(key[0], key[1], outcome, detail)
+        self._note(outcome, running.start)
+
+    def _note(self, event: str, start: Start) -> None:
+        self.audit.append(
+            AuditEvent(
+                self._clock(), self.cfg.name, event, start.task, start.attempt, start.batch_class
+            )
+        )
+
+    async def serve(self, req: web.Request) -> web.Response:
+        """Answer an exchange over HTTP."""
+        if self.silent:
+            return web.Response(status=500)
+        try:
+            exchange = msgspec.json.decode(await req.read(), type=Exchange)
+        except msgspec.DecodeError as exc:
+            return web.Response(status=400, text=str(exc))
+        body = msgspec.json.encode(self.exchange(exchange))
+        return web.Response(body=body, content_type="application/json")
+
+    def exchange(self, exchange: Exchange) -> ExchangeReply:
+        """Carry the commands of an exchange out, unless it is stale."""
+        self.tick()
+        now_ms = self._clock()
+        newest = (self._epoch, self._round)
+        if (exchange.epoch, exchange.round) <= newest:
+            return self._reply(exchange, accepted=False, fresh=False)
+        self._epoch = exchange.epoch
+        self._round = exchange.round
+        for key in exchange.acks:
+            self._outbox.pop(key, None)
+        fresh = exchange.echo > 0 and now_ms - exchange.echo <= exchange.window_ms
+        if fresh:
+            self._carry_out(exchange, now_ms)
+        return self._reply(exchange, accepted=True, fresh=fresh)
+
+    def _carry_out(self, exchange: Exchange, now_ms: int) -> None:
+        for running in self._running.values():
+            running.lease_until_ms = now_ms + exchange.lease_ms
+        for start in exchange.starts:
+            self._start(start, now_ms, exchange.lease_ms)
+        for key in exchange.stops:
+            if key in self._running:
+                self._end(key, "stopped", "")
+        for key in exchange.checkpoints:
+            if key in self._running:
+                self._checkpoint(key, now_ms)
+        for task, attempt, speed in exchange.throttles:
+            if (task, attempt) in self._running:
+                self._throttle(self._running[(task, attempt)], now_ms, speed)
+
+    def _start(self, start: Start, now_ms: int, lease_ms: int) -> None:
+        key = (start.task, start.attempt)
+        if key in self._running or key in self._outbox:
+            return
+        committed = self.reserved + size_of(start)
+        for running in self._running.values():
+            committed += size_of(running.start)
+        capacity = Size(self.cfg.cpus, self.cfg.memory_mb, self.cfg.accelerators)
+        if not committed.fits(capacity):
+            self._outbox[key] = Ended(start.task, start.attempt, "refused", "over capacity")
+            self._note("refused", start)
+            return
+        done_ms = int(start.checkpoint or 0)
+        actual_ms = max(1, int(start.run_ms * self._rng.uniform(0.8, 1.2)) - done_ms)
+        fails = self.fail_every_task
+        ends_ms = now_ms + (min(actual_ms, 50) if fails else actual_ms)
+        lease_until_ms = now_ms + lease_ms
+        self._running[key] = _Running(start, lease_until_ms, ends_ms, now_ms, done_ms, 1.0, fails)
+        self._version += 1
+        self._note("start", start)
+        self.max_committed = Size(
+            max(self.max_committed.cpus, committed.cpus),
+            max(self.max_committed.memory_mb, committed.memory_mb),
+            max(self.max_committed.accelerators, committed.accelerators),
+        )
+
+    def _checkpoint(self, key: AttemptId, now_ms: int) -> None:
+        running = self._running[key]
+        done_ms = running.done_ms + int((now_ms - running.began_ms) * running.speed)
+        self._end(key, "checkpointed", str(done_ms))
+
+    def _throttle(self, running: _Running, now_ms: int, speed: float) -> None:
+        left_ms = (running.ends_ms - now_ms) * running.speed
+        running.done_ms += int((now_ms - running.began_ms) * running.speed)
+        running.began_ms = now_ms
+        running.speed = speed
+        running.ends_ms = now_ms + int(left_ms / max(speed, 0.01))
+
+    def _reply(self, exchange: Exchange, accepted: bool, fresh: bool) -> ExchangeReply:
+        now_ms = self._clock()
+        changed = self._version != exchange.known_version
+        running = tuple(
+            Attempt(s.task, s.attempt, s.batch_class, s.cpus, s.memory_mb, s.accelerators)
+            for s in (r.start for r in self._running.values())
+        )
+        return ExchangeReply(
+            accepted=accepted,
+            epoch=self._epoch,
+            fresh=fresh,
+            clock=now_ms,
+            version=self._version,
+            cpus=self.cfg.cpus,
+            memory_mb=self.cfg.memory_mb,
+            accelerators=self.cfg.accelerators,
+            running=running if changed and accepted else None,
+            ended=tuple(self._outbox.values()) if accepted else (),
+            usage=self._take_usage(now_ms) if accepted else (),
+        )
+
+    def _take_usage(self, now_ms: int) -> tuple[Usage, ...]:
+        """Measure since the last exchange, and return what is old enough to be reported."""
+        used: dict[str, float] = {}
+        for running in self._running.values():
+            name = running.start.batch_class
+            used[name] = used.get(name, 0.0) + running.start.cpus * running.speed
+        for name, cpus in used.items():
+            usage = Usage(name, cpus, self._usage_from_ms, now_ms)
+            self._usage.reports.append((now_ms + self._usage_lag_ms, usage))
+        self._usage_from_ms = now_ms
+        due = tuple(usage for at_ms, usage in self._usage.reports if at_ms <= now_ms)
+        self._usage.reports = [entry for entry in self._usage.reports if entry[0] > now_ms]
+        return due[-MAX_USAGE_REPORTS:]
--- /dev/null
+++ b/src/greengagewood/internal/workerstate.py
@@ -0,0 +1,170 @@
+"""What a cell's owner knows of one worker, and the exchange that it sends next."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from greengagewood.internal.document import Leases
+from greengagewood.internal.placement import Size
+from greengagewood.internal.platform.workers import Attempt, Ended, Exchange, ExchangeReply, Start
+
+__all__ = ["AttemptId", "WorkerState", "lapse_after_ms"]
+
+EXCHANGE_INTERVAL_MS = 1000
+RETRY_BASE_MS = 250
+RETRY_MAX_MS = 2000
+
+AttemptId = tuple[str, int]
+
+
+def lapse_after_ms(leases: Leases) -> int:
+    """Return how long after a worker's last reply nothing that it was told can still run.
+
+    A command takes effect within the command window of the reply that it echoes, and what it
+    starts or renews runs for one lease. Both are measured by the worker's clock.
+    """
+    bound = leases.command_window_ms + leases.task_lease_ms
+    return int(bound * (1 + leases.clock_drift)) + 1
+
+
+def size_of(item: Attempt | Start) -> Size:
+    """Return the size of a start or an attempt."""
+    return Size(item.cpus, item.memory_mb, item.accelerators)
+
+
+@dataclass
+class WorkerState:
+    """Hold one worker; times are of the owner's monotonic clock."""
+
+    name: str
+    url: str
+    rack: str = ""
+    listed: bool = True
+    leaving: bool = False
+    enlisted: bool = False
+    fenced: bool = False
+    capacity: Size = field(default_factory=Size)
+    reserve: Size = field(default_factory=Size)
+    echo: int = 0
+    received_ms: int = 0
+    round: int = 0
+    in_flight: bool = False
+    sent_ms: int = -EXCHANGE_INTERVAL_MS
+    failures: int = 0
+    version: int = -1
+    assigned: dict[AttemptId, Start] = field(default_factory=dict)
+    running: dict[AttemptId, Attempt] = field(default_factory=dict)
+    outbox: dict[AttemptId, Ended] = field(default_factory=dict)
+    to_start: dict[AttemptId, Start] = field(default_factory=dict)
+    to_stop: set[AttemptId] = field(default_factory=set)
+    to_checkpoint: set[AttemptId] = field(default_factory=set)
+    to_ack: set[AttemptId] = field(default_factory=set)
+
+    def committed(self) -> Size:
+        """Return what every attempt takes that may run on the worker."""
+        total = Size()
+        for start in self.assigned.values():
+            total += size_of(start)
+        for key, attempt in self.running.items():
+            if key not in self.assigned:
+                total += size_of(attempt)
+        return total
+
+    def free(self) -> Size:
+        """Return what is left for new tasks."""
+        return self.capacity - self.reserve - self.committed()
+
+    def usable(self) -> bool:
+        """Tell whether new tasks may be placed on the worker."""
+        return self.fenced and self.enlisted and not self.leaving and self.failures == 0
+
+    def assign(self, start: Start) -> None:
+        """Take a task on, to be started with the next exchange."""
+        key = (start.task, start.attempt)
+        self.assigned[key] = start
+        self.to_start[key] = start
+
+    def drop(self, key: AttemptId) -> None:
+        """Forget an attempt that no longer runs here."""
+        for store in (self.assigned, self.running, self.to_start):
+            store.pop(key, None)
+        self.to_stop.discard(key)
+        self.to_checkpoint.discard(key)
+
+    def due(self, now_ms: int) -> bool:
+        """Tell whether an exchange is to be sent now."""
+        if self.in_flight:
+            return False
+        since = now_ms - self.sent_ms
+        if self.failures:
+            return since >= min(RETRY_BASE_MS << min(self.failures, 5), RETRY_MAX_MS)
+        if not self.fenced or self.to_start or self.to_stop or self.to_checkpoint:
+            return True
+        return since >= EXCHANGE_INTERVAL_MS or bool(self.to_ack)
+
+    def next_exchange(self, epoch: int, owner: str, leases: Leases, now_ms: int) -> Exchange:
+        """Build the exchange of the next round."""
+        self.round += 1
+        self.in_flight = True
+        self.sent_ms = now_ms
+        return Exchange(
+            epoch=epoch,
+            owner=owner,
+            round=self.round,
+            echo=self.echo,
+            window_ms=leases.command_window_ms,
+            lease_ms=leases.task_lease_ms,
+            known_version=self.version,
+            starts=tuple(self.to_start.values()),
+            stops=tuple(sorted(self.to_stop)),
+            checkpoints=tuple(sorted(self.to_checkpoint)),
+            acks=tuple(sorted(self.to_ack)),
+        )
+
+    def take_reply(self, sent: Exchange, reply: ExchangeReply, now_ms: int) -> None:
+        """Take an accepted reply in."""
+        self.in_flight = False
+        self.failures = 0
+        self.fenced = True
+        self.echo = reply.clock
+        self.received_ms = now_ms
+        self.capacity = Size(reply.cpus, reply.memory_mb, reply.accelerators)
+        self.to_ack.difference_update(sent.acks)
+        for key in sent.acks:
+            self.outbox.pop(key, None)
+        if reply.running is not None:
+            self.running = {(a.task, a.attempt): a for a in reply.running}
+            self.version = reply.version
+        for ended in reply.ended:
+            self.outbox[(ended.task, ended.attempt)] = ended
+        if reply.fresh:
+            self._settle_commands(sent)
+
+    def _settle_commands(self, sent: Exchange) -> None:
+        for start in sent.starts:
+            self.to_start.pop((start.task, start.attempt), None)
+        self.to_stop.difference_update(sent.stops)
+        self.to_checkpoint.difference_update(sent.checkpoints)
+
+    def take_failure(self) -> None:
+        """Note that an exchange was not answered."""
+        self.in_flight = False
+        self.failures += 1
+
+    def absent(self) -> list[AttemptId]:
+        """List assigned attempts that the worker has answered for and neither runs nor reports."""
+        return [
+            key
+            for key in self.assigned
+            if key not in self.running and key not in self.outbox and key not in self.to_start
+        ]
+
+    def shapes(self) -> Size:
+        """Return what the worker has for batch tasks."""
+        return self.capacity - self.reserve
+
+
+def total_free_cpus(workers: Iterable[WorkerState]) -> int:
+    """Sum the free processors of usable workers."""
+    return sum(max(0, w.free().cpus) for w in workers if w.usable())
