--- a/src/greengagewood/internal/chart.py
+++ b/src/greengagewood/internal/chart.py
@@ -1,8 +1,8 @@
 """State charts that the code interprets.
 
 A chart is a YAML file: where it may begin, its states, and for each state the events that it takes
-and where each leads. It is validated and compiled to one dictionary when the module that uses it is imported, so a
-step is one dictionary look-up. General state-machine libraries were weighed in
+and where each leads. It is validated and compiled to one dictionary when the module that uses it
+is imported, so a step is one dictionary look-up. General state-machine libraries were weighed in
 docs/design/state-charts.md; a step there costs 200 times as much, and a request takes several.
 
 An event that the current state does not take raises `IllegalTransition`: it is an error of the
