--- /dev/null
+++ b/devtools/up.py
@@ -0,0 +1,50 @@
+"""Start the demo's system and leave it running for a person to try."""
+
+from __future__ import annotations
+
+import subprocess
+import sys
+import time
+from pathlib import Path
+
+from devtools.callers import token_of
+from devtools.cluster import KEEPER_ADMIN_PORT, Cluster
+from devtools.demo import CALLERS, PLAN, document
+
+__all__ = ["RUN_FOLDER", "main"]
+
+RUN_FOLDER = Path("run")
+
+
+def main() -> int:
+    """Start everything and print the addresses."""
+    pids = RUN_FOLDER / "pids"
+    if pids.exists():
+        print("up: a system seems to run already; stop it with ./dev down", file=sys.stderr)
+        return 1
+    cluster = Cluster(PLAN, RUN_FOLDER)
+    settings = cluster.control_settings()
+    path = RUN_FOLDER / "document.yaml"
+    path.write_text(document(), encoding="utf-8")
+    cluster.start()
+    pids.write_text("\n".join(map(str, cluster.pids())) + "\n", encoding="utf-8")
+    time.sleep(2)
+    ctl = str(Path(sys.executable).parent / "ggwctl")
+    for args in (["try", str(path)], ["promote"]):
+        subprocess.run([ctl, *args, "--wait", f"--settings={settings}"], check=True)
+    cluster.wait_ready(20)
+    caller = next(iter(CALLERS))
+    for instance in cluster.instances.values():
+        if instance.stage == "production":
+            print(
+                f"{instance.name:14} {instance.url}  http://{instance.ip}:{KEEPER_ADMIN_PORT}/status"
+            )
+    print(f"\nexport GGW={next(iter(cluster.instances.values())).url}")
+    print(f"export TOKEN={token_of(caller)}")
+    print(f"./dev run ggwctl status --settings={settings}")
+    print("./dev down")
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/src/greengagewood/internal/gateway.py
+++ b/src/greengagewood/internal/gateway.py
@@ -14,6 +14,7 @@
 from greengagewood.internal.body import BodyRefused, read_body
 from greengagewood.internal.clock import monotonic_ms
 from greengagewood.internal.confighistory import Accepted
+from greengagewood.internal.connections import ConnectionGuard
 from greengagewood.internal.daemon import supervised
 from greengagewood.internal.dispatch import Dispatcher, Opened
 from greengagewood.internal.document import Document, Service
@@ -41,7 +42,6 @@
 
 MAX_LINE_BYTES = 8 * 1024
 MAX_HEADER_BYTES = 16 * 1024
-DRAIN_GRACE_S = 2.5
 STOP_TIMEOUT_S = 30.0
 KEY_HEADER = "Idempotency-Key"
 MAX_KEY_CHARS = 200
@@ -71,6 +71,7 @@
         self._index = JobIndex()
         self._draining = False
         self._inside = 0
+        self._guard = ConnectionGuard(metrics, cfg.quiet_limit_ms)
         self._loops: list[asyncio.Future[None]] = []
 
     async def start(self) -> None:
@@ -98,6 +99,13 @@
         refresh = supervised("backends", self._refresh_backends, self._metrics, 1.0)
         self._loops.append(asyncio.ensure_future(refresh()))
         await self._open_port()
+        sweep = supervised("sweep", self._sweep, self._metrics, 1.0)
+        self._loops.append(asyncio.ensure_future(sweep()))
+
+    async def _sweep(self) -> None:
+        server = self._runner.server
+        assert server is not None
+        await self._guard.sweep(server)
 
     async def _open_port(self) -> None:
         app = web.Application()
@@ -117,7 +125,7 @@
     async def stop(self) -> None:
         """Let the balancer notice, finish every request in progress and close."""
         self._draining = True
-        await asyncio.sleep(DRAIN_GRACE_S)
+        await asyncio.sleep(self._cfg.drain_grace_ms / 1000)
         await self._runner.cleanup()
         await self._keyed.stop()
         for loop in self._loops:
@@ -200,11 +208,16 @@
     async def _handle(self, req: web.Request) -> web.StreamResponse:
         request_id = uuid.uuid4().hex
         started_ms = monotonic_ms()
+        transport = req.transport
         self._inside += 1
+        self._guard.entered(transport)
         try:
             resp = await self._answer(req, request_id)
         finally:
             self._inside -= 1
+            self._guard.left(transport)
+        if req.transport is None:
+            self._metrics.count("callers_gone")
         if self._draining and not resp.prepared:
             resp.force_close()
         self._metrics.observe("request", (monotonic_ms() - started_ms) / 1000)
--- a/src/greengagewood/internal/settings.py
+++ b/src/greengagewood/internal/settings.py
@@ -70,6 +70,8 @@
     listen: Address
     peer: Address
     keeper: Address
+    drain_grace_ms: Annotated[int, Meta(ge=0, le=60_000)] = 2500
+    quiet_limit_ms: Annotated[int, Meta(ge=100, le=600_000)] = 10_000
 
 
 class SchedulerSettings(_Settings, frozen=True, kw_only=True):
--- a/src/greengagewood/internal/yamlfile.py
+++ b/src/greengagewood/internal/yamlfile.py
@@ -70,10 +70,53 @@
     return node.start_mark.line + 1, repr(value) if value else ""
 
 
-def _from_validation(file: str, text: str, exc: msgspec.ValidationError) -> FileError:
+def _name_unnamed(raw: Any, model: Any, path: str) -> str:
+    """Replace each `[...]` of an error's path, a key of a mapping, by the key's name.
+
+    msgspec does not name the key, so the mapping is tried again with one key at a time.
+    """
+    while "[...]" in path:
+        before, _, after = path.partition("[...]")
+        key = _offending_key(raw, model, _steps(before))
+        if key is None:
+            return path
+        path = f"{before}.{key}{after}"
+    return path
+
+
+def _offending_key(raw: Any, model: Any, steps: list[str]) -> str | None:
+    mapping = raw
+    for step in steps:
+        mapping = mapping[int(step)] if isinstance(mapping, list) else mapping.get(step)
+    if not isinstance(mapping, dict):
+        return None
+    whole = dict(mapping)
+    try:
+        for key, value in whole.items():
+            mapping.clear()
+            mapping[key] = value
+            if not _converts(raw, model):
+                return str(key)
+    finally:
+        mapping.clear()
+        mapping.update(whole)
+    return None
+
+
+def _converts(raw: Any, model: Any) -> bool:
+    try:
+        msgspec.convert(raw, model)
+    except msgspec.ValidationError:
+        return False
+    return True
+
+
+def _from_validation(
+    file: str, text: str, raw: Any, model: Any, exc: msgspec.ValidationError
+) -> FileError:
     message = str(exc)
     match = _PATH.search(message)
-    path = match.group(1) if match else ""
+    path = _name_unnamed(raw, model, match.group(1) if match else "")
     problem = _PATH.sub("", message)
     field = re.search(r"(?:field|unknown field) `([^`]+)`", problem)
     key = (path + ("." + field.group(1) if field else "")).lstrip(".") or "the document"
@@ -102,7 +145,7 @@
     try:
         return Ok(msgspec.convert(raw, model))
     except msgspec.ValidationError as exc:
-        return Err(_from_validation(file, text, exc))
+        return Err(_from_validation(file, text, raw, model, exc))
 
 
 def load_yaml(path: str | Path, model: type[T]) -> Result[T, FileError]:
--- a/tests/common/__init__.py
+++ b/tests/common/__init__.py
@@ -0,0 +1,1 @@
+"""Helpers of the tests."""
--- /dev/null
+++ b/tests/common/system.py
@@ -0,0 +1,192 @@
+"""A small system inside one process: the real daemons and the stand-in platform, over loopback."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import hashlib
+import itertools
+import os
+import random
+import uuid
+from pathlib import Path
+
+import aiohttp
+import msgspec
+import yaml
+
+from greengagewood.internal.clock import wall_ms
+from greengagewood.internal.document import digest_of
+from greengagewood.internal.gateway import Gateway
+from greengagewood.internal.keeper import Keeper
+from greengagewood.internal.metrics import Metrics
+from greengagewood.internal.records import ConfigPublished, StreamNames, encode_record
+from greengagewood.internal.scheduler import Scheduler
+from greengagewood.internal.settings import (
+    Address,
+    GatewaySettings,
+    KeeperSettings,
+    Keys,
+    SchedulerSettings,
+)
+from greengagewood.internal.standin.log import _NewRecord
+from greengagewood.internal.standin.platform import StandinPlatform
+from greengagewood.internal.standin.settings import (
+    EntrySettings,
+    StandinSettings,
+    WorkerSettings,
+)
+
+KEYS = Keys("k1", {"k1": "a-key-for-the-tests-only"})
+TOKENS = {"alice": "token-of-alice", "bob": "token-of-bob"}
+_numbers = itertools.count(1)
+
+
+def auth(caller="alice", **headers):
+    return {"Authorization": f"Bearer {TOKENS[caller]}", **headers}
+
+
+def example_document(**changes) -> str:
+    raw = yaml.safe_load(Path("examples/padana.yaml").read_text(encoding="utf-8"))
+    raw["callers"] = {
+        name: {"team": "mercato", "token_sha256": hashlib.sha256(token.encode()).hexdigest()}
+        for name, token in TOKENS.items()
+    }
+    for path, value in changes.items():
+        *parents, last = path.split("__")
+        target = raw
+        for name in parents:
+            target = target[name]
+        target[last] = value
+    return yaml.safe_dump(raw, sort_keys=False)
+
+
+class System:
+    """One failure domain with a few instances, each with its three daemons."""
+
+    def __init__(self, instances=1, workers=2, **standin):
+        octet = 128 + os.getpid() % 100
+        self.net = f"127.{octet}.{next(_numbers) % 250}"
+        self.names = StreamNames("padana", "production")
+        names = [f"i{n + 1}" for n in range(instances)]
+        self.platform = StandinPlatform(
+            StandinSettings(
+                listen=Address(f"{self.net}.1", 17100),
+                service="quotazioni",
+                workers=tuple(
+                    WorkerSettings(f"w{n + 1}", "pd-milano", "milano-r1", backend_port=17200 + n)
+                    for n in range(workers)
+                ),
+                entries=tuple(
+                    EntrySettings(name, "pd-milano", str(self.address(name, 17001)))
+                    for name in names
+                ),
+                **{"list_lag_ms": 100, "base_latency_ms": 2.0, **standin},
+            )
+        )
+        self.daemons = {name: self._daemons(name) for name in names}
+        self.running: list = []
+
+    def address(self, name, port):
+        return Address(f"{self.net}.{int(name[1:]) + 1}", port)
+
+    def _daemons(self, name):
+        common = {
+            "environment": "padana",
+            "instance": name,
+            "failure_domain": "pd-milano",
+            "keys": KEYS,
+            "admin": self.address(name, 17011),
+            "platform": Address(f"{self.net}.1", 17100),
+        }
+        keeper = self.address(name, 17001)
+        peer = self.address(name, 17003)
+        scheduler = self.address(name, 17004)
+        return {
+            "keeper": Keeper(
+                KeeperSettings(
+                    listen=keeper,
+                    gateway=peer,
+                    scheduler=scheduler,
+                    commit_interval_ms=5,
+                    **common,
+                ),
+                Metrics(),
+            ),
+            "gateway": Gateway(
+                GatewaySettings(
+                    listen=self.address(name, 17002),
+                    peer=peer,
+                    keeper=keeper,
+                    drain_grace_ms=0,
+                    quiet_limit_ms=1000,
+                    **common,
+                ),
+                Metrics(),
+            ),
+            "scheduler": Scheduler(
+                SchedulerSettings(listen=scheduler, keeper=keeper, **common), Metrics()
+            ),
+        }
+
+    def url(self, name="i1"):
+        return f"http://{self.address(name, 17002)}"
+
+    def publish(self, text, based_on=0):
+        record = ConfigPublished(digest_of(text), text, based_on, "test", wall_ms())
+        body = msgspec.Raw(encode_record(record))
+        new = _NewRecord(uuid.uuid4().hex, body)
+        return self.platform.log.append(self.names.config, [new])[0]
+
+    async def start(self, document=None, roles=("keeper", "gateway", "scheduler")):
+        await self.platform.start()
+        self.publish(document or example_document())
+        for daemons in self.daemons.values():
+            for role in roles:
+                await daemons[role].start()
+                self.running.append(daemons[role])
+        await self.until(
+            lambda: all(not daemon.ready() for daemon in self.running), "daemons are ready"
+        )
+        gateways = [d["gateway"] for d in self.daemons.values() if "gateway" in roles]
+        await self.until(
+            lambda: all(len(table.table) for g in gateways for table in g._dispatchers.values()),
+            "gateways know backend servers",
+        )
+
+    async def until(self, condition, what, seconds=20.0):
+        try:
+            async with asyncio.timeout(seconds):
+                while not condition():
+                    await asyncio.sleep(0.02)
+        except TimeoutError:
+            raise AssertionError(f"not within {seconds} s: {what}") from None
+
+    async def stop(self):
+        for daemon in self.running:
+            for loop in getattr(daemon, "_loops", []):
+                loop.cancel()
+        for daemon in reversed(self.running):
+            with contextlib.suppress(Exception):
+                await asyncio.wait_for(daemon.stop(), 10)
+        await self.platform.stop()
+
+
+@contextlib.asynccontextmanager
+async def system(document=None, roles=("keeper", "gateway", "scheduler"), **options):
+    found = System(**options)
+    try:
+        await found.start(document, roles)
+        yield found
+    finally:
+        await found.stop()
+
+
+@contextlib.asynccontextmanager
+async def client():
+    async with aiohttp.ClientSession() as session:
+        yield session
+
+
+def seeded(seed=1):
+    return random.Random(seed)
