--- a/src/greengagewood/internal/workerstate.py
+++ b/src/greengagewood/internal/workerstate.py
@@ -52,6 +52,7 @@
     in_flight: bool = False
     sent_ms: int = -EXCHANGE_INTERVAL_MS
     failures: int = 0
+    stale: bool = True
     version: int = -1
     assigned: dict[AttemptId, Start] = field(default_factory=dict)
     running: dict[AttemptId, Attempt] = field(default_factory=dict)
@@ -99,7 +100,7 @@
         since = now_ms - self.sent_ms
         if self.failures:
             return since >= min(RETRY_BASE_MS << min(self.failures, 5), RETRY_MAX_MS)
-        if not self.fenced or self.to_start or self.to_stop or self.to_checkpoint:
+        if self.stale or self.to_start or self.to_stop or self.to_checkpoint:
             return True
         return since >= EXCHANGE_INTERVAL_MS or bool(self.to_ack)
 
@@ -127,6 +128,7 @@
         self.in_flight = False
         self.failures = 0
         self.fenced = True
+        self.stale = not reply.fresh  # nothing was renewed; leases may be about to end
         self.echo = reply.clock
         self.received_ms = now_ms
         self.capacity = Size(reply.cpus, reply.memory_mb, reply.accelerators)
--- /dev/null
+++ b/tests/common/mutants.py
@@ -0,0 +1,192 @@
+"""Deliberately broken variants of the decision code, switched on in tests only."""
+
+from __future__ import annotations
+
+import contextlib
+from collections.abc import Callable, Iterator
+from unittest import mock
+
+from greengagewood.internal import celllog, owner, taskbook, workerstate
+from greengagewood.internal.standin import worker as standin_worker
+from tests.common import world
+
+__all__ = ["MUTANTS", "mutant"]
+
+
+def _patch(target, name, value):
+    return lambda: mock.patch.object(target, name, value)
+
+
+def _no_fence(self, worker):
+    return True
+
+
+def _lapsed_by_now(self, worker):
+    bound = worker.received_ms + workerstate.lapse_after_ms(self._document.leases)
+    return self._mutant_now > bound
+
+
+def _plan_noting_now(original):
+    def plan(self, now_ms, situation):
+        self._mutant_now = now_ms
+        return original(self, now_ms, situation)
+
+    return plan
+
+
+def _keep_owning(original):
+    def epoch_changed(self, before, previous, now_ms):
+        if self.state in owner.OWNING and self.log.owner != self.me:
+            return
+        original(self, before, previous, now_ms)
+
+    return epoch_changed
+
+
+def _always_licensed(self, now_ms, situation):
+    self._confirmed_ms = now_ms
+
+
+def _deaf_to_peers(original):
+    def confirmation(self, now_ms, situation):
+        heard = list(situation.confirmed_by.values())
+        return max([situation.log_confirmed_ms or 0, *heard])
+
+    return confirmation
+
+
+def _confirmed_when_read(original):
+    def take_read(self, scheduler, sent, records, jobs):
+        original(self, scheduler, self.now, records, jobs)
+
+    return take_read
+
+
+def _any_epoch(original):
+    def exchange(self, sent):
+        self._epoch, self._round = sent.epoch, sent.round - 1
+        return original(self, sent)
+
+    return exchange
+
+
+def _any_round(original):
+    def exchange(self, sent):
+        if sent.epoch == self._epoch:
+            self._round = sent.round - 1
+        return original(self, sent)
+
+    return exchange
+
+
+def _any_echo(original):
+    def exchange(self, sent):
+        import msgspec
+
+        return original(self, msgspec.structs.replace(sent, echo=self._clock()))
+
+    return exchange
+
+
+def _ack_at_once(original):
+    def take_ended(self, worker, ended):
+        original(self, worker, ended)
+        worker.to_ack.add((ended.task, ended.attempt))
+
+    return take_ended
+
+
+def _nothing_unknown(self):
+    return False
+
+
+def _boundless(self):
+    return self.capacity
+
+
+def _never_lapses(leases):
+    return leases.task_lease_ms // 2
+
+
+def _final_can_change(self, outcome):
+    task = self.tasks.setdefault(outcome.task, celllog.LoggedTask())
+    if outcome.outcome in celllog.FINAL_OUTCOMES:
+        task.final = outcome.outcome
+        task.detail = f"{outcome.detail}@{outcome.attempt}"
+
+
+def _rules_by_time_always(original):
+    def take_over(self, before, previous, now_ms):
+        original(self, before, (previous[0], True), now_ms)
+
+    return take_over
+
+
+def _lose_outcomes(self, outcomes):
+    return None
+
+
+def _attempts_start_again(original):
+    def start(self, task, room):
+        self._attempts = 0
+        original(self, task, room)
+
+    return start
+
+
+def _skip_enlisting(original):
+    def merge(self):
+        original(self)
+        for found in self.workers.values():
+            found.enlisted = True
+
+    return merge
+
+
+_owner = owner.CellOwner
+_worker = standin_worker.StandinWorker
+
+MUTANTS: dict[str, list[Callable[[], contextlib.AbstractContextManager[object]]]] = {
+    "no fence at takeover": [_patch(_owner, "_is_ruled", _no_fence)],
+    "every takeover may rule out as after a release": [
+        _patch(_owner, "_take_over", _rules_by_time_always(_owner._take_over))
+    ],
+    "tasks are not unknown at takeover": [_patch(_owner, "_is_taking_over", _nothing_unknown)],
+    "ruling out needs no confirmation": [
+        _patch(_owner, "_has_lapsed", _lapsed_by_now),
+        _patch(_owner, "plan", _plan_noting_now(_owner.plan)),
+    ],
+    "renewal after step-down": [
+        _patch(_owner, "_epoch_changed", _keep_owning(_owner._epoch_changed))
+    ],
+    "license never lapses": [_patch(_owner, "_update_license", _always_licensed)],
+    "any peer's word confirms, claims unheard": [
+        _patch(_owner, "_confirmation", _deaf_to_peers(_owner._confirmation))
+    ],
+    "a read confirms from when it is read": [
+        _patch(world.World, "_take_read", _confirmed_when_read(world.World._take_read))
+    ],
+    "worker takes any epoch": [_patch(_worker, "exchange", _any_epoch(_worker.exchange))],
+    "worker takes any round": [_patch(_worker, "exchange", _any_round(_worker.exchange))],
+    "worker takes any echo": [_patch(_worker, "exchange", _any_echo(_worker.exchange))],
+    "final outcomes can change": [_patch(celllog.CellLog, "_apply", _final_can_change)],
+    "reports are acknowledged before they are durable": [
+        _patch(_owner, "_take_ended", _ack_at_once(_owner._take_ended))
+    ],
+    "what runs takes no room": [_patch(workerstate.WorkerState, "free", _boundless)],
+    "half a lease is enough to rule out": [_patch(owner, "lapse_after_ms", _never_lapses)],
+    "outcomes are not read back": [_patch(taskbook.TaskBook, "make_durable", _lose_outcomes)],
+    "attempt numbers start again": [_patch(_owner, "_start", _attempts_start_again(_owner._start))],
+    "workers are commanded before they are enlisted": [
+        _patch(_owner, "_merge_workers", _skip_enlisting(_owner._merge_workers))
+    ],
+}
+
+
+@contextlib.contextmanager
+def mutant(name) -> Iterator[None]:
+    """Switch one broken variant on."""
+    with contextlib.ExitStack() as stack:
+        for patch in MUTANTS[name]:
+            stack.enter_context(patch())
+        yield
--- /dev/null
+++ b/tests/common/world.py
@@ -0,0 +1,431 @@
+"""A small world for the decision code: real owners and workers, virtual time, a fake log between.
+
+Not a simulator of clusters: one cell, a few schedulers and workers. Every link can be cut, every
+party paused and woken, every message held back and delivered later, every answer lost. Checks run
+at the workers after each tick.
+"""
+
+from __future__ import annotations
+
+import itertools
+import random
+from collections import Counter, defaultdict
+from dataclasses import dataclass, field
+
+from greengagewood.internal.celllog import CellLog, JobLog
+from greengagewood.internal.document import parse_document
+from greengagewood.internal.messages import WorkerEntry
+from greengagewood.internal.owner import OWNING, Append, CellOwner, Send, Situation
+from greengagewood.internal.placement import Size
+from greengagewood.internal.ranking import ranked
+from greengagewood.internal.records import CellClaimed, JobCancelled, JobSubmitted
+from greengagewood.internal.standin.settings import WorkerSettings
+from greengagewood.internal.standin.worker import StandinWorker
+from greengagewood.internal.workerstate import size_of
+from tests.common.system import example_document
+
+TICK_MS = 100
+EXCHANGE_TIMEOUT_TICKS = 10
+APPEND_TIMEOUT_TICKS = 20
+BEAT_TICKS = 5
+SUSPECT_MS = 3000
+CELL = "milano-1"
+DOCUMENT = parse_document(example_document()).unwrap()
+
+
+class Broken(AssertionError):
+    """Report a promise that was not kept; `check` names it."""
+
+    def __init__(self, check, detail):
+        super().__init__(f"{check}: {detail}")
+        self.check = check
+
+
+@dataclass
+class Worker:
+    name: str
+    real: StandinWorker
+    paused: bool = False
+    queue: list = field(default_factory=list)
+
+
+@dataclass
+class Scheduler:
+    name: str
+    owner: CellOwner
+    boot: int
+    cursor: int = 0
+    job_cursor: int = 0
+    jobs: JobLog = field(default_factory=JobLog)
+    paused: bool = False
+    retired: bool = False
+    inbox: list = field(default_factory=list)
+    reading: bool = False
+    log_confirmed: int | None = None
+    confirmed: dict = field(default_factory=dict)
+    heard: dict = field(default_factory=dict)
+    peer_claims: dict = field(default_factory=dict)
+    waiting: dict = field(default_factory=dict)
+    claim_based_on: int = -1
+
+
+class World:
+    def __init__(self, seed=0, schedulers=3, workers=3, drift=0.009, document=DOCUMENT):
+        self.document = document
+        self.now = 1_000_000
+        self.rng = random.Random(seed)
+        self.log: list = []
+        self.job_records: list = []
+        self.reference = CellLog(CELL)
+        self.finals: dict[str, tuple[str, str]] = {}
+        self.log_down = False
+        self.lose_append_answers = False
+        self.lose_replies = False
+        self.hold_messages = False
+        self.held: list = []
+        self.cuts: set = set()
+        self.worker_faults = False
+        self.ids = itertools.count(1)
+        self.boots = itertools.count(1)
+        self.workers: dict[str, Worker] = {}
+        self.drift = drift
+        for n in range(workers):
+            self._add_worker(f"w{n + 1}")
+        self.schedulers: dict[str, Scheduler] = {}
+        for n in range(schedulers):
+            self._boot(f"s{n + 1}")
+        self.submitted: dict[str, JobSubmitted] = {}
+        self.cancelled: set[str] = set()
+        self.ticks = 0
+        self.evictions = 0
+
+    # Building.
+
+    def _add_worker(self, name):
+        rate = 1 + self.rng.uniform(-self.drift, self.drift)
+        base = self.rng.randrange(10**6)
+
+        def clock():
+            return int(base + self.now * rate)
+
+        cfg = WorkerSettings(name, "pd-milano", "milano-r1", cpus=16, memory_mb=16_000)
+        real = StandinWorker(cfg, 0, random.Random(self.rng.random()), clock)
+        real._version = next(self.ids) * 1_000_000
+        self.workers[name] = Worker(name, real)
+
+    def _boot(self, name):
+        boot = next(self.boots)
+        owner = CellOwner(CELL, name, boot)
+        owner.set_document(self.document)
+        entries = [WorkerEntry(w, "pd-milano", "milano-r1", f"u/{w}", False) for w in self.workers]
+        owner.set_workers(entries, {})
+        self.schedulers[name] = Scheduler(name, owner, boot)
+
+    # Faults and wishes.
+
+    def submit(self, tasks, cpus, run_ms):
+        name = f"j{next(self.ids)}"
+        record = JobSubmitted(
+            name, "a", "mercato", "price-grid", CELL, tasks, cpus, 100, 0, run_ms, "", 0
+        )
+        self.submitted[name] = record
+        self.job_records.append(record)
+
+    def cancel(self, which):
+        names = sorted(self.submitted)
+        if names:
+            name = names[which % len(names)]
+            self.cancelled.add(name)
+            self.job_records.append(JobCancelled(name, 0))
+
+    def evict(self, which):
+        for scheduler in self.schedulers.values():
+            running = sorted(t.name for t in scheduler.owner.book.in_state("running"))
+            if running and scheduler.owner.state == "placing":
+                self.evictions += scheduler.owner.evict(running[which % len(running)])
+
+    def kill(self, name):
+        """Kill a scheduler and boot its replacement; what it sent may still arrive."""
+        self._boot(name)
+
+    def release(self, name):
+        self.schedulers[name].owner.release()
+        self.schedulers[name].retired = True
+
+    def pause(self, name, paused):
+        self.schedulers[name].paused = paused
+
+    def pause_worker(self, name, paused):
+        self.worker_faults = True
+        self.workers[name].paused = paused
+
+    def lose_worker(self, name):
+        """Replace a worker by one that knows nothing; its queue is lost with it."""
+        self.worker_faults = True
+        old = self.workers[name]
+        for key in list(old.real._running):
+            old.real._end(key, "lost", "")
+        self._add_worker(name)
+        self.workers[name].real.audit = old.real.audit
+
+    def cut(self, a, b, cut=True):
+        if b.startswith("w"):
+            self.worker_faults = True
+        (self.cuts.add if cut else self.cuts.discard)(frozenset((a, b)))
+
+    def is_cut(self, a, b):
+        return frozenset((a, b)) in self.cuts
+
+    def hold(self, hold):
+        """Hold back messages that are sent from now on."""
+        self.worker_faults = self.worker_faults or hold
+        self.hold_messages = hold
+
+    def deliver_held(self, count):
+        """Deliver messages that were held back, newest first."""
+        for _ in range(min(count, len(self.held))):
+            worker, message = self.held.pop()
+            self.workers[worker].queue.append(message)
+
+    def heal(self):
+        self.log_down = False
+        self.lose_append_answers = False
+        self.lose_replies = False
+        self.hold_messages = False
+        self.cuts.clear()
+        for scheduler in self.schedulers.values():
+            scheduler.paused = False
+        for worker in self.workers.values():
+            worker.paused = False
+
+    # Time.
+
+    def run(self, ticks):
+        for _ in range(ticks):
+            self.tick()
+
+    def tick(self):
+        self.ticks += 1
+        self.now += TICK_MS
+        for worker in self.workers.values():
+            worker.real.tick()
+            if not worker.paused:
+                self._serve_worker(worker)
+        self.check()
+        for scheduler in list(self.schedulers.values()):
+            if not scheduler.paused:
+                self._run_scheduler(scheduler)
+
+    def _serve_worker(self, worker):
+        queue, worker.queue = worker.queue, []
+        for scheduler, send, ticket in queue:
+            reply = worker.real.exchange(send.exchange)
+            if not self.lose_replies and not self.is_cut(scheduler.name, worker.name):
+                scheduler.inbox.append(("reply", send, ticket, reply))
+
+    def _run_scheduler(self, scheduler):
+        inbox, scheduler.inbox = scheduler.inbox, []
+        for item in inbox:
+            self._receive(scheduler, item)
+        self._time_out(scheduler)
+        self._begin_read(scheduler)
+        if self.ticks % BEAT_TICKS == 0:
+            self._beat(scheduler)
+        for command in scheduler.owner.plan(self.now, self._situation(scheduler)):
+            self._carry_out(scheduler, command)
+
+    def _receive(self, scheduler, item):
+        match item:
+            case ("reply", send, ticket, reply):
+                if scheduler.waiting.pop(ticket, None) is not None:
+                    scheduler.owner.exchange_answered(send, reply, self.now)
+            case ("appended", record, ticket):
+                if scheduler.waiting.pop(ticket, None) is not None:
+                    scheduler.owner.append_answered(record, True)
+            case ("read", sent, records, jobs):
+                self._take_read(scheduler, sent, records, jobs)
+            case ("ack", peer, sent, based_on, epoch):
+                scheduler.confirmed[peer] = max(sent, scheduler.confirmed.get(peer, 0))
+                scheduler.heard[peer] = (self.now, epoch)
+                scheduler.peer_claims[peer] = max(based_on, scheduler.peer_claims.get(peer, -1))
+
+    def _take_read(self, scheduler, sent, records, jobs):
+        scheduler.reading = False
+        for record in jobs:
+            scheduler.job_cursor += 1
+            if scheduler.jobs.replay(record):
+                scheduler.owner.set_job(scheduler.jobs.jobs[record.job])
+        for offset, record in records:
+            scheduler.cursor = offset
+            scheduler.owner.replay(offset, record, self.now)
+        scheduler.log_confirmed = sent
+
+    def _begin_read(self, scheduler):
+        if scheduler.reading or self.log_down or self.is_cut(scheduler.name, "log"):
+            return
+        scheduler.reading = True
+        records = [(n, r) for n, r in enumerate(self.log, 1) if n > scheduler.cursor]
+        jobs = self.job_records[scheduler.job_cursor :]
+        scheduler.inbox.append(("read", self.now, records, jobs))
+
+    def _beat(self, scheduler):
+        for peer in self.schedulers.values():
+            if peer is scheduler or peer.paused or self.is_cut(scheduler.name, peer.name):
+                continue
+            load = peer.owner.load()
+            epoch = load.epoch if load else 0
+            answer = ("ack", peer.name, self.now, peer.claim_based_on, epoch)
+            scheduler.inbox.append(answer)
+
+    def _situation(self, scheduler):
+        fresh = {name for name, (at, _) in scheduler.heard.items() if self.now - at <= SUSPECT_MS}
+        owner = scheduler.owner.log.owner
+        epoch = scheduler.owner.log.epoch
+        return Situation(
+            log_confirmed_ms=scheduler.log_confirmed,
+            rivals=tuple(ranked(CELL, {*fresh, scheduler.name})),
+            owner_seen=owner in fresh and scheduler.heard[owner][1] == epoch,
+            confirmed_by=dict(scheduler.confirmed),
+            claimed_by_peers=tuple(scheduler.peer_claims.values()),
+        )
+
+    def _carry_out(self, scheduler, command):
+        ticket = next(self.ids)
+        match command:
+            case Send():
+                scheduler.waiting[ticket] = (self.ticks + EXCHANGE_TIMEOUT_TICKS, command)
+                if self.is_cut(scheduler.name, command.worker):
+                    return
+                message = (scheduler, command, ticket)
+                if self.hold_messages:
+                    self.held.append((command.worker, message))
+                else:
+                    self.workers[command.worker].queue.append(message)
+            case Append():
+                scheduler.waiting[ticket] = (self.ticks + APPEND_TIMEOUT_TICKS, command)
+                self._append(scheduler, command.record, ticket)
+
+    def _append(self, scheduler, record, ticket):
+        if isinstance(record, CellClaimed):
+            scheduler.claim_based_on = max(scheduler.claim_based_on, record.based_on)
+        if self.log_down or self.is_cut(scheduler.name, "log"):
+            return
+        self.log.append(record)
+        for outcome in self.reference.replay(len(self.log), record):
+            self._check_final(outcome.task)
+        if not self.lose_append_answers:
+            scheduler.inbox.append(("appended", record, ticket))
+
+    def _time_out(self, scheduler):
+        for ticket, (deadline, command) in list(scheduler.waiting.items()):
+            if self.ticks < deadline:
+                continue
+            del scheduler.waiting[ticket]
+            if isinstance(command, Send):
+                scheduler.owner.exchange_failed(command)
+            else:
+                scheduler.owner.append_answered(command.record, False)
+
+    # Checks.
+
+    def check(self):
+        places = defaultdict(list)
+        for worker in self.workers.values():
+            used = Size()
+            for key, running in worker.real._running.items():
+                places[key[0]].append((worker.name, key[1]))
+                used += size_of(running.start)
+            if not used.fits(Size(worker.real.cfg.cpus, worker.real.cfg.memory_mb, 0)):
+                raise Broken("overcommitted", f"{worker.name} runs {used}")
+        for task, found in places.items():
+            if len(found) > 1:
+                raise Broken("two_places", f"{task} runs at {found}")
+
+    def _check_final(self, task):
+        logged = self.reference.tasks[task]
+        if logged.final:
+            known = self.finals.setdefault(task, (logged.final, logged.detail))
+            if known != (logged.final, logged.detail):
+                raise Broken("final_changed", f"{task}: {known} became {logged}")
+
+    def expected_tasks(self):
+        return {
+            f"{name}/{index}" for name, job in self.submitted.items() for index in range(job.tasks)
+        }
+
+    def finish(self, ticks=1500):
+        """Heal everything, let the work end, and compare with a naive sequential run."""
+        self.deliver_held(len(self.held))
+        self.heal()
+        for scheduler in list(self.schedulers.values()):
+            if scheduler.retired:  # a stopped process is replaced
+                self.kill(scheduler.name)
+        expected = self.expected_tasks()
+        for _ in range(ticks):
+            if self.finals.keys() >= expected:
+                break
+            self.tick()
+        self.check_end(expected)
+
+    def check_end(self, expected):
+        done = Counter(
+            e.task for w in self.workers.values() for e in w.real.audit if e.event == "done"
+        )
+        missing = sorted(expected - self.finals.keys())
+        if missing:
+            states = {s.name: s.owner.state for s in self.schedulers.values()}
+            raise Broken("lost", f"no end of {missing[:3]} with owners {states}")
+        starts = Counter(
+            (e.task, e.attempt)
+            for w in self.workers.values()
+            for e in w.real.audit
+            if e.event == "start"
+        )
+        reused = [key for key, count in starts.items() if count > 1]
+        if reused:
+            raise Broken("attempt_reused", str(reused[:3]))
+        refused = [e for w in self.workers.values() for e in w.real.audit if e.event == "refused"]
+        if refused and not self.worker_faults:
+            raise Broken("beyond_capacity", f"{refused[0]}")
+        for task, (final, _) in self.finals.items():
+            if task not in expected:
+                raise Broken("invented", task)
+            cancelled = task.partition("/")[0] in self.cancelled
+            if final == "cancelled" and not cancelled:
+                raise Broken("cancelled_unasked", task)
+            if final == "done" and done[task] == 0:
+                raise Broken("done_unrun", task)
+            if final == "failed":
+                raise Broken("failed_unasked", task)
+            if done[task] > 1 and not self.worker_faults:
+                raise Broken("ran_twice", f"{task} ran to its end {done[task]} times")
+
+        self._check_drained()
+
+    def _check_drained(self):
+        """Callers must see the end of every job, and workers must be rid of their reports."""
+        for _ in range(100):
+            views = [
+                s.owner.view(job, True) for s in self.schedulers.values() for job in self.submitted
+            ]
+            finished = {v.job for v in views if v is not None and v.state == "finished"}
+            reports = [w.name for w in self.workers.values() if w.real._outbox]
+            if finished >= self.submitted.keys() and not reports:
+                return
+            self.tick()
+        raise Broken("not_drained", f"{self.submitted.keys() - finished}, reports at {reports}")
+
+    def running_ms(self):
+        """Return how long tasks have run in all."""
+        total = 0
+        for worker in self.workers.values():
+            began = {}
+            for event in worker.real.audit:
+                if event.event == "start":
+                    began[(event.task, event.attempt)] = event.at_ms
+                elif (event.task, event.attempt) in began:
+                    total += event.at_ms - began.pop((event.task, event.attempt))
+        return total
+
+    def owners(self):
+        return [s.name for s in self.schedulers.values() if s.owner.state in OWNING]
--- /dev/null
+++ b/tests/cover/test_ownership.py
@@ -0,0 +1,90 @@
+"""Ownership of a cell through every fault, in virtual time."""
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, rule
+
+from tests.common.world import World
+
+SCHEDULERS = st.sampled_from(["s1", "s2", "s3"])
+WORKERS = st.sampled_from(["w1", "w2", "w3"])
+PARTIES = SCHEDULERS | WORKERS | st.just("log")
+
+
+class OwnershipMachine(RuleBasedStateMachine):
+    """Any fault at any time, together and twice; checked after each tick and at the end."""
+
+    @initialize(seed=st.integers(0, 2**16))
+    def begin(self, seed):
+        self.world = World(seed)
+        self.world.submit(4, 4, 2000)
+        self.world.run(20)
+
+    @rule(ticks=st.sampled_from([1, 3, 10, 30, 60, 150, 250]))
+    def let_time_pass(self, ticks):
+        self.world.run(ticks)
+
+    @rule(tasks=st.integers(1, 6), cpus=st.integers(1, 16), run_ms=st.integers(100, 20_000))
+    def submit(self, tasks, cpus, run_ms):
+        self.world.submit(tasks, cpus, run_ms)
+
+    @rule(which=st.integers(0, 50))
+    def cancel(self, which):
+        self.world.cancel(which)
+
+    @rule(which=st.integers(0, 50))
+    def evict(self, which):
+        self.world.evict(which)
+
+    @rule(name=SCHEDULERS)
+    def kill(self, name):
+        self.world.kill(name)
+
+    @rule(name=SCHEDULERS)
+    def drain_and_replace(self, name):
+        self.world.release(name)
+        self.world.run(5)
+        self.world.kill(name)
+
+    @rule(name=SCHEDULERS, paused=st.booleans())
+    def pause(self, name, paused):
+        self.world.pause(name, paused)
+
+    @rule(name=WORKERS, paused=st.booleans())
+    def pause_worker(self, name, paused):
+        self.world.pause_worker(name, paused)
+
+    @rule(name=WORKERS)
+    def lose_worker(self, name):
+        self.world.lose_worker(name)
+
+    @rule(a=SCHEDULERS, b=PARTIES, cut=st.booleans())
+    def cut(self, a, b, cut):
+        if a != b:
+            self.world.cut(a, b, cut)
+
+    @rule(down=st.booleans(), answers_lost=st.booleans())
+    def log_outage(self, down, answers_lost):
+        self.world.log_down = down
+        self.world.lose_append_answers = answers_lost
+
+    @rule(lost=st.booleans())
+    def lose_replies(self, lost):
+        self.world.worker_faults = True
+        self.world.lose_replies = lost
+
+    @rule(hold=st.booleans())
+    def hold_messages(self, hold):
+        self.world.hold(hold)
+
+    @rule(count=st.integers(1, 10))
+    def deliver_held(self, count):
+        self.world.deliver_held(count)
+
+    def teardown(self):
+        if hasattr(self, "world"):
+            self.world.finish()
+
+
+TestOwnershipMachine = OwnershipMachine.TestCase
+TestOwnershipMachine.settings = settings(max_examples=60, stateful_step_count=30)
