--- a/src/greengagewood/internal/confighistory.py
+++ b/src/greengagewood/internal/confighistory.py
@@ -3,6 +3,9 @@
 A record is accepted only if it names the offset that was accepted before it. So of two operators
 who race, the one whose record has the lower offset wins, the same at every reader, and a reader
 never goes back to an older offset.
+
+A reader whose beginning the log has forgotten cannot judge the records it reads: it keeps them
+until a snapshot or a peer tells it what was accepted, and judges those that came after.
 """
 
 from __future__ import annotations
@@ -33,6 +36,8 @@
     def __init__(self, environment: str) -> None:
         self._environment = environment
         self.accepted: Accepted | None = None
+        self.synced = True
+        self._kept: list[tuple[int, ConfigPublished]] = []
 
     @property
     def offset(self) -> int:
@@ -43,15 +48,29 @@
         """Take a record in; return "accepted" or the reason why it is not."""
         if offset <= self.offset:
             return "older"
+        if not self.synced:
+            self._kept.append((offset, record))
+            return "kept"
         if record.based_on != self.offset:
             return "raced"
         return self._accept(offset, record.digest, record.text)
 
+    def lose_sync(self) -> None:
+        """Note that records were missed; what is accepted stays in force meanwhile."""
+        self.synced = False
+
     def adopt(self, offset: int, digest: str, text: str) -> str:
         """Take an accepted configuration over from a peer or a snapshot, never an older one."""
-        if offset <= self.offset:
+        if offset < self.offset:
             return "older"
-        return self._accept(offset, digest, text)
+        outcome = "older" if offset == self.offset else self._accept(offset, digest, text)
+        if offset == self.offset:
+            self.synced = True
+            kept, self._kept = self._kept, []
+            for at, record in kept:
+                if self.replay(at, record) == "accepted":
+                    outcome = "accepted"
+        return outcome
 
     def _accept(self, offset: int, digest: str, text: str) -> str:
         if digest_of(text) != digest:
--- a/src/greengagewood/internal/ctl/publish.py
+++ b/src/greengagewood/internal/ctl/publish.py
@@ -20,6 +20,7 @@
 )
 from greengagewood.internal.records import (
     ConfigPublished,
+    ConfigSnapshot,
     StreamNames,
     decode_record,
     encode_record,
@@ -69,9 +70,14 @@
         cursor = 1
         while True:
             batch = (await self._log.read({stream: cursor}, 0, READ_LIMIT))[stream]
+            if batch.first > cursor:
+                history.lose_sync()
+                cursor = batch.first
             for stored in batch.records:
                 cursor = stored.offset + 1
                 record = decode_record(stored.body)
+                if isinstance(record, ConfigSnapshot):
+                    history.adopt(record.offset, record.digest, record.text)
                 if isinstance(record, ConfigPublished):
                     outcome = history.replay(stored.offset, record)
                     entries.append(
@@ -92,6 +98,8 @@
     ) -> Result[Published, str]:
         """Append a document and report whether it won; raise LogDown."""
         history, _ = await self.history(stage)
+        if not history.synced:
+            return Err("the log has forgotten what is in force; wait for a keeper's snapshot")
         digest = digest_of(text)
         if history.accepted is not None and history.accepted.digest == digest:
             return Ok(Published(history.offset, digest))
--- a/src/greengagewood/internal/document.py
+++ b/src/greengagewood/internal/document.py
@@ -144,6 +144,14 @@
     clock_drift: Annotated[float, Meta(ge=0.0, le=0.1)] = 0.01
 
 
+class LogUse(_Model, frozen=True, kw_only=True):
+    """State how long the platform's log keeps records, and what the system does about it."""
+
+    keeps_ms: Annotated[int, Meta(ge=10_000, le=31_536_000_000)] = 86_400_000
+    snapshot_records: Annotated[int, Meta(ge=10, le=1_000_000)] = 2000
+    results_keep_ms: Annotated[int, Meta(ge=1000, le=86_400_000)] = 3_600_000
+
+
 class Document(_Model, frozen=True, kw_only=True):
     """Hold everything that operators decide about one environment."""
 
@@ -157,6 +165,7 @@
     weights: Weights = Weights()
     outage: Outage = Outage()
     leases: Leases = Leases()
+    log: LogUse = LogUse()
 
 
 def digest_of(text: str) -> str:
--- a/src/greengagewood/internal/feed.py
+++ b/src/greengagewood/internal/feed.py
@@ -74,6 +74,7 @@
         self.config: BehaviorSubject[Accepted | None] = BehaviorSubject(None)
         self.surroundings: BehaviorSubject[Surroundings] = BehaviorSubject(Surroundings())
         self.records: Subject[ReplayedRecord] = Subject()
+        self.gaps: Subject[str] = Subject()
         self.workers: BehaviorSubject[tuple[WorkerEntry, ...]] = BehaviorSubject(())
         self.backends: BehaviorSubject[tuple[BackendEntry, ...]] = BehaviorSubject(())
 
@@ -113,6 +114,9 @@
             self.backends.on_next(reply.backends)
         self._list_version = reply.list_version
         for stream, records in reply.records.items():
+            if reply.firsts[stream] > self._cursors[stream]:
+                self._cursors[stream] = reply.firsts[stream]
+                self.gaps.on_next(stream)
             for stored in records:
                 self._cursors[stream] = stored.offset + 1
                 record = decode_record(stored.body)
--- a/src/greengagewood/internal/keeper.py
+++ b/src/greengagewood/internal/keeper.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import random
+import uuid
 from typing import Any
 
 import aiohttp
@@ -40,7 +41,9 @@
 from greengagewood.internal.platform.logservice import Batch, LogDown, LogService, NewRecord
 from greengagewood.internal.records import (
     CellClaimed,
+    CellSnapshot,
     ConfigPublished,
+    ConfigSnapshot,
     KeyClaimed,
     KeyReleased,
     Stored,
@@ -60,9 +63,14 @@
 LIST_INTERVAL_S = 1.0
 LOG_WAIT_MS = 1000
 LOG_LIMIT = 1000
-SYNC_LIMIT = 500
+SYNC_RECORDS = 500
+SYNC_BYTES = 1_000_000
 LOCAL_ALIVE_MS = 1500
 FETCH_TIMEOUT_S = 2.0
+CONFIG_SNAPSHOT_CHECK_S = 1.0
+CONFIG_SNAPSHOT_TIMEOUT_MS = 5000
+SNAPSHOT_AGE_FRACTION = 0.25
+SNAPSHOT_PREFIX = b'{"type":"snapshot"'
 STOP_TIMEOUT_S = 3.0
 LOCAL_STOP_TIMEOUT_MS = 40_000
 LOCAL_STOP_POLL_S = 0.2
@@ -90,6 +98,8 @@
         self._list_version = 0
         self._loads: tuple[CellLoad, ...] = ()
         self._claims: dict[str, int] = {}
+        self._snapshot_parts: dict[tuple[str, str], set[int]] = {}
+        self._config_seen_ms = monotonic_ms()
         self._local_seen: dict[str, int] = {}
         self._local_offsets: dict[str, int] = {}
         self._links: dict[str, Link] = {}
@@ -111,6 +121,7 @@
             "log": self._read_log,
             "list": self._read_list,
             "heartbeat": self._send_heartbeats,
+            "config snapshot": self._repeat_config,
         }
         for name, step in steps.items():
             loop = supervised(name, step, self._metrics, 0.5)
@@ -260,14 +271,15 @@
         newer = self._history.offset > req.config_offset
         list_changed = self._list_version != req.list_version
         caches = {s: self._caches[s] for s in req.cursors if s in self._caches}
-        records = {s: c.since(req.cursors[s], SYNC_LIMIT) for s, c in caches.items()}
+        records = {s: c.since(req.cursors[s], SYNC_RECORDS, SYNC_BYTES) for s, c in caches.items()}
         peers = self._membership.peers.items()
         return SyncReply(
             config=self._config_copy() if newer else None,
             members_version=self._membership.version,
             members=self._members_with_ages(now_ms),
             records=records,
-            complete=all(len(found) < SYNC_LIMIT for found in records.values()),
+            firsts={s: c.first for s, c in caches.items()},
+            complete=all(_reaches_end(caches[s], found) for s, found in records.items()),
             log_read_age_ms=self._log_age(now_ms),
             log_writable=self._committer.writable,
             list_version=self._list_version,
@@ -311,6 +323,19 @@
         _log.info("config in force", offset=accepted.offset, digest=accepted.digest)
         self._notify()
 
+    async def _repeat_config(self) -> None:
+        """Append the accepted configuration again before the log forgets it."""
+        await asyncio.sleep(self._random.uniform(0.5, 1.5) * CONFIG_SNAPSHOT_CHECK_S)
+        accepted = self._history.accepted
+        if accepted is None:
+            return
+        due_ms = accepted.document.log.keeps_ms * SNAPSHOT_AGE_FRACTION
+        if monotonic_ms() - self._config_seen_ms < due_ms:
+            return
+        record = ConfigSnapshot(accepted.offset, accepted.digest, accepted.text)
+        new = NewRecord(uuid.uuid4().hex, msgspec.Raw(encode_record(record)))
+        await self._committer.submit(self._names.config, new, CONFIG_SNAPSHOT_TIMEOUT_MS)
+
     # The log.
 
     async def _read_log(self) -> None:
@@ -334,22 +359,44 @@
         """Take what was read of a stream; return whether its end was reached."""
         cache = self._caches.get(stream)
         if cache is not None:
-            cache.extend(batch.records)
+            for stored in cache.extend(batch.first, batch.records):
+                if stored.body.startswith(SNAPSHOT_PREFIX):
+                    self._trim(stream, cache, stored)
             return cache.next >= batch.end
+        if batch.first > self._cursors[stream]:
+            self._cursors[stream] = batch.first
+            if stream == self._names.config:
+                self._history.lose_sync()
         for stored in batch.records:
             self._replay(stored)
         if batch.records:
             self._cursors[stream] = batch.records[-1].offset + 1
         return self._cursors.get(stream, 0) >= batch.end
 
+    def _trim(self, stream: str, cache: StreamCache, stored: Stored) -> None:
+        """Drop what a whole snapshot covers."""
+        record = decode_record(stored.body)
+        if not isinstance(record, CellSnapshot):
+            return
+        seen = self._snapshot_parts.setdefault((stream, record.snapshot), set())
+        seen.add(record.part)
+        if len(seen) == record.parts:
+            del self._snapshot_parts[(stream, record.snapshot)]
+            cache.forget_before(record.upto + 1)
+
     def _replay(self, stored: Stored) -> None:
         record = decode_record(stored.body)
         match record:
             case ConfigPublished():
+                self._config_seen_ms = monotonic_ms()
                 outcome = self._history.replay(stored.offset, record)
                 self._metrics.count("config_records", outcome=outcome)
                 if outcome == "accepted":
                     self._config_changed()
+            case ConfigSnapshot():
+                self._config_seen_ms = monotonic_ms()
+                if self._history.adopt(record.offset, record.digest, record.text) == "accepted":
+                    self._config_changed()
             case KeyClaimed() | KeyReleased():
                 self._keys.replay(record)
             case _:
@@ -484,3 +531,7 @@
             self._metrics.count("config_fetches", outcome=outcome)
             if outcome == "accepted":
                 self._config_changed()
+
+
+def _reaches_end(cache: StreamCache, found: tuple[Stored, ...]) -> bool:
+    return not found or found[-1].offset + 1 >= cache.next
--- a/src/greengagewood/internal/messages.py
+++ b/src/greengagewood/internal/messages.py
@@ -162,6 +162,7 @@
     members_version: int
     members: tuple[tuple[Member, int], ...]
     records: dict[str, tuple[Stored, ...]]
+    firsts: dict[str, int]
     complete: bool
     log_read_age_ms: int
     log_writable: bool
--- a/src/greengagewood/internal/owner.py
+++ b/src/greengagewood/internal/owner.py
@@ -27,12 +27,14 @@
 
 from __future__ import annotations
 
+import itertools
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
-from greengagewood.internal.celllog import CellLog, LoggedJob
+from greengagewood.internal.celllog import CellLog, job_of
 from greengagewood.internal.chart import load_chart
 from greengagewood.internal.document import Document
+from greengagewood.internal.joblog import LoggedJob
 from greengagewood.internal.messages import CellLoad, JobView, Shape, WorkerEntry
 from greengagewood.internal.placement import Room, Size, choose_worker
 from greengagewood.internal.platform.workers import Ended, Exchange, ExchangeReply, Start
@@ -40,6 +42,9 @@
     AnyRecord,
     CellClaimed,
     CellReleased,
+    CellSnapshot,
+    JobsAdopted,
+    JobSubmitted,
     TaskOutcome,
     TasksProgressed,
     WorkersChanged,
@@ -63,6 +68,11 @@
 FRESH_LOG_MS = 1500
 APPEND_INTERVAL_MS = 200
 MAX_STARTS_PER_PLAN = 200
+MAX_JOBS_IN_RECORD = 100
+SNAPSHOT_AGE_FRACTION = 0.25
+SNAPSHOT_RETRY_MS = 3000
+SNAPSHOT_RANK_DELAY_MS = 5000
+SNAPSHOT_PART_CHARS = 100_000
 
 
 @dataclass(frozen=True)
@@ -105,8 +115,11 @@
 class CellOwner:
     """Own one cell, or observe who does."""
 
-    def __init__(self, cell: str, me: str, boot: int) -> None:
+    def __init__(
+        self, cell: str, me: str, boot: int, wall_ms: Callable[[], int] = lambda: 0
+    ) -> None:
         self.cell = cell
+        self.wall_ms = wall_ms
         self.me = me
         self.boot = boot
         self.log = CellLog(cell)
@@ -126,6 +139,9 @@
         self._rule_base_ms = 0
         self._absent_since: int | None = None
         self._attempts = 0
+        self._snapshot_upto = 0
+        self._snapshot_ms: int | None = None
+        self._snapshots = 0
         self._append_in_flight = False
         self._last_append_ms = -APPEND_INTERVAL_MS
         self._retiring = False
@@ -167,12 +183,34 @@
         elif isinstance(record, WorkersChanged) and self.state in OWNING:
             self._merge_workers()
 
+    def lose_sync(self) -> None:
+        """Note that records of the cell's stream were missed; a snapshot must come first."""
+        if self.state in OWNING:
+            self._move("newer_epoch")
+            self._step_down()
+        elif self.state == "claiming":
+            self._move("lost")
+        self.log.lose_sync()
+        self._emit("lost_sync")
+
+    def forget_old(self, results_ms: int, jobs_ms: int) -> None:
+        """Drop old results, and jobs so old that the job stream has forgotten them too."""
+        self.log.forget_old(self.wall_ms(), results_ms, jobs_ms)
+        limit_ms = self.wall_ms() - jobs_ms
+        state = self.log.state
+        for name, job in list(self._jobs.items()):
+            known = name in state.jobs or name in state.ended
+            if not known and job.spec.at_ms < limit_ms:
+                del self._jobs[name]
+
     def append_answered(self, record: AnyRecord, durable: bool) -> None:
         """Take the outcome of an append in; the record itself counts only when it is read back."""
         if isinstance(record, CellClaimed):
             if self.state == "claiming" and not durable:
                 self._move("lost")
             return
+        if isinstance(record, CellSnapshot):
+            return
         if isinstance(record, CellReleased) and not durable:
             self._release_due = True
         self._append_in_flight = False
@@ -191,6 +229,9 @@
         if self._document is None:
             return []
         self._update_license(now_ms, situation)
+        snapshot = self._plan_snapshot(now_ms, situation)
+        if snapshot:
+            return snapshot
         if self.state == "observing":
             return self._plan_claim(now_ms, situation)
         if self.state not in COMMANDING:
@@ -205,6 +246,34 @@
             self._place()
         return [*self._plan_exchanges(now_ms), *self._plan_appends(now_ms)]
 
+    # Snapshots.
+
+    def _plan_snapshot(self, now_ms: int, situation: Situation) -> list[Command]:
+        """Write a snapshot when one is due: the owner first, others some time after."""
+        seen = self._snapshot_ms is not None and self.log.snapshot_upto == self._snapshot_upto
+        if not seen or not self.log.synced or self.log.offset == 0:
+            self._snapshot_upto = self.log.snapshot_upto
+            self._snapshot_ms = now_ms
+            return []
+        if now_ms < self._snapshot_due_ms(situation):
+            return []
+        self._snapshot_ms = now_ms  # not again before the same time has passed
+        self._snapshots += 1
+        name = f"{self.me}-{self.boot}-{self._snapshots}"
+        return [Append(part) for part in self.log.write_snapshot(name, SNAPSHOT_PART_CHARS)]
+
+    def _snapshot_due_ms(self, situation: Situation) -> float:
+        assert self._document is not None
+        use = self._document.log
+        wait_ms = use.keeps_ms * SNAPSHOT_AGE_FRACTION
+        if self.log.offset - self._snapshot_upto >= use.snapshot_records:
+            wait_ms = min(wait_ms, SNAPSHOT_RETRY_MS)
+        if self.state not in OWNING:
+            known = self.me in situation.rivals
+            rank = situation.rivals.index(self.me) if known else len(situation.rivals)
+            wait_ms += (rank + 1) * SNAPSHOT_RANK_DELAY_MS
+        return (self._snapshot_ms or 0) + wait_ms
+
     # Claims and the license.
 
     def _plan_claim(self, now_ms: int, situation: Situation) -> list[Command]:
@@ -212,7 +281,7 @@
         if self._retiring or situation.owner_seen or self.me not in situation.rivals:
             self._absent_since = None
             return []
-        if confirmed is None or now_ms - confirmed > FRESH_LOG_MS:
+        if confirmed is None or now_ms - confirmed > FRESH_LOG_MS or not self.log.synced:
             return []
         if self._absent_since is None:
             self._absent_since = now_ms
@@ -257,6 +326,8 @@
         self._rule_base_ms = now_ms + earlier
         self.book = TaskBook(self.log)
         self.workers = {}
+        for name, spec in self.log.state.jobs.items():
+            self._jobs.setdefault(name, LoggedJob(spec))
         for job in self._jobs.values():
             self._add_job(job)
         self._merge_workers()
@@ -420,6 +491,9 @@
     def _take_ended(self, worker: WorkerState, ended: Ended) -> None:
         key = (ended.task, ended.attempt)
         task = self.book.tasks.get(ended.task)
+        if task is None and job_of(ended.task) in self.log.state.ended:
+            worker.to_ack.add(key)
+            return
         if task is None:
             return  # its job may be known later; the worker keeps the report
         if key in worker.to_ack or self.book.is_unlogged(key):
@@ -597,8 +671,20 @@
         )
         if added or removed:
             return WorkersChanged(self.epoch, added, removed)
+        adopted = self._jobs_to_adopt()
+        if adopted:
+            return JobsAdopted(self.epoch, adopted, self.wall_ms())
         outcomes = self.book.take_unlogged(now_ms)
-        return TasksProgressed(self.epoch, outcomes) if outcomes else None
+        return TasksProgressed(self.epoch, outcomes, self.wall_ms()) if outcomes else None
+
+    def _jobs_to_adopt(self) -> tuple[JobSubmitted, ...]:
+        state = self.log.state
+        missing = (
+            job.spec
+            for name, job in self._jobs.items()
+            if name not in state.jobs and name not in state.ended
+        )
+        return tuple(itertools.islice(missing, MAX_JOBS_IN_RECORD))
 
     def _plan_release(self) -> list[Command]:
         if self.state in ("suspended", "suspended_fencing") and self._retiring:
@@ -629,20 +715,24 @@
 
     def view(self, name: str, with_results: bool) -> JobView | None:
         """Describe a job of the cell; None if it is not known here."""
+        if self.state not in OWNING:
+            return None
+        ended = self.log.state.ended.get(name)
+        if ended is not None:
+            results = self._results(name) if with_results else {}
+            reason = "" if ended.has_results else "results_dropped"
+            return JobView(name, True, ended.caller, "finished", ended.counts, reason, results)
         job = self.book.jobs.get(name)
-        if job is None or self.state not in OWNING:
+        if job is None:
             return None
         counts: dict[str, int] = {}
         for task in job.tasks.values():
             counts[task.state] = counts.get(task.state, 0) + 1
-        results = self._results(job) if with_results and job.finished else {}
-        state = "finished" if job.finished else "active"
-        caller = job.logged.spec.caller
-        return JobView(name, True, caller, state, counts, job.reason, results)
-
-    def _results(self, job: Job) -> dict[str, str]:
-        known = ((name, self.log.tasks[name]) for name in job.tasks)
-        return {name: task.detail for name, task in known if task.final == "done"}
+        return JobView(name, True, job.logged.spec.caller, "active", counts, job.reason)
+
+    def _results(self, job: str) -> dict[str, str]:
+        tasks = self.log.tasks.items()
+        return {n: t.detail for n, t in tasks if t.final == "done" and job_of(n) == job}
 
     def _move(self, event: str) -> None:
         self.state = CELL_CHART.next(self.state, event)
--- a/src/greengagewood/internal/platform/workers.py
+++ b/src/greengagewood/internal/platform/workers.py
@@ -3,8 +3,9 @@
 One exchange a round carries every command to a worker and brings back everything that it has to
 tell. A worker refuses an exchange of an older epoch than the newest it has seen, or of a round
 that is not newer. It ignores the commands and the renewal of an exchange whose `echo`, the
-worker's own clock from an earlier reply, is older than `window_ms`: so a command that was delayed
-on its way cannot take effect after its owner has ruled it out.
+worker's own clock from an earlier reply, is older than `window_ms` or comes from before the worker
+was restarted: so a command that was delayed on its way cannot take effect after its owner has
+ruled it out.
 """
 
 from __future__ import annotations
@@ -71,6 +72,7 @@
     epoch: int
     owner: str
     round: int
+    boot: int
     echo: int
     window_ms: int
     lease_ms: int
@@ -88,6 +90,7 @@
     accepted: bool
     epoch: int
     fresh: bool
+    boot: int
     clock: int
     version: int
     cpus: int
--- a/src/greengagewood/internal/records.py
+++ b/src/greengagewood/internal/records.py
@@ -11,9 +11,12 @@
     "AnyRecord",
     "CellClaimed",
     "CellReleased",
+    "CellSnapshot",
     "ConfigPublished",
+    "ConfigSnapshot",
     "JobCancelled",
     "JobSubmitted",
+    "JobsAdopted",
     "KeyClaimed",
     "KeyReleased",
     "StreamNames",
@@ -119,6 +122,35 @@
 
     epoch: int
     outcomes: tuple[TaskOutcome, ...]
+    at_ms: int = 0
+
+
+class JobsAdopted(msgspec.Struct, frozen=True, tag="adopt", forbid_unknown_fields=True):
+    """Record jobs that a cell has taken from the job stream; valid only from this epoch's owner."""
+
+    epoch: int
+    jobs: tuple[JobSubmitted, ...]
+    at_ms: int = 0
+
+
+class CellSnapshot(msgspec.Struct, frozen=True, tag="snapshot", forbid_unknown_fields=True):
+    """Carry one part of a cell's state after an offset, as JSON; see celllog."""
+
+    snapshot: str
+    upto: int
+    part: int
+    parts: int
+    data: str
+
+
+class ConfigSnapshot(
+    msgspec.Struct, frozen=True, tag="config-snapshot", forbid_unknown_fields=True
+):
+    """Repeat the accepted configuration before its record is forgotten."""
+
+    offset: int
+    digest: str
+    text: str
 
 
 AnyRecord = (
@@ -131,6 +163,9 @@
     | CellReleased
     | TasksProgressed
     | WorkersChanged
+    | JobsAdopted
+    | CellSnapshot
+    | ConfigSnapshot
 )
 
 
--- a/src/greengagewood/internal/scheduler.py
+++ b/src/greengagewood/internal/scheduler.py
@@ -9,12 +9,12 @@
 
 import aiohttp
 
-from greengagewood.internal.celllog import JobLog
 from greengagewood.internal.clock import monotonic_ms, wall_ms
 from greengagewood.internal.confighistory import Accepted
 from greengagewood.internal.daemon import supervised
 from greengagewood.internal.document import Cell
 from greengagewood.internal.feed import Feed, ReplayedRecord, Surroundings
+from greengagewood.internal.joblog import JobLog
 from greengagewood.internal.link import Link, LinkTimeout, Listener
 from greengagewood.internal.logs import Log
 from greengagewood.internal.messages import (
@@ -49,6 +49,8 @@
 RELEASE_TIMEOUT_S = 5.0
 BOOT_QUIET_MS = 2000
 JOB_POLL_S = 0.1
+FORGET_INTERVAL_S = 5.0
+JOBS_KEPT_FACTOR = 2  # of the log's retention; an older submission cannot be read again
 
 _log = Log("scheduler")
 
@@ -81,8 +83,13 @@
         self._feed.workers.subscribe(lambda _: self._share_workers())
         self._feed.backends.subscribe(lambda _: self._share_workers())
         self._feed.records.subscribe(self._take_record)
+        self._feed.gaps.subscribe(self._take_gap)
         self._listener.start()
-        for name, step in {"feed": self._feed.step, "tick": self._tick}.items():
+        for name, step in {
+            "feed": self._feed.step,
+            "tick": self._tick,
+            "forget": self._forget_old,
+        }.items():
             loop = supervised(name, step, self._metrics, 0.2)
             self._loops.append(asyncio.ensure_future(loop()))
 
@@ -144,7 +151,7 @@
         self._share_workers()
 
     def _add_owner(self, cell: str) -> None:
-        owner = CellOwner(cell, self._cfg.instance, self._boot)
+        owner = CellOwner(cell, self._cfg.instance, self._boot, wall_ms)
         owner.on_event = self._report
         self._owners[cell] = owner
         self._streams[self._names.cell(cell)] = owner
@@ -195,6 +202,23 @@
         if owner is not None:
             owner.replay(replayed.offset, record, monotonic_ms())
 
+    def _take_gap(self, stream: str) -> None:
+        owner = self._streams.get(stream)
+        if owner is not None:
+            owner.lose_sync()
+
+    async def _forget_old(self) -> None:
+        await asyncio.sleep(FORGET_INTERVAL_S)
+        accepted = self._feed.config.value
+        if accepted is None:
+            return
+        use = accepted.document.log
+        jobs_ms = use.keeps_ms * JOBS_KEPT_FACTOR
+        for owner in self._owners.values():
+            owner.forget_old(use.results_keep_ms, jobs_ms)
+        active = {job for owner in self._owners.values() for job in owner.log.state.jobs}
+        self._jobs.forget_before(wall_ms() - jobs_ms, active)
+
     def _loads(self) -> tuple[CellLoad, ...]:
         loads = (owner.load() for owner in self._owners.values())
         return tuple(load for load in loads if load is not None)
--- a/src/greengagewood/internal/standin/worker.py
+++ b/src/greengagewood/internal/standin/worker.py
@@ -70,7 +70,8 @@
         self._clock = clock
         self._epoch = 0
         self._round = 0
-        self._version = time.time_ns()
+        self._boot = time.time_ns()
+        self._version = self._boot
         self._running: dict[AttemptId, _Running] = {}
         self._outbox: dict[AttemptId, Ended] = {}
         self._usage = _UsageLog()
@@ -136,7 +137,8 @@
         self._round = exchange.round
         for key in exchange.acks:
             self._outbox.pop(key, None)
-        fresh = exchange.echo > 0 and now_ms - exchange.echo <= exchange.window_ms
+        age_ms = now_ms - exchange.echo
+        fresh = exchange.boot == self._boot and 0 <= age_ms <= exchange.window_ms
         if fresh:
             self._carry_out(exchange, now_ms)
         return self._reply(exchange, accepted=True, fresh=fresh)
@@ -205,6 +207,7 @@
             accepted=accepted,
             epoch=self._epoch,
             fresh=fresh,
+            boot=self._boot,
             clock=now_ms,
             version=self._version,
             cpus=self.cfg.cpus,
--- a/src/greengagewood/internal/streamcache.py
+++ b/src/greengagewood/internal/streamcache.py
@@ -10,29 +10,41 @@
 
 
 class StreamCache:
-    """Keep records in the order of their offsets."""
+    """Keep records in the order of their offsets, without a gap from `first` to `next`."""
 
     def __init__(self) -> None:
+        self.first = 1
         self.next = 1
         self._records: list[Stored] = []
 
-    def extend(self, records: tuple[Stored, ...]) -> list[Stored]:
-        """Add records that are new; return them."""
+    def extend(self, first: int, records: tuple[Stored, ...]) -> list[Stored]:
+        """Add records that are new, after `first`, the oldest that the log keeps; return them."""
+        if first > self.next:
+            self._records.clear()
+            self.first = self.next = first
         new = [record for record in records if record.offset >= self.next]
         if new:
             self._records.extend(new)
             self.next = new[-1].offset + 1
         return new
 
-    def since(self, offset: int, limit: int) -> tuple[Stored, ...]:
-        """Return records from an offset on."""
+    def since(self, offset: int, max_records: int, max_bytes: int) -> tuple[Stored, ...]:
+        """Return records from an offset on, within bounds but never none."""
         start = bisect_left(self._records, offset, key=lambda record: record.offset)
-        return tuple(self._records[start : start + limit])
+        found: list[Stored] = []
+        size = 0
+        for record in self._records[start : start + max_records]:
+            size += len(record.body)
+            if found and size > max_bytes:
+                break
+            found.append(record)
+        return tuple(found)
 
     def forget_before(self, offset: int) -> None:
-        """Drop records that the log no longer keeps either."""
+        """Drop records that a snapshot covers."""
         start = bisect_left(self._records, offset, key=lambda record: record.offset)
         del self._records[:start]
+        self.first = max(self.first, min(offset, self.next))
 
     def __len__(self) -> int:
         return len(self._records)
--- a/src/greengagewood/internal/taskbook.py
+++ b/src/greengagewood/internal/taskbook.py
@@ -10,8 +10,9 @@
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 
-from greengagewood.internal.celllog import CellLog, LoggedJob, task_name
+from greengagewood.internal.celllog import CellLog, job_of, task_name
 from greengagewood.internal.chart import load_chart
+from greengagewood.internal.joblog import LoggedJob
 from greengagewood.internal.placement import Size
 from greengagewood.internal.records import TaskOutcome
 
@@ -49,7 +50,6 @@
     order: int
     tasks: dict[str, Task] = field(default_factory=dict)
     pending: dict[str, None] = field(default_factory=dict)
-    durable: Counter[str] = field(default_factory=Counter)
     reason: str = ""
 
     @property
@@ -57,11 +57,6 @@
         """Return the job's name."""
         return self.logged.spec.job
 
-    @property
-    def finished(self) -> bool:
-        """Tell whether every task has a durable end."""
-        return sum(self.durable.values()) >= self.logged.spec.tasks
-
 
 @dataclass
 class _Unlogged:
@@ -78,7 +73,7 @@
         self.tasks: dict[str, Task] = {}
         self._unlogged: dict[TaskOutcome, _Unlogged] = {}
         self._unlogged_attempts: Counter[tuple[str, int]] = Counter()
-        self._durable: set[str] = set()
+        self._added = 0
         self.moves: Counter[tuple[str, str]] = Counter()
 
     def add_job(
@@ -86,10 +81,11 @@
     ) -> Job | None:
         """Add a job whose tasks begin in a state unless the log knows their end."""
         spec = logged.spec
-        if spec.job in self.jobs:
+        if spec.job in self.jobs or spec.job in self._log.state.ended:
             return None
         size = Size(spec.cpus, spec.memory_mb, spec.accelerators)
-        job = Job(logged, size, max_attempts, urgent, len(self.jobs))
+        self._added += 1
+        job = Job(logged, size, max_attempts, urgent, self._added)
         self.jobs[spec.job] = job
         for index in range(spec.tasks):
             self._add_task(job, task_name(spec.job, index), fresh_state)
@@ -103,8 +99,6 @@
             task.failures = known.failures
             if known.final:
                 task.state = known.final
-                job.durable[known.final] += 1
-                self._durable.add(name)
         job.tasks[name] = task
         self.tasks[name] = task
         if task.state == "pending":
@@ -159,13 +153,16 @@
         """Take outcomes in that were read back from the log."""
         for outcome in outcomes:
             self._forget(outcome)
-            task = self.tasks.get(outcome.task)
-            logged = self._log.tasks.get(outcome.task)
-            if task is None or logged is None or not logged.final:
-                continue
-            if outcome.task not in self._durable:
-                self._durable.add(outcome.task)
-                task.job.durable[logged.final] += 1
+            job = job_of(outcome.task)
+            if job in self._log.state.ended:
+                self._drop_job(job)
+
+    def _drop_job(self, name: str) -> None:
+        """Forget the tasks of a job that has ended; the log knows what became of them."""
+        job = self.jobs.pop(name, None)
+        if job is not None:
+            for task in job.tasks:
+                del self.tasks[task]
 
     def _forget(self, outcome: TaskOutcome) -> None:
         if self._unlogged.pop(outcome, None) is None:
--- a/src/greengagewood/internal/workerstate.py
+++ b/src/greengagewood/internal/workerstate.py
@@ -46,6 +46,7 @@
     fenced: bool = False
     capacity: Size = field(default_factory=Size)
     reserve: Size = field(default_factory=Size)
+    boot: int = 0
     echo: int = 0
     received_ms: int = 0
     round: int = 0
@@ -113,6 +114,7 @@
             epoch=epoch,
             owner=owner,
             round=self.round,
+            boot=self.boot,
             echo=self.echo,
             window_ms=leases.command_window_ms,
             lease_ms=leases.task_lease_ms,
@@ -129,6 +131,7 @@
         self.failures = 0
         self.fenced = True
         self.stale = not reply.fresh  # nothing was renewed; leases may be about to end
+        self.boot = reply.boot
         self.echo = reply.clock
         self.received_ms = now_ms
         self.capacity = Size(reply.cpus, reply.memory_mb, reply.accelerators)
--- a/tests/common/mutants.py
+++ b/tests/common/mutants.py
@@ -6,6 +6,8 @@
 from collections.abc import Callable, Iterator
 from unittest import mock
 
+import msgspec
+
 from greengagewood.internal import celllog, owner, taskbook, workerstate
 from greengagewood.internal.standin import worker as standin_worker
 from tests.common import world
@@ -81,13 +83,47 @@
 
 def _any_echo(original):
     def exchange(self, sent):
-        import msgspec
+        fresh = msgspec.structs.replace(sent, echo=self._clock(), boot=self._boot)
+        return original(self, fresh)
+
+    return exchange
 
-        return original(self, msgspec.structs.replace(sent, echo=self._clock()))
+
+def _any_boot(original):
+    def exchange(self, sent):
+        fresh = msgspec.structs.replace(sent, boot=self._boot)
+        return original(self, fresh)
 
     return exchange
 
 
+def _one_too_many(original):
+    def write(self, snapshot, part_chars):
+        self.offset += 1
+        parts = original(self, snapshot, part_chars)
+        self.offset -= 1
+        return parts
+
+    return write
+
+
+def _part_is_whole(original):
+    def take(self, record):
+        if record.part == 0:
+            self.synced = True
+        original(self, record)
+
+    return take
+
+
+def _forget_ended(original):
+    def note_end(self, job, at_ms):
+        original(self, job, at_ms)
+        self.state.ended.pop(job, None)
+
+    return note_end
+
+
 def _ack_at_once(original):
     def take_ended(self, worker, ended):
         original(self, worker, ended)
@@ -108,11 +144,14 @@
     return leases.task_lease_ms // 2
 
 
-def _final_can_change(self, outcome):
-    task = self.tasks.setdefault(outcome.task, celllog.LoggedTask())
-    if outcome.outcome in celllog.FINAL_OUTCOMES:
-        task.final = outcome.outcome
-        task.detail = f"{outcome.detail}@{outcome.attempt}"
+def _final_can_change(original):
+    def apply(self, outcome, at_ms):
+        known = self.state.tasks.get(outcome.task)
+        if known is not None:
+            known.final = ""
+        original(self, outcome, at_ms)
+
+    return apply
 
 
 def _rules_by_time_always(original):
@@ -169,7 +208,25 @@
     "worker takes any epoch": [_patch(_worker, "exchange", _any_epoch(_worker.exchange))],
     "worker takes any round": [_patch(_worker, "exchange", _any_round(_worker.exchange))],
     "worker takes any echo": [_patch(_worker, "exchange", _any_echo(_worker.exchange))],
-    "final outcomes can change": [_patch(celllog.CellLog, "_apply", _final_can_change)],
+    "worker takes an echo from before its restart": [
+        _patch(_worker, "exchange", _any_boot(_worker.exchange))
+    ],
+    "a snapshot covers one record too many": [
+        _patch(celllog.CellLog, "write_snapshot", _one_too_many(celllog.CellLog.write_snapshot))
+    ],
+    "a snapshot in part counts as whole": [
+        _patch(celllog.CellLog, "_take_snapshot", _part_is_whole(celllog.CellLog._take_snapshot))
+    ],
+    "ended jobs are forgotten at once": [
+        _patch(celllog.CellLog, "_note_end", _forget_ended(celllog.CellLog._note_end))
+    ],
+    "final outcomes can change": [
+        _patch(
+            celllog.CellLog,
+            "_apply_outcome",
+            _final_can_change(celllog.CellLog._apply_outcome),
+        )
+    ],
     "reports are acknowledged before they are durable": [
         _patch(_owner, "_take_ended", _ack_at_once(_owner._take_ended))
     ],
--- a/tests/common/scenarios.py
+++ b/tests/common/scenarios.py
@@ -148,6 +148,61 @@
     return world
 
 
+def start_for_the_worker_before():
+    """A start is held back while its worker is replaced by another with the same clock."""
+    world = started(run_ms=100)
+    world.finish()
+    world.hold(True)
+    world.submit(1, 4, 200_000)
+    world.run(6)
+    world.hold(False)
+    late = [(n, m) for n, m in world.held if m[1].exchange.starts]
+    world.held = []
+    for name in {name for name, _ in late}:
+        clock = world.workers[name].real._clock
+        world.lose_worker(name)
+        world.workers[name].real._clock = clock
+    scheduler, send, ticket = late[0][1]
+    scheduler.waiting.pop(ticket, None)
+    scheduler.owner.exchange_failed(send)
+    for name, message in late:
+        world.workers[name].queue.append(message)
+    world.tick()
+    for name in {name for name, _ in late}:
+        if world.workers[name].real._running:
+            raise Broken("stale_start", "a worker ran what was meant for the one before it")
+    world.finish(ticks=4000)
+    return world
+
+
+def owner_dies_with_results_that_are_not_durable():
+    """Tasks end while the log is away, and their owner dies before it comes back."""
+    world = started(run_ms=5000, tasks=4)
+    world.log_down = True
+    world.run(60)
+    owner, _ = owner_and_others(world)
+    world.kill(owner)
+    world.run(20)
+    world.finish(ticks=4000)
+    return world
+
+
+def log_that_forgets():
+    """Jobs end, the log forgets their records, and every scheduler is replaced, again and again."""
+    world = started(run_ms=500, tasks=3)
+    for _ in range(5):
+        for name in ("s1", "s2", "s3"):
+            world.submit(3, 2, 300)
+            world.run(57)
+            world.submit(2, 2, 3000)
+            world.run(71)
+            world.kill(name)
+    world.finish(ticks=4000)
+    if not any(s.owner.log.snapshot_upto for s in world.schedulers.values()):
+        raise Broken("no_snapshot", "no snapshot was written")
+    return world
+
+
 def takeover_while_a_worker_is_ruled_out():
     """The owner loses a worker; a newer owner renews the task there just before its lease ends."""
     world = started(run_ms=200_000)
@@ -231,6 +286,9 @@
     owner_paused_with_an_old_read,
     start_that_arrives_late,
     start_that_arrives_twice,
+    start_for_the_worker_before,
+    owner_dies_with_results_that_are_not_durable,
+    log_that_forgets,
     takeover_while_a_worker_is_ruled_out,
     full_cell_is_taken_over,
     evicted_task_resumes,
--- a/tests/common/world.py
+++ b/tests/common/world.py
@@ -12,8 +12,9 @@
 from collections import Counter, defaultdict
 from dataclasses import dataclass, field
 
-from greengagewood.internal.celllog import CellLog, JobLog
+from greengagewood.internal.celllog import CellLog
 from greengagewood.internal.document import parse_document
+from greengagewood.internal.joblog import JobLog
 from greengagewood.internal.messages import WorkerEntry
 from greengagewood.internal.owner import OWNING, Append, CellOwner, Send, Situation
 from greengagewood.internal.placement import Size
@@ -30,7 +31,10 @@
 BEAT_TICKS = 5
 SUSPECT_MS = 3000
 CELL = "milano-1"
-DOCUMENT = parse_document(example_document()).unwrap()
+KEEPS_MS = 40_000
+DOCUMENT = parse_document(
+    example_document(log={"keeps_ms": KEEPS_MS, "snapshot_records": 30, "results_keep_ms": 10**7})
+).unwrap()
 
 
 class Broken(AssertionError):
@@ -75,6 +79,8 @@
         self.now = 1_000_000
         self.rng = random.Random(seed)
         self.log: list = []
+        self.log_times: list[int] = []
+        self.log_first = 1
         self.job_records: list = []
         self.reference = CellLog(CELL)
         self.finals: dict[str, tuple[str, str]] = {}
@@ -98,6 +104,7 @@
         self.cancelled: set[str] = set()
         self.ticks = 0
         self.evictions = 0
+        self.state_lost = False
 
     # Building.
 
@@ -110,12 +117,13 @@
 
         cfg = WorkerSettings(name, "pd-milano", "milano-r1", cpus=16, memory_mb=16_000)
         real = StandinWorker(cfg, 0, random.Random(self.rng.random()), clock)
-        real._version = next(self.ids) * 1_000_000
+        real._boot = next(self.ids)
+        real._version = real._boot * 1_000_000
         self.workers[name] = Worker(name, real)
 
     def _boot(self, name):
         boot = next(self.boots)
-        owner = CellOwner(CELL, name, boot)
+        owner = CellOwner(CELL, name, boot, lambda: self.now)
         owner.set_document(self.document)
         entries = [WorkerEntry(w, "pd-milano", "milano-r1", f"u/{w}", False) for w in self.workers]
         owner.set_workers(entries, {})
@@ -242,7 +250,10 @@
             case ("appended", record, ticket):
                 if scheduler.waiting.pop(ticket, None) is not None:
                     scheduler.owner.append_answered(record, True)
-            case ("read", sent, records, jobs):
+            case ("read", sent, start, records, jobs):
+                if start > scheduler.cursor + 1:
+                    scheduler.cursor = start - 1
+                    scheduler.owner.lose_sync()
                 self._take_read(scheduler, sent, records, jobs)
             case ("ack", peer, sent, based_on, epoch):
                 scheduler.confirmed[peer] = max(sent, scheduler.confirmed.get(peer, 0))
@@ -264,9 +275,14 @@
         if scheduler.reading or self.log_down or self.is_cut(scheduler.name, "log"):
             return
         scheduler.reading = True
-        records = [(n, r) for n, r in enumerate(self.log, 1) if n > scheduler.cursor]
+        while self.log_first <= len(self.log) and (
+            self.log_times[self.log_first - 1] < self.now - KEEPS_MS
+        ):
+            self.log_first += 1
+        start = max(scheduler.cursor + 1, self.log_first)
+        records = list(enumerate(self.log[start - 1 :], start))
         jobs = self.job_records[scheduler.job_cursor :]
-        scheduler.inbox.append(("read", self.now, records, jobs))
+        scheduler.inbox.append(("read", self.now, start, records, jobs))
 
     def _beat(self, scheduler):
         for peer in self.schedulers.values():
@@ -311,6 +327,7 @@
         if self.log_down or self.is_cut(scheduler.name, "log"):
             return
         self.log.append(record)
+        self.log_times.append(self.now)
         for outcome in self.reference.replay(len(self.log), record):
             self._check_final(outcome.task)
         if not self.lose_append_answers:
@@ -342,8 +359,8 @@
                 raise Broken("two_places", f"{task} runs at {found}")
 
     def _check_final(self, task):
-        logged = self.reference.tasks[task]
-        if logged.final:
+        logged = self.reference.tasks.get(task)
+        if logged is not None and logged.final:
             known = self.finals.setdefault(task, (logged.final, logged.detail))
             if known != (logged.final, logged.detail):
                 raise Broken("final_changed", f"{task}: {known} became {logged}")
@@ -372,6 +389,9 @@
             e.task for w in self.workers.values() for e in w.real.audit if e.event == "done"
         )
         missing = sorted(expected - self.finals.keys())
+        if missing and not any(s.owner.log.synced for s in self.schedulers.values()):
+            self.state_lost = True  # every reader was replaced while the log was away and forgot
+            return
         if missing:
             states = {s.name: s.owner.state for s in self.schedulers.values()}
             raise Broken("lost", f"no end of {missing[:3]} with owners {states}")
--- a/tests/cover/test_mutants.py
+++ b/tests/cover/test_mutants.py
@@ -22,9 +22,28 @@
         raise Broken("final_changed", "the first end of a task counts")
 
 
+def snapshots_are_exact():
+    """A reader from a snapshot and one from the beginning know the same."""
+    records = [
+        CellClaimed("a", 1, 0, ()),
+        TasksProgressed(1, (TaskOutcome("j/0", 1, "done"),)),
+        TasksProgressed(1, (TaskOutcome("j/1", 1, "done"),)),
+    ]
+    whole, late = CellLog("c"), CellLog("c")
+    for offset, record in enumerate(records[:2], 1):
+        whole.replay(offset, record)
+    (snapshot,) = whole.write_snapshot("s", 10_000)
+    late.lose_sync()
+    for offset, record in ((3, records[2]), (4, snapshot)):
+        whole.replay(offset, record)
+        late.replay(offset, record)
+    if whole.state != late.state:
+        raise Broken("snapshot_differs", f"{whole.state} and {late.state}")
+
+
 def checks():
     """Yield each check of the suite under its name."""
-    for scenario in [logged_finals_are_stable, *SCENARIOS]:
+    for scenario in [logged_finals_are_stable, snapshots_are_exact, *SCENARIOS]:
         yield scenario.__name__, scenario
     for seed, gentle in HISTORIES:
         yield f"history {seed}", lambda seed=seed, gentle=gentle: replay(seed, gentle)
--- a/tests/cover/test_peers_border.py
+++ b/tests/cover/test_peers_border.py
@@ -8,8 +8,9 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from greengagewood.internal.celllog import CellLog, JobLog
+from greengagewood.internal.celllog import CellLog
 from greengagewood.internal.confighistory import ConfigHistory
+from greengagewood.internal.joblog import JobLog
 from greengagewood.internal.keyclaims import KeyClaims
 from greengagewood.internal.link import Frame, Link, LinkTimeout, Listener, seal, unseal
 from greengagewood.internal.membership import Membership
