Decide by what is learned: an interference model, a guard of tails, an index of rooms

Cause: placement was best fit and knew nothing of the services that share a worker. Change: gateways report latencies for each worker once a second; a recursive least squares model learns what each batch class costs a service; a guard forbids what is predicted to go beyond a small multiple of the service alone or the objective, throttles, then evicts, with streaks and a pause between evictions. Rooms are indexed; teams' use is counted as it changes; large tasks get a worker reserved, urgent ones have others evicted; workers that fail several tasks are quarantined, and a task counts each worker once. ./dev bench decisions runs the same owner in virtual time against naive, never-share and an oracle.

--- /dev/null
+++ b/devtools/lab.py
@@ -0,0 +1,348 @@
+"""One cell of real decision code in virtual time, with small fakes of workers and of a service.
+
+Not a simulator of clusters: no network and no failures of the system itself. The service's
+latency on a worker is lognormal; batch classes that share the worker raise it by a table that the
+policy under test does not know.
+"""
+
+from __future__ import annotations
+
+import math
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+import yaml
+
+from greengagewood.internal.document import Document, parse_document
+from greengagewood.internal.interference import LatencySample
+from greengagewood.internal.joblog import LoggedJob
+from greengagewood.internal.messages import WorkerEntry
+from greengagewood.internal.owner import Append, CellOwner, Command, Send, Situation
+from greengagewood.internal.placement import Size
+from greengagewood.internal.platform.workers import WorkerDown
+from greengagewood.internal.records import JobSubmitted
+from greengagewood.internal.standin.settings import WorkerSettings
+from greengagewood.internal.standin.worker import StandinWorker
+from greengagewood.internal.tailguard import Relief, Resident
+
+__all__ = ["Lab", "Measured", "Policy", "Scenario", "percentile"]
+
+TICK_MS = 500
+BASE_MS = 20.0
+SIGMA = 0.35
+SAMPLES_PER_S = 8
+BASE_LOAD = 0.4
+CPUS = 64
+ALLOWED_SLOWDOWN = 1.25
+
+Table = dict[str, float]
+Policy = Callable[["Lab"], None]
+
+
+@dataclass(frozen=True)
+class Scenario:
+    """Describe what happens; times are in seconds of virtual time."""
+
+    name: str
+    table: Callable[[float], Table]
+    load: Callable[[float], float] = lambda t: BASE_LOAD
+    seconds: int = 300
+    usage: Callable[[float], float] = lambda t: 1.0
+    run_factor: float = 1.0
+    failing: int = 0
+    lost_after: float = math.inf
+    cancel_at: float = math.inf
+    log_delay_ms: int = 0
+
+
+@dataclass
+class Measured:
+    """Hold the figures of one run."""
+
+    latencies: list[float] = field(default_factory=list)
+    cpu_seconds: float = 0.0
+    starts: int = 0
+    evictions: int = 0
+    wasted: int = 0
+    urgent_waits: list[float] = field(default_factory=list)
+    grid_seconds: float = math.inf
+    overcommitted: int = 0
+
+
+def percentile(values: list[float], fraction: float) -> float:
+    """Return a percentile by the nearest rank."""
+    ordered = sorted(values)
+    return ordered[min(len(ordered) - 1, int(len(ordered) * fraction))] if ordered else math.nan
+
+
+def lab_document(user: str) -> Document:
+    """Return a user's document with one cell and quotas out of the way."""
+    raw: dict[str, Any] = yaml.safe_load(Path(f"examples/{user}.yaml").read_text(encoding="utf-8"))
+    domain = raw["failure_domains"][0]
+    raw["cells"] = {"lab": {"failure_domain": domain, "racks": ["r1"]}}
+    raw["batch_classes"] = {
+        "urgent": {"urgent": True},
+        "light": {},
+        "medium": {},
+        "heavy": {},
+        "new": {},
+    }
+    team = {"cpus": 10**6, "memory_mb": 10**8, "accelerators": 100}
+    raw["teams"] = dict.fromkeys(raw["teams"], team)
+    return parse_document(yaml.safe_dump(raw)).unwrap()
+
+
+class Lab:
+    """Run one scenario under one policy."""
+
+    def __init__(self, user: str, scenario: Scenario, policy: Policy, seed: int = 1) -> None:
+        self.scenario = scenario
+        self.rng = random.Random(seed)
+        self.now_ms = 1_000_000
+        self.start_ms = self.now_ms
+        self.document = lab_document(user)
+        (self.service,) = self.document.services
+        self.owner = CellOwner("lab", "s1", 1, lambda: self.now_ms)
+        self.owner.set_document(self.document)
+        self.workers = {f"w{n:02}": self._worker(f"w{n:02}") for n in range(24)}
+        reserve = self.document.services[self.service].reserve
+        kept = Size(reserve.cpus, reserve.memory_mb, reserve.accelerators)
+        self.owner.set_workers(
+            [WorkerEntry(n, "d", "r1", n, False) for n in self.workers],
+            dict.fromkeys(self.workers, kept),
+        )
+        self.owner.set_services({n: {self.service} for n in self.workers})
+        for worker in self.workers.values():
+            worker.reserved = kept
+        for name in sorted(self.workers)[: scenario.failing]:
+            self.workers[name].fail_every_task = True
+        self.jobs: dict[str, LoggedJob] = {}
+        self.submitted_ms: dict[str, int] = {}
+        self.measured = Measured()
+        self._offset = 0
+        self._later: list[tuple[int, Append]] = []
+        self._count = 0
+        policy(self)
+
+    def _worker(self, name: str) -> StandinWorker:
+        cfg = WorkerSettings(name, "d", "r1", CPUS, 250_000)
+        return StandinWorker(cfg, 3000, random.Random(self.rng.random()), lambda: self.now_ms)
+
+    @property
+    def seconds(self) -> float:
+        """Return the virtual time since the start."""
+        return (self.now_ms - self.start_ms) / 1000
+
+    # What happens on workers.
+
+    def slowdown(self, name: str, table: Table) -> float:
+        """Return ln of how much slower the service is on a worker than alone."""
+        load = self.scenario.load(self.seconds)
+        usage = self.scenario.usage(self.seconds)
+        cost = 0.0
+        for running in self.workers[name]._running.values():
+            share = running.start.cpus * running.speed * usage / CPUS
+            cost += table.get(running.start.batch_class, 0.0) * share
+        return cost * (0.5 + load)
+
+    def is_lost(self, name: str) -> bool:
+        """Tell whether a worker is lost with its failure domain."""
+        return self.seconds >= self.scenario.lost_after and name < "w08"
+
+    def _serve_requests(self) -> None:
+        table = self.scenario.table(self.seconds)
+        slots = self.document.services[self.service].slots
+        alive = [name for name in self.workers if not self.is_lost(name)]
+        slow = {name: self.slowdown(name, table) for name in alive}
+        weights = {name: math.exp(-slow[name]) for name in alive}
+        total = sum(weights.values())
+        rate = self.scenario.load(self.seconds) * slots * 1000 / BASE_MS * len(self.workers)
+        for name in alive:
+            count = max(1, int(rate * weights[name] / total))
+            mean = math.log(BASE_MS) + slow[name]
+            noise = self.rng.gauss(0.0, SIGMA / math.sqrt(count))
+            square = (mean + noise) ** 2 + SIGMA**2
+            sample = LatencySample(
+                self.service, name, count, count * (mean + noise), count * square
+            )
+            self.owner.note_latency(sample)
+            for _ in range(max(1, round(SAMPLES_PER_S * weights[name] / total * len(alive)))):
+                latency = math.exp(mean + self.rng.gauss(0.0, SIGMA))
+                self.measured.latencies.append(latency)
+
+    # Jobs.
+
+    def submit(self, batch_class: str, tasks: int, cpus: int, run_ms: int) -> str:
+        """Submit a job; what it really runs for is `run_factor` times as long."""
+        self._count += 1
+        name = f"j{self._count}"
+        actual_ms = int(run_ms * self.scenario.run_factor)
+        spec = JobSubmitted(
+            name, "a", next(iter(self.document.teams)), batch_class, "lab", tasks, cpus, 1000, 0,
+            actual_ms, "", self.now_ms,
+        )  # fmt: skip
+        self.jobs[name] = LoggedJob(spec)
+        self.submitted_ms[name] = self.now_ms
+        self.owner.set_job(self.jobs[name])
+        return name
+
+    def _feed_jobs(self) -> None:
+        """Keep enough work waiting, so that throughput is the policy's doing."""
+        waiting = sum(len(job.pending) for job in self.owner.book.waiting)
+        while waiting < 60:
+            batch_class = self.rng.choices(["light", "medium", "heavy"], [5, 3, 2])[0]
+            if self.seconds > self.scenario.seconds / 2 and "unseen" in self.scenario.name:
+                batch_class = self.rng.choice([batch_class, "new"])
+            tasks = self.rng.randrange(5, 20)
+            self.submit(batch_class, tasks, self.rng.choice([2, 4, 4, 8]), 20_000)
+            waiting += tasks
+        if self.now_ms % 15_000 == 0:
+            self.submit("urgent", 2, 8, 5000)
+
+    def _cancel_wave(self) -> None:
+        names = [n for n in self.owner.book.jobs if self.rng.random() < 0.5]
+        for name in names:
+            self.jobs[name].cancelled = True
+            self.owner.set_job(self.jobs[name])
+
+    # Time.
+
+    def run(self) -> Measured:
+        """Run to the end and return the figures."""
+        grid = ""
+        cancelled = False
+        while self.seconds < self.scenario.seconds:
+            self.now_ms += TICK_MS
+            for name, worker in self.workers.items():
+                if not self.is_lost(name):
+                    worker.tick()
+            if self.now_ms % 1000 == 0:
+                self._serve_requests()
+            self._feed_jobs()
+            if not grid and self.seconds >= 60:
+                grid = self.submit("light", 300, 4, 20_000)
+            if not cancelled and self.seconds >= self.scenario.cancel_at:
+                self._cancel_wave()
+                cancelled = True
+            self._decide()
+            if grid in self.owner.log.state.ended and math.isinf(self.measured.grid_seconds):
+                self.measured.grid_seconds = self.seconds - 60
+        return self._finish()
+
+    def _decide(self) -> None:
+        for _ in range(3):  # a command and what follows from its answer, within one tick
+            situation = Situation(self.now_ms, ("s1",), False, {}, ())
+            commands = self.owner.plan(self.now_ms, situation)
+            for command in commands:
+                self._carry_out(command)
+            due = [append for at, append in self._later if at <= self.now_ms]
+            self._later = [entry for entry in self._later if entry[0] > self.now_ms]
+            for append in due:
+                self._append(append)
+            if not commands:
+                return
+
+    def _carry_out(self, command: Command) -> None:
+        if isinstance(command, Append):
+            self._later.append((self.now_ms + self.scenario.log_delay_ms, command))
+            return
+        assert isinstance(command, Send)
+        try:
+            if self.is_lost(command.worker):
+                raise WorkerDown("lost")
+            reply = self.workers[command.worker].exchange(command.exchange)
+        except WorkerDown:
+            self.owner.exchange_failed(command)
+            return
+        self.owner.exchange_answered(command, reply, self.now_ms)
+
+    def _append(self, append: Append) -> None:
+        self._offset += 1
+        self.owner.replay(self._offset, append.record, self.now_ms)
+        self.owner.append_answered(append.record, True)
+
+    def _finish(self) -> Measured:
+        found = self.measured
+        for worker in self.workers.values():
+            began: dict[tuple[str, int], int] = {}
+            for event in worker.audit:
+                key = (event.task, event.attempt)
+                if event.event == "start":
+                    began[key] = event.at_ms
+                    found.starts += 1
+                    self._note_urgent(event.task, event.batch_class, event.at_ms)
+                elif event.event == "done":
+                    spec = self.jobs[event.task.partition("/")[0]].spec
+                    found.cpu_seconds += spec.cpus * spec.run_ms / 1000
+                elif event.event == "checkpointed":
+                    found.evictions += 1
+                elif event.event in ("failed", "lapsed", "refused"):
+                    found.wasted += 1
+            if not worker.max_committed.fits(Size(CPUS, 250_000, 0)):
+                found.overcommitted += 1
+        return found
+
+    def _note_urgent(self, task: str, batch_class: str, at_ms: int) -> None:
+        if batch_class == "urgent":
+            waited_ms = at_ms - self.submitted_ms[task.partition("/")[0]]
+            self.measured.urgent_waits.append(waited_ms / 1000)
+
+
+# Policies to compare with.
+
+
+def ours(lab: Lab) -> None:
+    """Decide as the product does."""
+
+
+def naive(lab: Lab) -> None:
+    """Place wherever there is room, and never relieve a service."""
+    guard: Any = lab.owner.guard
+    guard.judge = lambda *args: 0.0
+    guard.relieve = lambda *args: []
+
+
+def never_share(lab: Lab) -> None:
+    """Place nothing beside a service: the limit of tail latency."""
+    guard: Any = lab.owner.guard
+    guard.judge = lambda *args: None
+    guard.relieve = lambda *args: []
+
+
+def oracle(lab: Lab) -> None:
+    """Know the table: place up to the allowed slowdown, and evict at once what is beyond it."""
+    guard: Any = lab.owner.guard
+
+    def cost(worker: str, batch_class: str, more_cpus: int) -> float:
+        table = lab.scenario.table(lab.seconds)
+        load = lab.scenario.load(lab.seconds)
+        usage = lab.scenario.usage(lab.seconds)
+        pending = lab.owner.workers[worker].to_start.values()
+        shares = [(s.batch_class, s.cpus) for s in pending] + [(batch_class, more_cpus)]
+        more = sum(table.get(name, 0.0) * cpus * usage / CPUS for name, cpus in shares)
+        return lab.slowdown(worker, table) + more * (0.5 + load)
+
+    def judge(
+        worker: str, residents: list[Resident], cpus: int, batch_class: str, more_cpus: int
+    ) -> float | None:
+        found = cost(worker, batch_class, more_cpus)
+        return found if found <= math.log(ALLOWED_SLOWDOWN) else None
+
+    def relieve(worker: str, residents: list[Resident], cpus: int, now_ms: int) -> list[Relief]:
+        table = lab.scenario.table(lab.seconds)
+        excess = lab.slowdown(worker, table) - math.log(ALLOWED_SLOWDOWN)
+        orders = []
+        worst_first = sorted(residents, key=lambda r: -table.get(r.batch_class, 0.0) * r.cpus)
+        for resident in worst_first:
+            if excess <= 0:
+                break
+            orders.append(Relief(resident.task, resident.attempt, 0.0))
+            load = 0.5 + lab.scenario.load(lab.seconds)
+            excess -= table.get(resident.batch_class, 0.0) * resident.cpus / CPUS * load
+        return orders
+
+    guard.judge = judge
+    guard.relieve = relieve
--- a/src/greengagewood/internal/celllog.py
+++ b/src/greengagewood/internal/celllog.py
@@ -57,8 +57,7 @@
     detail: str = ""
     checkpoint: str = ""
     checkpoint_attempt: int = 0
-    failures: int = 0
-    last_failed: int = 0
+    failed_on: tuple[str, ...] = ()
 
 
 class EndedJob(msgspec.Struct):
@@ -222,9 +221,8 @@
             if outcome.attempt > task.checkpoint_attempt:
                 task.checkpoint = outcome.detail
                 task.checkpoint_attempt = outcome.attempt
-        elif outcome.outcome == "attempt_failed" and outcome.attempt > task.last_failed:
-            task.failures += 1
-            task.last_failed = outcome.attempt
+        elif outcome.outcome == "attempt_failed" and outcome.detail not in task.failed_on:
+            task.failed_on += (outcome.detail,)
 
     def _note_end(self, job: str, at_ms: int) -> None:
         """Move a job to the ended ones when its last task has ended."""
--- a/src/greengagewood/internal/dispatch.py
+++ b/src/greengagewood/internal/dispatch.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -15,7 +16,7 @@
 from greengagewood.internal.document import Service
 from greengagewood.internal.limits import Gate, RetryBudget
 from greengagewood.internal.logs import Log
-from greengagewood.internal.messages import BackendEntry
+from greengagewood.internal.messages import BackendEntry, LatencyRow
 from greengagewood.internal.metrics import Metrics
 from greengagewood.internal.platform.backends import (
     Answer,
@@ -63,6 +64,15 @@
         self.table = RoutingTable(failure_domain, rng)
         self.gate = Gate(service.limits.concurrency, service.limits.queue)
         self.budget = RetryBudget(service.limits.retry_budget)
+        self._latencies: dict[str, list[float]] = {}
+
+    def take_latencies(self) -> list[LatencyRow]:
+        """Return what was seen at each worker since the last call."""
+        taken, self._latencies = self._latencies, {}
+        return [
+            LatencyRow(self.name, worker, len(logs), sum(logs), sum(x * x for x in logs))
+            for worker, logs in taken.items()
+        ]
 
     def set_service(self, service: Service) -> None:
         """Take the service's part of a new document."""
@@ -144,6 +154,8 @@
             backend.in_flight -= 1
             if whole:
                 self.table.succeeded(backend, latency_ms)
+                logs = self._latencies.setdefault(backend.worker, [])
+                logs.append(math.log(max(1, latency_ms)))
                 self._metrics.observe("backend_latency", latency_ms / 1000, service=self.name)
             else:
                 self._fail(backend)
--- a/src/greengagewood/internal/gateway.py
+++ b/src/greengagewood/internal/gateway.py
@@ -25,7 +25,7 @@
 from greengagewood.internal.link import Link, Listener
 from greengagewood.internal.linkpool import LinkPool
 from greengagewood.internal.logs import Log
-from greengagewood.internal.messages import Member, StoredAnswer
+from greengagewood.internal.messages import LatencyReport, Member, StoredAnswer
 from greengagewood.internal.metrics import Metrics
 from greengagewood.internal.platform.backends import (
     HOP_HEADERS,
@@ -43,6 +43,8 @@
 MAX_LINE_BYTES = 8 * 1024
 MAX_HEADER_BYTES = 16 * 1024
 STOP_TIMEOUT_S = 30.0
+REPORT_INTERVAL_S = 1.0
+REPORT_TIMEOUT_S = 0.5
 KEY_HEADER = "Idempotency-Key"
 MAX_KEY_CHARS = 200
 STRIPPED_HEADERS = HOP_HEADERS | {
@@ -187,7 +189,19 @@
 
     async def _refresh_backends(self) -> None:
         self._share_backends()
-        await asyncio.sleep(1.0)
+        await self._report_latencies()
+        await asyncio.sleep(REPORT_INTERVAL_S)
+
+    async def _report_latencies(self) -> None:
+        """Tell the owners of cells what was seen at each worker; a lost report is not repeated."""
+        rows = tuple(row for d in self._dispatchers.values() for row in d.take_latencies())
+        owners = {m.scheduler for m in self._live_members() if m.cells and m.scheduler}
+        if rows and owners:
+            asks = (
+                self._pool.link(owner).ask(LatencyReport(rows), REPORT_TIMEOUT_S)
+                for owner in owners
+            )
+            await asyncio.gather(*asks, return_exceptions=True)
 
     def _share_backends(self) -> None:
         gateways = sum(1 for member in self._live_members() if member.gateway)
--- a/src/greengagewood/internal/messages.py
+++ b/src/greengagewood/internal/messages.py
@@ -196,6 +196,22 @@
     known: bool
 
 
+class LatencyRow(_Message, frozen=True):
+    """Sum up a service's latencies at one worker: count, sum and sum of squares of ln(ms)."""
+
+    service: str
+    worker: str
+    count: int
+    log_sum: float
+    log_square_sum: float
+
+
+class LatencyReport(_Message, frozen=True):
+    """Tell an owner what a gateway saw in the last second."""
+
+    rows: tuple[LatencyRow, ...]
+
+
 class JobQuery(_Message, frozen=True):
     """Ask a cell's owner about a job, and wait up to `wait_ms` for its end."""
 
@@ -243,6 +259,7 @@
     | SyncReply
     | AnswerQuery
     | AnswerReply
+    | LatencyReport
     | JobQuery
     | JobView
     | Drain
--- a/src/greengagewood/internal/owner.py
+++ b/src/greengagewood/internal/owner.py
@@ -34,9 +34,11 @@
 from greengagewood.internal.celllog import CellLog, job_of
 from greengagewood.internal.chart import load_chart
 from greengagewood.internal.document import Document
+from greengagewood.internal.interference import LatencySample
 from greengagewood.internal.joblog import LoggedJob
 from greengagewood.internal.messages import CellLoad, JobView, Shape, WorkerEntry
-from greengagewood.internal.placement import Room, Size, choose_worker
+from greengagewood.internal.placement import Size
+from greengagewood.internal.placer import Placed, Placer
 from greengagewood.internal.platform.workers import Ended, Exchange, ExchangeReply, Start
 from greengagewood.internal.records import (
     AnyRecord,
@@ -49,6 +51,7 @@
     TasksProgressed,
     WorkersChanged,
 )
+from greengagewood.internal.tailguard import Relief, TailGuard
 from greengagewood.internal.taskbook import ENDED_STATES, TASK_CHART, Job, Task, TaskBook
 from greengagewood.internal.workerstate import (
     AttemptId,
@@ -67,7 +70,7 @@
 RANK_DELAY_MS = 1000
 FRESH_LOG_MS = 2500
 APPEND_INTERVAL_MS = 200
-MAX_STARTS_PER_PLAN = 200
+RELIEVE_INTERVAL_MS = 1000
 MAX_JOBS_IN_RECORD = 100
 SNAPSHOT_AGE_FRACTION = 0.25
 SNAPSHOT_RETRY_MS = 3000
@@ -126,6 +129,8 @@
         self.state = CELL_CHART.initial[0]
         self.book = TaskBook(self.log)
         self.workers: dict[str, WorkerState] = {}
+        self.guard = TailGuard()
+        self.placer = Placer(self.workers, self.guard)
         self.epoch = 0
         self.evictions = 0
         self.on_event: Callable[[str, dict[str, object]], None] = lambda event, fields: None
@@ -139,6 +144,9 @@
         self._rule_base_ms = 0
         self._absent_since: int | None = None
         self._attempts = 0
+        self._samples: dict[tuple[str, str], LatencySample] = {}
+        self._relieved_ms = 0
+        self._now_ms = 0
         self._snapshot_upto = 0
         self._snapshot_ms: int | None = None
         self._snapshots = 0
@@ -153,6 +161,7 @@
     def set_document(self, document: Document) -> None:
         """Take the configuration in force."""
         self._document = document
+        self.guard.set_document(document)
 
     def set_workers(self, entries: Iterable[WorkerEntry], reserves: dict[str, Size]) -> None:
         """Take the cell's workers as the instance list shows them."""
@@ -243,7 +252,8 @@
         if self.state == "fencing":
             self._finish_fencing()
         if self.state == "placing":
-            self._place()
+            self._place(now_ms)
+            self._relieve(now_ms)
         return [*self._plan_exchanges(now_ms), *self._plan_appends(now_ms)]
 
     # Snapshots.
@@ -318,6 +328,7 @@
         candidates, released = previous
         self.epoch = self.log.epoch
         self._inherited = frozenset(self.log.workers)
+        self._relieved_ms = now_ms
         self._attempts = 0
         self._may_rule_by_time = before == 0 or released or self.me in candidates
         assert self._document is not None
@@ -325,7 +336,7 @@
         earlier = 0 if released else int(leases.owner_license_ms * (1 + leases.clock_drift)) + 1
         self._rule_base_ms = now_ms + earlier
         self.book = TaskBook(self.log)
-        self.workers = {}
+        self._forget_workers()
         for name, spec in self.log.state.jobs.items():
             self._jobs.setdefault(name, LoggedJob(spec))
         for job in self._jobs.values():
@@ -337,9 +348,14 @@
         self._emit("step_down", epoch=self.epoch, newer=self.log.epoch)
         self.epoch = 0
         self.book = TaskBook(self.log)
-        self.workers = {}
+        self._forget_workers()
         self._append_in_flight = False
 
+    def _forget_workers(self) -> None:
+        """Begin with no workers; what was learned of services stays."""
+        self.workers = {}
+        self.placer = Placer(self.workers, self.guard)
+
     def _update_license(self, now_ms: int, situation: Situation) -> None:
         if self.state not in OWNING or self._document is None:
             return
@@ -384,6 +400,7 @@
             worker.enlisted = name in self.log.workers
             worker.listed = name in self._entries
             worker.leaving = worker.leaving or not worker.listed
+            worker.changed()
             if worker.received_ms == 0:
                 worker.received_ms = self._rule_base_ms
         for name, worker in list(self.workers.items()):
@@ -443,12 +460,21 @@
                 self._emit("refused_by_worker", worker=worker.name, newer=reply.epoch)
             return
         worker.take_reply(sent.exchange, reply, now_ms)
+        self._now_ms = now_ms
+        self._learn_usage(worker, reply)
         for key in worker.absent():
             self._attempt_over(worker, key, "lapsed")
         self._take_running(worker)
         for ended in list(worker.outbox.values()):
             self._take_ended(worker, ended)
 
+    def _learn_usage(self, worker: WorkerState, reply: ExchangeReply) -> None:
+        self.guard.note_residents(worker.name, reply.clock, worker.residents())
+        for usage in reply.usage:
+            self.guard.note_usage(
+                worker.name, usage.batch_class, usage.cpus, usage.from_ms, usage.to_ms
+            )
+
     def exchange_failed(self, sent: Send) -> None:
         """Note that a worker did not answer; what was sent may have taken effect."""
         worker = self.workers.get(sent.worker)
@@ -472,6 +498,7 @@
         task.attempt = key[1]
         task.worker = worker.name
         worker.assigned[key] = self._start_of(task)
+        worker.changed()
         if task.state == "stopping":
             worker.to_stop.add(key)
 
@@ -516,6 +543,7 @@
             if elsewhere is not None:
                 elsewhere.to_stop.add((task.name, task.attempt))
         task.attempt = ended.attempt
+        self.placer.suspicion.note_success(worker.name)
         self.book.move(task, "found_ended")
         self.book.end(task, ended.detail)
 
@@ -543,18 +571,26 @@
             task.checkpoint = detail
             self.book.note(TaskOutcome(task.name, key[1], "checkpointed", detail))
         elif event == "failed" and task.state == "pending":
-            self._take_task_failure(task, key[1], detail)
+            self._take_task_failure(task, key[1], worker.name)
         elif task.state not in ENDED_STATES:
             worker.to_ack.add(key)
         if task.state in ENDED_STATES:
             self.book.end(task, detail)
 
-    def _take_task_failure(self, task: Task, attempt: int, detail: str) -> None:
-        task.failures += 1
-        self.book.note(TaskOutcome(task.name, attempt, "attempt_failed", detail))
-        if task.failures >= task.job.max_attempts:
+    def _take_task_failure(self, task: Task, attempt: int, worker: str) -> None:
+        if self.placer.suspicion.note_failure(worker, task.name, self._now_ms):
+            self._emit("quarantined", worker=worker)
+        if worker not in task.failed_on:
+            task.failed_on += (worker,)
+        task.job.failed_on.add(worker)
+        self.book.note(TaskOutcome(task.name, attempt, "attempt_failed", worker))
+        if len(task.failed_on) >= self._failures_allowed(task):
             self.book.move(task, "give_up")
 
+    def _failures_allowed(self, task: Task) -> int:
+        """Return on how many workers a task may fail: its attempts, but not more than there are."""
+        return min(task.job.max_attempts, max(1, len(self.workers)))
+
     def _acknowledge(self, outcomes: tuple[TaskOutcome, ...]) -> None:
         keys = {(o.task, o.attempt) for o in outcomes}
         keys = {key for key in keys if not self.book.is_unlogged(key)}
@@ -580,62 +616,64 @@
             elif task.state == "stopping":
                 self.workers[task.worker].to_stop.add((task.name, task.attempt))
 
-    def _place(self) -> None:
-        jobs = self.book.pending_jobs()
-        if not jobs:
-            return
-        rooms = [Room(w.name, w.free()) for w in self.workers.values() if w.usable()]
-        teams = self._team_room()
-        budget = MAX_STARTS_PER_PLAN
-        for job in jobs:
-            budget -= self._place_job(job, rooms, teams, budget)
-            if budget <= 0:
-                return
-
-    def _place_job(self, job: Job, rooms: list[Room], teams: dict[str, Size], budget: int) -> int:
-        placed = 0
-        team = job.logged.spec.team
-        for name in list(job.pending)[:budget]:
-            if not job.size.fits(teams.get(team, Size())):
-                job.reason = "over_quota"
-                break
-            room = choose_worker(job.size, rooms)
-            if room is None:
-                job.reason = "waiting_for_room"
-                break
-            self._start(self.book.tasks[name], room)
-            room.free -= job.size
-            teams[team] -= job.size
-            placed += 1
-        return placed
-
-    def _start(self, task: Task, room: Room) -> None:
+    def _place(self, now_ms: int) -> None:
+        assert self._document is not None
+        if self.book.waiting:
+            self.placer.place(now_ms, self.book, self._document, self._start, self.evict)
+
+    def _start(self, placed: Placed) -> None:
+        task = placed.task
         self._attempts += 1
         task.attempt = (self.epoch << EPOCH_SHIFT) + self._attempts
-        task.worker = room.worker
+        task.worker = placed.worker
         self.book.move(task, "place")
-        self.workers[room.worker].assign(self._start_of(task))
-        task.job.reason = ""
+        self.workers[placed.worker].assign(self._start_of(task))
 
-    def _team_room(self) -> dict[str, Size]:
-        """Return what each team may still take in this cell: its share of the quota, less use."""
-        assert self._document is not None
-        cells = len(self._document.cells)
-        rooms = {
-            name: Size(team.cpus // cells, team.memory_mb // cells, team.accelerators // cells)
-            for name, team in self._document.teams.items()
-        }
-        for task in self.book.in_state("starting", "running", "evicting", "stopping"):
-            team_name = task.job.logged.spec.team
-            if team_name in rooms:
-                rooms[team_name] -= task.job.size
-        return rooms
+    def _relieve(self, now_ms: int) -> None:
+        """Once a second, learn from what gateways saw, and throttle or evict where it is needed."""
+        if now_ms - self._relieved_ms < RELIEVE_INTERVAL_MS:
+            return
+        self._relieved_ms = now_ms
+        self.placer.forget_costs()
+        for sample in self._take_samples():
+            worker = self.workers.get(sample.worker)
+            if worker is not None:
+                self.guard.note_latency(sample, worker.residents(), worker.capacity.cpus)
+        for worker in self.workers.values():
+            orders = self.guard.relieve(
+                worker.name, worker.residents(), worker.capacity.cpus, now_ms
+            )
+            for order in orders:
+                self._carry_out_relief(worker, order)
+
+    def _carry_out_relief(self, worker: WorkerState, order: Relief) -> None:
+        self._emit("relief", task=order.task, worker=worker.name, speed=order.speed)
+        if order.speed == 0.0:
+            self.evict(order.task)
+        else:
+            worker.to_throttle[(order.task, order.attempt)] = order.speed
+
+    def _take_samples(self) -> list[LatencySample]:
+        taken = list(self._samples.values())
+        self._samples = {}
+        return taken
+
+    def note_latency(self, sample: LatencySample) -> None:
+        """Take what one gateway saw of a service on one worker in a second."""
+        key = (sample.service, sample.worker)
+        known = self._samples.get(key)
+        self._samples[key] = sample if known is None else known + sample
+
+    def set_services(self, services_on: dict[str, set[str]]) -> None:
+        """Take which services have a backend server on each worker."""
+        self.guard.set_services(services_on)
 
     def evict(self, name: str) -> bool:
         """Ask for a running task to be checkpointed and stopped."""
         task = self.book.tasks.get(name)
         if task is None or task.state != "running":
             return False
+        self._emit("evict", task=name, worker=task.worker)
         self.book.move(task, "evict")
         self.evictions += 1
         self.workers[task.worker].to_checkpoint.add((task.name, task.attempt))
@@ -702,8 +740,8 @@
         """Summarise the cell for others; None unless this scheduler owns it."""
         if self.state not in OWNING or self.state == "releasing":
             return None
-        waiting = sum(len(job.pending) * job.size.cpus for job in self.book.jobs.values())
-        shapes = {w.shapes() for w in self.workers.values() if w.usable()}
+        waiting = sum(len(job.pending) * job.size.cpus for job in self.book.waiting)
+        shapes = {w.shape() for w in self.workers.values() if w.usable()}
         return CellLoad(
             self.cell,
             self.epoch,
--- a/src/greengagewood/internal/scheduler.py
+++ b/src/greengagewood/internal/scheduler.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import uuid
 from collections.abc import Coroutine
 from typing import Any
@@ -14,6 +15,7 @@
 from greengagewood.internal.daemon import supervised
 from greengagewood.internal.document import Cell
 from greengagewood.internal.feed import Feed, ReplayedRecord, Surroundings
+from greengagewood.internal.interference import LatencySample
 from greengagewood.internal.joblog import JobLog
 from greengagewood.internal.link import Link, LinkTimeout, Listener
 from greengagewood.internal.logs import Log
@@ -22,9 +24,11 @@
     AppendReply,
     AppendRequest,
     CellLoad,
+    Done,
     Failure,
     JobQuery,
     JobView,
+    LatencyReport,
     WorkerEntry,
 )
 from greengagewood.internal.metrics import Metrics
@@ -174,11 +178,15 @@
         if accepted is None:
             return
         reserves = self._reserves(accepted)
+        services_on: dict[str, set[str]] = {}
+        for backend in self._feed.backends.value:
+            services_on.setdefault(backend.worker, set()).add(backend.service)
         for name, cell in accepted.document.cells.items():
             owner = self._owners.get(name)
             if owner is not None:
                 entries = [w for w in self._feed.workers.value if _belongs(w, cell)]
                 owner.set_workers(entries, reserves)
+                owner.set_services(services_on)
 
     def _reserves(self, accepted: Accepted) -> dict[str, Size]:
         """Return what services keep of each worker that carries one of their backend servers."""
@@ -314,6 +322,9 @@
     # Questions of gateways.
 
     async def _handle(self, sender: str, message: AnyMessage) -> AnyMessage | None:
+        if isinstance(message, LatencyReport):
+            self._take_latencies(message)
+            return Done()
         if not isinstance(message, JobQuery):
             self._metrics.count("link_dropped", reason="unexpected_kind")
             return Failure("unexpected kind of message")
@@ -324,6 +335,18 @@
             view = self._view(message)
         return view
 
+    def _take_latencies(self, report: LatencyReport) -> None:
+        for row in report.rows:
+            if row.count < 1 or not math.isfinite(row.log_sum + row.log_square_sum):
+                self._metrics.count("latency_rows_dropped")
+                continue
+            sample = LatencySample(
+                row.service, row.worker, row.count, row.log_sum, row.log_square_sum
+            )
+            for owner in self._owners.values():
+                if row.worker in owner.workers:
+                    owner.note_latency(sample)
+
     def _view(self, query: JobQuery) -> JobView:
         job = self._jobs.jobs.get(query.job)
         owner = self._owners.get(job.spec.cell) if job else None
--- a/src/greengagewood/internal/taskbook.py
+++ b/src/greengagewood/internal/taskbook.py
@@ -22,6 +22,7 @@
 RESEND_AFTER_MS = 2000
 MAX_OUTCOMES_IN_RECORD = 500
 
+HOLDING_STATES = frozenset({"starting", "running", "evicting", "stopping"})
 ENDED_STATES = frozenset({"done", "cancelled", "failed"})
 OUTCOME_OF_STATE = {"done": "done", "cancelled": "cancelled", "failed": "failed"}
 
@@ -36,7 +37,7 @@
     attempt: int = 0
     worker: str = ""
     checkpoint: str = ""
-    failures: int = 0
+    failed_on: tuple[str, ...] = ()
 
 
 @dataclass(slots=True, eq=False)
@@ -51,6 +52,7 @@
     tasks: dict[str, Task] = field(default_factory=dict)
     pending: dict[str, None] = field(default_factory=dict)
     reason: str = ""
+    failed_on: set[str] = field(default_factory=set)
 
     @property
     def name(self) -> str:
@@ -74,6 +76,8 @@
         self._unlogged: dict[TaskOutcome, _Unlogged] = {}
         self._unlogged_attempts: Counter[tuple[str, int]] = Counter()
         self._added = 0
+        self.waiting: dict[Job, None] = {}
+        self.team_used: dict[str, Size] = {}
         self.moves: Counter[tuple[str, str]] = Counter()
 
     def add_job(
@@ -96,13 +100,29 @@
         task = Task(name, job, fresh_state)
         if known is not None:
             task.checkpoint = known.checkpoint
-            task.failures = known.failures
+            task.failed_on = known.failed_on
             if known.final:
                 task.state = known.final
         job.tasks[name] = task
         self.tasks[name] = task
         if task.state == "pending":
-            job.pending[name] = None
+            self._note_pending(task)
+
+    def _note_pending(self, task: Task) -> None:
+        task.job.pending[task.name] = None
+        self.waiting[task.job] = None
+
+    def _note_not_pending(self, task: Task) -> None:
+        task.job.pending.pop(task.name, None)
+        if not task.job.pending:
+            self.waiting.pop(task.job, None)
+
+    def _note_use(self, task: Task, was: bool, now: bool) -> None:
+        if was == now:
+            return
+        team = task.job.logged.spec.team
+        used = self.team_used.get(team, Size())
+        self.team_used[team] = used + task.job.size if now else used - task.job.size
 
     def move(self, task: Task, event: str) -> str:
         """Move a task along its chart; raise IllegalTransition."""
@@ -110,9 +130,10 @@
         task.state = TASK_CHART.next(old, event)
         self.moves[(old, event)] += 1
         if task.state == "pending":
-            task.job.pending[task.name] = None
+            self._note_pending(task)
         elif old == "pending":
-            task.job.pending.pop(task.name, None)
+            self._note_not_pending(task)
+        self._note_use(task, old in HOLDING_STATES, task.state in HOLDING_STATES)
         if task.state in ENDED_STATES:
             task.worker = ""
         return task.state
@@ -161,6 +182,7 @@
         """Forget the tasks of a job that has ended; the log knows what became of them."""
         job = self.jobs.pop(name, None)
         if job is not None:
+            self.waiting.pop(job, None)
             for task in job.tasks:
                 del self.tasks[task]
 
@@ -175,8 +197,3 @@
     def in_state(self, *states: str) -> Iterator[Task]:
         """Iterate over the tasks in some states."""
         return (task for task in self.tasks.values() if task.state in states)
-
-    def pending_jobs(self) -> list[Job]:
-        """List the jobs with pending tasks in the order in which they are served."""
-        jobs = [job for job in self.jobs.values() if job.pending]
-        return sorted(jobs, key=lambda job: (not job.urgent, job.order))
--- a/src/greengagewood/internal/workerstate.py
+++ b/src/greengagewood/internal/workerstate.py
@@ -8,6 +8,7 @@
 from greengagewood.internal.document import Leases
 from greengagewood.internal.placement import Size
 from greengagewood.internal.platform.workers import Attempt, Ended, Exchange, ExchangeReply, Start
+from greengagewood.internal.tailguard import Resident
 
 __all__ = ["AttemptId", "WorkerState", "lapse_after_ms"]
 
@@ -62,9 +63,32 @@
     to_stop: set[AttemptId] = field(default_factory=set)
     to_checkpoint: set[AttemptId] = field(default_factory=set)
     to_ack: set[AttemptId] = field(default_factory=set)
+    to_throttle: dict[AttemptId, float] = field(default_factory=dict)
+    dirty: bool = True
+    _committed: Size | None = None
+    _residents: list[Resident] | None = None
+
+    def changed(self) -> None:
+        """Note that what runs here, or whether more may, has changed."""
+        self.dirty = True
+        self._committed = None
+        self._residents = None
+
+    def residents(self) -> list[Resident]:
+        """Describe the attempts that may run on the worker."""
+        if self._residents is None:
+            self._residents = [
+                Resident(s.task, s.attempt, s.batch_class, s.cpus) for s in self.assigned.values()
+            ]
+        return self._residents
 
     def committed(self) -> Size:
         """Return what every attempt takes that may run on the worker."""
+        if self._committed is None:
+            self._committed = self._sum_committed()
+        return self._committed
+
+    def _sum_committed(self) -> Size:
         total = Size()
         for start in self.assigned.values():
             total += size_of(start)
@@ -83,16 +107,19 @@
 
     def assign(self, start: Start) -> None:
         """Take a task on, to be started with the next exchange."""
+        self.changed()
         key = (start.task, start.attempt)
         self.assigned[key] = start
         self.to_start[key] = start
 
     def drop(self, key: AttemptId) -> None:
         """Forget an attempt that no longer runs here."""
+        self.changed()
         for store in (self.assigned, self.running, self.to_start):
             store.pop(key, None)
         self.to_stop.discard(key)
         self.to_checkpoint.discard(key)
+        self.to_throttle.pop(key, None)
 
     def due(self, now_ms: int) -> bool:
         """Tell whether an exchange is to be sent now."""
@@ -101,7 +128,7 @@
         since = now_ms - self.sent_ms
         if self.failures:
             return since >= min(RETRY_BASE_MS << min(self.failures, 5), RETRY_MAX_MS)
-        if self.stale or self.to_start or self.to_stop or self.to_checkpoint:
+        if self.stale or self.to_start or self.to_stop or self.to_checkpoint or self.to_throttle:
             return True
         return since >= EXCHANGE_INTERVAL_MS or bool(self.to_ack)
 
@@ -122,25 +149,32 @@
             starts=tuple(self.to_start.values()),
             stops=tuple(sorted(self.to_stop)),
             checkpoints=tuple(sorted(self.to_checkpoint)),
+            throttles=tuple((t, a, speed) for (t, a), speed in self.to_throttle.items()),
             acks=tuple(sorted(self.to_ack)),
         )
 
     def take_reply(self, sent: Exchange, reply: ExchangeReply, now_ms: int) -> None:
         """Take an accepted reply in."""
         self.in_flight = False
+        if self.failures or not self.fenced:
+            self.changed()
         self.failures = 0
         self.fenced = True
         self.stale = not reply.fresh  # nothing was renewed; leases may be about to end
         self.boot = reply.boot
         self.echo = reply.clock
         self.received_ms = now_ms
-        self.capacity = Size(reply.cpus, reply.memory_mb, reply.accelerators)
+        capacity = Size(reply.cpus, reply.memory_mb, reply.accelerators)
+        if capacity != self.capacity:
+            self.capacity = capacity
+            self.changed()
         self.to_ack.difference_update(sent.acks)
         for key in sent.acks:
             self.outbox.pop(key, None)
         if reply.running is not None:
             self.running = {(a.task, a.attempt): a for a in reply.running}
             self.version = reply.version
+            self.changed()
         for ended in reply.ended:
             self.outbox[(ended.task, ended.attempt)] = ended
         if reply.fresh:
@@ -151,11 +185,15 @@
             self.to_start.pop((start.task, start.attempt), None)
         self.to_stop.difference_update(sent.stops)
         self.to_checkpoint.difference_update(sent.checkpoints)
+        for task, attempt, speed in sent.throttles:
+            if self.to_throttle.get((task, attempt)) == speed:
+                del self.to_throttle[(task, attempt)]
 
     def take_failure(self) -> None:
         """Note that an exchange was not answered."""
         self.in_flight = False
         self.failures += 1
+        self.dirty = True
 
     def absent(self) -> list[AttemptId]:
         """List assigned attempts that the worker has answered for and neither runs nor reports."""
@@ -165,8 +203,8 @@
             if key not in self.running and key not in self.outbox and key not in self.to_start
         ]
 
-    def shapes(self) -> Size:
-        """Return what the worker has for batch tasks."""
+    def shape(self) -> Size:
+        """Return what the worker has for batch tasks, whether free or not."""
         return self.capacity - self.reserve
 
 
--- a/tests/common/mutants.py
+++ b/tests/common/mutants.py
@@ -166,9 +166,9 @@
 
 
 def _attempts_start_again(original):
-    def start(self, task, room):
+    def start(self, placed):
         self._attempts = 0
-        original(self, task, room)
+        original(self, placed)
 
     return start
 
