--- /dev/null
+++ b/devtools/benches/capacity.py
@@ -0,0 +1,194 @@
+"""Slopes of processor time, bytes and appends, from real programs at four sizes each.
+
+Bytes are what the loopback interface carried, headers included: nothing but control traffic runs
+while it is measured. A node's share is all bytes over the number of entry instances.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import tempfile
+import time
+from collections.abc import Callable
+from dataclasses import replace
+from pathlib import Path
+from statistics import mean
+from typing import Any
+
+import aiohttp
+import msgspec
+import psutil
+
+from devtools.bench import Bound, Result
+from devtools.callers import token_of
+from devtools.cluster import ROLES, Cluster, Plan
+from devtools.demo import CALLERS, Demo, document, publish
+
+__all__ = ["Slope", "run"]
+
+BASE = Plan(
+    environment="padana",
+    service="quotazioni",
+    racks={"pd-milano": "milano-r1"},
+    workers_per_domain=8,
+    instances_per_domain=1,
+    trial_instances=0,
+    standin={"list_lag_ms": 200},
+)
+SETTLE_S = 5.0
+MEASURE_S = 8.0
+INSTANCES = (1, 2, 4, 8)
+WORKERS = (8, 16, 32, 64)
+STARTS = (4, 8, 16, 32)
+RUNNING = (16, 32, 64, 128)
+OUTPUT = Path("docs/capacity.json")
+
+
+class Slope(msgspec.Struct, frozen=True):
+    """Hold a straight line through what was measured, for one more of something."""
+
+    of: str
+    per: str
+    base: float
+    slope: float
+
+
+def _loopback_bytes() -> int:
+    return int(psutil.net_io_counters(pernic=True)["lo"].bytes_recv)
+
+
+def _processor_s(cluster: Cluster) -> dict[str, float]:
+    found = {}
+    for role in ROLES:
+        times = [
+            psutil.Process(i.processes[role].pid).cpu_times() for i in cluster.instances.values()
+        ]
+        found[role] = sum(t.user + t.system for t in times)
+    return found
+
+
+def _memory_mb(cluster: Cluster) -> dict[str, float]:
+    return {
+        role: max(
+            psutil.Process(i.processes[role].pid).memory_info().rss / 1e6
+            for i in cluster.instances.values()
+        )
+        for role in ROLES
+    }
+
+
+async def _submit(cluster: Cluster, tasks: int, run_ms: int, key: str) -> None:
+    headers = {
+        "Authorization": f"Bearer {token_of(next(iter(CALLERS)))}",
+        "Idempotency-Key": key,
+    }
+    spec = {"class": "validation", "tasks": tasks, "cpus": 1, "memory_mb": 10, "run_ms": run_ms}
+    url = f"{next(iter(cluster.instances.values())).url}/v1/jobs"
+    async with (
+        aiohttp.ClientSession() as session,
+        session.post(url, json=spec, headers=headers) as resp,
+    ):
+        assert resp.status == 202, await resp.text()
+
+
+def _measure(plan: Plan, work: Callable[[Cluster], None]) -> dict[str, float]:
+    """Start a system, let it settle, and measure while `work` runs."""
+    cluster = Cluster(plan, Path(tempfile.mkdtemp(prefix="greengagewood-bench-")))
+    try:
+        cluster.start()
+        time.sleep(2)
+        publish(Demo(cluster, cluster.control_settings()), document())
+        cluster.wait_ready(20)
+        time.sleep(SETTLE_S)
+        before, sent, appends = _processor_s(cluster), _loopback_bytes(), _appends(cluster)
+        started = time.monotonic()
+        work(cluster)
+        time.sleep(max(0.0, MEASURE_S - (time.monotonic() - started)))
+        seconds = time.monotonic() - started
+        after = _processor_s(cluster)
+        count = len(cluster.instances)
+        found = {
+            f"{role} core %": (after[role] - before[role]) / seconds / count * 100 for role in ROLES
+        }
+        found["KB/s a node"] = (_loopback_bytes() - sent) / seconds / count / 1000
+        found["appends/s"] = (_appends(cluster) - appends) / seconds
+        found.update({f"{role} MB": value for role, value in _memory_mb(cluster).items()})
+    finally:
+        cluster.stop()
+    return found
+
+
+def _appends(cluster: Cluster) -> int:
+    return int(cluster.fetch("/audit")["log_appends"])
+
+
+def _idle(cluster: Cluster) -> None:
+    """Do nothing."""
+
+
+def _starts(rate: int) -> Callable[[Cluster], None]:
+    def work(cluster: Cluster) -> None:
+        for second in range(int(MEASURE_S)):
+            asyncio.run(_submit(cluster, rate, 500, f"s{second}"))
+            time.sleep(1.0)
+
+    return work
+
+
+def _running(count: int) -> Callable[[Cluster], None]:
+    def work(cluster: Cluster) -> None:
+        asyncio.run(_submit(cluster, count, 120_000, "r"))
+
+    return work
+
+
+def line(points: list[tuple[float, float]]) -> tuple[float, float]:
+    """Return base and slope of the least-squares line."""
+    mean_x, mean_y = mean(x for x, _ in points), mean(y for _, y in points)
+    across = sum((x - mean_x) ** 2 for x, _ in points)
+    slope = sum((x - mean_x) * (y - mean_y) for x, y in points) / across
+    return mean_y - slope * mean_x, slope
+
+
+def run() -> Result:
+    """Measure every dimension."""
+    dimensions: dict[str, list[tuple[int, Plan, Callable[[Cluster], None]]]] = {
+        "instances of a failure domain": [
+            (n, replace(BASE, instances_per_domain=n), _idle) for n in INSTANCES
+        ],
+        "workers of a cell": [(n, replace(BASE, workers_per_domain=n), _idle) for n in WORKERS],
+        "task starts a second": [
+            (n, replace(BASE, workers_per_domain=16), _starts(n)) for n in STARTS
+        ],
+        "running tasks": [(n, replace(BASE, workers_per_domain=16), _running(n)) for n in RUNNING],
+    }
+    rows: list[tuple[Any, ...]] = []
+    slopes: list[Slope] = []
+    for per, sizes in dimensions.items():
+        found = [(size, _measure(plan, work)) for size, plan, work in sizes]
+        names = list(found[0][1])
+        rows += [(per, size, *(figures[name] for name in names)) for size, figures in found]
+        for name in names:
+            base, slope = line([(size, figures[name]) for size, figures in found])
+            slopes.append(Slope(name, per, base, slope))
+    columns = ("dimension", "size", *names)
+    OUTPUT.write_bytes(
+        msgspec.json.format(
+            msgspec.json.encode({"columns": columns, "rows": rows, "slopes": slopes}), indent=1
+        )
+        + b"\n"
+    )
+    one = next(row for row in rows if row[0] == "instances of a failure domain" and row[1] == 8)
+    core = sum(one[2:5])
+    bounds = (
+        Bound("control of a node, 8 instances, idle", "2.1 % of a core", core, core <= 2.1),
+        Bound("bytes of a node, 8 instances, idle", "14 KB/s", one[5], one[5] <= 14.0),
+    )
+    return Result("capacity", columns, tuple(rows), bounds)
+
+
+def load() -> dict[str, Any]:
+    """Read the results that are committed."""
+    found: dict[str, Any] = json.loads(OUTPUT.read_text(encoding="utf-8"))
+    return found
--- a/devtools/cluster.py
+++ b/devtools/cluster.py
@@ -49,6 +49,7 @@
     trial_instances: int = 1
     standin: dict[str, Any] = field(default_factory=dict)
     first_accelerators: int = 0
+    worker: dict[str, Any] = field(default_factory=dict)
 
 
 @dataclass
@@ -144,6 +145,7 @@
                         "name": f"{domain}-w{index + 1}",
                         "failure_domain": domain,
                         "rack": rack,
+                        **self.plan.worker,
                         "accelerators": self.plan.first_accelerators if index == 0 else 0,
                         "backend_port": FIRST_BACKEND_PORT + number,
                     }
--- a/tests/cover/test_ownership.py
+++ b/tests/cover/test_ownership.py
@@ -1,5 +1,7 @@
 """Ownership of a cell through every fault, in virtual time."""
 
+import os
+
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, rule
@@ -87,4 +89,51 @@
 
 
 TestOwnershipMachine = OwnershipMachine.TestCase
-TestOwnershipMachine.settings = settings(max_examples=60, stateful_step_count=30)
+TestOwnershipMachine.settings = settings(
+    max_examples=2000 if os.environ.get("GGW_TEST_PROFILE") == "long" else 60,
+    stateful_step_count=30,
+)
+
+
+HOUR_TICKS = 36_000
+
+
+class TestIsolation:
+    """A failure domain that is cut off for an hour goes on, and nothing is doubled after."""
+
+    def world(self):
+        world = World(seed=3)
+        world.run(40)
+        world.submit(4, 4, 30_000)
+        world.run(30)
+        return world
+
+    def test_cut_off_from_the_platforms_log_its_owner_goes_on(self):
+        world = self.world()
+        owners = world.owners()
+        world.log_down = True
+        world.run(HOUR_TICKS)
+        assert world.owners() == owners
+        ended = [e for w in world.workers.values() for e in w.real.audit if e.event == "done"]
+        assert len(ended) == 4  # done at the workers, to be logged when the log is back
+        world.finish()
+
+    def test_an_owner_cut_off_from_the_log_and_its_peers_gives_its_work_up(self):
+        world = self.world()
+        (owner,) = world.owners()
+        for other in ("s1", "s2", "s3", "log"):
+            if other != owner:
+                world.cut(owner, other)
+        world.run(HOUR_TICKS // 10)
+        assert [name for name in world.owners() if name != owner]
+        assert world.schedulers[owner].owner.state == "suspended"
+        world.finish()
+
+    def test_schedulers_cut_off_from_each_other_only_have_one_owner(self):
+        world = self.world()
+        for a in ("s1", "s2", "s3"):
+            for b in ("s1", "s2", "s3"):
+                if a != b:
+                    world.cut(a, b)
+        world.run(HOUR_TICKS // 10)
+        world.finish()
