Hold the tail at its limit; spend fewer bytes on idle workers

The lab itself starved both policies: it kept 60 tasks waiting of any class, which soon were all of the class that is not allowed. Change: a worker in 24 is kept as a reference, and the limit follows what is seen there; a class that is not known is tried on a few fixed workers only; the lab keeps 20 tasks of each class waiting. Idle workers are asked every 5 s, the list is read conditionally, and headers that say nothing are left out. A gateway that was cut off says may_have_run for what it had in flight: the audit took it as lost; the trace (may_have_run backend_broke_off at the cut instance only) shows that it is allowed.

--- a/devtools/audit.py
+++ b/devtools/audit.py
@@ -21,7 +21,8 @@
     """Hold what one caller knows of one request when it is over.
 
     `marker` names the request; an attempt's marker is `MARKER.N`. `outcome` is answered, not_run,
-    may_have_run, or cut if a connection broke without any answer.
+    may_have_run, or cut if a connection broke without any answer. `trail` says what each attempt
+    was told.
     """
 
     marker: str
@@ -32,6 +33,7 @@
     not_run_attempts: tuple[str, ...]
     latency_ms: float
     excused: bool = False
+    trail: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True)
@@ -144,10 +146,10 @@
         audit.uncertain += 1
     elif record.outcome == "cut":
         audit.cut += 1
-        audit.notes.append(f"{record.marker} was cut off")
+        audit.notes.append(f"{record.marker} was cut off after {record.trail}")
     else:
         audit.lost += 1
-        audit.notes.append(f"{record.marker} ended as {record.outcome}")
+        audit.notes.append(f"{record.marker} ended as {record.outcome} after {record.trail}")
     if not record.idempotent and runs > 1:
         audit.doubled += 1
         audit.notes.append(f"{record.marker} ran {runs} times")
--- a/devtools/callers.py
+++ b/devtools/callers.py
@@ -36,13 +36,15 @@
     not_run: list[str] = field(default_factory=list)
     uncertain: bool = False
     excused: bool = False
+    trail: list[str] = field(default_factory=list)
 
 
 @dataclass
 class LoadCaller:
     """Send requests and jobs as one caller.
 
-    `fragile` holds the gateways that the run kills: only there may a connection break.
+    `fragile` holds the gateways that the run kills or cuts off: only there may a connection break,
+    or a request end as may_have_run.
     """
 
     name: str
@@ -96,6 +98,7 @@
                 tuple(req.not_run),
                 latency_ms,
                 req.excused,
+                tuple(req.trail),
             )
         )
 
@@ -119,9 +122,14 @@
                 status = resp.status
         except aiohttp.ClientConnectorError:
             return "not_run", False, BACKOFF_S
-        except (aiohttp.ClientError, TimeoutError, ValueError):
+        except (aiohttp.ClientError, TimeoutError, ValueError) as exc:
+            req.trail.append(f"{gateway}: {type(exc).__name__}")
             req.excused = req.excused or gateway in self.fragile
             return "cut", False, BACKOFF_S if repeatable and req.excused else None
+        if status != 200:
+            req.trail.append(f"{gateway}: {body['verdict']} {body['reason']}")
+            broken = body["verdict"] == "may_have_run" and gateway in self.fragile
+            req.excused = req.excused or broken
         return self._judge(req, marker, status, body, repeatable)
 
     def _judge(
--- a/devtools/lab.py
+++ b/devtools/lab.py
@@ -36,6 +36,7 @@
 SAMPLES_PER_S = 8
 BASE_LOAD = 0.4
 CPUS = 64
+MIN_WAITING = 20
 ALLOWED_SLOWDOWN = 1.25
 
 Table = dict[str, float]
@@ -190,15 +191,16 @@
         return name
 
     def _feed_jobs(self) -> None:
-        """Keep enough work waiting, so that throughput is the policy's doing."""
-        waiting = sum(len(job.pending) for job in self.owner.book.waiting)
-        while waiting < 60:
-            batch_class = self.rng.choices(["light", "medium", "heavy"], [5, 3, 2])[0]
-            if self.seconds > self.scenario.seconds / 2 and "unseen" in self.scenario.name:
-                batch_class = self.rng.choice([batch_class, "new"])
-            tasks = self.rng.randrange(5, 20)
-            self.submit(batch_class, tasks, self.rng.choice([2, 4, 4, 8]), 20_000)
-            waiting += tasks
+        """Keep enough work of every class waiting, so that throughput is the policy's doing."""
+        waiting = dict.fromkeys(("light", "medium", "heavy"), 0)
+        if self.seconds > self.scenario.seconds / 2 and "unseen" in self.scenario.name:
+            waiting["new"] = 0
+        for job in self.owner.book.waiting:
+            name = job.logged.spec.batch_class
+            waiting[name] = waiting.get(name, 0) + len(job.pending)
+        for name, count in waiting.items():
+            if count < MIN_WAITING and name != "urgent":
+                self.submit(name, MIN_WAITING, self.rng.choice([2, 4, 4, 8]), 20_000)
         if self.now_ms % 15_000 == 0:
             self.submit("urgent", 2, 8, 5000)
 
--- a/src/greengagewood/internal/keeper.py
+++ b/src/greengagewood/internal/keeper.py
@@ -54,6 +54,8 @@
 from greengagewood.internal.settings import KeeperSettings
 from greengagewood.internal.streamcache import StreamCache
 
+SKIPPED_HEADERS = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
+
 __all__ = ["Keeper"]
 
 HEARTBEAT_INTERVAL_S = 0.5
@@ -111,7 +113,9 @@
     async def start(self) -> None:
         """Open sockets and begin to read the log, the list and the peers."""
         source = (self._cfg.listen.ip, 0)
-        self._session = aiohttp.ClientSession(connector=aiohttp.TCPConnector(local_addr=source))
+        self._session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(local_addr=source), skip_auto_headers=SKIPPED_HEADERS
+        )
         self._log_service = LogService(self._session, self._cfg.platform)
         self._instance_list = InstanceList(self._session, self._cfg.platform)
         self._committer = Committer(
--- a/src/greengagewood/internal/owner.py
+++ b/src/greengagewood/internal/owner.py
@@ -685,7 +685,7 @@
         assert self._document is not None
         commands: list[Command] = []
         for worker in self.workers.values():
-            if worker.enlisted and worker.due(now_ms):
+            if worker.enlisted and worker.due(now_ms, self._document.leases):
                 exchange = worker.next_exchange(self.epoch, self.me, self._document.leases, now_ms)
                 commands.append(Send(worker.name, worker.url, exchange))
         return commands
--- a/src/greengagewood/internal/platform/instancelist.py
+++ b/src/greengagewood/internal/platform/instancelist.py
@@ -65,25 +65,36 @@
     def __init__(self, session: aiohttp.ClientSession, address: Address) -> None:
         self._session = session
         self._url = f"http://{address}/instances"
+        self._etag = ""
+        self._known = ListSnapshot((), (), ())
 
     async def read(self) -> ListSnapshot:
         """Return the list as the platform shows it now; raise ListDown."""
         limit = aiohttp.ClientTimeout(total=READ_TIMEOUT_S)
+        headers = {"If-None-Match": self._etag} if self._etag else {}
         try:
-            async with self._session.get(self._url, timeout=limit) as resp:
+            async with self._session.get(self._url, timeout=limit, headers=headers) as resp:
+                if resp.status == 304 and self._etag:
+                    return self._known
                 if resp.status != 200:
                     raise ListDown(f"instance list answered {resp.status}")
                 wire = _decoder.decode(await resp.read())
+                etag = resp.headers.get("ETag", "")
         except (aiohttp.ClientError, TimeoutError, OSError, msgspec.DecodeError) as exc:
             raise ListDown(repr(exc)) from exc
-        return ListSnapshot(
-            wire.entries,
-            tuple(
-                WorkerEntry(w.worker, w.failure_domain, w.rack, w.url, w.leaving)
-                for w in wire.workers
-            ),
-            tuple(
-                BackendEntry(b.service, b.worker, b.failure_domain, b.url, b.leaving)
-                for b in wire.backends
-            ),
-        )
+        self._known = _snapshot(wire)
+        self._etag = etag
+        return self._known
+
+
+def _snapshot(wire: _Wire) -> ListSnapshot:
+    return ListSnapshot(
+        wire.entries,
+        tuple(
+            WorkerEntry(w.worker, w.failure_domain, w.rack, w.url, w.leaving) for w in wire.workers
+        ),
+        tuple(
+            BackendEntry(b.service, b.worker, b.failure_domain, b.url, b.leaving)
+            for b in wire.backends
+        ),
+    )
--- a/src/greengagewood/internal/scheduler.py
+++ b/src/greengagewood/internal/scheduler.py
@@ -45,6 +45,8 @@
 )
 from greengagewood.internal.settings import SchedulerSettings
 
+SKIPPED_HEADERS = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
+
 __all__ = ["Scheduler"]
 
 TICK_S = 0.1
@@ -79,7 +81,9 @@
         """Open sockets, follow the keeper and begin to decide."""
         source = (self._cfg.listen.ip, 0)
         connector = aiohttp.TCPConnector(limit=0, local_addr=source)
-        self._session = aiohttp.ClientSession(connector=connector)
+        self._session = aiohttp.ClientSession(
+            connector=connector, skip_auto_headers=SKIPPED_HEADERS
+        )
         self._workers = Workers(self._session, WORKER_TIMEOUT_S)
         cfg = self._cfg
         self._keeper = Link(f"{cfg.instance}.scheduler", str(cfg.keeper), cfg.keys, self._metrics)
--- a/src/greengagewood/internal/tailguard.py
+++ b/src/greengagewood/internal/tailguard.py
@@ -9,7 +9,10 @@
 Placement lets a service's predicted latency rise to the lower of two limits: a part of the
 objective, and a small multiple of what the service has when nothing shares its worker. The weights
 of the document set both: tail latency first keeps a wide margin, throughput first a narrow one.
-Urgent work is held to the objective alone. Exploration is bounded: a class that is not known yet
+Urgent work is held to the objective alone. One worker in twenty-four is kept as a reference: only
+urgent work shares it, so the model always sees the service alone. Without it, a shift of the
+classes was taken for a slower service, and what placement might add on top rose with it.
+Exploration is bounded: a class that is not known yet
 may run on a few workers only, and only while the service's error budget lasts.
 """
 
@@ -24,8 +27,10 @@
 from greengagewood.internal.interference import (
     InterferenceModel,
     LatencySample,
+    Prediction,
     quantile_factor,
 )
+from greengagewood.internal.ranking import ranked
 
 __all__ = ["Relief", "Resident", "TailGuard"]
 
@@ -37,9 +42,9 @@
 MIN_SAMPLES = 10
 WIDE_MARGIN = 0.8
 NARROW_MARGIN = 0.95
-TIGHT_SLOWDOWN = 1.12
-LOOSE_SLOWDOWN = 1.22
-HOT_SLOWDOWN = 1.15
+TIGHT_SLOWDOWN = 1.16
+LOOSE_SLOWDOWN = 1.2
+HOT_SLOWDOWN = 1.1
 LOAD_HEADROOM = 1.2
 HOT_COST = 5.0
 CAUTION = 1.0
@@ -50,6 +55,9 @@
 HISTORY_MS = 30_000
 BURN_WEIGHT = 0.02
 EXPLORED_FRACTION = 0.05
+EXPLORED_BURN = 0.05
+WORKERS_PER_REFERENCE = 24
+ALONE_WEIGHT = 0.05
 EXPLORED_UNCERTAINTY = 0.15
 
 
@@ -110,6 +118,9 @@
         self._timelines: dict[str, _Timeline] = defaultdict(_Timeline)
         self._services_on: dict[str, set[str]] = defaultdict(set)
         self._burn: dict[str, float] = {}
+        self._explorers_of: dict[str, frozenset[str]] = {}
+        self._references: frozenset[str] = frozenset()
+        self._seen_alone: dict[str, float] = {}
         self._document: Document | None = None
         self._factors: dict[str, float] = {}
 
@@ -124,6 +135,10 @@
     def set_services(self, services_on: dict[str, set[str]]) -> None:
         """Take which services have a backend server on each worker."""
         self._services_on = defaultdict(set, services_on)
+        self._explorers_of.clear()
+        with_services = [name for name, found in services_on.items() if found]
+        count = len(with_services) // WORKERS_PER_REFERENCE
+        self._references = frozenset(ranked("reference", with_services)[:count])
 
     def _tail_share(self) -> float:
         assert self._document is not None
@@ -138,10 +153,15 @@
         if urgent:
             return service.objective.latency_ms * margin
         slowdown = LOOSE_SLOWDOWN - (LOOSE_SLOWDOWN - TIGHT_SLOWDOWN) * share
-        alone = self._model(name).predict({}, 0.0)
-        alone_ms = alone.quantile_ms(self._factors[name], 0.0)
+        alone_ms = self._alone(name).quantile_ms(self._factors[name], 0.0)
         return min(service.objective.latency_ms * margin, alone_ms * slowdown)
 
+    def _alone(self, name: str) -> Prediction:
+        """Return what the service has alone: as seen at reference workers, or as learned."""
+        model = self._model(name)
+        seen = self._seen_alone.get(name)
+        return model.predict({}, 0.0) if seen is None else Prediction(seen, 0.0, model.sigma)
+
     # Evidence.
 
     def shares(self, residents: Iterable[Resident], cpus: int) -> dict[str, float]:
@@ -180,6 +200,9 @@
         busy_slots = sample.count * math.exp(sample.mean) / 1000  # Little's law
         spot.load += LOAD_WEIGHT * (min(1.0, busy_slots / service.slots) - spot.load)
         self._model(sample.service).observe(sample, self.shares(residents, cpus), spot.load)
+        if sample.worker in self._references and not residents:
+            seen = self._seen_alone.get(sample.service, sample.mean)
+            self._seen_alone[sample.service] = seen + ALONE_WEIGHT * (sample.mean - seen)
         if sample.count >= MIN_SAMPLES:
             self._note_heat(sample, service, spot)
 
@@ -207,6 +230,8 @@
     ) -> float | None:
         """Return what a placement costs the services on a worker, None if it is not allowed."""
         cost = 0.0
+        if worker in self._references and not self._is_urgent(batch_class):
+            return None
         for name in self._services_on[worker]:
             service = self._service(name)
             if service is None:
@@ -216,7 +241,7 @@
                 if not self._is_urgent(batch_class):
                     return None
                 cost += HOT_COST
-            found = self._cost_for(name, service, spot, residents, cpus, batch_class, more_cpus)
+            found = self._cost_for(name, service, worker, residents, cpus, batch_class, more_cpus)
             if found is None:
                 return None
             cost += found
@@ -226,12 +251,13 @@
         self,
         name: str,
         service: Service,
-        spot: _Spot,
+        worker: str,
         residents: list[Resident],
         cpus: int,
         batch_class: str,
         more_cpus: int,
     ) -> float | None:
+        spot = self._spots[(name, worker)]
         added = [*residents, Resident("", 0, batch_class, more_cpus)]
         load = min(1.0, spot.load * LOAD_HEADROOM)
         prediction = self._model(name).predict(self.shares(added, cpus), load)
@@ -241,7 +267,8 @@
             return prediction.mean
         if prediction.quantile_ms(factor, 0.0) > limit:
             return None
-        if self._may_explore(name, service, residents, batch_class, prediction.uncertainty):
+        uncertainty = prediction.uncertainty
+        if self._may_explore(name, service, worker, residents, batch_class, uncertainty):
             return prediction.mean + prediction.uncertainty
         return None
 
@@ -249,16 +276,28 @@
         self,
         name: str,
         service: Service,
+        worker: str,
         residents: list[Resident],
         batch_class: str,
         uncertainty: float,
     ) -> bool:
-        """Allow one task of a class that is not known yet, while the error budget lasts."""
-        if self._burn.get(name, 0.0) > 1.0 - service.objective.target + EXPLORED_FRACTION:
+        """Allow one task of a class that is not known yet, on few workers, within the budget."""
+        if self._burn.get(name, 0.0) > 1.0 - service.objective.target + EXPLORED_BURN:
+            return False
+        if worker not in self._explorers(batch_class):
             return False
         alone = all(resident.batch_class != batch_class for resident in residents)
         return alone and uncertainty > EXPLORED_UNCERTAINTY
 
+    def _explorers(self, batch_class: str) -> frozenset[str]:
+        """Return the few workers on which a class may be tried out."""
+        known = self._explorers_of.get(batch_class)
+        if known is None:
+            count = math.ceil(len(self._services_on) * EXPLORED_FRACTION)
+            known = frozenset(ranked(batch_class, self._services_on)[:count])
+            self._explorers_of[batch_class] = known
+        return known
+
     # Relief.
 
     def relieve(
--- a/src/greengagewood/internal/workerstate.py
+++ b/src/greengagewood/internal/workerstate.py
@@ -12,7 +12,8 @@
 
 __all__ = ["AttemptId", "WorkerState", "lapse_after_ms"]
 
-EXCHANGE_INTERVAL_MS = 1000
+EXCHANGES_PER_WINDOW = 2  # so a command's echo is always young enough
+IDLE_INTERVAL_MS = 5000
 RETRY_BASE_MS = 250
 RETRY_MAX_MS = 2000
 
@@ -52,7 +53,7 @@
     received_ms: int = 0
     round: int = 0
     in_flight: bool = False
-    sent_ms: int = -EXCHANGE_INTERVAL_MS
+    sent_ms: int = -IDLE_INTERVAL_MS
     failures: int = 0
     stale: bool = True
     version: int = -1
@@ -121,7 +122,7 @@
         self.to_checkpoint.discard(key)
         self.to_throttle.pop(key, None)
 
-    def due(self, now_ms: int) -> bool:
+    def due(self, now_ms: int, leases: Leases) -> bool:
         """Tell whether an exchange is to be sent now."""
         if self.in_flight:
             return False
@@ -130,7 +131,10 @@
             return since >= min(RETRY_BASE_MS << min(self.failures, 5), RETRY_MAX_MS)
         if self.stale or self.to_start or self.to_stop or self.to_checkpoint or self.to_throttle:
             return True
-        return since >= EXCHANGE_INTERVAL_MS or bool(self.to_ack)
+        if self.to_ack:
+            return True
+        busy_ms = leases.command_window_ms // EXCHANGES_PER_WINDOW
+        return since >= (busy_ms if self.assigned or self.running else IDLE_INTERVAL_MS)
 
     def next_exchange(self, epoch: int, owner: str, leases: Leases, now_ms: int) -> Exchange:
         """Build the exchange of the next round."""
