Plan nothing twice: remember what found no room, and rest while nothing changes

Change: a job that needs no less than one of its class that just found no room is passed over, and a plan rests for up to 500 ms while no worker, job or cost has changed.

--- a/devtools/bench.py
+++ b/devtools/bench.py
@@ -15,7 +15,7 @@
 
 __all__ = ["Bound", "Result", "main"]
 
-NAMES = ("footprint", "takeover", "replay", "decisions", "gateway", "capacity")
+NAMES = ("footprint", "takeover", "replay", "placement", "decisions", "gateway", "capacity")
 FOLDER = Path("bench-results")
 
 
--- a/devtools/benches/capacity.py
+++ b/devtools/benches/capacity.py
@@ -19,6 +19,7 @@
 import aiohttp
 import msgspec
 import psutil
+import yaml
 
 from devtools.bench import Bound, Result
 from devtools.callers import token_of
@@ -42,6 +43,7 @@
 WORKERS = (8, 16, 32, 64)
 STARTS = (4, 8, 16, 32)
 RUNNING = (16, 32, 64, 128)
+LARGE_CPUS = 40
 OUTPUT = Path("docs/capacity.json")
 
 
@@ -78,12 +80,20 @@
     }
 
 
-async def _submit(cluster: Cluster, tasks: int, run_ms: int, key: str) -> None:
+def _document() -> str:
+    """Return the demo's document with quotas out of the way."""
+    raw = yaml.safe_load(document())
+    raw["teams"] = {name: {"cpus": 10**6, "memory_mb": 10**8} for name in raw["teams"]}
+    return yaml.safe_dump(raw, sort_keys=False)
+
+
+async def _submit(cluster: Cluster, tasks: int, run_ms: int, key: str, cpus: int = 1) -> None:
     headers = {
         "Authorization": f"Bearer {token_of(next(iter(CALLERS)))}",
         "Idempotency-Key": key,
     }
-    spec = {"class": "validation", "tasks": tasks, "cpus": 1, "memory_mb": 10, "run_ms": run_ms}
+    spec = {"class": "validation", "tasks": tasks, "cpus": cpus, "memory_mb": 10}
+    spec["run_ms"] = run_ms
     url = f"{next(iter(cluster.instances.values())).url}/v1/jobs"
     async with (
         aiohttp.ClientSession() as session,
@@ -98,7 +108,7 @@
     try:
         cluster.start()
         time.sleep(2)
-        publish(Demo(cluster, cluster.control_settings()), document())
+        publish(Demo(cluster, cluster.control_settings()), _document())
         cluster.wait_ready(20)
         time.sleep(SETTLE_S)
         before, sent, appends = _processor_s(cluster), _loopback_bytes(), _appends(cluster)
@@ -136,6 +146,15 @@
     return work
 
 
+def _busy(workers: int) -> Callable[[Cluster], None]:
+    """Keep one large task on each worker, so that each is asked once a second."""
+
+    def work(cluster: Cluster) -> None:
+        asyncio.run(_submit(cluster, workers, 120_000, "b", LARGE_CPUS))
+
+    return work
+
+
 def _running(count: int) -> Callable[[Cluster], None]:
     def work(cluster: Cluster) -> None:
         asyncio.run(_submit(cluster, count, 120_000, "r"))
@@ -157,7 +176,9 @@
         "instances of a failure domain": [
             (n, replace(BASE, instances_per_domain=n), _idle) for n in INSTANCES
         ],
-        "workers of a cell": [(n, replace(BASE, workers_per_domain=n), _idle) for n in WORKERS],
+        "busy workers of a cell": [
+            (n, replace(BASE, workers_per_domain=n), _busy(n)) for n in WORKERS
+        ],
         "task starts a second": [
             (n, replace(BASE, workers_per_domain=16), _starts(n)) for n in STARTS
         ],
--- a/src/greengagewood/internal/placer.py
+++ b/src/greengagewood/internal/placer.py
@@ -25,6 +25,7 @@
 RESERVE_AFTER_MS = 5000
 EVICT_FOR_URGENT_AFTER_MS = 1000
 EVICT_AGAIN_AFTER_MS = 3000
+PLAN_AGAIN_AFTER_MS = 500
 FAILED_HERE_COST = 10.0
 
 
@@ -48,6 +49,9 @@
         self.index = RoomIndex()
         self.suspicion = Suspicion()
         self._costs: dict[str, dict[tuple[str, int], float | None]] = {}
+        self._settled_at = -1
+        self._settled_until_ms = 0
+        self._no_room: dict[str, list[Size]] = {}
         self._reserved: dict[str, str] = {}
         self._blocked_ms: dict[str, int] = {}
         self._evicted_ms: dict[str, int] = {}
@@ -61,8 +65,11 @@
         evict: Evict,
     ) -> None:
         """Start what can be started."""
-        self._refresh(now_ms)
+        changed = self._refresh()
+        if not changed and book.version == self._settled_at and now_ms < self._settled_until_ms:
+            return  # nothing has changed since nothing could be placed
         self._drop_reservations(book)
+        self._no_room.clear()
         teams = _team_room(book, document)
         budget = MAX_STARTS_PER_PLAN
         for job in self._order(book, document):
@@ -71,12 +78,16 @@
                 self._help(job, document, now_ms, evict)
             if budget <= 0:
                 return
+        self._settled_at = book.version
+        self._settled_until_ms = now_ms + PLAN_AGAIN_AFTER_MS
 
-    def _refresh(self, now_ms: int) -> None:
-        """Bring the index in step with the workers that changed."""
+    def _refresh(self) -> bool:
+        """Bring the index in step with the workers that changed; return whether any has."""
+        changed = False
         for name, worker in self._workers.items():
             if worker.dirty:
                 worker.dirty = False
+                changed = True
                 self._costs.pop(name, None)
                 if worker.usable():
                     self.index.put(name, worker.free())
@@ -85,6 +96,7 @@
         for name, _ in list(self.index.rooms()):
             if name not in self._workers:
                 self.index.remove(name)
+        return changed
 
     def _order(self, book: TaskBook, document: Document) -> list[Job]:
         def key(job: Job) -> tuple[bool, float, int]:
@@ -104,6 +116,10 @@
     ) -> int:
         placed = 0
         team = job.logged.spec.team
+        if self._is_hopeless(job):
+            job.reason = "waiting_for_room"
+            self._blocked_ms.setdefault(job.name, now_ms)
+            return 0
         judge = self._judge_for(job, now_ms)
         for name in list(job.pending)[:budget]:
             if not job.size.fits(teams.get(team, Size())):
@@ -113,6 +129,7 @@
             if worker is None:
                 job.reason = "waiting_for_room"
                 self._blocked_ms.setdefault(job.name, now_ms)
+                self._no_room.setdefault(job.logged.spec.batch_class, []).append(job.size)
                 break
             self._start(job, name, worker, teams, start)
             placed += 1
@@ -120,6 +137,13 @@
             self._blocked_ms.pop(job.name, None)
         return placed
 
+    def _is_hopeless(self, job: Job) -> bool:
+        """Tell whether a task of the class that needs no more has just found no room."""
+        if job.name in self._reserved.values():
+            return False
+        smaller = self._no_room.get(job.logged.spec.batch_class, ())
+        return any(size.fits(job.size) for size in smaller)
+
     def _start(
         self,
         job: Job,
--- a/src/greengagewood/internal/taskbook.py
+++ b/src/greengagewood/internal/taskbook.py
@@ -77,6 +77,7 @@
         self._unlogged_attempts: Counter[tuple[str, int]] = Counter()
         self._added = 0
         self.waiting: dict[Job, None] = {}
+        self.version = 0
         self.team_used: dict[str, Size] = {}
         self.moves: Counter[tuple[str, str]] = Counter()
 
@@ -109,10 +110,12 @@
             self._note_pending(task)
 
     def _note_pending(self, task: Task) -> None:
+        self.version += 1
         task.job.pending[task.name] = None
         self.waiting[task.job] = None
 
     def _note_not_pending(self, task: Task) -> None:
+        self.version += 1
         task.job.pending.pop(task.name, None)
         if not task.job.pending:
             self.waiting.pop(task.job, None)
