Split the owner; pass on fewer members in heartbeats; write the capacity page's generator

Owners and keepers gather records for longer where many share the log, so that its appends stay within 300 a second.

--- a/src/greengagewood/internal/committer.py
+++ b/src/greengagewood/internal/committer.py
@@ -43,9 +43,11 @@
 class Committer:
     """Append records in groups, one append in progress a stream."""
 
-    def __init__(self, append: AppendCall, interval_ms: int, metrics: Metrics) -> None:
+    def __init__(
+        self, append: AppendCall, interval_ms: Callable[[], int], metrics: Metrics
+    ) -> None:
         self._append = append
-        self._interval_s = interval_ms / 1000
+        self._interval_ms = interval_ms
         self._metrics = metrics
         self._streams: dict[str, _Stream] = {}
         self.writable = True
@@ -72,7 +74,7 @@
 
     async def _drain(self, stream: str, state: _Stream) -> None:
         while state.waiting:
-            await asyncio.sleep(self._interval_s)
+            await asyncio.sleep(self._interval_ms() / 1000)
             self._give_up_late(state)
             batch = state.waiting[:MAX_BATCH]
             if batch and not await self._try(stream, state, batch):
--- a/src/greengagewood/internal/keeper.py
+++ b/src/greengagewood/internal/keeper.py
@@ -61,9 +61,11 @@
 HEARTBEAT_INTERVAL_S = 0.5
 HEARTBEAT_TIMEOUT_S = 1.0
 REMOTE_PEERS_PER_BEAT = 1
-OTHERS_PER_HEARTBEAT = 16
+OTHERS_PER_HEARTBEAT = 3
 LIST_INTERVAL_S = 1.0
 LOG_WAIT_MS = 700
+SMALL_SYSTEM = 12
+APPENDS_PER_S_OF_ALL_KEEPERS = 140
 LOG_LIMIT = 1000
 SYNC_RECORDS = 500
 SYNC_BYTES = 1_000_000
@@ -119,7 +121,7 @@
         self._log_service = LogService(self._session, self._cfg.platform)
         self._instance_list = InstanceList(self._session, self._cfg.platform)
         self._committer = Committer(
-            self._log_service.append, self._cfg.commit_interval_ms, self._metrics
+            self._log_service.append, self._commit_interval_ms, self._metrics
         )
         self._listener.start()
         steps = {
@@ -192,6 +194,13 @@
                 self._metrics.count("link_dropped", reason="unexpected_kind")
                 return Failure("unexpected kind of message")
 
+    def _commit_interval_ms(self) -> int:
+        """Return how long to gather records: longer where many instances share the log."""
+        count = len(self._membership.peers)
+        if count <= SMALL_SYSTEM:
+            return self._cfg.commit_interval_ms
+        return max(self._cfg.commit_interval_ms, count * 1000 // APPENDS_PER_S_OF_ALL_KEEPERS)
+
     async def _append(self, req: AppendRequest) -> AppendReply:
         body = msgspec.Raw(req.body)
         record = decode_record(body)
@@ -501,10 +510,11 @@
                 self._notify()
 
     def _sample_others(self, now_ms: int) -> tuple[tuple[Member, int], ...]:
+        """Return a few members to pass on; those of the own failure domain speak for themselves."""
         others = [
             entry
             for entry in self._members_with_ages(now_ms)
-            if entry[0].instance != self._cfg.instance
+            if entry[0].failure_domain != self._cfg.failure_domain
         ]
         if len(others) > OTHERS_PER_HEARTBEAT:
             others = self._random.sample(others, OTHERS_PER_HEARTBEAT)
--- a/src/greengagewood/internal/owner.py
+++ b/src/greengagewood/internal/owner.py
@@ -32,11 +32,12 @@
 from dataclasses import dataclass
 
 from greengagewood.internal.celllog import CellLog, job_of
+from greengagewood.internal.cellview import summarise_cell, view_job
 from greengagewood.internal.chart import load_chart
 from greengagewood.internal.document import Document
 from greengagewood.internal.interference import LatencySample
 from greengagewood.internal.joblog import LoggedJob
-from greengagewood.internal.messages import CellLoad, JobView, Shape, WorkerEntry
+from greengagewood.internal.messages import CellLoad, JobView, WorkerEntry
 from greengagewood.internal.placement import Size
 from greengagewood.internal.placer import Placed, Placer
 from greengagewood.internal.platform.workers import Ended, Exchange, ExchangeReply, Start
@@ -51,6 +52,7 @@
     TasksProgressed,
     WorkersChanged,
 )
+from greengagewood.internal.snapshotplan import SnapshotPlan
 from greengagewood.internal.tailguard import Relief, TailGuard
 from greengagewood.internal.taskbook import ENDED_STATES, TASK_CHART, Job, Task, TaskBook
 from greengagewood.internal.workerstate import (
@@ -58,7 +60,6 @@
     WorkerState,
     lapse_after_ms,
     size_of,
-    total_free_cpus,
 )
 
 __all__ = ["Append", "CellOwner", "Command", "Send", "Situation"]
@@ -70,12 +71,9 @@
 RANK_DELAY_MS = 1000
 FRESH_LOG_MS = 2500
 APPEND_INTERVAL_MS = 200
+APPENDS_PER_S_OF_ALL_CELLS = 140
 RELIEVE_INTERVAL_MS = 1000
 MAX_JOBS_IN_RECORD = 100
-SNAPSHOT_AGE_FRACTION = 0.25
-SNAPSHOT_RETRY_MS = 3000
-SNAPSHOT_RANK_DELAY_MS = 5000
-SNAPSHOT_PART_CHARS = 100_000
 
 
 @dataclass(frozen=True)
@@ -147,9 +145,7 @@
         self._samples: dict[tuple[str, str], LatencySample] = {}
         self._relieved_ms = 0
         self._now_ms = 0
-        self._snapshot_upto = 0
-        self._snapshot_ms: int | None = None
-        self._snapshots = 0
+        self._snapshots = SnapshotPlan(f"{me}-{boot}")
         self._append_in_flight = False
         self._last_append_ms = -APPEND_INTERVAL_MS
         self._retiring = False
@@ -256,33 +252,14 @@
             self._relieve(now_ms)
         return [*self._plan_exchanges(now_ms), *self._plan_appends(now_ms)]
 
-    # Snapshots.
-
     def _plan_snapshot(self, now_ms: int, situation: Situation) -> list[Command]:
-        """Write a snapshot when one is due: the owner first, others some time after."""
-        seen = self._snapshot_ms is not None and self.log.snapshot_upto == self._snapshot_upto
-        if not seen or not self.log.synced or self.log.offset == 0:
-            self._snapshot_upto = self.log.snapshot_upto
-            self._snapshot_ms = now_ms
-            return []
-        if now_ms < self._snapshot_due_ms(situation):
-            return []
-        self._snapshot_ms = now_ms  # not again before the same time has passed
-        self._snapshots += 1
-        name = f"{self.me}-{self.boot}-{self._snapshots}"
-        return [Append(part) for part in self.log.write_snapshot(name, SNAPSHOT_PART_CHARS)]
-
-    def _snapshot_due_ms(self, situation: Situation) -> float:
         assert self._document is not None
-        use = self._document.log
-        wait_ms = use.keeps_ms * SNAPSHOT_AGE_FRACTION
-        if self.log.offset - self._snapshot_upto >= use.snapshot_records:
-            wait_ms = min(wait_ms, SNAPSHOT_RETRY_MS)
+        rank = None
         if self.state not in OWNING:
             known = self.me in situation.rivals
             rank = situation.rivals.index(self.me) if known else len(situation.rivals)
-            wait_ms += (rank + 1) * SNAPSHOT_RANK_DELAY_MS
-        return (self._snapshot_ms or 0) + wait_ms
+        parts = self._snapshots.next_parts(self.log, self._document.log, rank, now_ms)
+        return [Append(part) for part in parts]
 
     # Claims and the license.
 
@@ -691,7 +668,10 @@
         return commands
 
     def _plan_appends(self, now_ms: int) -> list[Command]:
-        if self._append_in_flight or now_ms - self._last_append_ms < APPEND_INTERVAL_MS:
+        assert self._document is not None
+        share_ms = len(self._document.cells) * 1000 // APPENDS_PER_S_OF_ALL_CELLS
+        interval_ms = max(APPEND_INTERVAL_MS, share_ms)
+        if self._append_in_flight or now_ms - self._last_append_ms < interval_ms:
             return []
         record = self._next_record(now_ms)
         if record is None:
@@ -740,37 +720,14 @@
         """Summarise the cell for others; None unless this scheduler owns it."""
         if self.state not in OWNING or self.state == "releasing":
             return None
-        waiting = sum(len(job.pending) * job.size.cpus for job in self.book.waiting)
-        shapes = {w.shape() for w in self.workers.values() if w.usable()}
-        return CellLoad(
-            self.cell,
-            self.epoch,
-            self.state == "placing",
-            total_free_cpus(self.workers.values()),
-            waiting,
-            tuple(Shape(s.cpus, s.memory_mb, s.accelerators) for s in sorted(shapes, key=repr)),
-        )
+        placing = self.state == "placing"
+        return summarise_cell(self.cell, self.epoch, placing, self.book, self.workers.values())
 
     def view(self, name: str, with_results: bool) -> JobView | None:
         """Describe a job of the cell; None if it is not known here."""
         if self.state not in OWNING:
             return None
-        ended = self.log.state.ended.get(name)
-        if ended is not None:
-            results = self._results(name) if with_results else {}
-            reason = "" if ended.has_results else "results_dropped"
-            return JobView(name, True, ended.caller, "finished", ended.counts, reason, results)
-        job = self.book.jobs.get(name)
-        if job is None:
-            return None
-        counts: dict[str, int] = {}
-        for task in job.tasks.values():
-            counts[task.state] = counts.get(task.state, 0) + 1
-        return JobView(name, True, job.logged.spec.caller, "active", counts, job.reason)
-
-    def _results(self, job: str) -> dict[str, str]:
-        tasks = self.log.tasks.items()
-        return {n: t.detail for n, t in tasks if t.final == "done" and job_of(n) == job}
+        return view_job(name, self.log, self.book, with_results)
 
     def _move(self, event: str) -> None:
         self.state = CELL_CHART.next(self.state, event)
--- a/src/greengagewood/internal/workerstate.py
+++ b/src/greengagewood/internal/workerstate.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 from greengagewood.internal.document import Leases
@@ -210,8 +209,3 @@
     def shape(self) -> Size:
         """Return what the worker has for batch tasks, whether free or not."""
         return self.capacity - self.reserve
-
-
-def total_free_cpus(workers: Iterable[WorkerState]) -> int:
-    """Sum the free processors of usable workers."""
-    return sum(max(0, w.free().cpus) for w in workers if w.usable())
--- a/tests/cover/test_docs.py
+++ b/tests/cover/test_docs.py
@@ -3,6 +3,7 @@
 from pathlib import Path
 
 import pytest
+from devtools import capacity_page
 from devtools.reference import FOLDER, PAGES, page
 from devtools.run_tests import known_red
 
@@ -16,6 +17,11 @@
         assert (FOLDER / name).read_text(encoding="utf-8") == page(title, models)
 
 
+class TestCapacity:
+    def test_the_page_is_in_step_with_the_results(self):
+        assert capacity_page.PAGE.read_text(encoding="utf-8") == capacity_page.page()
+
+
 class TestCharts:
     @pytest.mark.parametrize("name", ["task", "cell"])
     def test_every_transition_can_be_walked_and_others_are_errors(self, name):
