--- a/src/greengagewood/internal/keeper.py
+++ b/src/greengagewood/internal/keeper.py
@@ -14,10 +14,11 @@
 from greengagewood.internal.committer import Committer
 from greengagewood.internal.confighistory import ConfigHistory
 from greengagewood.internal.daemon import supervised
+from greengagewood.internal.heartbeats import Heartbeats
 from greengagewood.internal.keyclaims import KeyClaims
-from greengagewood.internal.link import Link, LinkTimeout, Listener
+from greengagewood.internal.link import LinkTimeout, Listener
+from greengagewood.internal.linkpool import LinkPool
 from greengagewood.internal.logs import Log
-from greengagewood.internal.membership import Membership
 from greengagewood.internal.messages import (
     AnyMessage,
     AppendReply,
@@ -30,7 +31,6 @@
     Failure,
     FetchConfig,
     Heartbeat,
-    HeartbeatAck,
     Member,
     SyncReply,
     SyncRequest,
@@ -59,9 +59,6 @@
 __all__ = ["Keeper"]
 
 HEARTBEAT_INTERVAL_S = 0.5
-HEARTBEAT_TIMEOUT_S = 1.0
-REMOTE_PEERS_PER_BEAT = 1
-OTHERS_PER_HEARTBEAT = 3
 LIST_INTERVAL_S = 1.0
 LOG_WAIT_MS = 700
 SMALL_SYSTEM = 12
@@ -90,7 +87,7 @@
         self._metrics = metrics
         self._names = StreamNames(cfg.environment, cfg.stage)
         self._boot = wall_ms()
-        self._beat = 0
+        self._beats = 0
         self._leaving = False
         self._history = ConfigHistory(cfg.environment)
         self._keys = KeyClaims()
@@ -106,10 +103,19 @@
         self._config_seen_ms = monotonic_ms()
         self._local_seen: dict[str, int] = {}
         self._local_offsets: dict[str, int] = {}
-        self._links: dict[str, Link] = {}
         self._tasks: list[asyncio.Task[None]] = []
         self._random = random.Random()
-        self._membership = Membership(self._describe(), monotonic_ms())
+        self._pool = LinkPool(cfg.instance, cfg.keys, metrics)
+        self._heartbeats = Heartbeats(
+            self._describe(),
+            self._describe,
+            tuple(str(seed) for seed in cfg.seeds),
+            self._pool,
+            metrics,
+            self._notice_config,
+            self._notify,
+        )
+        self._membership = self._heartbeats.membership
         self._listener = Listener(cfg.instance, cfg.listen, cfg.keys, self._handle, metrics)
 
     async def start(self) -> None:
@@ -137,7 +143,7 @@
     async def stop(self) -> None:
         """Tell the peers, outlive the gateway and the scheduler, finish appends and close."""
         self._leaving = True
-        await self._beat_once()
+        self._beat()
         give_up_ms = monotonic_ms() + LOCAL_STOP_TIMEOUT_MS
         while self._local_alive() and monotonic_ms() < give_up_ms:
             await asyncio.sleep(LOCAL_STOP_POLL_S)
@@ -146,8 +152,8 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
         await self._listener.stop()
-        for link in self._links.values():
-            link.close()
+        await self._heartbeats.stop()
+        self._pool.close()
         await self._session.close()
 
     def ready(self) -> str:
@@ -187,7 +193,7 @@
             case ClaimKey():
                 return await self._claim_key(sender, message)
             case Heartbeat():
-                return self._take_heartbeat(message)
+                return self._heartbeats.take(message)
             case FetchConfig():
                 return self._config_copy() or Failure("no configuration is in force here")
             case _:
@@ -215,7 +221,7 @@
         """Tell peers of a claim before it is appended: an owner counts on our word."""
         cell = stream.removeprefix(self._names.cell(""))
         self._claims[cell] = max(record.based_on, self._claims.get(cell, -1))
-        self._membership.update_self(self._describe(), monotonic_ms())
+        self._heartbeats.update_self()
 
     async def _claim_key(self, sender: str, req: ClaimKey) -> ClaimReply:
         held = self._keys.holder(req.key)
@@ -332,7 +338,7 @@
         for name, cell in accepted.document.cells.items():
             if cell.failure_domain == self._cfg.failure_domain:
                 self._caches.setdefault(self._names.cell(name), StreamCache())
-        self._membership.update_self(self._describe(), monotonic_ms())
+        self._heartbeats.update_self()
         self._metrics.gauge("config_offset", accepted.offset)
         _log.info("config in force", offset=accepted.offset, digest=accepted.digest)
         self._notify()
@@ -443,7 +449,7 @@
             instance=self._cfg.instance,
             failure_domain=self._cfg.failure_domain,
             boot=self._boot,
-            beat=self._beat,
+            beat=self._beats,
             leaving=self._leaving,
             keeper=str(self._cfg.listen),
             gateway=str(self._cfg.gateway) if "gateway" in alive else "",
@@ -454,82 +460,12 @@
         )
 
     async def _send_heartbeats(self) -> None:
-        await self._beat_once()
+        self._beat()
         await asyncio.sleep(HEARTBEAT_INTERVAL_S)
 
-    async def _beat_once(self) -> None:
-        now_ms = monotonic_ms()
-        self._beat += 1
-        before = self._membership.version
-        self._membership.update_self(self._describe(), now_ms)
-        if self._membership.version != before:
-            self._notify()
-        self._membership.forget_silent(now_ms)
-        for address in self._choose_peers():
-            task = asyncio.create_task(self._beat_to(address))
-            self._tasks.append(task)
-            task.add_done_callback(self._tasks.remove)
-
-    def _choose_peers(self) -> list[str]:
-        """Return every known address inside the failure domain, and a few elsewhere."""
-        near = {str(seed) for seed in self._cfg.seeds}
-        far: set[str] = set()
-        for peer in self._membership.peers.values():
-            same = peer.member.failure_domain == self._cfg.failure_domain
-            (near if same else far).add(peer.member.keeper)
-        for entry in self._list.entries:
-            same = entry.failure_domain == self._cfg.failure_domain
-            (near if same else far).add(entry.keeper)
-        near.discard(str(self._cfg.listen))
-        chosen = sorted(far - near)
-        if len(chosen) > REMOTE_PEERS_PER_BEAT:
-            chosen = self._random.sample(chosen, REMOTE_PEERS_PER_BEAT)
-        return sorted(near) + chosen
-
-    def _link(self, address: str) -> Link:
-        link = self._links.get(address)
-        if link is None:
-            link = Link(self._cfg.instance, address, self._cfg.keys, self._metrics)
-            self._links[address] = link
-        return link
-
-    async def _beat_to(self, address: str) -> None:
-        sent_ms = monotonic_ms()
-        others = self._sample_others(sent_ms)
-        heartbeat = Heartbeat(self._membership.peers[self._cfg.instance].member, others)
-        try:
-            reply = await self._link(address).ask(heartbeat, HEARTBEAT_TIMEOUT_S)
-        except LinkTimeout:
-            self._metrics.count("heartbeats_unanswered")
-            return
-        if isinstance(reply, HeartbeatAck):
-            before = self._membership.version
-            self._membership.confirm(reply.member, sent_ms, monotonic_ms())
-            self._notice_config(reply.member)
-            if self._membership.version != before:
-                self._notify()
-
-    def _sample_others(self, now_ms: int) -> tuple[tuple[Member, int], ...]:
-        """Return a few members to pass on; those of the own failure domain speak for themselves."""
-        others = [
-            entry
-            for entry in self._members_with_ages(now_ms)
-            if entry[0].failure_domain != self._cfg.failure_domain
-        ]
-        if len(others) > OTHERS_PER_HEARTBEAT:
-            others = self._random.sample(others, OTHERS_PER_HEARTBEAT)
-        return tuple(others)
-
-    def _take_heartbeat(self, heartbeat: Heartbeat) -> HeartbeatAck:
-        now_ms = monotonic_ms()
-        before = self._membership.version
-        self._membership.learn(heartbeat.sender, 0, now_ms)
-        for member, age_ms in heartbeat.others:
-            self._membership.learn(member, age_ms, now_ms)
-        self._notice_config(heartbeat.sender)
-        if self._membership.version != before:
-            self._notify()
-        return HeartbeatAck(self._membership.peers[self._cfg.instance].member)
+    def _beat(self) -> None:
+        self._beats += 1
+        self._heartbeats.beat(self._list.entries)
 
     def _notice_config(self, member: Member) -> None:
         """Fetch a newer configuration from a peer, for when the log cannot be read."""
@@ -541,7 +477,7 @@
 
     async def _fetch_config(self, address: str) -> None:
         try:
-            reply = await self._link(address).ask(FetchConfig(), FETCH_TIMEOUT_S)
+            reply = await self._pool.link(address).ask(FetchConfig(), FETCH_TIMEOUT_S)
         except LinkTimeout:
             return
         if isinstance(reply, ConfigCopy):
