--- /dev/null
+++ b/tests/cover/test_workers_border.py
@@ -0,0 +1,63 @@
+"""What workers answer, good and bad: nothing is lost and the owner goes on."""
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from greengagewood.internal.owner import Send
+from greengagewood.internal.platform.workers import Attempt, Ended, ExchangeReply, Usage
+from tests.common.scenarios import owner_and_others, started
+
+COUNTS = st.integers(0, 5)
+ATTEMPTS = st.integers(1, 3) | st.just((10 << 20) + 1)
+
+
+def replies(tasks):
+    names = st.sampled_from([*tasks, "unknown/0", "no-slash"])
+    outcomes = st.sampled_from(
+        ["done", "failed", "checkpointed", "stopped", "lapsed", "refused", "exploded", ""]
+    )
+    return st.builds(
+        ExchangeReply,
+        accepted=st.booleans(),
+        epoch=st.integers(0, 50),
+        fresh=st.booleans(),
+        boot=st.integers(0, 3),
+        clock=st.integers(-(10**9), 10**9),
+        version=st.integers(-1, 5),
+        cpus=st.integers(-5, 100),
+        memory_mb=st.integers(-5, 10**6),
+        accelerators=st.integers(-1, 4),
+        running=st.none()
+        | st.lists(
+            st.builds(Attempt, names, ATTEMPTS, st.just("c"), COUNTS, COUNTS, COUNTS), max_size=3
+        ).map(tuple),
+        ended=st.lists(
+            st.builds(Ended, names, ATTEMPTS, outcomes, st.text(max_size=3)), max_size=3
+        ).map(tuple),
+        usage=st.lists(
+            st.builds(Usage, st.just("c"), st.floats(), st.integers(), st.integers()), max_size=2
+        ).map(tuple),
+    )
+
+
+class TestReplies:
+    @settings(max_examples=60)
+    @given(st.data())
+    def test_any_answers_leave_the_owner_at_work(self, data):
+        world = started(run_ms=20_000, tasks=3)
+        name, _ = owner_and_others(world)
+        owner = world.schedulers[name].owner
+        tasks = sorted(owner.book.tasks)
+        for reply in data.draw(st.lists(replies(tasks), min_size=1, max_size=6)):
+            worker = next(iter(owner.workers.values()))
+            sent = Send(worker.name, worker.url, worker.next_exchange(
+                owner.epoch, name, world.document.leases, world.now
+            ))  # fmt: skip
+            owner.exchange_answered(sent, reply, world.now)
+        for _ in range(5):
+            world.now += 100
+            owner.plan(world.now, world._situation(world.schedulers[name]))
+        assert owner.state == "placing"
+        known = {task for job in owner.book.jobs.values() for task in job.tasks}
+        ended = {task for task in tasks if task.partition("/")[0] in owner.log.state.ended}
+        assert known | ended >= set(tasks)
