Let work run beside a service that nobody asks

The guard added the uncertainty of the service alone, which without a sample is a factor of seven, so it forbade everything. Change: caution counts only for what the classes add, and a service without a sample for 30 s keeps no work away. A test of both; what nothing uses any more is gone.

--- a/src/greengagewood/internal/interference.py
+++ b/src/greengagewood/internal/interference.py
@@ -110,9 +110,19 @@
 
     def predict(self, shares: dict[str, float], load: float) -> Prediction:
         """Predict the latency on a worker where classes run with these shares."""
+        for name in shares:
+            self._add_class(name)
+        return self._predict(self._features(shares, load))
+
+    def added(self, shares: dict[str, float], load: float) -> Prediction:
+        """Predict what these classes add to the service alone, in ln; `sigma` is the spread."""
         for name in shares:
             self._add_class(name)
         x = self._features(shares, load)
+        x[0] = 0.0  # what is not known of the service alone is no reason for caution
+        return self._predict(x)
+
+    def _predict(self, x: list[float]) -> Prediction:
         mean = sum(a * b for a, b in zip(self._theta, x, strict=True))
         variance = sum(a * self._row(row, x) for a, row in zip(x, self._cov, strict=True) if a)
         return Prediction(mean, math.sqrt(max(0.0, variance)), self.sigma)
--- a/src/greengagewood/internal/owner.py
+++ b/src/greengagewood/internal/owner.py
@@ -136,7 +136,6 @@
         self._jobs: dict[str, LoggedJob] = {}
         self._entries: dict[str, WorkerEntry] = {}
         self._reserves: dict[str, Size] = {}
-        self._claim_based_on = -1
         self._may_rule_by_time = False
         self._inherited: frozenset[str] = frozenset()
         self._rule_base_ms = 0
@@ -277,15 +276,9 @@
             return []
         self._absent_since = None
         self._move("claim")
-        self._claim_based_on = self.log.epoch
         candidates = tuple(sorted(set(situation.rivals) - {self.me}))
         return [Append(CellClaimed(self.me, self.boot, self.log.epoch, candidates))]
 
-    @property
-    def claim_based_on(self) -> int:
-        """Return the epoch that this scheduler last tried to replace, -1 if none."""
-        return self._claim_based_on
-
     def _epoch_changed(
         self, before: int, previous: tuple[tuple[str, ...], bool], now_ms: int
     ) -> None:
@@ -612,6 +605,7 @@
             return
         self._relieved_ms = now_ms
         self.placer.forget_costs()
+        self.guard.begin_round()
         for sample in self._take_samples():
             worker = self.workers.get(sample.worker)
             if worker is not None:
--- a/src/greengagewood/internal/rooms.py
+++ b/src/greengagewood/internal/rooms.py
@@ -37,10 +37,6 @@
     def __contains__(self, worker: str) -> bool:
         return worker in self._rooms
 
-    def room(self, worker: str) -> Size | None:
-        """Return the free room of a worker that takes new tasks."""
-        return self._rooms.get(worker)
-
     def rooms(self) -> Iterable[tuple[str, Size]]:
         """Iterate over every worker that takes new tasks."""
         return self._rooms.items()
--- a/src/greengagewood/internal/tailguard.py
+++ b/src/greengagewood/internal/tailguard.py
@@ -55,6 +55,7 @@
 HISTORY_MS = 30_000
 WORKERS_PER_REFERENCE = 24
 ALONE_WEIGHT = 0.05
+IDLE_ROUNDS = 30
 
 
 @dataclass(frozen=True)
@@ -115,6 +116,8 @@
         self._services_on: dict[str, set[str]] = defaultdict(set)
         self._references: frozenset[str] = frozenset()
         self._seen_alone: dict[str, float] = {}
+        self._rounds = 0
+        self._sampled_round: dict[str, int] = {}
         self._document: Document | None = None
         self._factors: dict[str, float] = {}
 
@@ -189,6 +192,7 @@
         service = self._service(sample.service)
         if service is None or sample.count < 1:
             return
+        self._sampled_round[sample.service] = self._rounds
         spot = self._spots[(sample.service, sample.worker)]
         busy_slots = sample.count * math.exp(sample.mean) / 1000  # Little's law
         spot.load += LOAD_WEIGHT * (min(1.0, busy_slots / service.slots) - spot.load)
@@ -225,7 +229,7 @@
             return None
         for name in self._services_on[worker]:
             service = self._service(name)
-            if service is None:
+            if service is None or self._is_idle(name):
                 continue
             spot = self._spots[(name, worker)]
             if spot.throttled or spot.hot >= HOT_STREAK_TO_THROTTLE:
@@ -238,6 +242,14 @@
             cost += found
         return cost
 
+    def _is_idle(self, name: str) -> bool:
+        """Tell whether nobody has asked a service for anything for a while."""
+        return self._rounds - self._sampled_round.get(name, 0) > IDLE_ROUNDS
+
+    def begin_round(self) -> None:
+        """Count the seconds; call once before each second's samples."""
+        self._rounds += 1
+
     def _cost_for(
         self,
         name: str,
@@ -251,10 +263,11 @@
         spot = self._spots[(name, worker)]
         added = [*residents, Resident("", 0, batch_class, more_cpus)]
         load = min(1.0, spot.load * LOAD_HEADROOM)
-        prediction = self._model(name).predict(self.shares(added, cpus), load)
+        prediction = self._model(name).added(self.shares(added, cpus), load)
         limit = self.limit_ms(name, service, self._is_urgent(batch_class))
-        factor = self._factors[name]
-        return prediction.mean if prediction.quantile_ms(factor, CAUTION) <= limit else None
+        alone_ms = self._alone(name).quantile_ms(self._factors[name], 0.0)
+        slowed_ms = alone_ms * math.exp(prediction.mean + CAUTION * prediction.uncertainty)
+        return prediction.mean if slowed_ms <= limit else None
 
     # Relief.
 
--- a/tests/cover/test_policy.py
+++ b/tests/cover/test_policy.py
@@ -149,6 +149,14 @@
         found.set_services({"w": {"quotazioni"}})
         return found
 
+    def test_a_service_that_nobody_asks_keeps_no_work_away(self):
+        guard = self.guard()
+        assert guard.judge("w", [], 64, "validation", 2) is not None  # nothing is known yet
+        assert guard.judge("w", [], 64, "validation", 48) is None
+        for _ in range(40):
+            guard.begin_round()
+        assert guard.judge("w", [], 64, "validation", 48) is not None
+
     def test_a_late_report_is_set_against_the_interval_that_it_measured(self):
         guard = self.guard()
         from greengagewood.internal.tailguard import Resident
