--- a/devtools/capacity_page.py
+++ b/devtools/capacity_page.py
@@ -38,7 +38,6 @@
     """Return what one instance spends when a failure domain has so many of them."""
     workers = WORKERS / DOMAINS / instances
     starts = STARTS_PER_S / DOMAINS / instances
-    running = RUNNING / DOMAINS / instances
     figures = {}
     for of in ("keeper core %", "gateway core %", "scheduler core %", "KB/s a node"):
         base, per_instance = slopes["instances of a failure domain", of]
@@ -46,7 +45,6 @@
         for per, amount in (
             ("busy workers of a cell", workers),
             ("task starts a second", starts),
-            ("running tasks", running),
         ):
             figures[of] += slopes[per, of][1] * amount
     figures["core %"] = sum(
@@ -61,7 +59,6 @@
         base, per_instance = slopes["instances of a failure domain", f"{role} MB"]
         total += base + per_instance * instances
         total += slopes["busy workers of a cell", f"{role} MB"][1] * WORKERS / DOMAINS / instances
-        total += slopes["running tasks", f"{role} MB"][1] * RUNNING / DOMAINS / instances
     return total
 
 
--- a/devtools/cluster.py
+++ b/devtools/cluster.py
@@ -145,9 +145,9 @@
                         "name": f"{domain}-w{index + 1}",
                         "failure_domain": domain,
                         "rack": rack,
-                        **self.plan.worker,
                         "accelerators": self.plan.first_accelerators if index == 0 else 0,
                         "backend_port": FIRST_BACKEND_PORT + number,
+                        **self.plan.worker,
                     }
                 )
         return {
