Let one function say which tasks may be evicted

Cause: the rule (resumes from a checkpoint, is not urgent) stood in placer.py and again in tailguard.py. Change: may_evict is in tailguard.py and placer calls it; behaviour is the same. Conclusion: a change of the rule now reaches both levers.

--- a/src/greengagewood/internal/placer.py
+++ b/src/greengagewood/internal/placer.py
@@ -15,7 +15,7 @@
 from greengagewood.internal.placement import Size
 from greengagewood.internal.rooms import Judge, RoomIndex
 from greengagewood.internal.suspicion import Suspicion
-from greengagewood.internal.tailguard import TailGuard
+from greengagewood.internal.tailguard import TailGuard, may_evict
 from greengagewood.internal.taskbook import Job, Task, TaskBook
 from greengagewood.internal.workerstate import WorkerState
 
@@ -258,12 +258,6 @@
                 self._evicted_ms.pop(job_name, None)
 
 
-def may_evict(batch_class: str, document: Document) -> bool:
-    """Tell whether a class's tasks may be evicted: they resume, and are not urgent."""
-    found = document.batch_classes.get(batch_class)
-    return found is not None and found.checkpoints and not found.urgent
-
-
 def _dominant_share(job: Job, book: TaskBook, document: Document) -> float:
     """Return the largest part of any resource that the job's team uses of its quota."""
     team = document.teams.get(job.logged.spec.team)
--- a/src/greengagewood/internal/tailguard.py
+++ b/src/greengagewood/internal/tailguard.py
@@ -32,7 +32,7 @@
 )
 from greengagewood.internal.ranking import ranked
 
-__all__ = ["Relief", "Resident", "TailGuard"]
+__all__ = ["Relief", "Resident", "TailGuard", "may_evict"]
 
 HOT_STREAK_TO_THROTTLE = 2
 HOT_STREAK_TO_EVICT = 15
@@ -311,8 +311,9 @@
         if now_ms - spot.evicted_ms < EVICTION_PAUSE_MS:
             return []
         model = self._model(name)
-        movable = [r for r in residents if self._may_evict(r)]
-        fixed = [r for r in residents if not self._may_evict(r)]
+        assert self._document is not None
+        movable = [r for r in residents if may_evict(r.batch_class, self._document)]
+        fixed = [r for r in residents if not may_evict(r.batch_class, self._document)]
         order = sorted(movable, key=lambda r: model.theta(r.batch_class) * r.cpus, reverse=True)
         limit = self.limit_ms(name, service)
         chosen: list[Relief] = []
@@ -331,8 +332,8 @@
         found = self._document.batch_classes.get(batch_class)
         return found is not None and found.urgent
 
-    def _may_evict(self, resident: Resident) -> bool:
-        """Tell whether a task may be evicted: it resumes, and is not urgent."""
-        assert self._document is not None
-        found = self._document.batch_classes.get(resident.batch_class)
-        return found is not None and found.checkpoints and not found.urgent
+
+def may_evict(batch_class: str, document: Document) -> bool:
+    """Tell whether a class's tasks may be evicted: they resume, and are not urgent."""
+    found = document.batch_classes.get(batch_class)
+    return found is not None and found.checkpoints and not found.urgent
