--- a/devtools/benches/placement.py
+++ b/devtools/benches/placement.py
@@ -12,9 +12,9 @@
 from greengagewood.internal.celllog import CellLog
 from greengagewood.internal.interference import LatencySample
 from greengagewood.internal.joblog import LoggedJob
+from greengagewood.internal.native.workers import Start
 from greengagewood.internal.placement import Size
 from greengagewood.internal.placer import Placed, Placer
-from greengagewood.internal.platform.workers import Start
 from greengagewood.internal.records import JobSubmitted
 from greengagewood.internal.tailguard import TailGuard
 from greengagewood.internal.taskbook import TaskBook
--- a/devtools/lab.py
+++ b/devtools/lab.py
@@ -20,9 +20,9 @@
 from greengagewood.internal.interference import LatencySample
 from greengagewood.internal.joblog import LoggedJob
 from greengagewood.internal.messages import WorkerEntry
+from greengagewood.internal.native.workers import WorkerDown
 from greengagewood.internal.owner import Append, CellOwner, Command, Send, Situation
 from greengagewood.internal.placement import Size
-from greengagewood.internal.platform.workers import WorkerDown
 from greengagewood.internal.records import JobSubmitted
 from greengagewood.internal.standin.settings import WorkerSettings
 from greengagewood.internal.standin.worker import StandinWorker
--- /dev/null
+++ b/src/greengagewood/internal/cells/__init__.py
@@ -0,0 +1,1 @@
+"""Cells: who owns one, and what its owner decides."""
--- /dev/null
+++ b/src/greengagewood/internal/cells/cell.py
@@ -0,0 +1,679 @@
+"""The owner's decisions for one cell: adopt, place, watch, move and take note of ends.
+
+Pure: answers of workers, records and the time go in, orders come out; a runner carries them out.
+One object a term of ownership.
+
+Not twice
+---------
+A task is started only when no other run of it can be going on. A start without an answer may be
+carried out seconds later, so its run stays `unsure` until a later list of the worker shows it, or
+the worker's clock has passed the deadline of the start, or a stop of that run was acknowledged: a
+stopped run can never start there. A run on a silent worker is over when the worker's clock has
+certainly passed every deadline that it was ever told. What earlier owners may have started is
+`unknown` until every enlisted worker has accepted this owner's token and listed its runs, or has
+lapsed.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+
+from greengagewood.internal.cells import tails
+from greengagewood.internal.cells.fleet import CLOCK_DRIFT, Worker
+from greengagewood.internal.cells.orders import (
+    AskAdvice,
+    Changes,
+    Order,
+    StartRun,
+    StopRun,
+)
+from greengagewood.internal.cells.placement import choose_worker, place_gang
+from greengagewood.internal.jobs.book import Job, JobBook, Run, Step, Task
+from greengagewood.internal.jobs.model import Queue
+from greengagewood.internal.jobs.records import (
+    Enlisted,
+    EnlistedWorker,
+    Progress,
+    Record,
+    Submission,
+    TaskId,
+)
+from greengagewood.internal.ports import End, HoldReply, Permit, RunningTask, WorkerInfo
+
+__all__ = ["Cell", "CellLimits"]
+
+START_WINDOW_MS = 1_500  # a start that arrives later than this is refused by the worker
+ANSWER_MS = 1_500  # a worker that was silent for longer gets no new work
+STOP_AGAIN_MS = 400
+STUCK_MS = 2_500  # a run without any progress for this long stands still
+BACKOFF_MS = 150
+SHUN_FIRST_MS = 1_000
+SHUN_LONGEST_MS = 8_000
+SHUN_AFTER_FAILURES = 3  # of the last eight ends, with no good one among them
+RUN_NUMBERS_A_TERM = 1 << 20
+PERMIT_MARGIN_MS = 300
+ADVICE_BATCH = 30
+MAX_STARTS_A_PLAN = 200
+
+
+@dataclass(frozen=True)
+class CellLimits:
+    """Hold bounds of the platform in milliseconds; `term_ms` is how long an owner may go on
+    without a confirmation, and so how long an earlier owner may have given orders."""
+
+    lease_ms: int
+    stop_ms: int
+    term_ms: int
+    early_ms: int = 0
+
+
+class Cell:
+    """Decide for one cell during one term of ownership."""
+
+    def __init__(self, limits: CellLimits, token: int, now_ms: int) -> None:
+        self.limits = limits
+        self.token = token
+        self.book = JobBook()
+        self.workers: dict[str, Worker] = {}
+        self.queues: dict[str, Queue] = {}
+        self.on_event: Callable[[str, dict[str, object]], None] = lambda event, fields: None
+        self._began_ms = now_ms
+        self._earlier_until_ms = now_ms + limits.term_ms + int(limits.lease_ms * (1 + CLOCK_DRIFT))
+        self._orphans: dict[tuple[str, TaskId, int], int] = {}
+        self._permits: dict[Step, dict[str, Permit]] = {}
+        self._asked: dict[Step, int] = {}
+        self._enlist_due = False
+        self._planned_version = -1
+        self._adopting = True
+
+    # Jobs.
+
+    def add_job(
+        self, submission: Submission, progress: Progress | None, fresh: bool, now_ms: int
+    ) -> None:
+        """Add a job; a fresh one was submitted after this term began."""
+        self.queues.setdefault(submission.queue.name, submission.queue)
+        self.book.add(submission, progress, not fresh, now_ms)
+
+    def cancel(self, name: str, now_ms: int) -> None:
+        """Cancel a job and stop what runs of it."""
+        job = self.book.cancel(name, now_ms)
+        if job is not None:
+            self.on_event("job_cancelled", {"job": name})
+
+    def set_queues(self, queues: dict[str, Queue]) -> None:
+        """Take the queues of the newest configuration; a dropped one keeps its last settings."""
+        self.queues.update(queues)
+        self._replan()
+
+    def queue_of(self, job: Job) -> Queue:
+        """Return the settings of a job's queue."""
+        return self.queues[job.submission.queue.name]
+
+    def _replan(self) -> None:
+        self._planned_version = -1
+
+    # Workers.
+
+    def set_workers(self, listed: dict[str, WorkerInfo], now_ms: int) -> None:
+        """Take the list of workers."""
+        for name, info in listed.items():
+            worker = self.workers.get(name)
+            if worker is None:
+                self._add_worker(info, now_ms)
+            elif info.born_ms > worker.info.born_ms > 0:
+                self._reborn(worker, info, now_ms)
+            else:
+                self._update_worker(worker, info, now_ms)
+        for name, worker in list(self.workers.items()):
+            worker.listed = name in listed
+            if not worker.listed and worker.silent and worker.lapsed(now_ms):
+                self._forget(worker, now_ms)
+        self._replan()
+
+    def _add_worker(self, info: WorkerInfo, now_ms: int) -> Worker:
+        worker = Worker(info, now_ms, unclocked_until_ms=self._earlier_until_ms)
+        self.workers[info.worker] = worker
+        self._enlist_due = True
+        return worker
+
+    def _update_worker(self, worker: Worker, info: WorkerInfo, now_ms: int) -> None:
+        if info.draining and not worker.info.draining:
+            self.on_event("worker_draining", {"worker": info.worker})
+        if info.draining and info.leaving_in_ms is not None and worker.leaves_at_ms is None:
+            worker.leaves_at_ms = now_ms + info.leaving_in_ms
+        worker.info = info
+
+    def set_enlisted(self, enlisted: Enlisted, now_ms: int) -> None:
+        """Take the workers that earlier owners may have given orders to."""
+        for row in enlisted.workers:
+            worker = self.workers.get(row.worker)
+            if worker is None:
+                info = WorkerInfo(
+                    row.worker,
+                    row.address,
+                    row.service,
+                    "",
+                    "",
+                    frozenset(),
+                    0,
+                    0,
+                    0,
+                    True,
+                    None,
+                    0,
+                )
+                worker = self._add_worker(info, now_ms)
+                worker.listed = False
+            worker.enlisted = True
+        self._enlist_due = any(not w.enlisted for w in self.workers.values())
+
+    def _reborn(self, worker: Worker, info: WorkerInfo, now_ms: int) -> None:
+        """Begin anew with a worker that holds nothing of before."""
+        self.on_event("worker_reborn", {"worker": info.worker, "runs": len(worker.runs)})
+        self._lose_runs(worker, now_ms, "reborn")
+        fresh = Worker(info, now_ms, enlisted=worker.enlisted, listed=worker.listed)
+        self.workers[info.worker] = fresh
+
+    def _forget(self, worker: Worker, now_ms: int) -> None:
+        self._lose_runs(worker, now_ms, "gone")
+        del self.workers[worker.name]
+        self._enlist_due = True
+        self.on_event("worker_forgotten", {"worker": worker.name})
+
+    def _lose_runs(self, worker: Worker, now_ms: int, reason: str) -> None:
+        for run in list(worker.runs.values()):
+            self._end_run(worker, run, "lost", now_ms)
+            self.on_event(
+                "run_lost",
+                {"task": run.task.id, "run": run.number, "worker": worker.name, "reason": reason},
+            )
+            self._retry(run.task)
+
+    def _end_run(self, worker: Worker, run: Run, event: str, now_ms: int) -> None:
+        run.move(event)
+        worker.drop(run)
+        self.book.detach(run, now_ms)
+
+    def _retry(self, task: Task) -> None:
+        if task.ended or task.step.job.final:
+            return
+        self.book.wait(task)
+
+    # Answers of workers.
+
+    def hold_terms(self, worker: Worker, now_ms: int) -> tuple[int | None, int]:
+        """Return the deadline to extend the worker's lease to, and which ends to acknowledge."""
+        deadline = worker.deadline_in(self.limits.lease_ms, now_ms)
+        if deadline is not None:
+            worker.horizon_ms = max(worker.horizon_ms, deadline)
+        return deadline, worker.acknowledged
+
+    def hold_answered(
+        self, worker: Worker, reply: HoldReply, sent_ms: int, now_ms: int
+    ) -> list[Order]:
+        """Take a worker's list in; return orders that cannot wait."""
+        if self.workers.get(worker.name) is not worker:
+            return []
+        if reply.born_ms and worker.info.born_ms and reply.born_ms > worker.info.born_ms:
+            info = worker.info
+            reborn = _with_born(info, reply.born_ms)
+            self._reborn(worker, reborn, now_ms)
+            return []
+        worker.read_clock(reply.clock_ms, now_ms)
+        if worker.silent:
+            worker.silent = False
+            self.on_event("worker_answers", {"worker": worker.name})
+        worker.answered_ms = now_ms
+        for end in reply.ended:
+            if end.number > worker.seen_end:
+                worker.seen_end = end.number
+                self._take_end(worker, end, now_ms)
+        orders: list[Order] = []
+        listed: set[tuple[Task, int]] = set()
+        for row in reply.running:
+            task = self.book.find(row.task)
+            if task is not None and self._take_running(worker, task, row, now_ms):
+                listed.add((task, row.run))
+            else:
+                orders.extend(self._stop_orphan(worker, row, now_ms))
+        self._check_unlisted(worker, reply, listed, sent_ms, now_ms)
+        tails.note_tails(worker)
+        worker.filling_cpu = sum(
+            r.measure for r in worker.runs.values() if r.task.step.spec.filling
+        )
+        if not worker.adopted:
+            worker.adopted = True
+            self.on_event("worker_adopted", {"worker": worker.name, "runs": len(listed)})
+        orders.extend(tails.plan_pacing(worker, now_ms))
+        self._replan()
+        return orders
+
+    def _take_running(self, worker: Worker, task: Task, row: RunningTask, now_ms: int) -> bool:
+        """Match a listed run with what is known; return False if it must be stopped."""
+        job = task.step.job
+        run = worker.runs.get((task, row.run))
+        if run is None:
+            if task.run is not None or task.ended or job.final:
+                return False
+            run = self.book.begin(task, row.run, worker.name, worker.info.rack, "running", now_ms)
+            run.accepted_ms = now_ms
+            run.progress_ms = now_ms
+            worker.add(run)
+        elif run.state in ("starting", "unsure"):
+            run.move("accepted")
+            run.accepted_ms = now_ms
+            run.progress_ms = now_ms
+        if row.percent != run.progress:
+            run.progress = row.percent
+            run.progress_ms = now_ms
+        run.measure = row.measure
+        self.book.note_checkpoint(task, row.checkpoint)
+        return True
+
+    def _stop_orphan(self, worker: Worker, row: RunningTask, now_ms: int) -> list[Order]:
+        key = (worker.name, row.task, row.run)
+        if now_ms - self._orphans.get(key, -STOP_AGAIN_MS) < STOP_AGAIN_MS:
+            return []
+        self._orphans[key] = now_ms
+        return [StopRun(worker, row.task, row.run, None, "not_ours")]
+
+    def _check_unlisted(
+        self,
+        worker: Worker,
+        reply: HoldReply,
+        listed: set[tuple[Task, int]],
+        sent_ms: int,
+        now_ms: int,
+    ) -> None:
+        """Rule out runs that the list shows to be over, or never to begin."""
+        for key, run in list(worker.runs.items()):
+            if key in listed:
+                continue
+            never = reply.clock_ms > run.deadline_ms > 0 and run.accepted_ms is None
+            stopped = run.stop_answered_ms is not None and run.stop_answered_ms < sent_ms
+            gone = run.accepted_ms is not None and run.accepted_ms < sent_ms
+            if run.state == "unsure" and (never or stopped):
+                self._end_run(worker, run, "ruled_out", now_ms)
+                self._retry(run.task)
+            elif run.state in ("running", "stopping") and (gone or stopped or never):
+                self._end_run(worker, run, "lost", now_ms)
+                self.on_event(
+                    "run_unlisted",
+                    {"task": run.task.id, "run": run.number, "worker": worker.name},
+                )
+                self._retry(run.task)
+
+    def _take_end(self, worker: Worker, end: End, now_ms: int) -> None:
+        task = self.book.find(end.task)
+        if task is None:
+            return
+        run = worker.runs.get((task, end.run))
+        if run is not None:
+            self._end_run(worker, run, "ended", now_ms)
+        self.book.note_checkpoint(task, end.checkpoint)
+        step = task.step
+        self.on_event(
+            "run_ended",
+            {"task": end.task, "run": end.run, "worker": worker.name, "how": end.how},
+        )
+        if end.how == "done" and not step.spec.lasting:
+            worker.note_work(True)
+            self.book.note_done(task, now_ms)
+            return
+        if task.ended or step.job.final:
+            return
+        if end.how == "failed":
+            self._note_failure(worker, task, end, now_ms)
+        if not task.unknown:
+            self._retry(task)
+
+    def _note_failure(self, worker: Worker, task: Task, end: End, now_ms: int) -> None:
+        worker.note_work(False)
+        if sum(not well for well in worker.recent) >= SHUN_AFTER_FAILURES and not any(
+            worker.recent
+        ):
+            worker.shun(now_ms, SHUN_FIRST_MS, SHUN_LONGEST_MS)
+            self.on_event("worker_shunned", {"worker": worker.name, "for_ms": worker.shun_ms})
+        task.failed_on = (*task.failed_on, worker.name)[-4:]
+        attempts = self.queue_of(task.step.job).max_attempts
+        self.book.note_failed(task, end.run, attempts, now_ms)
+        if task.step.job.state == "failed":
+            self.on_event("job_failed", {"job": task.id.job, "task": task.id, "attempts": attempts})
+
+    def hold_failed(self, worker: Worker, now_ms: int) -> None:
+        """Note that a worker did not answer."""
+        if worker.silent or self.workers.get(worker.name) is not worker:
+            return
+        since = worker.answered_ms if worker.answered_ms is not None else worker.added_ms
+        if now_ms - since > ANSWER_MS or worker.answered_ms is None:
+            worker.silent = True
+            self.on_event("worker_silent", {"worker": worker.name, "runs": len(worker.runs)})
+
+    def wrong_boot(self, worker: Worker, now_ms: int) -> None:
+        """Note that another boot answers at the worker's address: this one is gone."""
+        if self.workers.get(worker.name) is worker:
+            self.on_event("worker_replaced", {"worker": worker.name, "runs": len(worker.runs)})
+            self._lose_runs(worker, now_ms, "replaced")
+            worker.silent = True
+            worker.adopted = False
+            worker.horizon_ms = 0
+            worker.unclocked_until_ms = 0
+            worker.clock_read_ms = None
+
+    def start_answered(self, worker: Worker, run: Run, reason: str, now_ms: int) -> None:
+        """Take the answer to a start in; an empty reason means that it was accepted."""
+        if run.state not in ("starting", "stopping"):
+            return
+        if not reason:
+            if run.state == "starting":
+                run.move("accepted")
+            run.accepted_ms = now_ms
+            run.progress_ms = now_ms
+            return
+        self._end_run(worker, run, "refused", now_ms)
+        run.task.not_before_ms = now_ms + BACKOFF_MS
+        if reason in ("unhealthy", "invalid"):
+            worker.shun(now_ms, SHUN_FIRST_MS, SHUN_LONGEST_MS)
+        elif reason == "ticket":
+            self._permits.pop(run.task.step, None)
+        elif reason == "room":
+            worker.shunned_until_ms = max(worker.shunned_until_ms, now_ms + BACKOFF_MS)
+        self.on_event(
+            "start_refused",
+            {"task": run.task.id, "run": run.number, "worker": worker.name, "reason": reason},
+        )
+        self._retry(run.task)
+
+    def start_unanswered(self, run: Run, now_ms: int) -> None:
+        """Note that a start may or may not have been carried out."""
+        if run.state in ("starting", "stopping"):
+            run.move("unanswered")
+
+    def stop_answered(self, run: Run | None, now_ms: int) -> None:
+        """Note that the worker has taken a stop: the run cannot start there any more."""
+        if run is not None and run.state != "over":
+            run.stop_answered_ms = now_ms
+
+    def advice_answered(self, step: Step, permits: dict[str, Permit]) -> None:
+        """Take in which workers may run a step."""
+        self._permits.setdefault(step, {}).update(permits)
+        self._asked.pop(step, None)
+        self._replan()
+
+    def advice_failed(self, step: Step) -> None:
+        """Note that the advice service did not answer; it is asked again."""
+        self._asked.pop(step, None)
+
+    # Orders.
+
+    def plan(self, now_ms: int, wall_ms: int) -> list[Order]:
+        """Decide what is to be done now."""
+        self._lapse_silent(now_ms)
+        self._open_due(wall_ms)
+        self._finish_adopting(now_ms)
+        orders: list[Order] = []
+        orders.extend(self._stops(now_ms))
+        if self.book.version != self._planned_version:
+            self._planned_version = self.book.version
+            orders.extend(self._place(now_ms))
+        return orders
+
+    def _lapse_silent(self, now_ms: int) -> None:
+        for worker in list(self.workers.values()):
+            if not worker.silent or not worker.lapsed(now_ms):
+                continue
+            if worker.runs:
+                self._lose_runs(worker, now_ms, "lapsed")
+            worker.adopted = False
+            if not worker.listed:
+                self._forget(worker, now_ms)
+
+    def _open_due(self, wall_ms: int) -> None:
+        for job in list(self.book.timed.values()):
+            spec = job.submission.spec
+            count = max(1, spec.occurrences)
+            due = 1 + (wall_ms - spec.first_due_ms) // max(1, spec.interval_ms)
+            if wall_ms < spec.first_due_ms:
+                continue
+            for number in range(min(count, due)):
+                self.book.open_occurrence(job, number)
+
+    def _finish_adopting(self, now_ms: int) -> None:
+        if not self._adopting and not self.book.unknown:
+            return
+        for worker in self.workers.values():
+            if not worker.adopted and not (worker.silent and worker.lapsed(now_ms)):
+                if now_ms <= self._earlier_until_ms:
+                    return
+        if self._adopting:
+            self._adopting = False
+            self.on_event("adopted", {"token": self.token, "unknown": len(self.book.unknown)})
+        for task in list(self.book.unknown):
+            self.book.resolve_unknown(task)
+
+    def _stops(self, now_ms: int) -> list[Order]:
+        orders: list[Order] = []
+        for worker in self.workers.values():
+            if worker.silent:
+                continue
+            for run in worker.runs.values():
+                reason = self._why_stop(worker, run, now_ms)
+                if reason and self._may_send_stop(run, now_ms):
+                    if run.state != "unsure":
+                        run.move("stop")
+                    run.stop_sent_ms = now_ms
+                    orders.append(StopRun(worker, run.task.id, run.number, run, reason))
+        return orders
+
+    @staticmethod
+    def _may_send_stop(run: Run, now_ms: int) -> bool:
+        if run.state == "starting":
+            return False  # its answer decides first
+        return run.stop_sent_ms is None or now_ms - run.stop_sent_ms >= STOP_AGAIN_MS
+
+    def _why_stop(self, worker: Worker, run: Run, now_ms: int) -> str:
+        """Return why a run should be stopped, or an empty string."""
+        if run.state == "stopping":
+            return "again"
+        if run.task.step.job.final or run.task.ended:
+            return "job_over"
+        if run.state == "unsure":
+            return "unanswered"
+        if run.state != "running":
+            return ""
+        if self._stands_still(run, now_ms):
+            run.task.failed_on = (*run.task.failed_on, worker.name)[-4:]
+            worker.note_work(False)
+            return "stands_still"
+        if worker.info.draining and run.task.step.spec.lasting and self._room_elsewhere(run):
+            return "worker_leaves"
+        return ""
+
+    @staticmethod
+    def _stands_still(run: Run, now_ms: int) -> bool:
+        spec = run.task.step.spec
+        if run.percent < 100 or (spec.lasting and run.progress == 100) or spec.gang:
+            return False
+        if spec.filling:
+            return now_ms - run.progress_ms > 2 * STUCK_MS
+        return now_ms - run.progress_ms > max(STUCK_MS, spec.estimate_ms // 4)
+
+    def _room_elsewhere(self, run: Run) -> bool:
+        return any(
+            other.usable(self._now_hint) and other.fits(run.task.step.spec)
+            for other in self.workers.values()
+            if other.info.service == self.queue_of(run.task.step.job).service
+        )
+
+    _now_hint = 1 << 62
+
+    # Placement.
+
+    def _place(self, now_ms: int) -> list[Order]:
+        orders: list[Order] = []
+        by_service: dict[str, list[Worker]] = {}
+        for worker in self.workers.values():
+            if worker.usable(now_ms):
+                by_service.setdefault(worker.info.service, []).append(worker)
+        for step in sorted(self.book.waiting, key=lambda step: self._order(step, now_ms)):
+            workers = by_service.get(self.queue_of(step.job).service, [])
+            orders.extend(self._place_step(step, workers, now_ms))
+            if len(orders) > MAX_STARTS_A_PLAN:
+                self._replan()
+                break
+        return orders
+
+    def _order(self, step: Step, now_ms: int) -> tuple[float, ...]:
+        """Return the rank of a step: by priority, then by how soon it must start to be in time.
+
+        A job that is too late to earn anything any more gives way to those that are not.
+        """
+        job = step.job
+        queue = self.queue_of(job)
+        objective = queue.slack_factor * max(job.chains_ms, default=0) + queue.target_ms
+        age = now_ms - job.arrived_ms
+        hopeless = not step.spec.lasting and age > 3 * objective
+        return (queue.priority, hopeless, objective - age - job.chains_ms[step.number])
+
+    def _place_step(self, step: Step, workers: list[Worker], now_ms: int) -> list[Order]:
+        queue = self.queue_of(step.job)
+        orders: list[Order] = []
+        if queue.decision_ms:
+            orders.extend(self._ask_advice(step, workers, now_ms))
+            permits = self._permits.get(step, {})
+            workers = [
+                w
+                for w in workers
+                if w.name in permits and permits[w.name].until_ms - PERMIT_MARGIN_MS > now_ms
+            ]
+        if step.spec.gang:
+            return [*orders, *self._place_gang(step, workers, now_ms)]
+        for task in list(step.waiting):
+            if task.not_before_ms > now_ms:
+                self._replan()
+                continue
+            worker = choose_worker(task, workers)
+            if worker is None:
+                break
+            orders.append(self._start(task, worker, now_ms, task.starts + 1))
+        return orders
+
+    def _place_gang(self, step: Step, workers: list[Worker], now_ms: int) -> list[Order]:
+        alive = [task for task in step.tasks if not task.ended]
+        if any(task.run or task.unknown or task.not_before_ms > now_ms for task in alive):
+            self._replan()
+            return []
+        placed = place_gang(step, workers)
+        if placed is None:
+            return []
+        starts = 1 + max(task.starts for task in step.tasks)
+        return [self._start(task, worker, now_ms, starts) for task, worker in placed]
+
+    def _ask_advice(self, step: Step, workers: list[Worker], now_ms: int) -> list[Order]:
+        if step in self._asked:
+            return []
+        fresh = {
+            name
+            for name, permit in self._permits.get(step, {}).items()
+            if permit.until_ms - 2 * PERMIT_MARGIN_MS > now_ms
+        }
+        if fresh:
+            return []
+        names = [w.name for w in workers if w.fits(step.spec)][:ADVICE_BATCH]
+        if not names:
+            return []
+        self._asked[step] = now_ms
+        return [AskAdvice(step, tuple(names))]
+
+    def _start(self, task: Task, worker: Worker, now_ms: int, starts: int) -> StartRun:
+        task.starts = starts
+        number = (self.token - 1) * RUN_NUMBERS_A_TERM + starts
+        deadline = worker.deadline_in(START_WINDOW_MS, now_ms)
+        assert deadline is not None  # only adopted workers are usable, and their clock was read
+        run = self.book.begin(
+            task, number, worker.name, worker.info.rack, "starting", now_ms, deadline
+        )
+        permit = self._permits.get(task.step, {}).get(worker.name)
+        run.ticket = permit.ticket if permit else ""
+        worker.add(run)
+        worker.horizon_ms = max(worker.horizon_ms, deadline)
+        payload = task.step.job.submission.spec.payload
+        return StartRun(worker, run, payload, deadline, task.checkpoint)
+
+    # What has to be stored.
+
+    def changes(self, wall_ms: int) -> Changes | None:
+        """Return what has changed and is not stored yet."""
+        book = self.book
+        records: list[Record] = []
+        urgent = False
+        for name in book.changed:
+            job = book.jobs.get(name)
+            if job is not None:
+                records.append(book.progress(job, wall_ms))
+                urgent = urgent or job.final
+        book.changed.clear()
+        fresh: tuple[Worker, ...] = ()
+        if self._enlist_due:
+            self._enlist_due = False
+            fresh = tuple(self.workers.values())
+            records.append(
+                Enlisted(
+                    tuple(EnlistedWorker(w.name, w.info.address, w.info.service) for w in fresh)
+                )
+            )
+            urgent = True
+        ends = {w: w.seen_end for w in self.workers.values() if w.seen_end > w.acknowledged}
+        if not records and not ends:
+            return None
+        return Changes(tuple(records), ends, fresh, urgent)
+
+    @property
+    def has_urgent_changes(self) -> bool:
+        """Tell whether something is to be stored without delay."""
+        jobs = self.book.jobs
+        return self._enlist_due or any(
+            jobs[name].final for name in self.book.changed if name in jobs
+        )
+
+    def changes_stored(self, changes: Changes) -> None:
+        """Take note that changes are in the store: their ends may be acknowledged."""
+        for worker, number in changes.ends.items():
+            worker.acknowledged = max(worker.acknowledged, number)
+        for worker in changes.enlisted:
+            current = self.workers.get(worker.name)
+            if current is not None:
+                current.enlisted = True
+        self._replan()
+
+    def changes_lost(self, changes: Changes) -> None:
+        """Take note that changes may not be in the store; they are stored again."""
+        for record in changes.records:
+            if isinstance(record, Progress):
+                self.book.changed[record.job] = None
+            elif isinstance(record, Enlisted):
+                self._enlist_due = True
+
+    def forget_jobs(self, names: Iterable[str]) -> None:
+        """Drop jobs that ended long ago."""
+        for name in names:
+            self.book.remove(name)
+
+
+def _with_born(info: WorkerInfo, born_ms: int) -> WorkerInfo:
+    return WorkerInfo(
+        info.worker,
+        info.address,
+        info.service,
+        info.failure_domain,
+        info.rack,
+        info.labels,
+        info.cpu_millis,
+        info.memory_mb,
+        info.accelerators,
+        info.draining,
+        info.leaving_in_ms,
+        born_ms,
+    )
--- /dev/null
+++ b/src/greengagewood/internal/cells/placement.py
@@ -0,0 +1,139 @@
+"""Choose a worker for a task.
+
+Pure functions over the workers of a cell. They answer three loads: lasting tasks that serve callers
+are packed, so that whole workers stay free of them for filling work; ordinary batch tasks go where
+their data is, and else where the least room is left over; filling tasks go where most processors
+are idle and no tail is near its target.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable, Sequence
+
+from greengagewood.internal.cells.fleet import Worker
+from greengagewood.internal.jobs.book import Step, Task
+from greengagewood.internal.jobs.model import StepSpec
+
+__all__ = ["choose_worker", "idle_millis", "place_gang"]
+
+SERVING_USE = 0.6  # share of its processors that a serving task is taken to use
+MIN_FILLING_SHARE = 0.5  # a filling task starts only where it gets this share of its processors
+TAIL_NEAR_TARGET = 0.7  # no filling task starts beside a tail above this share of its target
+
+Score = Callable[[Worker], tuple[float, ...] | None]
+
+
+def allowed(worker: Worker, step: Step) -> bool:
+    """Tell whether the step's own conditions admit the worker."""
+    spec = step.spec
+    if spec.label and spec.label not in worker.info.labels:
+        return False
+    return not (
+        spec.max_per_instance and step.placed_on.get(worker.name, 0) >= spec.max_per_instance
+    )
+
+
+def idle_millis(worker: Worker) -> float:
+    """Estimate the processors that nothing on the worker uses."""
+    serving = 0
+    batch = 0
+    filling = 0
+    for run in worker.runs.values():
+        spec = run.task.step.spec
+        if spec.filling:
+            filling += spec.cpu_millis * run.percent // 100
+        elif spec.lasting:
+            serving += spec.cpu_millis
+        else:
+            batch += spec.cpu_millis
+    return worker.info.cpu_millis - batch - serving * SERVING_USE - filling
+
+
+def choose_worker(task: Task, workers: Iterable[Worker]) -> Worker | None:
+    """Return the best of the usable workers for one task, or None."""
+    step = task.step
+    score = _score_of(step)
+    best: Worker | None = None
+    best_score: tuple[float, ...] = ()
+    for worker in workers:
+        if not worker.fits(step.spec) or not allowed(worker, step):
+            continue
+        found = score(worker)
+        if found is None:
+            continue
+        found = (float(worker.name in task.failed_on), *found)
+        if best is None or found < best_score:
+            best, best_score = worker, found
+    return best
+
+
+def _score_of(step: Step) -> Score:
+    """Return the function that scores workers for a step; the lowest score is best."""
+    spec = step.spec
+    if spec.filling:
+        return lambda worker: _score_filling(worker, spec)
+    racks = _racks_in_use(step) if spec.same_rack else frozenset()
+
+    def score(worker: Worker) -> tuple[float, ...]:
+        rack = worker.info.rack
+        away = float(bool(spec.data_rack) and rack != spec.data_rack)
+        apart = float(bool(racks) and rack not in racks)
+        left = worker.info.cpu_millis - worker.used.cpu_millis - spec.cpu_millis
+        return (away + apart, float(left))
+
+    return score
+
+
+def _score_filling(worker: Worker, spec: StepSpec) -> tuple[float, ...] | None:
+    idle = idle_millis(worker)
+    if idle < spec.cpu_millis * MIN_FILLING_SHARE or worker.hottest > TAIL_NEAR_TARGET:
+        return None
+    return (float(spec.data_rack not in ("", worker.info.rack)), -idle)
+
+
+def _racks_in_use(step: Step) -> frozenset[str]:
+    return frozenset(rack for rack in step.racks if rack)
+
+
+def place_gang(step: Step, workers: Sequence[Worker]) -> list[tuple[Task, Worker]] | None:
+    """Return a worker for each task of a gang at once, or None if they do not all fit."""
+    if not step.spec.same_rack:
+        return _place_all(step, workers)
+    racks: dict[str, list[Worker]] = {}
+    for worker in workers:
+        racks.setdefault(worker.info.rack, []).append(worker)
+    wanted = step.spec.data_rack
+    for rack in sorted(racks, key=lambda name: name != wanted):
+        found = _place_all(step, racks[rack])
+        if found is not None:
+            return found
+    return _place_all(step, workers)
+
+
+def _place_all(step: Step, workers: Sequence[Worker]) -> list[tuple[Task, Worker]] | None:
+    spec = step.spec
+    tasks = [task for task in step.tasks if not task.ended]
+    placed: list[tuple[Task, Worker]] = []
+    for worker in sorted(workers, key=lambda w: spec.data_rack not in ("", w.info.rack)):
+        if not allowed(worker, step):
+            continue
+        for _ in range(_how_many(worker, step)):
+            if len(placed) == len(tasks):
+                return placed
+            placed.append((tasks[len(placed)], worker))
+    return placed if len(placed) == len(tasks) else None
+
+
+def _how_many(worker: Worker, step: Step) -> int:
+    spec = step.spec
+    info = worker.info
+    limits = [spec.tasks]
+    if spec.cpu_millis and not spec.filling:
+        limits.append((info.cpu_millis - worker.used.cpu_millis) // spec.cpu_millis)
+    if spec.memory_mb:
+        limits.append((info.memory_mb - worker.used.memory_mb) // spec.memory_mb)
+    if spec.accelerators:
+        limits.append((info.accelerators - worker.used.accelerators) // spec.accelerators)
+    if spec.max_per_instance:
+        limits.append(spec.max_per_instance - step.placed_on.get(worker.name, 0))
+    return max(0, min(limits))
--- a/src/greengagewood/internal/committer.py
+++ b/src/greengagewood/internal/committer.py
@@ -14,7 +14,7 @@
 from greengagewood.internal.clock import monotonic_ms
 from greengagewood.internal.messages import AppendReply
 from greengagewood.internal.metrics import Metrics
-from greengagewood.internal.platform.logservice import AppendUnknown, LogDown, NewRecord
+from greengagewood.internal.native.logservice import AppendUnknown, LogDown, NewRecord
 
 __all__ = ["Committer"]
 
--- a/src/greengagewood/internal/ctl/main.py
+++ b/src/greengagewood/internal/ctl/main.py
@@ -21,7 +21,7 @@
 from greengagewood.internal.ctl.publish import Published, Publisher
 from greengagewood.internal.ctl.table import table
 from greengagewood.internal.document import digest_of, parse_document
-from greengagewood.internal.platform.logservice import AppendUnknown, LogDown, LogService
+from greengagewood.internal.native.logservice import AppendUnknown, LogDown, LogService
 from greengagewood.internal.settings import ControlSettings
 from greengagewood.internal.yamlfile import load_yaml
 
--- a/src/greengagewood/internal/ctl/publish.py
+++ b/src/greengagewood/internal/ctl/publish.py
@@ -12,7 +12,7 @@
 from greengagewood.internal.clock import monotonic_ms, wall_ms
 from greengagewood.internal.confighistory import Accepted, ConfigHistory
 from greengagewood.internal.document import digest_of
-from greengagewood.internal.platform.logservice import (
+from greengagewood.internal.native.logservice import (
     AppendUnknown,
     LogDown,
     LogService,
--- a/src/greengagewood/internal/dispatch.py
+++ b/src/greengagewood/internal/dispatch.py
@@ -18,7 +18,7 @@
 from greengagewood.internal.logs import Log
 from greengagewood.internal.messages import BackendEntry, LatencyRow
 from greengagewood.internal.metrics import Metrics
-from greengagewood.internal.platform.backends import (
+from greengagewood.internal.native.backends import (
     Answer,
     AttemptFailed,
     Backends,
--- /dev/null
+++ b/src/greengagewood/internal/entry/node.py
@@ -0,0 +1,282 @@
+"""One process of an entry instance: follow the store, take callers' work, own the cell if need be.
+
+Tasks own their loops: one follows the cell's log, one the configuration, one stores what callers
+ask for. Whoever owns the cell runs a `CellRunner` beside them.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Awaitable, Callable
+from typing import Protocol
+
+from greengagewood.internal.cells.cell import CellLimits
+from greengagewood.internal.cells.ledger import Ledger
+from greengagewood.internal.cells.ownership import OwnershipView
+from greengagewood.internal.cells.runner import CellRunner, Ports
+from greengagewood.internal.clock import monotonic_ms, wall_ms
+from greengagewood.internal.daemon import supervised
+from greengagewood.internal.entry.intake import Intake
+from greengagewood.internal.entry.settings import EntrySettings
+from greengagewood.internal.jobs.model import JobSpec, Queue
+from greengagewood.internal.jobs.records import (
+    Cancellation,
+    Submission,
+    encode_record,
+    key_of,
+)
+from greengagewood.internal.logs import Log
+from greengagewood.internal.metrics import Metrics
+from greengagewood.internal.ports import (
+    Configuration,
+    LogEntry,
+    LogGone,
+    LogPage,
+    Outcome,
+    RouteRule,
+    StoreDown,
+)
+
+__all__ = ["ConfigSource", "Node"]
+
+OWNER_READ_WAIT_MS = 400
+FOLLOWER_READ_WAIT_MS = 400
+FOLLOWER_PAUSE_S = 0.05  # a follower reads in batches, to spare calls to the store
+STORE_PAUSE_S = 0.1
+TERM_MS = 5_000  # an outage of the store that is shorter stops no work
+CLAIM_SPREAD_MS = 300  # spreads claims, so that seldom two instances claim at once
+FRESH_MS = 1_500  # what was read within this time may be told as the truth
+CATCH_UP_TIMEOUT_S = 1.0
+TICK_S = 0.05
+
+_log = Log("entry")
+
+
+class ConfigSource(Protocol):
+    """Follow the configuration."""
+
+    async def next(self) -> Configuration | None:
+        """Return a newer configuration, or None if there was none for a while."""
+
+
+class Node:
+    """Run an entry instance."""
+
+    def __init__(
+        self, cfg: EntrySettings, ports: Ports, source: ConfigSource, metrics: Metrics
+    ) -> None:
+        self._cfg = cfg
+        self._ports = ports
+        self._source = source
+        self._metrics = metrics
+        self.config: Configuration | None = None
+        self.ledger = Ledger()
+        self._intake = Intake(ports.store, self.ledger)
+        me = f"{cfg.instance}#{wall_ms()}"
+        self._view = OwnershipView(me, TERM_MS, random.randint(0, CLAIM_SPREAD_MS))
+        self._runner: CellRunner | None = None
+        self._loaded = False
+        self._read_ms: int | None = None
+        self._store_lost = False
+        self._stopping = False
+        self._loops: list[asyncio.Future[None]] = []
+
+    def start(self) -> None:
+        """Begin to follow the store."""
+        steps: dict[str, Callable[[], Awaitable[None]]] = {
+            "follow": self._follow,
+            "configuration": self._follow_config,
+            "intake": self._intake.step,
+            "ownership": self._watch_ownership,
+        }
+        for name, step in steps.items():
+            loop = supervised(name, step, self._metrics, STORE_PAUSE_S)
+            self._loops.append(asyncio.ensure_future(loop()))
+
+    async def hand_over(self) -> None:
+        """Give the cell up and claim it no more."""
+        self._view.retiring = True
+        runner = self._runner
+        if runner is not None:
+            await runner.release()
+            await self._end_term("stopping")
+
+    async def stop(self) -> None:
+        """Stop everything."""
+        await self._end_term("stopped")
+        for loop in self._loops:
+            loop.cancel()
+        await asyncio.gather(*self._loops, return_exceptions=True)
+
+    @property
+    def ready(self) -> bool:
+        """Tell whether callers can be served."""
+        return self.config is not None and self._loaded and not self._intake.store_down
+
+    @property
+    def fresh(self) -> bool:
+        """Tell whether the store was read lately."""
+        return self._read_ms is not None and monotonic_ms() - self._read_ms < FRESH_MS
+
+    # What callers ask for.
+
+    def route(self, host: str, path: str) -> RouteRule | None:
+        """Return the route of a request: its host and the longest prefix of its path."""
+        best: RouteRule | None = None
+        for rule in self.config.routes if self.config else ():
+            if rule.host == host and path.startswith(rule.prefix):
+                if best is None or len(rule.prefix) > len(best.prefix):
+                    best = rule
+        return best
+
+    async def submit(self, job: str, queue: Queue, spec: JobSpec, patience_ms: int) -> Outcome:
+        """Store a job; a job that is known already is accepted again."""
+        if job in self.ledger.jobs and self.ledger.jobs[job].submission is not None:
+            return Outcome.DONE
+        record = Submission(job, queue, spec, wall_ms())
+        return await self._intake.put(record, patience_ms)
+
+    async def cancel(self, job: str, patience_ms: int) -> Outcome:
+        """Store the cancellation of a job."""
+        return await self._intake.put(Cancellation(job), patience_ms)
+
+    async def state_of(self, job: str) -> str | None:
+        """Return a job's state, or None if there is none; raise StoreDown if it cannot be told."""
+        known = self.ledger.jobs.get(job)
+        if known is None or known.submission is None:
+            await self._catch_up()
+            known = self.ledger.jobs.get(job)
+        if known is None or known.submission is None:
+            return None
+        return known.state
+
+    async def _catch_up(self) -> None:
+        """Read the store up to its end as of now."""
+        if not self._loaded:
+            raise StoreDown("the store has not been read yet")
+        try:
+            async with asyncio.timeout(CATCH_UP_TIMEOUT_S):
+                page = await self._ports.store.read(self.ledger.end, 0)
+        except (TimeoutError, LogGone) as exc:
+            raise StoreDown(repr(exc)) from exc
+        self._take_page(page)
+
+    # The cell's log.
+
+    async def _follow(self) -> None:
+        sent = monotonic_ms()
+        try:
+            if not self._loaded:
+                page = await self._ports.store.load()
+            else:
+                wait_ms = OWNER_READ_WAIT_MS if self._view.owning else FOLLOWER_READ_WAIT_MS
+                page = await self._ports.store.read(self.ledger.end, wait_ms)
+        except LogGone:
+            self._loaded = False
+            self.ledger.end = 0
+            return
+        except StoreDown as exc:
+            self._note_store(False, str(exc))
+            await asyncio.sleep(STORE_PAUSE_S)
+            return
+        self._note_store(True, "")
+        now = monotonic_ms()
+        self._take_page(page)
+        self._loaded = True
+        self._read_ms = now
+        self._view.read_confirmed(sent, now)
+        if not self._view.owning:
+            await asyncio.sleep(FOLLOWER_PAUSE_S)
+
+    def _note_store(self, reached: bool, error: str) -> None:
+        if reached and self._store_lost:
+            _log.info("store_read_again")
+        elif not reached and not self._store_lost:
+            _log.warning("store_not_read", error=error)
+        self._store_lost = not reached
+
+    def _take_page(self, page: LogPage) -> None:
+        for entry in page.entries:
+            self._take_entry(entry)
+        self.ledger.end = max(self.ledger.end, page.end)
+
+    def _take_entry(self, entry: LogEntry) -> None:
+        record = self.ledger.apply(entry)
+        if record is None:
+            return
+        self._view.saw(record, monotonic_ms())
+        runner = self._runner
+        if runner is not None and self._holds_term(runner):
+            runner.took(record)
+
+    # Ownership.
+
+    async def _watch_ownership(self) -> None:
+        await asyncio.sleep(TICK_S)
+        now = monotonic_ms()
+        self._view.tick(now)
+        runner = self._runner
+        if runner is not None and not self._holds_term(runner):
+            await self._end_term("replaced")
+        if self._view.owning and self._runner is None:
+            self._begin_term()
+        if not self._stopping and self._view.should_claim(now) and self.config is not None:
+            await self._claim(now)
+
+    async def _claim(self, now: int) -> None:
+        claim = self._view.claim(now)
+        at = self.ledger.end
+        entry = (key_of(claim), encode_record(claim))
+        result = await self._ports.store.claim(entry, at, claim.token)
+        _log.info("claim", token=claim.token, at=at, outcome=result.outcome.value)
+        if result.outcome is Outcome.REFUSED:
+            self._view.claim_failed()
+
+    def _begin_term(self) -> None:
+        bounds = self._cfg.bounds
+        limits = CellLimits(bounds.lease_ms, bounds.stop_ms, TERM_MS, bounds.early_ms)
+        runner = CellRunner(
+            self._ports,
+            self.ledger,
+            limits,
+            self._view.token,
+            int(bounds.status_s * 1000),
+            self._metrics,
+            self._view.fenced,
+            self._licensed,
+        )
+        _log.info("term_began", token=self._view.token, jobs=len(self.ledger.jobs))
+        if self.config is not None:
+            runner.cell.set_queues(self.config.queues)
+        runner.start()
+        self._runner = runner
+
+    async def _end_term(self, reason: str) -> None:
+        runner, self._runner = self._runner, None
+        if runner is not None:
+            _log.info("term_ended", token=runner.token, reason=reason)
+            await runner.stop()
+            self._view.released()
+
+    def _holds_term(self, runner: CellRunner) -> bool:
+        return self._view.owning and self._view.token == runner.token
+
+    def _licensed(self) -> bool:
+        """Tell whether orders may be given now."""
+        self._view.tick(monotonic_ms())
+        runner = self._runner
+        return runner is not None and self._view.state == "owning" and self._holds_term(runner)
+
+    # Configuration.
+
+    async def _follow_config(self) -> None:
+        found = await self._source.next()
+        if found is None:
+            return
+        if self.config is not None and found.version <= self.config.version:
+            return
+        self.config = found
+        if self._runner is not None:
+            self._runner.cell.set_queues(found.queues)
+        _log.info("configuration", version=found.version, routes=len(found.routes))
--- /dev/null
+++ b/src/greengagewood/internal/entry/settings.py
@@ -0,0 +1,38 @@
+"""Settings of an entry instance."""
+
+from __future__ import annotations
+
+from typing import Annotated
+
+import msgspec
+from msgspec import Meta
+
+__all__ = ["Bounds", "EntrySettings", "HostPort"]
+
+Millis = Annotated[int, Meta(ge=0, le=3_600_000)]
+Seconds = Annotated[float, Meta(ge=0, le=3_600)]
+HostPort = Annotated[str, Meta(pattern=r"^[0-9]{1,3}(\.[0-9]{1,3}){3}:[0-9]{1,5}$")]
+
+
+class Bounds(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    """Hold what the platform promises and asks."""
+
+    lease_ms: Millis
+    stop_ms: Millis
+    grace_s: Seconds
+    status_s: Seconds
+    early_ms: Millis = 0
+
+
+class EntrySettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    """Configure one entry instance."""
+
+    instance: str
+    failure_domain: str
+    listen: HostPort
+    ready: HostPort
+    admin: HostPort
+    store: HostPort
+    advice: HostPort | None = None
+    bounds: Bounds
+    log_level: Annotated[str, Meta(pattern=r"^(DEBUG|INFO|NOTICE|WARNING|ERROR)$")] = "INFO"
--- a/src/greengagewood/internal/gateway.py
+++ b/src/greengagewood/internal/gateway.py
@@ -27,7 +27,7 @@
 from greengagewood.internal.logs import Log
 from greengagewood.internal.messages import LatencyReport, Member, StoredAnswer
 from greengagewood.internal.metrics import Metrics
-from greengagewood.internal.platform.backends import (
+from greengagewood.internal.native.backends import (
     HOP_HEADERS,
     REQUEST_ID,
     Answer,
--- a/src/greengagewood/internal/heartbeats.py
+++ b/src/greengagewood/internal/heartbeats.py
@@ -17,7 +17,7 @@
 from greengagewood.internal.membership import Membership
 from greengagewood.internal.messages import Heartbeat, HeartbeatAck, Member
 from greengagewood.internal.metrics import Metrics
-from greengagewood.internal.platform.instancelist import EntryInstance
+from greengagewood.internal.native.instancelist import EntryInstance
 
 __all__ = ["Heartbeats"]
 
--- /dev/null
+++ b/src/greengagewood/internal/jobs/__init__.py
@@ -0,0 +1,31 @@
+"""Jobs of steps: what callers ask for, and how far each job is."""
+
+from greengagewood.internal.jobs.book import Job, JobBook, Run, Step, Task
+from greengagewood.internal.jobs.model import InvalidJob, JobSpec, Queue, StepSpec, check_job
+from greengagewood.internal.jobs.records import (
+    Cancellation,
+    Ownership,
+    Progress,
+    Submission,
+    TaskId,
+    TaskProgress,
+)
+
+__all__ = [
+    "Cancellation",
+    "InvalidJob",
+    "Job",
+    "JobBook",
+    "JobSpec",
+    "Ownership",
+    "Progress",
+    "Queue",
+    "Run",
+    "Step",
+    "StepSpec",
+    "Submission",
+    "Task",
+    "TaskId",
+    "TaskProgress",
+    "check_job",
+]
--- /dev/null
+++ b/src/greengagewood/internal/jobs/model.py
@@ -0,0 +1,103 @@
+"""What a caller asks for: a job is a graph of steps, and a step is a number of equal tasks."""
+
+from __future__ import annotations
+
+import msgspec
+
+__all__ = ["InvalidJob", "JobSpec", "Queue", "StepSpec", "check_job"]
+
+MAX_SPEC_BYTES = 4_000
+MAX_STEPS = 1_000
+MAX_TASKS = 20_000  # of all steps of one occurrence
+MAX_OCCURRENCES = 100_000
+
+
+class InvalidJob(ValueError):
+    """Report a job that cannot be accepted, and what would mend it."""
+
+
+class StepSpec(msgspec.Struct, frozen=True, omit_defaults=True, array_like=True):
+    """Describe one step; sizes are of one task.
+
+    `max_per_instance` and `max_unavailable` are limits, 0 for none. `lasting` tasks run until the
+    job is cancelled. `filling` tasks use only processors that the others leave idle. A task with
+    a `tail_target_ms` serves callers of its own and must keep its tail latency below it.
+    """
+
+    tasks: int
+    cpu_millis: int = 0
+    memory_mb: int = 0
+    accelerators: int = 0
+    estimate_ms: int = 0
+    after: tuple[int, ...] = ()
+    checkpoints: bool = False
+    gang: bool = False
+    same_rack: bool = False
+    label: str = ""
+    data_rack: str = ""
+    max_per_instance: int = 0
+    copies: bool = False
+    lasting: bool = False
+    image: str = ""
+    tail_target_ms: int = 0
+    filling: bool = False
+    max_unavailable: int = 0
+
+
+class JobSpec(msgspec.Struct, frozen=True, omit_defaults=True, array_like=True):
+    """Describe a job; with `occurrences` it runs that many times, due at fixed intervals."""
+
+    payload: str
+    steps: tuple[StepSpec, ...]
+    first_due_ms: int = 0
+    interval_ms: int = 0
+    occurrences: int = 0
+
+
+class Queue(msgspec.Struct, frozen=True, array_like=True):
+    """Hold what operators decide about a queue of jobs; priority 0 comes first."""
+
+    name: str
+    service: str
+    priority: int = 0
+    max_attempts: int = 1
+    slack_factor: float = 2.0
+    target_ms: int = 0
+    timeout_ms: int = 0
+    decision_ms: int = 0  # above 0: the advice service must approve workers
+    guarded: bool = True
+
+
+def check_job(job: JobSpec) -> None:
+    """Raise InvalidJob unless every part of the job is sensible."""
+    if len(job.payload.encode()) > MAX_SPEC_BYTES:
+        raise InvalidJob(f"the payload is longer than {MAX_SPEC_BYTES} bytes; shorten it")
+    if not 0 < len(job.steps) <= MAX_STEPS:
+        raise InvalidJob(f"a job has 1 to {MAX_STEPS} steps, not {len(job.steps)}")
+    for number, step in enumerate(job.steps):
+        _check_step(number, step)
+    if sum(step.tasks for step in job.steps) > MAX_TASKS:
+        raise InvalidJob(f"a job has at most {MAX_TASKS} tasks; split it")
+    if not 0 <= job.occurrences <= MAX_OCCURRENCES:
+        raise InvalidJob(f"a job runs at most {MAX_OCCURRENCES} times, not {job.occurrences}")
+    if job.first_due_ms < 0 or job.interval_ms < 0:
+        raise InvalidJob("due times and intervals are not negative")
+
+
+def _check_step(number: int, step: StepSpec) -> None:
+    if step.tasks < 1:
+        raise InvalidJob(f"step {number} has {step.tasks} tasks; give it at least 1")
+    sizes = (
+        step.cpu_millis,
+        step.memory_mb,
+        step.accelerators,
+        step.estimate_ms,
+        step.max_per_instance,
+        step.tail_target_ms,
+        step.max_unavailable,
+    )
+    if min(sizes) < 0:
+        raise InvalidJob(f"step {number} has a negative size or limit")
+    for earlier in step.after:
+        if not 0 <= earlier < number:
+            raise InvalidJob(f"step {number} depends on step {earlier}, which is not before it")
--- a/src/greengagewood/internal/keeper.py
+++ b/src/greengagewood/internal/keeper.py
@@ -37,8 +37,8 @@
     Version,
 )
 from greengagewood.internal.metrics import Metrics
-from greengagewood.internal.platform.instancelist import InstanceList, ListDown, ListSnapshot
-from greengagewood.internal.platform.logservice import Batch, LogDown, LogService, NewRecord
+from greengagewood.internal.native.instancelist import InstanceList, ListDown, ListSnapshot
+from greengagewood.internal.native.logservice import Batch, LogDown, LogService, NewRecord
 from greengagewood.internal.records import (
     CellClaimed,
     CellSnapshot,
--- a/src/greengagewood/internal/logs.py
+++ b/src/greengagewood/internal/logs.py
@@ -1,22 +1,58 @@
-"""Structured logs: one JSON object a line on standard error."""
+"""Structured logs: one JSON object a line on standard output, bounded and never blocking.
+
+A reader of standard output that has stopped reading costs lines, not decisions: what does not fit
+into the pipe is kept up to a bound, and then dropped and counted.
+"""
 
 from __future__ import annotations
 
-import sys
+import os
 from typing import Any
 
 import logbook
 import msgspec
 
-__all__ = ["Log", "set_up_logs"]
+__all__ = ["LineWriter", "Log", "set_up_logs"]
+
+STDOUT = 1
+MAX_KEPT_BYTES = 256 * 1024
+
+
+class LineWriter:
+    """Write lines to a file descriptor that may be full."""
+
+    def __init__(self, fd: int) -> None:
+        self._fd = fd
+        self._kept = bytearray()
+        self._dropped = 0
+
+    def write(self, line: bytes) -> None:
+        """Write a line, or keep it for later, or drop it if too much is kept."""
+        if len(self._kept) + len(line) > MAX_KEPT_BYTES:
+            self._dropped += 1
+        else:
+            if self._dropped and not self._kept:
+                self._kept += b'{"event":"log_lines_dropped","count":%d}\n' % self._dropped
+                self._dropped = 0
+            self._kept += line
+        try:
+            written = os.write(self._fd, self._kept)
+        except BlockingIOError:
+            return
+        except OSError:  # nobody reads any more, and there is nowhere left to say so
+            self._kept.clear()
+            return
+        del self._kept[:written]
 
 
-class _JsonHandler(logbook.StreamHandler):
+class _JsonHandler(logbook.Handler):
     def __init__(self, program: str, instance: str, level: str) -> None:
-        super().__init__(sys.stderr, level=level)
+        super().__init__(level=level)
         self._common = {"program": program, "instance": instance}
+        os.set_blocking(STDOUT, False)
+        self._writer = LineWriter(STDOUT)
 
-    def format(self, record: Any) -> str:
+    def emit(self, record: Any) -> None:
         line = {
             "time": record.time.isoformat() + "Z",
             "level": record.level_name,
@@ -26,7 +62,7 @@
         }
         if record.exc_info:
             line["exception"] = repr(record.exc_info[1])
-        return msgspec.json.encode(line, enc_hook=str).decode()
+        self._writer.write(msgspec.json.encode(line, enc_hook=str) + b"\n")
 
 
 class Log:
@@ -49,5 +85,5 @@
 
 
 def set_up_logs(program: str, instance: str, level: str) -> None:
-    """Send every log of the process to standard error as JSON lines."""
+    """Send every log of the process to standard output as JSON lines."""
     _JsonHandler(program, instance, level).push_application()
--- a/src/greengagewood/internal/owner.py
+++ b/src/greengagewood/internal/owner.py
@@ -38,9 +38,9 @@
 from greengagewood.internal.interference import LatencySample
 from greengagewood.internal.joblog import LoggedJob
 from greengagewood.internal.messages import CellLoad, JobView, WorkerEntry
+from greengagewood.internal.native.workers import Ended, Exchange, ExchangeReply, Start
 from greengagewood.internal.placement import Size
 from greengagewood.internal.placer import Placed, Placer
-from greengagewood.internal.platform.workers import Ended, Exchange, ExchangeReply, Start
 from greengagewood.internal.records import (
     AnyRecord,
     CellClaimed,
--- a/src/greengagewood/internal/scheduler.py
+++ b/src/greengagewood/internal/scheduler.py
@@ -32,9 +32,9 @@
     WorkerEntry,
 )
 from greengagewood.internal.metrics import Metrics
+from greengagewood.internal.native.workers import WorkerDown, Workers
 from greengagewood.internal.owner import Append, CellOwner, Command, Send, Situation
 from greengagewood.internal.placement import Size
-from greengagewood.internal.platform.workers import WorkerDown, Workers
 from greengagewood.internal.ranking import ranked
 from greengagewood.internal.records import (
     CellClaimed,
--- a/src/greengagewood/internal/standin/worker.py
+++ b/src/greengagewood/internal/standin/worker.py
@@ -10,8 +10,7 @@
 import msgspec
 from aiohttp import web
 
-from greengagewood.internal.placement import Size
-from greengagewood.internal.platform.workers import (
+from greengagewood.internal.native.workers import (
     Attempt,
     Ended,
     Exchange,
@@ -19,6 +18,7 @@
     Start,
     Usage,
 )
+from greengagewood.internal.placement import Size
 from greengagewood.internal.standin.settings import WorkerSettings
 from greengagewood.internal.workerstate import AttemptId, size_of
 
--- a/src/greengagewood/internal/workerstate.py
+++ b/src/greengagewood/internal/workerstate.py
@@ -5,8 +5,8 @@
 from dataclasses import dataclass, field
 
 from greengagewood.internal.document import Leases
+from greengagewood.internal.native.workers import Attempt, Ended, Exchange, ExchangeReply, Start
 from greengagewood.internal.placement import Size
-from greengagewood.internal.platform.workers import Attempt, Ended, Exchange, ExchangeReply, Start
 from greengagewood.internal.tailguard import Resident
 
 __all__ = ["AttemptId", "WorkerState", "lapse_after_ms"]
--- /dev/null
+++ b/src/greengagewood/platform/advice.py
@@ -0,0 +1,49 @@
+"""The advice service, which says which workers may run a step."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+import aiohttp
+import msgspec
+
+from greengagewood.internal.clock import monotonic_ms
+from greengagewood.internal.ports import AdviceBusy, Permit
+from greengagewood.platform.wire import CALL_PATH, call_timeout, decode, encode
+
+__all__ = ["HttpAdvice"]
+
+ADVICE_TIMEOUT_S = 2.0
+
+
+class _Advised(msgspec.Struct):
+    allowed: list[tuple[str, str]]
+    validity_ms: int = msgspec.field(name="validity-ms")
+
+
+class HttpAdvice:
+    """Ask the advice service."""
+
+    def __init__(self, session: aiohttp.ClientSession, address: str) -> None:
+        self._session = session
+        self._url = f"http://{address}{CALL_PATH}advise"
+
+    async def ask(
+        self, job: str, occurrence: int, step: int, workers: Sequence[str]
+    ) -> dict[str, Permit]:
+        """Return a permit for each worker that may run the step; raise AdviceBusy."""
+        sent = monotonic_ms()
+        data = encode({"step": f"{job}.{occurrence}.{step}", "workers": list(workers)})
+        headers = {"Content-Type": "application/json"}
+        try:
+            async with self._session.post(
+                self._url, data=data, headers=headers, timeout=call_timeout(ADVICE_TIMEOUT_S)
+            ) as resp:
+                body = await resp.read()
+            if resp.status != 200:
+                raise AdviceBusy(f"status {resp.status}")
+            advised = decode(body, _Advised)
+        except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as exc:
+            raise AdviceBusy(repr(exc)) from exc
+        until = sent + advised.validity_ms
+        return {worker: Permit(ticket, until) for worker, ticket in advised.allowed}
--- /dev/null
+++ b/src/greengagewood/platform/jobs.py
@@ -0,0 +1,83 @@
+"""Jobs as callers of the platform write them."""
+
+from __future__ import annotations
+
+import msgspec
+
+from greengagewood.internal.jobs.model import InvalidJob, JobSpec, StepSpec, check_job
+
+__all__ = ["parse_job"]
+
+MAX_DEPTH_ERROR = "the body is nested too deeply"
+
+
+class _Step(msgspec.Struct):
+    count: int
+    cpu: int = 0
+    memory_mb: int = msgspec.field(name="mem-mb", default=0)
+    accelerators: int = msgspec.field(name="gpu", default=0)
+    estimate_ms: int = msgspec.field(name="estimate-ms", default=0)
+    after: list[int] = msgspec.field(name="depends-on", default_factory=list)
+    checkpointing: bool = False
+    gang: bool = False
+    same_rack: bool = msgspec.field(name="same-rack", default=False)
+    label: str = msgspec.field(name="requirements", default="")
+    data_rack: str = msgspec.field(name="affinity", default="")
+    max_per_instance: int = msgspec.field(name="anti-affinity", default=0)
+    speculative: bool = False
+    lasting: bool = msgspec.field(name="long-running", default=False)
+    image: str = ""
+    tail_target_ms: float = msgspec.field(name="target-ms", default=0)
+    # The name says how full a worker is; it means that the step only uses what is left over.
+    filling: bool = msgspec.field(name="utilization", default=False)
+    max_unavailable: int = msgspec.field(name="max-unavailable", default=0)
+
+
+class _Job(msgspec.Struct):
+    spec: str
+    steps: list[_Step]
+    first_due_ms: int = msgspec.field(name="first-run-ms", default=0)
+    interval_ms: int = msgspec.field(name="interval-ms", default=0)
+    occurrences: int = msgspec.field(name="repeat-count", default=0)
+
+
+def parse_job(body: bytes) -> JobSpec:
+    """Return the job of a request; raise InvalidJob."""
+    try:
+        job = msgspec.json.decode(body, type=_Job)
+    except msgspec.DecodeError as exc:
+        raise InvalidJob(str(exc)) from exc
+    except RecursionError as exc:
+        raise InvalidJob(MAX_DEPTH_ERROR) from exc
+    spec = JobSpec(
+        job.spec,
+        tuple(_step(step) for step in job.steps),
+        job.first_due_ms,
+        job.interval_ms,
+        job.occurrences,
+    )
+    check_job(spec)
+    return spec
+
+
+def _step(step: _Step) -> StepSpec:
+    return StepSpec(
+        tasks=step.count,
+        cpu_millis=step.cpu,
+        memory_mb=step.memory_mb,
+        accelerators=step.accelerators,
+        estimate_ms=step.estimate_ms,
+        after=tuple(step.after),
+        checkpoints=step.checkpointing,
+        gang=step.gang,
+        same_rack=step.same_rack,
+        label=step.label,
+        data_rack=step.data_rack,
+        max_per_instance=step.max_per_instance,
+        copies=step.speculative,
+        lasting=step.lasting,
+        image=step.image,
+        tail_target_ms=int(step.tail_target_ms),
+        filling=step.filling,
+        max_unavailable=step.max_unavailable,
+    )
--- /dev/null
+++ b/src/greengagewood/platform/wire.py
@@ -0,0 +1,45 @@
+"""HTTP to the platform: sessions, time-outs and the decoding that every call shares."""
+
+from __future__ import annotations
+
+from typing import Any, TypeVar
+
+import aiohttp
+import msgspec
+
+__all__ = ["CALL_PATH", "SKIPPED_HEADERS", "call_timeout", "decode", "new_session"]
+
+T = TypeVar("T")
+
+CALL_PATH = "/greengagewood/"
+CONNECT_TIMEOUT_S = 0.6  # a cut machine does not answer at all; a live one does within 20 ms
+KEEP_ALIVE_S = 30.0
+SKIPPED_HEADERS = ("User-Agent", "Accept", "Accept-Encoding")
+
+
+def new_session(limit_per_host: int) -> aiohttp.ClientSession:
+    """Open a session whose connections are kept for later calls."""
+    connector = aiohttp.TCPConnector(
+        limit=0, limit_per_host=limit_per_host, keepalive_timeout=KEEP_ALIVE_S
+    )
+    return aiohttp.ClientSession(
+        connector=connector,
+        skip_auto_headers=SKIPPED_HEADERS,
+        auto_decompress=False,
+        cookie_jar=aiohttp.DummyCookieJar(),
+    )
+
+
+def call_timeout(total_s: float) -> aiohttp.ClientTimeout:
+    """Return the time-outs of one call."""
+    return aiohttp.ClientTimeout(total=total_s, sock_connect=min(total_s, CONNECT_TIMEOUT_S))
+
+
+def decode(body: bytes, model: type[T]) -> T:
+    """Decode a JSON body; raise ValueError."""
+    return msgspec.json.decode(body, type=model)
+
+
+def encode(value: Any) -> bytes:
+    """Encode a JSON body."""
+    return msgspec.json.encode(value)
--- a/tests/cover/test_config.py
+++ b/tests/cover/test_config.py
@@ -10,7 +10,7 @@
 from greengagewood.internal.confighistory import ConfigHistory
 from greengagewood.internal.ctl.publish import Publisher
 from greengagewood.internal.document import digest_of
-from greengagewood.internal.platform.logservice import LogService
+from greengagewood.internal.native.logservice import LogService
 from greengagewood.internal.records import ConfigPublished
 from greengagewood.internal.settings import Address
 from greengagewood.internal.standin.log import LogFaults
--- a/tests/cover/test_workers_border.py
+++ b/tests/cover/test_workers_border.py
@@ -3,8 +3,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from greengagewood.internal.native.workers import Attempt, Ended, ExchangeReply, Usage
 from greengagewood.internal.owner import Send
-from greengagewood.internal.platform.workers import Attempt, Ended, ExchangeReply, Usage
 from tests.common.scenarios import owner_and_others, started
 
 COUNTS = st.integers(0, 5)
