Learn which images disturb each other; keep room for short tasks

Ruled out: gradient steps per pair (they credit runs that only stand beside the culprit: a fit of all readings gives effects near zero where they gave 6 to 15). Change: recursive least squares per serving image; only what the model blames is slowed; lasting tasks leave a share of each worker free and prefer workers of their own image.

--- a/src/greengagewood/internal/cells/cell.py
+++ b/src/greengagewood/internal/cells/cell.py
@@ -19,7 +19,6 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
-from greengagewood.internal.cells import tails
 from greengagewood.internal.cells.fleet import CLOCK_DRIFT, Worker
 from greengagewood.internal.cells.orders import (
     AskAdvice,
@@ -29,6 +28,7 @@
     StopRun,
 )
 from greengagewood.internal.cells.placement import choose_worker, place_gang
+from greengagewood.internal.cells.tails import TailModel
 from greengagewood.internal.jobs.book import Job, JobBook, Run, Step, Task
 from greengagewood.internal.jobs.model import Queue
 from greengagewood.internal.jobs.records import (
@@ -75,6 +75,7 @@
         self.limits = limits
         self.token = token
         self.book = JobBook()
+        self.model = TailModel()
         self.workers: dict[str, Worker] = {}
         self.queues: dict[str, Queue] = {}
         self.on_event: Callable[[str, dict[str, object]], None] = lambda event, fields: None
@@ -239,14 +240,11 @@
             else:
                 orders.extend(self._stop_orphan(worker, row, now_ms))
         self._check_unlisted(worker, reply, listed, sent_ms, now_ms)
-        tails.note_tails(worker)
-        worker.filling_cpu = sum(
-            r.measure for r in worker.runs.values() if r.task.step.spec.filling
-        )
+        self.model.learn(worker, now_ms)
         if not worker.adopted:
             worker.adopted = True
             self.on_event("worker_adopted", {"worker": worker.name, "runs": len(listed)})
-        orders.extend(tails.plan_pacing(worker, now_ms))
+        orders.extend(self.model.plan_pacing(worker, now_ms))
         self._replan()
         return orders
 
@@ -554,7 +552,7 @@
             if task.not_before_ms > now_ms:
                 self._replan()
                 continue
-            worker = choose_worker(task, workers)
+            worker = choose_worker(task, workers, self.model)
             if worker is None:
                 break
             orders.append(self._start(task, worker, now_ms, task.starts + 1))
--- a/src/greengagewood/internal/cells/fleet.py
+++ b/src/greengagewood/internal/cells/fleet.py
@@ -52,9 +52,9 @@
     shunned_until_ms: int = 0
     shun_ms: int = 0
     recent: deque[bool] = field(default_factory=lambda: deque(maxlen=8))
-    filling_cpu: int = 0  # measured use of the filling runs
     hottest: float = 0.0  # the worst tail against its target, of the last reading
     paced_ms: int = 0  # when runs were paced last
+    learned_ms: int = 0  # when tails were learned from last
 
     @property
     def name(self) -> str:
--- a/src/greengagewood/internal/cells/placement.py
+++ b/src/greengagewood/internal/cells/placement.py
@@ -11,14 +11,15 @@
 from collections.abc import Callable, Iterable, Sequence
 
 from greengagewood.internal.cells.fleet import Worker
+from greengagewood.internal.cells.tails import TailModel
 from greengagewood.internal.jobs.book import Step, Task
 from greengagewood.internal.jobs.model import StepSpec
 
 __all__ = ["choose_worker", "idle_millis", "place_gang"]
 
 SERVING_USE = 0.6  # share of its processors that a serving task is taken to use
-MIN_FILLING_SHARE = 0.5  # a filling task starts only where it gets this share of its processors
-TAIL_NEAR_TARGET = 0.7  # no filling task starts beside a tail above this share of its target
+MIN_FILLING_SHARE = 0.8  # a filling task starts only where it gets this share of its processors
+HEADROOM_SHARE = 0.15  # of each worker's processors, that lasting tasks leave to short ones
 
 Score = Callable[[Worker], tuple[float, ...] | None]
 
@@ -41,7 +42,7 @@
     for run in worker.runs.values():
         spec = run.task.step.spec
         if spec.filling:
-            filling += spec.cpu_millis * run.percent // 100
+            filling += spec.cpu_millis
         elif spec.lasting:
             serving += spec.cpu_millis
         else:
@@ -49,10 +50,10 @@
     return worker.info.cpu_millis - batch - serving * SERVING_USE - filling
 
 
-def choose_worker(task: Task, workers: Iterable[Worker]) -> Worker | None:
+def choose_worker(task: Task, workers: Iterable[Worker], model: TailModel) -> Worker | None:
     """Return the best of the usable workers for one task, or None."""
     step = task.step
-    score = _score_of(step)
+    score = _score_of(step, model)
     best: Worker | None = None
     best_score: tuple[float, ...] = ()
     for worker in workers:
@@ -67,11 +68,13 @@
     return best
 
 
-def _score_of(step: Step) -> Score:
+def _score_of(step: Step, model: TailModel) -> Score:
     """Return the function that scores workers for a step; the lowest score is best."""
     spec = step.spec
     if spec.filling:
-        return lambda worker: _score_filling(worker, spec)
+        return lambda worker: _score_filling(worker, spec, model)
+    if spec.lasting:
+        return lambda worker: _score_lasting(worker, spec)
     racks = _racks_in_use(step) if spec.same_rack else frozenset()
 
     def score(worker: Worker) -> tuple[float, ...]:
@@ -84,11 +87,28 @@
     return score
 
 
-def _score_filling(worker: Worker, spec: StepSpec) -> tuple[float, ...] | None:
+def _score_lasting(worker: Worker, spec: StepSpec) -> tuple[float, ...] | None:
+    """Prefer workers that serve the same image, so that each disturbs few kinds of tails."""
+    left = worker.info.cpu_millis - worker.used.cpu_millis - spec.cpu_millis
+    if left < worker.info.cpu_millis * HEADROOM_SHARE:
+        return None
+    others = sum(
+        run.task.step.spec.image != spec.image
+        for run in worker.runs.values()
+        if run.task.step.spec.lasting
+    )
+    return (float(others > 0), float(left))
+
+
+def _score_filling(worker: Worker, spec: StepSpec, model: TailModel) -> tuple[float, ...] | None:
     idle = idle_millis(worker)
-    if idle < spec.cpu_millis * MIN_FILLING_SHARE or worker.hottest > TAIL_NEAR_TARGET:
+    if idle < spec.cpu_millis * MIN_FILLING_SHARE:
+        return None
+    rise = model.admits(worker, spec)
+    if rise is None:
         return None
-    return (float(spec.data_rack not in ("", worker.info.rack)), -idle)
+    away = float(spec.data_rack not in ("", worker.info.rack))
+    return (away, rise, -idle)
 
 
 def _racks_in_use(step: Step) -> frozenset[str]:
--- a/src/greengagewood/internal/jobs/book.py
+++ b/src/greengagewood/internal/jobs/book.py
@@ -40,6 +40,7 @@
     progress_ms: int = 0  # when that changed last
     measure: int = 0  # tail in ms of a serving task, processors in use of any other
     ticket: str = ""
+    offset: float = 0.0  # of a serving task: how far its log tail is off its image's
 
     def move(self, event: str) -> None:
         """Move along the chart; raise IllegalTransition."""
