Drive entry instances over a stand-in platform, in virtual time, through seeded faults

Cause: the mechanisms of ownership, intake and not running twice had no test of the repository's own.

--- a/src/greengagewood/internal/cells/runner.py
+++ b/src/greengagewood/internal/cells/runner.py
@@ -93,6 +93,7 @@
         self._licensed = licensed
         self._sequence = 1  # the claim was the first append of the term
         self._signed_ms = monotonic_ms()
+        self._appending = asyncio.Lock()
         self._wake = asyncio.Event()
         self._tasks: set[asyncio.Task[None]] = set()
         self._holds: dict[Worker, asyncio.Task[None]] = {}
@@ -383,9 +384,13 @@
         return await self._append_entries(entries)
 
     async def _append_entries(self, entries: list[tuple[str, bytes]]) -> bool:
-        self._sequence += 1
+        async with self._appending:  # the store takes them only in order
+            self._sequence += 1
+            return await self._append_in_order(entries, self._sequence)
+
+    async def _append_in_order(self, entries: list[tuple[str, bytes]], sequence: int) -> bool:
         while not self._stopping:
-            result = await self._ports.store.append_fenced(entries, self.token, self._sequence)
+            result = await self._ports.store.append_fenced(entries, self.token, sequence)
             if result.outcome is Outcome.DONE:
                 self._signed_ms = monotonic_ms()
                 return True
--- a/src/greengagewood/internal/clock.py
+++ b/src/greengagewood/internal/clock.py
@@ -3,15 +3,26 @@
 from __future__ import annotations
 
 import time
+from collections.abc import Callable
 
-__all__ = ["monotonic_ms", "wall_ms"]
+__all__ = ["monotonic_ms", "set_clocks", "wall_ms"]
+
+_monotonic_ns: Callable[[], int] = time.monotonic_ns
+_wall_ns: Callable[[], int] = time.time_ns
 
 
 def monotonic_ms() -> int:
     """Return a clock that never goes back; it means nothing in another process."""
-    return time.monotonic_ns() // 1_000_000
+    return _monotonic_ns() // 1_000_000
 
 
 def wall_ms() -> int:
-    """Return the time of day, for people; no decision compares it."""
-    return time.time_ns() // 1_000_000
+    """Return the time of day, for people and due times; no other decision compares it."""
+    return _wall_ns() // 1_000_000
+
+
+def set_clocks(monotonic_ns: Callable[[], int], wall_ns: Callable[[], int]) -> None:
+    """Replace both clocks of the process, for tests in virtual time."""
+    global _monotonic_ns, _wall_ns
+    _monotonic_ns = monotonic_ns
+    _wall_ns = wall_ns
