Count a task's failed runs by their numbers, not by the highest

Ruled out: a start before all workers were adopted (the log shows the start after it). Change: progress keeps the numbers of failed runs.

--- a/src/greengagewood/internal/jobs/book.py
+++ b/src/greengagewood/internal/jobs/book.py
@@ -55,12 +55,11 @@
     id: TaskId
     step: Step
     ended: str = ""
-    failures: int = 0
+    failed_runs: frozenset[int] = frozenset()
     checkpoint: str = ""
     run: Run | None = None
     unknown: bool = False
     starts: int = 0  # by this owner
-    last_failed_run: int = 0
     failed_on: tuple[str, ...] = ()
     not_before_ms: int = 0
     last_run_ms: int = 0  # when its last run ended
@@ -78,7 +77,6 @@
     waiting: dict[Task, None] = field(default_factory=dict)
     ready: bool = False
     undone: int = 0
-    gang_failures: int = 0
     placed_on: Counter[str] = field(default_factory=Counter)
     racks: Counter[str] = field(default_factory=Counter)
 
@@ -190,10 +188,8 @@
         for row in progress.tasks:
             found = self.find(TaskId(job.name, row.occurrence, row.step, row.index))
             if found is not None:
-                found.failures = row.failures
-                found.last_failed_run = row.last_failed_run
+                found.failed_runs = frozenset(row.failed_runs)
                 found.checkpoint = row.checkpoint
-                found.step.gang_failures = max(found.step.gang_failures, row.failures)
         for steps in list(job.occurrences.values()):
             for step in steps:
                 self._update_ready(step)
@@ -329,19 +325,16 @@
     def note_failed(self, task: Task, run: int, max_attempts: int, now_ms: int) -> None:
         """Take note that a run of the task has failed; end the job after `max_attempts`.
 
-        An end may be listed again after it was stored, so a run counts only once.
+        An end may be listed again after it was stored, and ends of several workers come in any
+        order, so the runs themselves are remembered.
         """
         step = task.step
-        if run <= task.last_failed_run:
+        if run in task.failed_runs or step.spec.lasting:
             return
         for member in step.tasks if step.spec.gang else (task,):
-            member.last_failed_run = run
-        task.failures += 1
-        if step.spec.gang:
-            step.gang_failures += 1
-            task.failures = step.gang_failures
+            member.failed_runs |= {run}
         self.changed[step.job.name] = None
-        if not step.spec.lasting and task.failures >= max_attempts:
+        if len(task.failed_runs) >= max_attempts:
             task.ended = "failed"
             self.stop_waiting(task)
             self.end_job(step.job, "failed", now_ms)
@@ -397,14 +390,13 @@
                 if step.undone < step.spec.tasks or number in job.finished:
                     done.append((number, step.number, _done_bits(step)))
                 for task in step.tasks:
-                    if not task.ended and (task.failures or task.checkpoint):
+                    if not task.ended and (task.failed_runs or task.checkpoint):
                         rows.append(
                             TaskProgress(
                                 number,
                                 step.number,
                                 task.id.number,
-                                task.failures,
-                                task.last_failed_run,
+                                tuple(sorted(task.failed_runs)),
                                 task.checkpoint,
                             )
                         )
--- a/src/greengagewood/internal/jobs/records.py
+++ b/src/greengagewood/internal/jobs/records.py
@@ -68,8 +68,7 @@
     occurrence: int
     step: int
     index: int
-    failures: int = 0
-    last_failed_run: int = 0
+    failed_runs: tuple[int, ...] = ()
     checkpoint: str = ""
 
 
