Store that a job begins before its first start

Ruled out: a shorter term (it stops starts in outages of the store), entries missing from the list (a worker that is cut off has none either and runs on). Change: the record that a job has begun is stored before its first start, so a later owner knows that nothing of all other jobs was ever started; commits are woken by what is urgent.

--- a/src/greengagewood/internal/cells/cell.py
+++ b/src/greengagewood/internal/cells/cell.py
@@ -581,7 +581,7 @@
                 self._replan()
                 continue
             worker = choose_worker(task, workers, self.model)
-            if worker is None:
+            if worker is None or not self._may_begin(step.job):
                 break
             orders.append(self._start(task, worker, now_ms, task.starts + 1))
         return orders
@@ -592,11 +592,19 @@
             self._replan()
             return []
         placed = place_gang(step, workers)
-        if placed is None:
+        if placed is None or not self._may_begin(step.job):
             return []
         starts = 1 + max(task.starts for task in step.tasks)
         return [self._start(task, worker, now_ms, starts) for task, worker in placed]
 
+    def _may_begin(self, job: Job) -> bool:
+        """Tell whether the store knows that the job begins; ask for it to be stored if not.
+
+        So a later owner knows of every other job that nothing of it was ever started.
+        """
+        self.book.note_begun(job)
+        return job.begun_stored
+
     def _ask_advice(self, step: Step, workers: list[Worker], now_ms: int) -> list[Order]:
         if step in self._asked:
             return []
@@ -639,7 +647,7 @@
             job = book.jobs.get(name)
             if job is not None:
                 records.append(book.progress(job, wall_ms))
-                urgent = urgent or job.final
+                urgent = urgent or job.final or not job.begun_stored
         book.changed.clear()
         fresh: tuple[Worker, ...] = ()
         if self._enlist_due:
@@ -661,11 +669,17 @@
         """Tell whether something is to be stored without delay."""
         jobs = self.book.jobs
         return self._enlist_due or any(
-            jobs[name].final for name in self.book.changed if name in jobs
+            jobs[name].final or not jobs[name].begun_stored
+            for name in self.book.changed
+            if name in jobs
         )
 
     def changes_stored(self, changes: Changes) -> None:
         """Take note that changes are in the store: their ends may be acknowledged."""
+        for record in changes.records:
+            job = self.book.jobs.get(record.job) if isinstance(record, Progress) else None
+            if job is not None:
+                job.begun_stored = True
         for worker, number in changes.ends.items():
             worker.acknowledged = max(worker.acknowledged, number)
         for worker in changes.enlisted:
--- a/src/greengagewood/internal/cells/runner.py
+++ b/src/greengagewood/internal/cells/runner.py
@@ -95,6 +95,7 @@
         self._signed_ms = monotonic_ms()
         self._appending = asyncio.Lock()
         self._wake = asyncio.Event()
+        self._urgent = asyncio.Event()
         self._tasks: set[asyncio.Task[None]] = set()
         self._holds: dict[Worker, asyncio.Task[None]] = {}
         self._stopping = False
@@ -169,6 +170,8 @@
     async def _plan(self) -> None:
         if self._licensed():
             self._carry_out_all(self.cell.plan(monotonic_ms(), wall_ms()))
+        if self.cell.has_urgent_changes:
+            self._urgent.set()
         try:
             async with asyncio.timeout(PLAN_INTERVAL_S):
                 await self._wake.wait()
@@ -364,9 +367,12 @@
 
     async def _wait_for_urgent(self) -> None:
         """Wait one interval, or until something must be stored without delay."""
-        until = monotonic_ms() + int(COMMIT_INTERVAL_S * 1000)
-        while monotonic_ms() < until and not self.cell.has_urgent_changes:
-            await asyncio.sleep(0.01)
+        self._urgent.clear()
+        try:
+            async with asyncio.timeout(COMMIT_INTERVAL_S):
+                await self._urgent.wait()
+        except TimeoutError:
+            pass
 
     def _sign(self, released: bool) -> Ownership:
         return Ownership(self.token, self._ledger.ownership.owner, released)
--- a/src/greengagewood/internal/jobs/book.py
+++ b/src/greengagewood/internal/jobs/book.py
@@ -92,7 +92,8 @@
     cancelled: bool = False
     occurrences: dict[int, list[Step]] = field(default_factory=dict)
     finished: set[int] = field(default_factory=set)
-    begun: bool = False
+    begun: bool = False  # a task of it may have been started
+    begun_stored: bool = False  # and the store says so
     ended_ms: int = 0
 
     @property
@@ -137,7 +138,11 @@
     def add(
         self, submission: Submission, progress: Progress | None, unknown: bool, now_ms: int
     ) -> Job | None:
-        """Add a job; with `unknown`, an earlier owner may have started any of its tasks."""
+        """Add a job; with `unknown`, an earlier owner may have started any of its tasks.
+
+        It cannot have if the store does not say that the job has begun.
+        """
+        unknown = unknown and progress is not None
         if submission.job in self.jobs:
             return None
         job = Job(submission, now_ms, chain_lengths(submission.spec.steps))
@@ -146,6 +151,7 @@
             job.state = progress.state
             job.ended_ms = progress.ended_ms
             job.begun = progress.state == "running"
+            job.begun_stored = job.begun
         if job.final:
             return job
         spec = submission.spec
@@ -281,14 +287,18 @@
         task.run = run
         task.step.placed_on[worker] += 1
         task.step.racks[rack] += 1
-        job = task.step.job
-        if not job.begun:
-            job.begun = True
-            if not job.final:
-                job.state = "running"
-            self.changed[job.name] = None
+        self.note_begun(task.step.job)
         return run
 
+    def note_begun(self, job: Job) -> None:
+        """Note that tasks of a job may be started from now on."""
+        if job.begun:
+            return
+        job.begun = True
+        if not job.final:
+            job.state = "running"
+        self.changed[job.name] = None
+
     def detach(self, run: Run, now_ms: int) -> None:
         """Take a run that is over off its task."""
         task = run.task
--- a/tests/cover/test_cells.py
+++ b/tests/cover/test_cells.py
@@ -195,6 +195,27 @@
 
         play(Drive(seed), script)
 
+    def test_a_job_that_had_not_begun_does_not_wait_for_a_silent_worker(self) -> None:
+        # hunt: lapjeshuis-ops trouble-2 --seed 705648388933: a new owner waited 11 s for one worker
+        # that had left before it started anything of the backlog
+        async def script(drive: Drive) -> None:
+            await drive.submit(_ids(1)[0], "serve", lasting_job())
+            await asyncio.sleep(1)
+            owner = drive.owner()
+            assert owner is not None
+            drive.plant.faults.grey.clear()
+            for worker in drive.plant.workers:  # nothing can be started for a while
+                drive.plant.faults.cut.add((owner, worker))
+            await asyncio.sleep(2)
+            backlog = [f"{number:016x}" for number in range(100, 104)]
+            for job in backlog:
+                await drive.submit(job, "fast", short_job())
+            drive.plant.crash("w5")
+            await drive.kill_node(owner)
+            assert await drive.settle(set(backlog), 6.0) == set()
+
+        _check(play(Drive(17), script), set())
+
     def test_runs_that_are_being_stopped_hold_their_room(self) -> None:
         # seed 1145: a new owner stopped the runs of cancelled jobs and placed others over them
         async def script(drive: Drive) -> None:
