--- a/src/greengagewood/internal/cells/cell.py
+++ b/src/greengagewood/internal/cells/cell.py
@@ -182,7 +182,7 @@
             fresh.add(run)
             if run.state == "running":
                 run.move("doubted")
-            run.accepted_ms = None
+            run.accepted_ms = run.stop_sent_ms = run.stop_answered_ms = None
             run.deadline_ms = 0
         self._lose_runs(worker, now_ms, "reborn")
 
@@ -417,7 +417,7 @@
 
     def stop_answered(self, run: Run | None, now_ms: int) -> None:
         """Note that the worker has taken a stop: the run cannot start there any more."""
-        if run is not None and run.state != "over":
+        if run is not None and run.state != "over" and run.stop_answered_ms is None:
             run.stop_answered_ms = now_ms
 
     def advice_answered(self, step: Step, permits: dict[str, Permit]) -> None:
--- a/tests/cover/test_cell.py
+++ b/tests/cover/test_cell.py
@@ -60,6 +60,27 @@
     return [order for order in orders if isinstance(order, StartRun)]
 
 
+class TestDoubtfulStarts:
+    """A start that was not answered."""
+
+    def test_an_acknowledged_stop_rules_it_out_though_the_stop_is_repeated(self) -> None:
+        # seed 1239 of the random days: each repeat put off the list that could rule it out
+        desk = Desk("w0")
+        desk.submit(StepSpec(1, cpu_millis=1_000))
+        (start,) = _starts(desk.plan())
+        worker = start.worker
+        desk.cell.start_unanswered(start.run, desk.now)
+        for _ in range(4):  # lists take longer than the pause between two stops
+            sent = desk.now
+            for _ in range(2):
+                for order in desk.plan(450):
+                    if isinstance(order, StopRun):
+                        desk.cell.stop_answered(order.run, desk.now)
+            reply = HoldReply(desk.now - 1_000_000, 1, (), ())  # before the start's deadline
+            desk.cell.hold_answered(worker, reply, sent, desk.now)
+        assert start.run.state == "over"
+
+
 class TestReborn:
     """A worker that begins anew under the name that it had."""
 
