Start at once what has just come; keep headroom on whole workers

Change: the owner signs the offset below which only jobs stored as begun were ever started, so only jobs that have waited are stored first. Headroom for short tasks is of the whole service, and lasting tasks fill up workers that serve already, so that some stay free for what disturbs everywhere else.

--- a/src/greengagewood/internal/cells/cell.py
+++ b/src/greengagewood/internal/cells/cell.py
@@ -24,10 +24,15 @@
     AskAdvice,
     Changes,
     Order,
+    PaceRun,
     StartRun,
     StopRun,
 )
-from greengagewood.internal.cells.placement import choose_worker, place_gang
+from greengagewood.internal.cells.placement import (
+    choose_worker,
+    keeps_headroom,
+    place_gang,
+)
 from greengagewood.internal.cells.tails import TailModel
 from greengagewood.internal.jobs.book import Job, JobBook, Run, Step, Task
 from greengagewood.internal.jobs.model import Queue
@@ -47,6 +52,8 @@
 STOP_AGAIN_MS = 400
 STUCK_MS = 2_500  # a run without any progress for this long stands still
 BACKOFF_MS = 150
+AT_ONCE_MS = 1_000  # a job that came within this time may be started before it is stored so
+AGED_MS = 30_000  # a filling task of an older job also takes a place with a reduced pace
 SHUN_FIRST_MS = 1_000
 SHUN_LONGEST_MS = 8_000
 SHUN_AFTER_FAILURES = 3  # of the last eight ends, with no good one among them
@@ -70,7 +77,14 @@
 class Cell:
     """Decide for one cell during one term of ownership."""
 
-    def __init__(self, limits: CellLimits, token: int, now_ms: int) -> None:
+    def __init__(
+        self,
+        limits: CellLimits,
+        token: int,
+        now_ms: int,
+        settled: int = 0,
+        claimed_at: int = 0,
+    ) -> None:
         self.limits = limits
         self.token = token
         self.book = JobBook()
@@ -84,17 +98,24 @@
         self._permits: dict[Step, dict[str, Permit]] = {}
         self._asked: dict[Step, int] = {}
         self._enlist_due = False
+        self._settled = settled
+        self._claimed_at = claimed_at
         self._planned_version = -1
         self._adopting = True
 
     # Jobs.
 
     def add_job(
-        self, submission: Submission, progress: Progress | None, fresh: bool, now_ms: int
+        self,
+        submission: Submission,
+        progress: Progress | None,
+        fresh: bool,
+        now_ms: int,
+        offset: int = 0,
     ) -> None:
-        """Add a job; a fresh one was submitted after this term began."""
+        """Add a job; nothing of a fresh one can have been started before this term."""
         self.queues.setdefault(submission.queue.name, submission.queue)
-        self.book.add(submission, progress, not fresh, now_ms)
+        self.book.add(submission, progress, not fresh, now_ms, offset)
 
     def cancel(self, name: str, now_ms: int) -> None:
         """Cancel a job and stop what runs of it."""
@@ -386,16 +407,18 @@
             worker.unclocked_until_ms = 0
             worker.clock_read_ms = None
 
-    def start_answered(self, worker: Worker, run: Run, reason: str, now_ms: int) -> None:
+    def start_answered(self, worker: Worker, run: Run, reason: str, now_ms: int) -> list[Order]:
         """Take the answer to a start in; an empty reason means that it was accepted."""
         if run.state not in ("starting", "stopping"):
-            return
+            return []
         if not reason:
             if run.state == "starting":
                 run.move("accepted")
             run.accepted_ms = now_ms
             run.progress_ms = now_ms
-            return
+            if run.wanted_percent < run.percent:
+                return [PaceRun(worker, run, run.wanted_percent)]
+            return []
         self._end_run(worker, run, "refused", now_ms)
         run.task.not_before_ms = now_ms + BACKOFF_MS
         if reason in ("unhealthy", "invalid"):
@@ -409,6 +432,7 @@
             {"task": run.task.id, "run": run.number, "worker": worker.name, "reason": reason},
         )
         self._retry(run.task)
+        return []
 
     def start_unanswered(self, run: Run, now_ms: int) -> None:
         """Note that a start may or may not have been carried out."""
@@ -576,13 +600,16 @@
             ]
         if step.spec.gang:
             return [*orders, *self._place_gang(step, workers, now_ms)]
+        aged = now_ms - step.job.arrived_ms > AGED_MS
         for task in sorted(step.waiting, key=lambda task: -task.last_run_ms):
             if task.not_before_ms > now_ms:
                 self._replan()
                 continue
-            worker = choose_worker(task, workers, self.model)
+            worker = choose_worker(task, workers, self.model, aged)
             if worker is None or not self._may_begin(step.job):
                 break
+            if step.spec.lasting and not keeps_headroom(task, workers):
+                break
             orders.append(self._start(task, worker, now_ms, task.starts + 1))
         return orders
 
@@ -598,12 +625,26 @@
         return [self._start(task, worker, now_ms, starts) for task, worker in placed]
 
     def _may_begin(self, job: Job) -> bool:
-        """Tell whether the store knows that the job begins; ask for it to be stored if not.
+        """Tell whether tasks of the job may be started; have it stored first if need be.
 
-        So a later owner knows of every other job that nothing of it was ever started.
+        A job that has just come is started at once, and stored as begun soon after. Of the others,
+        those below `settled`, a later owner counts on what is stored.
         """
         self.book.note_begun(job)
-        return job.begun_stored
+        return job.begun_stored or job.offset >= max(self._settled, self._claimed_at)
+
+    def settle(self, end: int, now_ms: int) -> int:
+        """Return the offset below which only jobs that are stored as begun were ever started."""
+        doubtful = {task.id.job for task in self.book.unknown}
+        open_offsets = [
+            job.offset
+            for job in self.book.jobs.values()
+            if not job.final
+            and not job.begun_stored
+            and (job.begun or now_ms - job.arrived_ms < AT_ONCE_MS or job.name in doubtful)
+        ]
+        self._settled = max(self._settled, min([end, *open_offsets]))
+        return self._settled
 
     def _ask_advice(self, step: Step, workers: list[Worker], now_ms: int) -> list[Order]:
         if step in self._asked:
@@ -631,6 +672,8 @@
         )
         permit = self._permits.get(task.step, {}).get(worker.name)
         run.ticket = permit.ticket if permit else ""
+        if task.step.spec.filling:
+            run.wanted_percent = self.model.admits(worker, task.step.spec)[0] or 100
         worker.add(run)
         worker.horizon_ms = max(worker.horizon_ms, deadline)
         payload = task.step.job.submission.spec.payload
--- a/src/greengagewood/internal/cells/ownership.py
+++ b/src/greengagewood/internal/cells/ownership.py
@@ -101,7 +101,7 @@
         """Return the claim to append at the end of what was read."""
         self._move("claim")
         self._claim_sent_ms = now_ms
-        return Ownership(self.current.token + 1, self.me)
+        return Ownership(self.current.token + 1, self.me, settled=self.current.settled)
 
     def claim_failed(self) -> None:
         """Note that a claim was certainly not stored."""
--- a/src/greengagewood/internal/cells/placement.py
+++ b/src/greengagewood/internal/cells/placement.py
@@ -15,11 +15,12 @@
 from greengagewood.internal.jobs.book import Step, Task
 from greengagewood.internal.jobs.model import StepSpec
 
-__all__ = ["choose_worker", "idle_millis", "place_gang"]
+__all__ = ["choose_worker", "idle_millis", "keeps_headroom", "place_gang"]
 
 SERVING_USE = 0.6  # share of its processors that a serving task is taken to use
 MIN_FILLING_SHARE = 0.8  # a filling task starts only where it gets this share of its processors
-HEADROOM_SHARE = 0.15  # of each worker's processors, that lasting tasks leave to short ones
+LEAST_AGED_PERCENT = 10
+HEADROOM_SHARE = 0.15  # of all processors, that lasting tasks leave to short ones
 
 Score = Callable[[Worker], tuple[float, ...] | None]
 
@@ -50,10 +51,15 @@
     return worker.info.cpu_millis - batch - serving * SERVING_USE - filling
 
 
-def choose_worker(task: Task, workers: Iterable[Worker], model: TailModel) -> Worker | None:
-    """Return the best of the usable workers for one task, or None."""
+def choose_worker(
+    task: Task, workers: Iterable[Worker], model: TailModel, aged: bool
+) -> Worker | None:
+    """Return the best of the usable workers for one task, or None.
+
+    An aged filling task goes also where it may only work at a reduced pace.
+    """
     step = task.step
-    score = _score_of(task, model)
+    score = _score_of(task, model, aged)
     best: Worker | None = None
     best_score: tuple[float, ...] = ()
     for worker in workers:
@@ -68,15 +74,14 @@
     return best
 
 
-def _score_of(task: Task, model: TailModel) -> Score:
+def _score_of(task: Task, model: TailModel, aged: bool) -> Score:
     """Return the function that scores workers for a step; the lowest score is best."""
     step = task.step
     spec = step.spec
     if spec.filling:
-        return lambda worker: _score_filling(worker, spec, model)
+        return lambda worker: _score_filling(worker, spec, model, aged)
     if spec.lasting:
-        headroom = 0.0 if task.last_run_ms else HEADROOM_SHARE
-        return lambda worker: _score_lasting(worker, spec, headroom)
+        return lambda worker: _score_lasting(worker, spec)
     racks = _racks_in_use(step) if spec.same_rack else frozenset()
 
     def score(worker: Worker) -> tuple[float, ...]:
@@ -89,31 +94,44 @@
     return score
 
 
-def _score_lasting(worker: Worker, spec: StepSpec, headroom: float) -> tuple[float, ...] | None:
-    """Prefer workers that serve the same image, so that few kinds of tails are on each.
-
-    A task that has run before comes back without regard to headroom: its users miss it.
-    """
+def _score_lasting(worker: Worker, spec: StepSpec) -> tuple[float, ...]:
+    """Prefer workers that serve the same image, then any that serve, so that others stay free."""
     left = worker.info.cpu_millis - worker.used.cpu_millis - spec.cpu_millis
-    if left < worker.info.cpu_millis * headroom:
-        return None
-    others = sum(
-        run.task.step.spec.image != spec.image
-        for run in worker.runs.values()
-        if run.task.step.spec.lasting
-    )
-    return (float(others > 0), float(left))
+    images = {r.task.step.spec.image for r in worker.runs.values() if r.task.step.spec.lasting}
+    mixed = bool(images - {spec.image})
+    return (float(mixed) + 0.5 * (not images), float(left))
 
 
-def _score_filling(worker: Worker, spec: StepSpec, model: TailModel) -> tuple[float, ...] | None:
+def _score_filling(
+    worker: Worker, spec: StepSpec, model: TailModel, aged: bool
+) -> tuple[float, ...] | None:
     idle = idle_millis(worker)
     if idle < spec.cpu_millis * MIN_FILLING_SHARE:
         return None
-    rise = model.admits(worker, spec)
-    if rise is None:
+    percent, rise = model.admits(worker, spec)
+    if percent < (LEAST_AGED_PERCENT if aged else 100):
         return None
     away = float(spec.data_rack not in ("", worker.info.rack))
-    return (away, rise, -idle)
+    # Workers without serving tasks are kept for what would disturb everywhere else.
+    free = not any(r.task.step.spec.tail_target_ms for r in worker.runs.values())
+    return (float(percent < 100), away, -percent, float(free), rise, -idle)
+
+
+def keeps_headroom(task: Task, workers: Iterable[Worker]) -> bool:
+    """Tell whether a lasting task leaves enough processors to short tasks.
+
+    A task that has run before comes back without regard to headroom: its users miss it.
+    """
+    if task.last_run_ms:
+        return True
+    taken = task.step.spec.cpu_millis
+    whole = 0
+    for worker in workers:
+        whole += worker.info.cpu_millis
+        for run in worker.runs.values():
+            if run.task.step.spec.lasting:
+                taken += run.task.step.spec.cpu_millis
+    return taken <= whole * (1 - HEADROOM_SHARE)
 
 
 def _racks_in_use(step: Step) -> frozenset[str]:
--- a/src/greengagewood/internal/cells/runner.py
+++ b/src/greengagewood/internal/cells/runner.py
@@ -99,7 +99,7 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._holds: dict[Worker, asyncio.Task[None]] = {}
         self._stopping = False
-        self.cell = Cell(limits, token, monotonic_ms())
+        self.cell = Cell(limits, token, monotonic_ms(), ledger.ownership.settled, ledger.claimed_at)
         self.cell.on_event = self._report
 
     def start(self) -> None:
@@ -108,8 +108,11 @@
         for name, known in self._ledger.jobs.items():
             if known.submission is None:
                 continue
-            fresh = known.submitted_at > self._ledger.claimed_at
-            self.cell.add_job(known.submission, known.progress, fresh, now)
+            offset = known.submitted_at
+            # Submitted after the claim, or before what the store says of every start.
+            untouched = known.progress is None and offset < self._ledger.ownership.settled
+            fresh = untouched or offset > self._ledger.claimed_at
+            self.cell.add_job(known.submission, known.progress, fresh, now, offset)
             if known.cancelled:
                 self.cell.cancel(name, now)
         self.cell.set_enlisted(self._ledger.enlisted, now)
@@ -143,7 +146,9 @@
         now = monotonic_ms()
         match record:
             case Submission():
-                self.cell.add_job(record, None, True, now)
+                self.cell.add_job(
+                    record, None, True, now, self._ledger.jobs[record.job].submitted_at
+                )
             case Cancellation():
                 self.cell.cancel(record.job, now)
             case _:
@@ -218,7 +223,7 @@
         else:
             reason = reply.reason or "accepted"
             self._check_fence(reply)
-            self.cell.start_answered(worker, run, reply.reason, monotonic_ms())
+            self._carry_out_all(self.cell.start_answered(worker, run, reply.reason, monotonic_ms()))
         self._metrics.count("starts", outcome=reason)
         _log.info(
             "start",
@@ -375,7 +380,8 @@
             pass
 
     def _sign(self, released: bool) -> Ownership:
-        return Ownership(self.token, self._ledger.ownership.owner, released)
+        settled = self.cell.settle(self._ledger.end, monotonic_ms())
+        return Ownership(self.token, self._ledger.ownership.owner, released, settled)
 
     async def _store(self, changes: Changes) -> None:
         if await self._append(list(changes.records)):
--- a/src/greengagewood/internal/cells/tails.py
+++ b/src/greengagewood/internal/cells/tails.py
@@ -107,10 +107,25 @@
 
     # Deciding.
 
-    def admits(self, worker: Worker, spec: StepSpec) -> float | None:
-        """Return how much one more filling task would raise a log tail, None if by too much."""
+    def admits(self, worker: Worker, spec: StepSpec) -> tuple[int, float]:
+        """Return the pace at which one more filling task may work, and the rise of a log tail.
+
+        The pace is 0 where even the least would bring a tail too near its target.
+        """
         uses = _planned_uses(worker)
-        return self._rise(worker.runs.values(), uses, spec.image, _use(worker, spec, 100))
+        use = _use(worker, spec, 100)
+        rise = self._rise(worker.runs.values(), uses, spec.image, use)
+        if rise is not None:
+            return 100, rise
+        share = 1.0
+        for run in worker.runs.values():
+            serving = run.task.step.spec
+            full = self.effect(serving.image, spec.image) * use if serving.tail_target_ms else 0.0
+            if full > NEGLIGIBLE:
+                room = ADMIT_BELOW - self._settled(serving.image, uses) - run.offset
+                share = min(share, max(NEGLIGIBLE, room) / full)
+        percent = int(100 * share)
+        return (percent if percent >= LEAST_PERCENT else 0), 0.0
 
     def _rise(
         self, runs: Iterable[Run], uses: dict[str, float], image: str, more: float
--- a/src/greengagewood/internal/jobs/book.py
+++ b/src/greengagewood/internal/jobs/book.py
@@ -36,6 +36,7 @@
     stop_sent_ms: int | None = None
     stop_answered_ms: int | None = None
     percent: int = 100  # the share of its speed that it was last paced to
+    wanted_percent: int = 100  # the share that it is to begin with
     progress: int = 0  # percent of its work done, as listed last
     progress_ms: int = 0  # when that changed last
     measure: int = 0  # tail in ms of a serving task, processors in use of any other
@@ -87,6 +88,7 @@
 
     submission: Submission
     arrived_ms: int
+    offset: int  # of its submission in the log
     chains_ms: tuple[int, ...]
     state: str = "queued"
     cancelled: bool = False
@@ -136,16 +138,17 @@
     # Jobs come and go.
 
     def add(
-        self, submission: Submission, progress: Progress | None, unknown: bool, now_ms: int
+        self,
+        submission: Submission,
+        progress: Progress | None,
+        unknown: bool,
+        now_ms: int,
+        offset: int = 0,
     ) -> Job | None:
-        """Add a job; with `unknown`, an earlier owner may have started any of its tasks.
-
-        It cannot have if the store does not say that the job has begun.
-        """
-        unknown = unknown and progress is not None
+        """Add a job; with `unknown`, an earlier owner may have started any of its tasks."""
         if submission.job in self.jobs:
             return None
-        job = Job(submission, now_ms, chain_lengths(submission.spec.steps))
+        job = Job(submission, now_ms, offset, chain_lengths(submission.spec.steps))
         self.jobs[submission.job] = job
         if progress is not None:
             job.state = progress.state
--- a/src/greengagewood/internal/jobs/records.py
+++ b/src/greengagewood/internal/jobs/records.py
@@ -101,11 +101,16 @@
 
 
 class Ownership(_Record, frozen=True):
-    """Tell who owns the cell; `token` is the fencing token, one more than that before."""
+    """Tell who owns the cell; `token` is the fencing token, one more than that before.
+
+    Of jobs that were submitted below the offset `settled`, only those have ever been started whose
+    progress is in the store.
+    """
 
     token: int
     owner: str
     released: bool = False
+    settled: int = 0
 
 
 Record = Submission | Cancellation | Progress | Ownership | Enlisted
--- a/tests/cover/test_cell.py
+++ b/tests/cover/test_cell.py
@@ -21,6 +21,10 @@
     )
 
 
+def _submission(job: str) -> Submission:
+    return Submission(job, QUEUE, JobSpec("p", (StepSpec(1, cpu_millis=1_000),)), 0)
+
+
 class Desk:
     """Hold a cell with workers that have answered, and its clock."""
 
@@ -81,6 +85,30 @@
         assert start.run.state == "over"
 
 
+class TestSettled:
+    """What a later owner may count on of jobs whose progress is not stored."""
+
+    def test_a_job_that_has_just_come_starts_before_it_is_stored_as_begun(self) -> None:
+        desk = Desk("w0")
+        desk.cell.add_job(_submission("1" * 16), None, True, desk.now, offset=7)
+        assert len(_starts(desk.cell.plan(desk.now, desk.now))) == 1
+        assert desk.cell.settle(100, desk.now) == 7
+
+    def test_a_job_below_the_mark_is_stored_first(self) -> None:
+        desk = Desk("w0")
+        desk.cell.add_job(_submission("1" * 16), None, True, desk.now, offset=7)
+        assert desk.cell.settle(100, desk.now + 2_000) == 100
+        assert _starts(desk.cell.plan(desk.now + 1, desk.now)) == []
+        desk.store()
+        assert len(_starts(desk.cell.plan(desk.now + 2, desk.now))) == 1
+
+    def test_a_job_that_an_earlier_owner_may_have_started_holds_the_mark_back(self) -> None:
+        desk = Desk("w0")
+        desk.cell.set_workers({**desk.infos, "w9": _info("w9")}, desk.now)  # not heard yet
+        desk.cell.add_job(_submission("1" * 16), None, False, desk.now, offset=7)
+        assert desk.cell.settle(100, desk.now + 2_000) == 7
+
+
 class TestReborn:
     """A worker that begins anew under the name that it had."""
 
--- a/tests/cover/test_cells.py
+++ b/tests/cover/test_cells.py
@@ -210,6 +210,7 @@
             backlog = [f"{number:016x}" for number in range(100, 104)]
             for job in backlog:
                 await drive.submit(job, "fast", short_job())
+            await asyncio.sleep(2.5)  # the owner tells what it may have started
             drive.plant.crash("w5")
             await drive.kill_node(owner)
             assert await drive.settle(set(backlog), 6.0) == set()
