Probe unseen pairs gently; bound what a backlog costs the planner

Cause: each plan weighed every waiting filling task on every worker, so with a backlog the owner's processor was full: a start was answered after 168 ms (median) and a quote's first start took 100 ms. Change: what the model expects of a worker is kept until its runs change, an image that found no place is not tried again in the same plan, filling work is planned every 60 ms; small disturbances count together, a tail that stays hot for 1.5 s pauses all filling beside it, and a pair that was hardly seen begins at a reduced pace, one worker at a time.

--- a/src/greengagewood/internal/cells/cell.py
+++ b/src/greengagewood/internal/cells/cell.py
@@ -61,6 +61,7 @@
 PERMIT_MARGIN_MS = 300
 ADVICE_BATCH = 30
 MAX_STARTS_A_PLAN = 200
+FILL_INTERVAL_MS = 60  # a backlog of filling work must not delay what is urgent
 
 
 @dataclass(frozen=True)
@@ -102,6 +103,7 @@
         self._claimed_at = claimed_at
         self._planned_version = -1
         self._adopting = True
+        self._filled_ms = now_ms - FILL_INTERVAL_MS
 
     # Jobs.
 
@@ -567,9 +569,23 @@
         for worker in self.workers.values():
             if worker.usable(now_ms):
                 by_service.setdefault(worker.info.service, []).append(worker)
-        for step in sorted(self.book.waiting, key=lambda step: self._order(step, now_ms)):
-            workers = by_service.get(self.queue_of(step.job).service, [])
-            orders.extend(self._place_step(step, workers, now_ms))
+        fill_now = now_ms - self._filled_ms >= FILL_INTERVAL_MS
+        if fill_now:
+            self._filled_ms = now_ms
+        steps = [step for step in self.book.waiting if fill_now or not step.spec.filling]
+        refused: dict[tuple[str, str, bool], int] = {}  # the least size that found no place
+        for step in sorted(steps, key=lambda step: self._order(step, now_ms)):
+            queue = self.queue_of(step.job)
+            spec = step.spec
+            aged = now_ms - step.job.arrived_ms > AGED_MS
+            kind = (queue.service, spec.image, aged)
+            if spec.filling and spec.cpu_millis >= refused.get(kind, spec.cpu_millis + 1):
+                continue
+            workers = by_service.get(queue.service, [])
+            found = self._place_step(step, workers, aged, now_ms)
+            orders.extend(found)
+            if not found and spec.filling:
+                refused[kind] = spec.cpu_millis
             if len(orders) > MAX_STARTS_A_PLAN:
                 self._replan()
                 break
@@ -587,7 +603,9 @@
         hopeless = not step.spec.lasting and age > 3 * objective
         return (queue.priority, hopeless, objective - age - job.chains_ms[step.number])
 
-    def _place_step(self, step: Step, workers: list[Worker], now_ms: int) -> list[Order]:
+    def _place_step(
+        self, step: Step, workers: list[Worker], aged: bool, now_ms: int
+    ) -> list[Order]:
         queue = self.queue_of(step.job)
         orders: list[Order] = []
         if queue.decision_ms:
@@ -600,12 +618,11 @@
             ]
         if step.spec.gang:
             return [*orders, *self._place_gang(step, workers, now_ms)]
-        aged = now_ms - step.job.arrived_ms > AGED_MS
         for task in sorted(step.waiting, key=lambda task: -task.last_run_ms):
             if task.not_before_ms > now_ms:
                 self._replan()
                 continue
-            worker = choose_worker(task, workers, self.model, aged)
+            worker = choose_worker(task, workers, self.model, aged, now_ms)
             if worker is None or not self._may_begin(step.job):
                 break
             if step.spec.lasting and not keeps_headroom(task, workers):
@@ -673,7 +690,7 @@
         permit = self._permits.get(task.step, {}).get(worker.name)
         run.ticket = permit.ticket if permit else ""
         if task.step.spec.filling:
-            run.wanted_percent = self.model.admits(worker, task.step.spec)[0] or 100
+            run.wanted_percent = self.model.note_start(worker, task.step.spec, now_ms)
         worker.add(run)
         worker.horizon_ms = max(worker.horizon_ms, deadline)
         payload = task.step.job.submission.spec.payload
--- a/src/greengagewood/internal/cells/fleet.py
+++ b/src/greengagewood/internal/cells/fleet.py
@@ -47,6 +47,8 @@
     runs: dict[tuple[Task, int], Run] = field(default_factory=dict)
     used: Room = field(default_factory=Room)
     filling_millis: int = 0
+    lasting_millis: int = 0
+    tails: object | None = None  # what the tail model has worked out of the runs
     seen_end: int = 0
     acknowledged: int = 0
     leaves_at_ms: int | None = None
@@ -92,6 +94,9 @@
             self._commit(run.task.step.spec, -1)
 
     def _commit(self, spec: StepSpec, sign: int) -> None:
+        self.tails = None
+        if spec.lasting:
+            self.lasting_millis += sign * spec.cpu_millis
         if spec.filling:
             self.filling_millis += sign * spec.cpu_millis
         else:
--- a/src/greengagewood/internal/cells/placement.py
+++ b/src/greengagewood/internal/cells/placement.py
@@ -37,29 +37,19 @@
 
 def idle_millis(worker: Worker) -> float:
     """Estimate the processors that nothing on the worker uses."""
-    serving = 0
-    batch = 0
-    filling = 0
-    for run in worker.runs.values():
-        spec = run.task.step.spec
-        if spec.filling:
-            filling += spec.cpu_millis
-        elif spec.lasting:
-            serving += spec.cpu_millis
-        else:
-            batch += spec.cpu_millis
-    return worker.info.cpu_millis - batch - serving * SERVING_USE - filling
+    unused = worker.lasting_millis * (1 - SERVING_USE)
+    return worker.info.cpu_millis - worker.used.cpu_millis + unused - worker.filling_millis
 
 
 def choose_worker(
-    task: Task, workers: Iterable[Worker], model: TailModel, aged: bool
+    task: Task, workers: Iterable[Worker], model: TailModel, aged: bool, now_ms: int
 ) -> Worker | None:
     """Return the best of the usable workers for one task, or None.
 
     An aged filling task goes also where it may only work at a reduced pace.
     """
     step = task.step
-    score = _score_of(task, model, aged)
+    score = _score_of(task, model, aged, now_ms)
     best: Worker | None = None
     best_score: tuple[float, ...] = ()
     for worker in workers:
@@ -74,12 +64,12 @@
     return best
 
 
-def _score_of(task: Task, model: TailModel, aged: bool) -> Score:
+def _score_of(task: Task, model: TailModel, aged: bool, now_ms: int) -> Score:
     """Return the function that scores workers for a step; the lowest score is best."""
     step = task.step
     spec = step.spec
     if spec.filling:
-        return lambda worker: _score_filling(worker, spec, model, aged)
+        return lambda worker: _score_filling(worker, spec, model, aged, now_ms)
     if spec.lasting:
         return lambda worker: _score_lasting(worker, spec)
     racks = _racks_in_use(step) if spec.same_rack else frozenset()
@@ -103,34 +93,31 @@
 
 
 def _score_filling(
-    worker: Worker, spec: StepSpec, model: TailModel, aged: bool
+    worker: Worker, spec: StepSpec, model: TailModel, aged: bool, now_ms: int
 ) -> tuple[float, ...] | None:
     idle = idle_millis(worker)
     if idle < spec.cpu_millis * MIN_FILLING_SHARE:
         return None
-    percent, rise = model.admits(worker, spec)
-    if percent < (LEAST_AGED_PERCENT if aged else 100):
+    admission = model.admits(worker, spec, now_ms)
+    least = LEAST_AGED_PERCENT if aged or admission.probes else 100
+    if admission.percent < least:
         return None
     away = float(spec.data_rack not in ("", worker.info.rack))
     # Workers without serving tasks are kept for what would disturb everywhere else.
-    free = not any(r.task.step.spec.tail_target_ms for r in worker.runs.values())
-    return (float(percent < 100), away, -percent, float(free), rise, -idle)
+    tier = 2.0 if admission.probes else float(not worker.lasting_millis)
+    slow = float(admission.percent < 100 and not admission.probes)
+    return (slow, away, tier, -admission.percent, admission.rise, -idle)
 
 
-def keeps_headroom(task: Task, workers: Iterable[Worker]) -> bool:
+def keeps_headroom(task: Task, workers: Sequence[Worker]) -> bool:
     """Tell whether a lasting task leaves enough processors to short tasks.
 
     A task that has run before comes back without regard to headroom: its users miss it.
     """
     if task.last_run_ms:
         return True
-    taken = task.step.spec.cpu_millis
-    whole = 0
-    for worker in workers:
-        whole += worker.info.cpu_millis
-        for run in worker.runs.values():
-            if run.task.step.spec.lasting:
-                taken += run.task.step.spec.cpu_millis
+    taken = sum(worker.lasting_millis for worker in workers) + task.step.spec.cpu_millis
+    whole = sum(worker.info.cpu_millis for worker in workers)
     return taken <= whole * (1 - HEADROOM_SHARE)
 
 
--- a/src/greengagewood/internal/cells/tails.py
+++ b/src/greengagewood/internal/cells/tails.py
@@ -23,7 +23,7 @@
 from greengagewood.internal.jobs.book import Run
 from greengagewood.internal.jobs.model import StepSpec
 
-__all__ = ["TailModel"]
+__all__ = ["Admission", "TailModel"]
 
 READING_MS = 400  # a reading covers the last half second
 MODEL_READINGS_MS = 1_500  # of two readings that are further apart, the earlier says nothing
@@ -31,7 +31,7 @@
 # quarter of the way to where it settles, and a pair that was never seen disturbs somewhat.
 UNSEEN_MEMORY, MEMORY_SPREAD = 0.75, 0.02
 UNSEEN_LEVEL, LEVEL_SPREAD = -0.25, 0.1
-UNSEEN_EFFECT, EFFECT_SPREAD = 1.0, 9.0
+UNSEEN_EFFECT, EFFECT_SPREAD = 2.5, 9.0
 READING_NOISE = 0.1  # variance of a log tail around the model
 KEEP = 0.998
 MOST_MEMORY = 0.9
@@ -43,15 +43,30 @@
 ADMIT_BELOW = math.log(0.65)
 HOT_MS = 1_500  # a tail that stays near its target for longer stops all that may disturb it
 NEGLIGIBLE = 0.2  # a rise of a log tail that is not worth acting on
+KNOWN_READINGS = 4  # of a pair, before its effect is relied on
+PROBE_MS = 1_200  # between two tries of an image beside one that it was not seen with
 SPEED_UP_FACTOR = 1.6
 LEAST_PERCENT = 10  # below it a run is paced to nothing
 
 
+@dataclass(frozen=True, slots=True)
+class Admission:
+    """Tell at which pace a filling task may begin, 0 for not at all; `rise` is of a log tail.
+
+    One that `probes` stands beside an image that it was hardly seen with.
+    """
+
+    percent: int
+    rise: float
+    probes: bool
+
+
 @dataclass
 class TailModel:
     """Learn how images disturb each other, and decide with it."""
 
     images: dict[str, Regression] = field(default_factory=dict)
+    probed_ms: dict[str, int] = field(default_factory=dict)
 
     # Learning.
 
@@ -61,6 +76,7 @@
             return
         recent = now_ms - worker.learned_ms < MODEL_READINGS_MS
         worker.learned_ms = now_ms
+        worker.tails = None
         uses = _measured_uses(worker)
         by_image: dict[str, list[Run]] = {}
         for run in _serving(worker.runs.values()):
@@ -107,45 +123,65 @@
 
     # Deciding.
 
-    def admits(self, worker: Worker, spec: StepSpec) -> tuple[int, float]:
-        """Return the pace at which one more filling task may work, and the rise of a log tail.
-
-        The pace is 0 where even the least would bring a tail too near its target.
-        """
-        uses = _planned_uses(worker)
+    def admits(self, worker: Worker, spec: StepSpec, now_ms: int) -> Admission:
+        """Return how fast one more filling task may work beside the worker's serving tasks."""
         use = _use(worker, spec, 100)
-        rise = self._rise(worker.runs.values(), uses, spec.image, use)
-        if rise is not None:
-            return 100, rise
-        share = 1.0
-        for run in worker.runs.values():
-            serving = run.task.step.spec
-            full = self.effect(serving.image, spec.image) * use if serving.tail_target_ms else 0.0
-            if full > NEGLIGIBLE:
-                room = ADMIT_BELOW - self._settled(serving.image, uses) - run.offset
-                share = min(share, max(NEGLIGIBLE, room) / full)
-        percent = int(100 * share)
-        return (percent if percent >= LEAST_PERCENT else 0), 0.0
-
-    def _rise(
-        self, runs: Iterable[Run], uses: dict[str, float], image: str, more: float
-    ) -> float | None:
-        """Return the largest rise of a log tail by more use, None if a tail came too near.
+        percent = 100.0
+        rise = 0.0
+        probes = False
+        for image, expected in self._expected(worker).items():
+            probes = probes or not self._known(image, spec.image)
+            full = self.effect(image, spec.image) * use
+            if self._harmless(worker, image, spec.image, use):
+                rise = max(rise, full)
+                continue
+            room = ADMIT_BELOW - expected
+            if full > room:
+                percent = min(percent, 100 * max(0.0, room) / full)
+            rise = max(rise, full)
+        if probes and now_ms - self.probed_ms.get(spec.image, -PROBE_MS) < PROBE_MS:
+            return Admission(0, rise, True)
+        return Admission(int(percent) if percent >= LEAST_PERCENT else 0, rise, probes)
+
+    def note_start(self, worker: Worker, spec: StepSpec, now_ms: int) -> int:
+        """Take note of a filling task that is being started; return its pace to begin with."""
+        admission = self.admits(worker, spec, now_ms)
+        if admission.probes:
+            self.probed_ms[spec.image] = now_ms
+        return admission.percent or LEAST_PERCENT
+
+    def _known(self, serving: str, filling: str) -> bool:
+        return self._model(serving).readings.get(filling, 0) >= KNOWN_READINGS
+
+    def _harmless(self, worker: Worker, serving: str, filling: str, more: float) -> bool:
+        """Tell whether all that a filling image would use on the worker hardly disturbs a tail."""
+        uses = _planned_uses(worker).get(filling, 0.0) + more
+        return self.effect(serving, filling) * uses <= NEGLIGIBLE
+
+    def _expected(self, worker: Worker) -> dict[str, float]:
+        """Return the highest log tail of each serving image at the present paces."""
+        if not isinstance(worker.tails, dict):
+            uses = _planned_uses(worker)
+            expected: dict[str, float] = {}
+            for run in worker.runs.values():
+                image = run.task.step.spec.image
+                if run.task.step.spec.tail_target_ms:
+                    expected[image] = max(run.offset, expected.get(image, -math.inf))
+            for image in expected:
+                expected[image] += self._settled(image, uses)
+            worker.tails = expected
+        return worker.tails
+
+    def _may_add(self, worker: Worker, image: str, more: float) -> bool:
+        """Tell whether more use by an image brings no tail too near its target.
 
         A tail that is near its target by its own load is no reason to keep harmless work away.
         """
-        largest = 0.0
-        for run in runs:
-            spec = run.task.step.spec
-            if not spec.tail_target_ms:
-                continue
-            rise = self.effect(spec.image, image) * more
-            if rise > NEGLIGIBLE:
-                expected = self._settled(spec.image, uses) + run.offset + rise
-                if expected > ADMIT_BELOW:
-                    return None
-            largest = max(largest, rise)
-        return largest
+        return all(
+            self._harmless(worker, serving, image, more)
+            or expected + self.effect(serving, image) * more <= ADMIT_BELOW
+            for serving, expected in self._expected(worker).items()
+        )
 
     def plan_pacing(self, worker: Worker, now_ms: int) -> list[PaceRun]:
         """Return how fast filling runs should work from now on."""
@@ -170,11 +206,11 @@
         self, worker: Worker, fillers: list[Run], hot: list[Run], all_of_them: bool
     ) -> list[PaceRun]:
         """Slow the runs that are to blame most, until the tails should be well below."""
+        if all_of_them:
+            return [PaceRun(worker, run, 0) for run in fillers if run.percent]
         planned = _planned_uses(worker)
         excess = {
-            run: (math.inf if all_of_them else self._settled(run.task.step.spec.image, planned))
-            + run.offset
-            - SLOW_DOWN_TO
+            run: self._settled(run.task.step.spec.image, planned) + run.offset - SLOW_DOWN_TO
             for run in hot
         }
         cpu = worker.info.cpu_millis
@@ -202,7 +238,6 @@
 
     def _hasten(self, worker: Worker, fillers: list[Run]) -> list[PaceRun]:
         """Let paced runs speed up as far as the model admits."""
-        uses = _planned_uses(worker)
         orders = []
         for run in fillers:
             if run.percent == 100:
@@ -210,9 +245,12 @@
             spec = run.task.step.spec
             wanted = min(100, max(LEAST_PERCENT, int(run.percent * SPEED_UP_FACTOR) + 5))
             more = _use(worker, spec, wanted - run.percent)
-            if self._rise(worker.runs.values(), uses, spec.image, more) is not None:
-                uses[spec.image] = uses.get(spec.image, 0.0) + more
+            if self._may_add(worker, spec.image, more):
                 orders.append(PaceRun(worker, run, wanted))
+                for serving, expected in self._expected(worker).items():
+                    self._expected(worker)[serving] = (
+                        expected + self.effect(serving, spec.image) * more
+                    )
         return orders
 
 
