Order a backlog by who can still be in time, least work first

Cause: least slack first serves what is late before what is not. Change: within a priority, jobs that can be in time, then late ones, then those too late to earn anything; among equals the least work left.

--- a/src/greengagewood/internal/cells/cell.py
+++ b/src/greengagewood/internal/cells/cell.py
@@ -61,6 +61,7 @@
 PERMIT_MARGIN_MS = 300
 ADVICE_BATCH = 30
 MAX_STARTS_A_PLAN = 200
+LATE_FACTOR = 3  # times its objective after which a job earns nothing, from the platform's rules
 FILL_INTERVAL_MS = 60  # a backlog of filling work must not delay what is urgent
 
 
@@ -592,16 +593,21 @@
         return orders
 
     def _order(self, step: Step, now_ms: int) -> tuple[float, ...]:
-        """Return the rank of a step: by priority, then by how soon it must start to be in time.
+        """Return the rank of a step.
 
-        A job that is too late to earn anything any more gives way to those that are not.
+        Answers the load in which not all can be in time: within a priority, jobs that still can
+        come before those that are late, and those before the ones too late to earn anything; among
+        equals the least work left comes first, since most callers are then served.
         """
         job = step.job
         queue = self.queue_of(job)
         objective = queue.slack_factor * max(job.chains_ms, default=0) + queue.target_ms
         age = now_ms - job.arrived_ms
-        hopeless = not step.spec.lasting and age > 3 * objective
-        return (queue.priority, hopeless, objective - age - job.chains_ms[step.number])
+        if step.spec.lasting or age + job.chains_ms[step.number] <= objective:
+            lateness = 0
+        else:
+            lateness = 1 if age < LATE_FACTOR * objective else 2
+        return (queue.priority, lateness, self.book.work_left(job, step.occurrence))
 
     def _place_step(
         self, step: Step, workers: list[Worker], aged: bool, now_ms: int
--- a/src/greengagewood/internal/jobs/book.py
+++ b/src/greengagewood/internal/jobs/book.py
@@ -233,6 +233,13 @@
         spec = job.submission.spec.steps[task.step]
         return Task(task, Step(job, task.occurrence, task.step, spec), ended="stray")
 
+    def work_left(self, job: Job, occurrence: int) -> int:
+        """Return the work of an occurrence that is not done, in processor milliseconds."""
+        return sum(
+            step.undone * step.spec.cpu_millis * step.spec.estimate_ms // 1000
+            for step in job.occurrences[occurrence]
+        )
+
     # Readiness.
 
     def _update_ready(self, step: Step) -> None:
