--- a/src/greengagewood/internal/cells/tails.py
+++ b/src/greengagewood/internal/cells/tails.py
@@ -31,7 +31,7 @@
 # quarter of the way to where it settles, and a pair that was never seen disturbs somewhat.
 UNSEEN_MEMORY, MEMORY_SPREAD = 0.75, 0.02
 UNSEEN_LEVEL, LEVEL_SPREAD = -0.25, 0.1
-UNSEEN_EFFECT, EFFECT_SPREAD = 2.5, 9.0
+UNSEEN_EFFECT, EFFECT_SPREAD = 1.5, 9.0
 READING_NOISE = 0.1  # variance of a log tail around the model
 KEEP = 0.998
 MOST_MEMORY = 0.9
@@ -42,9 +42,10 @@
 SLOW_DOWN_TO = math.log(0.55)
 ADMIT_BELOW = math.log(0.65)
 HOT_MS = 1_500  # a tail that stays near its target for longer stops all that may disturb it
+UNSURE = 0.6  # an effect below it cannot be told from none, by the spread of repeated fits
 NEGLIGIBLE = 0.2  # a rise of a log tail that is not worth acting on
-KNOWN_READINGS = 4  # of a pair, before its effect is relied on
-PROBE_MS = 1_200  # between two tries of an image beside one that it was not seen with
+KNOWN_READINGS = 3  # of a pair, before its effect is relied on
+PROBE_MS = 400  # between two tries of an image beside one that it was not seen with
 SPEED_UP_FACTOR = 1.6
 LEAST_PERCENT = 10  # below it a run is paced to nothing
 
@@ -114,7 +115,8 @@
 
     def effect(self, serving: str, filling: str) -> float:
         """Return how much a filling image raises the log tail at which a serving one settles."""
-        return max(0.0, self._model(serving).weight(filling)) * self._gain(serving)
+        found = self._model(serving).weight(filling) - UNSURE
+        return max(0.0, found) * self._gain(serving)
 
     def _settled(self, image: str, uses: dict[str, float]) -> float:
         """Return the log tail at which an image settles beside these uses."""
