Leave no job standing while most room is free

Change: while over half of the processors are not committed, a job that has waited 3 s with nothing at work gets one task placed, paced as far as the tails admit.

--- a/src/greengagewood/internal/cells/cell.py
+++ b/src/greengagewood/internal/cells/cell.py
@@ -30,6 +30,7 @@
 )
 from greengagewood.internal.cells.placement import (
     choose_worker,
+    is_roomy,
     keeps_headroom,
     place_gang,
 )
@@ -53,7 +54,7 @@
 STUCK_MS = 2_500  # a run without any progress for this long stands still
 BACKOFF_MS = 150
 AT_ONCE_MS = 1_000  # a job that came within this time may be started before it is stored so
-AGED_MS = 30_000  # a filling task of an older job also takes a place with a reduced pace
+AGED_MS = 3_000  # a job that has waited longer gets one task placed if most room is free
 SHUN_FIRST_MS = 1_000
 SHUN_LONGEST_MS = 8_000
 SHUN_AFTER_FAILURES = 3  # of the last eight ends, with no good one among them
@@ -574,24 +575,33 @@
         if fill_now:
             self._filled_ms = now_ms
         steps = [step for step in self.book.waiting if fill_now or not step.spec.filling]
-        refused: dict[tuple[str, str, bool], int] = {}  # the least size that found no place
+        refused: dict[tuple[str, str], int] = {}  # the least size that found no place
         for step in sorted(steps, key=lambda step: self._order(step, now_ms)):
             queue = self.queue_of(step.job)
             spec = step.spec
-            aged = now_ms - step.job.arrived_ms > AGED_MS
-            kind = (queue.service, spec.image, aged)
-            if spec.filling and spec.cpu_millis >= refused.get(kind, spec.cpu_millis + 1):
+            aged = self._is_aged(step, now_ms) and is_roomy(by_service.get(queue.service, []))
+            kind = (queue.service, spec.image)
+            if (
+                spec.filling
+                and not aged
+                and spec.cpu_millis >= refused.get(kind, spec.cpu_millis + 1)
+            ):
                 continue
             workers = by_service.get(queue.service, [])
             found = self._place_step(step, workers, aged, now_ms)
             orders.extend(found)
-            if not found and spec.filling:
+            if not found and spec.filling and not aged:
                 refused[kind] = spec.cpu_millis
             if len(orders) > MAX_STARTS_A_PLAN:
                 self._replan()
                 break
         return orders
 
+    @staticmethod
+    def _is_aged(step: Step, now_ms: int) -> bool:
+        job = step.job
+        return step.spec.filling and not job.runs and now_ms - job.arrived_ms > AGED_MS
+
     def _order(self, step: Step, now_ms: int) -> tuple[float, ...]:
         """Return the rank of a step.
 
@@ -634,6 +644,7 @@
             if step.spec.lasting and not keeps_headroom(task, workers):
                 break
             orders.append(self._start(task, worker, now_ms, task.starts + 1))
+            aged = False  # one is enough
         return orders
 
     def _place_gang(self, step: Step, workers: list[Worker], now_ms: int) -> list[Order]:
--- a/src/greengagewood/internal/cells/placement.py
+++ b/src/greengagewood/internal/cells/placement.py
@@ -15,11 +15,11 @@
 from greengagewood.internal.jobs.book import Step, Task
 from greengagewood.internal.jobs.model import StepSpec
 
-__all__ = ["choose_worker", "idle_millis", "keeps_headroom", "place_gang"]
+__all__ = ["choose_worker", "idle_millis", "is_roomy", "keeps_headroom", "place_gang"]
 
 SERVING_USE = 0.6  # share of its processors that a serving task is taken to use
 MIN_FILLING_SHARE = 0.8  # a filling task starts only where it gets this share of its processors
-LEAST_AGED_PERCENT = 10
+LEAST_PROBE_PERCENT = 10
 HEADROOM_SHARE = 0.15  # of all processors, that lasting tasks leave to short ones
 
 Score = Callable[[Worker], tuple[float, ...] | None]
@@ -46,7 +46,8 @@
 ) -> Worker | None:
     """Return the best of the usable workers for one task, or None.
 
-    An aged filling task goes also where it may only work at a reduced pace.
+    An aged filling task goes anywhere, at whatever pace is left there: its job has waited long
+    with nothing at work.
     """
     step = task.step
     score = _score_of(task, model, aged, now_ms)
@@ -96,12 +97,12 @@
     worker: Worker, spec: StepSpec, model: TailModel, aged: bool, now_ms: int
 ) -> tuple[float, ...] | None:
     idle = idle_millis(worker)
-    if idle < spec.cpu_millis * MIN_FILLING_SHARE:
-        return None
     admission = model.admits(worker, spec, now_ms)
-    least = LEAST_AGED_PERCENT if aged or admission.probes else 100
-    if admission.percent < least:
-        return None
+    if not aged:
+        if idle < spec.cpu_millis * MIN_FILLING_SHARE:
+            return None
+        if admission.percent < (LEAST_PROBE_PERCENT if admission.probes else 100):
+            return None
     away = float(spec.data_rack not in ("", worker.info.rack))
     # Workers without serving tasks are kept for what would disturb everywhere else.
     tier = 2.0 if admission.probes else float(not worker.lasting_millis)
@@ -121,6 +122,12 @@
     return taken <= whole * (1 - HEADROOM_SHARE)
 
 
+def is_roomy(workers: Sequence[Worker]) -> bool:
+    """Tell whether most of the processors are not committed to anybody."""
+    whole = sum(worker.info.cpu_millis for worker in workers)
+    return 2 * sum(worker.used.cpu_millis for worker in workers) < whole
+
+
 def _racks_in_use(step: Step) -> frozenset[str]:
     return frozenset(rack for rack in step.racks if rack)
 
--- a/src/greengagewood/internal/jobs/book.py
+++ b/src/greengagewood/internal/jobs/book.py
@@ -94,6 +94,7 @@
     cancelled: bool = False
     occurrences: dict[int, list[Step]] = field(default_factory=dict)
     finished: set[int] = field(default_factory=set)
+    runs: int = 0  # that hold room now
     begun: bool = False  # a task of it may have been started
     begun_stored: bool = False  # and the store says so
     ended_ms: int = 0
@@ -295,6 +296,7 @@
             self.unknown.pop(task, None)
         run = Run(task, number, worker, rack, state, now_ms, deadline_ms)
         task.run = run
+        task.step.job.runs += 1
         task.step.placed_on[worker] += 1
         task.step.racks[rack] += 1
         self.note_begun(task.step.job)
@@ -315,6 +317,7 @@
         if task.run is not run:
             return
         task.run = None
+        task.step.job.runs -= 1
         task.last_run_ms = now_ms
         for counts, name in ((task.step.placed_on, run.worker), (task.step.racks, run.rack)):
             counts[name] -= 1
