--- a/tests/common/plant.py
+++ b/tests/common/plant.py
@@ -38,6 +38,7 @@
 STOP_S = 0.3
 BEAT_S = 1.5
 LATE_S = (2.0, 12.0)
+DONE_UNANSWERED = 0.4  # share of the orders without an answer that are done at once
 
 
 @dataclass
@@ -49,6 +50,7 @@
     lost_answers: float = 0.0  # share of appends that are done and not answered
     late_orders: float = 0.0  # share of orders that are done late and not answered
     cut: set[tuple[str, str]] = field(default_factory=set)  # (node, worker)
+    mute: set[tuple[str, str]] = field(default_factory=set)  # orders arrive, answers do not
     grey: set[str] = field(default_factory=set)  # workers that fail all they run
 
 
@@ -308,10 +310,21 @@
         worker.lapse()
         return worker
 
+    async def _hush(self, info: WorkerInfo) -> None:
+        """Lose the answer of an order that was carried out, if this way is cut."""
+        if (self.node, info.worker) in self.plant.faults.mute:
+            await asyncio.sleep(CALL_TIMEOUT_S)
+            raise ExchangeFailed("mute")
+
     async def _late(self) -> bool:
         return self.plant.rng.random() < self.plant.faults.late_orders
 
     def _carry_out_late(self, info: WorkerInfo, order: object) -> None:
+        worker = self.plant.workers[info.worker]
+        if self.plant.rng.random() < DONE_UNANSWERED:
+            order(worker)  # type: ignore[operator]
+            return
+
         async def later() -> None:
             await asyncio.sleep(self.plant.rng.uniform(*LATE_S))
             worker = self.plant.workers.get(info.worker)
@@ -343,7 +356,9 @@
             self._carry_out_late(info, order)
             await asyncio.sleep(CALL_TIMEOUT_S)
             raise ExchangeFailed("late")
-        return order(worker)
+        reply = order(worker)
+        await self._hush(info)
+        return reply
 
     def _start(
         self,
@@ -403,7 +418,9 @@
             self._carry_out_late(info, order)
             await asyncio.sleep(CALL_TIMEOUT_S)
             raise ExchangeFailed("late")
-        return order(worker)
+        reply = order(worker)
+        await self._hush(info)
+        return reply
 
     async def pace(
         self, info: WorkerInfo, task: TaskId, run: int, percent: int, token: int
@@ -433,6 +450,7 @@
         worker.ends = [end for end in worker.ends if end.number > acknowledged]
         if deadline_ms is not None:
             worker.until_ms = max(worker.until_ms, min(deadline_ms, clock + LEASE_MS))
+        await self._hush(info)
         if wait_ms and not worker.ends:
             try:
                 async with asyncio.timeout(wait_ms / 1000):
--- a/tests/cover/test_cells.py
+++ b/tests/cover/test_cells.py
@@ -263,7 +263,7 @@
         await asyncio.sleep(rng.uniform(0.3, 2.5))
         name = rng.choice(["n0", "n1", "n2"])
         worker = rng.choice(list(plant.workers))
-        match rng.randrange(9):
+        match rng.randrange(10):
             case 0 if name in drive.nodes:
                 await drive.kill_node(name)
             case 1:
@@ -284,6 +284,9 @@
                 plant.faults.store_down.clear()
                 plant.faults.store_refuses.clear()
                 plant.faults.cut.clear()
+                plant.faults.mute.clear()
+            case 8:
+                plant.faults.mute.add((name, worker))
             case _:
                 for missing in sorted({"n0", "n1", "n2"} - set(drive.nodes)):
                     drive.start_node(missing)
@@ -294,6 +297,7 @@
     faults.store_down.clear()
     faults.store_refuses.clear()
     faults.cut.clear()
+    faults.mute.clear()
     faults.late_orders = faults.lost_answers = 0.0
     for missing in sorted({"n0", "n1", "n2"} - set(drive.nodes)):
         drive.start_node(missing)
--- /dev/null
+++ b/tests/cover/test_platform_border.py
@@ -0,0 +1,247 @@
+"""The border to the users' platform: what callers, workers, the store and operators may send."""
+
+from __future__ import annotations
+
+import json
+import struct
+from dataclasses import fields
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from greengagewood.internal.jobs.model import InvalidJob
+from greengagewood.internal.jobs.records import TaskId
+from greengagewood.internal.ports import LogEntry, LogPage
+from greengagewood.platform.directory import StoreDirectory, parse_worker
+from greengagewood.platform.jobs import parse_job
+from greengagewood.platform.manifest import ManifestSource, parse_manifest
+from greengagewood.platform.store import _pack, _parse_records
+from greengagewood.platform.workers import parse_task, task_name
+
+JSON = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats(allow_nan=False) | st.text(max_size=8),
+    lambda inner: st.lists(inner, max_size=4) | st.dictionaries(st.text(max_size=8), inner),
+    max_leaves=12,
+)
+WORKER = {
+    "service": "svc",
+    "address": "10.0.0.1:80",
+    "zone": "z",
+    "version": "v1",
+    "slots": 8,
+    "state": "ready",
+    "cold-remaining-ms": 0,
+    "capacity": {"cpu": 16_000, "mem-mb": 32_768, "gpu": 0},
+    "labels": ["a", "r1-3"],
+    "seq": 4,
+}
+ROUTE = {
+    "name": "r",
+    "host": "h",
+    "path-prefix": "/p/",
+    "kind": "non_idempotent",
+    "timeout-ms": 3000,
+    "target-latency-ms": 250,
+    "priority": 0,
+    "service": "svc",
+    "max-attempts": 4,
+    "slack-factor": 1.5,
+}
+MANIFEST = {"version": 7, "routes": [ROUTE], "services": [{"name": "svc"}], "limits": {}}
+
+
+def _job(*steps: object) -> bytes:
+    return json.dumps({"spec": "text", "steps": list(steps)}).encode()
+
+
+class TestJobs:
+    """Bodies of submissions."""
+
+    def test_every_field_is_taken(self) -> None:
+        step = {
+            "count": 3,
+            "cpu": 500,
+            "mem-mb": 256,
+            "gpu": 1,
+            "estimate-ms": 900,
+            "depends-on": [0],
+            "checkpointing": True,
+            "gang": True,
+            "same-rack": True,
+            "requirements": "a",
+            "affinity": "r1-3",
+            "anti-affinity": 2,
+            "speculative": True,
+            "long-running": True,
+            "image": "img",
+            "target-ms": 24,
+            "utilization": True,
+            "max-unavailable": 1,
+        }
+        spec = parse_job(_job({"count": 1}, step)).steps[1]
+        assert (spec.tasks, spec.cpu_millis, spec.memory_mb, spec.accelerators) == (3, 500, 256, 1)
+        assert (spec.after, spec.label, spec.data_rack) == ((0,), "a", "r1-3")
+        assert (spec.max_per_instance, spec.max_unavailable, spec.tail_target_ms) == (2, 1, 24)
+        assert spec.checkpoints and spec.gang and spec.same_rack and spec.copies
+        assert spec.lasting and spec.filling
+        assert spec.image == "img"
+
+    def test_unknown_fields_are_ignored(self) -> None:
+        assert parse_job(_job({"count": 1, "colour": "blue"})).steps[0].tasks == 1
+
+    @pytest.mark.parametrize(
+        "body",
+        [
+            b"",
+            b"{",
+            b"[]",
+            b"\xff\xfe",
+            b'{"spec":"x"}',
+            b'{"steps":[{"count":1}]}',
+            b'{"spec":1,"steps":[{"count":1}]}',
+            b'{"spec":"x","steps":[]}',
+            b'{"spec":"x","steps":[{"count":"1"}]}',
+            b'{"spec":"x","steps":[{"count":0}]}',
+            b'{"spec":"x","steps":[{"count":99999999}]}',
+            b'{"spec":"x","steps":[{"count":1,"depends-on":[0]}]}',
+            b'{"spec":"x","steps":[{"count":1,"cpu":-1}]}',
+            b'{"spec":"x","steps":' + b"[" * 5_000,
+        ],
+    )
+    def test_a_wrong_body_is_an_invalid_job(self, body: bytes) -> None:
+        with pytest.raises(InvalidJob):
+            parse_job(body)
+
+    @given(JSON)
+    def test_any_json_is_a_job_or_invalid(self, value: object) -> None:
+        try:
+            parse_job(json.dumps(value).encode())
+        except InvalidJob as exc:
+            assert str(exc)
+
+
+class TestWorkers:
+    """Workers' entries and names of tasks."""
+
+    def test_an_entry_is_decoded_once(self) -> None:
+        info = parse_worker("i-1", json.dumps(WORKER).encode())
+        assert info is not None
+        assert (info.cpu_millis, info.memory_mb, info.rack) == (16_000, 32_768, "r1-3")
+        assert info.labels == {"a", "r1-3"}
+        assert not info.draining
+        assert {field.name for field in fields(info)} >= {"failure_domain", "leaving_in_ms"}
+
+    def test_a_leaving_worker_is_seen_as_such(self) -> None:
+        entry = {**WORKER, "state": "draining", "remaining-ms": 1500}
+        info = parse_worker("i-1", json.dumps(entry).encode())
+        assert info is not None and info.draining and info.leaving_in_ms == 1500
+
+    @pytest.mark.parametrize("missing", ["service", "address", "zone", "state", "capacity"])
+    def test_an_entry_with_a_field_missing_names_no_worker(self, missing: str) -> None:
+        entry = {key: value for key, value in WORKER.items() if key != missing}
+        assert parse_worker("i-1", json.dumps(entry).encode()) is None
+
+    @pytest.mark.parametrize(
+        "change",
+        [
+            {"state": "asleep"},
+            {"state": 3},
+            {"capacity": 16},
+            {"address": "nowhere"},
+            {"labels": "a"},
+        ],
+    )
+    def test_an_entry_of_another_writer_names_no_worker(self, change: dict[str, object]) -> None:
+        assert parse_worker("i-1", json.dumps({**WORKER, **change}).encode()) is None
+
+    @given(st.binary(max_size=100))
+    def test_any_bytes_are_an_entry_or_nothing(self, value: bytes) -> None:
+        parse_worker("i-1", value)
+
+    def test_names_of_tasks_go_both_ways(self) -> None:
+        task = TaskId("5c0e7a21d94b36f8", 0, 1, 17)
+        assert parse_task(task_name(task)) == task
+
+
+class TestManifest:
+    """Versions of the manifest."""
+
+    def test_routes_become_queues(self) -> None:
+        config = parse_manifest(json.dumps(MANIFEST).encode())
+        assert config is not None and config.version == 7
+        queue = config.queues["r"]
+        assert (queue.service, queue.max_attempts, queue.slack_factor) == ("svc", 4, 1.5)
+        assert queue.decision_ms == 0 and queue.guarded
+
+    def test_a_queue_with_advice_asks_for_it(self) -> None:
+        route = {**ROUTE, "advice": {"decision-ms": 20, "per-worker-ms": 1, "validity-ms": 3000}}
+        config = parse_manifest(json.dumps({**MANIFEST, "routes": [route]}).encode())
+        assert config is not None and config.queues["r"].decision_ms == 20
+
+    @given(st.binary(max_size=100) | JSON.map(lambda value: json.dumps(value).encode()))
+    def test_anything_else_is_passed_over(self, value: bytes) -> None:
+        parse_manifest(value)
+
+
+class TestRecords:
+    """Bytes of the store's log."""
+
+    def test_records_are_read_as_they_were_written(self) -> None:
+        body = struct.pack(">QQ", 12, 0) + _pack("a", b"one") + _pack("b", b"") + _pack("c", b"3")
+        entries = _parse_records(body, 9)
+        assert [(e.offset, e.key, e.value) for e in entries] == [
+            (9, "a", b"one"),
+            (10, "b", b""),
+            (11, "c", b"3"),
+        ]
+
+    @given(st.integers(min_value=0, max_value=60))
+    def test_a_record_that_is_cut_short_is_read_again(self, length: int) -> None:
+        whole = struct.pack(">QQ", 12, 0) + _pack("a", b"one") + _pack("bb", b"three")
+        entries = _parse_records(whole[:length], 0)
+        assert [e.key for e in entries] == ["a", "bb"][: len(entries)]
+
+    @given(st.binary(max_size=200))
+    def test_any_bytes_are_records_or_none(self, body: bytes) -> None:
+        _parse_records(body, 0)
+
+
+class _Pages:
+    """Stand in for a log that answers one page after the other."""
+
+    def __init__(self, *pages: object) -> None:
+        self.pages = list(pages)
+
+    async def load(self) -> object:
+        return self.pages.pop(0)
+
+    async def read(self, start: int, wait_ms: int) -> object:
+        return self.pages.pop(0)
+
+
+class TestFollowing:
+    """Directory and configuration over pages of the log."""
+
+    async def test_a_worker_that_left_is_listed_no_more(self) -> None:
+        good = json.dumps(WORKER).encode()
+        log = _Pages(
+            LogPage((LogEntry(0, "i-1", good), LogEntry(1, "i-2", b"junk")), 2),
+            LogPage((LogEntry(2, "i-1", b""), LogEntry(3, "i-3", good)), 4),
+        )
+        directory = StoreDirectory(log)  # type: ignore[arg-type]
+        assert set(await directory.refresh()) == {"i-1"}
+        assert directory.passed_over["i-2"] == 1
+        assert set(await directory.refresh()) == {"i-3"}
+
+    async def test_the_newest_readable_manifest_counts(self) -> None:
+        newer = json.dumps({**MANIFEST, "version": 9}).encode()
+        entries = (
+            LogEntry(0, "config", json.dumps(MANIFEST).encode()),
+            LogEntry(1, "config", newer),
+            LogEntry(2, "config", b"\x00"),
+            LogEntry(3, "wave/1", b"{}"),
+        )
+        source = ManifestSource(_Pages(LogPage(entries, 4)))  # type: ignore[arg-type]
+        config = await source.next()
+        assert config is not None and config.version == 9
