Refuse at once whenever the store is not read, and say so to the balancer

Cause: one second after a failed append the next caller was held for another one, all through an outage; an instance that the store turns away became ready again in between. Change: no append is tried while reads fail; such an instance is not ready.

--- a/src/greengagewood/internal/entry/intake.py
+++ b/src/greengagewood/internal/entry/intake.py
@@ -27,7 +27,9 @@
 
 RETRY_MS = 60
 MAX_BATCH_BYTES = 512 * 1024
-LONG_OUTAGE_MS = 1_500
+LONG_OUTAGE_MS = 1_500  # callers come back a few times only, so later from then on
+SHORT_RETRY_S = 1
+LONG_RETRY_S = 2
 STORE_DOWN_MS = 1_000  # after an unanswered append, new work is refused until one is answered
 
 _log = Log("intake")
@@ -58,16 +60,18 @@
     @property
     def store_down(self) -> bool:
         """Tell whether the store has not answered lately."""
-        return (
-            self._failed_since_ms is not None and monotonic_ms() - self._failed_ms < STORE_DOWN_MS
-        )
+        if not self._reads_work():
+            return True
+        failed = self._failed_since_ms is not None
+        return failed and monotonic_ms() - self._failed_ms < STORE_DOWN_MS
 
     @property
     def retry_after_s(self) -> int:
         """Return when a refused caller should come back: later, the longer an outage lasts."""
         since = self._failed_since_ms
-        lasts_ms = 0 if since is None else monotonic_ms() - since
-        return 1 if lasts_ms < LONG_OUTAGE_MS else 2
+        if since is None or monotonic_ms() - since < LONG_OUTAGE_MS:
+            return SHORT_RETRY_S
+        return LONG_RETRY_S
 
     async def put(self, record: Submission | Cancellation, patience_ms: int) -> Outcome:
         """Store a record; return whether it is stored, certainly not stored, or unknown."""
--- a/tests/cover/test_cells.py
+++ b/tests/cover/test_cells.py
@@ -168,6 +168,23 @@
 
         play(Drive(13), script)
 
+    def test_a_caller_is_refused_at_once_while_the_store_is_silent(self) -> None:
+        async def script(drive: Drive) -> None:
+            drive.plant.faults.store_down.update(drive.nodes)
+            await asyncio.sleep(2.5)
+            loop = asyncio.get_running_loop()
+            for job in _ids(4):  # also later on, when no append has failed for a while
+                await asyncio.sleep(1.5)
+                node = next(iter(drive.nodes.values()))
+                sent = loop.time()
+                outcome = await node.submit(job, QUEUES["fast"], short_job(), 2_700)
+                assert outcome is Outcome.REFUSED
+                assert loop.time() - sent < 0.05
+                assert not node.ready
+                assert node.retry_after_s >= 1
+
+        play(Drive(18), script)
+
     @pytest.mark.parametrize("seed", range(20, 24))
     def test_orders_that_are_carried_out_late_run_nothing_twice(self, seed: int) -> None:
         async def script(drive: Drive) -> None:
