Judge leases by a clock that goes on while the machine is suspended

Cause: the steady clock stands still in a suspend, so an owner that wakes up took its old confirmation for fresh and gave orders in its term. Change: CLOCK_BOOTTIME; tests of the view of ownership, with a read that was sent before the pause.

--- a/tests/common/virtualtime.py
+++ b/tests/common/virtualtime.py
@@ -4,11 +4,10 @@
 
 import asyncio
 import selectors
-import time
 from collections.abc import Coroutine
 from typing import Any, TypeVar
 
-from greengagewood.internal.clock import set_clocks
+from greengagewood.internal.clock import reset_clocks, set_clocks
 
 T = TypeVar("T")
 
@@ -49,7 +48,7 @@
     try:
         return loop.run_until_complete(main)
     finally:
-        set_clocks(time.monotonic_ns, time.time_ns)
+        reset_clocks()
         pending = asyncio.all_tasks(loop)
         for task in pending:
             task.cancel()
--- /dev/null
+++ b/tests/cover/test_owner_view.py
@@ -0,0 +1,147 @@
+"""Who owns a cell, as one instance sees it through the store."""
+
+from __future__ import annotations
+
+import time
+
+import pytest
+
+from greengagewood.internal.cells.ownership import ABSENT_MS, CHART, OwnershipView
+from greengagewood.internal.chart import IllegalTransition
+from greengagewood.internal.clock import monotonic_ms
+from greengagewood.internal.jobs.records import Ownership, Progress
+
+TERM_MS = 5_000
+
+
+def _view(delay_ms: int = 0) -> OwnershipView:
+    view = OwnershipView("me", TERM_MS, delay_ms)
+    view.read_confirmed(0, 0)
+    return view
+
+
+def _owning() -> OwnershipView:
+    view = _view()
+    view.saw(view.claim(0), 0)
+    assert view.state == "owning"
+    return view
+
+
+class TestClaims:
+    """When an instance claims, and which claim counts."""
+
+    def test_a_cell_without_an_owner_is_claimed(self) -> None:
+        assert _view().should_claim(1)
+
+    def test_claims_of_a_free_cell_are_spread(self) -> None:
+        view = _view(200)
+        assert not view.should_claim(1)
+        view.read_confirmed(200, 201)
+        assert view.should_claim(201)
+
+    def test_an_owner_that_signs_is_left_alone(self) -> None:
+        view = _view()
+        for now in range(0, 20_000, 500):
+            view.saw(Ownership(1, "other"), now)
+            view.read_confirmed(now, now)
+            assert not view.should_claim(now)
+
+    def test_progress_is_a_sign_of_life_too(self) -> None:
+        view = _view()
+        view.saw(Ownership(1, "other"), 0)
+        view.saw(Progress("0" * 16, "running"), 2_000)
+        view.read_confirmed(2_100, 2_100)
+        assert not view.should_claim(2_100)
+
+    def test_an_owner_that_is_not_seen_by_fresh_reads_is_replaced(self) -> None:
+        view = _view()
+        view.saw(Ownership(3, "other"), 0)
+        view.read_confirmed(ABSENT_MS, ABSENT_MS)
+        assert view.should_claim(ABSENT_MS)
+        assert view.claim(ABSENT_MS).token == 4
+
+    def test_silence_of_the_store_is_no_sign_of_absence(self) -> None:
+        view = _view()
+        view.saw(Ownership(3, "other"), 0)
+        view.read_confirmed(100, 100)
+        assert not view.should_claim(60_000)
+
+    def test_a_released_cell_is_claimed_at_once(self) -> None:
+        view = _view()
+        view.saw(Ownership(3, "other", released=True), 0)
+        view.read_confirmed(1, 1)
+        assert view.should_claim(1)
+
+    def test_of_two_claims_the_one_in_the_log_counts(self) -> None:
+        view = _view()
+        view.claim(0)
+        view.saw(Ownership(1, "other"), 5)
+        assert view.state == "following"
+
+    def test_a_claim_whose_answer_was_lost_counts_when_it_is_read(self) -> None:
+        view = _view()
+        claim = view.claim(0)
+        view.tick(10_000)
+        assert view.state == "following"
+        view.saw(claim, 10_001)
+        assert view.state == "owning" and view.token == 1
+
+    def test_an_earlier_life_of_the_instance_is_another_owner(self) -> None:
+        view = OwnershipView("me#2", TERM_MS, 0)
+        view.saw(Ownership(1, "me#1"), 0)
+        assert view.state == "following"
+
+
+class TestTerms:
+    """How long an owner may give orders."""
+
+    def test_an_owner_without_a_confirmed_read_is_suspended(self) -> None:
+        view = _owning()
+        view.read_confirmed(1_000, 1_000)
+        view.tick(1_000 + TERM_MS)
+        assert view.state == "owning"
+        view.tick(1_001 + TERM_MS)
+        assert view.state == "suspended"
+
+    def test_a_read_that_was_sent_before_the_pause_confirms_nothing(self) -> None:
+        view = _owning()
+        view.tick(20_000)  # the machine was suspended
+        view.read_confirmed(500, 20_001)
+        assert view.state == "suspended"
+        view.read_confirmed(20_002, 20_010)
+        assert view.state == "owning"
+
+    def test_a_newer_token_ends_the_term(self) -> None:
+        view = _owning()
+        view.saw(Ownership(2, "other"), 1)
+        assert view.state == "following" and view.token == 0
+
+    def test_the_store_or_a_worker_may_say_so_first(self) -> None:
+        view = _owning()
+        view.fenced()
+        assert view.state == "following"
+
+    def test_an_instance_that_stops_claims_no_more(self) -> None:
+        view = _view()
+        view.retiring = True
+        assert not view.should_claim(10)
+
+
+class TestChart:
+    """The chart of ownership."""
+
+    def test_events_that_a_state_does_not_take_are_errors(self) -> None:
+        events = {event for _, event in CHART.transitions}
+        for state in CHART.states:
+            for event in events:
+                if not CHART.takes(state, event):
+                    with pytest.raises(IllegalTransition):
+                        CHART.next(state, event)
+
+
+class TestClock:
+    """The clock that leases are judged by."""
+
+    def test_it_goes_on_while_the_machine_is_suspended(self) -> None:
+        boot_ms = time.clock_gettime_ns(time.CLOCK_BOOTTIME) // 1_000_000
+        assert abs(monotonic_ms() - boot_ms) < 1_000
