Split the planner from the cell; a job that must leave headroom has not begun

Reading it: a lasting job that found room but had to leave it as headroom was noted as begun, so a queue's pending count left it out. Change: planner.py (order, headroom, advice, what may begin); headroom is asked first.

--- a/src/greengagewood/internal/cells/cell.py
+++ b/src/greengagewood/internal/cells/cell.py
@@ -21,21 +21,13 @@
 
 from greengagewood.internal.cells.fleet import ANSWER_MS, CLOCK_DRIFT, Worker
 from greengagewood.internal.cells.orders import (
-    AskAdvice,
     Changes,
     Order,
     PaceRun,
-    StartRun,
     StopRun,
 )
-from greengagewood.internal.cells.placement import (
-    choose_worker,
-    is_roomy,
-    keeps_headroom,
-    place_gang,
-)
-from greengagewood.internal.cells.tails import TailModel
-from greengagewood.internal.jobs.book import Job, JobBook, Run, Step, Task
+from greengagewood.internal.cells.planner import Planner
+from greengagewood.internal.jobs.book import JobBook, Run, Task
 from greengagewood.internal.jobs.model import Queue
 from greengagewood.internal.jobs.records import (
     Enlisted,
@@ -45,25 +37,16 @@
     Submission,
     TaskId,
 )
-from greengagewood.internal.ports import End, HoldReply, Permit, RunningTask, WorkerInfo
+from greengagewood.internal.ports import End, HoldReply, RunningTask, WorkerInfo
 
 __all__ = ["Cell", "CellLimits"]
 
-START_WINDOW_MS = 1_500  # a start that arrives later than this is refused by the worker
 STOP_AGAIN_MS = 400
 STUCK_MS = 2_500  # a run without any progress for this long stands still
 BACKOFF_MS = 150
-AT_ONCE_MS = 1_000  # a job that came within this time may be started before it is stored so
-AGED_MS = 3_000  # a job that has waited longer gets one task placed if most room is free
 SHUN_FIRST_MS = 1_000
 SHUN_LONGEST_MS = 8_000
 SHUN_AFTER_FAILURES = 3  # of the last eight ends, with no good one among them
-RUN_NUMBERS_A_TERM = 1 << 20
-PERMIT_MARGIN_MS = 300
-ADVICE_BATCH = 30
-MAX_STARTS_A_PLAN = 200
-LATE_FACTOR = 3  # times its objective after which a job earns nothing, from the platform's rules
-FILL_INTERVAL_MS = 60  # a backlog of filling work must not delay what is urgent
 
 
 @dataclass(frozen=True)
@@ -91,21 +74,13 @@
         self.limits = limits
         self.token = token
         self.book = JobBook()
-        self.model = TailModel()
         self.workers: dict[str, Worker] = {}
-        self.queues: dict[str, Queue] = {}
+        self.planner = Planner(self.book, self.workers, token, settled, claimed_at)
         self.on_event: Callable[[str, dict[str, object]], None] = lambda event, fields: None
-        self._began_ms = now_ms
         self._earlier_until_ms = now_ms + limits.term_ms + int(limits.lease_ms * (1 + CLOCK_DRIFT))
         self._orphans: dict[tuple[str, TaskId, int], int] = {}
-        self._permits: dict[Step, dict[str, Permit]] = {}
-        self._asked: dict[Step, int] = {}
         self._enlist_due = False
-        self._settled = settled
-        self._claimed_at = claimed_at
-        self._planned_version = -1
         self._adopting = True
-        self._filled_ms = now_ms - FILL_INTERVAL_MS
 
     # Jobs.
 
@@ -118,7 +93,7 @@
         offset: int = 0,
     ) -> None:
         """Add a job; nothing of a fresh one can have been started before this term."""
-        self.queues.setdefault(submission.queue.name, submission.queue)
+        self.planner.queues.setdefault(submission.queue.name, submission.queue)
         self.book.add(submission, progress, not fresh, now_ms, offset)
 
     def cancel(self, name: str, now_ms: int) -> None:
@@ -129,15 +104,8 @@
 
     def set_queues(self, queues: dict[str, Queue]) -> None:
         """Take the queues of the newest configuration; a dropped one keeps its last settings."""
-        self.queues.update(queues)
-        self._replan()
-
-    def queue_of(self, job: Job) -> Queue:
-        """Return the settings of a job's queue."""
-        return self.queues[job.submission.queue.name]
-
-    def _replan(self) -> None:
-        self._planned_version = -1
+        self.planner.queues.update(queues)
+        self.planner.replan()
 
     # Workers.
 
@@ -155,7 +123,7 @@
             worker.listed = name in listed
             if not worker.listed and worker.silent and worker.lapsed(now_ms):
                 self._forget(worker, now_ms)
-        self._replan()
+        self.planner.replan()
 
     def _add_worker(self, info: WorkerInfo, now_ms: int) -> Worker:
         worker = Worker(info, now_ms, unclocked_until_ms=self._earlier_until_ms)
@@ -276,12 +244,12 @@
             else:
                 orders.extend(self._stop_orphan(worker, row, now_ms))
         self._check_unlisted(worker, reply, listed, sent_ms, now_ms)
-        self.model.learn(worker, now_ms)
+        self.planner.model.learn(worker, now_ms)
         if not worker.adopted:
             worker.adopted = True
             self.on_event("worker_adopted", {"worker": worker.name, "runs": len(listed)})
-        orders.extend(self.model.plan_pacing(worker, now_ms))
-        self._replan()
+        orders.extend(self.planner.model.plan_pacing(worker, now_ms))
+        self.planner.replan()
         return orders
 
     def _take_running(self, worker: Worker, task: Task, row: RunningTask, now_ms: int) -> bool:
@@ -386,7 +354,7 @@
             worker.shun(now_ms, SHUN_FIRST_MS, SHUN_LONGEST_MS)
             self.on_event("worker_shunned", {"worker": worker.name, "for_ms": worker.shun_ms})
         task.failed_on = (*task.failed_on, worker.name)[-4:]
-        attempts = self.queue_of(task.step.job).max_attempts
+        attempts = self.planner.queue_of(task.step.job).max_attempts
         self.book.note_failed(task, end.run, attempts, now_ms)
         if task.step.job.state == "failed":
             self.on_event("job_failed", {"job": task.id.job, "task": task.id, "attempts": attempts})
@@ -428,7 +396,7 @@
         if reason in ("unhealthy", "invalid"):
             worker.shun(now_ms, SHUN_FIRST_MS, SHUN_LONGEST_MS)
         elif reason == "ticket":
-            self._permits.pop(run.task.step, None)
+            self.planner.ticket_refused(run.task.step)
         elif reason == "room":
             worker.shunned_until_ms = max(worker.shunned_until_ms, now_ms + BACKOFF_MS)
         self.on_event(
@@ -448,16 +416,6 @@
         if run is not None and run.state != "over" and run.stop_answered_ms is None:
             run.stop_answered_ms = now_ms
 
-    def advice_answered(self, step: Step, permits: dict[str, Permit]) -> None:
-        """Take in which workers may run a step."""
-        self._permits.setdefault(step, {}).update(permits)
-        self._asked.pop(step, None)
-        self._replan()
-
-    def advice_failed(self, step: Step) -> None:
-        """Note that the advice service did not answer; it is asked again."""
-        self._asked.pop(step, None)
-
     # Orders.
 
     def plan(self, now_ms: int, wall_ms: int) -> list[Order]:
@@ -467,9 +425,7 @@
         self._finish_adopting(now_ms)
         orders: list[Order] = []
         orders.extend(self._stops(now_ms))
-        if self.book.version != self._planned_version:
-            self._planned_version = self.book.version
-            orders.extend(self._place(now_ms))
+        orders.extend(self.planner.plan(now_ms))
         return orders
 
     def _lapse_silent(self, now_ms: int) -> None:
@@ -561,158 +517,8 @@
         return any(
             other.usable(now_ms) and other.fits(run.task.step.spec)
             for other in self.workers.values()
-            if other.info.service == self.queue_of(run.task.step.job).service
-        )
-
-    # Placement.
-
-    def _place(self, now_ms: int) -> list[Order]:
-        orders: list[Order] = []
-        by_service: dict[str, list[Worker]] = {}
-        for worker in self.workers.values():
-            if worker.usable(now_ms):
-                by_service.setdefault(worker.info.service, []).append(worker)
-        fill_now = now_ms - self._filled_ms >= FILL_INTERVAL_MS
-        if fill_now:
-            self._filled_ms = now_ms
-        steps = [step for step in self.book.waiting if fill_now or not step.spec.filling]
-        refused: dict[tuple[str, str], int] = {}  # the least size that found no place
-        for step in sorted(steps, key=lambda step: self._order(step, now_ms)):
-            queue = self.queue_of(step.job)
-            spec = step.spec
-            aged = self._is_aged(step, now_ms) and is_roomy(by_service.get(queue.service, []))
-            kind = (queue.service, spec.image)
-            if (
-                spec.filling
-                and not aged
-                and spec.cpu_millis >= refused.get(kind, spec.cpu_millis + 1)
-            ):
-                continue
-            workers = by_service.get(queue.service, [])
-            found = self._place_step(step, workers, aged, now_ms)
-            orders.extend(found)
-            if not found and spec.filling and not aged:
-                refused[kind] = spec.cpu_millis
-            if len(orders) > MAX_STARTS_A_PLAN:
-                self._replan()
-                break
-        return orders
-
-    @staticmethod
-    def _is_aged(step: Step, now_ms: int) -> bool:
-        job = step.job
-        return step.spec.filling and not job.runs and now_ms - job.arrived_ms > AGED_MS
-
-    def _order(self, step: Step, now_ms: int) -> tuple[float, ...]:
-        """Return the rank of a step.
-
-        Answers the load in which not all can be in time: within a priority, jobs that still can
-        come before those that are late, and those before the ones too late to earn anything; among
-        equals the least work left comes first, since most callers are then served.
-        """
-        job = step.job
-        queue = self.queue_of(job)
-        objective = queue.slack_factor * max(job.chains_ms, default=0) + queue.target_ms
-        age = now_ms - job.arrived_ms
-        if step.spec.lasting or age + job.chains_ms[step.number] <= objective:
-            lateness = 0
-        else:
-            lateness = 1 if age < LATE_FACTOR * objective else 2
-        return (queue.priority, lateness, self.book.work_left(job, step.occurrence))
-
-    def _place_step(
-        self, step: Step, workers: list[Worker], aged: bool, now_ms: int
-    ) -> list[Order]:
-        queue = self.queue_of(step.job)
-        orders: list[Order] = []
-        if queue.decision_ms:
-            orders.extend(self._ask_advice(step, workers, now_ms))
-            permits = self._permits.get(step, {})
-            workers = [
-                w
-                for w in workers
-                if w.name in permits and permits[w.name].until_ms - PERMIT_MARGIN_MS > now_ms
-            ]
-        if step.spec.gang:
-            return [*orders, *self._place_gang(step, workers, now_ms)]
-        for task in sorted(step.waiting, key=lambda task: -task.last_run_ms):
-            if task.not_before_ms > now_ms:
-                self._replan()
-                continue
-            worker = choose_worker(task, workers, self.model, aged, now_ms)
-            if worker is None or not self._may_begin(step.job):
-                break
-            if step.spec.lasting and not keeps_headroom(task, workers):
-                break
-            orders.append(self._start(task, worker, now_ms, task.starts + 1))
-            aged = False  # one is enough
-        return orders
-
-    def _place_gang(self, step: Step, workers: list[Worker], now_ms: int) -> list[Order]:
-        alive = [task for task in step.tasks if not task.ended]
-        if any(task.run or task.unknown or task.not_before_ms > now_ms for task in alive):
-            self._replan()
-            return []
-        placed = place_gang(step, workers)
-        if placed is None or not self._may_begin(step.job):
-            return []
-        starts = 1 + max(task.starts for task in step.tasks)
-        return [self._start(task, worker, now_ms, starts) for task, worker in placed]
-
-    def _may_begin(self, job: Job) -> bool:
-        """Tell whether tasks of the job may be started; have it stored first if need be.
-
-        A job that has just come is started at once, and stored as begun soon after. Of the others,
-        those below `settled`, a later owner counts on what is stored.
-        """
-        self.book.note_begun(job)
-        return job.begun_stored or job.offset >= max(self._settled, self._claimed_at)
-
-    def settle(self, end: int, now_ms: int) -> int:
-        """Return the offset below which only jobs that are stored as begun were ever started."""
-        doubtful = {task.id.job for task in self.book.unknown}
-        open_offsets = [
-            job.offset
-            for job in self.book.jobs.values()
-            if not job.final
-            and not job.begun_stored
-            and (job.begun or now_ms - job.arrived_ms < AT_ONCE_MS or job.name in doubtful)
-        ]
-        self._settled = max(self._settled, min([end, *open_offsets]))
-        return self._settled
-
-    def _ask_advice(self, step: Step, workers: list[Worker], now_ms: int) -> list[Order]:
-        if step in self._asked:
-            return []
-        fresh = {
-            name
-            for name, permit in self._permits.get(step, {}).items()
-            if permit.until_ms - 2 * PERMIT_MARGIN_MS > now_ms
-        }
-        if fresh:
-            return []
-        names = [w.name for w in workers if w.fits(step.spec)][:ADVICE_BATCH]
-        if not names:
-            return []
-        self._asked[step] = now_ms
-        return [AskAdvice(step, tuple(names))]
-
-    def _start(self, task: Task, worker: Worker, now_ms: int, starts: int) -> StartRun:
-        task.starts = starts
-        number = (self.token - 1) * RUN_NUMBERS_A_TERM + starts
-        deadline = worker.deadline_in(START_WINDOW_MS, now_ms)
-        assert deadline is not None  # only adopted workers are usable, and their clock was read
-        run = self.book.begin(
-            task, number, worker.name, worker.info.rack, "starting", now_ms, deadline
+            if other.info.service == self.planner.queue_of(run.task.step.job).service
         )
-        permit = self._permits.get(task.step, {}).get(worker.name)
-        run.ticket = permit.ticket if permit else ""
-        if task.step.spec.filling:
-            run.wanted_percent = self.model.note_start(worker, task.step.spec, now_ms)
-        worker.add(run)
-        worker.horizon_ms = max(worker.horizon_ms, deadline)
-        payload = task.step.job.submission.spec.payload
-        return StartRun(worker, run, payload, deadline, task.checkpoint)
 
     # What has to be stored.
 
@@ -764,7 +570,7 @@
             current = self.workers.get(worker.name)
             if current is not None:
                 current.enlisted = True
-        self._replan()
+        self.planner.replan()
 
     def changes_lost(self, changes: Changes) -> None:
         """Take note that changes may not be in the store; they are stored again."""
--- /dev/null
+++ b/src/greengagewood/internal/cells/planner.py
@@ -0,0 +1,235 @@
+"""Which waiting tasks start where, and in which order: the plan of one cell's owner.
+
+Pure: it is asked again whenever something has changed. It answers three loads: short tasks that
+must start at once, lasting ones that may not take all the room, and a backlog of filling work that
+must not delay either.
+"""
+
+from __future__ import annotations
+
+from greengagewood.internal.cells.fleet import Worker
+from greengagewood.internal.cells.orders import AskAdvice, Order, StartRun
+from greengagewood.internal.cells.placement import (
+    choose_worker,
+    is_roomy,
+    keeps_headroom,
+    place_gang,
+)
+from greengagewood.internal.cells.tails import TailModel
+from greengagewood.internal.jobs.book import Job, JobBook, Step, Task
+from greengagewood.internal.jobs.model import Queue
+from greengagewood.internal.ports import Permit
+
+__all__ = ["Planner"]
+
+START_WINDOW_MS = 1_500  # a start that arrives later than this is refused by the worker
+RUN_NUMBERS_A_TERM = 1 << 20
+PERMIT_MARGIN_MS = 300  # for the way of a start to its worker
+ADVICE_BATCH = 30  # workers named in one question, each of which costs time
+MAX_STARTS_A_PLAN = 200
+LATE_FACTOR = 3  # times its objective after which a job earns nothing, from the platform's rules
+FILL_INTERVAL_MS = 60  # a backlog of filling work must not delay what is urgent
+AT_ONCE_MS = 1_000  # a job that came within this time may be started before it is stored so
+AGED_MS = 3_000  # a job that has waited longer gets one task placed if most room is free
+
+
+class Planner:
+    """Place the waiting tasks of a cell during one term of ownership."""
+
+    def __init__(
+        self,
+        book: JobBook,
+        workers: dict[str, Worker],
+        token: int,
+        settled: int,
+        claimed_at: int,
+    ) -> None:
+        self.model = TailModel()
+        self.queues: dict[str, Queue] = {}
+        self._book = book
+        self._workers = workers
+        self._token = token
+        self._settled = settled
+        self._claimed_at = claimed_at
+        self._permits: dict[Step, dict[str, Permit]] = {}
+        self._asked: set[Step] = set()
+        self._planned_version = -1
+        self._filled_ms: int | None = None
+
+    def queue_of(self, job: Job) -> Queue:
+        """Return the settings of a job's queue."""
+        return self.queues[job.submission.queue.name]
+
+    def replan(self) -> None:
+        """Note that something has changed on which placement depends."""
+        self._planned_version = -1
+
+    def plan(self, now_ms: int) -> list[Order]:
+        """Return what to start now, if anything has changed since the last plan."""
+        if self._book.version == self._planned_version:
+            return []
+        self._planned_version = self._book.version
+        return self._place(now_ms)
+
+    def advice_answered(self, step: Step, permits: dict[str, Permit]) -> None:
+        """Take in which workers may run a step."""
+        self._permits.setdefault(step, {}).update(permits)
+        self._asked.discard(step)
+        self.replan()
+
+    def advice_failed(self, step: Step) -> None:
+        """Note that the advice service did not answer; it is asked again."""
+        self._asked.discard(step)
+
+    def ticket_refused(self, step: Step) -> None:
+        """Note that a worker did not take a permit."""
+        self._permits.pop(step, None)
+
+    def _place(self, now_ms: int) -> list[Order]:
+        orders: list[Order] = []
+        by_service: dict[str, list[Worker]] = {}
+        for worker in self._workers.values():
+            if worker.usable(now_ms):
+                by_service.setdefault(worker.info.service, []).append(worker)
+        filled = self._filled_ms
+        fill_now = filled is None or now_ms - filled >= FILL_INTERVAL_MS
+        if fill_now:
+            self._filled_ms = now_ms
+        steps = [step for step in self._book.waiting if fill_now or not step.spec.filling]
+        refused: dict[tuple[str, str], int] = {}  # the least size that found no place
+        for step in sorted(steps, key=lambda step: self._order(step, now_ms)):
+            queue = self.queue_of(step.job)
+            spec = step.spec
+            aged = self._is_aged(step, now_ms) and is_roomy(by_service.get(queue.service, []))
+            kind = (queue.service, spec.image)
+            if (
+                spec.filling
+                and not aged
+                and spec.cpu_millis >= refused.get(kind, spec.cpu_millis + 1)
+            ):
+                continue
+            workers = by_service.get(queue.service, [])
+            found = self._place_step(step, workers, aged, now_ms)
+            orders.extend(found)
+            if not found and spec.filling and not aged:
+                refused[kind] = spec.cpu_millis
+            if len(orders) > MAX_STARTS_A_PLAN:
+                self.replan()
+                break
+        return orders
+
+    @staticmethod
+    def _is_aged(step: Step, now_ms: int) -> bool:
+        job = step.job
+        return step.spec.filling and not job.runs and now_ms - job.arrived_ms > AGED_MS
+
+    def _order(self, step: Step, now_ms: int) -> tuple[float, ...]:
+        """Return the rank of a step.
+
+        Answers the load in which not all can be in time: within a priority, jobs that still can
+        come before those that are late, and those before the ones too late to earn anything; among
+        equals the least work left comes first, since most callers are then served.
+        """
+        job = step.job
+        queue = self.queue_of(job)
+        objective = queue.slack_factor * max(job.chains_ms, default=0) + queue.target_ms
+        age = now_ms - job.arrived_ms
+        if step.spec.lasting or age + job.chains_ms[step.number] <= objective:
+            lateness = 0
+        else:
+            lateness = 1 if age < LATE_FACTOR * objective else 2
+        return (queue.priority, lateness, self._book.work_left(job, step.occurrence))
+
+    def _place_step(
+        self, step: Step, workers: list[Worker], aged: bool, now_ms: int
+    ) -> list[Order]:
+        queue = self.queue_of(step.job)
+        orders: list[Order] = []
+        if queue.decision_ms:
+            orders.extend(self._ask_advice(step, workers, now_ms))
+            permits = self._permits.get(step, {})
+            workers = [
+                w
+                for w in workers
+                if w.name in permits and permits[w.name].until_ms - PERMIT_MARGIN_MS > now_ms
+            ]
+        if step.spec.gang:
+            return [*orders, *self._place_gang(step, workers, now_ms)]
+        for task in sorted(step.waiting, key=lambda task: -task.last_run_ms):
+            if task.not_before_ms > now_ms:
+                self.replan()
+                continue
+            worker = choose_worker(task, workers, self.model, aged, now_ms)
+            if worker is None or (step.spec.lasting and not keeps_headroom(task, workers)):
+                break
+            if not self._may_begin(step.job):
+                break
+            orders.append(self._start(task, worker, now_ms, task.starts + 1))
+            aged = False  # one is enough
+        return orders
+
+    def _place_gang(self, step: Step, workers: list[Worker], now_ms: int) -> list[Order]:
+        alive = [task for task in step.tasks if not task.ended]
+        if any(task.run or task.unknown or task.not_before_ms > now_ms for task in alive):
+            self.replan()
+            return []
+        placed = place_gang(step, workers)
+        if placed is None or not self._may_begin(step.job):
+            return []
+        starts = 1 + max(task.starts for task in step.tasks)
+        return [self._start(task, worker, now_ms, starts) for task, worker in placed]
+
+    def _may_begin(self, job: Job) -> bool:
+        """Tell whether tasks of the job may be started; have it stored first if need be.
+
+        A job that has just come is started at once, and stored as begun soon after. Of the others,
+        those below `settled`, a later owner counts on what is stored.
+        """
+        self._book.note_begun(job)
+        return job.begun_stored or job.offset >= max(self._settled, self._claimed_at)
+
+    def settle(self, end: int, now_ms: int) -> int:
+        """Return the offset below which only jobs that are stored as begun were ever started."""
+        doubtful = {task.id.job for task in self._book.unknown}
+        open_offsets = [
+            job.offset
+            for job in self._book.jobs.values()
+            if not job.final
+            and not job.begun_stored
+            and (job.begun or now_ms - job.arrived_ms < AT_ONCE_MS or job.name in doubtful)
+        ]
+        self._settled = max(self._settled, min([end, *open_offsets]))
+        return self._settled
+
+    def _ask_advice(self, step: Step, workers: list[Worker], now_ms: int) -> list[Order]:
+        if step in self._asked:
+            return []
+        fresh = {
+            name
+            for name, permit in self._permits.get(step, {}).items()
+            if permit.until_ms - 2 * PERMIT_MARGIN_MS > now_ms
+        }
+        if fresh:
+            return []
+        names = [w.name for w in workers if w.fits(step.spec)][:ADVICE_BATCH]
+        if not names:
+            return []
+        self._asked.add(step)
+        return [AskAdvice(step, tuple(names))]
+
+    def _start(self, task: Task, worker: Worker, now_ms: int, starts: int) -> StartRun:
+        task.starts = starts
+        number = (self._token - 1) * RUN_NUMBERS_A_TERM + starts
+        deadline = worker.deadline_in(START_WINDOW_MS, now_ms)
+        assert deadline is not None  # only adopted workers are usable, and their clock was read
+        run = self._book.begin(
+            task, number, worker.name, worker.info.rack, "starting", now_ms, deadline
+        )
+        permit = self._permits.get(task.step, {}).get(worker.name)
+        run.ticket = permit.ticket if permit else ""
+        if task.step.spec.filling:
+            run.wanted_percent = self.model.note_start(worker, task.step.spec, now_ms)
+        worker.add(run)
+        worker.horizon_ms = max(worker.horizon_ms, deadline)
+        payload = task.step.job.submission.spec.payload
+        return StartRun(worker, run, payload, deadline, task.checkpoint)
--- a/src/greengagewood/internal/cells/runner.py
+++ b/src/greengagewood/internal/cells/runner.py
@@ -299,9 +299,9 @@
                 step.job.name, step.occurrence, step.number, order.workers
             )
         except AdviceBusy:
-            self.cell.advice_failed(step)
+            self.cell.planner.advice_failed(step)
         else:
-            self.cell.advice_answered(step, permits)
+            self.cell.planner.advice_answered(step, permits)
 
     # Workers.
 
@@ -382,7 +382,7 @@
             pass
 
     def _sign(self, released: bool) -> Ownership:
-        settled = self.cell.settle(self._ledger.end, monotonic_ms())
+        settled = self.cell.planner.settle(self._ledger.end, monotonic_ms())
         return Ownership(self.token, self._ledger.ownership.owner, released, settled)
 
     async def _store(self, changes: Changes) -> None:
