Move filling runs that were slowed down to a place where they can work

Cause: runs that were paced down kept their memory and their share of the idle processors, and ended long after their jobs could earn anything. Change: a run with checkpoints that has worked at a quarter of its speed or less for a second is stopped if a worker has room at full speed; at most one each 150 ms.

--- a/src/greengagewood/internal/cells/cell.py
+++ b/src/greengagewood/internal/cells/cell.py
@@ -42,6 +42,9 @@
 __all__ = ["Cell", "CellLimits"]
 
 STOP_AGAIN_MS = 400
+SLOW_PERCENT = 25  # of its speed; a run that is slower gives up its place if there is a better one
+MOVE_AFTER_MS = 1_000
+MOVE_INTERVAL_MS = 150  # between two moves, which cost a stop and a start each
 STUCK_MS = 2_500  # a run without any progress for this long stands still
 BACKOFF_MS = 150
 SHUN_FIRST_MS = 1_000
@@ -81,6 +84,7 @@
         self._orphans: dict[tuple[str, TaskId, int], int] = {}
         self._enlist_due = False
         self._adopting = True
+        self._move_ms = 0
 
     # Jobs.
 
@@ -496,6 +500,8 @@
             run.task.failed_on = (*run.task.failed_on, worker.name)[-4:]
             worker.note_work(False)
             return "stands_still"
+        if self._should_move(worker, run, now_ms):
+            return "moves"
         if (
             worker.info.draining
             and run.task.step.spec.lasting
@@ -513,6 +519,24 @@
             return now_ms - run.progress_ms > 2 * STUCK_MS
         return now_ms - run.progress_ms > max(STUCK_MS, spec.estimate_ms // 4)
 
+    def _should_move(self, worker: Worker, run: Run, now_ms: int) -> bool:
+        """Tell whether a filling run that was slowed down long ago goes on better elsewhere.
+
+        It keeps its work by a checkpoint, and gives back memory that it hardly uses.
+        """
+        spec = run.task.step.spec
+        if not spec.filling or not spec.checkpoints or run.percent > SLOW_PERCENT:
+            run.slow_since_ms = None
+            return False
+        if run.slow_since_ms is None:
+            run.slow_since_ms = now_ms
+        if now_ms - run.slow_since_ms < MOVE_AFTER_MS or now_ms < self._move_ms:
+            return False
+        if not self.planner.has_better_place(run, worker, now_ms):
+            return False
+        self._move_ms = now_ms + MOVE_INTERVAL_MS
+        return True
+
     def _room_elsewhere(self, run: Run, now_ms: int) -> bool:
         return any(
             other.usable(now_ms) and other.fits(run.task.step.spec)
--- a/src/greengagewood/internal/cells/planner.py
+++ b/src/greengagewood/internal/cells/planner.py
@@ -11,12 +11,13 @@
 from greengagewood.internal.cells.orders import AskAdvice, Order, StartRun
 from greengagewood.internal.cells.placement import (
     choose_worker,
+    idle_millis,
     is_roomy,
     keeps_headroom,
     place_gang,
 )
 from greengagewood.internal.cells.tails import TailModel
-from greengagewood.internal.jobs.book import Job, JobBook, Step, Task
+from greengagewood.internal.jobs.book import Job, JobBook, Run, Step, Task
 from greengagewood.internal.jobs.model import Queue
 from greengagewood.internal.ports import Permit
 
@@ -71,6 +72,20 @@
         self._planned_version = self._book.version
         return self._place(now_ms)
 
+    def has_better_place(self, run: Run, current: Worker, now_ms: int) -> bool:
+        """Tell whether a filling run could work at full speed on another worker."""
+        spec = run.task.step.spec
+        service = self.queue_of(run.task.step.job).service
+        return any(
+            worker is not current
+            and worker.info.service == service
+            and worker.usable(now_ms)
+            and worker.fits(spec)
+            and idle_millis(worker) >= spec.cpu_millis
+            and self.model.admits(worker, spec, now_ms).percent == 100
+            for worker in self._workers.values()
+        )
+
     def advice_answered(self, step: Step, permits: dict[str, Permit]) -> None:
         """Take in which workers may run a step."""
         self._permits.setdefault(step, {}).update(permits)
--- a/src/greengagewood/internal/jobs/book.py
+++ b/src/greengagewood/internal/jobs/book.py
@@ -36,6 +36,7 @@
     stop_sent_ms: int | None = None
     stop_answered_ms: int | None = None
     percent: int = 100  # the share of its speed that it was last paced to
+    slow_since_ms: int | None = None  # when it was paced down below what is worth a place
     wanted_percent: int = 100  # the share that it is to begin with
     progress: int = 0  # percent of its work done, as listed last
     progress_ms: int = 0  # when that changed last
