--- a/tests/cover/test_cell.py
+++ b/tests/cover/test_cell.py
@@ -30,6 +30,7 @@
 
     def __init__(self, *workers: str) -> None:
         self.now = 100_000
+        self.orders: list = []
         self.cell = Cell(LIMITS, 1, self.now)
         self.infos = {name: _info(name) for name in workers}
         self.cell.set_workers(self.infos, self.now)
@@ -161,3 +162,36 @@
         desk.submit(StepSpec(1, cpu_millis=60_000, lasting=True))
         assert _starts(desk.plan()) == []
         assert not desk.cell.book.jobs["0" * 16].begun
+
+
+class TestMoves:
+    """Filling runs that were slowed down."""
+
+    def _slow_run(self, *workers: str) -> tuple[Desk, StartRun]:
+        desk = Desk(*workers)
+        desk.submit(
+            StepSpec(1, cpu_millis=6_000, memory_mb=1, checkpoints=True, image="f", filling=True)
+        )
+        (start,) = _starts(desk.plan(100))
+        desk.cell.start_answered(start.worker, start.run, "", desk.now)
+        start.run.percent = 10
+        for _ in range(4):
+            desk.now += 400
+            for name in workers:
+                rows = ()
+                if name == start.worker.name:
+                    rows = (RunningTask(start.run.task.id, start.run.number, "c", 5, 600),)
+                desk.hear(name, *rows)
+            desk.orders = desk.plan()
+        return desk, start
+
+    def test_a_slow_run_gives_way_to_a_better_place(self) -> None:
+        desk, start = self._slow_run("w0", "w1")
+        stops = [order for order in desk.orders if isinstance(order, StopRun)]
+        assert [order.reason for order in stops] in (["moves"], ["again"], [])
+        assert start.run.state == "stopping"
+        assert start.run.task.checkpoint == "c"
+
+    def test_without_a_better_place_it_stays(self) -> None:
+        _, start = self._slow_run("w0")
+        assert start.run.state == "running"
