--- a/src/greengagewood/internal/cells/fleet.py
+++ b/src/greengagewood/internal/cells/fleet.py
@@ -48,7 +48,7 @@
     used: Room = field(default_factory=Room)
     filling_millis: int = 0
     lasting_millis: int = 0
-    tails: object | None = None  # what the tail model has worked out of the runs
+    expected_tails: dict[str, float] | None = None  # by image, until the runs change
     seen_end: int = 0
     acknowledged: int = 0
     leaves_at_ms: int | None = None
@@ -94,7 +94,7 @@
             self._commit(run.task.step.spec, -1)
 
     def _commit(self, spec: StepSpec, sign: int) -> None:
-        self.tails = None
+        self.expected_tails = None
         if spec.lasting:
             self.lasting_millis += sign * spec.cpu_millis
         if spec.filling:
--- a/src/greengagewood/internal/cells/runner.py
+++ b/src/greengagewood/internal/cells/runner.py
@@ -270,7 +270,7 @@
     async def _pace_run(self, order: PaceRun) -> None:
         before = order.run.percent
         order.run.percent = order.percent
-        order.worker.tails = None
+        order.worker.expected_tails = None
         try:
             reply = await self._ports.workers.pace(
                 order.worker.info, order.run.task.id, order.run.number, order.percent, self.token
@@ -278,7 +278,7 @@
             self._check_fence(reply)
         except (ExchangeFailed, WrongBoot):
             order.run.percent = before  # it is paced again by the next reading
-            order.worker.tails = None
+            order.worker.expected_tails = None
         self._metrics.count("paces")
         _log.debug(
             "pace",
--- a/src/greengagewood/internal/cells/tails.py
+++ b/src/greengagewood/internal/cells/tails.py
@@ -25,29 +25,35 @@
 
 __all__ = ["Admission", "TailModel"]
 
-READING_MS = 400  # a reading covers the last half second
+READING_MS = 400  # between two readings that are learned from; each covers the last half second
 MODEL_READINGS_MS = 1_500  # of two readings that are further apart, the earlier says nothing
-# What is expected before any reading, of the step from one reading to the next: a log tail moves a
-# quarter of the way to where it settles, and a pair that was never seen disturbs somewhat.
+
+# What is expected before any reading; means and variances as least-squares fits of a day's logged
+# readings gave them (docs/MEASUREMENTS.md). From one reading to the next a log tail moves about a
+# quarter of the way to where it settles; effects are per whole worker in use.
 UNSEEN_MEMORY, MEMORY_SPREAD = 0.75, 0.02
 UNSEEN_LEVEL, LEVEL_SPREAD = -0.25, 0.1
 UNSEEN_EFFECT, EFFECT_SPREAD = 1.5, 9.0
 READING_NOISE = 0.1  # variance of a log tail around the model
-KEEP = 0.998
+UNSURE = 0.6  # effects below it were fitted for pairs that do not disturb
+KEEP = 0.998  # weight of a reading after the next one of its pair: effects may change in minutes
 MOST_MEMORY = 0.9
-OFFSET_RATE = 0.2
-LEVEL = "level"
-BEFORE = "before"
+OFFSET_RATE = 0.2  # a task's own load changes within seconds
+KNOWN_READINGS = 3  # of a pair, before its effect is relied on
+
+# Shares of the target, as logarithms. A single task's tail strays by half around what is expected.
+ADMIT_BELOW = math.log(0.5)
 SLOW_DOWN_ABOVE = math.log(0.75)
 SLOW_DOWN_TO = math.log(0.45)
-ADMIT_BELOW = math.log(0.5)
-HOT_MS = 1_500  # a tail that stays near its target for longer stops all that may disturb it
-UNSURE = 0.6  # an effect below it cannot be told from none, by the spread of repeated fits
-NEGLIGIBLE = 0.2  # a rise of a log tail that is not worth acting on
-KNOWN_READINGS = 3  # of a pair, before its effect is relied on
-PROBE_MS = 400  # between two tries of an image beside one that it was not seen with
+NEGLIGIBLE = 0.2  # a rise of a log tail that is within the noise of a reading
+
+HOT_MS = 1_500  # well within the time that a tail may be over its target
+PROBE_MS = 400  # one reading, between two tries of an image beside one that it was not seen with
 SPEED_UP_FACTOR = 1.6
-LEAST_PERCENT = 10  # below it a run is paced to nothing
+LEAST_PERCENT = 10  # of its speed; below it a run is paced to nothing
+
+LEVEL = "level"
+BEFORE = "before"
 
 
 @dataclass(frozen=True, slots=True)
@@ -77,7 +83,7 @@
             return
         recent = now_ms - worker.learned_ms < MODEL_READINGS_MS
         worker.learned_ms = now_ms
-        worker.tails = None
+        worker.expected_tails = None
         uses = _measured_uses(worker)
         by_image: dict[str, list[Run]] = {}
         for run in _serving(worker.runs.values()):
@@ -162,7 +168,7 @@
 
     def _expected(self, worker: Worker) -> dict[str, float]:
         """Return the highest log tail of each serving image at the present paces."""
-        if not isinstance(worker.tails, dict):
+        if worker.expected_tails is None:
             uses = _planned_uses(worker)
             expected: dict[str, float] = {}
             for run in worker.runs.values():
@@ -171,8 +177,8 @@
                     expected[image] = max(run.offset, expected.get(image, -math.inf))
             for image in expected:
                 expected[image] += self._settled(image, uses)
-            worker.tails = expected
-        return worker.tails
+            worker.expected_tails = expected
+        return worker.expected_tails
 
     def _may_add(self, worker: Worker, image: str, more: float) -> bool:
         """Tell whether more use by an image brings no tail too near its target.
--- a/src/greengagewood/platform/program.py
+++ b/src/greengagewood/platform/program.py
@@ -5,6 +5,7 @@
 import asyncio
 import os
 import signal
+from collections.abc import Awaitable, Callable
 
 import uvloop
 from absl import flags
@@ -38,6 +39,8 @@
 CONNECTIONS_TO_STORE = 8
 BACKLOG = 1024
 
+Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
+
 _log = Log("program")
 
 
@@ -98,7 +101,7 @@
         _log.warning("stopped_with_requests", in_progress=frontend.in_progress)
 
 
-def _metrics_handler(metrics: Metrics):  # type: ignore[no-untyped-def]
+def _metrics_handler(metrics: Metrics) -> Handler:
     async def handle(req: web.BaseRequest) -> web.StreamResponse:
         content, headers = metrics.render()
         return web.Response(body=content, headers=headers)
--- a/tests/common/sharing.py
+++ b/tests/common/sharing.py
@@ -90,7 +90,7 @@
                 self.model.learn(worker, self.now)
                 for order in self.model.plan_pacing(worker, self.now):
                     order.run.percent = order.percent
-                    worker.tails = None
+                    worker.expected_tails = None
         self._place()
 
     def _work(self, worker: Worker) -> None:
--- /dev/null
+++ b/tests/cover/test_logs.py
@@ -0,0 +1,74 @@
+"""Logs: one JSON object a line, bounded, and never in the way of a decision."""
+
+from __future__ import annotations
+
+import os
+import time
+
+import msgspec
+
+from greengagewood.internal.logs import MAX_KEPT_BYTES, LineWriter
+
+LINE = b'{"event":"x","fill":"' + b"y" * 1_000 + b'"}\n'
+
+
+def _pipe() -> tuple[int, int]:
+    read, write = os.pipe()
+    os.set_blocking(write, False)
+    os.set_blocking(read, False)
+    return read, write
+
+
+def _drain(read: int) -> bytes:
+    found = b""
+    while True:
+        try:
+            part = os.read(read, 1 << 20)
+        except BlockingIOError:
+            return found
+        if not part:
+            return found
+        found += part
+
+
+class TestLineWriter:
+    """Lines into a pipe."""
+
+    def test_lines_arrive_whole_and_in_order(self) -> None:
+        read, write = _pipe()
+        writer = LineWriter(write)
+        for number in range(10):
+            writer.write(b'{"n":%d}\n' % number)
+        lines = _drain(read).splitlines()
+        assert [msgspec.json.decode(line)["n"] for line in lines] == list(range(10))
+
+    def test_a_reader_that_stands_still_blocks_nothing(self) -> None:
+        _, write = _pipe()
+        writer = LineWriter(write)
+        began = time.monotonic()
+        for _ in range(2_000):
+            writer.write(LINE)
+        assert time.monotonic() - began < 1.0
+        assert len(writer._kept) <= MAX_KEPT_BYTES
+
+    def test_what_was_dropped_is_counted(self) -> None:
+        read, write = _pipe()
+        writer = LineWriter(write)
+        for _ in range(2_000):
+            writer.write(LINE)
+        text = b""
+        for _ in range(20):  # the reader goes on
+            text += _drain(read)
+            writer.write(LINE)
+        text += _drain(read)
+        lines = [msgspec.json.decode(line) for line in text.splitlines()]
+        dropped = sum(x["count"] for x in lines if x["event"] == "log_lines_dropped")
+        assert dropped + sum(x["event"] == "x" for x in lines) == 2_020
+
+    def test_a_closed_reader_ends_nothing(self) -> None:
+        read, write = _pipe()
+        os.close(read)
+        writer = LineWriter(write)
+        for _ in range(10):
+            writer.write(LINE)
+        assert not writer._kept
