--- a/src/greengagewood/internal/entry/node.py
+++ b/src/greengagewood/internal/entry/node.py
@@ -79,7 +79,6 @@
         self._loaded = False
         self._read_ms: int | None = None
         self._store_lost = False
-        self._stopping = False
         self._loops: list[asyncio.Future[None]] = []
 
     def start(self) -> None:
@@ -226,7 +225,7 @@
             await self._end_term("replaced")
         if self._view.owning and self._runner is None:
             self._begin_term()
-        if not self._stopping and self._view.should_claim(now) and self.config is not None:
+        if self._view.should_claim(now) and self.config is not None:
             await self._claim(now)
 
     async def _claim(self, now: int) -> None:
