--- a/src/greengagewood/internal/cells/cell.py
+++ b/src/greengagewood/internal/cells/cell.py
@@ -17,7 +17,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from greengagewood.internal.cells.fleet import ANSWER_MS, CLOCK_DRIFT, Worker
 from greengagewood.internal.cells.orders import (
@@ -58,9 +58,7 @@
     without a confirmation, and so how long an earlier owner may have given orders."""
 
     lease_ms: int
-    stop_ms: int
     term_ms: int
-    early_ms: int = 0
 
 
 class Cell:
@@ -224,9 +222,7 @@
         if self.workers.get(worker.name) is not worker:
             return []
         if reply.born_ms and worker.info.born_ms and reply.born_ms > worker.info.born_ms:
-            info = worker.info
-            reborn = _with_born(info, reply.born_ms)
-            self._reborn(worker, reborn, now_ms)
+            self._reborn(worker, replace(worker.info, born_ms=reply.born_ms), now_ms)
             return []
         worker.read_clock(reply.clock_ms, now_ms)
         if worker.silent:
@@ -608,20 +604,3 @@
         """Drop jobs that ended long ago."""
         for name in names:
             self.book.remove(name)
-
-
-def _with_born(info: WorkerInfo, born_ms: int) -> WorkerInfo:
-    return WorkerInfo(
-        info.worker,
-        info.address,
-        info.service,
-        info.failure_domain,
-        info.rack,
-        info.labels,
-        info.cpu_millis,
-        info.memory_mb,
-        info.accelerators,
-        info.draining,
-        info.leaving_in_ms,
-        born_ms,
-    )
--- a/src/greengagewood/internal/entry/node.py
+++ b/src/greengagewood/internal/entry/node.py
@@ -239,7 +239,7 @@
 
     def _begin_term(self) -> None:
         bounds = self._cfg.bounds
-        limits = CellLimits(bounds.lease_ms, bounds.stop_ms, TERM_MS, bounds.early_ms)
+        limits = CellLimits(bounds.lease_ms, TERM_MS)
         runner = CellRunner(
             self._ports,
             self.ledger,
--- a/src/greengagewood/internal/entry/settings.py
+++ b/src/greengagewood/internal/entry/settings.py
@@ -18,10 +18,8 @@
     """Hold what the platform promises and asks."""
 
     lease_ms: Millis
-    stop_ms: Millis
     grace_s: Seconds
     status_s: Seconds
-    early_ms: Millis = 0
 
 
 class EntrySettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
--- a/src/greengagewood/platform/program.py
+++ b/src/greengagewood/platform/program.py
@@ -76,7 +76,7 @@
         await _listen(web.Server(frontend.handle_ready, access_log=None), cfg.ready),
         await _listen(web.Server(_metrics_handler(metrics), access_log=None), cfg.admin),
     ]
-    _log.info("started")
+    _log.info("started", failure_domain=cfg.failure_domain)
     await stopping.wait()
     _log.info("stopping")
     frontend.leaving = True
--- a/tests/common/drive.py
+++ b/tests/common/drive.py
@@ -40,7 +40,7 @@
         ready=address,
         admin=address,
         store=address,
-        bounds=Bounds(lease_ms=LEASE_MS, stop_ms=400, grace_s=6, status_s=120),
+        bounds=Bounds(lease_ms=LEASE_MS, grace_s=6, status_s=120),
     )
 
 
--- a/tests/cover/test_cell.py
+++ b/tests/cover/test_cell.py
@@ -11,7 +11,7 @@
 from greengagewood.internal.ports import End, HoldReply, RunningTask, WorkerInfo
 
 QUEUE = Queue("q", "svc", 0, 3, 2.0, 1000)
-LIMITS = CellLimits(lease_ms=6_000, stop_ms=400, term_ms=5_000)
+LIMITS = CellLimits(lease_ms=6_000, term_ms=5_000)
 
 
 def _info(name: str, born_ms: int = 1) -> WorkerInfo:
