--- a/tests/cover/test_docs.py
+++ b/tests/cover/test_docs.py
@@ -1,5 +1,6 @@
 """Pages that are made from the code must be in step with it."""
 
+import re
 from pathlib import Path
 
 import pytest
@@ -57,3 +58,37 @@
     def test_every_entry_names_a_test_that_exists(self):
         for entry in known_red(Path("KNOWN-RED.txt").read_text(encoding="utf-8")):
             assert Path(entry[0].split("::")[0]).exists()
+
+
+ROOT = Path(__file__).parents[2]
+EVENTS = re.compile(r'(?:_log\.\w+|on_event)\(\s*"(\w+)"')
+METRICS = {"total": re.compile(r'metrics\.count\(\s*"(\w+)"')}
+METRICS["seconds"] = re.compile(r'metrics\.observe\(\s*"(\w+)"')
+
+
+def _entry_sources() -> str:
+    """Return the source of everything that an entry instance runs."""
+    folders = ("internal/cells", "internal/entry", "platform")
+    paths = [p for f in folders for p in (ROOT / "src" / "greengagewood" / f).glob("*.py")]
+    return "\n".join(path.read_text(encoding="utf-8") for path in paths)
+
+
+class TestOperations:
+    """The page that leads from a failed request to its cause."""
+
+    PAGE = (ROOT / "docs" / "OPERATIONS.md").read_text(encoding="utf-8")
+
+    def test_every_event_of_the_logs_is_on_the_page(self) -> None:
+        events = set(EVENTS.findall(_entry_sources()))
+        assert len(events) > 20
+        assert sorted(event for event in events if f"`{event}`" not in self.PAGE) == []
+
+    def test_every_metric_is_on_the_page(self) -> None:
+        source = _entry_sources()
+        names = {
+            f"{name}_{suffix}"
+            for suffix, pattern in METRICS.items()
+            for name in pattern.findall(source)
+        }
+        assert len(names) > 5
+        assert sorted(name for name in names if f"`{name}`" not in self.PAGE) == []
