Let one loop serve twice, and drop state that nothing reads

Cause: reading the whole change once more. The runner had the supervised loop of daemon.py again with a place in its log line; the interval of an owner's signs stood in two modules; two waits had two names and one value; a worker's leaving time and a job's cancelled flag were kept and never needed. Conclusion: behaviour stays as it was.

--- a/src/greengagewood/internal/cells/cell.py
+++ b/src/greengagewood/internal/cells/cell.py
@@ -120,7 +120,7 @@
             elif info.born_ms > worker.info.born_ms > 0:
                 self._reborn(worker, info, now_ms)
             else:
-                self._update_worker(worker, info, now_ms)
+                self._update_worker(worker, info)
         for name, worker in list(self.workers.items()):
             worker.listed = name in listed
             if not worker.listed and worker.silent and worker.lapsed(now_ms):
@@ -133,11 +133,9 @@
         self._enlist_due = True
         return worker
 
-    def _update_worker(self, worker: Worker, info: WorkerInfo, now_ms: int) -> None:
+    def _update_worker(self, worker: Worker, info: WorkerInfo) -> None:
         if info.draining and not worker.info.draining:
             self.on_event("worker_draining", {"worker": info.worker})
-        if info.draining and info.leaving_in_ms is not None and worker.leaves_at_ms is None:
-            worker.leaves_at_ms = now_ms + info.leaving_in_ms
         worker.info = info
 
     def set_enlisted(self, enlisted: Enlisted, now_ms: int) -> None:
--- a/src/greengagewood/internal/cells/fleet.py
+++ b/src/greengagewood/internal/cells/fleet.py
@@ -51,7 +51,6 @@
     expected_tails: dict[str, float] | None = None  # by image, until the runs change
     seen_end: int = 0
     acknowledged: int = 0
-    leaves_at_ms: int | None = None
     shunned_until_ms: int = 0
     shun_ms: int = 0
     recent: deque[bool] = field(default_factory=lambda: deque(maxlen=8))
--- a/src/greengagewood/internal/cells/ownership.py
+++ b/src/greengagewood/internal/cells/ownership.py
@@ -15,7 +15,7 @@
 from greengagewood.internal.chart import load_chart
 from greengagewood.internal.jobs.records import Ownership, Progress, Record
 
-__all__ = ["OwnershipView"]
+__all__ = ["SIGN_INTERVAL_MS", "OwnershipView"]
 
 CHART = load_chart("ownership")
 SIGN_INTERVAL_MS = 500
--- a/src/greengagewood/internal/cells/runner.py
+++ b/src/greengagewood/internal/cells/runner.py
@@ -18,7 +18,9 @@
     StartRun,
     StopRun,
 )
+from greengagewood.internal.cells.ownership import SIGN_INTERVAL_MS
 from greengagewood.internal.clock import monotonic_ms, wall_ms
+from greengagewood.internal.daemon import place_of, supervised
 from greengagewood.internal.jobs.records import (
     Cancellation,
     Ownership,
@@ -51,7 +53,6 @@
 DIRECTORY_INTERVAL_S = 0.5
 PLAN_INTERVAL_S = 0.05
 COMMIT_INTERVAL_S = 0.15
-SIGN_INTERVAL_MS = 500
 STORE_PAUSE_S = 0.1
 FORGET_INTERVAL_S = 10.0
 FORGET_MARGIN_MS = 60_000  # clocks of the day differ, and callers may come back late
@@ -125,13 +126,8 @@
             self._spawn(self._loop(name, step))
 
     async def _loop(self, name: str, step: Callable[[], Awaitable[None]]) -> None:
-        while True:
-            try:
-                await step()
-            except Exception as exc:  # one bad record or answer must not end the term
-                self._metrics.count("task_failures", task=name, kind=type(exc).__name__)
-                _log.warning("task_failed", task=name, error=repr(exc), where=_place_of(exc))
-                await asyncio.sleep(STORE_PAUSE_S)
+        """Repeat a step for the whole term: one bad record or answer must not end it."""
+        await supervised(name, step, self._metrics, STORE_PAUSE_S)()
 
     async def stop(self) -> None:
         """Stop giving orders."""
@@ -168,7 +164,7 @@
         self._tasks.discard(task)
         if not task.cancelled() and (exc := task.exception()) is not None:
             self._metrics.count("task_failures", task="order", kind=type(exc).__name__)
-            _log.warning("task_failed", task="order", error=repr(exc), where=_place_of(exc))
+            _log.warning("task_failed", task="order", error=repr(exc), where=place_of(exc))
 
     # Decisions.
 
@@ -435,11 +431,3 @@
         keys = [(kind + name, b"") for name in names for kind in ("p", "c", "j")]
         if await self._append_entries(keys):
             self.cell.forget_jobs(names)
-
-
-def _place_of(exc: BaseException) -> str:
-    """Return the file and line at which an exception was raised."""
-    trace = exc.__traceback__
-    while trace is not None and trace.tb_next is not None:
-        trace = trace.tb_next
-    return f"{trace.tb_frame.f_code.co_filename}:{trace.tb_lineno}" if trace else ""
--- a/src/greengagewood/internal/daemon.py
+++ b/src/greengagewood/internal/daemon.py
@@ -20,7 +20,7 @@
 from greengagewood.internal.settings import Address
 from greengagewood.internal.yamlfile import load_yaml
 
-__all__ = ["Admin", "Daemon", "parse_flags", "run_daemon"]
+__all__ = ["Admin", "Daemon", "parse_flags", "place_of", "run_daemon", "supervised"]
 
 EXIT_USAGE = 2
 MAX_HEADER_BYTES = 16 * 1024
@@ -176,7 +176,15 @@
                 await step()
             except Exception as exc:  # one bad record or message must not end the process
                 metrics.count("task_failures", task=name, kind=type(exc).__name__)
-                _log.warning("task failed", task=name, error=repr(exc))
+                _log.warning("task_failed", task=name, error=repr(exc), where=place_of(exc))
                 await asyncio.sleep(pause_s)
 
     return loop
+
+
+def place_of(exc: BaseException) -> str:
+    """Return the file and line at which an exception was raised."""
+    trace = exc.__traceback__
+    while trace is not None and trace.tb_next is not None:
+        trace = trace.tb_next
+    return f"{trace.tb_frame.f_code.co_filename}:{trace.tb_lineno}" if trace else ""
--- a/src/greengagewood/internal/entry/node.py
+++ b/src/greengagewood/internal/entry/node.py
@@ -40,8 +40,7 @@
 
 __all__ = ["ConfigSource", "Node"]
 
-OWNER_READ_WAIT_MS = 400
-FOLLOWER_READ_WAIT_MS = 400
+READ_WAIT_MS = 400  # each answered read confirms who owns the cell
 FOLLOWER_PAUSE_S = 0.05  # a follower reads in batches, to spare calls to the store
 STORE_PAUSE_S = 0.1
 TERM_MS = 5_000  # an outage of the store that is shorter stops no work
@@ -174,8 +173,7 @@
             if not self._loaded:
                 page = await self._ports.store.load()
             else:
-                wait_ms = OWNER_READ_WAIT_MS if self._view.owning else FOLLOWER_READ_WAIT_MS
-                page = await self._ports.store.read(self.ledger.end, wait_ms)
+                page = await self._ports.store.read(self.ledger.end, READ_WAIT_MS)
         except LogGone:
             self._loaded = False
             self.ledger.end = 0
--- a/src/greengagewood/internal/jobs/book.py
+++ b/src/greengagewood/internal/jobs/book.py
@@ -92,7 +92,6 @@
     offset: int  # of its submission in the log
     chains_ms: tuple[int, ...]
     state: str = "queued"
-    cancelled: bool = False
     occurrences: dict[int, list[Step]] = field(default_factory=dict)
     finished: set[int] = field(default_factory=set)
     runs: int = 0  # that hold room now
@@ -257,8 +256,6 @@
         step = task.step
         if task.ended or task.run or task.unknown or not step.ready or step.job.final:
             return
-        if step.job.cancelled:
-            return
         step.waiting[task] = None
         self.waiting[step] = None
         self.version += 1
@@ -405,7 +402,6 @@
         job = self.jobs.get(name)
         if job is None or job.final:
             return None
-        job.cancelled = True
         self.end_job(job, "cancelled", now_ms)
         return job
 
--- a/src/greengagewood/platform/store.py
+++ b/src/greengagewood/platform/store.py
@@ -80,7 +80,7 @@
             except ValueError as exc:
                 raise StoreDown(f"unreadable answer: {exc}") from exc
             end = page.end if end is None else end
-            entries.extend(e for e in map(_entry_of, page.items) if e is not None)
+            entries.extend(map(_entry_of, page.items))
             if not page.more or not page.items:
                 return LogPage(tuple(entries), end)
             after = {"depends-on": page.items[-1].key}
@@ -169,7 +169,7 @@
     return _LENGTH.pack(1 + len(name) + len(value)) + bytes((len(name),)) + name + value
 
 
-def _entry_of(item: _Item) -> LogEntry | None:
+def _entry_of(item: _Item) -> LogEntry:
     try:
         return LogEntry(item.offset, item.key, base64.b64decode(item.value))
     except (binascii.Error, ValueError):
