Wait until a listener's address is free before it counts as stopped

The library closes a port in a thread of its own, some time after the socket. Change: stop() unbinds and waits for the library's word that the port is closed, one second at most.

--- a/src/greengagewood/internal/link.py
+++ b/src/greengagewood/internal/link.py
@@ -22,6 +22,7 @@
 import zmq
 import zmq.asyncio
 
+from greengagewood.internal.logs import Log
 from greengagewood.internal.messages import AnyMessage, Failure
 from greengagewood.internal.metrics import Metrics
 from greengagewood.internal.settings import Address, Keys
@@ -33,6 +34,9 @@
 MAX_SESSIONS = 4096
 MAX_HANDLERS = 2048
 HIGH_WATER_MARK = 1000
+UNBIND_TIMEOUT_S = 1.0  # a closed port is free within milliseconds; a stop must not hang on it
+
+_log = Log("link")
 
 Handler = Callable[[str, AnyMessage], Awaitable[AnyMessage | None]]
 
@@ -128,15 +132,28 @@
         self._loop = asyncio.create_task(self._serve(self._socket))
 
     async def stop(self) -> None:
-        """Stop to serve and close the socket."""
+        """Stop to serve, close the socket, and wait until its address is free again."""
         if self._loop is not None:
             self._loop.cancel()
         for task in list(self._running):
             task.cancel()
         await asyncio.gather(*self._running, return_exceptions=True)
         if self._socket is not None:
+            await self._unbind(self._socket)
             self._socket.close()
 
+    async def _unbind(self, socket: zmq.asyncio.Socket) -> None:
+        """Free the address: the library closes the port in a thread of its own, some time later."""
+        monitor = socket.get_monitor_socket(zmq.EVENT_CLOSED)
+        socket.unbind(f"tcp://{self._address}")
+        try:
+            async with asyncio.timeout(UNBIND_TIMEOUT_S):
+                await monitor.recv_multipart()
+        except TimeoutError:
+            self._metrics.count("link_unbind_timeouts")
+            _log.warning("address_not_freed", address=str(self._address))
+        socket.disable_monitor()
+
     async def _serve(self, socket: zmq.asyncio.Socket) -> None:
         while True:
             identity, *parts = await socket.recv_multipart()
