--- a/src/greengagewood/internal/link.py
+++ b/src/greengagewood/internal/link.py
@@ -138,9 +138,10 @@
         for task in list(self._running):
             task.cancel()
         await asyncio.gather(*self._running, return_exceptions=True)
-        if self._socket is not None:
-            await self._unbind(self._socket)
-            self._socket.close()
+        socket, self._socket = self._socket, None
+        if socket is not None:
+            await self._unbind(socket)
+            socket.close()
 
     async def _unbind(self, socket: zmq.asyncio.Socket) -> None:
         """Free the address: the library closes the port in a thread of its own, some time later."""
--- a/tests/cover/test_link.py
+++ b/tests/cover/test_link.py
@@ -25,3 +25,9 @@
             listener = Listener("n", ADDRESS, KEYS, _ignore, Metrics())
             listener.start()
             await listener.stop()
+
+    async def test_stopping_twice_is_harmless(self) -> None:
+        listener = Listener("n", ADDRESS, KEYS, _ignore, Metrics())
+        listener.start()
+        await listener.stop()
+        await listener.stop()
