Score each worker once a step, and keep admissions until the worker changes

Cause: with 175 workers the owner spent most of its processor time on scoring every worker for every waiting task, on the same admission over and over, and on looking at every run 200 times a second. Ruled out: the calls to workers themselves (a tenth of the plan's time in the profile). Change: one heap of workers a step, scored again only when chosen or on top; admissions cached with the expected tails; runs scanned for stops every 100 ms unless something came up; sizes that found no place remembered for all kinds of steps within a plan.

--- a/src/greengagewood/internal/cells/cell.py
+++ b/src/greengagewood/internal/cells/cell.py
@@ -42,6 +42,7 @@
 __all__ = ["Cell", "CellLimits"]
 
 STOP_AGAIN_MS = 400
+STOP_SCAN_MS = 100  # between two looks for runs to stop, unless one has come up meanwhile
 SLOW_PERCENT = 25  # of its speed; a run that is slower gives up its place if there is a better one
 MOVE_AFTER_MS = 1_000
 MOVE_INTERVAL_MS = 150  # between two moves, which cost a stop and a start each
@@ -83,6 +84,7 @@
         self._enlist_due = False
         self._adopting = True
         self._move_ms = 0
+        self._scanned_ms: int | None = None
 
     # Jobs.
 
@@ -102,6 +104,7 @@
         """Cancel a job and stop what runs of it."""
         job = self.book.cancel(name, now_ms)
         if job is not None:
+            self._scanned_ms = None
             self.on_event("job_cancelled", {"job": name})
 
     def set_queues(self, queues: dict[str, Queue]) -> None:
@@ -178,6 +181,7 @@
             run.accepted_ms = run.stop_sent_ms = run.stop_answered_ms = None
             run.deadline_ms = 0
         self._lose_runs(worker, now_ms, "reborn")
+        self._scanned_ms = None
 
     def _forget(self, worker: Worker, now_ms: int) -> None:
         self._lose_runs(worker, now_ms, "gone")
@@ -355,6 +359,7 @@
         attempts = self.planner.queue_of(task.step.job).max_attempts
         self.book.note_failed(task, end.run, attempts, now_ms)
         if task.step.job.state == "failed":
+            self._scanned_ms = None
             self.on_event("job_failed", {"job": task.id.job, "task": task.id, "attempts": attempts})
 
     def hold_failed(self, worker: Worker, now_ms: int) -> None:
@@ -408,6 +413,7 @@
         """Note that a start may or may not have been carried out."""
         if run.state in ("starting", "stopping"):
             run.move("unanswered")
+            self._scanned_ms = None
 
     def stop_answered(self, run: Run | None, now_ms: int) -> None:
         """Note that the worker has taken a stop: the run cannot start there any more."""
@@ -422,7 +428,9 @@
         self._open_due(wall_ms)
         self._finish_adopting(now_ms)
         orders: list[Order] = []
-        orders.extend(self._stops(now_ms))
+        if self._scanned_ms is None or now_ms - self._scanned_ms >= STOP_SCAN_MS:
+            self._scanned_ms = now_ms
+            orders.extend(self._stops(now_ms))
         orders.extend(self.planner.plan(now_ms))
         return orders
 
--- a/src/greengagewood/internal/cells/fleet.py
+++ b/src/greengagewood/internal/cells/fleet.py
@@ -14,7 +14,7 @@
 from greengagewood.internal.jobs.model import StepSpec
 from greengagewood.internal.ports import WorkerInfo
 
-__all__ = ["ANSWER_MS", "CLOCK_DRIFT", "Room", "Worker"]
+__all__ = ["ANSWER_MS", "CLOCK_DRIFT", "Admission", "Room", "Worker"]
 
 ANSWER_MS = 1_500  # a worker that was silent for longer gets no new work
 CLOCK_DRIFT = 0.02  # how slow a worker's clock may be, from the platform's description
@@ -29,6 +29,18 @@
     accelerators: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class Admission:
+    """Tell at which pace a filling task may begin, 0 for not at all; `rise` is of a log tail.
+
+    One that `probes` stands beside an image that it was hardly seen with.
+    """
+
+    percent: int
+    rise: float
+    probes: bool
+
+
 @dataclass(slots=True, eq=False)
 class Worker:
     """Hold one life of a worker."""
@@ -49,6 +61,7 @@
     filling_millis: int = 0
     lasting_millis: int = 0
     expected_tails: dict[str, float] | None = None  # by image, until the runs change
+    admissions: dict[tuple[str, int], Admission] = field(default_factory=dict)  # until then, too
     seen_end: int = 0
     acknowledged: int = 0
     shunned_until_ms: int = 0
@@ -92,8 +105,13 @@
         if self.runs.pop((run.task, run.number), None) is not None:
             self._commit(run.task.step.spec, -1)
 
-    def _commit(self, spec: StepSpec, sign: int) -> None:
+    def reconsider_tails(self) -> None:
+        """Note that what is known of the tails here does not hold any more."""
         self.expected_tails = None
+        self.admissions.clear()
+
+    def _commit(self, spec: StepSpec, sign: int) -> None:
+        self.reconsider_tails()
         if spec.lasting:
             self.lasting_millis += sign * spec.cpu_millis
         if spec.filling:
--- a/src/greengagewood/internal/cells/placement.py
+++ b/src/greengagewood/internal/cells/placement.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import heapq
 from collections.abc import Callable, Iterable, Sequence
 
 from greengagewood.internal.cells.fleet import Worker
@@ -15,7 +16,14 @@
 from greengagewood.internal.jobs.book import Step, Task
 from greengagewood.internal.jobs.model import StepSpec
 
-__all__ = ["choose_worker", "idle_millis", "is_roomy", "keeps_headroom", "place_gang"]
+__all__ = [
+    "choose_worker",
+    "idle_millis",
+    "is_roomy",
+    "keeps_headroom",
+    "place_gang",
+    "worker_chooser",
+]
 
 SERVING_USE = 0.6  # share of its processors that a serving task is taken to use
 MIN_FILLING_SHARE = 0.8  # a filling task starts only where it gets this share of its processors
@@ -50,7 +58,7 @@
     with nothing at work.
     """
     step = task.step
-    score = _score_of(task, model, aged, now_ms)
+    score = _score_of(step, model, aged, now_ms)
     best: Worker | None = None
     best_score: tuple[float, ...] = ()
     for worker in workers:
@@ -65,9 +73,59 @@
     return best
 
 
-def _score_of(task: Task, model: TailModel, aged: bool, now_ms: int) -> Score:
+def worker_chooser(
+    step: Step, workers: Sequence[Worker], model: TailModel, aged: bool, now_ms: int
+) -> Callable[[Task], Worker | None]:
+    """Return a function that chooses like `choose_worker` for one task of the step after another.
+
+    Answers the load of wide steps on many workers: a start changes only the score of its worker, so
+    each worker is scored once, and again only when it was chosen or comes to the top.
+    """
+    score = _score_of(step, model, aged, now_ms)
+    ranked: list[tuple[tuple[float, ...], int]] = []
+    places = {worker: place for place, worker in enumerate(workers)}
+    chosen: Worker | None = None
+
+    def rank(worker: Worker) -> None:
+        found = rate(worker)
+        if found is not None:
+            heapq.heappush(ranked, (found, places[worker]))
+
+    def rate(worker: Worker) -> tuple[float, ...] | None:
+        if not worker.fits(step.spec) or not allowed(worker, step):
+            return None
+        return score(worker)
+
+    def take_best() -> Worker | None:
+        while ranked:
+            known, place = ranked[0]
+            found = rate(workers[place])
+            if found is None:
+                heapq.heappop(ranked)
+            elif found > known:
+                heapq.heapreplace(ranked, (found, place))
+            else:
+                return workers[place]
+        return None
+
+    def choose(task: Task) -> Worker | None:
+        nonlocal chosen
+        if chosen is not None:
+            rank(chosen)  # what was started there may have made it better, too
+        # A failure elsewhere, or a rack taken into use, changes the scores of many workers.
+        if task.failed_on or step.spec.same_rack:
+            chosen = choose_worker(task, workers, model, aged, now_ms)
+        else:
+            chosen = take_best()
+        return chosen
+
+    for worker in workers:
+        rank(worker)
+    return choose
+
+
+def _score_of(step: Step, model: TailModel, aged: bool, now_ms: int) -> Score:
     """Return the function that scores workers for a step; the lowest score is best."""
-    step = task.step
     spec = step.spec
     if spec.filling:
         return lambda worker: _score_filling(worker, spec, model, aged, now_ms)
--- a/src/greengagewood/internal/cells/planner.py
+++ b/src/greengagewood/internal/cells/planner.py
@@ -10,15 +10,15 @@
 from greengagewood.internal.cells.fleet import Worker
 from greengagewood.internal.cells.orders import AskAdvice, Order, StartRun
 from greengagewood.internal.cells.placement import (
-    choose_worker,
     idle_millis,
     is_roomy,
     keeps_headroom,
     place_gang,
+    worker_chooser,
 )
 from greengagewood.internal.cells.tails import TailModel
 from greengagewood.internal.jobs.book import Job, JobBook, Run, Step, Task
-from greengagewood.internal.jobs.model import Queue
+from greengagewood.internal.jobs.model import Queue, StepSpec
 from greengagewood.internal.ports import Permit
 
 __all__ = ["Planner"]
@@ -34,6 +34,41 @@
 AGED_MS = 3_000  # a job that has waited longer gets one task placed if most room is free
 
 
+class _Refused:
+    """Remember within one plan which steps found no worker, to pass over all that need as much."""
+
+    def __init__(self) -> None:
+        self._sizes: dict[tuple[str, str, str, bool], list[StepSpec]] = {}
+
+    @staticmethod
+    def _kind(service: str, step: Step) -> tuple[str, str, str, bool]:
+        spec = step.spec
+        # Tasks that come back are placed by another measure than those that never ran.
+        back = spec.lasting and any(task.last_run_ms for task in step.waiting)
+        return service, spec.image if spec.filling else "", spec.label, back
+
+    def covers(self, service: str, step: Step) -> bool:
+        """Tell whether a step that needs no more than this one found no worker."""
+        spec = step.spec
+        return any(
+            spec.cpu_millis >= other.cpu_millis
+            and spec.memory_mb >= other.memory_mb
+            and spec.accelerators >= other.accelerators
+            and (spec.lasting or not other.lasting)
+            and spec.filling == other.filling
+            for other in self._sizes.get(self._kind(service, step), ())
+        )
+
+    def note(self, service: str, step: Step) -> None:
+        """Note that a step found no worker, unless its own conditions may be the reason."""
+        if not step.spec.max_per_instance and not self._needs_advice(step):
+            self._sizes.setdefault(self._kind(service, step), []).append(step.spec)
+
+    @staticmethod
+    def _needs_advice(step: Step) -> bool:
+        return step.job.submission.queue.decision_ms > 0
+
+
 class Planner:
     """Place the waiting tasks of a cell during one term of ownership."""
 
@@ -111,23 +146,17 @@
         if fill_now:
             self._filled_ms = now_ms
         steps = [step for step in self._book.waiting if fill_now or not step.spec.filling]
-        refused: dict[tuple[str, str], int] = {}  # the least size that found no place
+        full = _Refused()
         for step in sorted(steps, key=lambda step: self._order(step, now_ms)):
             queue = self.queue_of(step.job)
-            spec = step.spec
-            aged = self._is_aged(step, now_ms) and is_roomy(by_service.get(queue.service, []))
-            kind = (queue.service, spec.image)
-            if (
-                spec.filling
-                and not aged
-                and spec.cpu_millis >= refused.get(kind, spec.cpu_millis + 1)
-            ):
-                continue
             workers = by_service.get(queue.service, [])
-            found = self._place_step(step, workers, aged, now_ms)
+            aged = self._is_aged(step, now_ms) and is_roomy(workers)
+            if not aged and full.covers(queue.service, step):
+                continue
+            found, refused = self._place_step(step, workers, aged, now_ms)
             orders.extend(found)
-            if not found and spec.filling and not aged:
-                refused[kind] = spec.cpu_millis
+            if refused and not aged:
+                full.note(queue.service, step)
             if len(orders) > MAX_STARTS_A_PLAN:
                 self.replan()
                 break
@@ -157,7 +186,8 @@
 
     def _place_step(
         self, step: Step, workers: list[Worker], aged: bool, now_ms: int
-    ) -> list[Order]:
+    ) -> tuple[list[Order], bool]:
+        """Return the starts of a step's tasks, and whether one of them found no worker."""
         queue = self.queue_of(step.job)
         orders: list[Order] = []
         if queue.decision_ms:
@@ -169,19 +199,21 @@
                 if w.name in permits and permits[w.name].until_ms - PERMIT_MARGIN_MS > now_ms
             ]
         if step.spec.gang:
-            return [*orders, *self._place_gang(step, workers, now_ms)]
+            return [*orders, *self._place_gang(step, workers, now_ms)], False
+        choose = worker_chooser(step, workers, self.model, aged, now_ms)
         for task in sorted(step.waiting, key=lambda task: -task.last_run_ms):
             if task.not_before_ms > now_ms:
                 self.replan()
                 continue
-            worker = choose_worker(task, workers, self.model, aged, now_ms)
+            worker = choose(task)
             if worker is None or (step.spec.lasting and not keeps_headroom(task, workers)):
-                break
+                return orders, True
             if not self._may_begin(step.job):
                 break
             orders.append(self._start(task, worker, now_ms, task.starts + 1))
-            aged = False  # one is enough
-        return orders
+            if aged:  # one is enough
+                break
+        return orders, False
 
     def _place_gang(self, step: Step, workers: list[Worker], now_ms: int) -> list[Order]:
         alive = [task for task in step.tasks if not task.ended]
--- a/src/greengagewood/internal/cells/tails.py
+++ b/src/greengagewood/internal/cells/tails.py
@@ -17,13 +17,13 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
-from greengagewood.internal.cells.fleet import Worker
+from greengagewood.internal.cells.fleet import Admission, Worker
 from greengagewood.internal.cells.orders import PaceRun
 from greengagewood.internal.cells.regression import Regression
 from greengagewood.internal.jobs.book import Run
 from greengagewood.internal.jobs.model import StepSpec
 
-__all__ = ["Admission", "TailModel"]
+__all__ = ["TailModel"]
 
 READING_MS = 400  # between two readings that are learned from; each covers the last half second
 MODEL_READINGS_MS = 1_500  # of two readings that are further apart, the earlier says nothing
@@ -56,18 +56,6 @@
 BEFORE = "before"
 
 
-@dataclass(frozen=True, slots=True)
-class Admission:
-    """Tell at which pace a filling task may begin, 0 for not at all; `rise` is of a log tail.
-
-    One that `probes` stands beside an image that it was hardly seen with.
-    """
-
-    percent: int
-    rise: float
-    probes: bool
-
-
 @dataclass
 class TailModel:
     """Learn how images disturb each other, and decide with it."""
@@ -83,7 +71,7 @@
             return
         recent = now_ms - worker.learned_ms < MODEL_READINGS_MS
         worker.learned_ms = now_ms
-        worker.expected_tails = None
+        worker.reconsider_tails()
         uses = _measured_uses(worker)
         by_image: dict[str, list[Run]] = {}
         for run in _serving(worker.runs.values()):
@@ -133,22 +121,31 @@
 
     def admits(self, worker: Worker, spec: StepSpec, now_ms: int) -> Admission:
         """Return how fast one more filling task may work beside the worker's serving tasks."""
+        kind = (spec.image, spec.cpu_millis)
+        found = worker.admissions.get(kind)
+        if found is None:
+            found = worker.admissions[kind] = self._admission(worker, spec)
+        if found.probes and now_ms - self.probed_ms.get(spec.image, -PROBE_MS) < PROBE_MS:
+            return Admission(0, found.rise, True)
+        return found
+
+    def _admission(self, worker: Worker, spec: StepSpec) -> Admission:
         use = _use(worker, spec, 100)
+        whole = _planned_uses(worker).get(spec.image, 0.0) + use
         percent = 100.0
         rise = 0.0
         probes = False
         for image, expected in self._expected(worker).items():
             probes = probes or not self._known(image, spec.image)
-            full = self.effect(image, spec.image) * use
-            if self._harmless(worker, image, spec.image, use):
+            effect = self.effect(image, spec.image)
+            full = effect * use
+            if effect * whole <= NEGLIGIBLE:
                 rise = max(rise, full)
                 continue
             room = ADMIT_BELOW - expected
             if full > room:
                 percent = min(percent, 100 * max(0.0, room) / full)
             rise = max(rise, full)
-        if probes and now_ms - self.probed_ms.get(spec.image, -PROBE_MS) < PROBE_MS:
-            return Admission(0, rise, True)
         return Admission(int(percent) if percent >= LEAST_PERCENT else 0, rise, probes)
 
     def note_start(self, worker: Worker, spec: StepSpec, now_ms: int) -> int:
@@ -161,11 +158,6 @@
     def _known(self, serving: str, filling: str) -> bool:
         return self._model(serving).readings.get(filling, 0) >= KNOWN_READINGS
 
-    def _harmless(self, worker: Worker, serving: str, filling: str, more: float) -> bool:
-        """Tell whether all that a filling image would use on the worker hardly disturbs a tail."""
-        uses = _planned_uses(worker).get(filling, 0.0) + more
-        return self.effect(serving, filling) * uses <= NEGLIGIBLE
-
     def _expected(self, worker: Worker) -> dict[str, float]:
         """Return the highest log tail of each serving image at the present paces."""
         if worker.expected_tails is None:
@@ -185,8 +177,9 @@
 
         A tail that is near its target by its own load is no reason to keep harmless work away.
         """
+        whole = _planned_uses(worker).get(image, 0.0) + more
         return all(
-            self._harmless(worker, serving, image, more)
+            self.effect(serving, image) * whole <= NEGLIGIBLE
             or expected + self.effect(serving, image) * more <= ADMIT_BELOW
             for serving, expected in self._expected(worker).items()
         )
