Prefer strong instances as owners; followers read the store less often

Cause: grown deployments have instances of 0.3 and of 2.2 processors, and any of them could own the cell; 36 followers made 600 reads of the store a second, which are priced. Ruled out: asking peers (the store's record of the owner says enough). Change: the ownership record says what processors its instance has; an instance with twice as many claims, one with half waits 500 ms longer. Followers read five times a second, and anew for a caller who asks for the state of a job that has not ended. Plans are at least 10 ms apart.

--- a/src/greengagewood/internal/cells/ownership.py
+++ b/src/greengagewood/internal/cells/ownership.py
@@ -6,6 +6,9 @@
 `ABSENT_MS` without seeing it claims the cell. Peers are not asked: an owner that reaches the store
 is alive whoever else it reaches.
 
+Instances may have unequal processors. One with far fewer than the last owner had claims later than
+the others, and one with far more than the present owner has takes the cell over.
+
 An owner gives no orders when no read has confirmed its ownership for `term_ms`; a successor counts
 on that for workers that it cannot reach itself.
 """
@@ -21,13 +24,17 @@
 SIGN_INTERVAL_MS = 500
 ABSENT_MS = 1_400  # more than two missed signs and a slow answer of the store
 CLAIM_TIMEOUT_MS = 2_000
+FAR_MORE = 2  # times the processors, which makes a cell worth the pause of a takeover
+WEAKER_DELAY_MS = 500  # a read and a claim of a stronger instance come before
+TAKEOVER_AFTER_MS = 1_000  # of an owner that is at work: time for others to claim or to end
 
 
 class OwnershipView:
     """Follow the ownership of one cell as one instance sees it."""
 
-    def __init__(self, me: str, term_ms: int, claim_delay_ms: int) -> None:
+    def __init__(self, me: str, term_ms: int, claim_delay_ms: int, cpu_millis: int = 0) -> None:
         self.me = me
+        self.cpu_millis = cpu_millis
         self.state = CHART.initial[0]
         self.token = 0
         self.current = Ownership(0, "")
@@ -35,6 +42,7 @@
         self._term_ms = term_ms
         self._claim_delay_ms = claim_delay_ms
         self._sign_ms: int | None = None
+        self._token_ms = 0  # when the present owner was seen first
         self._read_sent_ms: int | None = None
         self._claim_sent_ms = 0
 
@@ -50,6 +58,8 @@
         if not isinstance(record, Ownership) or record.token < self.current.token:
             return
         self._sign_ms = now_ms
+        if record.token > self.current.token:
+            self._token_ms = now_ms
         self.current = record
         mine = record.owner == self.me and not record.released
         if self.owning and record.token > self.token:
@@ -93,15 +103,30 @@
             return False
         if now_ms - self._read_sent_ms > ABSENT_MS or self._sign_ms is None:
             return False
-        vacant = not self.current.owner or self.current.released
+        current = self.current
+        if current.owner and not current.released and self._is_far_stronger(now_ms):
+            return True
+        vacant = not current.owner or current.released
         patience = self._claim_delay_ms + (0 if vacant else ABSENT_MS)
+        if 0 < self.cpu_millis * FAR_MORE <= current.cpu_millis:
+            patience += WEAKER_DELAY_MS
         return self._read_sent_ms - self._sign_ms >= patience
 
+    def _is_far_stronger(self, now_ms: int) -> bool:
+        """Tell whether the present owner has much less of processors than this instance."""
+        settled = now_ms - self._token_ms >= TAKEOVER_AFTER_MS + self._claim_delay_ms
+        return settled and 0 < self.current.cpu_millis * FAR_MORE <= self.cpu_millis
+
     def claim(self, now_ms: int) -> Ownership:
         """Return the claim to append at the end of what was read."""
         self._move("claim")
         self._claim_sent_ms = now_ms
-        return Ownership(self.current.token + 1, self.me, settled=self.current.settled)
+        return Ownership(
+            self.current.token + 1,
+            self.me,
+            settled=self.current.settled,
+            cpu_millis=self.cpu_millis,
+        )
 
     def claim_failed(self) -> None:
         """Note that a claim was certainly not stored."""
--- a/src/greengagewood/internal/cells/runner.py
+++ b/src/greengagewood/internal/cells/runner.py
@@ -7,6 +7,8 @@
 from dataclasses import dataclass
 from typing import Any
 
+import msgspec
+
 from greengagewood.internal.cells.cell import Cell, CellLimits
 from greengagewood.internal.cells.fleet import Worker
 from greengagewood.internal.cells.ledger import Ledger
@@ -52,6 +54,7 @@
 REPEAT_PAUSE_S = 0.05  # between lists that showed nothing new
 DIRECTORY_INTERVAL_S = 0.5
 PLAN_INTERVAL_S = 0.05
+PLAN_REST_S = 0.01  # between two plans, so that ends which come together are planned for together
 COMMIT_INTERVAL_S = 0.15
 STORE_PAUSE_S = 0.1
 FORGET_INTERVAL_S = 10.0
@@ -87,6 +90,7 @@
     ) -> None:
         self._ports = ports
         self._ledger = ledger
+        self._claimed = ledger.ownership
         self.token = token
         self._status_ms = status_ms
         self._metrics = metrics
@@ -169,6 +173,7 @@
     # Decisions.
 
     async def _plan(self) -> None:
+        await asyncio.sleep(PLAN_REST_S)
         if self._licensed():
             self._carry_out_all(self.cell.plan(monotonic_ms(), wall_ms()))
         if self.cell.has_urgent_changes:
@@ -266,7 +271,7 @@
     async def _pace_run(self, order: PaceRun) -> None:
         before = order.run.percent
         order.run.percent = order.percent
-        order.worker.expected_tails = None
+        order.worker.reconsider_tails()
         try:
             reply = await self._ports.workers.pace(
                 order.worker.info, order.run.task.id, order.run.number, order.percent, self.token
@@ -274,7 +279,7 @@
             self._check_fence(reply)
         except (ExchangeFailed, WrongBoot):
             order.run.percent = before  # it is paced again by the next reading
-            order.worker.expected_tails = None
+            order.worker.reconsider_tails()
         self._metrics.count("paces")
         _log.debug(
             "pace",
@@ -379,7 +384,7 @@
 
     def _sign(self, released: bool) -> Ownership:
         settled = self.cell.planner.settle(self._ledger.end, monotonic_ms())
-        return Ownership(self.token, self._ledger.ownership.owner, released, settled)
+        return msgspec.structs.replace(self._claimed, released=released, settled=settled)
 
     async def _store(self, changes: Changes) -> None:
         if await self._append(list(changes.records)):
--- a/src/greengagewood/internal/entry/node.py
+++ b/src/greengagewood/internal/entry/node.py
@@ -19,6 +19,7 @@
 from greengagewood.internal.daemon import supervised
 from greengagewood.internal.entry.intake import Intake
 from greengagewood.internal.entry.settings import EntrySettings
+from greengagewood.internal.jobs.book import FINAL_STATES
 from greengagewood.internal.jobs.model import JobSpec, Queue
 from greengagewood.internal.jobs.records import (
     Cancellation,
@@ -41,12 +42,14 @@
 __all__ = ["ConfigSource", "Node"]
 
 READ_WAIT_MS = 400  # each answered read confirms who owns the cell
-FOLLOWER_PAUSE_S = 0.05  # a follower reads in batches, to spare calls to the store
+FOLLOWER_PAUSE_S = 0.2  # a follower reads in batches, to spare calls to the store
+ASKED_FRESH_MS = 30  # a state that may change is read anew for a caller if it is older
 STORE_PAUSE_S = 0.1
 TERM_MS = 5_000  # an outage of the store that is shorter stops no work
 CLAIM_SPREAD_MS = 300  # spreads claims, so that seldom two instances claim at once
 FRESH_MS = 1_000  # what was read within this time may be told as the truth
 CATCH_UP_TIMEOUT_S = 1.0
+REFRESH_TIMEOUT_S = 0.3  # a slow store answers a read by then; an older state is told otherwise
 TICK_S = 0.05
 
 _log = Log("entry")
@@ -73,7 +76,8 @@
         self.ledger = Ledger()
         self._intake = Intake(ports.store, self.ledger, lambda: self.fresh)
         me = f"{cfg.instance}#{wall_ms()}"
-        self._view = OwnershipView(me, TERM_MS, random.randint(0, CLAIM_SPREAD_MS))
+        delay = random.randint(0, CLAIM_SPREAD_MS)
+        self._view = OwnershipView(me, TERM_MS, delay, cfg.cpu_millis)
         self._runner: CellRunner | None = None
         self._loaded = False
         self._read_ms: int | None = None
@@ -148,22 +152,38 @@
         """Return a job's state, or None if there is none; raise StoreDown if it cannot be told."""
         known = self.ledger.jobs.get(job)
         if known is None or known.submission is None:
-            await self._catch_up()
+            await self._catch_up(CATCH_UP_TIMEOUT_S)
             known = self.ledger.jobs.get(job)
+        elif known.state not in FINAL_STATES and self._may_be_old:
+            try:
+                await self._catch_up(REFRESH_TIMEOUT_S)
+            except StoreDown as exc:
+                _log.debug("state_is_old", job=job, age_ms=self._age_ms(), error=str(exc))
         if known is None or known.submission is None:
             return None
         return known.state
 
-    async def _catch_up(self) -> None:
+    @property
+    def _may_be_old(self) -> bool:
+        """Tell whether the store is worth asking for what has changed."""
+        return not self._store_lost and self._age_ms() > ASKED_FRESH_MS
+
+    def _age_ms(self) -> int:
+        """Return how long ago the store was read."""
+        return FRESH_MS if self._read_ms is None else monotonic_ms() - self._read_ms
+
+    async def _catch_up(self, timeout_s: float) -> None:
         """Read the store up to its end as of now."""
         if not self._loaded:
             raise StoreDown("the store has not been read yet")
+        now = monotonic_ms()
         try:
-            async with asyncio.timeout(CATCH_UP_TIMEOUT_S):
+            async with asyncio.timeout(timeout_s):
                 page = await self._ports.store.read(self.ledger.end, 0)
         except (TimeoutError, LogGone) as exc:
             raise StoreDown(repr(exc)) from exc
         self._take_page(page)
+        self._read_ms = max(now, self._read_ms or 0)
 
     # The cell's log.
 
--- a/src/greengagewood/internal/entry/settings.py
+++ b/src/greengagewood/internal/entry/settings.py
@@ -33,4 +33,11 @@
     store: HostPort
     advice: HostPort | None = None
     bounds: Bounds
+    cores: Annotated[float, Meta(gt=0, le=1_024)] = 1.0
+    cpu_share: Annotated[float, Meta(gt=0, le=1)] = 1.0  # of a core, each as fast as `cores`
     log_level: Annotated[str, Meta(pattern=r"^(DEBUG|INFO|NOTICE|WARNING|ERROR)$")] = "INFO"
+
+    @property
+    def cpu_millis(self) -> int:
+        """Return what the instance has of processors, in thousandths of a core."""
+        return round(1000 * self.cores * self.cpu_share)
--- a/src/greengagewood/internal/jobs/records.py
+++ b/src/greengagewood/internal/jobs/records.py
@@ -104,13 +104,14 @@
     """Tell who owns the cell; `token` is the fencing token, one more than that before.
 
     Of jobs that were submitted below the offset `settled`, only those have ever been started whose
-    progress is in the store.
+    progress is in the store. `cpu_millis` is what the owner's instance has of processors.
     """
 
     token: int
     owner: str
     released: bool = False
     settled: int = 0
+    cpu_millis: int = 0
 
 
 Record = Submission | Cancellation | Progress | Ownership | Enlisted
--- a/tests/cover/test_owner_view.py
+++ b/tests/cover/test_owner_view.py
@@ -92,6 +92,52 @@
         assert view.state == "following"
 
 
+def _strong(cpu_millis: int) -> OwnershipView:
+    view = OwnershipView("me", TERM_MS, 0, cpu_millis)
+    view.read_confirmed(0, 0)
+    return view
+
+
+class TestUnequalInstances:
+    """The owner is one of the instances with the most processors, if any of them lives."""
+
+    @staticmethod
+    def _watch(view: OwnershipView, owner: Ownership, until_ms: int) -> bool:
+        """Tell whether the view claims at some time while the owner signs."""
+        for now in range(0, until_ms, 250):
+            view.saw(owner, now)
+            view.read_confirmed(now, now)
+            if view.should_claim(now):
+                return True
+        return False
+
+    def test_an_instance_with_far_more_takes_a_cell_over(self) -> None:
+        weak = Ownership(1, "other", cpu_millis=300)
+        assert self._watch(_strong(2_100), weak, 5_000)
+
+    def test_equal_instances_leave_each_other_alone(self) -> None:
+        assert not self._watch(_strong(430), Ownership(1, "other", cpu_millis=300), 20_000)
+
+    def test_an_owner_that_does_not_say_is_left_alone(self) -> None:
+        assert not self._watch(_strong(2_100), Ownership(1, "other"), 20_000)
+
+    def test_an_owner_that_has_just_claimed_is_left_alone(self) -> None:
+        view = _strong(2_100)
+        view.saw(Ownership(1, "other", cpu_millis=300), 50)
+        view.read_confirmed(60, 60)
+        assert not view.should_claim(60)
+
+    def test_a_weaker_instance_claims_after_the_stronger_ones(self) -> None:
+        gone = Ownership(1, "other", cpu_millis=2_100)
+        weak, strong = _strong(300), _strong(2_100)
+        for view in (weak, strong):
+            view.saw(gone, 0)
+            view.read_confirmed(ABSENT_MS, ABSENT_MS)
+        assert strong.should_claim(ABSENT_MS) and not weak.should_claim(ABSENT_MS)
+        weak.read_confirmed(ABSENT_MS + 500, ABSENT_MS + 500)
+        assert weak.should_claim(ABSENT_MS + 500)
+
+
 class TestTerms:
     """How long an owner may give orders."""
 
