Model tails by the slack that filling work takes, and place lasting tasks together

The former model added up logarithms of tails with a memory, and learned from falls, too, though a tail outlasts its cause by some readings; it found 4 to 12 where 18 was true. Change: slack is modelled; effects are learned from rises only; a service's own slack is followed ahead while it falls; pairs that were hardly seen cost their upper end instead of being probed one at a time. Lasting tasks wait 0.4 s for others and are placed by image, filling workers up. What filling work gets is bound by how few workers serve none of the images that it disturbs.

--- a/src/greengagewood/internal/cells/fleet.py
+++ b/src/greengagewood/internal/cells/fleet.py
@@ -31,14 +31,13 @@
 
 @dataclass(frozen=True, slots=True)
 class Admission:
-    """Tell at which pace a filling task may begin, 0 for not at all; `rise` is of a log tail.
+    """Tell at which pace a filling task may begin, 0 for not at all.
 
-    One that `probes` stands beside an image that it was hardly seen with.
+    `cost` is the most of a serving task's slack that it may take at full pace.
     """
 
     percent: int
-    rise: float
-    probes: bool
+    cost: float
 
 
 @dataclass(slots=True, eq=False)
@@ -60,17 +59,17 @@
     used: Room = field(default_factory=Room)
     filling_millis: int = 0
     lasting_millis: int = 0
-    expected_tails: dict[str, float] | None = None  # by image, until the runs change
+    rooms: dict[str, float] | None = None  # slack by serving image, until the runs change
     admissions: dict[tuple[str, int], Admission] = field(default_factory=dict)  # until then, too
     seen_end: int = 0
     acknowledged: int = 0
     shunned_until_ms: int = 0
     shun_ms: int = 0
     recent: deque[bool] = field(default_factory=lambda: deque(maxlen=8))
-    hottest: float = 0.0  # the worst tail against its target, of the last reading
-    paced_ms: int = 0  # when runs were paced last
+    uses: dict[str, float] = field(default_factory=dict)  # by filling image, of the last reading
+    least_slack: float = 0.0  # the worst target over its tail, of the last reading
     learned_ms: int = 0  # when tails were learned from last
-    cool_ms: int = 0  # when no tail was near its target last
+    cool_ms: int = 0  # when no tail was over its target last
 
     @property
     def name(self) -> str:
@@ -107,7 +106,7 @@
 
     def reconsider_tails(self) -> None:
         """Note that what is known of the tails here does not hold any more."""
-        self.expected_tails = None
+        self.rooms = None
         self.admissions.clear()
 
     def _commit(self, spec: StepSpec, sign: int) -> None:
--- a/src/greengagewood/internal/cells/placement.py
+++ b/src/greengagewood/internal/cells/placement.py
@@ -27,7 +27,7 @@
 
 SERVING_USE = 0.6  # share of its processors that a serving task is taken to use
 MIN_FILLING_SHARE = 0.8  # a filling task starts only where it gets this share of its processors
-LEAST_PROBE_PERCENT = 10
+MIN_FILLING_PERCENT = 50  # and where it may begin at this pace at least
 HEADROOM_SHARE = 0.15  # of all processors, that lasting tasks leave to short ones
 
 Score = Callable[[Worker], tuple[float, ...] | None]
@@ -50,7 +50,7 @@
 
 
 def choose_worker(
-    task: Task, workers: Iterable[Worker], model: TailModel, aged: bool, now_ms: int
+    task: Task, workers: Iterable[Worker], model: TailModel, aged: bool
 ) -> Worker | None:
     """Return the best of the usable workers for one task, or None.
 
@@ -58,7 +58,7 @@
     with nothing at work.
     """
     step = task.step
-    score = _score_of(step, model, aged, now_ms)
+    score = _score_of(step, model, aged)
     best: Worker | None = None
     best_score: tuple[float, ...] = ()
     for worker in workers:
@@ -74,14 +74,14 @@
 
 
 def worker_chooser(
-    step: Step, workers: Sequence[Worker], model: TailModel, aged: bool, now_ms: int
+    step: Step, workers: Sequence[Worker], model: TailModel, aged: bool
 ) -> Callable[[Task], Worker | None]:
     """Return a function that chooses like `choose_worker` for one task of the step after another.
 
     Answers the load of wide steps on many workers: a start changes only the score of its worker, so
     each worker is scored once, and again only when it was chosen or comes to the top.
     """
-    score = _score_of(step, model, aged, now_ms)
+    score = _score_of(step, model, aged)
     ranked: list[tuple[tuple[float, ...], int]] = []
     places = {worker: place for place, worker in enumerate(workers)}
     chosen: Worker | None = None
@@ -114,7 +114,7 @@
             rank(chosen)  # what was started there may have made it better, too
         # A failure elsewhere, or a rack taken into use, changes the scores of many workers.
         if task.failed_on or step.spec.same_rack:
-            chosen = choose_worker(task, workers, model, aged, now_ms)
+            chosen = choose_worker(task, workers, model, aged)
         else:
             chosen = take_best()
         return chosen
@@ -124,11 +124,11 @@
     return choose
 
 
-def _score_of(step: Step, model: TailModel, aged: bool, now_ms: int) -> Score:
+def _score_of(step: Step, model: TailModel, aged: bool) -> Score:
     """Return the function that scores workers for a step; the lowest score is best."""
     spec = step.spec
     if spec.filling:
-        return lambda worker: _score_filling(worker, spec, model, aged, now_ms)
+        return lambda worker: _score_filling(worker, spec, model, aged)
     if spec.lasting:
         return lambda worker: _score_lasting(worker, spec)
     racks = _racks_in_use(step) if spec.same_rack else frozenset()
@@ -144,28 +144,35 @@
 
 
 def _score_lasting(worker: Worker, spec: StepSpec) -> tuple[float, ...]:
-    """Prefer workers that serve the same image, then any that serve, so that others stay free."""
+    """Prefer workers that serve the same image, then any that serve, and there the tightest fit.
+
+    A filling image must disturb none of the images that serve beside it: so workers are filled up,
+    with as few images as may be, and others stay free for work that disturbs.
+    """
     left = worker.info.cpu_millis - worker.used.cpu_millis - spec.cpu_millis
     images = {r.task.step.spec.image for r in worker.runs.values() if r.task.step.spec.lasting}
-    mixed = bool(images - {spec.image})
-    return (float(mixed) + 0.5 * (not images), float(left))
+    if images == {spec.image}:
+        rank = 0
+    elif spec.image in images:
+        rank = 1
+    else:
+        rank = 2 if images else 3
+    return (float(rank), float(left))
 
 
 def _score_filling(
-    worker: Worker, spec: StepSpec, model: TailModel, aged: bool, now_ms: int
+    worker: Worker, spec: StepSpec, model: TailModel, aged: bool
 ) -> tuple[float, ...] | None:
     idle = idle_millis(worker)
-    admission = model.admits(worker, spec, now_ms)
-    if not aged:
-        if idle < spec.cpu_millis * MIN_FILLING_SHARE:
-            return None
-        if admission.percent < (LEAST_PROBE_PERCENT if admission.probes else 100):
-            return None
+    if not aged and idle < spec.cpu_millis * MIN_FILLING_SHARE:
+        return None
+    admission = model.admits(worker, spec)
+    if not aged and admission.percent < MIN_FILLING_PERCENT:
+        return None
     away = float(spec.data_rack not in ("", worker.info.rack))
     # Workers without serving tasks are kept for what would disturb everywhere else.
-    tier = 2.0 if admission.probes else float(not worker.lasting_millis)
-    slow = float(admission.percent < 100 and not admission.probes)
-    return (slow, away, tier, -admission.percent, admission.rise, -idle)
+    free = float(not worker.lasting_millis)
+    return (100.0 - admission.percent, away, free, admission.cost, -idle)
 
 
 def keeps_headroom(task: Task, workers: Sequence[Worker]) -> bool:
--- a/src/greengagewood/internal/cells/planner.py
+++ b/src/greengagewood/internal/cells/planner.py
@@ -16,7 +16,7 @@
     place_gang,
     worker_chooser,
 )
-from greengagewood.internal.cells.tails import TailModel
+from greengagewood.internal.cells.tails import LEAST_PERCENT, TailModel
 from greengagewood.internal.jobs.book import Job, JobBook, Run, Step, Task
 from greengagewood.internal.jobs.model import Queue, StepSpec
 from greengagewood.internal.ports import Permit
@@ -27,10 +27,12 @@
 RUN_NUMBERS_A_TERM = 1 << 20
 PERMIT_MARGIN_MS = 300  # for the way of a start to its worker
 ADVICE_BATCH = 30  # workers named in one question, each of which costs time
+LARGEST_CPU_MILLIS = 1_000_000_000
 MAX_STARTS_A_PLAN = 200
 LATE_FACTOR = 3  # times its objective after which a job earns nothing, from the platform's rules
 FILL_INTERVAL_MS = 60  # a backlog of filling work must not delay what is urgent
 AT_ONCE_MS = 1_000  # a job that came within this time may be started before it is stored so
+GATHER_MS = 400  # for lasting tasks that come together; a small part of what they may wait
 AGED_MS = 3_000  # a job that has waited longer gets one task placed if most room is free
 
 
@@ -117,7 +119,7 @@
             and worker.usable(now_ms)
             and worker.fits(spec)
             and idle_millis(worker) >= spec.cpu_millis
-            and self.model.admits(worker, spec, now_ms).percent == 100
+            and self.model.admits(worker, spec).percent == 100
             for worker in self._workers.values()
         )
 
@@ -145,9 +147,18 @@
         fill_now = filled is None or now_ms - filled >= FILL_INTERVAL_MS
         if fill_now:
             self._filled_ms = now_ms
-        steps = [step for step in self._book.waiting if fill_now or not step.spec.filling]
+        steps = [
+            step
+            for step in self._book.waiting
+            if (fill_now or not step.spec.filling) and not self._gathers(step, now_ms)
+        ]
         full = _Refused()
-        for step in sorted(steps, key=lambda step: self._order(step, now_ms)):
+        since: dict[str, int] = {}
+        for step in steps:
+            if step.spec.lasting:
+                arrived = step.job.arrived_ms
+                since[step.spec.image] = min(arrived, since.get(step.spec.image, arrived))
+        for step in sorted(steps, key=lambda step: self._order(step, since, now_ms)):
             queue = self.queue_of(step.job)
             workers = by_service.get(queue.service, [])
             aged = self._is_aged(step, now_ms) and is_roomy(workers)
@@ -162,27 +173,43 @@
                 break
         return orders
 
+    def _gathers(self, step: Step, now_ms: int) -> bool:
+        """Tell whether a lasting step waits a moment for others, to be placed together."""
+        waits = step.spec.lasting and now_ms - step.job.arrived_ms < GATHER_MS
+        if waits:
+            self.replan()
+        return waits
+
     @staticmethod
     def _is_aged(step: Step, now_ms: int) -> bool:
         job = step.job
         return step.spec.filling and not job.runs and now_ms - job.arrived_ms > AGED_MS
 
-    def _order(self, step: Step, now_ms: int) -> tuple[float, ...]:
-        """Return the rank of a step.
+    def _order(
+        self, step: Step, since: dict[str, int], now_ms: int
+    ) -> tuple[int, int, int, int, str, float]:
+        """Return the rank of a step; `since` is when the first job of a serving image came.
 
         Answers the load in which not all can be in time: within a priority, jobs that still can
         come before those that are late, and those before the ones too late to earn anything; among
         equals the least work left comes first, since most callers are then served.
+
+        Lasting tasks of one image are placed together, those that must be spread first, then the
+        large ones: so they fill their workers up, and few workers serve several images.
         """
         job = step.job
+        spec = step.spec
         queue = self.queue_of(job)
+        if spec.lasting:
+            rank = (0.0 if spec.max_per_instance else 1.0) - spec.cpu_millis / LARGEST_CPU_MILLIS
+            return (queue.priority, 0, 1, since[spec.image], spec.image, rank)
         objective = queue.slack_factor * max(job.chains_ms, default=0) + queue.target_ms
         age = now_ms - job.arrived_ms
-        if step.spec.lasting or age + job.chains_ms[step.number] <= objective:
+        if age + job.chains_ms[step.number] <= objective:
             lateness = 0
         else:
             lateness = 1 if age < LATE_FACTOR * objective else 2
-        return (queue.priority, lateness, self._book.work_left(job, step.occurrence))
+        return (queue.priority, lateness, 0, self._book.work_left(job, step.occurrence), "", 0.0)
 
     def _place_step(
         self, step: Step, workers: list[Worker], aged: bool, now_ms: int
@@ -200,7 +227,7 @@
             ]
         if step.spec.gang:
             return [*orders, *self._place_gang(step, workers, now_ms)], False
-        choose = worker_chooser(step, workers, self.model, aged, now_ms)
+        choose = worker_chooser(step, workers, self.model, aged)
         for task in sorted(step.waiting, key=lambda task: -task.last_run_ms):
             if task.not_before_ms > now_ms:
                 self.replan()
@@ -275,7 +302,7 @@
         permit = self._permits.get(task.step, {}).get(worker.name)
         run.ticket = permit.ticket if permit else ""
         if task.step.spec.filling:
-            run.wanted_percent = self.model.note_start(worker, task.step.spec, now_ms)
+            run.wanted_percent = self.model.admits(worker, task.step.spec).percent or LEAST_PERCENT
         worker.add(run)
         worker.horizon_ms = max(worker.horizon_ms, deadline)
         payload = task.step.job.submission.spec.payload
--- a/src/greengagewood/internal/cells/regression.py
+++ b/src/greengagewood/internal/cells/regression.py
@@ -35,6 +35,11 @@
         """Return the estimate of one weight."""
         return self.weights.get(name, self.prior)
 
+    def variance(self, name: str) -> float:
+        """Return the variance of the estimate of one weight."""
+        row = self._covariance.get(name)
+        return row[name] if row else self.spread
+
     def add(self, name: str, mean: float, spread: float) -> None:
         """Add a feature with a prior of its own."""
         self.weights[name] = mean
--- a/src/greengagewood/internal/cells/runner.py
+++ b/src/greengagewood/internal/cells/runner.py
@@ -233,6 +233,9 @@
             run=run.number,
             worker=worker.name,
             waited_ms=run.started_ms - run.task.step.job.arrived_ms,
+            image=run.task.step.spec.image,
+            cpu=run.task.step.spec.cpu_millis,
+            percent=run.wanted_percent,
             free_cpu=worker.info.cpu_millis - worker.used.cpu_millis,
             answered_ms=monotonic_ms() - run.started_ms,
             outcome=reason,
@@ -286,7 +289,7 @@
             task=order.run.task.id,
             run=order.run.number,
             worker=order.worker.name,
-            hottest=round(order.worker.hottest, 2),
+            least_slack=round(order.worker.least_slack, 2),
             percent=order.percent,
         )
 
--- a/src/greengagewood/internal/jobs/book.py
+++ b/src/greengagewood/internal/jobs/book.py
@@ -42,8 +42,9 @@
     progress_ms: int = 0  # when that changed last
     measure: int = 0  # tail in ms of a serving task, processors in use of any other
     ticket: str = ""
-    offset: float = 0.0  # of a serving task: how far its log tail is off its image's
-    log_tail: float | None = None  # of a serving task: its last reading
+    slack: float | None = None  # of a serving task: its target over its tail, as read last
+    own_slack: float | None = None  # what that would be without filling work beside it
+    trend: float = 0.0  # how the own slack changed from the reading before
 
     def move(self, event: str) -> None:
         """Move along the chart; raise IllegalTransition."""
