--- a/src/greengagewood/internal/ctl/main.py
+++ b/src/greengagewood/internal/ctl/main.py
@@ -1,4 +1,4 @@
-"""ggwctl: validate, try, promote, history and status."""
+"""ggwctl: documents, what is in force, and what became of a job."""
 
 from __future__ import annotations
 
@@ -20,6 +20,8 @@
 from greengagewood.internal.ctl.admin import read_status, wait_in_force
 from greengagewood.internal.ctl.publish import Published, Publisher
 from greengagewood.internal.ctl.table import table
+from greengagewood.internal.ctl.trace import trace_job
+from greengagewood.internal.daemon import define_help
 from greengagewood.internal.document import digest_of, parse_document
 from greengagewood.internal.native.logservice import AppendUnknown, LogDown, LogService
 from greengagewood.internal.settings import ControlSettings
@@ -33,20 +35,79 @@
 EXIT_RACED = 3
 EXIT_UNREACHABLE = 4
 
-USAGE = """usage: ggwctl COMMAND [ARGUMENT] [--settings=FILE] [--output=table|json] [--wait]
+USAGE = """usage: ggwctl COMMAND [ARGUMENT] [FLAGS]
 
-commands:
-  validate FILE      check a document
-  try FILE           put a document in force in the trial environment
-  promote [DIGEST]   put what is in force in the trial environment in force in production
-  history            list what was published, and what became of it
-  status             show the instances, cells and the versions in force
+commands, each of which explains itself with --help:
+{commands}
+
+flags:{flags}
 
 exit codes: 0 done, 1 failed, 2 wrong call, settings or document, 3 another operator was first,
             4 the log or every keeper is out of reach
 """
 
 
+@dataclass(frozen=True)
+class Verb:
+    """Hold how a command is called, and what it is for."""
+
+    arguments: str
+    least: int
+    most: int
+    purpose: str
+    example: str
+
+
+VERBS = {
+    "validate": Verb("FILE", 1, 1, "check a document", "ggwctl validate shop.yaml"),
+    "try": Verb(
+        "FILE",
+        1,
+        1,
+        "put a document in force in the trial environment",
+        "ggwctl try shop.yaml --wait",
+    ),
+    "promote": Verb(
+        "[DIGEST]",
+        0,
+        1,
+        "put what is in force in the trial environment in force in production",
+        "ggwctl promote 3f9a0c --wait",
+    ),
+    "history": Verb(
+        "", 0, 0, "list what was published, and what became of it", "ggwctl history --stage=trial"
+    ),
+    "status": Verb(
+        "",
+        0,
+        0,
+        "show the instances, cells and the versions in force",
+        "ggwctl status --output=json",
+    ),
+    "trace": Verb(
+        "JOB FILE...",
+        2,
+        1_000,
+        "follow a job through the log files of all instances, - for standard input",
+        "ggwctl trace 5c0e7a21d94b36f8 entry-1.log entry-2.log",
+    ),
+}
+
+
+def _usage(values: flags.FlagValues) -> str:
+    width = max(len(f"{name} {verb.arguments}") for name, verb in VERBS.items())
+    commands = "\n".join(
+        f"  {f'{name} {verb.arguments}':{width}}  {verb.purpose}" for name, verb in VERBS.items()
+    )
+    return USAGE.format(commands=commands, flags=values.get_help())
+
+
+def _verb_usage(name: str) -> str:
+    verb = VERBS[name]
+    call = f"ggwctl {name} {verb.arguments}".rstrip()
+    return f"usage: {call} [FLAGS]\n\n{verb.purpose}\n\nexample: {verb.example}\n"
+
+
 @dataclass
 class Context:
     """Hold what a command works with."""
@@ -90,6 +151,26 @@
     return EXIT_OK
 
 
+def _trace(args: list[str], as_json: bool) -> int:
+    job, *paths = args
+    lines: list[str] = []
+    for path in paths:
+        try:
+            text = sys.stdin.read() if path == "-" else Path(path).read_text(errors="replace")
+        except OSError as exc:
+            _complain(f"{path}: {exc}; name a readable log file")
+            return EXIT_USAGE
+        lines.extend(text.splitlines())
+    found = trace_job(lines, job)
+    if found.unreadable:
+        _complain(f"{found.unreadable} lines that name {job} are no log lines and left out")
+    if as_json:
+        print(msgspec.json.encode(found.events).decode())
+    else:
+        print(table(["TIME", "INSTANCE", "EVENT", "TASK", "DETAILS"], found.rows()))
+    return EXIT_OK if found.events else EXIT_FAILED
+
+
 async def _try(ctx: Context, args: list[str]) -> int:
     text = _read_document(args[0])
     if text is None:
@@ -178,19 +259,22 @@
     return EXIT_OK if any(statuses) else EXIT_UNREACHABLE
 
 
-COMMANDS: dict[str, tuple[Callable[[Context, list[str]], Awaitable[int]], int, int]] = {
-    "try": (_try, 1, 1),
-    "promote": (_promote, 0, 1),
-    "history": (_history, 0, 0),
-    "status": (_status, 0, 0),
+COMMANDS: dict[str, Callable[[Context, list[str]], Awaitable[int]]] = {
+    "try": _try,
+    "promote": _promote,
+    "history": _history,
+    "status": _status,
 }
 
 
 def _define_flags(values: flags.FlagValues) -> None:
     flags.DEFINE_string("settings", "ggwctl.yaml", "YAML settings file", flag_values=values)
     flags.DEFINE_enum("output", "table", ["table", "json"], "how to print", flag_values=values)
-    flags.DEFINE_enum("stage", "production", ["production", "trial"], "", flag_values=values)
+    flags.DEFINE_enum(
+        "stage", "production", ["production", "trial"], "which environment", flag_values=values
+    )
     flags.DEFINE_bool("wait", False, "wait until in force everywhere", flag_values=values)
+    define_help(values)
     flags.DEFINE_float("timeout", 30.0, "seconds to wait or retry", flag_values=values)
 
 
@@ -208,7 +292,7 @@
             values.timeout,
         )
         try:
-            return await COMMANDS[command][0](ctx, rest)
+            return await COMMANDS[command](ctx, rest)
         except (LogDown, AppendUnknown) as exc:
             _complain(f"the platform's log at {cfg.platform} cannot be used: {exc}; try again")
             return EXIT_UNREACHABLE
@@ -223,12 +307,18 @@
     except flags.Error as exc:
         _complain(str(exc))
         sys.exit(EXIT_USAGE)
-    if args and args[0] == "validate" and len(args) == 2:
-        sys.exit(_validate(args[1:]))
-    known = COMMANDS.get(args[0]) if args else None
-    if known is None or not known[1] <= len(args) - 1 <= known[2]:
-        print(USAGE, file=sys.stderr, end="")
+    name = args[0] if args else ""
+    if values.help:
+        print(_verb_usage(name) if name in VERBS else _usage(values), end="")
+        sys.exit(EXIT_OK)
+    verb = VERBS.get(name)
+    if verb is None or not verb.least <= len(args) - 1 <= verb.most:
+        print(_verb_usage(name) if verb else _usage(values), file=sys.stderr, end="")
         sys.exit(EXIT_USAGE)
+    if name == "validate":
+        sys.exit(_validate(args[1:]))
+    if name == "trace":
+        sys.exit(_trace(args[1:], values.output == "json"))
     loaded = load_yaml(values.settings, ControlSettings)
     if isinstance(loaded, Err):
         _complain(str(loaded.err_value))
--- a/src/greengagewood/internal/daemon.py
+++ b/src/greengagewood/internal/daemon.py
@@ -20,9 +20,10 @@
 from greengagewood.internal.settings import Address
 from greengagewood.internal.yamlfile import load_yaml
 
-__all__ = ["Admin", "Daemon", "parse_flags", "place_of", "run_daemon", "supervised"]
+__all__ = ["Admin", "Daemon", "define_help", "parse_flags", "place_of", "run_daemon", "supervised"]
 
 EXIT_USAGE = 2
+EXAMPLE_FLAGS = "--settings=/etc/greengagewood/settings.yaml"
 MAX_HEADER_BYTES = 16 * 1024
 
 _log = Log("daemon")
@@ -63,18 +64,27 @@
 
 
 def parse_flags(program: str, define: Callable[[flags.FlagValues], None]) -> flags.FlagValues:
-    """Parse the command line; print one line and exit 2 if it is wrong."""
+    """Parse the command line; exit 0 after --help, and 2 with one line if it is wrong."""
     values = flags.FlagValues()
     define(values)
+    define_help(values)
     try:
         rest = values(sys.argv)
     except flags.Error as exc:
         fail(f"{program}: {exc}; see {program} --help")
+    if values.help:
+        print(f"usage: {program} [FLAGS]\n{values.get_help()}\nexample: {program} {EXAMPLE_FLAGS}")
+        sys.exit(0)
     if len(rest) > 1:
         fail(f"{program}: unexpected argument {rest[1]!r}; see {program} --help")
     return values
 
 
+def define_help(values: flags.FlagValues) -> None:
+    """Define the flag that asks for help."""
+    flags.DEFINE_bool("help", False, "show this help", short_name="h", flag_values=values)
+
+
 class Admin:
     """Serve /healthz, /readyz, /metrics and /status."""
 
