Say which entries and records are passed over, and keep to the operators' body limit

Change: one log line an entry, a metric and a log line a record; 413 with both sizes. The desk of the cell's tests moves to tests/common, and the planner gets tests of its own: lasting tasks that come together, and tasks without a place that must not hide others.

--- a/src/greengagewood/internal/entry/node.py
+++ b/src/greengagewood/internal/entry/node.py
@@ -224,7 +224,11 @@
         self.ledger.end = max(self.ledger.end, page.end)
 
     def _take_entry(self, entry: LogEntry) -> None:
+        unreadable = self.ledger.unreadable
         record = self.ledger.apply(entry)
+        if self.ledger.unreadable > unreadable:
+            self._metrics.count("unreadable_records")
+            _log.warning("record_unreadable", key=entry.key, offset=entry.offset)
         if record is None:
             return
         self._view.saw(record, monotonic_ms())
--- a/src/greengagewood/platform/directory.py
+++ b/src/greengagewood/platform/directory.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from greengagewood.internal.logs import Log
 from greengagewood.internal.ports import LogEntry, LogGone, WorkerInfo
 from greengagewood.platform.store import KeyedLog
 
@@ -13,6 +14,8 @@
 
 STATES = frozenset({"ready", "draining"})
 
+_log = Log("directory")
+
 
 class _Room(msgspec.Struct):
     cpu: int
@@ -90,3 +93,5 @@
         self._workers.pop(entry.key, None)
         if entry.value:
             self.passed_over[entry.key] += 1
+            if self.passed_over[entry.key] == 1:  # it may come again with each heartbeat
+                _log.warning("worker_unreadable", key=entry.key, bytes=len(entry.value))
--- a/src/greengagewood/platform/frontend.py
+++ b/src/greengagewood/platform/frontend.py
@@ -92,6 +92,9 @@
         patience = _patience_ms(req)
         try:
             body = await req.read()
+            if len(body) > self._max_body_bytes:
+                error = f"the body has {len(body)} bytes of at most {self._max_body_bytes}"
+                return _error(413, f"{error}; send a smaller job"), "too_large"
             spec = parse_job(body)
         except InvalidJob as exc:
             return _error(400, str(exc)), "invalid_job"
@@ -100,6 +103,11 @@
         outcome = await self._node.submit(job, rule.queue, spec, patience)
         return self._stored(outcome)
 
+    @property
+    def _max_body_bytes(self) -> int:
+        config = self._node.config
+        return config.max_body_bytes if config else 0
+
     async def _state(self, job: str) -> tuple[web.Response, str]:
         try:
             state = await self._node.state_of(job)
--- a/tests/cover/test_cell.py
+++ b/tests/cover/test_cell.py
@@ -4,65 +4,10 @@
 
 from dataclasses import replace
 
-from greengagewood.internal.cells.cell import Cell, CellLimits
 from greengagewood.internal.cells.orders import StartRun, StopRun
-from greengagewood.internal.jobs.model import JobSpec, Queue, StepSpec
-from greengagewood.internal.jobs.records import Submission
-from greengagewood.internal.ports import End, HoldReply, RunningTask, WorkerInfo
-
-QUEUE = Queue("q", "svc", 0, 3, 2.0, 1000)
-LIMITS = CellLimits(lease_ms=6_000, term_ms=5_000)
-
-
-def _info(name: str, born_ms: int = 1) -> WorkerInfo:
-    labels = frozenset(("a", "r0"))
-    return WorkerInfo(
-        name, "10.0.0.1:80", "svc", "z", "r0", labels, 64_000, 256_000, 0, False, None, born_ms
-    )
-
-
-def _submission(job: str) -> Submission:
-    return Submission(job, QUEUE, JobSpec("p", (StepSpec(1, cpu_millis=1_000),)), 0)
-
-
-class Desk:
-    """Hold a cell with workers that have answered, and its clock."""
-
-    def __init__(self, *workers: str) -> None:
-        self.now = 100_000
-        self.orders: list = []
-        self.cell = Cell(LIMITS, 1, self.now)
-        self.infos = {name: _info(name) for name in workers}
-        self.cell.set_workers(self.infos, self.now)
-        self.store()
-        for name in workers:
-            self.hear(name)
-
-    def store(self) -> None:
-        changes = self.cell.changes(self.now)
-        if changes is not None:
-            self.cell.changes_stored(changes)
-
-    def hear(self, name: str, *rows: RunningTask, ends: tuple[End, ...] = ()) -> list:
-        worker = self.cell.workers[name]
-        born = self.infos[name].born_ms
-        reply = HoldReply(self.now - 90_000, born, rows, ends)
-        return self.cell.hold_answered(worker, reply, self.now - 1, self.now)
-
-    def submit(self, *steps: StepSpec, job: str = "0" * 16) -> None:
-        submission = Submission(job, QUEUE, JobSpec("p", steps), 0)
-        self.cell.add_job(submission, None, True, self.now)
-
-    def plan(self, pass_ms: int = 10) -> list:
-        self.now += pass_ms
-        orders = self.cell.plan(self.now, self.now)
-        self.store()
-        self.now += 1
-        return orders + self.cell.plan(self.now, self.now)
-
-
-def _starts(orders: list) -> list[StartRun]:
-    return [order for order in orders if isinstance(order, StartRun)]
+from greengagewood.internal.jobs.model import StepSpec
+from greengagewood.internal.ports import HoldReply, RunningTask
+from tests.common.desk import Desk, info_of, starts_of, submission_of
 
 
 class TestDoubtfulStarts:
@@ -72,7 +17,7 @@
         # seed 1239 of the random days: each repeat put off the list that could rule it out
         desk = Desk("w0")
         desk.submit(StepSpec(1, cpu_millis=1_000))
-        (start,) = _starts(desk.plan())
+        (start,) = starts_of(desk.plan())
         worker = start.worker
         desk.cell.start_unanswered(start.run, desk.now)
         for _ in range(4):  # lists take longer than the pause between two stops
@@ -91,22 +36,22 @@
 
     def test_a_job_that_has_just_come_starts_before_it_is_stored_as_begun(self) -> None:
         desk = Desk("w0")
-        desk.cell.add_job(_submission("1" * 16), None, True, desk.now, offset=7)
-        assert len(_starts(desk.cell.plan(desk.now, desk.now))) == 1
+        desk.cell.add_job(submission_of("1" * 16), None, True, desk.now, offset=7)
+        assert len(starts_of(desk.cell.plan(desk.now, desk.now))) == 1
         assert desk.cell.planner.settle(100, desk.now) == 7
 
     def test_a_job_below_the_mark_is_stored_first(self) -> None:
         desk = Desk("w0")
-        desk.cell.add_job(_submission("1" * 16), None, True, desk.now, offset=7)
+        desk.cell.add_job(submission_of("1" * 16), None, True, desk.now, offset=7)
         assert desk.cell.planner.settle(100, desk.now + 2_000) == 100
-        assert _starts(desk.cell.plan(desk.now + 1, desk.now)) == []
+        assert starts_of(desk.cell.plan(desk.now + 1, desk.now)) == []
         desk.store()
-        assert len(_starts(desk.cell.plan(desk.now + 2, desk.now))) == 1
+        assert len(starts_of(desk.cell.plan(desk.now + 2, desk.now))) == 1
 
     def test_a_job_that_an_earlier_owner_may_have_started_holds_the_mark_back(self) -> None:
         desk = Desk("w0")
-        desk.cell.set_workers({**desk.infos, "w9": _info("w9")}, desk.now)  # not heard yet
-        desk.cell.add_job(_submission("1" * 16), None, False, desk.now, offset=7)
+        desk.cell.set_workers({**desk.infos, "w9": info_of("w9")}, desk.now)  # not heard yet
+        desk.cell.add_job(submission_of("1" * 16), None, False, desk.now, offset=7)
         assert desk.cell.planner.settle(100, desk.now + 2_000) == 7
 
 
@@ -117,25 +62,25 @@
         # seed 1258 of the random days: the task ran twice
         desk = Desk("w0", "w1")
         desk.submit(StepSpec(1, cpu_millis=1_000))
-        (start,) = _starts(desk.plan())
+        (start,) = starts_of(desk.plan())
         name = start.worker.name
         desk.cell.start_answered(start.worker, start.run, "", desk.now + 1)
         desk.infos[name] = replace(desk.infos[name], born_ms=2)
         desk.cell.set_workers(desk.infos, desk.now + 2)
         desk.now += 5
         orders = desk.plan()
-        assert _starts(orders) == []
+        assert starts_of(orders) == []
         (stop,) = [order for order in orders if isinstance(order, StopRun)]
         assert stop.number == start.run.number
         desk.cell.stop_answered(start.run, desk.now)
         desk.now += 5
         desk.hear(name)
-        assert len(_starts(desk.plan())) == 1
+        assert len(starts_of(desk.plan())) == 1
 
     def test_what_the_old_life_had_listed_is_lost(self) -> None:
         desk = Desk("w0", "w1")
         desk.submit(StepSpec(1, cpu_millis=1_000))
-        (start,) = _starts(desk.plan())
+        (start,) = starts_of(desk.plan())
         name = start.worker.name
         desk.cell.start_answered(start.worker, start.run, "", desk.now + 1)
         desk.now += 10
@@ -143,15 +88,15 @@
         desk.infos[name] = replace(desk.infos[name], born_ms=2)
         desk.cell.set_workers(desk.infos, desk.now + 2)
         desk.now += 5
-        assert len(_starts(desk.plan())) == 1
+        assert len(starts_of(desk.plan())) == 1
 
     def test_a_worker_that_was_not_heard_lately_gets_no_work(self) -> None:
         desk = Desk("w0")
         desk.now += 5_000  # the owner stood still
         desk.submit(StepSpec(1, cpu_millis=1_000))
-        assert _starts(desk.plan()) == []
+        assert starts_of(desk.plan()) == []
         desk.hear("w0")
-        assert len(_starts(desk.plan())) == 1
+        assert len(starts_of(desk.plan())) == 1
 
 
 class TestPending:
@@ -160,7 +105,7 @@
     def test_a_lasting_job_that_must_leave_headroom_has_not_begun(self) -> None:
         desk = Desk("w0")
         desk.submit(StepSpec(1, cpu_millis=60_000, lasting=True))
-        assert _starts(desk.plan()) == []
+        assert starts_of(desk.plan()) == []
         assert not desk.cell.book.jobs["0" * 16].begun
 
 
@@ -172,7 +117,7 @@
         desk.submit(
             StepSpec(1, cpu_millis=6_000, memory_mb=1, checkpoints=True, image="f", filling=True)
         )
-        (start,) = _starts(desk.plan(100))
+        (start,) = starts_of(desk.plan(100))
         desk.cell.start_answered(start.worker, start.run, "", desk.now)
         start.run.percent = 10
         for _ in range(4):
--- /dev/null
+++ b/tests/cover/test_planner.py
@@ -0,0 +1,70 @@
+"""Which tasks are placed together, and which are passed over in a plan."""
+
+from __future__ import annotations
+
+from greengagewood.internal.cells.planner import GATHER_MS
+from greengagewood.internal.jobs.model import StepSpec
+from tests.common.desk import Desk, starts_of
+
+
+def _serving(image: str, tasks: int) -> StepSpec:
+    return StepSpec(
+        tasks, cpu_millis=13_000, memory_mb=26_000, lasting=True, image=image, tail_target_ms=24
+    )
+
+
+def _images(desk: Desk) -> list[set[str]]:
+    """Return which images each worker serves."""
+    return [
+        {run.task.step.spec.image for run in worker.runs.values()}
+        for worker in desk.cell.workers.values()
+    ]
+
+
+class TestLastingTasks:
+    """Many services come at once, and filling work needs workers that serve few images."""
+
+    def test_those_that_come_together_are_placed_by_image(self) -> None:
+        desk = Desk("w0", "w1", "w2", "w3", "w4")
+        for number, image in enumerate("abab"):
+            desk.submit(_serving(image, 2), job=f"{number:016x}")
+            desk.now += 50
+        assert starts_of(desk.plan()) == []
+        desk.plan(GATHER_MS)
+        assert sorted(map(sorted, _images(desk))) == [[], [], [], ["a"], ["b"]]
+
+    def test_one_that_comes_alone_starts_a_moment_later(self) -> None:
+        desk = Desk("w0")
+        desk.submit(_serving("a", 1))
+        assert starts_of(desk.plan()) == []
+        assert len(starts_of(desk.plan(GATHER_MS))) == 1
+
+    def test_short_tasks_do_not_wait_for_them(self) -> None:
+        desk = Desk("w0")
+        desk.submit(StepSpec(1, cpu_millis=1_000))
+        assert len(starts_of(desk.plan())) == 1
+
+
+class TestTasksWithoutPlace:
+    """A backlog that does not fit costs one look at the workers a plan, and blocks nobody."""
+
+    def test_smaller_tasks_are_placed_beside_a_large_one_that_waits(self) -> None:
+        desk = Desk("w0")
+        desk.submit(StepSpec(1, cpu_millis=65_000), job="0" * 16)
+        desk.submit(StepSpec(1, cpu_millis=60_000), job="1" * 16)
+        (start,) = starts_of(desk.plan())
+        assert start.run.task.id.job == "1" * 16
+
+    def test_more_memory_than_is_left_does_not_hide_a_task_with_less(self) -> None:
+        desk = Desk("w0")
+        desk.submit(StepSpec(1, cpu_millis=1_000, memory_mb=300_000), job="0" * 16)
+        desk.submit(StepSpec(1, cpu_millis=2_000, memory_mb=1_000), job="1" * 16)
+        (start,) = starts_of(desk.plan())
+        assert start.run.task.id.job == "1" * 16
+
+    def test_a_step_with_conditions_of_its_own_hides_no_other(self) -> None:
+        desk = Desk("w0")
+        desk.submit(StepSpec(2, cpu_millis=1_000, max_per_instance=1), job="0" * 16)
+        desk.submit(StepSpec(1, cpu_millis=1_000, estimate_ms=9), job="1" * 16)
+        jobs = {start.run.task.id.job for start in starts_of(desk.plan())}
+        assert jobs == {"0" * 16, "1" * 16}
