Bring no service over its target on purpose

Cause: read as a newcomer: work of harmless images could take a service to a slack of 0.9, a tenth over its target, while the text says that services come first.

--- a/src/greengagewood/internal/cells/placement.py
+++ b/src/greengagewood/internal/cells/placement.py
@@ -156,7 +156,7 @@
     elif spec.image in images:
         rank = 1
     else:
-        rank = 2 if images else 3
+        rank = 2 if images else 3  # a worker that serves nothing comes last
     return (float(rank), float(left))
 
 
--- a/src/greengagewood/internal/cells/tails.py
+++ b/src/greengagewood/internal/cells/tails.py
@@ -41,11 +41,11 @@
 HARMLESS_EFFECT = 3.0  # measured effects are either near 0 or well above
 UNSEEN_SLACK = 2.5  # of a service that was not measured yet: half loaded
 
-# The slack that a service keeps beside work that is placed, beside work that goes on, and beside
-# work of harmless images, which takes little of it.
+# The forecast slack that a service keeps beside work that is placed, beside work that goes on, and
+# beside work of harmless images, which may bring it to its target and no further.
 PLACE_SLACK = 1.3
 PACE_SLACK = 1.15
-HARMLESS_SLACK = 0.9
+HARMLESS_SLACK = 1.0
 FORECAST_READINGS = 2.0  # how far ahead a falling slack is followed
 
 HOT_MS = 1_500  # well within the time that a tail may be over its target
