--- a/tests/cover/test_planner.py
+++ b/tests/cover/test_planner.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import pytest
+
 from greengagewood.internal.cells.planner import GATHER_MS
 from greengagewood.internal.jobs.model import StepSpec
 from tests.common.desk import Desk, starts_of
@@ -48,17 +50,23 @@
 class TestTasksWithoutPlace:
     """A backlog that does not fit costs one look at the workers a plan, and blocks nobody."""
 
-    def test_smaller_tasks_are_placed_beside_a_large_one_that_waits(self) -> None:
-        desk = Desk("w0")
-        desk.submit(StepSpec(1, cpu_millis=65_000), job="0" * 16)
-        desk.submit(StepSpec(1, cpu_millis=60_000), job="1" * 16)
-        (start,) = starts_of(desk.plan())
-        assert start.run.task.id.job == "1" * 16
-
-    def test_more_memory_than_is_left_does_not_hide_a_task_with_less(self) -> None:
+    @pytest.mark.parametrize(
+        ("waiting", "fitting"),
+        [
+            (StepSpec(1, cpu_millis=65_000), StepSpec(1, cpu_millis=60_000)),
+            (
+                StepSpec(1, cpu_millis=1_000, memory_mb=300_000),
+                StepSpec(1, cpu_millis=2_000, memory_mb=1_000),
+            ),
+        ],
+        ids=["processors", "memory"],
+    )
+    def test_one_that_waits_hides_none_that_needs_less(
+        self, waiting: StepSpec, fitting: StepSpec
+    ) -> None:
         desk = Desk("w0")
-        desk.submit(StepSpec(1, cpu_millis=1_000, memory_mb=300_000), job="0" * 16)
-        desk.submit(StepSpec(1, cpu_millis=2_000, memory_mb=1_000), job="1" * 16)
+        desk.submit(waiting, job="0" * 16)
+        desk.submit(fitting, job="1" * 16)
         (start,) = starts_of(desk.plan())
         assert start.run.task.id.job == "1" * 16
 
