Bench what one owner's decisions cost by the number of workers

Cause: the processor time of the one owner bound on the grown deployments, and nothing in the repository measured it. Change: ./dev bench cells plays the grown load on 24 and 175 workers in virtual time; its bounds are the processors of the least and of the strongest instance of the users' deployments.

--- a/devtools/bench.py
+++ b/devtools/bench.py
@@ -15,7 +15,16 @@
 
 __all__ = ["Bound", "Result", "main"]
 
-NAMES = ("footprint", "takeover", "replay", "placement", "decisions", "gateway", "capacity")
+NAMES = (
+    "footprint",
+    "takeover",
+    "replay",
+    "placement",
+    "decisions",
+    "gateway",
+    "capacity",
+    "cells",
+)
 FOLDER = Path("bench-results")
 
 
