--- a/src/greengagewood/internal/entry/settings.py
+++ b/src/greengagewood/internal/entry/settings.py
@@ -32,6 +32,7 @@
     admin: HostPort
     store: HostPort
     advice: HostPort | None = None
+    metrics: HostPort | None = None  # beside the admin address, where a collector wants its own
     bounds: Bounds
     cores: Annotated[float, Meta(gt=0, le=1_024)] = 1.0
     cpu_share: Annotated[float, Meta(gt=0, le=1)] = 1.0  # of a core, each as fast as `cores`
--- a/src/greengagewood/platform/program.py
+++ b/src/greengagewood/platform/program.py
@@ -74,7 +74,11 @@
     runners = [
         await _listen(web.Server(frontend.handle, access_log=None), cfg.listen),
         await _listen(web.Server(frontend.handle_ready, access_log=None), cfg.ready),
-        await _listen(web.Server(_metrics_handler(metrics), access_log=None), cfg.admin),
+        *[
+            await _listen(web.Server(_metrics_handler(metrics), access_log=None), address)
+            for address in (cfg.admin, cfg.metrics)
+            if address is not None
+        ],
     ]
     _log.info("started", failure_domain=cfg.failure_domain)
     await stopping.wait()
