Count a job as waiting until a start of it was accepted

A job was stored as running when a worker had been chosen for it, before its first start; when the chosen place was gone by the time that this was stored, it was shown as running though nothing had started. Ruled out: stale reads (the instance read the store five times a second). Change: begun, which a later owner counts on, and running, which callers see, are told apart: the first record of a job says queued, and it says running when a start was accepted or a run listed.

--- a/src/greengagewood/internal/cells/cell.py
+++ b/src/greengagewood/internal/cells/cell.py
@@ -269,6 +269,7 @@
             run.move("accepted")
             run.accepted_ms = now_ms
             run.progress_ms = now_ms
+        self.book.note_started(job)
         if row.percent != run.progress:
             run.progress = row.percent
             run.progress_ms = now_ms
@@ -328,6 +329,7 @@
         task = self.book.find(end.task)
         if task is None:
             return
+        self.book.note_started(task.step.job)
         run = worker.runs.get((task, end.run))
         if run is not None:
             self._end_run(worker, run, "ended", now_ms)
@@ -391,6 +393,7 @@
                 run.move("accepted")
             run.accepted_ms = now_ms
             run.progress_ms = now_ms
+            self.book.note_started(run.task.step.job)
             if run.wanted_percent < run.percent:
                 return [PaceRun(worker, run, run.wanted_percent)]
             return []
--- a/src/greengagewood/internal/jobs/book.py
+++ b/src/greengagewood/internal/jobs/book.py
@@ -155,8 +155,7 @@
         if progress is not None:
             job.state = progress.state
             job.ended_ms = progress.ended_ms
-            job.begun = progress.state == "running"
-            job.begun_stored = job.begun
+            job.begun = job.begun_stored = True  # or there would be no record
         if job.final:
             return job
         spec = submission.spec
@@ -306,10 +305,14 @@
         if job.begun:
             return
         job.begun = True
-        if not job.final:
-            job.state = "running"
         self.changed[job.name] = None
 
+    def note_started(self, job: Job) -> None:
+        """Note that a task of a job was started."""
+        if job.state == "queued":
+            job.state = "running"
+            self.changed[job.name] = None
+
     def detach(self, run: Run, now_ms: int) -> None:
         """Take a run that is over off its task."""
         task = run.task
--- a/tests/cover/test_cell.py
+++ b/tests/cover/test_cell.py
@@ -55,6 +55,30 @@
         assert desk.cell.planner.settle(100, desk.now + 2_000) == 7
 
 
+class TestBegun:
+    """What callers are told of a job whose tasks were chosen a worker, but did not start yet."""
+
+    def test_a_job_waits_until_a_start_is_accepted(self) -> None:
+        # orpup-sched hunt-5b56-7: jobs that found no worker in the end were not counted as waiting
+        desk = Desk("w0")
+        desk.submit(StepSpec(1, cpu_millis=1_000))
+        (start,) = starts_of(desk.plan())
+        job = desk.cell.book.jobs["0" * 16]
+        assert job.begun and desk.cell.book.progress(job, 0).state == "queued"
+        desk.cell.start_answered(start.worker, start.run, "room", desk.now)
+        assert desk.cell.book.progress(job, 0).state == "queued"
+        (again,) = starts_of(desk.plan(1_000))
+        desk.cell.start_answered(again.worker, again.run, "", desk.now)
+        assert desk.cell.book.progress(job, 0).state == "running"
+
+    def test_a_run_that_the_worker_lists_has_started(self) -> None:
+        desk = Desk("w0")
+        desk.submit(StepSpec(1, cpu_millis=1_000))
+        (start,) = starts_of(desk.plan())
+        desk.hear("w0", RunningTask(start.run.task.id, start.run.number, "", 10, 0))
+        assert desk.cell.book.jobs["0" * 16].state == "running"
+
+
 class TestReborn:
     """A worker that begins anew under the name that it had."""
 
