--- a/src/greengagewood/internal/cells/cell.py
+++ b/src/greengagewood/internal/cells/cell.py
@@ -84,7 +84,7 @@
         self._enlist_due = False
         self._adopting = True
         self._move_ms = 0
-        self._scanned_ms: int | None = None
+        self._scanned_ms: int | None = None  # when runs to stop were looked for; None: look now
 
     # Jobs.
 
