Share what choosers, runs and plans did twice, and drop what nothing used

Cause: read as a whole, both choosers of workers checked room and conditions in copies of their own; a run that a worker has was noted in three places; a predicate of the planner asked for a new plan as a side effect; a regression could give each feature a prior of its own, which nothing did since the new tail model; the stand-in kept a table of tails that nothing read. Ruled out: one type for the eight arguments of a start, which stand in the port, the adapter and the stand-in (wider than this reading); splitting cell.py. Change: the score of a worker says itself that it is excluded; Run.note_accepted; the planner asks for a new plan where it leaves steps out; one prior; the table is gone. Behaviour is as it was.

--- a/src/greengagewood/internal/cells/cell.py
+++ b/src/greengagewood/internal/cells/cell.py
@@ -262,13 +262,11 @@
             if task.run is not None or task.ended or job.final:
                 return False
             run = self.book.begin(task, row.run, worker.name, worker.info.rack, "running", now_ms)
-            run.accepted_ms = now_ms
-            run.progress_ms = now_ms
+            run.note_accepted(now_ms)
             worker.add(run)
         elif run.state in ("starting", "unsure"):
             run.move("accepted")
-            run.accepted_ms = now_ms
-            run.progress_ms = now_ms
+            run.note_accepted(now_ms)
         self.book.note_started(job)
         if row.percent != run.progress:
             run.progress = row.percent
@@ -391,8 +389,7 @@
         if not reason:
             if run.state == "starting":
                 run.move("accepted")
-            run.accepted_ms = now_ms
-            run.progress_ms = now_ms
+            run.note_accepted(now_ms)
             self.book.note_started(run.task.step.job)
             if run.wanted_percent < run.percent:
                 return [PaceRun(worker, run, run.wanted_percent)]
--- a/src/greengagewood/internal/cells/placement.py
+++ b/src/greengagewood/internal/cells/placement.py
@@ -62,8 +62,6 @@
     best: Worker | None = None
     best_score: tuple[float, ...] = ()
     for worker in workers:
-        if not worker.fits(step.spec) or not allowed(worker, step):
-            continue
         found = score(worker)
         if found is None:
             continue
@@ -87,19 +85,14 @@
     chosen: Worker | None = None
 
     def rank(worker: Worker) -> None:
-        found = rate(worker)
+        found = score(worker)
         if found is not None:
             heapq.heappush(ranked, (found, places[worker]))
 
-    def rate(worker: Worker) -> tuple[float, ...] | None:
-        if not worker.fits(step.spec) or not allowed(worker, step):
-            return None
-        return score(worker)
-
     def take_best() -> Worker | None:
         while ranked:
             known, place = ranked[0]
-            found = rate(workers[place])
+            found = score(workers[place])
             if found is None:
                 heapq.heappop(ranked)
             elif found > known:
@@ -125,7 +118,17 @@
 
 
 def _score_of(step: Step, model: TailModel, aged: bool) -> Score:
-    """Return the function that scores workers for a step; the lowest score is best."""
+    """Return the function that scores workers for a step: the lowest is best, None excludes."""
+    score = _score_of_admitted(step, model, aged)
+
+    def score_if_admitted(worker: Worker) -> tuple[float, ...] | None:
+        return score(worker) if worker.fits(step.spec) and allowed(worker, step) else None
+
+    return score_if_admitted
+
+
+def _score_of_admitted(step: Step, model: TailModel, aged: bool) -> Score:
+    """Return the function that scores workers with room that the step's conditions admit."""
     spec = step.spec
     if spec.filling:
         return lambda worker: _score_filling(worker, spec, model, aged)
--- a/src/greengagewood/internal/cells/planner.py
+++ b/src/greengagewood/internal/cells/planner.py
@@ -63,13 +63,9 @@
 
     def note(self, service: str, step: Step) -> None:
         """Note that a step found no worker, unless its own conditions may be the reason."""
-        if not step.spec.max_per_instance and not self._needs_advice(step):
+        if not step.spec.max_per_instance and not step.job.submission.queue.decision_ms:
             self._sizes.setdefault(self._kind(service, step), []).append(step.spec)
 
-    @staticmethod
-    def _needs_advice(step: Step) -> bool:
-        return step.job.submission.queue.decision_ms > 0
-
 
 class Planner:
     """Place the waiting tasks of a cell during one term of ownership."""
@@ -147,11 +143,11 @@
         fill_now = filled is None or now_ms - filled >= FILL_INTERVAL_MS
         if fill_now:
             self._filled_ms = now_ms
-        steps = [
-            step
-            for step in self._book.waiting
-            if (fill_now or not step.spec.filling) and not self._gathers(step, now_ms)
-        ]
+        steps = [step for step in self._book.waiting if fill_now or not step.spec.filling]
+        gathering = {step for step in steps if self._gathers(step, now_ms)}
+        if gathering:
+            self.replan()
+            steps = [step for step in steps if step not in gathering]
         full = _Refused()
         since: dict[str, int] = {}
         for step in steps:
@@ -173,12 +169,10 @@
                 break
         return orders
 
-    def _gathers(self, step: Step, now_ms: int) -> bool:
+    @staticmethod
+    def _gathers(step: Step, now_ms: int) -> bool:
         """Tell whether a lasting step waits a moment for others, to be placed together."""
-        waits = step.spec.lasting and now_ms - step.job.arrived_ms < GATHER_MS
-        if waits:
-            self.replan()
-        return waits
+        return step.spec.lasting and now_ms - step.job.arrived_ms < GATHER_MS
 
     @staticmethod
     def _is_aged(step: Step, now_ms: int) -> bool:
--- a/src/greengagewood/internal/cells/regression.py
+++ b/src/greengagewood/internal/cells/regression.py
@@ -40,12 +40,11 @@
         row = self._covariance.get(name)
         return row[name] if row else self.spread
 
-    def add(self, name: str, mean: float, spread: float) -> None:
-        """Add a feature with a prior of its own."""
-        self.weights[name] = mean
+    def _add(self, name: str) -> None:
+        self.weights[name] = self.prior
         for row in self._covariance.values():
             row[name] = 0.0
-        self._covariance[name] = {**dict.fromkeys(self.weights, 0.0), name: spread}
+        self._covariance[name] = {**dict.fromkeys(self.weights, 0.0), name: self.spread}
 
     def predict(self, features: Mapping[str, float]) -> float:
         """Return the value to expect."""
@@ -55,7 +54,7 @@
         """Learn from one reading; return how far the estimate was off before."""
         for name in features:
             if name not in self.weights:
-                self.add(name, self.prior, self.spread)
+                self._add(name)
             self.readings[name] = self.readings.get(name, 0) + 1
         error = value - self.predict(features)
         gains = {
--- a/src/greengagewood/internal/jobs/book.py
+++ b/src/greengagewood/internal/jobs/book.py
@@ -50,6 +50,11 @@
         """Move along the chart; raise IllegalTransition."""
         self.state = RUN_CHART.next(self.state, event)
 
+    def note_accepted(self, now_ms: int) -> None:
+        """Note that the worker has the run."""
+        self.accepted_ms = now_ms
+        self.progress_ms = now_ms
+
 
 @dataclass(slots=True, eq=False)
 class Task:
--- a/tests/common/plant.py
+++ b/tests/common/plant.py
@@ -230,7 +230,6 @@
         self.specs: dict[str, tuple[StepSpec, ...]] = {}
         self.cancelled_ms: dict[str, float] = {}
         self.max_attempts = max(q.max_attempts for q in config.queues.values())
-        self.tails: dict[tuple[str, str], float] = {}  # log tail of (serving, filling) images
         for number in range(workers):
             self.add_worker(f"w{number}")
 
