Read large manifests over small links, and only the newest version

Cause: a read of the store was given up 1.0 s after it was sent, whatever had arrived by then. No line was logged. Ruled out: refusals of the store (they ended with the fault), unreadable content (the versions that arrived were read).

Change: a read may take long but not be silent for more than its wait and 1 s. A source that is behind skips to the last record instead of transferring versions that are out of date. Routes whose bytes did not change are not decoded again, and a request finds its route by an index instead of a scan of all. Every failed read is logged.

--- a/src/greengagewood/internal/entry/node.py
+++ b/src/greengagewood/internal/entry/node.py
@@ -19,6 +19,7 @@
 from greengagewood.internal.clock import monotonic_ms, wall_ms
 from greengagewood.internal.daemon import supervised_loop
 from greengagewood.internal.entry.intake import BatchWriter
+from greengagewood.internal.entry.routes import RouteTable
 from greengagewood.internal.entry.settings import EntrySettings
 from greengagewood.internal.jobs.book import FINAL_STATES
 from greengagewood.internal.jobs.model import JobSpec, Queue
@@ -76,6 +77,7 @@
         self._source = source
         self._metrics = metrics
         self.config: Configuration | None = None
+        self._routes = RouteTable(())
         self.ledger = Ledger()
         self._writer = BatchWriter(ports.store, self.ledger, lambda: self.read_recently)
         owner_id = f"{cfg.instance}#{wall_ms()}"
@@ -137,14 +139,7 @@
 
     def find_route(self, host: str, path: str) -> RouteRule | None:
         """Return the route with this host and the longest matching path prefix."""
-        best_rule: RouteRule | None = None
-        for rule in self.config.routes if self.config else ():
-            matches = rule.host == host and path.startswith(rule.path_prefix)
-            if matches and (
-                best_rule is None or len(rule.path_prefix) > len(best_rule.path_prefix)
-            ):
-                best_rule = rule
-        return best_rule
+        return self._routes.find(host, path)
 
     async def submit(self, job_id: str, queue: Queue, spec: JobSpec, timeout_ms: int) -> Outcome:
         """Store a job; a job that was submitted before is accepted without storing it again."""
@@ -329,6 +324,7 @@
         if self.config is not None and config.version <= self.config.version:
             return
         self.config = config
+        self._routes = RouteTable(config.routes)
         if self._runner is not None:
             self._runner.cell.set_queues(config.queues)
         _log.info("configuration", version=config.version, routes=len(config.routes))
--- a/src/greengagewood/internal/ports.py
+++ b/src/greengagewood/internal/ports.py
@@ -77,10 +77,14 @@
 
 @dataclass(frozen=True, slots=True)
 class LogPage:
-    """Records of the log, and the offset at which the next read starts."""
+    """Records of the log, and the offset at which the next read starts.
+
+    `end_offset` is the end of the log at the time of the read, or -1 if it is not known.
+    """
 
     entries: tuple[LogEntry, ...]
     next_offset: int
+    end_offset: int = -1
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/greengagewood/platform/store.py
+++ b/src/greengagewood/platform/store.py
@@ -19,12 +19,12 @@
     Outcome,
     StoreUnavailable,
 )
-from greengagewood.platform.wire import CALL_PATH, call_timeout, decode
+from greengagewood.platform.wire import CALL_PATH, call_timeout, decode, transfer_timeout
 
 __all__ = ["KeyedLog"]
 
 APPEND_TIMEOUT_S = 0.7  # a slow store answers an append within 0.4 s, an unreachable one never
-READ_TIMEOUT_MARGIN_S = 1.0  # added to the time that a read may wait for records
+READ_SILENCE_MARGIN_S = 1.0  # added to the time that a read may wait for records
 MAX_READ_KB = 1024
 OWNER_PRODUCER_ID = "owner"
 MAX_KEY_BYTES = 255  # the length of a key is sent as one byte
@@ -86,23 +86,25 @@
             # The next page starts after this key; the store names the parameter depends-on.
             continue_after = {"depends-on": page.items[-1].key}
 
-    async def read(self, start: int, wait_ms: int) -> LogPage:
+    async def read(self, start: int, wait_ms: int, max_kb: int = MAX_READ_KB) -> LogPage:
         """Return the records from an offset on; wait up to `wait_ms` if there are none yet.
 
-        Raise StoreUnavailable or LogTruncated.
+        The store sends at least one record, even if it is larger than `max_kb`. Raise
+        StoreUnavailable or LogTruncated.
         """
-        query = {**self._partition_query, "from": str(start), "max-kb": str(MAX_READ_KB)}
+        query = {**self._partition_query, "from": str(start), "max-kb": str(max_kb)}
         if wait_ms:
             query["wait-ms"] = str(wait_ms)
         body = await self._get("log-read", query, wait_ms)
         if body is None:
             return LogPage((), start)
         entries = _parse_records(body, start)
-        return LogPage(entries, start + len(entries))
+        end = _READ_HEADER.unpack_from(body)[0] if len(body) >= _READ_HEADER.size else -1
+        return LogPage(entries, start + len(entries), end)
 
     async def _get(self, call: str, query: dict[str, str], wait_ms: int) -> bytes | None:
         """Return the body of the answer to a GET, or None if the topic has no records yet."""
-        timeout = call_timeout(wait_ms / 1000 + READ_TIMEOUT_MARGIN_S)
+        timeout = transfer_timeout(wait_ms / 1000 + READ_SILENCE_MARGIN_S)
         url = f"{self._url}{call}?{urlencode(query)}"
         try:
             async with self._session.get(url, timeout=timeout) as resp:
--- a/src/greengagewood/platform/wire.py
+++ b/src/greengagewood/platform/wire.py
@@ -7,7 +7,14 @@
 import aiohttp
 import msgspec
 
-__all__ = ["CALL_PATH", "SKIPPED_HEADERS", "call_timeout", "decode", "new_session"]
+__all__ = [
+    "CALL_PATH",
+    "SKIPPED_HEADERS",
+    "call_timeout",
+    "decode",
+    "new_session",
+    "transfer_timeout",
+]
 
 T = TypeVar("T")
 
@@ -15,6 +22,7 @@
 # A running machine accepts a connection within 20 ms; an unreachable machine never does.
 CONNECT_TIMEOUT_S = 0.6
 KEEP_ALIVE_S = 30.0
+MAX_TRANSFER_S = 20.0  # a link of 1 Mbit/s carries the largest answer of the store in this time
 SKIPPED_HEADERS = ("User-Agent", "Accept", "Accept-Encoding")
 
 
@@ -36,6 +44,13 @@
     return aiohttp.ClientTimeout(total=total_s, sock_connect=min(total_s, CONNECT_TIMEOUT_S))
 
 
+def transfer_timeout(silence_s: float) -> aiohttp.ClientTimeout:
+    """Return the timeouts of a call whose answer may be large: it may take long, but not pause."""
+    return aiohttp.ClientTimeout(
+        total=MAX_TRANSFER_S, sock_connect=CONNECT_TIMEOUT_S, sock_read=silence_s
+    )
+
+
 def decode(body: bytes, model: type[T]) -> T:
     """Decode a JSON body; raise ValueError."""
     return msgspec.json.decode(body, type=model)
--- /dev/null
+++ b/tests/cover/test_manifest.py
@@ -0,0 +1,175 @@
+"""Manifests of thousands of routes, followed over small links and after restarts."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+
+import pytest
+
+from greengagewood.internal.entry.routes import RouteTable
+from greengagewood.internal.ports import Configuration, LogEntry, LogPage, RouteRule
+from greengagewood.platform import manifest as manifest_module
+from greengagewood.platform.manifest import ManifestParser, ManifestSource
+from tests.common.drive import QUEUES
+from tests.common.storestub import StoreStub, client_of, running_store
+
+# 2 Mbit/s: a manifest of ROUTE_COUNT routes takes longer than a read may stay silent.
+SMALL_LINK_BYTES_PER_S = 250_000
+ROUTE_COUNT = 1_600
+APPLY_BOUND_S = 4.0  # the time within which a new version must be in force
+
+
+def _route(number: int) -> dict[str, object]:
+    return {
+        "name": f"queue-{number}",
+        "host": "miti30.example",
+        "path-prefix": f"/sewu{number}/wu75/",
+        "kind": "non_idempotent",
+        "timeout-ms": 3000,
+        "target-latency-ms": 250,
+        "priority": 0,
+        "service": "svc",
+        "max-attempts": 4,
+        "slack-factor": 1.5,
+        "retries": 4,
+    }
+
+
+def _manifest(version: int, route_count: int) -> bytes:
+    routes = [_route(number) for number in range(route_count)]
+    return json.dumps(
+        {"version": version, "routes": routes, "services": [{"name": "svc"}]}
+    ).encode()
+
+
+async def _wait_for_version(source: ManifestSource, version: int) -> Configuration:
+    async with asyncio.timeout(APPLY_BOUND_S):
+        while True:
+            config = await source.next()
+            if config is not None and config.version == version:
+                return config
+
+
+class TestSmallLinks:
+    """A manifest whose transfer takes longer than the store may stay silent."""
+
+    async def test_a_restarted_instance_reads_a_large_manifest(self) -> None:
+        stub = StoreStub(SMALL_LINK_BYTES_PER_S)
+        stub.append("config", _manifest(7, ROUTE_COUNT))
+        async with running_store(stub) as session:
+            for _ in range(2):
+                config = await _wait_for_version(ManifestSource(client_of(stub, session)), 7)
+                assert len(config.routes) == ROUTE_COUNT
+
+    async def test_a_manifest_that_grows_is_in_force_in_time(self) -> None:
+        stub = StoreStub(SMALL_LINK_BYTES_PER_S)
+        stub.append("config", _manifest(7, 120))
+        async with running_store(stub) as session:
+            source = ManifestSource(client_of(stub, session))
+            await _wait_for_version(source, 7)
+            stub.append("config", _manifest(9, ROUTE_COUNT))
+            config = await _wait_for_version(source, 9)
+            assert len(config.routes) == ROUTE_COUNT
+
+    async def test_versions_that_are_out_of_date_are_not_read(self) -> None:
+        stub = StoreStub(SMALL_LINK_BYTES_PER_S)
+        stub.append("config", _manifest(1, 120))
+        async with running_store(stub) as session:
+            source = ManifestSource(client_of(stub, session))
+            await _wait_for_version(source, 1)
+            for version in range(2, 14):
+                stub.append("config", _manifest(version, 600))
+            sent_before = stub.sent_bytes
+            await _wait_for_version(source, 13)
+            assert stub.sent_bytes - sent_before < 3 * len(_manifest(13, 600))
+
+
+class _Pages:
+    """Fake of KeyedLog that returns the given pages in order, whatever is read."""
+
+    def __init__(self, *pages: LogPage) -> None:
+        self.pages = list(pages)
+        self.loads = 0
+
+    async def load(self) -> LogPage:
+        self.loads += 1
+        return self.pages.pop(0)
+
+    async def read(self, start: int, wait_ms: int, max_kb: int) -> LogPage:
+        return self.pages.pop(0)
+
+
+class TestManifestSource:
+    """Which version a source returns, whatever it was given to read."""
+
+    async def test_a_manifest_among_skipped_records_is_found(self) -> None:
+        log = _Pages(
+            LogPage((LogEntry(0, "config", _manifest(1, 1)),), 1, 1),
+            LogPage((LogEntry(1, "config", _manifest(2, 1)),), 2, 5),
+            LogPage((LogEntry(4, "wave/1", b"{}"),), 5, 5),  # records 2 and 3 were skipped
+            LogPage((LogEntry(3, "config", _manifest(3, 1)), LogEntry(4, "wave/1", b"{}")), 5, 5),
+        )
+        source = ManifestSource(log)  # type: ignore[arg-type]
+        configs = [await source.next() for _ in range(4)]
+        assert [config.version if config else None for config in configs] == [1, 2, None, 3]
+        assert log.loads == 2
+
+    async def test_every_failed_read_is_logged(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        events: list[str] = []
+        monkeypatch.setattr(
+            manifest_module._log, "warning", lambda event, **fields: events.append(event)
+        )
+        stub = StoreStub()
+        async with running_store(stub) as session:
+            stub.statuses = [503, 429]
+            source = ManifestSource(client_of(stub, session))
+            assert await source.next() is None
+            assert await source.next() is None
+        assert events == ["manifest_not_read"] * 2
+
+
+class TestManifestParser:
+    """Conversion of one version after another."""
+
+    def test_unchanged_routes_are_not_decoded_again(self) -> None:
+        parser = ManifestParser()
+        first = parser.parse(_manifest(1, 100))
+        second = parser.parse(_manifest(2, 140))
+        assert first is not None and second is not None
+        assert len(second.routes) == 140
+        assert all(old is new for old, new in zip(first.routes, second.routes, strict=False))
+
+    def test_a_route_follows_the_admission_check_of_its_service(self) -> None:
+        parser = ManifestParser()
+        parser.parse(_manifest(1, 1))
+        value = json.loads(_manifest(2, 1))
+        value["services"] = [{"name": "svc", "admission-check": False}]
+        config = parser.parse(json.dumps(value).encode())
+        assert config is not None and not config.queues["queue-0"].admission_check
+
+
+class TestRouteTable:
+    """The route of a request."""
+
+    RULES = tuple(
+        RouteRule(host, prefix, QUEUES["fast"])
+        for host, prefix in (("a", "/x/"), ("a", "/x/y/"), ("a", "/x"), ("b", "/"))
+    )
+
+    @pytest.mark.parametrize(
+        ("host", "path", "prefix"),
+        [
+            ("a", "/x/y/1", "/x/y/"),
+            ("a", "/x/1", "/x/"),
+            ("a", "/xy", "/x"),
+            ("a", "/", None),
+            ("b", "/anything", "/"),
+            ("c", "/x/1", None),
+        ],
+    )
+    def test_the_longest_prefix_on_the_host_counts(
+        self, host: str, path: str, prefix: str | None
+    ) -> None:
+        rule = RouteTable(self.RULES).find(host, path)
+        assert (rule.path_prefix if rule else None) == prefix
--- a/tests/cover/test_platform_border.py
+++ b/tests/cover/test_platform_border.py
@@ -19,7 +19,7 @@
 from greengagewood.internal.ports import LogEntry, LogPage
 from greengagewood.platform.directory import StoreDirectory, parse_worker
 from greengagewood.platform.jobs import parse_job
-from greengagewood.platform.manifest import ManifestSource, parse_manifest
+from greengagewood.platform.manifest import ManifestParser, ManifestSource
 from greengagewood.platform.store import _frame_record, _parse_records
 from greengagewood.platform.workers import format_task_name, parse_task_name
 
@@ -177,7 +177,7 @@
     """Conversion of the manifest to a configuration."""
 
     def test_routes_are_converted_to_queues(self) -> None:
-        config = parse_manifest(json.dumps(MANIFEST).encode())
+        config = ManifestParser().parse(json.dumps(MANIFEST).encode())
         assert config is not None and config.version == 7
         queue = config.queues["r"]
         assert (queue.service, queue.max_attempts, queue.slack_factor) == ("svc", 4, 1.5)
@@ -185,12 +185,12 @@
 
     def test_a_route_with_advice_sets_decision_ms(self) -> None:
         route = {**ROUTE, "advice": {"decision-ms": 20, "per-worker-ms": 1, "validity-ms": 3000}}
-        config = parse_manifest(json.dumps({**MANIFEST, "routes": [route]}).encode())
+        config = ManifestParser().parse(json.dumps({**MANIFEST, "routes": [route]}).encode())
         assert config is not None and config.queues["r"].decision_ms == 20
 
     @given(st.binary(max_size=100) | JSON_VALUES.map(lambda value: json.dumps(value).encode()))
     def test_any_bytes_are_parsed_or_rejected_as_a_manifest(self, value: bytes) -> None:
-        parse_manifest(value)
+        ManifestParser().parse(value)
 
 
 class TestRecordFraming:
@@ -232,7 +232,7 @@
     async def load(self) -> object:
         return self.pages.pop(0)
 
-    async def read(self, start: int, wait_ms: int) -> object:
+    async def read(self, start: int, wait_ms: int, max_kb: int = 1024) -> object:
         return self.pages.pop(0)
 
 
