Stop without resetting requests that the process has not accepted yet

Cause: a stop closed the listening socket while connections stood in the kernel's queue, which resets them, although the caller's request may have been sent; and it closed open connections whatever was on its way on them. Ruled out: an answer cut short (the caller got ClientOSError, no byte of an answer).

Change: a stop, of the gateway and of ggw-entry, accepts what is queued before the socket closes, and closes connections only when all have been idle for 0.5 s.

--- a/src/greengagewood/internal/connections.py
+++ b/src/greengagewood/internal/connections.py
@@ -57,6 +57,16 @@
     def _state(self, transport: asyncio.BaseTransport) -> _ConnectionState:
         return self._connections.setdefault(transport, _ConnectionState(monotonic_ms()))
 
+    def all_idle(self, server: web.Server, idle_ms: int) -> bool:
+        """Return whether every open connection has been idle for this long."""
+        now_ms = monotonic_ms()
+        transports = [c.transport for c in server.connections if c.transport is not None]
+        states = [self._state(transport) for transport in transports]
+        return all(
+            state.requests_in_progress == 0 and now_ms - state.last_active_ms >= idle_ms
+            for state in states
+        )
+
     async def enforce_limits(self, server: web.Server) -> None:
         """Close connections that are idle for too long, and the newest ones above the maximum.
 
--- a/src/greengagewood/internal/gateway.py
+++ b/src/greengagewood/internal/gateway.py
@@ -23,6 +23,7 @@
 from greengagewood.internal.dispatch import Dispatcher, OpenAnswer
 from greengagewood.internal.document import Document, Service
 from greengagewood.internal.feed import Feed, ReplayedRecord
+from greengagewood.internal.httplistener import HttpListener
 from greengagewood.internal.jobapi import JobApi
 from greengagewood.internal.jobindex import JobIndex
 from greengagewood.internal.keyed import KeyedRequests, digest_parts
@@ -46,6 +47,7 @@
 
 MAX_REQUEST_LINE_BYTES = 8 * 1024
 MAX_HEADER_FIELD_BYTES = 16 * 1024
+LISTEN_BACKLOG = 1024
 STOP_TIMEOUT_S = 30.0  # for requests in progress to finish
 LATENCY_REPORT_INTERVAL_S = 1.0
 LATENCY_REPORT_TIMEOUT_S = 0.5
@@ -139,16 +141,19 @@
         )
         await self._runner.setup()
         listen = self._cfg.listen
-        await web.TCPSite(self._runner, listen.ip, listen.port, backlog=1024).start()
+        self._caller_listener = HttpListener(self._runner, self._connection_guard)
+        await self._caller_listener.start(listen.ip, listen.port, LISTEN_BACKLOG)
 
     async def stop(self) -> None:
         """Drain and close.
 
         The load balancer gets `drain_grace_ms` to see that the gateway is not ready; then the
-        requests in progress are finished.
+        requests in progress, and those on their way, are finished.
         """
         self._draining = True
         await asyncio.sleep(self._cfg.drain_grace_ms / 1000)
+        await self._caller_listener.stop_accepting()
+        await self._caller_listener.wait_until_idle(STOP_TIMEOUT_S)
         await self._runner.cleanup()
         await self._keyed_requests.stop()
         for loop in self._loops:
--- a/src/greengagewood/platform/frontend.py
+++ b/src/greengagewood/platform/frontend.py
@@ -7,6 +7,7 @@
 from aiohttp import web
 
 from greengagewood.internal.clock import monotonic_ms
+from greengagewood.internal.connections import ConnectionGuard
 from greengagewood.internal.entry import EntryInstance
 from greengagewood.internal.jobs.model import InvalidJob
 from greengagewood.internal.logs import Log
@@ -32,7 +33,7 @@
         self._instance = instance
         self._metrics = metrics
         self.draining = False
-        self.requests_in_progress = 0
+        self.connections = ConnectionGuard(metrics)
 
     async def handle_ready(self, req: web.BaseRequest) -> web.StreamResponse:
         """Handle a readiness check."""
@@ -43,11 +44,12 @@
     async def handle(self, req: web.BaseRequest) -> web.StreamResponse:
         """Handle a request of a caller; log it unless it is a GET that succeeds."""
         started_ms = monotonic_ms()
-        self.requests_in_progress += 1
+        transport = req.transport
+        self.connections.request_started(transport)
         try:
             resp, reason = await self._respond(req)
         finally:
-            self.requests_in_progress -= 1
+            self.connections.request_finished(transport)
         if self.draining:
             resp.force_close()
         self._metrics.count("requests", method=req.method, status=str(resp.status))
--- a/src/greengagewood/platform/program.py
+++ b/src/greengagewood/platform/program.py
@@ -13,8 +13,10 @@
 from result import Err
 
 from greengagewood.internal.cells.runner import Ports
+from greengagewood.internal.connections import ConnectionGuard
 from greengagewood.internal.daemon import exit_with_usage_error, parse_flags
 from greengagewood.internal.entry import EntryInstance, EntrySettings
+from greengagewood.internal.httplistener import HttpListener
 from greengagewood.internal.logs import Log, set_up_logs
 from greengagewood.internal.metrics import Metrics
 from greengagewood.internal.yamlfile import load_yaml
@@ -45,12 +47,13 @@
 _log = Log("program")
 
 
-async def _listen(server: web.Server, address: str) -> web.ServerRunner:
+async def _listen(server: web.Server, address: str, guard: ConnectionGuard) -> HttpListener:
     runner = web.ServerRunner(server)
     await runner.setup()
     ip, _, port = address.rpartition(":")
-    await web.TCPSite(runner, ip, int(port), backlog=LISTEN_BACKLOG).start()
-    return runner
+    listener = HttpListener(runner, guard)
+    await listener.start(ip, int(port), LISTEN_BACKLOG)
+    return listener
 
 
 async def _run_instance(cfg: EntrySettings) -> None:
@@ -72,11 +75,13 @@
     instance = EntryInstance(cfg, ports, config_source, metrics)
     frontend = Frontend(instance, metrics)
     instance.start()
-    server_runners = [
-        await _listen(web.Server(frontend.handle, access_log=None), cfg.listen),
-        await _listen(web.Server(frontend.handle_ready, access_log=None), cfg.ready),
+    guard = frontend.connections
+    caller_listener = await _listen(web.Server(frontend.handle, access_log=None), cfg.listen, guard)
+    listeners = [
+        caller_listener,
+        await _listen(web.Server(frontend.handle_ready, access_log=None), cfg.ready, guard),
         *[
-            await _listen(web.Server(_metrics_handler(metrics), access_log=None), address)
+            await _listen(web.Server(_metrics_handler(metrics), access_log=None), address, guard)
             for address in (cfg.admin, cfg.metrics)
             if address is not None
         ],
@@ -86,24 +91,21 @@
     _log.info("stopping")
     frontend.draining = True
     await instance.release_cell()
-    await _drain(frontend, cfg.bounds.grace_s)
-    for runner in server_runners:
-        await runner.cleanup()
+    await _drain(caller_listener, cfg.bounds.grace_s)
+    for listener in listeners:
+        await listener.close()
     await instance.stop()
     await store_session.close()
     await worker_session.close()
     _log.info("stopped")
 
 
-async def _drain(frontend: Frontend, grace_s: float) -> None:
-    """Wait until the load balancer sends no more requests and none is in progress."""
+async def _drain(listener: HttpListener, grace_s: float) -> None:
+    """Wait until the load balancer sends no more requests and every connection is idle."""
     await asyncio.sleep(min(DEREGISTRATION_S, grace_s / 2))
-    try:
-        async with asyncio.timeout(max(0.0, grace_s - DEREGISTRATION_S - SHUTDOWN_MARGIN_S)):
-            while frontend.requests_in_progress:
-                await asyncio.sleep(0.02)
-    except TimeoutError:
-        _log.warning("stopped_with_requests", in_progress=frontend.requests_in_progress)
+    await listener.stop_accepting()
+    if not await listener.wait_until_idle(max(0.0, grace_s - DEREGISTRATION_S - SHUTDOWN_MARGIN_S)):
+        _log.warning("stopped_with_requests")
 
 
 def _metrics_handler(metrics: Metrics) -> Handler:
