Learn interference anew once the model no longer fits the measurements

Ruled out: the controller (its relief was in time), placement (the model forecast a harmless worker).

Change: the squared error of a prediction over its variance is 1 on average; once its moving average exceeds 3, the variance of the coefficients is raised again.

--- a/src/greengagewood/internal/interference.py
+++ b/src/greengagewood/internal/interference.py
@@ -33,6 +33,9 @@
 INITIAL_SIGMA = 0.35
 SIGMA_EWMA_WEIGHT = 0.05
 MIN_REQUESTS = 5  # smaller samples are ignored
+# The squared error of a prediction, divided by its variance, is 1 on average while the model fits.
+SURPRISE_EWMA_WEIGHT = 0.05
+MAX_SURPRISE = 3.0  # above this average, the coefficients are learned anew
 
 
 @dataclass(frozen=True)
@@ -93,6 +96,7 @@
     _classes: list[str] = field(default_factory=list)
     _coefficients: list[float] = field(default_factory=lambda: [math.log(20.0)])
     _covariance: list[list[float]] = field(default_factory=lambda: [[BASE_PRIOR_VARIANCE]])
+    _surprise: float = 1.0
 
     def coefficient(self, batch_class: str) -> float:
         """Return the rise of ln(ms) per unit of a class's CPU share and of the load term."""
@@ -156,6 +160,7 @@
         scale = noise + sum(a * b for a, b in zip(x, covariance_x, strict=True))
         error = value - sum(a * b for a, b in zip(self._coefficients, x, strict=True))
         gain = [entry / scale for entry in covariance_x]
+        self._note_surprise(error * error / scale)
         self._coefficients = [c + g * error for c, g in zip(self._coefficients, gain, strict=True)]
         size = len(x)
         for i in range(size):
@@ -163,6 +168,18 @@
                 self._covariance[i][j] -= gain[i] * covariance_x[j]
         self._forget()
 
+    def _note_surprise(self, surprise: float) -> None:
+        """Discard the confidence in the coefficients once the model no longer fits the samples.
+
+        Forgetting alone follows a sudden change only after as many samples as it remembers.
+        """
+        self._surprise += SURPRISE_EWMA_WEIGHT * (surprise - self._surprise)
+        if self._surprise < MAX_SURPRISE:
+            return
+        self._surprise = 1.0
+        for i in range(1, len(self._coefficients)):
+            self._covariance[i][i] += COEFFICIENT_PRIOR_VARIANCE
+
     def _forget(self) -> None:
         """Discount old samples, up to a maximal variance, so that the model can follow changes."""
         if (
