--- a/tests/cover/test_ownership.py
+++ b/tests/cover/test_ownership.py
@@ -11,7 +11,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, rule
 
-from tests.common.world import World
+from tests.common.world import LOG_RETENTION_MS, TICK_MS, World
 
 SCHEDULERS = st.sampled_from(["s1", "s2", "s3"])
 WORKERS = st.sampled_from(["w1", "w2", "w3"])
@@ -147,3 +147,19 @@
                     world.set_link_cut(a, b)
         world.run(TICKS_PER_HOUR // 10)
         world.finish()
+
+    def test_a_cell_whose_state_is_lost_after_its_tasks_ended_stays_without_an_owner(self):
+        world = World(seed=3)
+        world.run(40)
+        world.submit(2, 4, 3_000)
+        world.run(100)
+        outcomes = dict(world.final_outcomes)
+        assert outcomes.keys() >= world.expected_tasks()
+        world.log_down = True
+        world.run(2 * LOG_RETENTION_MS // TICK_MS)
+        for name in list(world.schedulers):
+            world.replace_scheduler(name)
+        world.finish()
+        assert world.state_lost
+        assert world.final_outcomes == outcomes
+        assert not world.owners()
