--- a/src/greengagewood/internal/cells/cell.py
+++ b/src/greengagewood/internal/cells/cell.py
@@ -56,6 +56,7 @@
 REFUSAL_DELAY_MS = 150  # before a refused task, or a worker that lacked resources, is tried again
 FIRST_WORKER_BACKOFF_MS = 1_000  # each backoff is twice as long as the last, until a success
 LONGEST_WORKER_BACKOFF_MS = 8_000
+MAX_ORDER_DELAY_MS = 12_000  # a worker carries out an order at most this long after it was sent
 FAILURES_BEFORE_BACKOFF = 3  # among a worker's last eight outcomes, with no success among them
 
 
@@ -137,6 +138,8 @@
                 self._add_worker(info, now_ms)
             elif info.boot_time_ms > worker.info.boot_time_ms > 0:
                 self._replace_rebooted(worker, info, now_ms)
+            elif 0 < info.boot_time_ms < worker.info.boot_time_ms:
+                continue  # the directory lags behind what the worker itself has said
             else:
                 self._update_worker(worker, info)
         for name, worker in list(self.workers.items()):
@@ -194,13 +197,19 @@
             if worker.last_answer_ms is not None and run.started_ms < worker.last_answer_ms:
                 continue
             # The start was sent after the last answer of the old boot, so the new boot may have
-            # received it.
+            # received it. It compares the deadline with its own clock, which has started anew.
             worker.remove_run(run)
             rebooted.add_run(run)
             if run.state == "running":
                 run.transition("worker_restarted")
             run.accepted_ms = run.stop_sent_ms = run.stop_answered_ms = None
-            run.start_deadline_ms = 0
+            deadline_ms = run.start_deadline_ms
+            rebooted.latest_deadline_ms = max(rebooted.latest_deadline_ms, deadline_ms)
+            longest_ms = min(deadline_ms, MAX_ORDER_DELAY_MS) + self.limits.lease_ms
+            rebooted.earlier_orders_expiry_ms = max(
+                rebooted.earlier_orders_expiry_ms,
+                now_ms + int(longest_ms * (1 + MAX_CLOCK_DRIFT)),
+            )
         self._mark_runs_lost(worker, now_ms, "reborn")
         self._last_stop_scan_ms = None
 
@@ -269,7 +278,9 @@
         orders: list[Order] = []
         listed_keys: set[tuple[Task, int]] = set()
         for listed_run in reply.running:
-            task = self.book.find_task(listed_run.task_id)
+            task = self.book.find_task(listed_run.task_id) or self.book.open_listed_task(
+                listed_run.task_id, self._adopting
+            )
             if task is None or not self._match_listed_run(worker, task, listed_run, now_ms):
                 task = self._track_unexpected_run(worker, listed_run, now_ms)
             if task is not None:
@@ -306,6 +317,7 @@
         if listed_run.progress_percent != run.progress_percent:
             run.progress_percent = listed_run.progress_percent
             run.progress_changed_ms = now_ms
+        run.listed_ms = now_ms
         run.tail_ms_or_cpu_millis = listed_run.tail_ms_or_cpu_millis
         self.book.note_checkpoint(task, listed_run.checkpoint)
         return True
@@ -373,7 +385,9 @@
         for unexpected in [r for r in worker.runs.values() if r.task.end_state == "unexpected"]:
             if (unexpected.task.id, unexpected.number) == (end.task_id, end.run_number):
                 self._end_run(worker, unexpected, "ended", now_ms)
-        task = self.book.find_task(end.task_id)
+        task = self.book.find_task(end.task_id) or self.book.open_listed_task(
+            end.task_id, self._adopting
+        )
         if task is None:
             return
         self.book.note_started(task.step.job)
@@ -450,7 +464,7 @@
         if reason in ("unhealthy", "invalid"):
             worker.back_off(now_ms, FIRST_WORKER_BACKOFF_MS, LONGEST_WORKER_BACKOFF_MS)
         elif reason == "ticket":
-            self.planner.note_permit_refused(run.task.step)
+            self.planner.note_permit_refused(run.task.step, worker.name)
         elif reason == "room":
             worker.backoff_until_ms = max(worker.backoff_until_ms, now_ms + REFUSAL_DELAY_MS)
         self.on_event(
@@ -508,7 +522,7 @@
             if wall_ms < spec.first_due_ms:
                 continue
             for number in range(min(count, due)):
-                self.book.open_occurrence(job, number)
+                self.book.open_occurrence(job, number, self._adopting and job.maybe_inherited)
 
     def _finish_adoption(self, now_ms: int) -> None:
         """Mark tasks as not running once no run that an earlier owner started can go on unlisted.
@@ -559,7 +573,7 @@
             return "unanswered"
         if run.state != "running":
             return ""
-        if self._is_stuck(run, now_ms):
+        if self._is_stuck(run):
             run.task.failed_workers = (*run.task.failed_workers, worker.name)[-4:]
             worker.note_outcome(False)
             return "stands_still"
@@ -574,8 +588,13 @@
         return ""
 
     @staticmethod
-    def _is_stuck(run: Run, now_ms: int) -> bool:
+    def _is_stuck(run: Run) -> bool:
+        """Return whether the worker has listed a run for long without any progress.
+
+        Time in which the worker, or this owner, was silent says nothing about the run.
+        """
         spec = run.task.step.spec
+        listed_without_progress_ms = run.listed_ms - run.progress_changed_ms
         if (
             run.speed_percent < 100
             or (spec.long_running and run.progress_percent == 100)
@@ -583,8 +602,8 @@
         ):
             return False
         if spec.best_effort:
-            return now_ms - run.progress_changed_ms > 2 * STUCK_AFTER_MS
-        return now_ms - run.progress_changed_ms > max(STUCK_AFTER_MS, spec.estimate_ms // 4)
+            return listed_without_progress_ms > 2 * STUCK_AFTER_MS
+        return listed_without_progress_ms > max(STUCK_AFTER_MS, spec.estimate_ms // 4)
 
     def _should_move(self, worker: Worker, run: Run, now_ms: int) -> bool:
         """Return whether to move a best-effort run that has been slow for long.
--- a/src/greengagewood/internal/cells/ledger.py
+++ b/src/greengagewood/internal/cells/ledger.py
@@ -101,6 +101,12 @@
             case RegisteredWorkers():
                 self.registered_workers = record
 
+    def retain(self, keys: set[str], end_offset: int) -> None:
+        """Delete the entries below an offset whose keys the store no longer has."""
+        for key, offset in list(self._offsets.items()):
+            if offset < end_offset and key not in keys:
+                self._delete(key)
+
     def _update_queued(self, job_id: str, job: StoredJob) -> None:
         if job.submission is None:
             return
--- a/src/greengagewood/internal/cells/ownership.py
+++ b/src/greengagewood/internal/cells/ownership.py
@@ -40,6 +40,7 @@
         self.cpu_millis = cpu_millis
         self.state = OWNERSHIP_CHART.initial[0]
         self.token = 0  # of this instance's term; 0 if it does not own the cell
+        self._ended_token = 0  # of this instance's last term that has ended
         self.current = Ownership(0, "")  # the newest ownership record
         self.shutting_down = False
         self._confirmation_timeout_ms = confirmation_timeout_ms
@@ -64,7 +65,11 @@
         if record.token > self.current.token:
             self._owner_since_ms = now_ms
         self.current = record
-        own_claim = record.owner == self.owner_id and not record.released
+        own_claim = (
+            record.owner == self.owner_id
+            and not record.released
+            and record.token > self._ended_token
+        )
         if self.owning and record.token > self.token:
             self._step_down("replaced")
         elif self.owning and record.released:
@@ -151,4 +156,5 @@
 
     def _step_down(self, event: str) -> None:
         self._transition(event)
+        self._ended_token = max(self._ended_token, self.token)
         self.token = 0
--- a/src/greengagewood/internal/cells/planner.py
+++ b/src/greengagewood/internal/cells/planner.py
@@ -26,6 +26,7 @@
 
 START_WINDOW_MS = 1_500  # the worker refuses a start that arrives later than this
 RUN_NUMBERS_PER_TERM = 1 << 20
+ADVICE_RETRY_DELAY_MS = 300
 PERMIT_MARGIN_MS = 300  # time for a start to reach its worker before the permit expires
 MAX_WORKERS_PER_ADVICE_REQUEST = 30  # the answer takes time for each worker in a request
 MAX_TASK_CPU_MILLIS = 1_000_000_000  # divisor that scales sizes to below 1, to break ties only
@@ -105,6 +106,7 @@
         self._claim_offset = claim_offset
         self._permits: dict[Step, dict[str, Permit]] = {}
         self._advice_pending: set[Step] = set()
+        self._advice_retry_ms: dict[Step, int] = {}  # when the advice service may be asked again
         self._planned_version = -1
         self._best_effort_placed_ms: int | None = None
 
@@ -143,13 +145,15 @@
         self._advice_pending.discard(step)
         self.request_replan()
 
-    def note_advice_failed(self, step: Step) -> None:
-        """Record that the advice service did not answer; a later plan asks it again."""
+    def note_advice_failed(self, step: Step, now_ms: int) -> None:
+        """Record that the advice service gave no answer; a later plan asks it again."""
         self._advice_pending.discard(step)
+        self._advice_retry_ms[step] = now_ms + ADVICE_RETRY_DELAY_MS
+        self.request_replan()
 
-    def note_permit_refused(self, step: Step) -> None:
-        """Discard the permits of a step, as a worker has refused one."""
-        self._permits.pop(step, None)
+    def note_permit_refused(self, step: Step, worker: str) -> None:
+        """Discard the permit that a worker has refused."""
+        self._permits.get(step, {}).pop(worker, None)
 
     def _place(self, now_ms: int) -> list[Order]:
         orders: list[Order] = []
@@ -318,6 +322,9 @@
     def _ask_advice(self, step: Step, workers: list[Worker], now_ms: int) -> list[Order]:
         if step in self._advice_pending:
             return []
+        if now_ms < self._advice_retry_ms.get(step, now_ms):
+            self.request_replan()
+            return []
         valid_permits = {
             name
             for name, permit in self._permits.get(step, {}).items()
--- a/src/greengagewood/internal/cells/runner.py
+++ b/src/greengagewood/internal/cells/runner.py
@@ -108,6 +108,7 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._lease_tasks: dict[Worker, asyncio.Task[None]] = {}
         self._stopping = False
+        self._releasing = False
         self.cell = Cell(
             limits, token, monotonic_ms(), ledger.ownership.settled_offset, ledger.claim_offset
         )
@@ -181,7 +182,7 @@
 
     async def _plan_once(self) -> None:
         await asyncio.sleep(MIN_PLAN_INTERVAL_S)
-        if self._may_send_orders():
+        if self._may_send_orders() and not self._releasing:
             self._carry_out_all(self.cell.plan(monotonic_ms(), wall_ms()))
         if self.cell.has_urgent_changes:
             self._urgent_changes.set()
@@ -310,13 +311,15 @@
         step = order.step
         if self._ports.advice is None:
             _log.warning("no_advice_service", job=step.job.id, step=step.number)
+            self.cell.planner.note_advice_failed(step, monotonic_ms())
             return
         try:
             permits = await self._ports.advice.request_permits(
                 step.job.id, step.occurrence, step.number, order.worker_ids
             )
-        except AdviceUnavailable:
-            self.cell.planner.note_advice_failed(step)
+        except AdviceUnavailable as exc:
+            _log.info("advice_unavailable", job=step.job.id, step=step.number, error=str(exc))
+            self.cell.planner.note_advice_failed(step, monotonic_ms())
         else:
             self.cell.planner.note_permits(step, permits)
 
@@ -440,7 +443,11 @@
         return False
 
     async def release(self) -> None:
-        """Store the last changes and release the cell, so that another instance can claim it."""
+        """Store the last changes and release the cell, so that another instance can claim it.
+
+        Nothing is started or stopped from now on: the next owner may act as soon as it reads this.
+        """
+        self._releasing = True
         try:
             async with asyncio.timeout(RELEASE_TIMEOUT_S):
                 changes = self.cell.collect_changes(wall_ms())
--- a/src/greengagewood/internal/entry/intake.py
+++ b/src/greengagewood/internal/entry/intake.py
@@ -24,10 +24,11 @@
 from greengagewood.internal.logs import Log
 from greengagewood.internal.ports import JobStore, Outcome
 
-__all__ = ["BatchWriter"]
+__all__ = ["MAX_READ_AGE_MS", "BatchWriter"]
 
 RETRY_DELAY_MS = 60
 MAX_BATCH_BYTES = 512 * 1024
+MAX_READ_AGE_MS = 1_000  # without a successful read for this long, new records are refused
 # Callers retry only a few times, so they are told to wait longer in an outage longer than this.
 LONG_OUTAGE_MS = 1_500
 SHORT_RETRY_AFTER_S = 1
@@ -51,10 +52,10 @@
 class BatchWriter:
     """Append the records of concurrent callers to the store in batches."""
 
-    def __init__(self, store: JobStore, ledger: Ledger, read_recently: Callable[[], bool]) -> None:
+    def __init__(self, store: JobStore, ledger: Ledger, read_age_ms: Callable[[], int]) -> None:
         self._store = store
         self._ledger = ledger
-        self._read_recently = read_recently
+        self._read_age_ms = read_age_ms
         self._queue: list[_PendingRecord] = []
         self._record_added = asyncio.Event()
         self._failing_since_ms: int | None = None
@@ -63,7 +64,7 @@
     @property
     def store_down(self) -> bool:
         """Return whether new records are refused because recent reads or appends failed."""
-        if not self._read_recently():
+        if self._read_age_ms() >= MAX_READ_AGE_MS:
             return True
         is_failing = self._failing_since_ms is not None
         return is_failing and monotonic_ms() - self._last_failure_ms < REFUSE_AFTER_FAILURE_MS
@@ -71,10 +72,10 @@
     @property
     def retry_after_s(self) -> int:
         """Return the seconds after which a refused caller should retry; more in a long outage."""
-        failing_since_ms = self._failing_since_ms
-        if failing_since_ms is None or monotonic_ms() - failing_since_ms < LONG_OUTAGE_MS:
-            return SHORT_RETRY_AFTER_S
-        return LONG_RETRY_AFTER_S
+        failing_ms = self._read_age_ms()
+        if self._failing_since_ms is not None:
+            failing_ms = max(failing_ms, monotonic_ms() - self._failing_since_ms)
+        return LONG_RETRY_AFTER_S if failing_ms >= LONG_OUTAGE_MS else SHORT_RETRY_AFTER_S
 
     async def store_record(self, record: Submission | Cancellation, timeout_ms: int) -> Outcome:
         """Store a record; return DONE only after the store has acknowledged it."""
@@ -133,7 +134,7 @@
         until its caller's deadline, unless the store answers no reads either.
         """
         requeued = []
-        read_recently = self._read_recently()
+        read_recently = self._read_age_ms() < MAX_READ_AGE_MS
         for pending in batch:
             pending.maybe_stored = pending.maybe_stored or outcome is Outcome.UNKNOWN
             if not pending.maybe_stored:
--- a/src/greengagewood/internal/entry/node.py
+++ b/src/greengagewood/internal/entry/node.py
@@ -18,7 +18,7 @@
 from greengagewood.internal.cells.runner import CellRunner, Ports
 from greengagewood.internal.clock import monotonic_ms, wall_ms
 from greengagewood.internal.daemon import supervised_loop
-from greengagewood.internal.entry.intake import BatchWriter
+from greengagewood.internal.entry.intake import MAX_READ_AGE_MS, BatchWriter
 from greengagewood.internal.entry.routes import RouteTable
 from greengagewood.internal.entry.settings import EntrySettings
 from greengagewood.internal.jobs.book import FINAL_STATES
@@ -50,7 +50,6 @@
 RETRY_DELAY_S = 0.1
 CONFIRMATION_TIMEOUT_MS = 5_000  # the owner continues through a store outage shorter than this
 CLAIM_JITTER_MS = 300  # makes it unlikely that two instances claim the cell at the same time
-MAX_READ_AGE_MS = 1_000  # without a successful read for this long, new records are refused
 LOOKUP_TIMEOUT_S = 1.0
 # Even a slow store answers a read within this time; without an answer, the old state is used.
 REFRESH_TIMEOUT_S = 0.3
@@ -79,7 +78,7 @@
         self.config: Configuration | None = None
         self._routes = RouteTable(())
         self.ledger = Ledger()
-        self._writer = BatchWriter(ports.store, self.ledger, lambda: self.read_recently)
+        self._writer = BatchWriter(ports.store, self.ledger, self.read_age_ms)
         owner_id = f"{cfg.instance}#{wall_ms()}"
         claim_delay_ms = random.randint(0, CLAIM_JITTER_MS)
         self._ownership = OwnershipView(
@@ -87,6 +86,7 @@
         )
         self._runner: CellRunner | None = None
         self._loaded = False
+        self._started_ms = monotonic_ms()
         self._last_read_ms: int | None = None
         self._reads_failing = False
         self._tasks: list[asyncio.Future[None]] = []
@@ -123,13 +123,6 @@
         """Return whether callers can be served."""
         return self.config is not None and self._loaded and not self._writer.store_down
 
-    @property
-    def read_recently(self) -> bool:
-        """Return whether a read of the store succeeded recently."""
-        return (
-            self._last_read_ms is not None and monotonic_ms() - self._last_read_ms < MAX_READ_AGE_MS
-        )
-
     @property
     def retry_after_s(self) -> int:
         """Return the seconds after which a refused caller should retry."""
@@ -166,7 +159,7 @@
                 await self._read_to_end(REFRESH_TIMEOUT_S)
             except StoreUnavailable as exc:
                 _log.debug(
-                    "stale_state_returned", job=job_id, age_ms=self._read_age_ms(), error=str(exc)
+                    "stale_state_returned", job=job_id, age_ms=self.read_age_ms(), error=str(exc)
                 )
         if stored_job is None or stored_job.submission is None:
             return None
@@ -175,13 +168,16 @@
     @property
     def _is_refresh_due(self) -> bool:
         """Return whether to read the store again before a caller is told a state."""
-        return not self._reads_failing and self._read_age_ms() > STATE_REFRESH_AGE_MS
+        return not self._reads_failing and self.read_age_ms() > STATE_REFRESH_AGE_MS
 
-    def _read_age_ms(self) -> int:
-        """Return the age of the last successful read of the store."""
-        return (
-            MAX_READ_AGE_MS if self._last_read_ms is None else monotonic_ms() - self._last_read_ms
-        )
+    def read_age_ms(self) -> int:
+        """Return the time since the last read of the store up to its end.
+
+        Before the first one, it is too long for new records, and rises from the start on.
+        """
+        if self._last_read_ms is None:
+            return monotonic_ms() - self._started_ms + MAX_READ_AGE_MS
+        return monotonic_ms() - self._last_read_ms
 
     async def _read_to_end(self, timeout_s: float) -> None:
         """Read the records that were appended to the store since the last read."""
@@ -190,10 +186,13 @@
         now_ms = monotonic_ms()
         try:
             async with asyncio.timeout(timeout_s):
-                page = await self._ports.store.read(self.ledger.next_offset, 0)
+                while True:
+                    page = await self._ports.store.read(self.ledger.next_offset, 0)
+                    self._apply_page(page)
+                    if page.reaches_end:
+                        break
         except (TimeoutError, LogTruncated) as exc:
             raise StoreUnavailable(repr(exc)) from exc
-        self._apply_page(page)
         self._last_read_ms = max(now_ms, self._last_read_ms or 0)
 
     # The cell's log.
@@ -206,8 +205,8 @@
             else:
                 page = await self._ports.store.read(self.ledger.next_offset, READ_LONG_POLL_MS)
         except LogTruncated:
+            _log.info("log_truncated", offset=self.ledger.next_offset)
             self._loaded = False
-            self.ledger.next_offset = 0
             return
         except StoreUnavailable as exc:
             self._note_read_result(False, str(exc))
@@ -215,8 +214,12 @@
             return
         self._note_read_result(True, "")
         now_ms = monotonic_ms()
+        if not self._loaded:
+            self.ledger.retain({entry.key for entry in page.entries}, page.next_offset)
         self._apply_page(page)
         self._loaded = True
+        if not page.reaches_end:
+            return  # a newer claim may stand in what has not been read
         self._last_read_ms = now_ms
         self._ownership.note_read(sent_ms, now_ms)
         if not self._ownership.owning:
@@ -300,7 +303,8 @@
         if runner is not None:
             _log.info("term_ended", token=runner.token, reason=reason)
             await runner.stop()
-            self._ownership.note_released()
+            if self._is_current_term(runner):
+                self._ownership.note_released()
 
     def _is_current_term(self, runner: CellRunner) -> bool:
         return self._ownership.owning and self._ownership.token == runner.token
--- a/src/greengagewood/internal/jobs/book.py
+++ b/src/greengagewood/internal/jobs/book.py
@@ -40,6 +40,7 @@
     initial_speed_percent: int = 100  # the speed limit to send when the start is accepted
     progress_percent: int = 0  # as last listed by the worker
     progress_changed_ms: int = 0  # when `progress_percent` last changed
+    listed_ms: int = 0  # when the worker last listed it
     tail_ms_or_cpu_millis: int = 0  # see ports.RunningTask
     ticket: str = ""
     # Of a serving task: its tail latency target divided by the tail latency last listed.
@@ -107,7 +108,7 @@
     active_run_count: int = 0  # runs attached to its tasks
     maybe_started: bool = False  # whether any of its tasks may have been started
     maybe_started_stored: bool = False  # whether a stored progress record says so
-    ended_ms: int = 0
+    maybe_inherited: bool = False  # whether an earlier owner may have started any of its tasks
 
     @property
     def id(self) -> str:
@@ -164,10 +165,10 @@
         if submission.job_id in self.jobs:
             return None
         job = Job(submission, now_ms, offset, critical_path_lengths(submission.spec.steps))
+        job.maybe_inherited = maybe_running
         self.jobs[submission.job_id] = job
         if progress is not None:
             job.state = progress.state
-            job.ended_ms = progress.ended_ms
             # A job of which no task can have been started has no progress record.
             job.maybe_started = job.maybe_started_stored = True
         if job.is_final:
@@ -175,7 +176,7 @@
         spec = submission.spec
         if spec.occurrences or spec.first_due_ms:
             self.timed_jobs[job.id] = job
-            for number in sorted({done[0] for done in progress.done} if progress else ()):
+            for number in sorted(_recorded_occurrences(progress) if progress else ()):
                 self.open_occurrence(job, number, maybe_running)
         else:
             self.open_occurrence(job, 0, maybe_running)
@@ -244,6 +245,19 @@
         tasks = steps[task_id.step].tasks
         return tasks[task_id.number] if 0 <= task_id.number < len(tasks) else None
 
+    def open_listed_task(self, task_id: TaskId, maybe_running: bool) -> Task | None:
+        """Open the occurrence of a task that a worker lists, and return the task.
+
+        Return None if there is no such task, or if its job has ended.
+        """
+        job = self.jobs.get(task_id.job_id)
+        if job is None or job.is_final or job.id not in self.timed_jobs:
+            return None
+        if not 0 <= task_id.occurrence < max(1, job.submission.spec.occurrences):
+            return None
+        self.open_occurrence(job, task_id.occurrence, maybe_running)
+        return self.find_task(task_id)
+
     def placeholder_task(self, task_id: TaskId) -> Task | None:
         """Return a task for an unexpected run, so that the run's resources are counted.
 
@@ -419,7 +433,6 @@
         if job.is_final:
             return
         job.state = state
-        job.ended_ms = now_ms
         self.changed_jobs[job.id] = None
         self.timed_jobs.pop(job.id, None)
         for task in job.opened_tasks():
@@ -464,6 +477,11 @@
         return Progress(job.id, job.state, tuple(done), tuple(unfinished))
 
 
+def _recorded_occurrences(progress: Progress) -> set[int]:
+    """Return the numbers of the occurrences of which any task has a record."""
+    return {done[0] for done in progress.done} | {task.occurrence for task in progress.tasks}
+
+
 def _done_bitmap(step: Step) -> bytes:
     bitmap = bytearray((len(step.tasks) + 7) // 8)
     for task in step.tasks:
--- a/src/greengagewood/internal/ports.py
+++ b/src/greengagewood/internal/ports.py
@@ -86,6 +86,11 @@
     next_offset: int
     end_offset: int = -1
 
+    @property
+    def reaches_end(self) -> bool:
+        """Return whether the log had no further records at the time of the read."""
+        return self.next_offset >= self.end_offset
+
 
 @dataclass(frozen=True, slots=True)
 class AppendResult:
--- a/src/greengagewood/platform/frontend.py
+++ b/src/greengagewood/platform/frontend.py
@@ -155,7 +155,7 @@
     deadline_text = req.headers.get("X-Deadline-Ms", "")
     timeout_ms = (
         int(deadline_text)
-        if deadline_text.isdigit() and len(deadline_text) < 9
+        if deadline_text.isascii() and deadline_text.isdigit() and len(deadline_text) < 9
         else DEFAULT_DEADLINE_MS
     )
     return max(0, timeout_ms - RESPONSE_MARGIN_MS)
--- a/src/greengagewood/platform/store.py
+++ b/src/greengagewood/platform/store.py
@@ -29,6 +29,10 @@
 OWNER_PRODUCER_ID = "owner"
 MAX_KEY_BYTES = 255  # the length of a key is sent as one byte
 
+# With these statuses the store says that it did nothing. Any other, such as 500 or 504, may come
+# from something between this instance and the store, after the store has carried out the call.
+REFUSAL_STATUSES = frozenset({400, 403, 404, 409, 412, 413, 429, 503, 507})
+
 _READ_HEADER = struct.Struct(">QQ")  # end offset of the log, and offset of its oldest record
 _RECORD_LENGTH = struct.Struct(">I")
 _CALL_ERRORS = (aiohttp.ClientError, TimeoutError, OSError)
@@ -156,6 +160,8 @@
                 return AppendResult(Outcome.DONE, decode(body, _AppendAnswer).offset)
             except ValueError:
                 return AppendResult(Outcome.UNKNOWN)
+        if resp.status not in REFUSAL_STATUSES:
+            return AppendResult(Outcome.UNKNOWN)
         fenced = resp.status == 409 and _refusal_reason(body) == "fenced"
         return AppendResult(Outcome.REFUSED, fenced=fenced)
 
--- a/src/greengagewood/platform/workers.py
+++ b/src/greengagewood/platform/workers.py
@@ -124,7 +124,7 @@
             return _order_reply(status, body)
         try:
             return _lease_reply(decode(body, _LeaseAnswer))
-        except ValueError as exc:
+        except (ValueError, OverflowError) as exc:
             raise WorkerCallFailed(f"hold: unreadable answer: {exc}") from exc
 
     async def _order(self, worker: WorkerInfo, call: str, order: dict[str, object]) -> OrderReply:
--- a/tests/common/plant.py
+++ b/tests/common/plant.py
@@ -66,6 +66,7 @@
         self.sequence = 0
         self.offsets_by_append: dict[tuple[int, int], int] = {}
         self.appended = asyncio.Event()
+        self.max_page_records: int | None = None  # most records that one read returns
 
     def client(self, instance: str) -> SimStoreClient:
         """Return a client of the store for one instance."""
@@ -116,8 +117,8 @@
         entries = tuple(
             LogEntry(start + n, key, value)
             for n, (key, value) in enumerate(self.store.records[start:])
-        )
-        return LogPage(entries, start + len(entries))
+        )[: self.store.max_page_records]
+        return LogPage(entries, start + len(entries), len(self.store.records))
 
     async def _answer(self, result: AppendResult) -> AppendResult:
         if self.store.rng.random() < self.store.faults.lost_answer_share:
