Order best-effort work by its value, and move slow runs within one reading

A job that had become late stalled behind every new one, with most of its tasks done. Half of the processors that best-effort runs held were slowed.

Change: best-effort jobs are ordered by value per remaining core-second, in the queue and for the speed that the runs of a worker keep; a run below 60 percent of its speed moves after one reading.

--- a/src/greengagewood/internal/cells/cell.py
+++ b/src/greengagewood/internal/cells/cell.py
@@ -49,8 +49,8 @@
 
 STOP_REPEAT_INTERVAL_MS = 400
 STOP_SCAN_INTERVAL_MS = 100  # between two scans for runs to stop, unless an event requests one
-SLOW_SPEED_PERCENT = 25  # a run limited to this or less may be moved to run at full speed
-MOVE_DELAY_MS = 1_000  # how long a run must have been slow before it is moved
+SLOW_SPEED_PERCENT = 60  # a run limited to this or less may be moved to run at full speed
+MOVE_DELAY_MS = 450  # how long a run must have been slow before it is moved: about one reading
 MOVE_INTERVAL_MS = 150  # between two moves, each of which costs a stop and a start
 STUCK_AFTER_MS = 2_500  # minimum time without any progress after which a run is stopped as stuck
 REFUSAL_DELAY_MS = 150  # before a refused task, or a worker that lacked resources, is tried again
@@ -114,7 +114,9 @@
     ) -> None:
         """Add a job; with `never_started`, no earlier owner can have started any of its tasks."""
         self.planner.queues.setdefault(submission.queue.name, submission.queue)
-        self.book.add(submission, progress, not never_started, now_ms, log_offset)
+        job = self.book.add(submission, progress, not never_started, now_ms, log_offset)
+        if job is not None:
+            self.planner.values.note_job(job)
 
     def cancel(self, job_id: str, now_ms: int) -> None:
         """Cancel a job; the next plan stops its runs."""
@@ -292,7 +294,11 @@
         if not worker.adopted:
             worker.adopted = True
             self.on_event("worker_adopted", {"worker": worker.name, "runs": len(listed_keys)})
-        orders.extend(self.planner.tail_model.plan_speed_limits(worker, now_ms))
+        orders.extend(
+            self.planner.tail_model.plan_speed_limits(
+                worker, now_ms, lambda run: self.planner.value_density(run.task.step, now_ms)
+            )
+        )
         self.planner.request_replan()
         return orders
 
--- a/src/greengagewood/internal/cells/planner.py
+++ b/src/greengagewood/internal/cells/planner.py
@@ -18,6 +18,7 @@
     place_gang,
 )
 from greengagewood.internal.cells.tails import MIN_SPEED_PERCENT, TailLatencyModel
+from greengagewood.internal.cells.value import JobValues
 from greengagewood.internal.jobs.book import Job, JobBook, Run, Step, Task
 from greengagewood.internal.jobs.model import Queue, StepSpec
 from greengagewood.internal.ports import Permit
@@ -32,9 +33,6 @@
 MAX_TASK_CPU_MILLIS = 1_000_000_000  # divisor that scales sizes to below 1, to break ties only
 MAX_STARTS_PER_PLAN = 200  # the remaining steps are left to the next plan
 
-# By the platform's rules, a job earns nothing once its age is this multiple of its objective.
-WORTHLESS_AGE_FACTOR = 3
-
 # Time between placements of best-effort tasks, so that a backlog of them does not delay others.
 BEST_EFFORT_INTERVAL_MS = 60
 
@@ -98,6 +96,7 @@
         claim_offset: int,
     ) -> None:
         self.tail_model = TailLatencyModel()
+        self.values = JobValues(book)
         self.queues: dict[str, Queue] = {}
         self._book = book
         self._workers = workers
@@ -114,6 +113,11 @@
         """Return the settings of a job's queue."""
         return self.queues[job.submission.queue.name]
 
+    def value_density(self, step: Step, now_ms: int) -> float:
+        """Return the value of a step's job per CPU millisecond of its remaining work."""
+        queue = self.queue_of(step.job)
+        return self.values.density(step.job, step.occurrence, step.number, queue, now_ms)
+
     def request_replan(self) -> None:
         """Make the next call of `plan` place tasks, even if no further task has begun to wait."""
         self._planned_version = -1
@@ -218,7 +222,8 @@
 
         Within a priority, jobs that can still meet their objectives come first, then late ones,
         then those too late to earn anything. Among equals the job with the least remaining work
-        comes first, since that serves the most callers.
+        comes first, since that serves the most callers. Best-effort jobs are ordered by the value
+        of their remaining work instead.
 
         Long-running steps come between jobs that are in time and late ones. They are grouped by
         image; `first_arrivals_ms` is the earliest arrival of a waiting job of each image. Within an
@@ -231,15 +236,11 @@
         if spec.long_running:
             rank = (0.0 if spec.max_per_instance else 1.0) - spec.cpu_millis / MAX_TASK_CPU_MILLIS
             return (queue.priority, 0, 1, first_arrivals_ms[spec.image], spec.image, rank)
-        objective_ms = queue.slack_factor * max(job.critical_paths_ms, default=0) + queue.target_ms
-        age_ms = now_ms - job.arrived_ms
-        if age_ms + job.critical_paths_ms[step.number] <= objective_ms:
-            lateness = 0
-        else:
-            lateness = 1 if age_ms < WORTHLESS_AGE_FACTOR * objective_ms else 2
+        if spec.best_effort:
+            return (queue.priority, 0, 0, 0, "", -self.value_density(step, now_ms))
         return (
             queue.priority,
-            lateness,
+            self.values.lateness(job, step.number, queue, now_ms),
             0,
             self._book.remaining_cpu_ms(job, step.occurrence),
             "",
--- a/src/greengagewood/internal/cells/tails.py
+++ b/src/greengagewood/internal/cells/tails.py
@@ -16,7 +16,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
 from greengagewood.internal.cells.fleet import Admission, Worker
@@ -183,10 +183,12 @@
             for serving in slack_by_image:
                 slack_by_image[serving] -= self.conservative_effect(serving, name) * share
 
-    def plan_speed_limits(self, worker: Worker, now_ms: int) -> list[ThrottleRun]:
+    def plan_speed_limits(
+        self, worker: Worker, now_ms: int, value_of: Callable[[Run], float]
+    ) -> list[ThrottleRun]:
         """Return orders to change the speed limits of best-effort runs until the next reading.
 
-        The oldest runs get their share of the slack first.
+        The runs of the highest value get their share of the slack first.
         """
         if worker.last_learned_ms != now_ms:
             return []
@@ -201,7 +203,7 @@
             return [ThrottleRun(worker, run, 0) for run in best_effort_runs if run.speed_percent]
         slack_by_image = _forecast_slack(worker)
         orders = []
-        for run in sorted(best_effort_runs, key=lambda run: run.started_ms):
+        for run in sorted(best_effort_runs, key=value_of, reverse=True):
             spec = run.task.step.spec
             percent = self._max_speed_percent(worker, spec, slack_by_image, MIN_SLACK_TO_RUN)
             for serving in slack_by_image:
--- a/src/greengagewood/internal/jobs/book.py
+++ b/src/greengagewood/internal/jobs/book.py
@@ -102,6 +102,7 @@
     arrived_ms: int  # when it was added to the book
     log_offset: int  # of its submission
     critical_paths_ms: tuple[int, ...]  # by step, see `critical_path_lengths`
+    total_cpu_ms: int  # estimated work of one occurrence
     state: str = "queued"
     occurrences: dict[int, list[Step]] = field(default_factory=dict)
     finished_occurrences: set[int] = field(default_factory=set)
@@ -164,7 +165,9 @@
         """Add a job; with `maybe_running`, an earlier owner may have started any of its tasks."""
         if submission.job_id in self.jobs:
             return None
-        job = Job(submission, now_ms, offset, critical_path_lengths(submission.spec.steps))
+        steps = submission.spec.steps
+        total_cpu_ms = sum(s.task_count * s.cpu_millis * s.estimate_ms // 1000 for s in steps)
+        job = Job(submission, now_ms, offset, critical_path_lengths(steps), total_cpu_ms)
         job.maybe_inherited = maybe_running
         self.jobs[submission.job_id] = job
         if progress is not None:
--- a/tests/common/sharing.py
+++ b/tests/common/sharing.py
@@ -100,7 +100,9 @@
             self._update_tails(worker)
             if self.use_model:
                 self.model.learn(worker, self.now_ms)
-                for order in self.model.plan_speed_limits(worker, self.now_ms):
+                for order in self.model.plan_speed_limits(
+                    worker, self.now_ms, lambda run: -run.started_ms
+                ):
                     order.run.speed_percent = order.speed_percent
                     worker.invalidate_slack()
         self._place()
--- a/tests/cover/test_planner.py
+++ b/tests/cover/test_planner.py
@@ -2,11 +2,20 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 import pytest
 
-from greengagewood.internal.cells.planner import GROUPING_DELAY_MS
-from greengagewood.internal.jobs.model import StepSpec
-from tests.common.desk import CellHarness, start_orders
+from greengagewood.internal.cells.fleet import Worker
+from greengagewood.internal.cells.orders import StartRun
+from greengagewood.internal.cells.planner import BEST_EFFORT_INTERVAL_MS, GROUPING_DELAY_MS
+from greengagewood.internal.cells.tails import TailLatencyModel
+from greengagewood.internal.jobs.book import JobBook
+from greengagewood.internal.jobs.model import JobSpec, StepSpec
+from greengagewood.internal.jobs.records import Submission
+from greengagewood.internal.ports import RunEnd, RunningTask
+from tests.common.backlog import Backlog, arrival_order
+from tests.common.desk import QUEUE, CellHarness, make_worker_info, start_orders
 
 
 def _serving(image: str, tasks: int) -> StepSpec:
@@ -87,3 +96,84 @@
         harness.submit(StepSpec(1, cpu_millis=1_000, estimate_ms=9), job="1" * 16)
         jobs = {start.run.task.id.job_id for start in start_orders(harness.plan())}
         assert jobs == {"0" * 16, "1" * 16}
+
+
+class TestBestEffortOrder:
+    """Guard against best-effort jobs that all end late because they share the workers."""
+
+    @staticmethod
+    def _spec(tasks: int, estimate_ms: int = 1_000) -> StepSpec:
+        return StepSpec(
+            tasks, cpu_millis=7_000, memory_mb=1, estimate_ms=estimate_ms, best_effort=True
+        )
+
+    def _start(self, harness: CellHarness, spec: StepSpec, job: str) -> list[StartRun]:
+        harness.submit(spec, job=job)
+        starts = start_orders(harness.plan(BEST_EFFORT_INTERVAL_MS))
+        for start in starts:
+            harness.cell.handle_start_reply(start.worker, start.run, "", harness.now_ms)
+        return starts
+
+    def test_the_last_task_of_a_late_job_comes_before_a_large_job_that_is_in_time(self) -> None:
+        harness = CellHarness("w0")
+        starts = self._start(harness, self._spec(9), "0" * 16)
+        assert len(starts) == 9  # the worker is full
+        ends = [
+            RunEnd(n, start.run.task.id, start.run.number, "done", "")
+            for n, start in enumerate(starts[:8], 1)
+        ]
+        harness.now_ms += 4_000  # later than the objective of 3 s
+        harness.answer_lease(
+            "w0", RunningTask(starts[8].run.task.id, starts[8].run.number, "", 5, 7_000),
+            ends=tuple(ends),
+        )  # fmt: skip
+        harness.cell.workers["w0"].info = replace(
+            harness.cell.workers["w0"].info, cpu_millis=7_000
+        )  # there is room for a single task from now on
+        failed = RunEnd(9, starts[8].run.task.id, starts[8].run.number, "failed", "")
+        harness.submit(self._spec(60), job="1" * 16)
+        harness.answer_lease("w0", ends=(failed,))
+        (start,) = start_orders(harness.plan(BEST_EFFORT_INTERVAL_MS))
+        assert start.run.task.id.job_id == "0" * 16
+
+    @pytest.mark.parametrize("seed", range(3))
+    def test_callers_get_twice_of_what_arrival_order_earns_in_a_backlog(self, seed: int) -> None:
+        ordered = Backlog(seed, load=2.5).play()
+        naive = Backlog(seed, load=2.5, rank=arrival_order).play()
+        assert ordered.earned > 2 * naive.earned
+        assert ordered.in_time_count > 2 * naive.in_time_count
+
+    def test_every_job_ends_in_time_without_a_backlog(self) -> None:
+        played = Backlog(1, load=0.8).play()
+        assert played.earned == pytest.approx(played.owed)
+
+
+class TestSpeedLimits:
+    """Which runs of a worker keep their speed when its services leave little slack."""
+
+    def test_the_run_of_the_most_valuable_job_is_slowed_last(self) -> None:
+        worker = Worker(make_worker_info("w0"), 0, adopted=True)
+        book = JobBook()
+        runs = {}
+        for image, tasks, cpu_millis in (("s", 1, 10_000), ("old", 1, 6_000), ("new", 1, 6_000)):
+            spec = StepSpec(
+                tasks,
+                cpu_millis=cpu_millis,
+                image=image,
+                long_running=image == "s",
+                best_effort=image != "s",
+                tail_target_ms=20 if image == "s" else 0,
+            )
+            name = f"{len(book.jobs):016x}"
+            job = book.add(Submission(name, QUEUE, JobSpec("", (spec,)), 0), None, False, 0)
+            assert job is not None
+            task = next(iter(job.opened_tasks()))
+            runs[image] = book.attach_run(task, 1, "w0", "r", "running", len(runs))
+            worker.add_run(runs[image])
+        runs["s"].undisturbed_slack = 2.2  # enough for about one of the two
+        worker.last_learned_ms = worker.last_on_target_ms = 500
+        model = TailLatencyModel()
+        values = {runs["old"]: 1.0, runs["new"]: 2.0}
+        orders = model.plan_speed_limits(worker, 500, lambda run: values[run])
+        slowed = {order.run: order.speed_percent for order in orders}
+        assert slowed[runs["old"]] < slowed.get(runs["new"], 100)
