Limit the starts in flight by how fast they are answered

Change: a window of starts in flight that rises by one a round of answers within 0.3 s and falls by a share when one is late; what has no room is not planned, so nothing has to be stopped. A worker that is silent by itself does not lower it.

--- a/src/greengagewood/internal/cells/cell.py
+++ b/src/greengagewood/internal/cells/cell.py
@@ -47,6 +47,7 @@
 
 __all__ = ["Cell", "CellLimits"]
 
+MAX_STARTS_PER_PLAN = 200  # so that no plan delays the replies of workers for long
 STOP_REPEAT_INTERVAL_MS = 400
 STOP_SCAN_INTERVAL_MS = 100  # between two scans for runs to stop, unless an event requests one
 SLOW_SPEED_PERCENT = 60  # a run limited to this or less may be moved to run at full speed
@@ -493,8 +494,8 @@
 
     # Orders.
 
-    def plan(self, now_ms: int, wall_ms: int) -> list[Order]:
-        """Return the orders to send now."""
+    def plan(self, now_ms: int, wall_ms: int, max_starts: int = MAX_STARTS_PER_PLAN) -> list[Order]:
+        """Return the orders to send now; what may not start yet is left to a later plan."""
         self._end_expired_runs(now_ms)
         self._open_due_occurrences(wall_ms)
         self._finish_adoption(now_ms)
@@ -505,7 +506,7 @@
         ):
             self._last_stop_scan_ms = now_ms
             orders.extend(self._plan_stops(now_ms))
-        orders.extend(self.planner.plan(now_ms))
+        orders.extend(self.planner.plan(now_ms, min(max_starts, MAX_STARTS_PER_PLAN)))
         return orders
 
     def _end_expired_runs(self, now_ms: int) -> None:
--- a/src/greengagewood/internal/cells/planner.py
+++ b/src/greengagewood/internal/cells/planner.py
@@ -31,7 +31,6 @@
 PERMIT_MARGIN_MS = 300  # time for a start to reach its worker before the permit expires
 MAX_WORKERS_PER_ADVICE_REQUEST = 30  # the answer takes time for each worker in a request
 MAX_TASK_CPU_MILLIS = 1_000_000_000  # divisor that scales sizes to below 1, to break ties only
-MAX_STARTS_PER_PLAN = 200  # the remaining steps are left to the next plan
 
 # Time between placements of best-effort tasks, so that a backlog of them does not delay others.
 BEST_EFFORT_INTERVAL_MS = 60
@@ -122,12 +121,15 @@
         """Make the next call of `plan` place tasks, even if no further task has begun to wait."""
         self._planned_version = -1
 
-    def plan(self, now_ms: int) -> list[Order]:
-        """Return the orders to send now; none if nothing has changed since the last plan."""
-        if self._book.waiting_version == self._planned_version:
+    def plan(self, now_ms: int, max_starts: int) -> list[Order]:
+        """Return the orders to send now; none if nothing has changed since the last plan.
+
+        A gang is started as a whole, even if it has more tasks than `max_starts`.
+        """
+        if self._book.waiting_version == self._planned_version or max_starts <= 0:
             return []
         self._planned_version = self._book.waiting_version
-        return self._place(now_ms)
+        return self._place(now_ms, max_starts)
 
     def can_run_faster_elsewhere(self, run: Run, current: Worker, now_ms: int) -> bool:
         """Return whether a best-effort run could run at full speed on another worker."""
@@ -159,7 +161,7 @@
         """Discard the permit that a worker has refused."""
         self._permits.get(step, {}).pop(worker, None)
 
-    def _place(self, now_ms: int) -> list[Order]:
+    def _place(self, now_ms: int, max_starts: int) -> list[Order]:
         orders: list[Order] = []
         by_service: dict[str, list[Worker]] = {}
         for worker in self._workers.values():
@@ -192,11 +194,13 @@
             starving = self._is_starving(step, now_ms) and is_mostly_uncommitted(workers)
             if not starving and unplaceable.rules_out(queue.service, step):
                 continue
-            step_orders, unplaced = self._place_step(step, workers, starving, now_ms)
+            step_orders, unplaced = self._place_step(
+                step, workers, starving, now_ms, max_starts - len(orders)
+            )
             orders.extend(step_orders)
             if unplaced and not starving:
                 unplaceable.add(queue.service, step)
-            if len(orders) > MAX_STARTS_PER_PLAN:
+            if len(orders) >= max_starts:
                 self.request_replan()
                 break
         return orders
@@ -248,7 +252,7 @@
         )
 
     def _place_step(
-        self, step: Step, workers: list[Worker], starving: bool, now_ms: int
+        self, step: Step, workers: list[Worker], starving: bool, now_ms: int, max_starts: int
     ) -> tuple[list[Order], bool]:
         """Return the orders for a step, and whether one of its tasks could not be placed."""
         queue = self.queue_of(step.job)
@@ -276,6 +280,9 @@
             orders.append(self._start(task, worker, now_ms, task.start_count + 1))
             if starving:  # one task is enough
                 break
+            if len(orders) >= max_starts:
+                self.request_replan()
+                break
         return orders, False
 
     def _place_gang(self, step: Step, workers: list[Worker], now_ms: int) -> list[Order]:
--- a/src/greengagewood/internal/cells/runner.py
+++ b/src/greengagewood/internal/cells/runner.py
@@ -24,6 +24,7 @@
     ThrottleRun,
 )
 from greengagewood.internal.cells.ownership import HEARTBEAT_INTERVAL_MS
+from greengagewood.internal.cells.window import StartWindow
 from greengagewood.internal.clock import monotonic_ms, wall_ms
 from greengagewood.internal.daemon import raise_location, supervised_loop
 from greengagewood.internal.jobs.records import (
@@ -109,6 +110,7 @@
         self._lease_tasks: dict[Worker, asyncio.Task[None]] = {}
         self._stopping = False
         self._releasing = False
+        self._start_window = StartWindow()
         self.cell = Cell(
             limits, token, monotonic_ms(), ledger.ownership.settled_offset, ledger.claim_offset
         )
@@ -183,7 +185,7 @@
     async def _plan_once(self) -> None:
         await asyncio.sleep(MIN_PLAN_INTERVAL_S)
         if self._may_send_orders() and not self._releasing:
-            self._carry_out_all(self.cell.plan(monotonic_ms(), wall_ms()))
+            self._carry_out_all(self.cell.plan(monotonic_ms(), wall_ms(), self._start_window.room))
         if self.cell.has_urgent_changes:
             self._urgent_changes.set()
         try:
@@ -195,6 +197,8 @@
 
     def _carry_out_all(self, orders: list[Order]) -> None:
         for order in orders:
+            if isinstance(order, StartRun):
+                self._start_window.note_sent()
             self._spawn(self._carry_out(order))
 
     async def _carry_out(self, order: Order) -> None:
@@ -225,11 +229,14 @@
                 run.ticket,
             )
         except WorkerCallFailed:
+            self._start_window.note_unanswered(run.started_ms, monotonic_ms())
             self.cell.note_start_unanswered(run, monotonic_ms())
         except WrongBoot:
+            self._start_window.note_answered(run.started_ms, monotonic_ms())
             self.cell.note_wrong_boot(worker, monotonic_ms())
             outcome = "wrong_boot"
         else:
+            self._start_window.note_answered(run.started_ms, monotonic_ms())
             outcome = reply.reason or "accepted"
             self._check_fencing(reply)
             self._carry_out_all(
@@ -248,6 +255,7 @@
             percent=run.initial_speed_percent,
             free_cpu=worker.info.cpu_millis - worker.allocated.cpu_millis,
             answered_ms=monotonic_ms() - run.started_ms,
+            window=int(self._start_window.limit),
             outcome=outcome,
         )
 
