Play a burst against the window of starts, with a price for each order

The played owner carries out one order after another; a start given up costs a stop and another start. With the window throughput returns within 3 s after the burst at 40 to 800 orders a second; without, it stays below half.

--- /dev/null
+++ b/tests/cover/test_window.py
@@ -0,0 +1,118 @@
+"""Overload of an owner that ends with its cause: a burst of starts, then calm, in virtual time."""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import dataclass, field
+
+import pytest
+
+from greengagewood.internal.cells.window import LATE_ANSWER_MS, MIN_LIMIT, StartWindow
+
+TICK_MS = 5
+ORDER_TIMEOUT_MS = 1_000
+BURST_MS, CALM_MS = 8_000, 12_000
+RECOVERY_MS = 3_000  # after the burst, starts must be answered in time again
+
+
+@dataclass
+class _Order:
+    is_start: bool
+    sent_ms: int
+    given_up: bool = False
+
+
+@dataclass
+class _Owner:
+    """An owner whose processor carries out one order after another, each at the same price.
+
+    A start that is not answered in time is given up; a stop of it and another start follow.
+    """
+
+    orders_per_s: float
+    window: StartWindow | None
+    waiting: float = 0.0
+    queue: deque[_Order] = field(default_factory=deque)
+    unanswered: deque[_Order] = field(default_factory=deque)  # starts, the oldest first
+    answers_ms: list[tuple[int, int]] = field(default_factory=list)  # when, and after how long
+
+    def run(self, burst_per_s: float, calm_per_s: float) -> _Owner:
+        budget = 0.0
+        for now_ms in range(0, BURST_MS + CALM_MS, TICK_MS):
+            self.waiting += (burst_per_s if now_ms < BURST_MS else calm_per_s) * TICK_MS / 1000
+            self._send(now_ms)
+            self._give_up(now_ms)
+            budget += self.orders_per_s * TICK_MS / 1000
+            if not self.queue:
+                budget = min(1.0, budget)
+            while budget >= 1.0 and self.queue:
+                budget -= 1.0
+                self._carry_out(self.queue.popleft(), now_ms)
+        return self
+
+    def _send(self, now_ms: int) -> None:
+        while self.waiting >= 1 and (self.window is None or self.window.room):
+            self.waiting -= 1
+            order = _Order(True, now_ms)
+            self.queue.append(order)
+            self.unanswered.append(order)
+            if self.window is not None:
+                self.window.note_sent()
+
+    def _give_up(self, now_ms: int) -> None:
+        while self.unanswered and now_ms - self.unanswered[0].sent_ms > ORDER_TIMEOUT_MS:
+            order = self.unanswered.popleft()
+            order.given_up = True  # it has been sent, so it still costs its price
+            self.waiting += 1
+            self.queue.append(_Order(False, now_ms))
+            if self.window is not None:
+                self.window.note_unanswered(order.sent_ms, now_ms)
+
+    def _carry_out(self, order: _Order, now_ms: int) -> None:
+        if order.is_start and not order.given_up:
+            self.unanswered.popleft()
+            self.answers_ms.append((now_ms, now_ms - order.sent_ms))
+            if self.window is not None:
+                self.window.note_answered(order.sent_ms, now_ms)
+
+    def answered_per_s(self, from_ms: int) -> float:
+        """Return the starts answered per second from a time on."""
+        count = sum(when >= from_ms for when, _ in self.answers_ms)
+        return count / (BURST_MS + CALM_MS - from_ms) * 1000
+
+
+class TestStartWindow:
+    @pytest.mark.parametrize("orders_per_s", [40, 80, 400, 800])
+    def test_throughput_returns_after_a_burst_at_any_size(self, orders_per_s: int) -> None:
+        calm_per_s = 0.6 * orders_per_s
+        owner = _Owner(orders_per_s, StartWindow()).run(3 * orders_per_s, calm_per_s)
+        recovered = [took for when, took in owner.answers_ms if when > BURST_MS + RECOVERY_MS]
+        assert recovered and max(recovered) <= ORDER_TIMEOUT_MS
+        assert owner.answered_per_s(BURST_MS + RECOVERY_MS) >= calm_per_s
+
+    @pytest.mark.parametrize("orders_per_s", [40, 80, 400, 800])
+    def test_the_overload_would_outlast_the_burst_without_a_window(self, orders_per_s: int) -> None:
+        calm_per_s = 0.6 * orders_per_s
+        owner = _Owner(orders_per_s, None).run(3 * orders_per_s, calm_per_s)
+        assert owner.answered_per_s(BURST_MS + RECOVERY_MS) < 0.5 * calm_per_s
+
+    def test_one_silent_worker_does_not_lower_the_limit(self) -> None:
+        window = StartWindow()
+        limit = window.limit
+        for now_ms in range(0, 3_000, 20):
+            window.note_sent()
+            window.note_answered(now_ms, now_ms + 15)
+            window.note_sent()
+            window.note_unanswered(now_ms - ORDER_TIMEOUT_MS, now_ms + 15)
+        assert window.limit > limit and window.in_flight == 0
+
+    def test_late_answers_lower_the_limit_once_a_round_and_not_below_its_minimum(self) -> None:
+        window = StartWindow()
+        limit = window.limit
+        for _ in range(10):
+            window.note_sent()
+            window.note_answered(0, LATE_ANSWER_MS + 1)
+        assert 0.5 * limit < window.limit < limit
+        for sent_ms in range(1_000, 100_000, 1_000):
+            window.note_answered(sent_ms, sent_ms + LATE_ANSWER_MS + 1)
+        assert window.limit == MIN_LIMIT
