--- a/tests/common/backlog.py
+++ b/tests/common/backlog.py
@@ -65,27 +65,21 @@
         return self
 
     def _submit(self, rng: random.Random, number: int) -> float:
-        spec = StepSpec(
-            rng.randint(2, 14),
-            cpu_millis=TASK_CPU_MILLIS,
-            memory_mb=1,
-            estimate_ms=rng.randint(400, 2_800),
-            checkpointing=True,
-            best_effort=True,
-            image=f"f{number % 3}",
-        )
-        second = StepSpec(
-            rng.randint(2, 14),
-            cpu_millis=TASK_CPU_MILLIS,
-            memory_mb=1,
-            estimate_ms=rng.randint(400, 2_800),
-            checkpointing=True,
-            best_effort=True,
-            image=spec.image,
-            depends_on=(0,),
-        )
-        self.harness.submit(spec, second, job=f"{number:016x}")
-        cpu_s = self._cpu_s(spec) + self._cpu_s(second)
+        steps = [
+            StepSpec(
+                rng.randint(2, 14),
+                cpu_millis=TASK_CPU_MILLIS,
+                memory_mb=1,
+                estimate_ms=rng.randint(400, 2_800),
+                checkpointing=True,
+                best_effort=True,
+                image=f"f{number % 3}",
+                depends_on=depends_on,
+            )
+            for depends_on in ((), (0,))
+        ]
+        self.harness.submit(*steps, job=f"{number:016x}")
+        cpu_s = sum(map(self._cpu_s, steps))
         self.owed += FIXED_VALUE + VALUE_PER_CPU_S * cpu_s
         return cpu_s
 
