Count a start that fails unexpectedly as unanswered

Ruled out: that the supervised loops catch it; an order is a task of its own, whose error is only logged.

Change: the end of the call is noted in one place, whatever ended it, instead of at each kind of answer; the window has one method for it. The new test fails before (the job never ended). The other tests of the window assert what they did.

--- a/src/greengagewood/internal/cells/runner.py
+++ b/src/greengagewood/internal/cells/runner.py
@@ -229,19 +229,21 @@
                 run.ticket,
             )
         except WorkerCallFailed:
-            self._start_window.note_unanswered(run.started_ms, monotonic_ms())
-            self.cell.note_start_unanswered(run, monotonic_ms())
+            pass  # the outcome stays as it is
         except WrongBoot:
-            self._start_window.note_answered(run.started_ms, monotonic_ms())
             self.cell.note_wrong_boot(worker, monotonic_ms())
             outcome = "wrong_boot"
         else:
-            self._start_window.note_answered(run.started_ms, monotonic_ms())
             outcome = reply.reason or "accepted"
             self._check_fencing(reply)
             self._carry_out_all(
                 self.cell.handle_start_reply(worker, run, reply.reason, monotonic_ms())
             )
+        finally:  # after an unexpected error, too, the start may have been carried out
+            answered = outcome != "unanswered"
+            self._start_window.note_done(run.started_ms, monotonic_ms(), answered)
+            if not answered:
+                self.cell.note_start_unanswered(run, monotonic_ms())
         self._metrics.count("starts", outcome=outcome)
         _log.info(
             "start",
--- a/src/greengagewood/internal/cells/window.py
+++ b/src/greengagewood/internal/cells/window.py
@@ -37,24 +37,22 @@
         """Count a start that is about to be sent."""
         self.in_flight += 1
 
-    def note_answered(self, sent_ms: int, now_ms: int) -> None:
-        """Record that a start was answered, whatever the answer."""
+    def note_done(self, sent_ms: int, now_ms: int, answered: bool) -> None:
+        """Record that a start was answered, whatever the answer, or was given up."""
         self.in_flight -= 1
+        if answered:
+            self._note_answered(sent_ms, now_ms)
+        # If others were answered in time meanwhile, the fault is with that worker alone.
+        elif self._last_in_time_ms is None or self._last_in_time_ms < sent_ms:
+            self._decrease(sent_ms, now_ms)
+
+    def _note_answered(self, sent_ms: int, now_ms: int) -> None:
         if now_ms - sent_ms <= LATE_ANSWER_MS:
             self._last_in_time_ms = now_ms
             self.limit = min(MAX_LIMIT, self.limit + 1 / self.limit)
         else:
             self._decrease(sent_ms, now_ms)
 
-    def note_unanswered(self, sent_ms: int, now_ms: int) -> None:
-        """Record that a start was given up.
-
-        If others were answered in time meanwhile, the fault is with that worker alone.
-        """
-        self.in_flight -= 1
-        if self._last_in_time_ms is None or self._last_in_time_ms < sent_ms:
-            self._decrease(sent_ms, now_ms)
-
     def _decrease(self, sent_ms: int, now_ms: int) -> None:
         # The starts that were sent before the last decrease say nothing about the present limit.
         if self._last_decrease_ms is None or sent_ms >= self._last_decrease_ms:
--- a/tests/cover/test_operator_reports.py
+++ b/tests/cover/test_operator_reports.py
@@ -270,6 +270,28 @@
         assert len(start_orders(harness.plan())) == 3
 
 
+class TestUnexpectedErrors:
+    """An error that nobody foresaw costs one order, not the task or a place for good."""
+
+    def test_a_start_that_fails_unexpectedly_counts_as_unanswered(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        async def fail(*args: object) -> None:
+            raise RuntimeError("unexpected")
+
+        async def script(sim: CellSimulation) -> None:
+            runner = sim.instances[sim.owner() or ""]._runner
+            assert runner is not None
+            with monkeypatch.context() as patch:
+                patch.setattr(runner._ports.workers, "start", fail)
+                await sim.submit(JOB, "fast", short_job())
+                await asyncio.sleep(0.1)
+                assert runner._start_window.in_flight == 0
+            assert await sim.wait_until_ended({JOB}, 20.0) == set()
+
+        run_simulation(CellSimulation(35), script)
+
+
 class TestMalformedMessages:
     """A malformed message is an answer that cannot be used, and nothing worse."""
 
--- a/tests/cover/test_window.py
+++ b/tests/cover/test_window.py
@@ -66,14 +66,14 @@
             self.waiting += 1
             self.queue.append(_Order(False, now_ms))
             if self.window is not None:
-                self.window.note_unanswered(order.sent_ms, now_ms)
+                self.window.note_done(order.sent_ms, now_ms, False)
 
     def _carry_out(self, order: _Order, now_ms: int) -> None:
         if order.is_start and not order.given_up:
             self.unanswered.popleft()
             self.answers_ms.append((now_ms, now_ms - order.sent_ms))
             if self.window is not None:
-                self.window.note_answered(order.sent_ms, now_ms)
+                self.window.note_done(order.sent_ms, now_ms, True)
 
     def answered_per_s(self, from_ms: int) -> float:
         """Return the starts answered per second from a time on."""
@@ -101,9 +101,9 @@
         limit = window.limit
         for now_ms in range(0, 3_000, 20):
             window.note_sent()
-            window.note_answered(now_ms, now_ms + 15)
+            window.note_done(now_ms, now_ms + 15, True)
             window.note_sent()
-            window.note_unanswered(now_ms - ORDER_TIMEOUT_MS, now_ms + 15)
+            window.note_done(now_ms - ORDER_TIMEOUT_MS, now_ms + 15, False)
         assert window.limit > limit and window.in_flight == 0
 
     def test_late_answers_lower_the_limit_once_a_round_and_not_below_its_minimum(self) -> None:
@@ -111,8 +111,8 @@
         limit = window.limit
         for _ in range(10):
             window.note_sent()
-            window.note_answered(0, LATE_ANSWER_MS + 1)
+            window.note_done(0, LATE_ANSWER_MS + 1, True)
         assert 0.5 * limit < window.limit < limit
         for sent_ms in range(1_000, 100_000, 1_000):
-            window.note_answered(sent_ms, sent_ms + LATE_ANSWER_MS + 1)
+            window.note_done(sent_ms, sent_ms + LATE_ANSWER_MS + 1, True)
         assert window.limit == MIN_LIMIT
