--- a/devtools/run_tests.py
+++ b/devtools/run_tests.py
@@ -43,9 +43,7 @@
     for test, command, seed, observed, issue in entries:
         print(f"known red: {test}: {observed} (seed {seed}, issue {issue}, run `{command}`)")
     # A test that is named runs even if it is known to fail.
-    deselections = [
-        f"--deselect={entry[0]}" for entry in entries if not any(entry[0] == arg for arg in args)
-    ]
+    deselections = [f"--deselect={entry[0]}" for entry in entries if entry[0] not in args]
     return int(pytest.main([*paths, *deselections, "-q", "-p", "no:cacheprovider", *args]))
 
 
--- a/src/greengagewood/internal/cells/cell.py
+++ b/src/greengagewood/internal/cells/cell.py
@@ -281,9 +281,7 @@
         orders: list[Order] = []
         listed_keys: set[tuple[Task, int]] = set()
         for listed_run in reply.running:
-            task = self.book.find_task(listed_run.task_id) or self.book.open_listed_task(
-                listed_run.task_id, self._adopting
-            )
+            task = self.book.find_listed_task(listed_run.task_id, self._adopting)
             if task is None or not self._match_listed_run(worker, task, listed_run, now_ms):
                 task = self._track_unexpected_run(worker, listed_run, now_ms)
             if task is not None:
@@ -392,9 +390,7 @@
         for unexpected in [r for r in worker.runs.values() if r.task.end_state == "unexpected"]:
             if (unexpected.task.id, unexpected.number) == (end.task_id, end.run_number):
                 self._end_run(worker, unexpected, "ended", now_ms)
-        task = self.book.find_task(end.task_id) or self.book.open_listed_task(
-            end.task_id, self._adopting
-        )
+        task = self.book.find_listed_task(end.task_id, self._adopting)
         if task is None:
             return
         self.book.note_started(task.step.job)
--- a/src/greengagewood/internal/cells/planner.py
+++ b/src/greengagewood/internal/cells/planner.py
@@ -189,15 +189,7 @@
                 first_arrivals_ms[step.spec.image] = min(
                     arrived_ms, first_arrivals_ms.get(step.spec.image, arrived_ms)
                 )
-        uncommitted_services = {
-            service for service, workers in by_service.items() if is_mostly_uncommitted(workers)
-        }
-        starving_steps = {
-            step
-            for step in steps
-            if self._is_starving(step, now_ms)
-            and self.queue_of(step.job).service in uncommitted_services
-        }
+        starving_steps = self._starving_steps(steps, by_service, now_ms)
         # Each starving step gets a single task. If only few tasks may start, the others would leave
         # them none, so they come first within their priority.
         few_starts = max_starts < FEW_STARTS_PER_PLAN
@@ -228,6 +220,21 @@
         """Return whether a long-running step still waits for others, to be placed with them."""
         return step.spec.long_running and now_ms - step.job.arrived_ms < GROUPING_DELAY_MS
 
+    def _starving_steps(
+        self, steps: list[Step], by_service: dict[str, list[Worker]], now_ms: int
+    ) -> set[Step]:
+        """Return the steps of starving jobs whose services have most CPUs uncommitted."""
+        candidates: dict[str, list[Step]] = {}  # by service
+        for step in steps:
+            if self._is_starving(step, now_ms):
+                candidates.setdefault(self.queue_of(step.job).service, []).append(step)
+        return {
+            step
+            for service, starving in candidates.items()
+            if is_mostly_uncommitted(by_service.get(service, []))
+            for step in starving
+        }
+
     @staticmethod
     def _is_starving(step: Step, now_ms: int) -> bool:
         job = step.job
--- a/src/greengagewood/internal/connections.py
+++ b/src/greengagewood/internal/connections.py
@@ -60,26 +60,24 @@
     def all_idle(self, server: web.Server, idle_ms: int) -> bool:
         """Return whether every open connection has been idle for this long."""
         now_ms = monotonic_ms()
-        transports = [c.transport for c in server.connections if c.transport is not None]
-        states = [self._state(transport) for transport in transports]
         return all(
-            state.requests_in_progress == 0 and now_ms - state.last_active_ms >= idle_ms
-            for state in states
+            self._idle_ms(transport, now_ms) >= idle_ms for transport in _open_transports(server)
         )
 
+    def _idle_ms(self, transport: asyncio.BaseTransport, now_ms: int) -> int:
+        """Return for how long a connection has been idle; -1 if a request is in progress."""
+        state = self._state(transport)
+        return -1 if state.requests_in_progress else now_ms - state.last_active_ms
+
     async def enforce_limits(self, server: web.Server) -> None:
         """Close connections that are idle for too long, and the newest ones above the maximum.
 
         A connection with a request in progress is never closed.
         """
         now_ms = monotonic_ms()
-        transports = [c.transport for c in server.connections if c.transport is not None]
+        transports = _open_transports(server)
         for transport in transports:
-            state = self._state(transport)
-            if (
-                state.requests_in_progress == 0
-                and now_ms - state.last_active_ms > self.idle_limit_ms
-            ):
+            if self._idle_ms(transport, now_ms) > self.idle_limit_ms:
                 self.metrics.count("connections_closed", reason="quiet")
                 transport.abort()
         for transport in transports[self.max_connections :]:
@@ -87,3 +85,7 @@
                 self.metrics.count("connections_closed", reason="too_many")
                 transport.abort()
         await asyncio.sleep(CHECK_INTERVAL_S)
+
+
+def _open_transports(server: web.Server) -> list[asyncio.Transport]:
+    return [c.transport for c in server.connections if c.transport is not None]
--- a/src/greengagewood/internal/entry/node.py
+++ b/src/greengagewood/internal/entry/node.py
@@ -86,8 +86,8 @@
         )
         self._runner: CellRunner | None = None
         self._loaded = False
-        self._started_ms = monotonic_ms()
-        self._last_read_ms: int | None = None
+        # When the store was last read up to its end; before the first time, too long ago.
+        self._last_read_ms = monotonic_ms() - MAX_READ_AGE_MS
         self._reads_failing = False
         self._tasks: list[asyncio.Future[None]] = []
 
@@ -171,12 +171,7 @@
         return not self._reads_failing and self.read_age_ms() > STATE_REFRESH_AGE_MS
 
     def read_age_ms(self) -> int:
-        """Return the time since the last read of the store up to its end.
-
-        Before the first one, it is too long for new records, and rises from the start on.
-        """
-        if self._last_read_ms is None:
-            return monotonic_ms() - self._started_ms + MAX_READ_AGE_MS
+        """Return the time since the last read of the store up to its end."""
         return monotonic_ms() - self._last_read_ms
 
     async def _read_to_end(self, timeout_s: float) -> None:
@@ -193,7 +188,7 @@
                         break
         except (TimeoutError, LogTruncated) as exc:
             raise StoreUnavailable(repr(exc)) from exc
-        self._last_read_ms = max(now_ms, self._last_read_ms or 0)
+        self._last_read_ms = max(now_ms, self._last_read_ms)
 
     # The cell's log.
 
--- a/src/greengagewood/internal/gateway.py
+++ b/src/greengagewood/internal/gateway.py
@@ -154,7 +154,7 @@
         await asyncio.sleep(self._cfg.drain_grace_ms / 1000)
         await self._caller_listener.stop_accepting()
         await self._caller_listener.wait_until_idle(STOP_TIMEOUT_S)
-        await self._runner.cleanup()
+        await self._caller_listener.close()
         await self._keyed_requests.stop()
         for loop in self._loops:
             loop.cancel()
--- a/src/greengagewood/internal/jobs/book.py
+++ b/src/greengagewood/internal/jobs/book.py
@@ -128,6 +128,11 @@
                 yield from step.tasks
 
 
+def _work_cpu_ms(spec: StepSpec, task_count: int) -> int:
+    """Return the estimated work of some tasks of a step in CPU milliseconds."""
+    return task_count * spec.cpu_millis * spec.estimate_ms // 1000
+
+
 def critical_path_lengths(steps: tuple[StepSpec, ...]) -> tuple[int, ...]:
     """Return for each step the length in ms of the longest dependency chain from it on."""
     lengths = [step.estimate_ms for step in steps]
@@ -166,7 +171,7 @@
         if submission.job_id in self.jobs:
             return None
         steps = submission.spec.steps
-        total_cpu_ms = sum(s.task_count * s.cpu_millis * s.estimate_ms // 1000 for s in steps)
+        total_cpu_ms = sum(_work_cpu_ms(spec, spec.task_count) for spec in steps)
         job = Job(submission, now_ms, offset, critical_path_lengths(steps), total_cpu_ms)
         job.maybe_inherited = maybe_running
         self.jobs[submission.job_id] = job
@@ -248,17 +253,14 @@
         tasks = steps[task_id.step].tasks
         return tasks[task_id.number] if 0 <= task_id.number < len(tasks) else None
 
-    def open_listed_task(self, task_id: TaskId, maybe_running: bool) -> Task | None:
-        """Open the occurrence of a task that a worker lists, and return the task.
+    def find_listed_task(self, task_id: TaskId, maybe_running: bool) -> Task | None:
+        """Return a task that a worker lists, and open its occurrence if it was not opened yet.
 
-        Return None if there is no such task, or if its job has ended.
+        Return None if there is no such task.
         """
-        job = self.jobs.get(task_id.job_id)
-        if job is None or job.is_final or job.id not in self.timed_jobs:
-            return None
-        if not 0 <= task_id.occurrence < max(1, job.submission.spec.occurrences):
-            return None
-        self.open_occurrence(job, task_id.occurrence, maybe_running)
+        job = self.timed_jobs.get(task_id.job_id)  # any other job was opened when it was added
+        if job is not None and 0 <= task_id.occurrence < max(1, job.submission.spec.occurrences):
+            self.open_occurrence(job, task_id.occurrence, maybe_running)
         return self.find_task(task_id)
 
     def placeholder_task(self, task_id: TaskId) -> Task | None:
@@ -277,8 +279,7 @@
     def remaining_cpu_ms(self, job: Job, occurrence: int) -> int:
         """Return the unfinished work of an occurrence in CPU milliseconds."""
         return sum(
-            step.unfinished_count * step.spec.cpu_millis * step.spec.estimate_ms // 1000
-            for step in job.occurrences[occurrence]
+            _work_cpu_ms(step.spec, step.unfinished_count) for step in job.occurrences[occurrence]
         )
 
     # Readiness.
--- a/src/greengagewood/internal/owner.py
+++ b/src/greengagewood/internal/owner.py
@@ -232,9 +232,10 @@
         if isinstance(record, CellSnapshot):
             return
         match record:
-            case CellReleased() | TasksProgressed() | WorkersChanged() | JobsAdopted():
-                if record.epoch != self.epoch:
-                    return  # the append belongs to an earlier term of this scheduler
+            case CellReleased() | TasksProgressed() | WorkersChanged() | JobsAdopted() if (
+                record.epoch != self.epoch
+            ):
+                return  # the append belongs to an earlier term of this scheduler
         if isinstance(record, CellReleased) and not durable:
             self._release_append_due = True
         self._append_in_flight = False
--- a/src/greengagewood/platform/manifest.py
+++ b/src/greengagewood/platform/manifest.py
@@ -147,6 +147,7 @@
 
     async def _read_page(self) -> LogPage:
         if self._next_offset is None:
+            self._skipped_records = False
             return await self._topic.load()
         return await self._topic.read(self._next_offset, READ_LONG_POLL_MS, MAX_READ_KB)
 
@@ -155,7 +156,6 @@
         if self._skipped_records and page.entries and not candidates:
             # The newest record is not the manifest, so the newest manifest may have been skipped.
             self._next_offset = None
-            self._skipped_records = False
             return None
         if page.entries:
             self._skipped_records = False
--- a/tests/common/backlog.py
+++ b/tests/common/backlog.py
@@ -7,11 +7,11 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Callable
-from dataclasses import dataclass, field
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, field, replace
 
 from greengagewood.internal.cells.planner import Planner
-from greengagewood.internal.jobs.book import Step
+from greengagewood.internal.jobs.book import Job, Step
 from greengagewood.internal.jobs.model import StepSpec
 from greengagewood.internal.ports import RunEnd
 from tests.common.desk import QUEUE, CellHarness, start_orders
@@ -40,7 +40,6 @@
     owed: float = 0.0
     earned: float = 0.0
     in_time_count: int = 0
-    _ends: dict[str, list[RunEnd]] = field(default_factory=dict)
     _finish_ms: list[tuple[int, str, RunEnd]] = field(default_factory=list)
 
     def play(self) -> Backlog:
@@ -79,13 +78,15 @@
             for depends_on in ((), (0,))
         ]
         self.harness.submit(*steps, job=f"{number:016x}")
-        cpu_s = sum(map(self._cpu_s, steps))
-        self.owed += FIXED_VALUE + VALUE_PER_CPU_S * cpu_s
-        return cpu_s
+        self.owed += self._value(steps)
+        return self._cpu_s(steps)
 
     @staticmethod
-    def _cpu_s(spec: StepSpec) -> float:
-        return spec.task_count * spec.cpu_millis / 1000 * spec.estimate_ms / 1000
+    def _cpu_s(steps: Sequence[StepSpec]) -> float:
+        return sum(s.task_count * s.cpu_millis / 1000 * s.estimate_ms / 1000 for s in steps)
+
+    def _value(self, steps: Sequence[StepSpec]) -> float:
+        return FIXED_VALUE + VALUE_PER_CPU_S * self._cpu_s(steps)
 
     def _step(self) -> None:
         harness = self.harness
@@ -100,24 +101,18 @@
         self._finish_ms = [entry for entry in self._finish_ms if entry[0] > harness.now_ms]
         for _, name, end in finished:
             sequence = harness.cell.workers[name].last_end_sequence + 1
-            running = {job.id for job in harness.cell.book.jobs.values() if not job.is_final}
-            harness.answer_lease(
-                name,
-                ends=(RunEnd(sequence, end.task_id, end.run_number, end.result, ""),),
-            )
             job = harness.cell.book.jobs[end.task_id.job_id]
-            if job.is_final and job.id in running:
-                self._note_ended(job.id)
+            was_final = job.is_final
+            harness.answer_lease(name, ends=(replace(end, sequence=sequence),))
+            if job.is_final and not was_final:
+                self._note_ended(job)
         for name in harness.worker_infos:
             harness.cell.workers[name].last_answer_ms = harness.now_ms
 
-    def _note_ended(self, job_id: str) -> None:
-        job = self.harness.cell.book.jobs[job_id]
+    def _note_ended(self, job: Job) -> None:
         age_ms = self.harness.now_ms - job.arrived_ms
         objective_ms = QUEUE.slack_factor * max(job.critical_paths_ms) + QUEUE.target_ms
-        value = FIXED_VALUE + sum(
-            VALUE_PER_CPU_S * self._cpu_s(spec) for spec in job.submission.spec.steps
-        )
+        value = self._value(job.submission.spec.steps)
         if age_ms <= objective_ms:
             self.in_time_count += 1
             self.earned += value
--- a/tests/common/storestub.py
+++ b/tests/common/storestub.py
@@ -20,6 +20,21 @@
 from greengagewood.platform.store import KeyedLog, _frame_record
 from greengagewood.platform.wire import new_session
 
+# A route and a manifest, as operators write them.
+ROUTE = {
+    "name": "r",
+    "host": "h",
+    "path-prefix": "/p/",
+    "kind": "non_idempotent",
+    "timeout-ms": 3000,
+    "target-latency-ms": 250,
+    "priority": 0,
+    "service": "svc",
+    "max-attempts": 4,
+    "slack-factor": 1.5,
+}
+MANIFEST = {"version": 7, "routes": [ROUTE], "services": [{"name": "svc"}], "limits": {}}
+
 CHUNK_BYTES = 8 * 1024
 PAGE_ITEMS = 500
 WAIT_STEP_S = 0.02
--- a/tests/cover/test_manifest.py
+++ b/tests/cover/test_manifest.py
@@ -12,7 +12,7 @@
 from greengagewood.platform import manifest as manifest_module
 from greengagewood.platform.manifest import ManifestParser, ManifestSource
 from tests.common.drive import QUEUES
-from tests.common.storestub import StoreStub, client_of, running_store
+from tests.common.storestub import ROUTE, StoreStub, client_of, running_store
 
 # 2 Mbit/s: a manifest of ROUTE_COUNT routes takes longer than a read may stay silent.
 SMALL_LINK_BYTES_PER_S = 250_000
@@ -22,16 +22,10 @@
 
 def _route(number: int) -> dict[str, object]:
     return {
+        **ROUTE,
         "name": f"queue-{number}",
         "host": "miti30.example",
         "path-prefix": f"/sewu{number}/wu75/",
-        "kind": "non_idempotent",
-        "timeout-ms": 3000,
-        "target-latency-ms": 250,
-        "priority": 0,
-        "service": "svc",
-        "max-attempts": 4,
-        "slack-factor": 1.5,
         "retries": 4,
     }
 
--- a/tests/cover/test_platform_border.py
+++ b/tests/cover/test_platform_border.py
@@ -22,6 +22,7 @@
 from greengagewood.platform.manifest import ManifestParser, ManifestSource
 from greengagewood.platform.store import _frame_record, _parse_records
 from greengagewood.platform.workers import format_task_name, parse_task_name
+from tests.common.storestub import MANIFEST, ROUTE
 
 JSON_VALUES = st.recursive(
     st.none() | st.booleans() | st.integers() | st.floats(allow_nan=False) | st.text(max_size=8),
@@ -40,19 +41,6 @@
     "labels": ["a", "r1-3"],
     "seq": 4,
 }
-ROUTE = {
-    "name": "r",
-    "host": "h",
-    "path-prefix": "/p/",
-    "kind": "non_idempotent",
-    "timeout-ms": 3000,
-    "target-latency-ms": 250,
-    "priority": 0,
-    "service": "svc",
-    "max-attempts": 4,
-    "slack-factor": 1.5,
-}
-MANIFEST = {"version": 7, "routes": [ROUTE], "services": [{"name": "svc"}], "limits": {}}
 
 
 def _job(*steps: object) -> bytes:
--- a/tests/cover/test_reader_doubts.py
+++ b/tests/cover/test_reader_doubts.py
@@ -12,6 +12,7 @@
 from greengagewood.internal import celllog
 from greengagewood.internal.celllog import CellLog
 from greengagewood.internal.interference import LatencySample
+from greengagewood.internal.membership import Membership
 from greengagewood.internal.messages import Member
 from greengagewood.internal.native.logservice import (
     AppendOutcomeUnknown,
@@ -154,8 +155,6 @@
 
 class TestMembership:
     def test_a_changed_address_of_a_keeper_is_a_change(self) -> None:
-        from greengagewood.internal.membership import Membership
-
         def member(name: str, number: int, address: str) -> Member:
             return Member(name, "d", 1, number, False, address, "", "", (0, ""))  # type: ignore[arg-type]
 
