--- a/tests/cover/test_manifest.py
+++ b/tests/cover/test_manifest.py
@@ -8,7 +8,13 @@
 import pytest
 
 from greengagewood.internal.entry.routes import RouteTable
-from greengagewood.internal.ports import Configuration, LogEntry, LogPage, RouteRule
+from greengagewood.internal.ports import (
+    Configuration,
+    LogEntry,
+    LogPage,
+    LogTruncated,
+    RouteRule,
+)
 from greengagewood.platform import manifest as manifest_module
 from greengagewood.platform.manifest import ManifestParser, ManifestSource
 from tests.common.drive import QUEUES
@@ -91,6 +97,9 @@
         return self.pages.pop(0)
 
     async def read(self, start: int, wait_ms: int, max_kb: int) -> LogPage:
+        if not self.pages[0].entries and self.pages[0].end_offset < 0:
+            self.pages.pop(0)
+            raise LogTruncated("log-read")
         return self.pages.pop(0)
 
 
@@ -109,6 +118,20 @@
         assert [config.version if config else None for config in configs] == [1, 2, None, 3]
         assert log.loads == 2
 
+    async def test_a_truncation_after_skipped_records_leads_to_one_load(self) -> None:
+        truncated = LogPage((), 0)
+        log = _Pages(
+            LogPage((LogEntry(0, "config", _manifest(1, 1)),), 1, 1),
+            LogPage((LogEntry(1, "config", _manifest(2, 1)),), 2, 5),
+            truncated,
+            LogPage((LogEntry(4, "wave/1", b"{}"),), 5),  # everything, without a manifest
+            LogPage((LogEntry(5, "config", _manifest(3, 1)),), 6, 6),
+        )
+        source = ManifestSource(log)  # type: ignore[arg-type]
+        configs = [await source.next() for _ in range(5)]
+        assert [config.version if config else None for config in configs] == [1, 2, None, None, 3]
+        assert log.loads == 2
+
     async def test_every_failed_read_is_logged(self, monkeypatch: pytest.MonkeyPatch) -> None:
         events: list[str] = []
         monkeypatch.setattr(
