--- a/src/greengagewood/internal/cells/planner.py
+++ b/src/greengagewood/internal/cells/planner.py
@@ -45,6 +45,7 @@
 # A best-effort job that arrived longer ago than this and has no runs gets one task placed, if most
 # CPUs are uncommitted.
 STARVING_AFTER_MS = 3_000
+FEW_STARTS_PER_PLAN = 32  # with fewer, the owner is short of processor time, not of room
 
 
 class _UnplaceableSteps:
@@ -188,10 +189,27 @@
                 first_arrivals_ms[step.spec.image] = min(
                     arrived_ms, first_arrivals_ms.get(step.spec.image, arrived_ms)
                 )
-        for step in sorted(steps, key=lambda step: self._rank(step, first_arrivals_ms, now_ms)):
+        uncommitted_services = {
+            service for service, workers in by_service.items() if is_mostly_uncommitted(workers)
+        }
+        starving_steps = {
+            step
+            for step in steps
+            if self._is_starving(step, now_ms)
+            and self.queue_of(step.job).service in uncommitted_services
+        }
+        # Each starving step gets a single task. If only few tasks may start, the others would leave
+        # them none, so they come first within their priority.
+        few_starts = max_starts < FEW_STARTS_PER_PLAN
+
+        def rank(step: Step) -> tuple[int, bool, tuple[int, int, int, int, str, float]]:
+            step_rank = self._rank(step, first_arrivals_ms, now_ms)
+            return step_rank[0], few_starts and step not in starving_steps, step_rank
+
+        for step in sorted(steps, key=rank):
             queue = self.queue_of(step.job)
             workers = by_service.get(queue.service, [])
-            starving = self._is_starving(step, now_ms) and is_mostly_uncommitted(workers)
+            starving = step in starving_steps
             if not starving and unplaceable.rules_out(queue.service, step):
                 continue
             step_orders, unplaced = self._place_step(
--- a/tests/cover/test_planner.py
+++ b/tests/cover/test_planner.py
@@ -8,7 +8,11 @@
 
 from greengagewood.internal.cells.fleet import Worker
 from greengagewood.internal.cells.orders import StartRun
-from greengagewood.internal.cells.planner import BEST_EFFORT_INTERVAL_MS, GROUPING_DELAY_MS
+from greengagewood.internal.cells.planner import (
+    BEST_EFFORT_INTERVAL_MS,
+    GROUPING_DELAY_MS,
+    STARVING_AFTER_MS,
+)
 from greengagewood.internal.cells.tails import TailLatencyModel
 from greengagewood.internal.jobs.book import JobBook
 from greengagewood.internal.jobs.model import JobSpec, StepSpec
@@ -177,3 +181,21 @@
         orders = model.plan_speed_limits(worker, 500, lambda run: values[run])
         slowed = {order.run: order.speed_percent for order in orders}
         assert slowed[runs["old"]] < slowed.get(runs["new"], 100)
+
+
+class TestStarvingJobs:
+    """Guard against a job of which nothing runs while most of the CPUs are uncommitted."""
+
+    def test_an_old_job_without_runs_gets_a_task_even_if_few_may_start(self) -> None:
+        # An owner that is short of processor time starts only a few tasks per plan, and always
+        # finds some of a better rank. Found by: fleetbench sweep, 100 instances (LOST).
+        harness = CellHarness("w0", "w1")
+        spec = TestBestEffortOrder._spec(40, estimate_ms=3_000)
+        harness.submit(spec, job="0" * 16)
+        harness.now_ms += STARVING_AFTER_MS + 1
+        for name in harness.worker_infos:
+            harness.answer_lease(name)
+        for number in range(1, 6):
+            harness.submit(TestBestEffortOrder._spec(2), job=f"{number:016x}")
+        orders = harness.cell.plan(harness.now_ms + BEST_EFFORT_INTERVAL_MS, 0, max_starts=1)
+        assert [start.run.task.id.job_id for start in start_orders(orders)] == ["0" * 16]
