Log the workers that an adoption waits for

The event adoption_waits names up to ten of them, how many are unlisted, how many tasks are held back and how long the wait may last; it is repeated every 1.5 s. No decision changes.

--- a/src/greengagewood/internal/cells/cell.py
+++ b/src/greengagewood/internal/cells/cell.py
@@ -58,6 +58,8 @@
 FIRST_WORKER_BACKOFF_MS = 1_000  # each backoff is twice as long as the last, until a success
 LONGEST_WORKER_BACKOFF_MS = 8_000
 MAX_ORDER_DELAY_MS = 12_000  # a worker carries out an order at most this long after it was sent
+ADOPTION_REPORT_DELAY_MS = 1_500  # an adoption that takes longer is reported, and again after this
+MAX_REPORTED_WORKERS = 10  # bounds the length of a log line
 FAILURES_BEFORE_BACKOFF = 3  # among a worker's last eight outcomes, with no success among them
 
 
@@ -100,6 +102,7 @@
         self._unknown_run_stop_sent_ms: dict[tuple[str, TaskId, int], int] = {}
         self._registration_due = False
         self._adopting = True  # until every worker is known to have no other runs of the cell
+        self._adoption_report_ms = now_ms + ADOPTION_REPORT_DELAY_MS
         self._next_move_ms = 0  # no run is moved before this time
         self._last_stop_scan_ms: int | None = None  # None requests a scan by the next plan
 
@@ -535,10 +538,13 @@
         """
         if not self._adopting and not self.book.maybe_running_tasks:
             return
-        if now_ms <= self._earlier_orders_expiry_ms and not all(
-            worker.adopted or (worker.unresponsive and worker.orders_expired(now_ms))
+        unresolved = [
+            worker
             for worker in self.workers.values()
-        ):
+            if not worker.adopted and not (worker.unresponsive and worker.orders_expired(now_ms))
+        ]
+        if unresolved and now_ms <= self._earlier_orders_expiry_ms:
+            self._report_adoption(unresolved, now_ms)
             return
         if self._adopting:
             self._adopting = False
@@ -546,6 +552,22 @@
         for task in list(self.book.maybe_running_tasks):
             self.book.note_not_running(task, now_ms)
 
+    def _report_adoption(self, unresolved: list[Worker], now_ms: int) -> None:
+        """Report the workers that the adoption waits for, if it has taken long."""
+        if now_ms < self._adoption_report_ms:
+            return
+        self._adoption_report_ms = now_ms + ADOPTION_REPORT_DELAY_MS
+        self.on_event(
+            "adoption_waits",
+            {
+                "workers": [worker.name for worker in unresolved[:MAX_REPORTED_WORKERS]],
+                "worker_count": len(unresolved),
+                "unlisted": sum(not worker.in_directory for worker in unresolved),
+                "unknown": len(self.book.maybe_running_tasks),
+                "for_ms": self._earlier_orders_expiry_ms - now_ms,
+            },
+        )
+
     def _plan_stops(self, now_ms: int) -> list[Order]:
         orders: list[Order] = []
         for worker in self.workers.values():
