--- a/tests/common/plant.py
+++ b/tests/common/plant.py
@@ -267,6 +267,15 @@
         worker.runs.clear()
         worker.ends.clear()
 
+    def drain(self, name: str) -> None:
+        """Let a worker announce that it leaves; `crash` makes it leave."""
+        worker = self.workers[name]
+        worker.info = replace(worker.info, draining=True)
+
+    def running_tasks(self) -> set[TaskId]:
+        """Return the tasks that have a run on any worker."""
+        return {task for worker in self.workers.values() if worker.up for task in worker.runs}
+
     def restart(self, name: str) -> None:
         old_worker = self.workers[name]
         worker_info = replace(old_worker.info, boot_time_ms=int(monotonic_ms()) + 1)
