Let the lease of a worker that does not answer expire

Callers saw long-running tasks, and batch tasks, that never ran again after their worker was lost for good without a word, as long as the same instance owned the cell.

Cause: the owner sent each lease extension with a new deadline, also to a worker that had not answered for seconds. It must assume that any of them may have arrived, so the latest deadline moved on with the clock and the lease never counted as expired.

Ruled out: the directory (the worker is no longer listed, but its lease still counts), and the planner (the tasks are not waiting).

Change: while a worker does not answer, lease extensions carry no deadline; they still ask for its list, and the first answer brings the next deadline.

--- a/src/greengagewood/internal/cells/cell.py
+++ b/src/greengagewood/internal/cells/cell.py
@@ -250,9 +250,12 @@
     def prepare_lease_extension(self, worker: Worker, now_ms: int) -> tuple[int | None, int]:
         """Return the deadline of a worker's new lease, and the number of its last stored run end.
 
-        The deadline is None if the worker's clock was never read.
+        The deadline is None if the worker's clock was never read. It is also None while the worker
+        does not answer, so that its lease expires and its tasks can be started elsewhere.
         """
-        deadline = worker.deadline_in(self.limits.lease_ms, now_ms)
+        deadline = None
+        if not worker.unresponsive:
+            deadline = worker.deadline_in(self.limits.lease_ms, now_ms)
         if deadline is not None:
             worker.latest_deadline_ms = max(worker.latest_deadline_ms, deadline)
         return deadline, worker.acknowledged_sequence
