Pass on where tasks may run from one owner of a cell to the next

Cause: a new owner took every inherited task that no worker listed as possibly running until each registered worker had answered, or 11.1 s from its own claim had passed. Workers that had left stayed registered, and nothing that an owner knew reached the next one but the jobs' progress. With an owner every 1.2 to 2 s no adoption ended; a task that had been stopped on a draining worker, and not yet started elsewhere, waited through all of them. The class of fault: a wait for evidence that each new owner starts anew, though the evidence existed.

Ruled out: room and order (both tasks started 10 ms after 'adopted'), and lost ends (the worker listed them; the next owner read them and still could not tell whether the task had been started once more).

Change: the record of registered workers says for a worker that drains, or has been silent for 3 s, which tasks it can run, and leaves out one that can run none; such a worker is stored anew before the next start there. The last record of a planned stop says so for all workers, with the time until every order has expired; lease extensions and commits end before it. The next owner holds back only the tasks that a worker which doesn't answer can run, and only until then. The limits count only if they are of the term just before, so an owner that was killed before its first record, or one of an older release, is never trusted too far. Workers that only the directory names no longer delay an adoption: they were never sent a start. At adoption, what earlier owners may have ordered is bounded by one lease from then.

test_a_due_occurrence_waits.. now registers the worker that it waits for: a worker that no stored record names cannot have runs. It asserts what it did before.

--- a/src/greengagewood/internal/cells/cell.py
+++ b/src/greengagewood/internal/cells/cell.py
@@ -15,9 +15,8 @@
 A run on an unresponsive worker is over when the worker's clock has certainly passed every deadline
 that the worker was ever given.
 
-A task that an earlier owner may have started is `maybe_running` until every registered worker
-either has accepted this owner's token and listed its runs, or is unresponsive and its leases have
-certainly expired.
+A task that an earlier owner may have started is `maybe_running` until it is ruled out on every
+registered worker, see `registration`.
 """
 
 from __future__ import annotations
@@ -33,12 +32,17 @@
     ThrottleRun,
 )
 from greengagewood.internal.cells.planner import Planner
+from greengagewood.internal.cells.registration import (
+    inherit_limits,
+    is_limited,
+    registration_record,
+    tasks_held_back,
+)
 from greengagewood.internal.jobs.book import JobBook, Run, Task
 from greengagewood.internal.jobs.model import Queue
 from greengagewood.internal.jobs.records import (
     Progress,
     Record,
-    RegisteredWorker,
     RegisteredWorkers,
     Submission,
     TaskId,
@@ -152,12 +156,14 @@
             worker.in_directory = name in listed
             if not worker.in_directory and worker.unresponsive and worker.orders_expired(now_ms):
                 self._remove_worker(worker, now_ms)
+        for worker in self.workers.values():
+            if worker.registered == is_limited(worker, now_ms):
+                self._registration_due = True
         self.planner.request_replan()
 
     def _add_worker(self, info: WorkerInfo, now_ms: int) -> Worker:
-        worker = Worker(info, now_ms, earlier_orders_expiry_ms=self._earlier_orders_expiry_ms)
+        worker = Worker(info, now_ms)
         self.workers[info.worker_id] = worker
-        self._registration_due = True
         return worker
 
     def _update_worker(self, worker: Worker, info: WorkerInfo) -> None:
@@ -165,11 +171,14 @@
             self.on_event("worker_draining", {"worker": info.worker_id})
         worker.info = info
 
-    def set_registered_workers(self, registered: RegisteredWorkers, now_ms: int) -> None:
-        """Add the workers to which earlier owners may have sent orders.
+    def set_registered_workers(
+        self, registered: RegisteredWorkers, read_ms: int, now_ms: int
+    ) -> None:
+        """Add the workers to which earlier owners may have sent orders, by a record read earlier.
 
         A worker that the directory does not list is added as draining and without resources.
         """
+        valid = registered.token == self.token - 1
         for stored in registered.workers:
             worker = self.workers.get(stored.worker_id)
             if worker is None:
@@ -189,8 +198,8 @@
                 )
                 worker = self._add_worker(info, now_ms)
                 worker.in_directory = False
-            worker.registered = True
-        self._registration_due = any(not worker.registered for worker in self.workers.values())
+            inherit_limits(worker, stored, read_ms, self._earlier_orders_expiry_ms, valid)
+        self._registration_due = True
 
     def _replace_rebooted(self, worker: Worker, info: WorkerInfo, now_ms: int) -> None:
         """Replace a worker that has rebooted, and so has none of its earlier runs."""
@@ -198,6 +207,9 @@
         rebooted = Worker(
             info, now_ms, registered=worker.registered, in_directory=worker.in_directory
         )
+        if worker.may_run_inherited(now_ms):  # a late start may still reach the new boot
+            rebooted.inherited_tasks = worker.inherited_tasks
+            rebooted.earlier_orders_expiry_ms = worker.earlier_orders_expiry_ms
         self.workers[info.worker_id] = rebooted
         for run in list(worker.runs.values()):
             if worker.last_answer_ms is not None and run.started_ms < worker.last_answer_ms:
@@ -278,6 +290,8 @@
         worker.note_clock(reply.clock_ms, now_ms)
         if worker.unresponsive:
             worker.unresponsive = False
+            if not worker.registered:
+                self._registration_due = True
             self.on_event("worker_answers", {"worker": worker.name})
         worker.last_answer_ms = now_ms
         for end in reply.ended:
@@ -298,6 +312,7 @@
         self.planner.tail_model.learn(worker, now_ms)
         if not worker.adopted:
             worker.adopted = True
+            self._shorten_earlier_expiry(worker, now_ms)
             self.on_event("worker_adopted", {"worker": worker.name, "runs": len(listed_keys)})
         orders.extend(
             self.planner.tail_model.plan_speed_limits(
@@ -307,6 +322,18 @@
         self.planner.request_replan()
         return orders
 
+    def _shorten_earlier_expiry(self, worker: Worker, now_ms: int) -> None:
+        """Bound the orders of earlier owners to a worker that has just accepted this one's token.
+
+        None of them arrives any more, so the longest lease that they can have given begins now.
+        """
+        if any(run.accepted_ms is None for run in worker.runs.values()):
+            return  # a start sent to an earlier boot may still reach this one
+        longest_lease_ms = int(self.limits.lease_ms * (1 + MAX_CLOCK_DRIFT))
+        worker.earlier_orders_expiry_ms = min(
+            worker.earlier_orders_expiry_ms, now_ms + longest_lease_ms
+        )
+
     def _match_listed_run(
         self, worker: Worker, task: Task, listed_run: RunningTask, now_ms: int
     ) -> bool:
@@ -534,26 +561,21 @@
                 self.book.open_occurrence(job, number, self._adopting and job.maybe_inherited)
 
     def _finish_adoption(self, now_ms: int) -> None:
-        """Mark tasks as not running once no run that an earlier owner started can go on unlisted.
-
-        That is when every worker either has listed its runs or is unresponsive and its leases have
-        expired, or when every lease and order of earlier owners has expired.
-        """
+        """Mark the tasks as not running that no run of an earlier owner can go on with unlisted."""
         if not self._adopting and not self.book.maybe_running_tasks:
             return
-        unresolved = [
-            worker
-            for worker in self.workers.values()
-            if not worker.adopted and not (worker.unresponsive and worker.orders_expired(now_ms))
-        ]
-        if unresolved and now_ms <= self._earlier_orders_expiry_ms:
+        unresolved = [w for w in self.workers.values() if w.may_run_inherited(now_ms)]
+        if unresolved:
             self._report_adoption(unresolved, now_ms)
+        held_back = tasks_held_back(unresolved)
+        if held_back is None:
             return
-        if self._adopting:
+        if self._adopting and not unresolved:
             self._adopting = False
             self.on_event("adopted", {"unknown": len(self.book.maybe_running_tasks)})
         for task in list(self.book.maybe_running_tasks):
-            self.book.note_not_running(task, now_ms)
+            if task.id not in held_back:
+                self.book.note_not_running(task, now_ms)
 
     def _report_adoption(self, unresolved: list[Worker], now_ms: int) -> None:
         """Report the workers that the adoption waits for, if it has taken long."""
@@ -567,7 +589,7 @@
                 "worker_count": len(unresolved),
                 "unlisted": sum(not worker.in_directory for worker in unresolved),
                 "unknown": len(self.book.maybe_running_tasks),
-                "for_ms": self._earlier_orders_expiry_ms - now_ms,
+                "for_ms": max(w.earlier_orders_expiry_ms for w in unresolved) - now_ms,
             },
         )
 
@@ -661,8 +683,11 @@
 
     # Changes to store.
 
-    def collect_changes(self, wall_ms: int) -> Changes | None:
-        """Return the changes to store and clear them; return None if there are none."""
+    def collect_changes(self, wall_ms: int, now_ms: int, releasing: bool = False) -> Changes | None:
+        """Return the changes to store and clear them; return None if there are none.
+
+        With `releasing`, no orders may be sent afterwards.
+        """
         book = self.book
         records: list[Record] = []
         urgent = False
@@ -673,16 +698,15 @@
                 urgent = urgent or job.is_final or not job.maybe_started_stored
         book.changed_jobs.clear()
         registered: tuple[Worker, ...] = ()
-        if self._registration_due:
+        if self._registration_due or releasing:
             self._registration_due = False
-            registered = tuple(self.workers.values())
-            records.append(
-                RegisteredWorkers(
-                    tuple(
-                        RegisteredWorker(w.name, w.info.address, w.info.service) for w in registered
-                    )
-                )
+            record, registered = registration_record(
+                self.workers.values(), book, self.token, now_ms, releasing
             )
+            unlimited = set(registered)
+            records.append(record)
+            for worker in self.workers.values():
+                worker.registered = worker.registered and worker in unlimited
             urgent = True
         end_sequences = {
             w: w.last_end_sequence
--- a/src/greengagewood/internal/cells/fleet.py
+++ b/src/greengagewood/internal/cells/fleet.py
@@ -13,6 +13,7 @@
 
 from greengagewood.internal.jobs.book import Run, Task
 from greengagewood.internal.jobs.model import StepSpec
+from greengagewood.internal.jobs.records import TaskId
 from greengagewood.internal.ports import WorkerInfo
 
 __all__ = ["MAX_CLOCK_DRIFT", "UNRESPONSIVE_AFTER_MS", "Admission", "Resources", "Worker"]
@@ -59,6 +60,8 @@
     clock_read_ms: int | None = None  # when its clock was last read
     latest_deadline_ms: int = 0  # the latest deadline that this owner gave it, on its own clock
     earlier_orders_expiry_ms: int = 0  # when orders of earlier owners have certainly expired
+    # The tasks that earlier owners may have started here; None if it may be any.
+    inherited_tasks: frozenset[TaskId] | None = frozenset()
     last_answer_ms: int | None = None
     unresponsive: bool = False  # whether it does not answer
     runs: dict[tuple[Task, int], Run] = field(default_factory=dict)  # by task and run number
@@ -174,6 +177,22 @@
             self.latest_deadline_ms, now_ms
         )
 
+    def remaining_order_ms(self, now_ms: int) -> int:
+        """Return an upper bound of the time until the orders that any owner sent have expired."""
+        remaining_ms = max(0, self.earlier_orders_expiry_ms - now_ms)
+        if self.clock_read_ms is not None:
+            longest_ms = int((self.latest_deadline_ms - self.clock_ms) * (1 + MAX_CLOCK_DRIFT)) + 1
+            remaining_ms = max(remaining_ms, longest_ms - (now_ms - self.clock_read_ms))
+        return remaining_ms
+
+    def may_run_inherited(self, now_ms: int) -> bool:
+        """Return whether runs of earlier owners may go on, or start, without being listed."""
+        return (
+            not self.adopted
+            and self.inherited_tasks != frozenset()
+            and now_ms <= self.earlier_orders_expiry_ms
+        )
+
     # Failures.
 
     def note_outcome(self, succeeded: bool) -> None:
--- a/src/greengagewood/internal/cells/ledger.py
+++ b/src/greengagewood/internal/cells/ledger.py
@@ -9,6 +9,7 @@
 
 from dataclasses import dataclass
 
+from greengagewood.internal.clock import monotonic_ms
 from greengagewood.internal.jobs.book import FINAL_STATES
 from greengagewood.internal.jobs.records import (
     Cancellation,
@@ -50,6 +51,8 @@
         self.jobs: dict[str, StoredJob] = {}
         self.ownership = Ownership(0, "")
         self.registered_workers = RegisteredWorkers(())
+        self.registered_workers_offset = -1
+        self.registered_workers_read_ms = 0  # when the record was first read
         self.next_offset = 0  # where the next read of the log starts
         self.claim_offset = -1  # of the first ownership record with the newest token
         self.unreadable_count = 0  # records that could not be decoded
@@ -100,6 +103,9 @@
                     self.ownership = record
             case RegisteredWorkers():
                 self.registered_workers = record
+                if offset != self.registered_workers_offset:
+                    self.registered_workers_offset = offset
+                    self.registered_workers_read_ms = monotonic_ms()
 
     def retain(self, keys: set[str], end_offset: int) -> None:
         """Delete the entries below an offset whose keys the store no longer has."""
--- a/src/greengagewood/internal/cells/runner.py
+++ b/src/greengagewood/internal/cells/runner.py
@@ -130,7 +130,9 @@
             self.cell.add_job(stored.submission, stored.progress, never_started, now_ms, offset)
             if stored.cancelled:
                 self.cell.cancel(job_id, now_ms)
-        self.cell.set_registered_workers(self._ledger.registered_workers, now_ms)
+        self.cell.set_registered_workers(
+            self._ledger.registered_workers, self._ledger.registered_workers_read_ms, now_ms
+        )
         for name, step in {
             "directory": self._refresh_directory,
             "plan": self._plan_once,
@@ -357,7 +359,7 @@
             self._lease_tasks.pop(worker).cancel()
 
     async def _extend_lease(self, worker: Worker) -> None:
-        if not self._may_send_orders():
+        if self._releasing or not self._may_send_orders():
             await asyncio.sleep(REPEATED_LEASE_PAUSE_S)
             return
         sent_ms = monotonic_ms()
@@ -394,7 +396,10 @@
     async def _commit_once(self) -> None:
         if not self.cell.has_urgent_changes:
             await self._wait_for_urgent_changes()
-        changes = self.cell.collect_changes(wall_ms())
+        if self._releasing:  # a later record would take back what the last one says
+            await asyncio.sleep(COMMIT_INTERVAL_S)
+            return
+        changes = self.cell.collect_changes(wall_ms(), monotonic_ms())
         if changes is not None and changes.records:
             await self._store(changes)
         elif changes is not None:
@@ -460,7 +465,7 @@
         self._releasing = True
         try:
             async with asyncio.timeout(RELEASE_TIMEOUT_S):
-                changes = self.cell.collect_changes(wall_ms())
+                changes = self.cell.collect_changes(wall_ms(), monotonic_ms(), releasing=True)
                 records = list(changes.records) if changes else []
                 await self._append([*records, self._ownership_record(True)])
         except TimeoutError:
--- a/src/greengagewood/internal/jobs/records.py
+++ b/src/greengagewood/internal/jobs/records.py
@@ -86,22 +86,32 @@
     ended_ms: int = 0
 
 
-class RegisteredWorker(msgspec.Struct, frozen=True, array_like=True):
-    """ID and address of a worker to which the owner may send orders."""
+class RegisteredWorker(msgspec.Struct, frozen=True, array_like=True, omit_defaults=True):
+    """A worker to which the owner may send orders, and the limits that it sets itself for them.
+
+    With `tasks`, the worker can only run these tasks, and the owner starts no others there. With
+    `orders_expire_in_ms` of 0 or more, the owner neither starts nor extends any run there, and all
+    leases and starts expire within this time after the record was appended.
+    """
 
     worker_id: str
     address: str
     service: str
+    tasks: tuple[TaskId, ...] | None = None  # None if any task may run there
+    orders_expire_in_ms: int = -1
 
 
 class RegisteredWorkers(_Record, frozen=True, tag="Enlisted"):
     """The workers to which the owner may send orders.
 
     The record is stored before the first order to any of them, so that a later owner knows which
-    workers may have runs of the cell.
+    workers may have runs of the cell. A worker that can run no task of the cell may be left out.
+
+    The limits bind only the owner with the fencing token `token`, until it stores a newer record.
     """
 
     workers: tuple[RegisteredWorker, ...]
+    token: int = 0
 
 
 class Ownership(_Record, frozen=True):
--- a/tests/common/desk.py
+++ b/tests/common/desk.py
@@ -38,7 +38,7 @@
 
     def store_changes(self) -> None:
         """Collect the changes of the cell and report them as stored."""
-        changes = self.cell.collect_changes(self.now_ms)
+        changes = self.cell.collect_changes(self.now_ms, self.now_ms)
         if changes is not None:
             self.cell.note_changes_stored(changes)
 
--- a/tests/cover/test_operator_reports.py
+++ b/tests/cover/test_operator_reports.py
@@ -15,6 +15,8 @@
 from greengagewood.internal.jobs.records import (
     Ownership,
     Progress,
+    RegisteredWorker,
+    RegisteredWorkers,
     Submission,
     TaskId,
     TaskProgress,
@@ -262,6 +264,8 @@
     def test_a_due_occurrence_waits_until_every_worker_has_listed_its_runs(self) -> None:
         harness = self._timed(Progress(JOB, "running"))
         harness.worker_infos["w9"] = make_worker_info("w9")
+        earlier = RegisteredWorkers((RegisteredWorker("w9", "10.0.0.1:80", "svc"),))
+        harness.cell.set_registered_workers(earlier, harness.now_ms, harness.now_ms)
         harness.cell.set_workers(harness.worker_infos, harness.now_ms)
         harness.store_changes()
         harness.answer_lease("w0")
--- a/tests/cover/test_owner_changes.py
+++ b/tests/cover/test_owner_changes.py
@@ -3,12 +3,25 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 
 import pytest
 
+from greengagewood.internal.cells import registration
+from greengagewood.internal.cells.cell import Cell
+from greengagewood.internal.cells.fleet import Worker
 from greengagewood.internal.clock import monotonic_ms
-from greengagewood.internal.jobs.records import TaskId
-from tests.common.drive import CellSimulation, long_running_job, run_simulation
+from greengagewood.internal.jobs.model import JobSpec, StepSpec
+from greengagewood.internal.jobs.records import (
+    Progress,
+    RegisteredWorker,
+    RegisteredWorkers,
+    Submission,
+    TaskId,
+)
+from greengagewood.internal.ports import LeaseReply
+from tests.common.desk import LIMITS, QUEUE, make_worker_info, start_orders
+from tests.common.drive import CellSimulation, long_running_job, run_simulation, short_job
 
 # By the platform's rules, a long-running task must run again within this time of its last run.
 MAX_GAP_MS = 9_000
@@ -75,6 +88,39 @@
         run_simulation(CellSimulation(seed, worker_count=8), script)
 
 
+class TestStoredLimits:
+    """What a new owner concludes from the record of registered workers."""
+
+    JOB = "0" * 16
+    SILENT = RegisteredWorker("silent", "10.0.0.9:80", "svc", (TaskId(JOB, 0, 0, 0),), 4_000)
+
+    def _started_numbers(self, record_token: int, wait_ms: int) -> list[int]:
+        """Return the tasks that an owner with token 5 has started after a wait."""
+        now_ms = 100_000
+        successor = Cell(LIMITS, 5, now_ms)
+        submission = Submission(self.JOB, QUEUE, JobSpec("p", (StepSpec(2, cpu_millis=1),)), 0)
+        successor.add_job(submission, Progress(self.JOB, "running"), False, now_ms)
+        workers = (RegisteredWorker("w0", "10.0.0.1:80", "svc"), self.SILENT)
+        record = RegisteredWorkers(workers, record_token)
+        successor.set_registered_workers(record, now_ms - 1_000, now_ms)
+        successor.set_workers({"w0": make_worker_info("w0")}, now_ms)
+        now_ms += wait_ms
+        reply = LeaseReply(5_000, 1, (), ())
+        successor.handle_lease_reply(successor.workers["w0"], reply, now_ms, now_ms)
+        return [order.run.task.id.number for order in start_orders(successor.plan(now_ms, 0))]
+
+    def test_only_the_tasks_of_a_silent_worker_wait_for_it(self) -> None:
+        assert self._started_numbers(record_token=4, wait_ms=10) == [1]
+
+    def test_the_wait_counts_from_the_stop_of_the_earlier_owner(self) -> None:
+        assert self._started_numbers(record_token=4, wait_ms=3_000) == [1]
+        assert self._started_numbers(record_token=4, wait_ms=3_100) == [0, 1]
+
+    def test_the_limits_of_an_owner_before_the_last_one_do_not_count(self) -> None:
+        assert self._started_numbers(record_token=3, wait_ms=11_000) == []
+        assert self._started_numbers(record_token=3, wait_ms=11_200) == [0, 1]
+
+
 class TestLostWorkers:
     """Workers that leave without a word while their owner stays the same."""
 
@@ -92,3 +138,97 @@
             assert {task: gap for task, gap in gaps.items() if gap > MAX_GAP_MS} == {}
 
         run_simulation(CellSimulation(4), script)
+
+
+async def _change_owners_at_random(sim: CellSimulation) -> None:
+    """Stop and kill owners while workers drain, leave or are cut off, and check every run."""
+    rng = sim.rng
+    faults = sim.platform.faults
+    submissions = []
+    for number in range(40):
+        queue, spec = (("serve", long_running_job()), ("fast", short_job()))[number % 2]
+        submissions.append(asyncio.ensure_future(sim.submit(f"{number:016x}", queue, spec)))
+        await asyncio.sleep(rng.uniform(0.1, 1.0))
+        owner = sim.owner()
+        names = [name for name, worker in sim.platform.workers.items() if worker.up]
+        name = rng.choice(names)
+        match rng.randrange(9):
+            case 0 | 1 | 2 if owner is not None:
+                if rng.random() < 0.7:
+                    await sim.instances[owner].release_cell()
+                await sim.kill_instance(owner)
+            case 3:
+                sim.platform.drain(name)
+                sim.platform.add_worker(f"w{len(sim.platform.workers)}")
+            case 4 if len(names) > 4 and sim.platform.workers[name].info.draining:
+                sim.platform.crash(name)
+            case 5:
+                faults.cut_links.update((instance, name) for instance in ("n0", "n1", "n2"))
+            case 6 if owner is not None:
+                faults.unanswered_links.add((owner, name))
+            case 7:
+                faults.late_order_share = rng.choice((0.0, 0.4))
+            case _:
+                faults.cut_links.clear()
+                faults.unanswered_links.clear()
+        for missing in sorted({"n0", "n1", "n2"} - set(sim.instances)):
+            sim.start_instance(missing)
+    faults.cut_links.clear()
+    faults.unanswered_links.clear()
+    faults.late_order_share = 0.0
+    await asyncio.gather(*submissions)
+    await asyncio.sleep(25)
+    assert sim.platform.violations == []
+
+
+def _breaks_guarantee(seed: int) -> bool:
+    try:
+        run_simulation(CellSimulation(seed, worker_count=8), _change_owners_at_random)
+    except AssertionError:
+        return True
+    return False
+
+
+def _forget_unanswered_starts(patch: pytest.MonkeyPatch) -> None:
+    """The stored record leaves out the runs whose starts were not answered."""
+    possible_tasks = registration._possible_tasks
+
+    def without_unanswered(worker: Worker, *rest: object) -> object:
+        tasks = possible_tasks(worker, *rest)
+        unanswered = {run.task.id for run in worker.runs.values() if run.accepted_ms is None}
+        return tasks and tuple(task for task in tasks if task not in unanswered)
+
+    patch.setattr(registration, "_possible_tasks", without_unanswered)
+
+
+def _forget_remaining_leases(patch: pytest.MonkeyPatch) -> None:
+    """A planned stop says that every order has expired."""
+    patch.setattr(Worker, "remaining_order_ms", lambda self, now_ms: 0)
+
+
+def _forget_inherited_tasks(patch: pytest.MonkeyPatch) -> None:
+    """The stored record leaves out what earlier owners may have started."""
+    patch.setattr(Worker, "may_run_inherited", lambda self, now_ms: False)
+
+
+SEEDS = range(40)
+MUTANTS: list[Callable[[pytest.MonkeyPatch], None]] = [
+    _forget_unanswered_starts,
+    _forget_remaining_leases,
+    _forget_inherited_tasks,
+]
+
+
+class TestRandomChanges:
+    """Random changes of owners and workers."""
+
+    @pytest.mark.parametrize("seed", SEEDS[:8])
+    def test_no_task_runs_twice(self, seed: int) -> None:
+        assert not _breaks_guarantee(seed)
+
+    @pytest.mark.parametrize("mutate", MUTANTS, ids=lambda mutate: mutate.__name__.strip("_"))
+    def test_a_missing_rule_lets_a_task_run_twice(
+        self, mutate: Callable[[pytest.MonkeyPatch], None], monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        mutate(monkeypatch)
+        assert any(_breaks_guarantee(seed) for seed in SEEDS)
