Simulate workers whose capacity shrinks and grows

Workers may change their capacity while they run, and the directory shows it at their next heartbeat. The simulated platform could not do that, and its check of capacity looked at the runs from before a start, so a start that filled a worker beyond its capacity was noticed only at the next start there.

Change: `SimPlatform.resize` changes a worker's capacity, and the directory shows it up to 1.5 s later; the check counts the run that is started, and a lower capacity from 4.5 s after the worker has shrunk (3 s and one heartbeat). The directory alone can be made unreadable. The harness of one cell can resize workers and list their runs.

--- a/tests/common/desk.py
+++ b/tests/common/desk.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 from greengagewood.internal.cells.cell import Cell, CellLimits
 from greengagewood.internal.cells.orders import StartRun
 from greengagewood.internal.jobs.model import JobSpec, Queue, StepSpec
@@ -49,8 +51,31 @@
         reply = LeaseReply(self.now_ms - 90_000, boot_time_ms, runs, ends)
         return self.cell.handle_lease_reply(worker, reply, self.now_ms - 1, self.now_ms)
 
-    def submit(self, *steps: StepSpec, job: str = "0" * 16) -> None:
-        submission = Submission(job, QUEUE, JobSpec("p", steps), 0)
+    def answer_leases(self) -> None:
+        """Let every worker list the runs that it has."""
+        for name, worker in self.cell.workers.items():
+            runs = [run for run in worker.runs.values() if run.accepted_ms is not None]
+            listed = (RunningTask(run.task.id, run.number, "", 10, 0) for run in runs)
+            self.answer_lease(name, *listed)
+
+    def resize(self, name: str, cpu_millis: int, memory_mb: int = 256_000) -> None:
+        """Let the directory show another capacity of a worker."""
+        self.now_ms += 1
+        self.worker_infos[name] = replace(
+            self.worker_infos[name], cpu_millis=cpu_millis, memory_mb=memory_mb
+        )
+        self.cell.set_workers(self.worker_infos, self.now_ms)
+
+    def start(self, elapsed_ms: int = 10) -> list[StartRun]:
+        """Plan, let the workers accept every start, and return the starts."""
+        starts = start_orders(self.plan(elapsed_ms))
+        for order in starts:
+            self.cell.handle_start_reply(order.worker, order.run, "", self.now_ms)
+        self.now_ms += 1
+        return starts
+
+    def submit(self, *steps: StepSpec, job: str = "0" * 16, queue: Queue = QUEUE) -> None:
+        submission = Submission(job, queue, JobSpec("p", steps), 0)
         self.cell.add_job(submission, None, True, self.now_ms)
 
     def plan(self, elapsed_ms: int = 10) -> list:
--- a/tests/common/drive.py
+++ b/tests/common/drive.py
@@ -5,7 +5,9 @@
 import asyncio
 import random
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
+
+import msgspec
 
 from greengagewood.internal.cells.runner import Ports
 from greengagewood.internal.entry import EntryInstance, EntrySettings
@@ -86,6 +88,7 @@
     seed: int
     worker_count: int = 6
     instance_count: int = 3
+    admission_check: bool = True  # whether the queues say that the workers refuse what doesn't fit
     platform: SimPlatform = field(init=False)
     instances: dict[str, EntryInstance] = field(default_factory=dict)
     accepted: set[str] = field(default_factory=set)
@@ -95,7 +98,12 @@
 
     def __post_init__(self) -> None:
         self.rng = random.Random(self.seed)
-        self.platform = SimPlatform(self.seed, self.worker_count, CONFIG)
+        self.queues = {
+            name: msgspec.structs.replace(queue, admission_check=self.admission_check)
+            for name, queue in QUEUES.items()
+        }
+        config = replace(CONFIG, queues=self.queues)
+        self.platform = SimPlatform(self.seed, self.worker_count, config)
 
     def start_instance(self, name: str) -> None:
         """Start an instance with no state, as a new process."""
@@ -132,7 +140,7 @@
                 continue
             try:
                 async with asyncio.timeout(CALLER_TIMEOUT_S):
-                    outcome = await instance.submit(job, QUEUES[queue], spec, 2_700)
+                    outcome = await instance.submit(job, self.queues[queue], spec, 2_700)
             except TimeoutError:  # the instance was killed while it handled the request
                 outcome = Outcome.UNKNOWN
             if outcome is Outcome.DONE:
--- a/tests/common/plant.py
+++ b/tests/common/plant.py
@@ -37,6 +37,7 @@
 LEASE_MS = 6_000
 STOP_DELAY_S = 0.3
 HEARTBEAT_INTERVAL_S = 1.5
+SHRINK_GRACE_MS = 4_500  # a lower capacity binds starts this long after a worker has shrunk
 LATE_ORDER_DELAY_RANGE_S = (2.0, 12.0)
 IMMEDIATE_LATE_ORDER_SHARE = 0.4  # of the unanswered orders, share carried out at once
 
@@ -53,6 +54,7 @@
     # Links (instance, worker) on which orders arrive, but their answers are lost.
     unanswered_links: set[tuple[str, str]] = field(default_factory=set)
     failing_workers: set[str] = field(default_factory=set)  # workers on which every run fails
+    directory_unreadable_to: set[str] = field(default_factory=set)  # instances
 
 
 class SimStore:
@@ -201,9 +203,22 @@
     runs: dict[TaskId, _Run] = field(default_factory=dict)
     ends: list[RunEnd] = field(default_factory=list)
     highest_run_numbers: dict[TaskId, int] = field(default_factory=dict)
+    # Higher capacities that it had, as CPU and memory, each with the time when it shrank.
+    past_capacities: list[tuple[float, int, int]] = field(default_factory=list)
+    capacity: tuple[int, int] = (0, 0)  # its CPU and memory now, which `info` may not show yet
     end_count: int = 0
     ended: asyncio.Event = field(default_factory=asyncio.Event)
 
+    def __post_init__(self) -> None:
+        self.capacity = (self.info.cpu_millis, self.info.memory_mb)
+
+    def binding_capacity(self) -> tuple[int, int]:
+        """Return the CPU and memory that no start may exceed now."""
+        now_ms = monotonic_ms()
+        self.past_capacities = [c for c in self.past_capacities if now_ms - c[0] <= SHRINK_GRACE_MS]
+        sizes = [self.capacity, *((cpu, memory) for _, cpu, memory in self.past_capacities)]
+        return max(cpu for cpu, _ in sizes), max(memory for _, memory in sizes)
+
     def clock_ms(self) -> int:
         """Return the time of the worker's clock, which runs 1.5 % slow."""
         return int((monotonic_ms() - self.boot_ms) * 0.985)
@@ -261,6 +276,19 @@
         )
         self.workers[name] = SimWorker(worker_info, self, monotonic_ms())
 
+    def resize(self, name: str, cpu_millis: int, memory_mb: int) -> None:
+        """Change a worker's capacity; the directory shows it after up to one heartbeat."""
+        worker = self.workers[name]
+        worker.past_capacities.append((monotonic_ms(), *worker.capacity))
+        worker.capacity = (cpu_millis, memory_mb)
+
+        def show() -> None:
+            cpu_millis, memory_mb = worker.capacity
+            worker.info = replace(worker.info, cpu_millis=cpu_millis, memory_mb=memory_mb)
+
+        delay_s = self.rng.uniform(0, HEARTBEAT_INTERVAL_S)
+        asyncio.get_running_loop().call_later(delay_s, show)
+
     def crash(self, name: str) -> None:
         worker = self.workers[name]
         worker.up = False
@@ -294,9 +322,11 @@
                 if TaskId(task.job_id, task.occurrence, earlier, index) not in self.done:
                     self.violations.append(f"dependency not met: {task} before step {earlier}")
                     break
-        used_cpu = sum(r.spec.cpu_millis for r in worker.runs.values() if not r.spec.best_effort)
-        used_memory_mb = sum(r.spec.memory_mb for r in worker.runs.values())
-        if used_cpu > worker.info.cpu_millis or used_memory_mb > worker.info.memory_mb:
+        runs = [*worker.runs.values(), run]
+        used_cpu = sum(r.spec.cpu_millis for r in runs if not r.spec.best_effort)
+        used_memory_mb = sum(r.spec.memory_mb for r in runs)
+        cpu_limit, memory_limit_mb = worker.binding_capacity()
+        if used_cpu > cpu_limit or used_memory_mb > memory_limit_mb:
             self.violations.append(
                 f"over capacity: {worker.info.worker_id} cpu {used_cpu} memory {used_memory_mb}"
             )
@@ -511,9 +541,9 @@
     instance: str
 
     async def refresh(self) -> dict[str, WorkerInfo]:
-        if (
-            self.instance
-            in self.platform.faults.store_silent_to | self.platform.faults.store_refuses_to
+        faults = self.platform.faults
+        if self.instance in (
+            faults.store_silent_to | faults.store_refuses_to | faults.directory_unreadable_to
         ):
             await asyncio.sleep(STORE_LATENCY_S)
             raise StoreUnavailable("store unreachable")
--- /dev/null
+++ b/tests/cover/test_capacity.py
@@ -0,0 +1,183 @@
+"""Workers whose capacity shrinks and grows while they run."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from greengagewood.internal.cells.orders import StopRun
+from greengagewood.internal.jobs.model import JobSpec, StepSpec
+from greengagewood.internal.jobs.records import (
+    TaskId,
+)
+from tests.common.desk import CellHarness, start_orders
+from tests.common.drive import (
+    CellSimulation,
+    long_running_job,
+    run_simulation,
+    short_job,
+)
+
+BEST_EFFORT = StepSpec(1, cpu_millis=1_000, memory_mb=10, image="f", best_effort=True)
+JOB_IDS = [f"{number:016x}" for number in range(40)]
+
+
+class TestShrunkWorkers:
+    """Guard against starts on a worker whose runs exceed its capacity, and against lost runs."""
+
+    def _overfull(self) -> CellHarness:
+        """Return a cell of one worker, whose runs need twice its CPU and memory."""
+        harness = CellHarness("w0")
+        harness.submit(StepSpec(4, cpu_millis=8_000, memory_mb=8_000))
+        assert len(harness.start()) == 4
+        harness.resize("w0", 16_000, 16_000)
+        return harness
+
+    @pytest.mark.parametrize(
+        "spec",
+        [
+            StepSpec(1, cpu_millis=1_000, memory_mb=10),
+            StepSpec(1),
+            StepSpec(1, cpu_millis=1_000, memory_mb=10, long_running=True, image="s"),
+            BEST_EFFORT,
+            StepSpec(1, cpu_millis=1_000, memory_mb=10, gang=True),
+            StepSpec(1, memory_mb=10, gang=True),
+        ],
+        ids=["cpu", "empty", "long-running", "best-effort", "gang", "gang-mem"],
+    )
+    def test_nothing_is_started_on_a_worker_over_its_capacity(self, spec: StepSpec) -> None:
+        harness = self._overfull()
+        harness.submit(spec, job=JOB_IDS[1])
+        for _ in range(3):
+            assert start_orders(harness.plan(500)) == []
+            harness.answer_leases()
+
+    def test_runs_of_a_worker_over_its_capacity_are_neither_stopped_nor_lost(self) -> None:
+        spec = StepSpec(4, cpu_millis=8_000, memory_mb=8_000, long_running=True, image="s")
+        harness = CellHarness("w0", "w1")
+        harness.submit(spec)
+        harness.submit(BEST_EFFORT, job=JOB_IDS[1])
+        assert len([*harness.start(500), *harness.start(100)]) == 5
+        for name in ("w0", "w1"):
+            harness.resize(name, 1_000, 1_000)
+        for _ in range(4):
+            harness.answer_leases()
+            assert harness.plan(500) == []
+        assert sum(len(w.runs) for w in harness.cell.workers.values()) == 5
+
+    def test_a_task_goes_to_the_worker_that_has_not_shrunk(self) -> None:
+        harness = CellHarness("w0", "w1")
+        harness.resize("w0", 8_000)
+        harness.submit(StepSpec(2, cpu_millis=16_000, gang=True))
+        harness.submit(StepSpec(1, cpu_millis=16_000), job=JOB_IDS[1])
+        assert {start.worker.name for start in harness.start()} == {"w1"}
+
+
+class TestGrownWorkers:
+    """Guard against tasks that wait although the room that they need is back."""
+
+    @pytest.mark.parametrize(
+        "spec",
+        [
+            StepSpec(2, cpu_millis=20_000),
+            StepSpec(2, cpu_millis=20_000, gang=True),
+            StepSpec(2, cpu_millis=20_000, long_running=True, image="s"),
+            StepSpec(2, cpu_millis=20_000, memory_mb=20_000, image="f", best_effort=True),
+        ],
+        ids=["short", "gang", "long-running", "best-effort"],
+    )
+    def test_waiting_tasks_start_once_the_directory_shows_more_capacity(
+        self, spec: StepSpec
+    ) -> None:
+        harness = CellHarness("w0")
+        harness.resize("w0", 8_000, 8_000)
+        harness.submit(spec)
+        for _ in range(5):
+            harness.answer_leases()
+            assert start_orders(harness.plan(500)) == []
+        harness.answer_leases()
+        harness.resize("w0", 64_000)
+        # Best-effort tasks are placed at most this often.
+        assert len(start_orders(harness.plan(60))) == 2
+
+    def test_a_large_task_waits_while_the_whole_fleet_is_too_small(self) -> None:
+        async def script(sim: CellSimulation) -> None:
+            for name in sim.platform.workers:
+                sim.platform.resize(name, 4_000, 4_000)
+            await asyncio.sleep(6)
+            jobs = set(JOB_IDS[:3])
+            for job, queue in zip(sorted(jobs), ("fast", "wide", "serve"), strict=True):
+                step = StepSpec(1, cpu_millis=30_000, memory_mb=30_000, estimate_ms=500)
+                await sim.submit(job, queue, JobSpec("large", (step,)))
+            await asyncio.sleep(30)
+            assert {await sim.state(job) for job in jobs} == {"queued"}
+            for name in sim.platform.workers:
+                sim.platform.resize(name, 64_000, 256_000)
+            assert await sim.wait_until_ended(jobs, 8.0) == set()
+            assert {await sim.state(job) for job in jobs} == {"completed"}
+            assert sim.platform.violations == []
+
+        run_simulation(CellSimulation(1), script)
+
+
+class TestStartsInFlight:
+    """Guard against room that is given away while a run may still take it or has not left it."""
+
+    def test_an_unanswered_start_counts_until_it_is_ruled_out(self) -> None:
+        harness = CellHarness("w0")
+        harness.submit(StepSpec(1, cpu_millis=12_000))
+        (start,) = start_orders(harness.plan())
+        harness.cell.note_start_unanswered(start.run, harness.now_ms)
+        harness.resize("w0", 16_000)
+        harness.submit(StepSpec(1, cpu_millis=8_000), job=JOB_IDS[1])
+        assert start_orders(harness.plan()) == []
+        harness.cell.note_stop_accepted(start.run, harness.now_ms)
+        harness.now_ms += 5
+        harness.answer_lease("w0")
+        assert sum(s.run.task.step.spec.cpu_millis for s in start_orders(harness.plan())) <= 16_000
+
+    def test_a_run_that_is_being_stopped_counts_until_its_end_is_listed(self) -> None:
+        harness = CellHarness("w0")
+        harness.submit(StepSpec(1, cpu_millis=12_000))
+        (start,) = harness.start()
+        harness.resize("w0", 16_000)
+        harness.cell.cancel("0" * 16, harness.now_ms)
+        harness.submit(StepSpec(1, cpu_millis=8_000), job=JOB_IDS[1])
+        (stop,) = harness.plan()
+        assert isinstance(stop, StopRun)
+        harness.cell.note_stop_accepted(start.run, harness.now_ms)
+        assert start_orders(harness.plan()) == []
+        harness.answer_lease("w0")
+        assert len(start_orders(harness.plan())) == 1
+
+
+class TestAdoption:
+    """Guard against a new owner that fills, or empties, a worker that has shrunk."""
+
+    def test_adopted_runs_that_exceed_the_capacity_go_on_and_no_other_starts(self) -> None:
+        async def script(sim: CellSimulation) -> None:
+            jobs = JOB_IDS[:6]
+            for job in jobs:
+                await sim.submit(job, "serve", long_running_job())
+            await asyncio.sleep(2)
+            for name in sim.platform.workers:
+                sim.platform.resize(name, 16_000, 32_000)
+            await sim.kill_instance(sim.owner() or "")
+            before = _run_numbers(sim)
+            assert len(before) == 18
+            late_jobs = JOB_IDS[10:14]
+            for job in late_jobs:
+                await sim.submit(job, "fast", short_job())
+            await asyncio.sleep(10)
+            assert before <= _run_numbers(sim)
+            for job in jobs:
+                await sim.cancel(job)
+            assert await sim.wait_until_ended(set(late_jobs), 60.0) == set()
+            assert sim.platform.violations == []
+
+        run_simulation(CellSimulation(4, admission_check=False), script)
+
+
+def _run_numbers(sim: CellSimulation) -> set[tuple[TaskId, int]]:
+    return {(t, r.number) for w in sim.platform.workers.values() for t, r in w.runs.items()}
