Start nothing on a worker whose runs exceed its capacity

Cause: the CPU of a worker was not looked at for best-effort tasks, since theirs does not count, and resources that the tasks of a gang don't request were not looked at for gangs. So, on a worker that had shrunk below what its runs use, best-effort tasks were still started beside services, and gangs without sizes were placed. Ruled out: ordinary and long-running tasks, and tasks with a memory size on a worker that lacks memory; `fits` sums allocation and size, so free room below zero excluded them already.

Change: nothing fits a worker whose allocation exceeds its capacity in any resource, and gangs ask the same question before they count places.

Before: 2 failed, 16 passed in test_capacity (best effort beside 32 CPUs of services on 30, a gang without sizes on an overfull worker). After: 18 passed, and 331 with test_placement and test_planner.

--- a/src/greengagewood/internal/cells/fleet.py
+++ b/src/greengagewood/internal/cells/fleet.py
@@ -137,11 +137,13 @@
     def fits(self, spec: StepSpec) -> bool:
         """Return whether one task of the step fits into the resources that are not allocated.
 
-        The CPU of best-effort tasks is not limited here.
+        The CPU of best-effort tasks is not limited here, but nothing fits a worker that is over its
+        capacity.
         """
         info = self.info
+        cpu_millis = 0 if spec.best_effort else spec.cpu_millis
         return (
-            (spec.best_effort or self.allocated.cpu_millis + spec.cpu_millis <= info.cpu_millis)
+            self.allocated.cpu_millis + cpu_millis <= info.cpu_millis
             and self.allocated.memory_mb + spec.memory_mb <= info.memory_mb
             and self.allocated.accelerators + spec.accelerators <= info.accelerators
         )
--- a/src/greengagewood/internal/cells/placement.py
+++ b/src/greengagewood/internal/cells/placement.py
@@ -248,6 +248,8 @@
 def _free_slots(worker: Worker, step: Step) -> int:
     """Return how many tasks of the step still fit on a worker."""
     spec = step.spec
+    if not worker.fits(spec):  # also if it lacks a resource that the tasks don't request
+        return 0
     info = worker.info
     limits = [spec.task_count]
     if spec.cpu_millis and not spec.best_effort:
--- a/tests/cover/test_capacity.py
+++ b/tests/cover/test_capacity.py
@@ -43,8 +43,9 @@
             BEST_EFFORT,
             StepSpec(1, cpu_millis=1_000, memory_mb=10, gang=True),
             StepSpec(1, memory_mb=10, gang=True),
+            StepSpec(1, gang=True),
         ],
-        ids=["cpu", "empty", "long-running", "best-effort", "gang", "gang-mem"],
+        ids=["cpu", "empty", "long-running", "best-effort", "gang", "gang-mem", "gang-empty"],
     )
     def test_nothing_is_started_on_a_worker_over_its_capacity(self, spec: StepSpec) -> None:
         harness = self._overfull()
@@ -53,6 +54,17 @@
             assert start_orders(harness.plan(500)) == []
             harness.answer_leases()
 
+    def test_no_best_effort_task_is_started_beside_services_that_exceed_the_capacity(self) -> None:
+        services = StepSpec(4, cpu_millis=8_000, memory_mb=10, long_running=True, image="s")
+        harness = CellHarness("w0")
+        harness.submit(services)
+        harness.start(500)
+        harness.resize("w0", 30_000)
+        harness.submit(BEST_EFFORT, job=JOB_IDS[1])
+        for _ in range(3):
+            assert start_orders(harness.plan(500)) == []
+            harness.answer_leases()
+
     def test_runs_of_a_worker_over_its_capacity_are_neither_stopped_nor_lost(self) -> None:
         spec = StepSpec(4, cpu_millis=8_000, memory_mb=8_000, long_running=True, image="s")
         harness = CellHarness("w0", "w1")
