Forecast slack from a worker's capacity as it is now

Cause: the limits of best-effort tasks beside services are computed from shares of a worker's CPUs and kept until its runs or readings change. After a change of capacity they stayed those of the old one, and the next reading was compared with shares of another total: on a worker that had shrunk, a steady best-effort task seemed to use far more CPU without any harm, and its image was soon taken for harmless.

Change: a worker that changes its capacity discards what was computed from it, and nothing is learned from the first reading afterwards.

--- a/src/greengagewood/internal/cells/cell.py
+++ b/src/greengagewood/internal/cells/cell.py
@@ -160,7 +160,7 @@
     def _update_worker(self, worker: Worker, info: WorkerInfo) -> None:
         if info.draining and not worker.info.draining:
             self.on_event("worker_draining", {"worker": info.worker_id})
-        worker.info = info
+        worker.update_info(info)
 
     def set_registered_workers(self, registered: RegisteredWorkers, now_ms: int) -> None:
         """Add the workers to which earlier owners may have sent orders.
--- a/src/greengagewood/internal/cells/fleet.py
+++ b/src/greengagewood/internal/cells/fleet.py
@@ -105,6 +105,23 @@
 
     # Resources.
 
+    def update_info(self, info: WorkerInfo) -> None:
+        """Replace what the directory says of the worker."""
+        old = self.info
+        self.info = info
+        if (info.cpu_millis, info.memory_mb, info.accelerators) != (
+            old.cpu_millis,
+            old.memory_mb,
+            old.accelerators,
+        ):
+            self._note_resized()
+
+    def _note_resized(self) -> None:
+        self.invalidate_slack()
+        # CPU shares from before and after the change are of different totals, so the tail model
+        # must not compare them.
+        self.last_learned_ms = 0
+
     def add_run(self, run: Run) -> None:
         """Allocate resources to a run."""
         key = (run.task, run.number)
--- a/tests/cover/test_capacity.py
+++ b/tests/cover/test_capacity.py
@@ -4,6 +4,7 @@
 
 import asyncio
 
+import msgspec
 import pytest
 
 from greengagewood.internal.cells.orders import StopRun
@@ -11,6 +12,7 @@
 from greengagewood.internal.jobs.records import (
     TaskId,
 )
+from greengagewood.internal.ports import RunningTask
 from tests.common.desk import CellHarness, start_orders
 from tests.common.drive import (
     CellSimulation,
@@ -85,6 +87,43 @@
         harness.submit(StepSpec(1, cpu_millis=16_000), job=JOB_IDS[1])
         assert {start.worker.name for start in harness.start()} == {"w1"}
 
+    def test_the_limits_of_best_effort_tasks_follow_the_capacity_at_once(self) -> None:
+        harness = CellHarness("w0")
+        harness.submit(
+            StepSpec(1, cpu_millis=1_000, long_running=True, image="s", tail_target_ms=24)
+        )
+        harness.start(500)
+        worker = harness.cell.workers["w0"]
+        model = harness.cell.planner.tail_model
+        spec = msgspec.structs.replace(BEST_EFFORT, cpu_millis=4_000)
+        before = model.admission_for(worker, spec).slack_cost
+        harness.resize("w0", 32_000)
+        assert model.admission_for(worker, spec).slack_cost == pytest.approx(2 * before)
+
+    def test_a_change_of_capacity_is_not_learned_as_an_effect_of_best_effort_tasks(self) -> None:
+        harness = CellHarness("w0")
+        service = StepSpec(1, cpu_millis=1_000, long_running=True, image="s", tail_target_ms=24)
+        harness.submit(service)
+        harness.submit(BEST_EFFORT, job=JOB_IDS[1])
+        starts = [*harness.start(500), *harness.start(500)]
+        assert len(starts) == 2
+        listed = [
+            RunningTask(
+                start.run.task.id,
+                start.run.number,
+                "",
+                100 if start.run.task.step.spec.long_running else 10,
+                12 if start.run.task.step.spec.long_running else 1_000,
+            )
+            for start in starts
+        ]
+        for cpu_millis in (64_000, 64_000, 16_000, 4_000):
+            harness.resize("w0", cpu_millis)
+            harness.now_ms += 450
+            harness.answer_lease("w0", *listed)
+        regression = harness.cell.planner.tail_model.regressions["s"]
+        assert regression.sample_counts.get("f", 0) == 0
+
 
 class TestGrownWorkers:
     """Guard against tasks that wait although the room that they need is back."""
