Handle workers without CPU, and reject negative capacities

Cause: shares of a worker's CPUs were computed by division by its capacity. With a capacity of 0, each list of runs of such a worker that has a best-effort run raised ZeroDivisionError: its stops were not sent and its lease loop paused. That also befell a new owner's worker that the directory doesn't list, whose capacity counts as 0 until it does: it was never adopted, so the tasks that may run there waited until all orders of earlier owners had expired. A plan that looked at such a worker for a starving or sizeless best-effort task raised too, and then started nothing in the whole cell. Negative capacities were taken as they are. Ruled out: other divisions by a capacity; free places and headroom compare or floor, and don't divide by it.

Change: without CPUs, nothing is learned from a worker's use of them, a task counts as using all of them, and no task with a CPU size fits. An entry with a negative capacity is invalid, like one with a field of another type, and names no worker.

--- a/src/greengagewood/internal/cells/fleet.py
+++ b/src/greengagewood/internal/cells/fleet.py
@@ -155,9 +155,11 @@
         """Return whether one task of the step fits into the resources that are not allocated.
 
         The CPU of best-effort tasks is not limited here, but nothing fits a worker that is over its
-        capacity.
+        capacity or has no CPU.
         """
         info = self.info
+        if spec.cpu_millis and info.cpu_millis <= 0:
+            return False
         cpu_millis = 0 if spec.best_effort else spec.cpu_millis
         return (
             self.allocated.cpu_millis + cpu_millis <= info.cpu_millis
--- a/src/greengagewood/internal/cells/tails.py
+++ b/src/greengagewood/internal/cells/tails.py
@@ -255,6 +255,8 @@
 
 def _cpu_share(worker: Worker, spec: StepSpec, percent: int) -> float:
     """Return the share of the worker's CPUs that a task uses at a percentage of full speed."""
+    if worker.info.cpu_millis <= 0:  # the capacity is not known, or the worker has none left
+        return percent / 100
     return spec.cpu_millis * percent / 100 / worker.info.cpu_millis
 
 
@@ -272,6 +274,8 @@
 def _measured_cpu_shares(worker: Worker) -> dict[str, float]:
     """Return the share of the worker's CPUs that each best-effort image used, as last listed."""
     shares: dict[str, float] = {}
+    if worker.info.cpu_millis <= 0:
+        return shares
     for run in worker.runs.values():
         spec = run.task.step.spec
         if spec.best_effort and run.tail_ms_or_cpu_millis:
--- a/src/greengagewood/platform/directory.py
+++ b/src/greengagewood/platform/directory.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 from collections import Counter
+from typing import Annotated
 
 import msgspec
+from msgspec import Meta
 
 from greengagewood.internal.logs import Log
 from greengagewood.internal.ports import LogEntry, LogTruncated, WorkerInfo
@@ -14,13 +16,15 @@
 
 KNOWN_STATES = frozenset({"ready", "draining"})
 
+_Amount = Annotated[int, Meta(ge=0)]
+
 _log = Log("directory")
 
 
 class _Capacity(msgspec.Struct):
-    cpu: int  # thousandths of a CPU
-    memory_mb: int = msgspec.field(name="mem-mb")
-    accelerators: int = msgspec.field(name="gpu", default=0)
+    cpu: _Amount  # thousandths of a CPU
+    memory_mb: _Amount = msgspec.field(name="mem-mb")
+    accelerators: _Amount = msgspec.field(name="gpu", default=0)
 
 
 class _WorkerEntry(msgspec.Struct):
--- a/tests/cover/test_capacity.py
+++ b/tests/cover/test_capacity.py
@@ -7,13 +7,18 @@
 import msgspec
 import pytest
 
+from greengagewood.internal.cells.cell import Cell
 from greengagewood.internal.cells.orders import StopRun
 from greengagewood.internal.jobs.model import JobSpec, StepSpec
 from greengagewood.internal.jobs.records import (
+    RegisteredWorker,
+    RegisteredWorkers,
+    Submission,
     TaskId,
 )
-from greengagewood.internal.ports import RunningTask
-from tests.common.desk import CellHarness, start_orders
+from greengagewood.internal.ports import LeaseReply, RunningTask
+from greengagewood.platform.directory import parse_worker
+from tests.common.desk import LIMITS, QUEUE, CellHarness, start_orders
 from tests.common.drive import (
     CellSimulation,
     long_running_job,
@@ -203,6 +208,65 @@
         assert len(start_orders(harness.plan())) == 1
 
 
+def _entry(cpu_millis: object, padding: int = 0) -> bytes:
+    return msgspec.json.encode(
+        {
+            "service": "svc",
+            "address": "10.0.0.1:80",
+            "zone": "z",
+            "state": "ready",
+            "capacity": {"cpu": cpu_millis, "mem-mb": 256_000},
+            "labels": ["a", "r0"],
+            "born": 1,
+            "padding": "x" * padding,
+        }
+    )
+
+
+class TestUnusableCapacity:
+    """Guard against capacities with which the owner cannot compute."""
+
+    @pytest.mark.parametrize("cpu_millis", [-1, -64_000, None, "many", 0.5])
+    def test_an_entry_with_an_invalid_capacity_names_no_worker(self, cpu_millis: object) -> None:
+        assert parse_worker("w0", _entry(cpu_millis)) is None
+
+    def test_a_worker_without_cpu_has_its_runs_listed_and_gets_no_others(self) -> None:
+        harness = CellHarness("w0", "w1")
+        harness.submit(BEST_EFFORT)
+        harness.submit(
+            StepSpec(1, cpu_millis=1_000, long_running=True, image="s", tail_target_ms=24),
+            job=JOB_IDS[1],
+        )
+        assert len([*harness.start(500), *harness.start(500)]) == 2
+        for name in ("w0", "w1"):
+            harness.resize(name, 0)
+        harness.submit(BEST_EFFORT, job=JOB_IDS[2])
+        harness.submit(StepSpec(1, cpu_millis=1_000), job=JOB_IDS[3])
+        for _ in range(10):  # beyond the time after which a job counts as starving
+            harness.now_ms += 450
+            for name, worker in harness.cell.workers.items():
+                runs = (
+                    RunningTask(r.task.id, r.number, "", 100, 500) for r in worker.runs.values()
+                )
+                harness.answer_lease(name, *runs)
+            assert start_orders(harness.plan()) == []
+        assert sum(len(w.runs) for w in harness.cell.workers.values()) == 2
+
+    def test_a_worker_that_the_directory_does_not_list_is_adopted_with_its_runs(self) -> None:
+        cell = Cell(LIMITS, 2, 100_000)
+        cell.add_job(
+            Submission("0" * 16, QUEUE, JobSpec("p", (BEST_EFFORT,)), 0), None, False, 100_000
+        )
+        registered = RegisteredWorker("w0", "10.0.0.1:80", "svc")
+        cell.set_registered_workers(RegisteredWorkers((registered,)), 100_000)
+        cell.set_workers({}, 100_001)
+        worker = cell.workers["w0"]
+        listed = RunningTask(TaskId("0" * 16, 0, 0, 0), 1, "", 10, 500)
+        cell.handle_lease_reply(worker, LeaseReply(5, 1, (listed,), ()), 100_001, 100_002)
+        assert worker.adopted
+        assert len(worker.runs) == 1
+
+
 class TestAdoption:
     """Guard against a new owner that fills, or empties, a worker that has shrunk."""
 
