Place no task on a new boot before the directory describes it

Cause: a worker's list of runs may show a later boot before the directory does. The new boot was then used with the capacity and labels of the old one, though it may be of another kind and smaller. Ruled out: the directory's entry of the old boot overwrites nothing, it was skipped already.

Change: a worker counts as listed only if the directory lists the boot that has answered, or a later one. Its runs are listed and its lease is extended meanwhile, as for any worker that isn't listed.

A test of restarts started a task on a new boot of which the directory still had the older entry, which is what this forbids. It now asserts that nothing starts then, lets the directory describe the new boot, and goes on to show the older entry again while the run lasts, as before.

--- a/src/greengagewood/internal/cells/cell.py
+++ b/src/greengagewood/internal/cells/cell.py
@@ -141,12 +141,12 @@
                 self._add_worker(info, now_ms)
             elif info.boot_time_ms > worker.info.boot_time_ms > 0:
                 self._replace_rebooted(worker, info, now_ms)
-            elif 0 < info.boot_time_ms < worker.info.boot_time_ms:
+            elif worker.is_newer_than(info):
                 continue  # the directory lags behind what the worker itself has said
             else:
                 self._update_worker(worker, info)
         for name, worker in list(self.workers.items()):
-            worker.in_directory = name in listed
+            worker.in_directory = name in listed and not worker.is_newer_than(listed[name])
             if not worker.in_directory and worker.unresponsive and worker.orders_expired(now_ms):
                 self._remove_worker(worker, now_ms)
         self.planner.request_replan()
@@ -268,6 +268,8 @@
             self._replace_rebooted(
                 worker, replace(worker.info, boot_time_ms=reply.boot_time_ms), now_ms
             )
+            # The new boot may have another capacity and other labels, which its entry will show.
+            self.workers[worker.name].in_directory = False
             return []
         worker.note_clock(reply.clock_ms, now_ms)
         if worker.unresponsive:
--- a/src/greengagewood/internal/cells/fleet.py
+++ b/src/greengagewood/internal/cells/fleet.py
@@ -54,7 +54,7 @@
     added_ms: int
     adopted: bool = False  # whether it has accepted this owner's token and listed its runs
     registered: bool = False  # whether the stored RegisteredWorkers record names it
-    in_directory: bool = True
+    in_directory: bool = True  # whether the directory lists this boot
     clock_ms: int = 0  # the last reading of its clock
     clock_read_ms: int | None = None  # when its clock was last read
     latest_deadline_ms: int = 0  # the latest deadline that this owner gave it, on its own clock
@@ -87,6 +87,10 @@
         """Return the worker's ID."""
         return self.info.worker_id
 
+    def is_newer_than(self, info: WorkerInfo) -> bool:
+        """Return whether an entry of the directory describes an earlier boot of the worker."""
+        return 0 < info.boot_time_ms < self.info.boot_time_ms
+
     def is_usable(self, now_ms: int) -> bool:
         """Return whether runs may be placed here now.
 
--- a/tests/cover/test_capacity.py
+++ b/tests/cover/test_capacity.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import replace
 
 import msgspec
 import pytest
@@ -296,3 +297,25 @@
 
 def _run_numbers(sim: CellSimulation) -> set[tuple[TaskId, int]]:
     return {(t, r.number) for w in sim.platform.workers.values() for t, r in w.runs.items()}
+
+
+class TestRebootedWorkers:
+    """Guard against the old capacity of a worker that has rebooted with a smaller one."""
+
+    def test_a_new_boot_gets_no_task_before_the_directory_describes_it(self) -> None:
+        harness = CellHarness("w0")
+        for _ in range(2):  # the first reply shows the new boot, the second lists its runs
+            worker = harness.cell.workers["w0"]
+            harness.now_ms += 1
+            reply = LeaseReply(5, 2, (), ())
+            harness.cell.handle_lease_reply(worker, reply, harness.now_ms - 1, harness.now_ms)
+        harness.store_changes()
+        harness.submit(StepSpec(1, cpu_millis=32_000))
+        assert start_orders(harness.plan()) == []
+        harness.cell.set_workers(harness.worker_infos, harness.now_ms)  # still the old boot
+        assert start_orders(harness.plan()) == []
+        harness.worker_infos["w0"] = replace(harness.worker_infos["w0"], boot_time_ms=2)
+        harness.resize("w0", 16_000)
+        assert start_orders(harness.plan()) == []
+        harness.resize("w0", 32_000)
+        assert len(start_orders(harness.plan())) == 1
--- a/tests/cover/test_operator_reports.py
+++ b/tests/cover/test_operator_reports.py
@@ -199,7 +199,10 @@
         harness.worker_infos["w0"] = make_worker_info("w0", boot_time_ms=5)
         harness.answer_lease("w0")  # the worker tells of its new boot first
         harness.answer_lease("w0")
+        harness.cell.set_workers(old_infos, harness.now_ms)
         harness.submit(StepSpec(1, cpu_millis=1_000))
+        assert start_orders(harness.plan()) == []
+        harness.cell.set_workers(harness.worker_infos, harness.now_ms)
         (start,) = start_orders(harness.plan())
         harness.cell.handle_start_reply(start.worker, start.run, "", harness.now_ms)
         listed = RunningTask(start.run.task.id, start.run.number, "", 10, 0)
