Bound the age of the capacity that unchecked starts rely on

Cause: the owner didn't know how old its reading of the directory was. While the directory could not be read, starts went on with the capacities last seen, for as long as the cell's own log was read and up to 5 s beyond. A worker without admission check that shrank meanwhile carried them all out. Ruled out: starts in flight when a smaller capacity is read; they arrive within 1.5 s or are refused as late, which is within the time after which a lower capacity counts, and they are allocated until ruled out.

Change: the owner notes when its last complete read of the directory was sent. A start on a queue whose workers have no admission check must arrive within 2.7 s of it: its deadline is cut to what is left, and with less than 0.2 s left nothing is started until the directory is read again. That is the shortest time after a heartbeat, 3 s, before a lower capacity counts, less a margin for late heartbeats. Queues with admission check go on as before, since their workers refuse what doesn't fit.

--- a/src/greengagewood/internal/cells/cell.py
+++ b/src/greengagewood/internal/cells/cell.py
@@ -133,8 +133,11 @@
 
     # Workers.
 
-    def set_workers(self, listed: dict[str, WorkerInfo], now_ms: int) -> None:
-        """Apply the workers that the directory lists now."""
+    def set_workers(
+        self, listed: dict[str, WorkerInfo], now_ms: int, read_ms: int | None = None
+    ) -> None:
+        """Apply the workers that the directory listed at `read_ms`, by default now."""
+        self.planner.directory_read_ms = now_ms if read_ms is None else read_ms
         for name, info in listed.items():
             worker = self.workers.get(name)
             if worker is None:
--- a/src/greengagewood/internal/cells/planner.py
+++ b/src/greengagewood/internal/cells/planner.py
@@ -26,6 +26,10 @@
 __all__ = ["Planner"]
 
 START_WINDOW_MS = 1_500  # the worker refuses a start that arrives later than this
+MIN_START_WINDOW_MS = 200  # time for a start to reach its worker
+# By the platform's documentation, a lower capacity counts 3 s or longer after the heartbeat that is
+# due to show it, which may be a little late.
+CAPACITY_VALIDITY_MS = 2_700
 RUN_NUMBERS_PER_TERM = 1 << 20
 ADVICE_RETRY_DELAY_MS = 300
 PERMIT_MARGIN_MS = 300  # time for a start to reach its worker before the permit expires
@@ -98,6 +102,7 @@
         self.tail_model = TailLatencyModel()
         self.values = JobValues(book)
         self.queues: dict[str, Queue] = {}
+        self.directory_read_ms: int | None = None  # when the last complete read of it was sent
         self._book = book
         self._workers = workers
         self._token = token
@@ -282,6 +287,8 @@
         """Return the orders for a step, and whether one of its tasks could not be placed."""
         queue = self.queue_of(step.job)
         orders: list[Order] = []
+        if self._start_window_ms(queue, now_ms) < MIN_START_WINDOW_MS:
+            return orders, False
         if queue.decision_ms:
             orders.extend(self._ask_advice(step, workers, now_ms))
             permits = self._permits.get(step, {})
@@ -371,10 +378,24 @@
         self._advice_pending.add(step)
         return [RequestAdvice(step, tuple(candidates))]
 
+    def _start_window_ms(self, queue: Queue, now_ms: int) -> int:
+        """Return how long a start may take to reach its worker.
+
+        A worker without admission check carries out any start, so none may arrive when the capacity
+        last read may be out of date.
+        """
+        if queue.admission_check:
+            return START_WINDOW_MS
+        if self.directory_read_ms is None:
+            return 0
+        valid_until_ms = self.directory_read_ms + CAPACITY_VALIDITY_MS
+        return min(START_WINDOW_MS, valid_until_ms - now_ms)
+
     def _start(self, task: Task, worker: Worker, now_ms: int, start_count: int) -> StartRun:
         task.start_count = start_count
         number = (self._token - 1) * RUN_NUMBERS_PER_TERM + start_count
-        deadline = worker.deadline_in(START_WINDOW_MS, now_ms)
+        queue = self.queue_of(task.step.job)
+        deadline = worker.deadline_in(self._start_window_ms(queue, now_ms), now_ms)
         assert deadline is not None  # the clock of a usable worker was read when it was adopted
         run = self._book.attach_run(
             task, number, worker.name, worker.info.rack, "starting", now_ms, deadline
--- a/src/greengagewood/internal/cells/runner.py
+++ b/src/greengagewood/internal/cells/runner.py
@@ -336,12 +336,13 @@
     # Workers.
 
     async def _refresh_directory(self) -> None:
+        sent_ms = monotonic_ms()
         try:
             listed = await self._ports.directory.refresh()
         except StoreUnavailable:
             self._metrics.count("directory_failures")
         else:
-            self.cell.set_workers(listed, monotonic_ms())
+            self.cell.set_workers(listed, monotonic_ms(), sent_ms)
             self._update_lease_tasks()
             self._plan_wakeup.set()
         await asyncio.sleep(DIRECTORY_INTERVAL_S)
--- a/tests/cover/test_capacity.py
+++ b/tests/cover/test_capacity.py
@@ -22,11 +22,13 @@
 from tests.common.desk import LIMITS, QUEUE, CellHarness, start_orders
 from tests.common.drive import (
     CellSimulation,
+    best_effort_job,
     long_running_job,
     run_simulation,
     short_job,
 )
 
+UNCHECKED_QUEUE = msgspec.structs.replace(QUEUE, name="unchecked", admission_check=False)
 BEST_EFFORT = StepSpec(1, cpu_millis=1_000, memory_mb=10, image="f", best_effort=True)
 JOB_IDS = [f"{number:016x}" for number in range(40)]
 
@@ -209,6 +211,64 @@
         assert len(start_orders(harness.plan())) == 1
 
 
+class TestDirectoryAge:
+    """Guard against starts that rely on a capacity which may have shrunk long ago."""
+
+    def test_nothing_is_started_without_admission_check_after_an_outage(self) -> None:
+        harness = CellHarness("w0")
+        for _ in range(8):
+            harness.now_ms += 400
+            harness.answer_leases()
+        for number, spec in enumerate((StepSpec(1), StepSpec(2, gang=True), BEST_EFFORT)):
+            harness.submit(spec, job=JOB_IDS[number], queue=UNCHECKED_QUEUE)
+        assert start_orders(harness.plan()) == []
+        harness.cell.set_workers(harness.worker_infos, harness.now_ms)
+        assert len(start_orders(harness.plan(60))) == 4
+
+    def test_no_start_is_carried_out_later_than_the_known_capacity_counts(self) -> None:
+        harness = CellHarness("w0")
+        for _ in range(5):
+            harness.now_ms += 400
+            harness.answer_leases()
+        harness.submit(StepSpec(1), job=JOB_IDS[1], queue=UNCHECKED_QUEUE)
+        (start,) = start_orders(harness.plan())
+        read_ms = 100_000  # when the harness read the directory
+        age_at_deadline_ms = start.deadline_ms + 90_000 - read_ms
+        assert 2_000 < age_at_deadline_ms <= 3_000
+
+    def test_a_queue_with_admission_check_goes_on_through_an_outage(self) -> None:
+        harness = CellHarness("w0")
+        for _ in range(20):
+            harness.now_ms += 400
+            harness.answer_leases()
+        harness.submit(StepSpec(1))
+        assert len(start_orders(harness.plan())) == 1
+
+    def test_the_age_counts_from_before_the_directory_was_asked(self) -> None:
+        harness = CellHarness("w0")
+        harness.now_ms += 1_000
+        harness.cell.set_workers(
+            harness.worker_infos, harness.now_ms, read_ms=harness.now_ms - 4_000
+        )
+        harness.submit(StepSpec(1), job=JOB_IDS[1], queue=UNCHECKED_QUEUE)
+        assert start_orders(harness.plan()) == []
+
+    def test_no_worker_that_shrank_unseen_gets_more_than_it_holds(self) -> None:
+        async def script(sim: CellSimulation) -> None:
+            sim.platform.faults.directory_unreadable_to.update(sim.instances)
+            for name in sim.platform.workers:
+                sim.platform.resize(name, 4_000, 8_000)
+            jobs = set(JOB_IDS[:20])
+            for job in sorted(jobs):
+                await sim.submit(job, "fast", short_job())
+                await asyncio.sleep(0.5)
+            sim.platform.faults.directory_unreadable_to.clear()
+            assert await sim.wait_until_ended(jobs, 120.0) == set()
+            assert sim.platform.violations == []
+
+        run_simulation(CellSimulation(3, admission_check=False), script)
+
+
 def _entry(cpu_millis: object, padding: int = 0) -> bytes:
     return msgspec.json.encode(
         {
@@ -319,3 +379,69 @@
         assert start_orders(harness.plan()) == []
         harness.resize("w0", 32_000)
         assert len(start_orders(harness.plan())) == 1
+
+
+async def _resize_at_random(sim: CellSimulation, seconds: float) -> None:
+    """Shrink and grow workers, while owners are killed and the store is away now and then."""
+    rng = sim.rng
+    platform = sim.platform
+    until_s = asyncio.get_running_loop().time() + seconds
+    while asyncio.get_running_loop().time() < until_s:
+        await asyncio.sleep(rng.uniform(0.1, 0.8))
+        name = rng.choice(list(platform.workers))
+        owner = sim.owner()
+        match rng.randrange(12):
+            case 0 if owner is not None:
+                await sim.kill_instance(owner)
+            case 1:
+                platform.faults.directory_unreadable_to.update(sim.instances)
+            case 2:
+                platform.faults.store_refuses_to.update(sim.instances)
+            case 3 | 4:
+                platform.faults.directory_unreadable_to.clear()
+                platform.faults.store_refuses_to.clear()
+                for missing in sorted({"n0", "n1", "n2"} - set(sim.instances)):
+                    sim.start_instance(missing)
+            case 5:
+                platform.faults.late_order_share = rng.choice((0.0, 0.2))
+            case _:
+                share = rng.choice((0, 0.1, 0.25, 0.5, 1.0, 1.0))
+                platform.resize(name, int(64_000 * share), int(256_000 * share))
+
+
+async def _run_random_day(sim: CellSimulation) -> None:
+    """Submit jobs while workers change their size, then restore all and wait for the jobs."""
+    changes = asyncio.ensure_future(_resize_at_random(sim, 25))
+    calls = []
+    for number, job in enumerate(JOB_IDS):
+        queue, spec = (
+            ("fast", short_job()),
+            ("wide", best_effort_job()),
+            ("serve", long_running_job()),
+        )[number % 3]
+        calls.append(asyncio.ensure_future(sim.submit(job, queue, spec)))
+        await asyncio.sleep(0.6)
+    await changes
+    faults = sim.platform.faults
+    faults.directory_unreadable_to.clear()
+    faults.store_refuses_to.clear()
+    faults.late_order_share = 0.0
+    for missing in sorted({"n0", "n1", "n2"} - set(sim.instances)):
+        sim.start_instance(missing)
+    for name in sim.platform.workers:
+        sim.platform.resize(name, 64_000, 256_000)
+    await asyncio.gather(*calls)
+    for number, job in enumerate(JOB_IDS):
+        if number % 3 == 2 and job in sim.accepted:
+            await sim.cancel(job)
+    unfinished = await sim.wait_until_ended(set(sim.accepted), 60.0)
+    assert sim.platform.violations == []
+    assert unfinished == set()
+
+
+class TestRandomResizes:
+    """Guard against starts over the capacity on days of many changes."""
+
+    @pytest.mark.parametrize("seed", [603, 607, 640, 651])
+    def test_no_start_exceeds_the_capacity_and_every_job_ends(self, seed: int) -> None:
+        run_simulation(CellSimulation(seed, admission_check=False), _run_random_day)
