Read the directory of workers to its end

Cause: each refresh read one answer of the store, at most 1 MB, and took it for the present state. After an outage with many entries written, capacities and states of workers lagged by one interval for each megabyte, though the reading counted as new.

Change: a refresh reads on until the end of the topic. An answer without a whole record fails the refresh instead of repeating it.

Before: 1 failed, 37 passed in test_capacity: a smaller capacity behind 2.4 MB of other entries was not seen. After: 91 passed with test_platform_border and test_manifest.

--- a/src/greengagewood/platform/directory.py
+++ b/src/greengagewood/platform/directory.py
@@ -9,7 +9,13 @@
 from msgspec import Meta
 
 from greengagewood.internal.logs import Log
-from greengagewood.internal.ports import LogEntry, LogTruncated, WorkerInfo
+from greengagewood.internal.ports import (
+    LogEntry,
+    LogPage,
+    LogTruncated,
+    StoreUnavailable,
+    WorkerInfo,
+)
 from greengagewood.platform.store import KeyedLog
 
 __all__ = ["StoreDirectory", "parse_worker"]
@@ -78,16 +84,29 @@
         """Return the listed workers by ID; raise StoreUnavailable."""
         if self._next_offset is not None:
             try:
-                page = await self._topic.read(self._next_offset, 0)
+                await self._read_to_end(self._next_offset)
             except LogTruncated:
                 self._next_offset = None
         if self._next_offset is None:
             page = await self._topic.load()
             self._workers.clear()
+            self._apply_page(page)
+        return dict(self._workers)
+
+    async def _read_to_end(self, start: int) -> None:
+        while True:
+            page = await self._topic.read(start, 0)
+            self._apply_page(page)
+            if page.reaches_end:
+                return
+            if page.next_offset == start:
+                raise StoreUnavailable("the answer holds no whole record")
+            start = page.next_offset
+
+    def _apply_page(self, page: LogPage) -> None:
         for entry in page.entries:
             self._apply(entry)
         self._next_offset = page.next_offset
-        return dict(self._workers)
 
     def _apply(self, entry: LogEntry) -> None:
         info = parse_worker(entry.key, entry.value) if entry.value else None
--- a/tests/cover/test_capacity.py
+++ b/tests/cover/test_capacity.py
@@ -18,7 +18,7 @@
     TaskId,
 )
 from greengagewood.internal.ports import LeaseReply, RunningTask
-from greengagewood.platform.directory import parse_worker
+from greengagewood.platform.directory import StoreDirectory, parse_worker
 from tests.common.desk import LIMITS, QUEUE, CellHarness, start_orders
 from tests.common.drive import (
     CellSimulation,
@@ -27,6 +27,7 @@
     run_simulation,
     short_job,
 )
+from tests.common.storestub import StoreStub, client_of, running_store
 
 UNCHECKED_QUEUE = msgspec.structs.replace(QUEUE, name="unchecked", admission_check=False)
 BEST_EFFORT = StepSpec(1, cpu_millis=1_000, memory_mb=10, image="f", best_effort=True)
@@ -269,6 +270,24 @@
         run_simulation(CellSimulation(3, admission_check=False), script)
 
 
+class TestDirectoryReads:
+    """Guard against a part of the directory that is taken for the whole."""
+
+    def test_the_directory_is_read_to_its_end(self) -> None:
+        async def scenario() -> None:
+            stub = StoreStub()
+            stub.append("w0", _entry(64_000))
+            async with running_store(stub) as session:
+                directory = StoreDirectory(client_of(stub, session))
+                await directory.refresh()
+                for _ in range(40):  # more than one read returns
+                    stub.append("w1", _entry(64_000, padding=60_000))
+                stub.append("w0", _entry(8_000))
+                assert (await directory.refresh())["w0"].cpu_millis == 8_000
+
+        asyncio.run(scenario())
+
+
 def _entry(cpu_millis: object, padding: int = 0) -> bytes:
     return msgspec.json.encode(
         {
