Remember what a worker has refused for lack of room

Cause: after a start that was refused with `room`, the worker and the task waited 150 ms, and then the same start was sent there again. A worker that has shrunk refuses it until the directory shows its new capacity, for up to two seconds, or while the store is away. Meanwhile the refused tasks filled the room that the owner believed in at each plan, so smaller tasks never started there, and other workers with room were not tried, since the same worker stayed the tightest fit. A gang was placed as before each time. Ruled out: the number of attempts; refused starts don't count as failures of the task.

Change: the owner keeps the allocations that a worker has refused, and places no run that would reach one of them. After 0.4 s they are tried again, and after each further refusal only after twice as long, up to 2 s, which leaves room that is back to be used within 3 s. They are forgotten when accepted runs reach them or the directory shows another capacity.

--- a/src/greengagewood/internal/cells/cell.py
+++ b/src/greengagewood/internal/cells/cell.py
@@ -55,6 +55,10 @@
 MOVE_INTERVAL_MS = 150  # between two moves, each of which costs a stop and a start
 STUCK_AFTER_MS = 2_500  # minimum time without any progress after which a run is stopped as stuck
 REFUSAL_DELAY_MS = 150  # before a refused task, or a worker that lacked resources, is tried again
+FIRST_REFUSAL_BACKOFF_MS = (
+    400  # by then, ends that the worker lists with the next reading are known
+)
+LONGEST_REFUSAL_BACKOFF_MS = 2_000  # room that is back must be used within 3 s
 FIRST_WORKER_BACKOFF_MS = 1_000  # each backoff is twice as long as the last, until a success
 LONGEST_WORKER_BACKOFF_MS = 8_000
 MAX_ORDER_DELAY_MS = 12_000  # a worker carries out an order at most this long after it was sent
@@ -463,6 +467,7 @@
             if run.state == "starting":
                 run.transition("accepted")
             run.note_accepted(now_ms)
+            worker.note_room_granted()
             self.book.note_started(run.task.step.job)
             if run.initial_speed_percent < run.speed_percent:
                 return [ThrottleRun(worker, run, run.initial_speed_percent)]
@@ -475,6 +480,9 @@
             self.planner.note_permit_refused(run.task.step, worker.name)
         elif reason == "room":
             worker.backoff_until_ms = max(worker.backoff_until_ms, now_ms + REFUSAL_DELAY_MS)
+            worker.note_room_refused(
+                run.task.step.spec, now_ms, FIRST_REFUSAL_BACKOFF_MS, LONGEST_REFUSAL_BACKOFF_MS
+            )
         self.on_event(
             "start_refused",
             {"task": run.task.id, "run": run.number, "worker": worker.name, "reason": reason},
--- a/src/greengagewood/internal/cells/fleet.py
+++ b/src/greengagewood/internal/cells/fleet.py
@@ -9,7 +9,7 @@
 from __future__ import annotations
 
 from collections import deque
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from greengagewood.internal.jobs.book import Run, Task
 from greengagewood.internal.jobs.model import StepSpec
@@ -33,6 +33,21 @@
     memory_mb: int = 0
     accelerators: int = 0
 
+    def add(self, spec: StepSpec, count: int = 1) -> None:
+        """Add what tasks of a step need; the CPU of best-effort tasks does not count."""
+        if not spec.best_effort:
+            self.cpu_millis += count * spec.cpu_millis
+        self.memory_mb += count * spec.memory_mb
+        self.accelerators += count * spec.accelerators
+
+    def reaches(self, other: Resources) -> bool:
+        """Return whether no amount is below the other's."""
+        return (
+            self.cpu_millis >= other.cpu_millis
+            and self.memory_mb >= other.memory_mb
+            and self.accelerators >= other.accelerators
+        )
+
 
 @dataclass(frozen=True, slots=True)
 class Admission:
@@ -63,6 +78,12 @@
     unresponsive: bool = False  # whether it does not answer
     runs: dict[tuple[Task, int], Run] = field(default_factory=dict)  # by task and run number
     allocated: Resources = field(default_factory=Resources)  # without the CPU of best-effort runs
+    # Allocations that the worker has refused for lack of resources. Until `refused_until_ms`, no
+    # run is placed that would reach one of them; afterwards that is tried again.
+    refused_allocations: list[Resources] = field(default_factory=list)
+    refused_until_ms: int = 0
+    refusal_backoff_ms: int = 0
+    refusals_apply: bool = False  # whether `refused_until_ms` was ahead at the last plan
     best_effort_cpu_millis: int = 0
     long_running_cpu_millis: int = 0
     # Forecast slack by serving image, less what best-effort runs take; discarded like `admissions`
@@ -121,6 +142,7 @@
             self._note_resized()
 
     def _note_resized(self) -> None:
+        self._forget_refusals()
         self.invalidate_slack()
         # CPU shares from before and after the change are of different totals, so the tail model
         # must not compare them.
@@ -150,10 +172,7 @@
             self.long_running_cpu_millis += sign * spec.cpu_millis
         if spec.best_effort:
             self.best_effort_cpu_millis += sign * spec.cpu_millis
-        else:
-            self.allocated.cpu_millis += sign * spec.cpu_millis
-        self.allocated.memory_mb += sign * spec.memory_mb
-        self.allocated.accelerators += sign * spec.accelerators
+        self.allocated.add(spec, sign)
 
     def fits(self, spec: StepSpec) -> bool:
         """Return whether one task of the step fits into the resources that are not allocated.
@@ -169,8 +188,55 @@
             self.allocated.cpu_millis + cpu_millis <= info.cpu_millis
             and self.allocated.memory_mb + spec.memory_mb <= info.memory_mb
             and self.allocated.accelerators + spec.accelerators <= info.accelerators
+            and not self.would_refuse(spec, 1)
         )
 
+    def would_refuse(self, spec: StepSpec, count: int) -> bool:
+        """Return whether the worker has lately refused as much as with more tasks of the step."""
+        if not self.refusals_apply:
+            return False
+        allocation = replace(self.allocated)
+        allocation.add(spec, count)
+        return any(allocation.reaches(refused) for refused in self.refused_allocations)
+
+    def note_room_refused(
+        self, spec: StepSpec, now_ms: int, first_ms: int, longest_ms: int
+    ) -> None:
+        """Record that a task of the step did not fit beside the present runs.
+
+        The same is tried again after a time that doubles with each further attempt.
+        """
+        refused = replace(self.allocated)
+        refused.add(spec)
+        self.refused_allocations = [
+            other for other in self.refused_allocations if not other.reaches(refused)
+        ]
+        self.refused_allocations.append(refused)
+        if now_ms >= self.refused_until_ms:  # not another start of the same attempt
+            self.refusal_backoff_ms = min(longest_ms, self.refusal_backoff_ms * 2 or first_ms)
+            self.refused_until_ms = now_ms + self.refusal_backoff_ms
+        self.refusals_apply = True
+
+    def note_room_granted(self) -> None:
+        """Forget the refusals if the accepted runs reach what the worker had refused."""
+        if not self.refused_allocations:
+            return
+        accepted = Resources()
+        for run in self.runs.values():
+            if run.accepted_ms is not None:
+                accepted.add(run.task.step.spec)
+        if any(accepted.reaches(refused) for refused in self.refused_allocations):
+            self._forget_refusals()
+
+    def update_refusals(self, now_ms: int) -> None:
+        """Decide whether the refusals still exclude runs."""
+        self.refusals_apply = now_ms < self.refused_until_ms
+
+    def _forget_refusals(self) -> None:
+        self.refused_allocations.clear()
+        self.refused_until_ms = self.refusal_backoff_ms = 0
+        self.refusals_apply = False
+
     # Clock and lease.
 
     def note_clock(self, clock_ms: int, now_ms: int) -> None:
--- a/src/greengagewood/internal/cells/placement.py
+++ b/src/greengagewood/internal/cells/placement.py
@@ -260,4 +260,7 @@
         limits.append((info.accelerators - worker.allocated.accelerators) // spec.accelerators)
     if spec.max_per_instance:
         limits.append(spec.max_per_instance - step.runs_by_worker.get(worker.name, 0))
-    return max(0, min(limits))
+    count = max(0, min(limits))
+    while count and worker.would_refuse(spec, count):
+        count -= 1
+    return count
--- a/src/greengagewood/internal/cells/planner.py
+++ b/src/greengagewood/internal/cells/planner.py
@@ -171,6 +171,7 @@
         orders: list[Order] = []
         by_service: dict[str, list[Worker]] = {}
         for worker in self._workers.values():
+            worker.update_refusals(now_ms)
             if worker.is_usable(now_ms):
                 by_service.setdefault(worker.info.service, []).append(worker)
         last_ms = self._best_effort_placed_ms
--- a/tests/cover/test_capacity.py
+++ b/tests/cover/test_capacity.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections import Counter
 from dataclasses import replace
 
 import msgspec
@@ -17,7 +18,7 @@
     Submission,
     TaskId,
 )
-from greengagewood.internal.ports import LeaseReply, RunningTask
+from greengagewood.internal.ports import LeaseReply, RunEnd, RunningTask
 from greengagewood.platform.directory import StoreDirectory, parse_worker
 from tests.common.desk import LIMITS, QUEUE, CellHarness, start_orders
 from tests.common.drive import (
@@ -400,6 +401,94 @@
         assert len(start_orders(harness.plan())) == 1
 
 
+class TestRoomRefusals:
+    """Guard against repeated starts on a worker that refuses them for lack of room."""
+
+    def _refuse_above(self, harness: CellHarness, cpu_millis: int) -> int:
+        """Plan for 10 s while the worker has less room than listed; return the refusals."""
+        refusals = 0
+        worker = harness.cell.workers["w0"]
+        used = sum(r.task.step.spec.cpu_millis for r in worker.runs.values())
+        for _ in range(200):
+            for order in start_orders(harness.plan(49)):
+                cpu = order.run.task.step.spec.cpu_millis
+                reason = "room" if used + cpu > cpu_millis else ""
+                harness.cell.handle_start_reply(order.worker, order.run, reason, harness.now_ms)
+                used += 0 if reason else cpu
+                refusals += bool(reason)
+            harness.answer_leases()
+        return refusals
+
+    def test_a_refused_start_is_repeated_ever_more_rarely(self) -> None:
+        harness = CellHarness("w0")
+        harness.submit(StepSpec(1, cpu_millis=32_000))
+        assert 2 <= self._refuse_above(harness, 16_000) <= 10
+
+    def test_smaller_tasks_still_start_there(self) -> None:
+        harness = CellHarness("w0")
+        harness.submit(StepSpec(4, cpu_millis=32_000))
+        harness.submit(StepSpec(3, cpu_millis=4_000), job=JOB_IDS[1])
+        self._refuse_above(harness, 16_000)
+        running = [r.task.step.spec.cpu_millis for r in harness.cell.workers["w0"].runs.values()]
+        assert running == [4_000] * 3
+
+    def test_the_task_starts_on_another_worker_at_once(self) -> None:
+        harness = CellHarness("w0", "w1")
+        harness.submit(StepSpec(1, cpu_millis=32_000))
+        (start,) = start_orders(harness.plan())
+        harness.cell.handle_start_reply(start.worker, start.run, "room", harness.now_ms)
+        (again,) = start_orders(harness.plan(200))
+        assert again.worker is not start.worker
+
+    def test_a_gang_is_placed_with_no_more_tasks_there_than_were_accepted(self) -> None:
+        harness = CellHarness("w0", "w1")
+        harness.submit(StepSpec(4, cpu_millis=16_000, gang=True))
+        orders = start_orders(harness.plan())
+        for number, order in enumerate(orders):
+            reason = "" if number < 2 else "room"
+            harness.cell.handle_start_reply(order.worker, order.run, reason, harness.now_ms)
+        ends = tuple(
+            RunEnd(n, o.run.task.id, o.run.number, "alone", "") for n, o in enumerate(orders[:2], 1)
+        )
+        harness.now_ms += 1
+        harness.answer_lease(orders[0].worker.name, ends=ends)
+        placed = Counter(order.worker.name for order in start_orders(harness.plan(200)))
+        assert placed == {"w0": 2, "w1": 2}
+
+    def test_a_refused_task_starts_soon_after_the_room_is_back(self) -> None:
+        harness = CellHarness("w0")
+        harness.submit(StepSpec(1, cpu_millis=32_000))
+        self._refuse_above(harness, 16_000)
+        for _ in range(45):
+            starts = harness.start(50)
+            if starts:
+                break
+            harness.answer_leases()
+        assert len(starts) == 1
+
+    def test_a_change_of_the_directory_ends_the_wait(self) -> None:
+        harness = CellHarness("w0")
+        harness.submit(StepSpec(1, cpu_millis=32_000))
+        self._refuse_above(harness, 16_000)
+        harness.resize("w0", 63_000)
+        assert len(start_orders(harness.plan(200))) == 1
+
+    def test_an_end_of_a_run_makes_room_for_a_task_of_its_size(self) -> None:
+        harness = CellHarness("w0")
+        harness.submit(StepSpec(2, cpu_millis=8_000))
+        assert len(harness.start()) == 2
+        harness.submit(StepSpec(1, cpu_millis=8_000), job=JOB_IDS[1])
+        assert self._refuse_above(harness, 16_000) <= 10
+        harness.cell.cancel("0" * 16, harness.now_ms)
+        harness.plan()
+        worker = harness.cell.workers["w0"]
+        for run in list(worker.runs.values()):
+            harness.cell.note_stop_accepted(run, harness.now_ms)
+        harness.now_ms += 1
+        harness.answer_lease("w0")
+        assert len(start_orders(harness.plan(200))) == 1
+
+
 async def _resize_at_random(sim: CellSimulation, seconds: float) -> None:
     """Shrink and grow workers, while owners are killed and the store is away now and then."""
     rng = sim.rng
