--- a/src/greengagewood/internal/cells/cell.py
+++ b/src/greengagewood/internal/cells/cell.py
@@ -59,6 +59,10 @@
 MOVE_INTERVAL_MS = 150  # between two moves, each of which costs a stop and a start
 STUCK_AFTER_MS = 2_500  # minimum time without any progress after which a run is stopped as stuck
 REFUSAL_DELAY_MS = 150  # before a refused task, or a worker that lacked resources, is tried again
+FIRST_REFUSAL_BACKOFF_MS = (
+    400  # by then, ends that the worker lists with the next reading are known
+)
+LONGEST_REFUSAL_BACKOFF_MS = 2_000  # room that is back must be used within 3 s
 FIRST_WORKER_BACKOFF_MS = 1_000  # each backoff is twice as long as the last, until a success
 LONGEST_WORKER_BACKOFF_MS = 8_000
 MAX_ORDER_DELAY_MS = 12_000  # a worker carries out an order at most this long after it was sent
@@ -140,20 +144,23 @@
 
     # Workers.
 
-    def set_workers(self, listed: dict[str, WorkerInfo], now_ms: int) -> None:
-        """Apply the workers that the directory lists now."""
+    def set_workers(
+        self, listed: dict[str, WorkerInfo], now_ms: int, read_ms: int | None = None
+    ) -> None:
+        """Apply the workers that the directory listed at `read_ms`, by default now."""
+        self.planner.directory_read_ms = now_ms if read_ms is None else read_ms
         for name, info in listed.items():
             worker = self.workers.get(name)
             if worker is None:
                 self._add_worker(info, now_ms)
             elif info.boot_time_ms > worker.info.boot_time_ms > 0:
                 self._replace_rebooted(worker, info, now_ms)
-            elif 0 < info.boot_time_ms < worker.info.boot_time_ms:
+            elif worker.is_newer_than(info):
                 continue  # the directory lags behind what the worker itself has said
             else:
                 self._update_worker(worker, info)
         for name, worker in list(self.workers.items()):
-            worker.in_directory = name in listed
+            worker.in_directory = name in listed and not worker.is_newer_than(listed[name])
             if not worker.in_directory and worker.unresponsive and worker.orders_expired(now_ms):
                 self._remove_worker(worker, now_ms)
         for worker in self.workers.values():
@@ -169,7 +176,7 @@
     def _update_worker(self, worker: Worker, info: WorkerInfo) -> None:
         if info.draining and not worker.info.draining:
             self.on_event("worker_draining", {"worker": info.worker_id})
-        worker.info = info
+        worker.update_info(info)
 
     def set_registered_workers(
         self, registered: RegisteredWorkers, read_ms: int, now_ms: int
@@ -286,6 +293,8 @@
             self._replace_rebooted(
                 worker, replace(worker.info, boot_time_ms=reply.boot_time_ms), now_ms
             )
+            # The new boot may have another capacity and other labels, which its entry will show.
+            self.workers[worker.name].in_directory = False
             return []
         worker.note_clock(reply.clock_ms, now_ms)
         if worker.unresponsive:
@@ -491,6 +500,7 @@
             if run.state == "starting":
                 run.transition("accepted")
             run.note_accepted(now_ms)
+            worker.note_room_granted()
             self.book.note_started(run.task.step.job)
             if run.initial_speed_percent < run.speed_percent:
                 return [ThrottleRun(worker, run, run.initial_speed_percent)]
@@ -503,6 +513,9 @@
             self.planner.note_permit_refused(run.task.step, worker.name)
         elif reason == "room":
             worker.backoff_until_ms = max(worker.backoff_until_ms, now_ms + REFUSAL_DELAY_MS)
+            worker.note_room_refused(
+                run.task.step.spec, now_ms, FIRST_REFUSAL_BACKOFF_MS, LONGEST_REFUSAL_BACKOFF_MS
+            )
         self.on_event(
             "start_refused",
             {"task": run.task.id, "run": run.number, "worker": worker.name, "reason": reason},
--- a/src/greengagewood/internal/cells/placement.py
+++ b/src/greengagewood/internal/cells/placement.py
@@ -248,6 +248,8 @@
 def _free_slots(worker: Worker, step: Step) -> int:
     """Return how many tasks of the step still fit on a worker."""
     spec = step.spec
+    if not worker.fits(spec):  # also if it lacks a resource that the tasks don't request
+        return 0
     info = worker.info
     limits = [spec.task_count]
     if spec.cpu_millis and not spec.best_effort:
@@ -258,4 +260,7 @@
         limits.append((info.accelerators - worker.allocated.accelerators) // spec.accelerators)
     if spec.max_per_instance:
         limits.append(spec.max_per_instance - step.runs_by_worker.get(worker.name, 0))
-    return max(0, min(limits))
+    count = max(0, min(limits))
+    while count and worker.would_refuse(spec, count):
+        count -= 1
+    return count
