Acknowledge no ends while another boot may receive the call

A worker may boot again under its ID while the owner has not noticed. The next lease extension then carried the acknowledgement of the earlier boot's ends, whose sequence numbers say nothing about those of the new boot: ends that the owner never saw would be forgotten, and a task that was done would run again.

After a call without an answer, none is acknowledged until the worker answers. The worker then lists some ends once more, which are known by their numbers. The test failed before: 7 was sent.

--- a/src/greengagewood/internal/cells/cell.py
+++ b/src/greengagewood/internal/cells/cell.py
@@ -271,13 +271,16 @@
 
         The deadline is None if the worker's clock was never read. It is also None while the worker
         does not answer, so that its lease expires and its tasks can be started elsewhere.
+
+        After a call without an answer another boot may receive the next one, whose ends have other
+        sequence numbers, so none is acknowledged.
         """
         deadline = None
         if not worker.unresponsive:
             deadline = worker.deadline_in(self.limits.lease_ms, now_ms)
         if deadline is not None:
             worker.latest_deadline_ms = max(worker.latest_deadline_ms, deadline)
-        return deadline, worker.acknowledged_sequence
+        return deadline, 0 if worker.lease_call_failed else worker.acknowledged_sequence
 
     def handle_lease_reply(
         self, worker: Worker, reply: LeaseReply, sent_ms: int, now_ms: int
@@ -303,6 +306,7 @@
                 self._registration_due = True
             self.on_event("worker_answers", {"worker": worker.name})
         worker.last_answer_ms = now_ms
+        worker.lease_call_failed = False
         for end in reply.ended:
             if end.sequence > worker.last_end_sequence:
                 worker.last_end_sequence = end.sequence
@@ -474,6 +478,7 @@
 
     def note_lease_failure(self, worker: Worker, now_ms: int) -> None:
         """Record that a worker did not answer a lease extension."""
+        worker.lease_call_failed = True
         if worker.unresponsive or self.workers.get(worker.name) is not worker:
             return
         since = worker.last_answer_ms if worker.last_answer_ms is not None else worker.added_ms
--- a/src/greengagewood/internal/cells/fleet.py
+++ b/src/greengagewood/internal/cells/fleet.py
@@ -79,6 +79,7 @@
     inherited_tasks: frozenset[TaskId] | None = frozenset()
     last_answer_ms: int | None = None
     unresponsive: bool = False  # whether it does not answer
+    lease_call_failed: bool = False  # whether the last lease extension was not answered
     runs: dict[tuple[Task, int], Run] = field(default_factory=dict)  # by task and run number
     allocated: Resources = field(default_factory=Resources)  # without the CPU of best-effort runs
     # Allocations that the worker has refused for lack of resources. Until `refused_until_ms`, no
--- a/tests/cover/test_operator_reports.py
+++ b/tests/cover/test_operator_reports.py
@@ -23,7 +23,13 @@
     encode_record,
     key_of,
 )
-from greengagewood.internal.ports import LogEntry, Outcome, RunningTask, WorkerCallFailed
+from greengagewood.internal.ports import (
+    LogEntry,
+    Outcome,
+    RunEnd,
+    RunningTask,
+    WorkerCallFailed,
+)
 from greengagewood.platform.frontend import _store_timeout_ms
 from greengagewood.platform.workers import HttpWorkers
 from tests.common.desk import QUEUE, CellHarness, make_worker_info, start_orders
@@ -230,6 +236,17 @@
         harness.answer_lease(other)
         assert len(start_orders(harness.plan())) == 1
 
+    def test_a_new_boot_is_not_sent_the_acknowledgement_of_the_earlier_one(self) -> None:
+        harness = CellHarness("w0")
+        worker = harness.cell.workers["w0"]
+        harness.answer_lease("w0", ends=(RunEnd(7, TaskId(JOB, 0, 0, 0), 1, "done", ""),))
+        harness.store_changes()
+        assert harness.cell.prepare_lease_extension(worker, harness.now_ms)[1] == 7
+        harness.cell.note_lease_failure(worker, harness.now_ms)
+        assert harness.cell.prepare_lease_extension(worker, harness.now_ms)[1] == 0
+        harness.answer_lease("w0")
+        assert harness.cell.prepare_lease_extension(worker, harness.now_ms)[1] == 7
+
     def test_records_that_the_store_deleted_meanwhile_are_forgotten(self) -> None:
         ledger = Ledger()
         record = Submission(JOB, QUEUE, JobSpec("p", (StepSpec(1),)), 0)
