Let a simulated worker answer for its new boot

The simulated platform accepted a start on a later boot under the same ID, but refused its lease extension as meant for another boot. By the platform's documentation an order names the ID, which both boots have, and the answer tells the boot time. The checks of the stand-in are as they were.

--- a/tests/common/plant.py
+++ b/tests/common/plant.py
@@ -28,7 +28,6 @@
     StoreUnavailable,
     WorkerCallFailed,
     WorkerInfo,
-    WrongBoot,
 )
 
 STORE_LATENCY_S = 0.004
@@ -521,9 +520,7 @@
                     await worker.ended.wait()
             except TimeoutError:
                 pass
-        worker = await self._reach(worker_info)
-        if worker.info.boot_time_ms != worker_info.boot_time_ms and worker_info.boot_time_ms:
-            raise WrongBoot(worker_info.worker_id)
+        worker = await self._reach(worker_info)  # may be a later boot under the same ID
         now_ms = monotonic_ms()
         running = tuple(
             RunningTask(
