Hold a task back while a later boot may still carry out its start

A start that was not answered may be carried out up to 12 s later, also by a later boot of its worker under the same ID: the order names only the ID, and the deadline in it says nothing to a clock that began anew. Since leases of silent workers expire, the owner started such a task elsewhere when the old boot's clock had passed the deadline; and the record of a planned stop told the next owner the same time. If the worker came back before the start arrived, the task ran twice. Exclusivity goes before LOST.

Cause: one expiry for a whole worker, on the clock of a boot that may be gone. Class of fault: a bound that is kept by a clock which restarts.

Change: - A run whose start was not answered is over 12 s and a lease after it was sent, whatever the lease of its worker; the worker's other runs still expire with the lease. The record lists possible runs in groups, each with its own time. - A start that could not even open a connection (refused, or no connection in time) was not sent; the port says so (WorkerUnreachable), and its task is free at once. A drained worker is stored once more when it is empty.

--- a/src/greengagewood/internal/cells/cell.py
+++ b/src/greengagewood/internal/cells/cell.py
@@ -24,7 +24,13 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, replace
 
-from greengagewood.internal.cells.fleet import MAX_CLOCK_DRIFT, UNRESPONSIVE_AFTER_MS, Worker
+from greengagewood.internal.cells.fleet import (
+    MAX_CLOCK_DRIFT,
+    MAX_ORDER_DELAY_MS,
+    UNRESPONSIVE_AFTER_MS,
+    Worker,
+    late_start_expiry_ms,
+)
 from greengagewood.internal.cells.orders import (
     Changes,
     Order,
@@ -33,8 +39,8 @@
 )
 from greengagewood.internal.cells.planner import Planner
 from greengagewood.internal.cells.registration import (
-    inherit_limits,
-    is_limited,
+    inherit_runs,
+    is_record_outdated,
     registration_record,
     tasks_held_back,
 )
@@ -65,7 +71,6 @@
 LONGEST_REFUSAL_BACKOFF_MS = 2_000  # room that is back must be used within 3 s
 FIRST_WORKER_BACKOFF_MS = 1_000  # each backoff is twice as long as the last, until a success
 LONGEST_WORKER_BACKOFF_MS = 8_000
-MAX_ORDER_DELAY_MS = 12_000  # a worker carries out an order at most this long after it was sent
 ADOPTION_REPORT_DELAY_MS = 1_500  # an adoption that takes longer is reported, and again after this
 MAX_REPORTED_WORKERS = 10  # bounds the length of a log line
 FAILURES_BEFORE_BACKOFF = 3  # among a worker's last eight outcomes, with no success among them
@@ -109,6 +114,7 @@
         # When a run of an unknown task was last sent a stop, by worker, task and run number.
         self._unknown_run_stop_sent_ms: dict[tuple[str, TaskId, int], int] = {}
         self._registration_due = False
+        self._directory_unread = True
         self._adopting = True  # until every worker is known to have no other runs of the cell
         self._adoption_report_ms = now_ms + ADOPTION_REPORT_DELAY_MS
         self._next_move_ms = 0  # no run is moved before this time
@@ -161,11 +167,18 @@
                 self._update_worker(worker, info)
         for name, worker in list(self.workers.items()):
             worker.in_directory = name in listed and not worker.is_newer_than(listed[name])
-            if not worker.in_directory and worker.unresponsive and worker.orders_expired(now_ms):
+            if (
+                not worker.in_directory
+                and worker.unresponsive
+                and not worker.runs
+                and worker.orders_expired(now_ms)
+            ):
                 self._remove_worker(worker, now_ms)
-        for worker in self.workers.values():
-            if worker.registered == is_limited(worker, now_ms):
-                self._registration_due = True
+        # The first record of a term replaces that of the earlier owner, which no longer applies.
+        self._registration_due |= self._directory_unread or any(
+            is_record_outdated(worker, now_ms) for worker in self.workers.values()
+        )
+        self._directory_unread = False
         self.planner.request_replan()
 
     def _add_worker(self, info: WorkerInfo, now_ms: int) -> Worker:
@@ -185,7 +198,7 @@
 
         A worker that the directory does not list is added as draining and without resources.
         """
-        valid = registered.token == self.token - 1
+        limits_apply = registered.token == self.token - 1
         for stored in registered.workers:
             worker = self.workers.get(stored.worker_id)
             if worker is None:
@@ -205,8 +218,7 @@
                 )
                 worker = self._add_worker(info, now_ms)
                 worker.in_directory = False
-            inherit_limits(worker, stored, read_ms, self._earlier_orders_expiry_ms, valid)
-        self._registration_due = True
+            inherit_runs(worker, stored, read_ms, self._earlier_orders_expiry_ms, limits_apply)
 
     def _replace_rebooted(self, worker: Worker, info: WorkerInfo, now_ms: int) -> None:
         """Replace a worker that has rebooted, and so has none of its earlier runs."""
@@ -214,8 +226,8 @@
         rebooted = Worker(
             info, now_ms, registered=worker.registered, in_directory=worker.in_directory
         )
-        if worker.may_run_inherited(now_ms):  # a late start may still reach the new boot
-            rebooted.inherited_tasks = worker.inherited_tasks
+        if worker.unlisted_runs(now_ms):  # a late start may still reach the new boot
+            rebooted.inherited = worker.inherited
             rebooted.earlier_orders_expiry_ms = worker.earlier_orders_expiry_ms
         self.workers[info.worker_id] = rebooted
         for run in list(worker.runs.values()):
@@ -246,6 +258,8 @@
 
     def _mark_runs_lost(self, worker: Worker, now_ms: int, reason: str) -> None:
         for run in list(worker.runs.values()):
+            if reason == "lapsed" and now_ms <= late_start_expiry_ms(run, self.limits.lease_ms):
+                continue  # a later boot may still carry out the start
             self._end_run(worker, run, "lost", now_ms)
             self.on_event(
                 "run_lost",
@@ -270,13 +284,14 @@
         """Return the deadline of a worker's new lease, and the number of its last stored run end.
 
         The deadline is None if the worker's clock was never read. It is also None while the worker
-        does not answer, so that its lease expires and its tasks can be started elsewhere.
+        does not answer, so that its lease expires and its tasks can be started elsewhere, and until
+        a stored record no longer says when its lease expires.
 
         After a call without an answer another boot may receive the next one, whose ends have other
         sequence numbers, so none is acknowledged.
         """
         deadline = None
-        if not worker.unresponsive:
+        if not worker.unresponsive and not worker.lease_limited:
             deadline = worker.deadline_in(self.limits.lease_ms, now_ms)
         if deadline is not None:
             worker.latest_deadline_ms = max(worker.latest_deadline_ms, deadline)
@@ -514,6 +529,8 @@
         run.task.not_before_ms = now_ms + REFUSAL_DELAY_MS
         if reason in ("unhealthy", "invalid"):
             worker.back_off(now_ms, FIRST_WORKER_BACKOFF_MS, LONGEST_WORKER_BACKOFF_MS)
+        elif reason == "unreachable":
+            worker.backoff_until_ms = max(worker.backoff_until_ms, now_ms + FIRST_WORKER_BACKOFF_MS)
         elif reason == "ticket":
             self.planner.note_permit_refused(run.task.step, worker.name)
         elif reason == "room":
@@ -561,10 +578,9 @@
         for worker in list(self.workers.values()):
             if not worker.unresponsive or not worker.orders_expired(now_ms):
                 continue
-            if worker.runs:
-                self._mark_runs_lost(worker, now_ms, "lapsed")
+            self._mark_runs_lost(worker, now_ms, "lapsed")
             worker.adopted = False
-            if not worker.in_directory:
+            if not worker.in_directory and not worker.runs:
                 self._remove_worker(worker, now_ms)
 
     def _open_due_occurrences(self, wall_ms: int) -> None:
@@ -582,10 +598,10 @@
         """Mark the tasks as not running that no run of an earlier owner can go on with unlisted."""
         if not self._adopting and not self.book.maybe_running_tasks:
             return
-        unresolved = [w for w in self.workers.values() if w.may_run_inherited(now_ms)]
+        unresolved = [w for w in self.workers.values() if w.unlisted_runs(now_ms)]
         if unresolved:
             self._report_adoption(unresolved, now_ms)
-        held_back = tasks_held_back(unresolved)
+        held_back = tasks_held_back(unresolved, now_ms)
         if held_back is None:
             return
         if self._adopting and not unresolved:
@@ -719,12 +735,9 @@
         if self._registration_due or releasing:
             self._registration_due = False
             record, registered = registration_record(
-                self.workers.values(), book, self.token, now_ms, releasing
+                self.workers.values(), book, self.token, now_ms, self.limits.lease_ms, releasing
             )
-            unlimited = set(registered)
             records.append(record)
-            for worker in self.workers.values():
-                worker.registered = worker.registered and worker in unlimited
             urgent = True
         end_sequences = {
             w: w.last_end_sequence
@@ -757,6 +770,7 @@
             current = self.workers.get(worker.name)
             if current is not None:
                 current.registered = True
+                current.lease_limited = False
         self.planner.request_replan()
 
     def note_changes_unconfirmed(self, changes: Changes) -> None:
--- a/src/greengagewood/internal/cells/fleet.py
+++ b/src/greengagewood/internal/cells/fleet.py
@@ -16,11 +16,21 @@
 from greengagewood.internal.jobs.records import TaskId
 from greengagewood.internal.ports import WorkerInfo
 
-__all__ = ["MAX_CLOCK_DRIFT", "UNRESPONSIVE_AFTER_MS", "Admission", "Resources", "Worker"]
+__all__ = [
+    "MAX_CLOCK_DRIFT",
+    "MAX_ORDER_DELAY_MS",
+    "UNRESPONSIVE_AFTER_MS",
+    "Admission",
+    "InheritedRuns",
+    "Resources",
+    "Worker",
+    "late_start_expiry_ms",
+]
 
 UNRESPONSIVE_AFTER_MS = 1_500  # no run is started on a worker that has not answered for longer
 # By the platform's documentation: the fraction by which a worker's clock may run slower.
 MAX_CLOCK_DRIFT = 0.02
+MAX_ORDER_DELAY_MS = 12_000  # a worker carries out an order at most this long after it was sent
 
 
 @dataclass(slots=True)
@@ -62,6 +72,28 @@
     slack_cost: float
 
 
+@dataclass(frozen=True, slots=True)
+class InheritedRuns:
+    """Tasks that earlier owners may have started on a worker; None if it may be any.
+
+    Their runs are over after `expiry_ms`, on the owner's monotonic clock.
+    """
+
+    tasks: frozenset[TaskId] | None
+    expiry_ms: int
+
+
+def late_start_expiry_ms(run: Run, lease_ms: int) -> int:
+    """Return when a start that was not answered is over, even on a later boot of its worker.
+
+    The deadline of the start says nothing to a later boot, whose clock has started anew. Return 0
+    for a start that was answered.
+    """
+    if run.accepted_ms is not None:
+        return 0
+    return run.started_ms + MAX_ORDER_DELAY_MS + int(lease_ms * (1 + MAX_CLOCK_DRIFT))
+
+
 @dataclass(slots=True, eq=False)
 class Worker:
     """One boot of a worker; times are of the owner's monotonic clock unless stated otherwise."""
@@ -75,8 +107,10 @@
     clock_read_ms: int | None = None  # when its clock was last read
     latest_deadline_ms: int = 0  # the latest deadline that this owner gave it, on its own clock
     earlier_orders_expiry_ms: int = 0  # when orders of earlier owners have certainly expired
-    # The tasks that earlier owners may have started here; None if it may be any.
-    inherited_tasks: frozenset[TaskId] | None = frozenset()
+    inherited: tuple[InheritedRuns, ...] = ()
+    lease_limited: bool = False  # whether a stored record may say when its lease expires
+    closed_to_starts: bool = False  # whether the last record says which tasks it can run
+    stored_empty: bool = False  # whether the last record says, or implies, that it runs none
     last_answer_ms: int | None = None
     unresponsive: bool = False  # whether it does not answer
     lease_call_failed: bool = False  # whether the last lease extension was not answered
@@ -277,13 +311,11 @@
             remaining_ms = max(remaining_ms, longest_ms - (now_ms - self.clock_read_ms))
         return remaining_ms
 
-    def may_run_inherited(self, now_ms: int) -> bool:
-        """Return whether runs of earlier owners may go on, or start, without being listed."""
-        return (
-            not self.adopted
-            and self.inherited_tasks != frozenset()
-            and now_ms <= self.earlier_orders_expiry_ms
-        )
+    def unlisted_runs(self, now_ms: int) -> tuple[InheritedRuns, ...]:
+        """Return the runs of earlier owners that may go on, or start, without being listed."""
+        if self.adopted:
+            return ()
+        return tuple(runs for runs in self.inherited if now_ms <= runs.expiry_ms)
 
     # Failures.
 
--- a/src/greengagewood/internal/cells/registration.py
+++ b/src/greengagewood/internal/cells/registration.py
@@ -1,115 +1,169 @@
 """What an owner stores about its workers, and what the next owner concludes from it.
 
-An owner that ends its term knows where each task may run. The next one can only learn it from the
-workers, and a worker that has left never answers. So the stored record of registered workers names,
-for workers to which the owner starts nothing more, the tasks that they can run; and the last record
-of a planned stop names them for every worker, with the time until all orders have expired. That
-time goes on from one owner to the next, on the clock of each instance that reads the record.
-
-A record binds the owner that wrote it. Its limits say nothing about orders of a later owner, so
-they count only in the term that follows directly.
-
-A task that an earlier owner may have started was ruled out on a worker if the worker has accepted
-the new token and listed its runs, if the worker cannot run the task by the stored record, or if all
-orders to the worker have expired.
+The stored record of registered workers names every worker that may run tasks of the cell. For a
+worker that drains or does not answer, it also names the tasks that may run there. The record of a
+planned stop does so for every worker, with the time until these runs are certainly over. Each
+instance counts that time from when it read the record, on its own monotonic clock, so the time goes
+on while owners change.
+
+A record binds the owner that wrote it, not a later one. So what it says of possible runs counts
+only in the term that follows directly; otherwise any task may run on any registered worker.
+
+A task that an earlier owner may have started is ruled out on a worker if the worker has accepted
+the new token and listed its runs, if the task is not among the worker's possible runs, or if these
+are over.
 """
 
 from __future__ import annotations
 
 from collections.abc import Iterable
 
-from greengagewood.internal.cells.fleet import MAX_CLOCK_DRIFT, Worker
+from greengagewood.internal.cells.fleet import (
+    MAX_CLOCK_DRIFT,
+    InheritedRuns,
+    Worker,
+    late_start_expiry_ms,
+)
 from greengagewood.internal.jobs.book import JobBook
-from greengagewood.internal.jobs.records import RegisteredWorker, RegisteredWorkers, TaskId
+from greengagewood.internal.jobs.records import (
+    PossibleRuns,
+    RegisteredWorker,
+    RegisteredWorkers,
+    TaskId,
+)
 
-__all__ = ["inherit_limits", "is_limited", "registration_record", "tasks_held_back"]
+__all__ = ["inherit_runs", "is_record_outdated", "registration_record", "tasks_held_back"]
 
-# Shorter silences do not change what is stored, since a worker that answers again must be stored
-# before the next start.
-LIMITED_AFTER_SILENCE_MS = 3_000
+# A worker that answers again is stored anew before the next start, so short silences don't count.
+CLOSED_AFTER_SILENCE_MS = 3_000
 # Keeps the record well below the size that the store accepts; any further worker may run any task.
 MAX_STORED_TASKS = 5_000
 
 
-def is_limited(worker: Worker, now_ms: int) -> bool:
-    """Return whether the owner starts nothing more on a worker until it has been stored anew."""
+def _is_closed(worker: Worker, now_ms: int) -> bool:
+    """Return whether the owner starts nothing on a worker until it has been stored anew."""
     if worker.info.draining:
         return True
-    answered_ms = worker.added_ms if worker.last_answer_ms is None else worker.last_answer_ms
-    return worker.unresponsive and now_ms - answered_ms > LIMITED_AFTER_SILENCE_MS
+    return worker.unresponsive and (
+        worker.last_answer_ms is None or now_ms - worker.last_answer_ms > CLOSED_AFTER_SILENCE_MS
+    )
+
+
+def is_record_outdated(worker: Worker, now_ms: int) -> bool:
+    """Return whether to store anew what the record of registered workers says of a worker."""
+    closed = _is_closed(worker, now_ms)
+    if closed != worker.closed_to_starts or not (closed or worker.registered):
+        return True
+    is_empty = not worker.runs and not worker.unlisted_runs(now_ms)
+    return closed and is_empty and not worker.stored_empty
 
 
 def registration_record(
-    workers: Iterable[Worker], book: JobBook, token: int, now_ms: int, releasing: bool
+    workers: Iterable[Worker],
+    book: JobBook,
+    token: int,
+    now_ms: int,
+    lease_ms: int,
+    releasing: bool,
 ) -> tuple[RegisteredWorkers, tuple[Worker, ...]]:
-    """Return the record to store, and the workers that it does not limit.
+    """Return the record to store, and the workers on which runs may be started once it is stored.
 
-    With `releasing`, the owner sends no orders after this record, and every worker is limited.
+    With `releasing`, the owner sends no orders from now on.
     """
-    stored = []
-    unlimited = []
-    room = MAX_STORED_TASKS
+    entries = []
+    open_workers = []
+    remaining_entries = MAX_STORED_TASKS
     # Only workers that do not answer delay the next owner, so their tasks are listed first.
     for worker in sorted(workers, key=lambda w: w.adopted and not w.unresponsive):
-        limited = is_limited(worker, now_ms)
-        if not limited and not releasing:
-            unlimited.append(worker)
-            stored.append(RegisteredWorker(worker.name, worker.info.address, worker.info.service))
-            continue
-        tasks = _possible_tasks(worker, book, now_ms)
-        if limited and tasks == ():
-            continue
-        if tasks is not None:
-            room -= len(tasks)
-        stored.append(
-            RegisteredWorker(
-                worker.name,
-                worker.info.address,
-                worker.info.service,
-                tasks if room >= 0 else None,
-                worker.remaining_order_ms(now_ms) if releasing else -1,
+        worker.closed_to_starts = _is_closed(worker, now_ms)
+        possible_runs = None
+        if worker.closed_to_starts or releasing:
+            worker.registered = False
+            worker.lease_limited = worker.unresponsive or releasing
+            possible_runs = _possible_runs(worker, book, now_ms, lease_ms)
+            worker.stored_empty = not possible_runs
+            if worker.closed_to_starts and not possible_runs:
+                continue
+            remaining_entries -= sum(len(runs.tasks or ()) for runs in possible_runs)
+            if remaining_entries < 0:
+                possible_runs = tuple(
+                    PossibleRuns(None, runs.expire_in_ms) for runs in possible_runs
+                )
+        else:
+            open_workers.append(worker)
+        entries.append(
+            RegisteredWorker(worker.name, worker.info.address, worker.info.service, possible_runs)
+        )
+    return RegisteredWorkers(tuple(entries), token), tuple(open_workers)
+
+
+def _possible_runs(
+    worker: Worker, book: JobBook, now_ms: int, lease_ms: int
+) -> tuple[PossibleRuns, ...]:
+    late = {run for run in worker.runs.values() if late_start_expiry_ms(run, lease_ms) > now_ms}
+    listed = [run for run in worker.runs.values() if run not in late]
+    possible_runs = []
+    for runs, remaining_ms in (
+        (listed, worker.remaining_order_ms(now_ms)),
+        (late, max((late_start_expiry_ms(run, lease_ms) - now_ms for run in late), default=0)),
+    ):
+        if runs:
+            tasks = tuple(sorted({run.task.id for run in runs}))
+            possible_runs.append(
+                PossibleRuns(tasks, remaining_ms if worker.lease_limited else None)
             )
+    for inherited in worker.unlisted_runs(now_ms):
+        inherited_tasks = _listable_tasks(inherited, book)
+        remaining_ms = inherited.expiry_ms - now_ms
+        possible_runs.append(
+            PossibleRuns(inherited_tasks, remaining_ms if worker.lease_limited else None)
         )
-    return RegisteredWorkers(tuple(stored), token), tuple(unlimited)
+    return tuple(possible_runs)
 
 
-def _possible_tasks(worker: Worker, book: JobBook, now_ms: int) -> tuple[TaskId, ...] | None:
-    """Return the tasks that may run on a worker, or None if they are not known."""
-    tasks = {run.task.id for run in worker.runs.values()}
-    if worker.may_run_inherited(now_ms):
-        if worker.inherited_tasks is not None:
-            tasks |= worker.inherited_tasks
-        elif book.timed_jobs or len(book.maybe_running_tasks) > MAX_STORED_TASKS:
-            return None  # occurrences that were not opened yet are not among the tasks
-        else:
-            tasks |= {task.id for task in book.maybe_running_tasks}
-    return tuple(sorted(tasks))
+def _listable_tasks(inherited: InheritedRuns, book: JobBook) -> tuple[TaskId, ...] | None:
+    """Return the tasks of inherited runs that are not ruled out, or None if it may be any."""
+    if inherited.tasks is not None:
+        return tuple(sorted(inherited.tasks))
+    if book.timed_jobs or len(book.maybe_running_tasks) > MAX_STORED_TASKS:
+        return None  # occurrences that were not opened yet are not among the tasks
+    return tuple(sorted(task.id for task in book.maybe_running_tasks))
 
 
-def inherit_limits(
-    worker: Worker, stored: RegisteredWorker, read_ms: int, latest_expiry_ms: int, valid: bool
+def inherit_runs(
+    worker: Worker,
+    stored: RegisteredWorker,
+    read_ms: int,
+    latest_expiry_ms: int,
+    limits_apply: bool,
 ) -> None:
-    """Note on a worker what its stored entry, read at `read_ms`, says of earlier owners' orders.
+    """Note which runs of earlier owners a worker may have, by its entry read at `read_ms`.
 
-    Without `valid`, the limits of the entry do not count: a later owner may have sent orders.
+    Without `limits_apply`, it may be any until `latest_expiry_ms`.
     """
     worker.registered = True
-    worker.inherited_tasks = None
-    worker.earlier_orders_expiry_ms = latest_expiry_ms
-    if not valid:
-        return
-    if stored.tasks is not None:
-        worker.inherited_tasks = frozenset(stored.tasks)
-    if stored.orders_expire_in_ms >= 0:
-        expiry_ms = read_ms + int(stored.orders_expire_in_ms * (1 + MAX_CLOCK_DRIFT)) + 1
-        worker.earlier_orders_expiry_ms = min(latest_expiry_ms, expiry_ms)
-
-
-def tasks_held_back(unresolved: Iterable[Worker]) -> set[TaskId] | None:
-    """Return the tasks that may go on unlisted on any of the workers; None if it may be any."""
+    worker.inherited = (InheritedRuns(None, latest_expiry_ms),)
+    if limits_apply and stored.possible_runs is not None:
+        worker.inherited = tuple(
+            InheritedRuns(
+                None if runs.tasks is None else frozenset(runs.tasks),
+                (
+                    latest_expiry_ms
+                    if runs.expire_in_ms is None
+                    else read_ms + int(runs.expire_in_ms * (1 + MAX_CLOCK_DRIFT)) + 1
+                ),
+            )
+            for runs in stored.possible_runs
+        )
+    worker.earlier_orders_expiry_ms = max((runs.expiry_ms for runs in worker.inherited), default=0)
+
+
+def tasks_held_back(unresolved: Iterable[Worker], now_ms: int) -> set[TaskId] | None:
+    """Return the tasks that may run on any of the workers without being listed; None for any."""
     held_back: set[TaskId] = set()
     for worker in unresolved:
-        if worker.inherited_tasks is None:
-            return None
-        held_back |= worker.inherited_tasks
+        for runs in worker.unlisted_runs(now_ms):
+            if runs.tasks is None:
+                return None
+            held_back |= runs.tasks
     return held_back
--- a/src/greengagewood/internal/cells/runner.py
+++ b/src/greengagewood/internal/cells/runner.py
@@ -48,6 +48,7 @@
     WorkerCallFailed,
     WorkerDirectory,
     WorkerLink,
+    WorkerUnreachable,
     WrongBoot,
 )
 
@@ -230,6 +231,9 @@
                 order.checkpoint,
                 run.ticket,
             )
+        except WorkerUnreachable:
+            outcome = "unreachable"
+            self.cell.handle_start_reply(worker, run, outcome, monotonic_ms())
         except WorkerCallFailed:
             pass  # the outcome stays as it is
         except WrongBoot:
@@ -242,9 +246,9 @@
                 self.cell.handle_start_reply(worker, run, reply.reason, monotonic_ms())
             )
         finally:  # after an unexpected error, too, the start may have been carried out
-            answered = outcome != "unanswered"
+            answered = outcome not in ("unanswered", "unreachable")
             self._start_window.note_done(run.started_ms, monotonic_ms(), answered)
-            if not answered:
+            if outcome == "unanswered":
                 self.cell.note_start_unanswered(run, monotonic_ms())
         self._metrics.count("starts", outcome=outcome)
         _log.info(
@@ -397,7 +401,7 @@
     async def _commit_once(self) -> None:
         if not self.cell.has_urgent_changes:
             await self._wait_for_urgent_changes()
-        if self._releasing:  # a later record would take back what the last one says
+        if self._releasing:  # a later record would supersede the release record
             await asyncio.sleep(COMMIT_INTERVAL_S)
             return
         changes = self.cell.collect_changes(wall_ms(), monotonic_ms())
--- a/src/greengagewood/internal/jobs/records.py
+++ b/src/greengagewood/internal/jobs/records.py
@@ -16,6 +16,7 @@
 __all__ = [
     "Cancellation",
     "Ownership",
+    "PossibleRuns",
     "Progress",
     "Record",
     "RecordError",
@@ -86,19 +87,27 @@
     ended_ms: int = 0
 
 
+class PossibleRuns(msgspec.Struct, frozen=True, array_like=True):
+    """Tasks that may run on a worker; None if it may be any.
+
+    With `expire_in_ms`, the runs are over this long after the record was appended, since the owner
+    extends no lease of the worker.
+    """
+
+    tasks: tuple[TaskId, ...] | None
+    expire_in_ms: int | None = None
+
+
 class RegisteredWorker(msgspec.Struct, frozen=True, array_like=True, omit_defaults=True):
-    """A worker to which the owner may send orders, and the limits that it sets itself for them.
+    """A worker to which the owner may send orders.
 
-    With `tasks`, the worker can only run these tasks, and the owner starts no others there. With
-    `orders_expire_in_ms` of 0 or more, the owner neither starts nor extends any run there, and all
-    leases and starts expire within this time after the record was appended.
+    With `possible_runs`, the owner starts nothing there, and no other tasks can run there.
     """
 
     worker_id: str
     address: str
     service: str
-    tasks: tuple[TaskId, ...] | None = None  # None if any task may run there
-    orders_expire_in_ms: int = -1
+    possible_runs: tuple[PossibleRuns, ...] | None = None
 
 
 class RegisteredWorkers(_Record, frozen=True, tag="Enlisted"):
@@ -107,7 +116,8 @@
     The record is stored before the first order to any of them, so that a later owner knows which
     workers may have runs of the cell. A worker that can run no task of the cell may be left out.
 
-    The limits bind only the owner with the fencing token `token`, until it stores a newer record.
+    What it says of a worker's possible runs binds only the owner with the fencing token `token`,
+    until that owner stores a newer record.
     """
 
     workers: tuple[RegisteredWorker, ...]
--- a/src/greengagewood/internal/ports.py
+++ b/src/greengagewood/internal/ports.py
@@ -34,6 +34,7 @@
     "WorkerDirectory",
     "WorkerInfo",
     "WorkerLink",
+    "WorkerUnreachable",
     "WrongBoot",
 ]
 
@@ -58,6 +59,10 @@
     """Raised when a worker did not answer; the order may have been carried out."""
 
 
+class WorkerUnreachable(WorkerCallFailed):
+    """Raised when no connection to a worker could be opened, so the order was not sent."""
+
+
 class WrongBoot(Exception):
     """Raised when another boot of the worker answers at its address."""
 
--- a/src/greengagewood/platform/workers.py
+++ b/src/greengagewood/platform/workers.py
@@ -13,6 +13,7 @@
     RunningTask,
     WorkerCallFailed,
     WorkerInfo,
+    WorkerUnreachable,
     WrongBoot,
 )
 from greengagewood.platform.wire import CALL_PATH, call_timeout, decode, encode
@@ -22,6 +23,7 @@
 ORDER_TIMEOUT_S = 1.0
 LEASE_TIMEOUT_MARGIN_S = 1.0  # added to the time that a worker may wait for the end of a run
 REASON_BY_STATUS = {400: "invalid", 429: "unhealthy", 503: "unhealthy"}
+_CONNECT_ERRORS = (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)
 _CALL_ERRORS = (aiohttp.ClientError, TimeoutError, OSError)
 
 
@@ -141,6 +143,8 @@
                 url, data=encode(order), headers=headers, timeout=call_timeout(timeout_s)
             ) as resp:
                 body = await resp.read()
+        except _CONNECT_ERRORS as exc:
+            raise WorkerUnreachable(f"{call}: {exc!r}") from exc
         except _CALL_ERRORS as exc:
             raise WorkerCallFailed(f"{call}: {exc!r}") from exc
         if resp.status == 421:
--- a/tests/cover/test_owner_changes.py
+++ b/tests/cover/test_owner_changes.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Callable
+from typing import Any
 
 import pytest
 
@@ -13,15 +14,17 @@
 from greengagewood.internal.clock import monotonic_ms
 from greengagewood.internal.jobs.model import JobSpec, StepSpec
 from greengagewood.internal.jobs.records import (
+    PossibleRuns,
     Progress,
     RegisteredWorker,
     RegisteredWorkers,
     Submission,
     TaskId,
 )
-from greengagewood.internal.ports import LeaseReply
+from greengagewood.internal.ports import LeaseReply, OrderReply, WorkerCallFailed, WorkerInfo
 from tests.common.desk import LIMITS, QUEUE, make_worker_info, start_orders
 from tests.common.drive import CellSimulation, long_running_job, run_simulation, short_job
+from tests.common.plant import SimWorker, SimWorkerLink
 
 # By the platform's rules, a long-running task must run again within this time of its last run.
 MAX_GAP_MS = 9_000
@@ -92,7 +95,9 @@
     """What a new owner concludes from the record of registered workers."""
 
     JOB = "0" * 16
-    SILENT = RegisteredWorker("silent", "10.0.0.9:80", "svc", (TaskId(JOB, 0, 0, 0),), 4_000)
+    SILENT = RegisteredWorker(
+        "silent", "10.0.0.9:80", "svc", (PossibleRuns((TaskId(JOB, 0, 0, 0),), 4_000),)
+    )
 
     def _started_numbers(self, record_token: int, wait_ms: int) -> list[int]:
         """Return the tasks that an owner with token 5 has started after a wait."""
@@ -121,6 +126,87 @@
         assert self._started_numbers(record_token=3, wait_ms=11_200) == [0, 1]
 
 
+class _DelayedStart:
+    """Loses the first start of a job with its worker; `arrive` delivers it to a later boot."""
+
+    def __init__(self, sim: CellSimulation, patch: pytest.MonkeyPatch, crashes: bool) -> None:
+        self._sim = sim
+        self._sent_ms: int | None = None
+        self._worker = ""
+        self._deliver: Callable[[SimWorker], object] = lambda worker: None
+        start = SimWorkerLink.start
+
+        async def lose_first(link: SimWorkerLink, info: WorkerInfo, *order: Any) -> OrderReply:
+            if self._sent_ms is not None:
+                return await start(link, info, *order)
+            self._sent_ms = monotonic_ms()
+            self._worker = info.worker_id
+            task, run, _, deadline_ms, token, checkpoint, _ = order
+            self._deliver = lambda worker: link._start(
+                worker, task, run, deadline_ms, token, checkpoint
+            )
+            if crashes:
+                sim.platform.crash(info.worker_id)
+            await asyncio.sleep(1)
+            raise WorkerCallFailed("no answer")
+
+        patch.setattr(SimWorkerLink, "start", lose_first)
+
+    async def _sleep_until(self, after_s: float) -> None:
+        assert self._sent_ms is not None
+        await asyncio.sleep(after_s - (monotonic_ms() - self._sent_ms) / 1000)
+
+    async def boot(self, after_s: float) -> None:
+        await self._sleep_until(after_s)
+        self._sim.platform.restart(self._worker)
+
+    def cut_off(self) -> None:
+        links = {(instance, self._worker) for instance in self._sim.instances}
+        self._sim.platform.faults.cut_links.update(links)
+
+    async def arrive(self, after_s: float) -> None:
+        await self._sleep_until(after_s)
+        self._deliver(self._sim.platform.workers[self._worker])
+
+
+class TestDelayedStarts:
+    """Starts without an answer that reach a later boot of their worker, whose clock began anew."""
+
+    @pytest.mark.parametrize("boot_s, arrival_s", [(3.0, 10.0), (8.0, 10.0), (9.0, 11.5)])
+    def test_a_lease_that_expired_does_not_rule_out_the_start(
+        self, boot_s: float, arrival_s: float, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        async def script(sim: CellSimulation) -> None:
+            start = _DelayedStart(sim, monkeypatch, crashes=True)
+            await sim.submit("0" * 16, "serve", long_running_job())
+            await asyncio.sleep(0.5)
+            await start.boot(boot_s)
+            await start.arrive(arrival_s)
+            await asyncio.sleep(5)
+            assert sim.platform.violations == []
+
+        run_simulation(CellSimulation(1), script)
+
+    @pytest.mark.parametrize("boot_s", [7.0, 8.0, 9.0, 10.0])
+    def test_the_next_owner_waits_for_the_start(
+        self, boot_s: float, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        async def script(sim: CellSimulation) -> None:
+            start = _DelayedStart(sim, monkeypatch, crashes=True)
+            await sim.submit("0" * 16, "serve", long_running_job())
+            await asyncio.sleep(0.8)
+            owner = sim.owner()
+            assert owner is not None
+            await sim.instances[owner].release_cell()
+            await sim.kill_instance(owner)
+            await start.boot(boot_s)
+            await start.arrive(boot_s)
+            await asyncio.sleep(5)
+            assert sim.platform.violations == []
+
+        run_simulation(CellSimulation(1), script)
+
+
 class TestLostWorkers:
     """Workers that leave without a word while their owner stays the same."""
 
@@ -152,7 +238,7 @@
         owner = sim.owner()
         names = [name for name, worker in sim.platform.workers.items() if worker.up]
         name = rng.choice(names)
-        match rng.randrange(9):
+        match rng.randrange(10):
             case 0 | 1 | 2 if owner is not None:
                 if rng.random() < 0.7:
                     await sim.instances[owner].release_cell()
@@ -168,7 +254,12 @@
                 faults.unanswered_links.add((owner, name))
             case 7:
                 faults.late_order_share = rng.choice((0.0, 0.4))
-            case _:
+            case 8:
+                sim.platform.crash(name)
+                asyncio.get_running_loop().call_later(
+                    rng.uniform(1, 10), sim.platform.restart, name
+                )
+            case 9:
                 faults.cut_links.clear()
                 faults.unanswered_links.clear()
         for missing in sorted({"n0", "n1", "n2"} - set(sim.instances)):
@@ -178,27 +269,27 @@
     faults.late_order_share = 0.0
     await asyncio.gather(*submissions)
     await asyncio.sleep(25)
-    assert sim.platform.violations == []
 
 
 def _breaks_guarantee(seed: int) -> bool:
-    try:
-        run_simulation(CellSimulation(seed, worker_count=8), _change_owners_at_random)
-    except AssertionError:
-        return True
-    return False
+    sim = CellSimulation(seed, worker_count=8)
+    run_simulation(sim, _change_owners_at_random)
+    return sim.platform.violations != []
 
 
 def _forget_unanswered_starts(patch: pytest.MonkeyPatch) -> None:
     """The stored record leaves out the runs whose starts were not answered."""
-    possible_tasks = registration._possible_tasks
+    possible_runs = registration._possible_runs
 
     def without_unanswered(worker: Worker, *rest: object) -> object:
-        tasks = possible_tasks(worker, *rest)
-        unanswered = {run.task.id for run in worker.runs.values() if run.accepted_ms is None}
-        return tasks and tuple(task for task in tasks if task not in unanswered)
+        runs = worker.runs
+        worker.runs = {key: run for key, run in runs.items() if run.accepted_ms is not None}
+        try:
+            return possible_runs(worker, *rest)
+        finally:
+            worker.runs = runs
 
-    patch.setattr(registration, "_possible_tasks", without_unanswered)
+    patch.setattr(registration, "_possible_runs", without_unanswered)
 
 
 def _forget_remaining_leases(patch: pytest.MonkeyPatch) -> None:
@@ -208,7 +299,7 @@
 
 def _forget_inherited_tasks(patch: pytest.MonkeyPatch) -> None:
     """The stored record leaves out what earlier owners may have started."""
-    patch.setattr(Worker, "may_run_inherited", lambda self, now_ms: False)
+    patch.setattr(Worker, "unlisted_runs", lambda self, now_ms: ())
 
 
 SEEDS = range(40)
--- a/tests/cover/test_platform_border.py
+++ b/tests/cover/test_platform_border.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 import struct
 from dataclasses import fields
@@ -16,12 +17,19 @@
 
 from greengagewood.internal.jobs.model import InvalidJob
 from greengagewood.internal.jobs.records import TaskId
-from greengagewood.internal.ports import LogEntry, LogPage
+from greengagewood.internal.ports import (
+    LogEntry,
+    LogPage,
+    WorkerCallFailed,
+    WorkerInfo,
+    WorkerUnreachable,
+)
 from greengagewood.platform.directory import StoreDirectory, parse_worker
 from greengagewood.platform.jobs import parse_job
 from greengagewood.platform.manifest import ManifestParser, ManifestSource
 from greengagewood.platform.store import _frame_record, _parse_records
-from greengagewood.platform.workers import format_task_name, parse_task_name
+from greengagewood.platform.wire import new_session
+from greengagewood.platform.workers import HttpWorkers, format_task_name, parse_task_name
 from tests.common.storestub import MANIFEST, ROUTE
 
 JSON_VALUES = st.recursive(
@@ -249,3 +257,38 @@
         source = ManifestSource(_PagedLog(LogPage(entries, 4)))  # type: ignore[arg-type]
         config = await source.next()
         assert config is not None and config.version == 9
+
+
+class TestUnansweredOrders:
+    """Whether an order that was not answered may have reached its worker."""
+
+    @staticmethod
+    async def _stop_error(port: int) -> WorkerCallFailed:
+        """Return the error of an order to a port of this host."""
+        info = WorkerInfo(
+            "w", f"127.0.0.1:{port}", "svc", "z", "r", frozenset(), 1, 1, 0, False, None, 1
+        )
+        session = new_session(1)
+        try:
+            with pytest.raises(WorkerCallFailed) as raised:
+                await HttpWorkers(session).stop(info, TaskId("0" * 16, 0, 0, 0), 1, 1)
+        finally:
+            await session.close()
+        return raised.value
+
+    async def test_a_refused_connection_means_that_the_order_was_not_sent(self) -> None:
+        server = await asyncio.start_server(lambda reader, writer: None, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        server.close()
+        await server.wait_closed()
+        assert isinstance(await self._stop_error(port), WorkerUnreachable)
+
+    async def test_a_connection_closed_without_an_answer_leaves_it_open(self) -> None:
+        async def close_unread(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await reader.readline()
+            writer.close()
+
+        server = await asyncio.start_server(close_unread, "127.0.0.1", 0)
+        error = await self._stop_error(server.sockets[0].getsockname()[1])
+        server.close()
+        assert not isinstance(error, WorkerUnreachable)
