Keep an unanswered start in mind when its worker reboots after listing its runs

The owner took a run as lost with the old boot if the worker had answered any call since the start was sent. A list without the run says nothing about a start that is still on its way: the later boot carried it out while the task ran elsewhere. Only a run that the worker had accepted is lost now; any other is moved to the new boot, where a stop rules it out.

test_a_list_without_the_run_does_not_rule_out_the_start failed before and passes.

--- a/src/greengagewood/internal/cells/cell.py
+++ b/src/greengagewood/internal/cells/cell.py
@@ -231,10 +231,14 @@
             rebooted.earlier_orders_expiry_ms = worker.earlier_orders_expiry_ms
         self.workers[info.worker_id] = rebooted
         for run in list(worker.runs.values()):
-            if worker.last_answer_ms is not None and run.started_ms < worker.last_answer_ms:
+            if (
+                run.accepted_ms is not None
+                and worker.last_answer_ms is not None
+                and run.started_ms < worker.last_answer_ms
+            ):
                 continue
-            # The start was sent after the last answer of the old boot, so the new boot may have
-            # received it. It compares the deadline with its own clock, which has started anew.
+            # The start may not have reached the old boot, so the new boot may receive it. It
+            # compares the deadline with its own clock, which has started anew.
             worker.remove_run(run)
             rebooted.add_run(run)
             if run.state == "running":
--- a/tests/cover/test_owner_changes.py
+++ b/tests/cover/test_owner_changes.py
@@ -206,6 +206,21 @@
 
         run_simulation(CellSimulation(1), script)
 
+    def test_a_list_without_the_run_does_not_rule_out_the_start(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        async def script(sim: CellSimulation) -> None:
+            start = _DelayedStart(sim, monkeypatch, crashes=False)
+            await sim.submit("0" * 16, "serve", long_running_job())
+            await asyncio.sleep(0.5)
+            await start.boot(0.6)
+            start.cut_off()
+            await start.arrive(5.0)
+            await asyncio.sleep(5)
+            assert sim.platform.violations == []
+
+        run_simulation(CellSimulation(1), script)
+
 
 class TestLostWorkers:
     """Workers that leave without a word while their owner stays the same."""
