Show that a task which crashes its workers is started without end

The simulated platform can crash the worker that starts a task, and boots it again under the same id 3.2 s later.

--- a/tests/common/plant.py
+++ b/tests/common/plant.py
@@ -38,6 +38,9 @@
 STOP_DELAY_S = 0.3
 HEARTBEAT_INTERVAL_S = 1.5
 LATE_ORDER_DELAY_RANGE_S = (2.0, 12.0)
+CRASH_DELAY_S = 0.02  # from the start of a task that crashes its worker to the crash
+CRASH_DOWN_S = 3.2  # from the crash to the next boot
+MAX_STARTS_AFTER_CRASHES = 2  # of a task under which three workers have crashed
 IMMEDIATE_LATE_ORDER_SHARE = 0.4  # of the unanswered orders, share carried out at once
 
 
@@ -53,6 +56,7 @@
     # Links (instance, worker) on which orders arrive, but their answers are lost.
     unanswered_links: set[tuple[str, str]] = field(default_factory=set)
     failing_workers: set[str] = field(default_factory=set)  # workers on which every run fails
+    crashing_tasks: set[TaskId] = field(default_factory=set)  # tasks that crash their workers
 
 
 class SimStore:
@@ -238,6 +242,8 @@
         self.done: set[TaskId] = set()
         self.acknowledged_tasks: set[TaskId] = set()
         self.failures: Counter[TaskId] = Counter()
+        self.crashes: Counter[TaskId] = Counter()  # workers that each task has crashed
+        self.starts_after_crashes: Counter[TaskId] = Counter()  # once three workers have crashed
         self.specs: dict[str, tuple[StepSpec, ...]] = {}
         self.cancelled_ms: dict[str, float] = {}
         self.max_attempts = max(q.max_attempts for q in config.queues.values())
@@ -272,6 +278,19 @@
         worker_info = replace(old_worker.info, boot_time_ms=int(monotonic_ms()) + 1)
         self.workers[name] = SimWorker(worker_info, self, monotonic_ms())
 
+    def crash_and_restart(self, worker: SimWorker, down_s: float = CRASH_DOWN_S) -> None:
+        """Crash a worker, unless it has crashed already, and boot it again after `down_s`."""
+        name = worker.info.worker_id
+        if not worker.up or self.workers[name] is not worker:
+            return
+        self.crash(name)
+        asyncio.get_running_loop().call_later(down_s, self.restart, name)
+
+    def _crash_under(self, worker: SimWorker, task: TaskId) -> None:
+        if worker.up:
+            self.crashes[task] += 1
+        self.crash_and_restart(worker)
+
     # Records and checks of what ran.
 
     def check_start(self, worker: SimWorker, run: _Run) -> None:
@@ -288,6 +307,13 @@
             self.violations.append(
                 f"too many attempts: {task} after {self.failures[task]} failures"
             )
+        if self.crashes[task] >= 3:
+            self.starts_after_crashes[task] += 1
+            if self.starts_after_crashes[task] > MAX_STARTS_AFTER_CRASHES:
+                self.violations.append(f"started after three crashes: {task}")
+        if task in self.faults.crashing_tasks:
+            loop = asyncio.get_running_loop()
+            loop.call_later(CRASH_DELAY_S, self._crash_under, worker, task)
         steps = self.specs[task.job_id]
         for earlier in run.spec.depends_on:
             for index in range(steps[earlier].task_count):
