Give up a task that crashes the workers that start it

Cause: a run that ends with its worker is started again without limit. Attempts were counted only from ends that a worker lists as `failed`; a worker that crashed lists none, and the new boot knows nothing of the run. The class of fault: evidence for a limit is taken from the party that the counted event destroys.

The change (cells/crashes.py): if another boot answers at a worker's address, the runs whose start the old boot has not been seen to outlive by 500 ms are suspected. A suspected task is tried alone, elsewhere; it is given up after its second crash alone, or the third in all, and cleared once a worker outlives its start. Silence, an expired lease and an announced leave are no crash. Crashes, by run number and address, and the trial that is going on are stored in the job's progress, so that the next owner counts them. Old records still decode. Each suspicion, clearing and verdict is an event with its inputs.

A change of owner loses one crash of a task at most: the first, if the owner dies before the worker is back, or one whose trial began within the commit interval before. So a task crashes two workers, three if the second crash had several suspects, and one more for each such change of owner; the rule allows five.

--- a/src/greengagewood/internal/cells/cell.py
+++ b/src/greengagewood/internal/cells/cell.py
@@ -25,6 +25,7 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, replace
 
+from greengagewood.internal.cells.crashes import CrashTracker, outlives
 from greengagewood.internal.cells.fleet import MAX_CLOCK_DRIFT, UNRESPONSIVE_AFTER_MS, Worker
 from greengagewood.internal.cells.orders import (
     Changes,
@@ -91,6 +92,7 @@
         self.workers: dict[str, Worker] = {}
         self.planner = Planner(self.book, self.workers, token, settled_offset, claim_offset)
         self.on_event: Callable[[str, dict[str, object]], None] = lambda event, fields: None
+        self._crashes = CrashTracker(self.book, lambda event, fields: self.on_event(event, fields))
         # When every lease and order of earlier owners has certainly expired: an earlier owner may
         # have extended leases until its last confirmation timed out.
         self._earlier_orders_expiry_ms = (
@@ -118,6 +120,7 @@
         job = self.book.add(submission, progress, not never_started, now_ms, log_offset)
         if job is not None:
             self.planner.values.note_job(job)
+            self._crashes.restore(job)
 
     def cancel(self, job_id: str, now_ms: int) -> None:
         """Cancel a job; the next plan stops its runs."""
@@ -192,6 +195,7 @@
     def _replace_rebooted(self, worker: Worker, info: WorkerInfo, now_ms: int) -> None:
         """Replace a worker that has rebooted, and so has none of its earlier runs."""
         self.on_event("worker_reborn", {"worker": info.worker_id, "runs": len(worker.runs)})
+        self._crashes.handle_crash(worker, now_ms)
         rebooted = Worker(
             info, now_ms, registered=worker.registered, in_directory=worker.in_directory
         )
@@ -223,6 +227,8 @@
         self.on_event("worker_forgotten", {"worker": worker.name})
 
     def _mark_runs_lost(self, worker: Worker, now_ms: int, reason: str) -> None:
+        if reason in ("lapsed", "gone"):
+            self._crashes.keep_suspects(worker)
         for run in list(worker.runs.values()):
             self._end_run(worker, run, "lost", now_ms)
             self.on_event(
@@ -274,6 +280,8 @@
             worker.unresponsive = False
             self.on_event("worker_answers", {"worker": worker.name})
         worker.last_answer_ms = now_ms
+        worker.failing_since_ms = None
+        self._crashes.handle_answer(worker, reply.boot_time_ms, now_ms)
         for end in reply.ended:
             if end.sequence > worker.last_end_sequence:
                 worker.last_end_sequence = end.sequence
@@ -323,6 +331,8 @@
             run.progress_percent = listed_run.progress_percent
             run.progress_changed_ms = now_ms
         run.listed_ms = now_ms
+        if not run.outlived and outlives(run, worker.clock_ms, now_ms):
+            self._crashes.handle_outlived(worker, run)
         run.tail_ms_or_cpu_millis = listed_run.tail_ms_or_cpu_millis
         self.book.note_checkpoint(task, listed_run.checkpoint)
         return True
@@ -396,6 +406,8 @@
         self.book.note_started(task.step.job)
         run = worker.runs.get((task, end.run_number))
         if run is not None:
+            if end.result in ("done", "failed"):
+                self._crashes.handle_outlived(worker, run)
             self._end_run(worker, run, "ended", now_ms)
         self.book.note_checkpoint(task, end.checkpoint)
         step = task.step
@@ -432,6 +444,8 @@
 
     def note_lease_failure(self, worker: Worker, now_ms: int) -> None:
         """Record that a worker did not answer a lease extension."""
+        if worker.failing_since_ms is None:
+            worker.failing_since_ms = now_ms
         if worker.unresponsive or self.workers.get(worker.name) is not worker:
             return
         since = worker.last_answer_ms if worker.last_answer_ms is not None else worker.added_ms
@@ -443,6 +457,7 @@
         """Record that another boot answers at the worker's address, so this one is gone."""
         if self.workers.get(worker.name) is worker:
             self.on_event("worker_replaced", {"worker": worker.name, "runs": len(worker.runs)})
+            self._crashes.handle_crash(worker, now_ms)
             self._mark_runs_lost(worker, now_ms, "replaced")
             worker.unresponsive = True
             worker.adopted = False
@@ -452,6 +467,8 @@
 
     def handle_start_reply(self, worker: Worker, run: Run, reason: str, now_ms: int) -> list[Order]:
         """Process the reply to a start; an empty reason means that it was accepted."""
+        if worker.failing_since_ms is not None and worker.failing_since_ms < run.started_ms:
+            worker.failing_since_ms = None
         if run.state not in ("starting", "stopping"):
             return []
         if not reason:
@@ -482,6 +499,9 @@
         if run.state in ("starting", "stopping"):
             run.transition("unanswered")
             self._last_stop_scan_ms = None
+            worker = self.workers.get(run.worker_id)
+            if worker is not None and worker.failing_since_ms is None:
+                worker.failing_since_ms = now_ms
 
     def note_stop_accepted(self, run: Run | None, now_ms: int) -> None:
         """Record that the worker has accepted a stop, so the run can no longer start there."""
--- /dev/null
+++ b/src/greengagewood/internal/cells/crashes.py
@@ -0,0 +1,135 @@
+"""Tell tasks that crash the workers that start them from tasks that only ran beside them.
+
+This module does no I/O and reads no clock. A task that crashes its worker does so as it starts, so
+only runs whose start the worker has not yet outlived are suspected. A suspected task is next tried
+alone: on a worker without other such runs, where nothing else is started until the outcome is
+known. So the next crash has a single suspect. A run that its worker outlives clears its task.
+
+Only another boot at the worker's address proves a crash. A worker that is silent, or whose lease
+has expired, may be cut off; its suspects are kept until it answers or another boot does.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from greengagewood.internal.cells.fleet import Worker
+from greengagewood.internal.cells.planner import START_WINDOW_MS
+from greengagewood.internal.jobs.book import Job, JobBook, Run, Task
+from greengagewood.internal.jobs.records import PlacedRun, TaskId
+
+__all__ = ["CrashTracker", "find_suspects", "is_culprit", "outlives"]
+
+OUTLIVED_AFTER_MS = 500  # a worker that lists a run this long after its start has outlived it
+MIN_CRASHED_WORKERS = 2  # by the platform's rules, no task may be given up after fewer crashes
+# The platform allows two more starts after three crashes. They are left for crashes that an owner
+# saw but did not live to store.
+MAX_CRASHES = 3
+
+Suspect = tuple[TaskId, PlacedRun]
+
+
+def outlives(run: Run, worker_clock_ms: int, now_ms: int) -> bool:
+    """Return whether a worker that lists a run has outlived its start.
+
+    The list may be processed late, so it must also be late enough by the worker's own clock.
+    """
+    earliest_start_ms = run.start_deadline_ms - START_WINDOW_MS
+    return (
+        run.accepted_ms is not None
+        and now_ms - run.accepted_ms >= OUTLIVED_AFTER_MS
+        and worker_clock_ms - earliest_start_ms >= OUTLIVED_AFTER_MS
+    )
+
+
+def find_suspects(worker: Worker) -> list[Suspect]:
+    """Return the runs that may have crashed a worker, if it has crashed.
+
+    A start that was sent after the first call that failed did not cause that failure, so it is
+    suspected only if no other run is.
+    """
+    if worker.info.draining:
+        return []  # it has left as announced
+    recent = [run for run in worker.runs.values() if not run.outlived and not run.task.end_state]
+    failing_since_ms = worker.failing_since_ms
+    if failing_since_ms is not None:
+        recent = [
+            run
+            for run in recent
+            if run.accepted_ms is not None or run.started_ms <= failing_since_ms
+        ] or recent
+    return [(run.task.id, worker.placed_run(run.number)) for run in recent]
+
+
+def is_culprit(task: Task, suspect_count: int) -> bool:
+    """Return whether to give up a task under which a worker has just crashed.
+
+    With several suspects the crash may be another's doing, and with a single address the machine's.
+    """
+    addresses = {address for _, address in task.crashes}
+    alone = suspect_count == 1 and len(addresses) >= MIN_CRASHED_WORKERS
+    return alone or len(task.crashes) >= MAX_CRASHES
+
+
+class CrashTracker:
+    """The runs that may have crashed workers of a cell, during one term of ownership."""
+
+    def __init__(self, book: JobBook, on_event: Callable[[str, dict[str, object]], None]) -> None:
+        self._book = book
+        self._on_event = on_event
+        # Of workers that have been silent since and have no runs any more, by their address.
+        self._unresolved: dict[str, list[Suspect]] = {}
+
+    def restore(self, job: Job) -> None:
+        """Add the stored suspects of an earlier owner."""
+        for task in job.suspects:
+            if task.trial is not None:
+                self._unresolved.setdefault(task.trial.address, []).append((task.id, task.trial))
+
+    def keep_suspects(self, worker: Worker) -> None:
+        """Keep the suspects of a silent worker whose runs have lapsed."""
+        if suspects := find_suspects(worker):
+            self._unresolved.setdefault(worker.info.address, []).extend(suspects)
+
+    def handle_crash(self, worker: Worker, now_ms: int) -> None:
+        """Process the crash of a worker, whose runs have not ended yet in the book."""
+        address = worker.info.address
+        kept = self._unresolved.pop(address, [])
+        if others := [suspect for suspect in kept if suspect[1].worker_id != worker.name]:
+            self._unresolved[address] = others
+        own = [suspect for suspect in kept if suspect[1].worker_id == worker.name]
+        self._note_suspects(find_suspects(worker) or own, now_ms)
+
+    def handle_answer(self, worker: Worker, boot_time_ms: int, now_ms: int) -> None:
+        """Process the answer of a boot: earlier boots at its address have crashed."""
+        suspects = self._unresolved.pop(worker.info.address, [])
+        self._note_suspects([s for s in suspects if s[1].boot_time_ms < boot_time_ms], now_ms)
+
+    def handle_outlived(self, worker: Worker, run: Run) -> None:
+        """Clear the task of a run whose worker has outlived its start."""
+        run.outlived = True
+        if worker.trial is run:
+            worker.trial = None
+        task = run.task
+        if task.crashes:
+            self._on_event("crash_cleared", {"task": task.id, "crashes": task.crashes})
+            self._book.note_cleared(task)
+
+    def _note_suspects(self, suspects: list[Suspect], now_ms: int) -> None:
+        """Record the runs that may have crashed a worker; give up tasks that certainly do."""
+        for task_id, run in suspects:
+            task = self._book.find_task(task_id)
+            if task is None or task.end_state or task.step.job.is_final:
+                continue
+            self._book.note_crash(task, run.number, run.address)
+            fields: dict[str, object] = {
+                "task": task_id,
+                "run": run.number,
+                "worker": run.worker_id,
+                "suspects": len(suspects),
+                "crashes": task.crashes,
+            }
+            self._on_event("crash_suspected", fields)
+            if is_culprit(task, len(suspects)):
+                self._book.give_up(task, now_ms)
+                self._on_event("job_failed", {"job": task_id.job_id, **fields})
--- a/src/greengagewood/internal/cells/fleet.py
+++ b/src/greengagewood/internal/cells/fleet.py
@@ -13,6 +13,7 @@
 
 from greengagewood.internal.jobs.book import Run, Task
 from greengagewood.internal.jobs.model import StepSpec
+from greengagewood.internal.jobs.records import PlacedRun
 from greengagewood.internal.ports import WorkerInfo
 
 __all__ = ["MAX_CLOCK_DRIFT", "UNRESPONSIVE_AFTER_MS", "Admission", "Resources", "Worker"]
@@ -81,12 +82,19 @@
     min_slack: float = 0.0  # the lowest slack of its serving tasks in the last reading
     last_learned_ms: int = 0  # when the tail model last learned from a reading
     last_on_target_ms: int = 0  # when every tail latency was last within its target
+    failing_since_ms: int | None = None  # when the first call after its last answer failed
+    trial: Run | None = None  # the run of a suspected task, see `crashes`; it must stay alone
 
     @property
     def name(self) -> str:
         """Return the worker's ID."""
         return self.info.worker_id
 
+    def placed_run(self, run_number: int) -> PlacedRun:
+        """Return a run with this boot, as it is stored."""
+        info = self.info
+        return PlacedRun(run_number, info.worker_id, info.address, info.boot_time_ms)
+
     def is_usable(self, now_ms: int) -> bool:
         """Return whether runs may be placed here now.
 
@@ -117,6 +125,8 @@
         """Free the resources of a run that is over."""
         if self.runs.pop((run.task, run.number), None) is not None:
             self._change_allocation(run.task.step.spec, -1)
+        if self.trial is run:
+            self.trial = None
 
     def invalidate_slack(self) -> None:
         """Discard what was computed from runs and readings that have changed."""
--- a/src/greengagewood/internal/cells/placement.py
+++ b/src/greengagewood/internal/cells/placement.py
@@ -23,19 +23,27 @@
     "leaves_headroom",
     "make_worker_chooser",
     "place_gang",
+    "workers_for_trial",
 ]
 
 LONG_RUNNING_USE_SHARE = 0.6  # share of its CPU that a long-running task is assumed to use
 MIN_BEST_EFFORT_CPU_SHARE = 0.8  # share of its CPU that must be idle to start a best-effort task
 MIN_START_SPEED_PERCENT = 50  # a best-effort task starts only where it may run this fast at first
 HEADROOM_SHARE = 0.15  # share of all CPU that long-running tasks leave to short tasks
+MIN_WORKERS_PER_TRIAL = 4
+LONGEST_TRIAL_WAIT_MS = 1_000  # after which a suspected task need not be tried alone
 
 Scorer = Callable[[Worker], tuple[float, ...] | None]
 
 
 def meets_constraints(worker: Worker, step: Step) -> bool:
-    """Return whether the worker has the step's label and is below its limit of tasks per worker."""
+    """Return whether the worker has the step's label and is below its limit of tasks per worker.
+
+    A worker on which a suspected task is tried takes no other.
+    """
     spec = step.spec
+    if worker.trial is not None:
+        return False
     if spec.required_label and spec.required_label not in worker.info.labels:
         return False
     return not (
@@ -191,6 +199,18 @@
     )
 
 
+def workers_for_trial(task: Task, workers: Sequence[Worker], waited_ms: int) -> Sequence[Worker]:
+    """Return the workers on which a suspected task may be tried, see `crashes`."""
+    free = [worker for worker in workers if worker.trial is None]
+    if waited_ms > LONGEST_TRIAL_WAIT_MS:
+        return free
+    if len(workers) - len(free) >= max(1, len(workers) // MIN_WORKERS_PER_TRIAL):
+        return []
+    addresses = {address for _, address in task.crashes}
+    quiet = [w for w in free if all(run.outlived for run in w.runs.values())]
+    return [w for w in quiet if w.info.address not in addresses] or quiet
+
+
 def leaves_headroom(task: Task, workers: Sequence[Worker]) -> bool:
     """Return whether a long-running task leaves enough CPU to short tasks.
 
--- a/src/greengagewood/internal/cells/planner.py
+++ b/src/greengagewood/internal/cells/planner.py
@@ -11,11 +11,13 @@
 from greengagewood.internal.cells.fleet import Worker
 from greengagewood.internal.cells.orders import Order, RequestAdvice, StartRun
 from greengagewood.internal.cells.placement import (
+    choose_worker,
     idle_cpu_millis,
     is_mostly_uncommitted,
     leaves_headroom,
     make_worker_chooser,
     place_gang,
+    workers_for_trial,
 )
 from greengagewood.internal.cells.tails import MIN_SPEED_PERCENT, TailLatencyModel
 from greengagewood.internal.cells.value import JobValues
@@ -297,7 +299,13 @@
             if task.not_before_ms > now_ms:
                 self.request_replan()
                 continue
-            worker = choose(task)
+            if task.crashes:
+                worker = self._choose_for_trial(task, workers, starving, now_ms)
+                if worker is None:
+                    self.request_replan()
+                    continue
+            else:
+                worker = choose(task)
             if worker is None or (step.spec.long_running and not leaves_headroom(task, workers)):
                 return orders, True
             if not self._may_start(step.job):
@@ -310,6 +318,19 @@
                 break
         return orders, False
 
+    def _choose_for_trial(
+        self, task: Task, workers: list[Worker], starving: bool, now_ms: int
+    ) -> Worker | None:
+        """Return a worker for a suspected task.
+
+        Of a job of which none was cleared yet, one task is tried at a time, as all may crash.
+        """
+        job = task.step.job
+        if not job.had_cleared and any(other.run for other in job.suspects):
+            return None
+        candidates = workers_for_trial(task, workers, now_ms - task.last_run_ended_ms)
+        return choose_worker(task, candidates, self.tail_model, starving)
+
     def _place_gang(self, step: Step, workers: list[Worker], now_ms: int) -> list[Order]:
         unfinished = [task for task in step.tasks if not task.end_state]
         if any(
@@ -387,6 +408,9 @@
                 or MIN_SPEED_PERCENT
             )
         worker.add_run(run)
+        if task.crashes:
+            self._book.note_trial(task, worker.placed_run(number))
+            worker.trial = None if task.step.spec.gang else run
         worker.latest_deadline_ms = max(worker.latest_deadline_ms, deadline)
         payload = task.step.job.submission.spec.payload
         return StartRun(worker, run, payload, deadline, task.checkpoint)
--- a/src/greengagewood/internal/jobs/book.py
+++ b/src/greengagewood/internal/jobs/book.py
@@ -13,7 +13,13 @@
 
 from greengagewood.internal.chart import load_chart
 from greengagewood.internal.jobs.model import StepSpec
-from greengagewood.internal.jobs.records import Progress, Submission, TaskId, TaskProgress
+from greengagewood.internal.jobs.records import (
+    PlacedRun,
+    Progress,
+    Submission,
+    TaskId,
+    TaskProgress,
+)
 
 __all__ = ["FINAL_STATES", "Job", "JobBook", "Run", "Step", "Task"]
 
@@ -41,6 +47,7 @@
     progress_percent: int = 0  # as last listed by the worker
     progress_changed_ms: int = 0  # when `progress_percent` last changed
     listed_ms: int = 0  # when the worker last listed it
+    outlived: bool = False  # whether its start has certainly not crashed the worker
     tail_ms_or_cpu_millis: int = 0  # see ports.RunningTask
     ticket: str = ""
     # Of a serving task: its tail latency target divided by the tail latency last listed.
@@ -76,6 +83,9 @@
     failed_workers: tuple[str, ...] = ()
     not_before_ms: int = 0
     last_run_ended_ms: int = 0  # 0 if no run is known to have ended
+    # The runs that may have crashed their worker, and its address; none if the task is unsuspected.
+    crashes: tuple[tuple[int, str], ...] = ()
+    trial: PlacedRun | None = None  # the latest run since the first of `crashes`
 
 
 @dataclass(slots=True, eq=False)
@@ -110,6 +120,8 @@
     maybe_started: bool = False  # whether any of its tasks may have been started
     maybe_started_stored: bool = False  # whether a stored progress record says so
     maybe_inherited: bool = False  # whether an earlier owner may have started any of its tasks
+    suspects: dict[Task, None] = field(default_factory=dict)  # its tasks with `crashes`
+    had_cleared: bool = False  # whether this owner has cleared any of them
 
     @property
     def id(self) -> str:
@@ -227,6 +239,10 @@
             if unfinished is not None:
                 unfinished.failed_runs = frozenset(stored.failed_runs)
                 unfinished.checkpoint = stored.checkpoint
+                unfinished.crashes = stored.crashes
+                unfinished.trial = stored.trial
+                if stored.crashes:
+                    job.suspects[unfinished] = None
         for steps in list(job.occurrences.values()):
             for step in steps:
                 self._update_ready(step)
@@ -412,9 +428,34 @@
             member.failed_runs |= {run_number}
         self.changed_jobs[step.job.id] = None
         if len(task.failed_runs) >= max_attempts:
-            task.end_state = "failed"
-            self.unmark_waiting(task)
-            self.end_job(step.job, "failed", now_ms)
+            self.give_up(task, now_ms)
+
+    def note_crash(self, task: Task, run_number: int, address: str) -> None:
+        """Record that a run of the task may have crashed its worker."""
+        if any(number == run_number for number, _ in task.crashes):
+            return
+        task.crashes = (*task.crashes, (run_number, address))
+        task.step.job.suspects[task] = None
+        self.changed_jobs[task.step.job.id] = None
+
+    def note_trial(self, task: Task, trial: PlacedRun) -> None:
+        """Record that a task is started again after a run of it may have crashed its worker."""
+        task.trial = trial
+        self.changed_jobs[task.step.job.id] = None
+
+    def note_cleared(self, task: Task) -> None:
+        """Record that the task does not crash its workers."""
+        task.crashes = ()
+        task.trial = None
+        task.step.job.suspects.pop(task, None)
+        task.step.job.had_cleared = True
+        self.changed_jobs[task.step.job.id] = None
+
+    def give_up(self, task: Task, now_ms: int) -> None:
+        """End a task that must not be started again, and its job."""
+        task.end_state = "failed"
+        self.unmark_waiting(task)
+        self.end_job(task.step.job, "failed", now_ms)
 
     def note_checkpoint(self, task: Task, checkpoint: str) -> None:
         """Record the newest checkpoint of a task, or of its whole gang."""
@@ -468,7 +509,7 @@
                 ):
                     done.append((number, step.number, _done_bitmap(step)))
                 for task in step.tasks:
-                    if not task.end_state and (task.failed_runs or task.checkpoint):
+                    if not task.end_state and (task.failed_runs or task.checkpoint or task.crashes):
                         unfinished.append(
                             TaskProgress(
                                 number,
@@ -476,6 +517,8 @@
                                 task.id.number,
                                 tuple(sorted(task.failed_runs)),
                                 task.checkpoint,
+                                task.crashes,
+                                task.trial,
                             )
                         )
         return Progress(job.id, job.state, tuple(done), tuple(unfinished))
--- a/src/greengagewood/internal/jobs/records.py
+++ b/src/greengagewood/internal/jobs/records.py
@@ -16,6 +16,7 @@
 __all__ = [
     "Cancellation",
     "Ownership",
+    "PlacedRun",
     "Progress",
     "Record",
     "RecordError",
@@ -62,21 +63,37 @@
     job_id: str
 
 
+class PlacedRun(msgspec.Struct, frozen=True, array_like=True):
+    """A run of a task, and the boot of the worker that was to start it."""
+
+    number: int
+    worker_id: str
+    address: str
+    boot_time_ms: int
+
+
 class TaskProgress(msgspec.Struct, frozen=True, array_like=True, omit_defaults=True):
-    """Numbers of the failed runs and newest checkpoint of a task that has not ended."""
+    """Numbers of the failed runs and newest checkpoint of a task that has not ended.
+
+    `crashes` lists the runs under which their worker crashed, with the worker's address. `trial` is
+    the latest run since.
+    """
 
     occurrence: int
     step: int
     number: int
     failed_runs: tuple[int, ...] = ()
     checkpoint: str = ""
+    crashes: tuple[tuple[int, str], ...] = ()
+    trial: PlacedRun | None = None
 
 
 class Progress(_Record, frozen=True):
     """Progress of a job.
 
     `done` lists (occurrence, step, bitmap): bit i of the bitmap, least significant bit first, is
-    set if task i has succeeded. `tasks` lists other tasks with failed runs or a checkpoint.
+    set if task i has succeeded. `tasks` lists other tasks with failed runs, a checkpoint or
+    crashes.
     """
 
     job_id: str
--- a/tests/cover/test_crashes.py
+++ b/tests/cover/test_crashes.py
@@ -3,11 +3,18 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import replace
 
+import msgspec
 import pytest
 
+from greengagewood.internal.cells.crashes import is_culprit
+from greengagewood.internal.cells.orders import StartRun
+from greengagewood.internal.jobs.book import JobBook
 from greengagewood.internal.jobs.model import JobSpec, StepSpec
-from greengagewood.internal.jobs.records import TaskId
+from greengagewood.internal.jobs.records import Progress, TaskId, TaskProgress, decode_record
+from greengagewood.internal.ports import LeaseReply, RunEnd, RunningTask
+from tests.common.desk import CellHarness, start_orders
 from tests.common.drive import CellSimulation, long_running_job, run_simulation, short_job
 
 SEEDS_IN_CI = range(4)
@@ -146,3 +153,214 @@
             assert await sim.state(job) == "running"
 
         assert run_simulation(CellSimulation(seed), script).platform.violations == []
+
+
+def _run_of(start: StartRun, percent: int = 10) -> RunningTask:
+    return RunningTask(start.run.task.id, start.run.number, "", percent, 0)
+
+
+def _accept(harness: CellHarness, start: StartRun) -> None:
+    harness.cell.handle_start_reply(start.worker, start.run, "", harness.now_ms)
+
+
+def _reboot(harness: CellHarness, name: str) -> None:
+    """Let the directory list another boot of a worker under the same id."""
+    info = harness.worker_infos[name]
+    harness.worker_infos[name] = replace(info, boot_time_ms=info.boot_time_ms + 5_000)
+    harness.cell.set_workers(harness.worker_infos, harness.now_ms)
+    harness.answer_lease(name)
+
+
+def _answer_all(harness: CellHarness) -> None:
+    """Let every worker list the runs that it has accepted."""
+    for name, worker in harness.cell.workers.items():
+        accepted = [run for run in worker.runs.values() if run.accepted_ms is not None]
+        runs = [RunningTask(run.task.id, run.number, "", 10, 0) for run in accepted]
+        harness.answer_lease(name, *runs)
+
+
+def _harness(*workers: str) -> CellHarness:
+    """Return a cell of workers with addresses of their own."""
+    harness = CellHarness(*workers)
+    for number, name in enumerate(workers, 1):
+        info = replace(harness.worker_infos[name], address=f"10.0.0.{number}:80")
+        harness.worker_infos[name] = info
+    harness.cell.set_workers(harness.worker_infos, harness.now_ms)
+    return harness
+
+
+class TestEvidence:
+    """What counts as a crash under a task, and what clears it."""
+
+    def test_another_boot_at_the_address_is_a_crash(self) -> None:
+        harness = _harness("w0", "w1")
+        harness.submit(StepSpec(1, cpu_millis=1_000))
+        (start,) = start_orders(harness.plan())
+        _accept(harness, start)
+        harness.cell.note_wrong_boot(start.worker, harness.now_ms)
+        assert start.run.task.crashes == ((start.run.number, start.worker.info.address),)
+        harness.cell.note_wrong_boot(start.worker, harness.now_ms)
+        assert len(start.run.task.crashes) == 1
+
+    def test_a_start_without_an_answer_is_suspected(self) -> None:
+        harness = _harness("w0", "w1")
+        harness.submit(StepSpec(1, cpu_millis=1_000))
+        (start,) = start_orders(harness.plan())
+        harness.cell.note_start_unanswered(start.run, harness.now_ms)
+        _reboot(harness, start.worker.name)
+        assert len(start.run.task.crashes) == 1
+
+    def test_a_start_that_was_sent_after_the_crash_is_not_suspected(self) -> None:
+        harness = _harness("w0")
+        harness.submit(StepSpec(1, cpu_millis=1_000), job="1" * 16)
+        (first,) = start_orders(harness.plan())
+        _accept(harness, first)
+        harness.cell.note_lease_failure(first.worker, harness.now_ms + 20)
+        harness.now_ms += 100
+        harness.submit(StepSpec(1, cpu_millis=1_000), job="2" * 16)
+        (second,) = start_orders(harness.plan())
+        harness.cell.note_start_unanswered(second.run, harness.now_ms)
+        harness.cell.note_wrong_boot(first.worker, harness.now_ms)
+        assert first.run.task.crashes and not second.run.task.crashes
+
+    def test_a_run_that_the_worker_has_listed_for_long_is_not_suspected(self) -> None:
+        harness = _harness("w0")
+        harness.submit(StepSpec(1, cpu_millis=1_000, estimate_ms=60_000))
+        (start,) = start_orders(harness.plan())
+        _accept(harness, start)
+        harness.now_ms += 600
+        harness.answer_lease("w0", _run_of(start))
+        _reboot(harness, "w0")
+        assert not start.run.task.crashes
+
+    def test_a_list_that_was_processed_late_does_not_clear_a_run(self) -> None:
+        harness = _harness("w0")
+        harness.submit(StepSpec(1, cpu_millis=1_000, estimate_ms=60_000))
+        (start,) = start_orders(harness.plan())
+        _accept(harness, start)
+        listed_at_ms = harness.now_ms + 10 - 90_000  # by the worker's clock
+        harness.now_ms += 600
+        reply = LeaseReply(listed_at_ms, 1, (_run_of(start),), ())
+        harness.cell.handle_lease_reply(start.worker, reply, harness.now_ms - 1, harness.now_ms)
+        _reboot(harness, "w0")
+        assert len(start.run.task.crashes) == 1
+
+    def test_a_worker_that_leaves_as_announced_has_not_crashed(self) -> None:
+        harness = _harness("w0", "w1")
+        harness.submit(StepSpec(1, cpu_millis=1_000))
+        (start,) = start_orders(harness.plan())
+        _accept(harness, start)
+        name = start.worker.name
+        harness.worker_infos[name] = replace(harness.worker_infos[name], draining=True)
+        harness.cell.set_workers(harness.worker_infos, harness.now_ms)
+        harness.cell.note_wrong_boot(start.worker, harness.now_ms)
+        assert not start.run.task.crashes
+
+    @pytest.mark.parametrize("rebooted", [False, True])
+    def test_a_lapsed_run_counts_only_once_another_boot_answers(self, rebooted: bool) -> None:
+        harness = _harness("w0")
+        harness.submit(StepSpec(1, cpu_millis=1_000))
+        (start,) = start_orders(harness.plan())
+        _accept(harness, start)
+        task = start.run.task
+        for _ in range(20):
+            harness.now_ms += 1_000
+            harness.cell.note_lease_failure(start.worker, harness.now_ms)
+            harness.plan()
+        assert task.run is None and not task.crashes
+        if rebooted:
+            info = harness.worker_infos.pop("w0")
+            harness.worker_infos["w9"] = replace(info, worker_id="w9", boot_time_ms=20_000)
+            harness.cell.set_workers(harness.worker_infos, harness.now_ms)
+            harness.answer_lease("w9")
+        else:
+            harness.answer_lease("w0")
+        assert len(task.crashes) == rebooted
+
+
+class TestTrials:
+    """How a suspected task is started again."""
+
+    def test_a_suspected_task_is_started_alone_and_nothing_beside_it(self) -> None:
+        harness = _harness("w0", "w1", "w2", "w3")
+        harness.submit(StepSpec(1, cpu_millis=1_000, estimate_ms=60_000))
+        (start,) = start_orders(harness.plan())
+        _accept(harness, start)
+        _reboot(harness, start.worker.name)
+        harness.plan()
+        harness.cell.note_stop_accepted(start.run, harness.now_ms)
+        harness.now_ms += 10
+        _answer_all(harness)  # which rules out that the new boot got the start
+        (trial,) = start_orders(harness.plan())
+        assert trial.run.task is start.run.task and trial.worker is not start.worker
+        _accept(harness, trial)
+        harness.submit(StepSpec(8, cpu_millis=1_000), job="1" * 16)
+        others = start_orders(harness.plan())
+        assert len(others) == 8 and trial.worker not in {order.worker for order in others}
+        harness.now_ms += 600
+        _answer_all(harness)
+        assert not trial.run.task.crashes and trial.worker.trial is None
+
+    def test_a_cleared_task_is_stored_as_cleared(self) -> None:
+        harness = _harness("w0", "w1")
+        harness.submit(StepSpec(1, cpu_millis=1_000))
+        (start,) = start_orders(harness.plan())
+        book = harness.cell.book
+        book.note_crash(start.run.task, 7, "10.0.0.9:80")
+        job = start.run.task.step.job
+        stored = book.progress_record(job, 0)
+        restored = JobBook()
+        restored.add(job.submission, stored, True, 0)
+        task = restored.find_task(start.run.task.id)
+        assert task is not None and task.crashes == ((7, "10.0.0.9:80"),)
+        assert list(restored.jobs[job.id].suspects) == [task]
+        _accept(harness, start)
+        end = RunEnd(1, start.run.task.id, start.run.number, "failed", "")
+        harness.answer_lease(start.worker.name, ends=(end,))
+        assert start.run.task.id.job_id in book.changed_jobs
+        assert not book.progress_record(job, 0).tasks[0].crashes
+
+    def test_the_next_owner_counts_the_crash_of_a_stored_trial(self) -> None:
+        harness = _harness("w0", "w1")
+        harness.submit(StepSpec(1, cpu_millis=1_000))
+        (start,) = start_orders(harness.plan())
+        task = start.run.task
+        harness.cell.book.note_crash(task, 7, "10.0.0.9:80")
+        harness.cell.book.note_trial(task, start.worker.placed_run(start.run.number))
+        progress = harness.cell.book.progress_record(task.step.job, 0)
+        later = _harness("w0", "w1")
+        later.cell.add_job(task.step.job.submission, progress, False, later.now_ms)
+        _reboot(later, start.worker.name)
+        assert later.cell.book.jobs[task.id.job_id].state == "failed"
+
+
+class TestVerdict:
+    """When a task is given up."""
+
+    @pytest.mark.parametrize(
+        ("addresses", "suspect_count", "given_up"),
+        [
+            ("a", 1, False),
+            ("ab", 1, True),
+            ("ab", 2, False),  # the second crash may be another's doing
+            ("aa", 1, False),  # the machine may be broken
+            ("aaa", 1, True),
+            ("abc", 2, True),
+        ],
+    )
+    def test_a_task_is_given_up_after_its_second_crash_alone_or_its_third(
+        self, addresses: str, suspect_count: int, given_up: bool
+    ) -> None:
+        harness = _harness("w0")
+        harness.submit(StepSpec(1, cpu_millis=1_000))
+        (start,) = start_orders(harness.plan())
+        task = start.run.task
+        task.crashes = tuple(enumerate(addresses))
+        assert is_culprit(task, suspect_count) == given_up
+
+
+def test_a_progress_record_from_before_crashes_were_counted_is_read() -> None:
+    old = msgspec.msgpack.encode(["Progress", "0" * 16, "running", [], [[0, 0, 3, [1], "c"]]])
+    record = decode_record(old)
+    assert isinstance(record, Progress)
+    assert record.tasks == (TaskProgress(0, 0, 3, (1,), "c"),)
