--- a/src/greengagewood/internal/cells/placement.py
+++ b/src/greengagewood/internal/cells/placement.py
@@ -17,6 +17,7 @@
 from greengagewood.internal.jobs.model import StepSpec
 
 __all__ = [
+    "LONGEST_TRIAL_WAIT_MS",
     "choose_worker",
     "idle_cpu_millis",
     "is_mostly_uncommitted",
--- a/src/greengagewood/internal/cells/planner.py
+++ b/src/greengagewood/internal/cells/planner.py
@@ -11,6 +11,7 @@
 from greengagewood.internal.cells.fleet import Worker
 from greengagewood.internal.cells.orders import Order, RequestAdvice, StartRun
 from greengagewood.internal.cells.placement import (
+    LONGEST_TRIAL_WAIT_MS,
     choose_worker,
     idle_cpu_millis,
     is_mostly_uncommitted,
@@ -302,8 +303,7 @@
             if task.crashes:
                 worker = self._choose_for_trial(task, workers, starving, now_ms)
                 if worker is None:
-                    self.request_replan()
-                    continue
+                    continue  # the others need not be tried alone
             else:
                 worker = choose(task)
             if worker is None or (step.spec.long_running and not leaves_headroom(task, workers)):
@@ -325,10 +325,13 @@
 
         Of a job of which none was cleared yet, one task is tried at a time, as all may crash.
         """
+        waited_ms = now_ms - task.last_run_ended_ms
+        if waited_ms <= LONGEST_TRIAL_WAIT_MS:
+            self.request_replan()
         job = task.step.job
         if not job.had_cleared and any(other.run for other in job.suspects):
             return None
-        candidates = workers_for_trial(task, workers, now_ms - task.last_run_ended_ms)
+        candidates = workers_for_trial(task, workers, waited_ms)
         return choose_worker(task, candidates, self.tail_model, starving)
 
     def _place_gang(self, step: Step, workers: list[Worker], now_ms: int) -> list[Order]:
