Store the suspects of a crash before it is proven

Cause: a crash is proven only once the worker is back, 3 s later. An owner that died in between had stored nothing, so its successor started the task again as if it were new. And an inherited trial counted as alone, though the worker may have crashed long after it.

The change: as soon as a call to a worker fails, the runs that it had just started are stored with their jobs; the next owner counts them if an earlier boot at that address is gone. Kept or inherited suspects never convict alone.

--- a/src/greengagewood/internal/cells/cell.py
+++ b/src/greengagewood/internal/cells/cell.py
@@ -444,8 +444,7 @@
 
     def note_lease_failure(self, worker: Worker, now_ms: int) -> None:
         """Record that a worker did not answer a lease extension."""
-        if worker.failing_since_ms is None:
-            worker.failing_since_ms = now_ms
+        self._crashes.note_failed_call(worker, now_ms)
         if worker.unresponsive or self.workers.get(worker.name) is not worker:
             return
         since = worker.last_answer_ms if worker.last_answer_ms is not None else worker.added_ms
@@ -500,8 +499,8 @@
             run.transition("unanswered")
             self._last_stop_scan_ms = None
             worker = self.workers.get(run.worker_id)
-            if worker is not None and worker.failing_since_ms is None:
-                worker.failing_since_ms = now_ms
+            if worker is not None:
+                self._crashes.note_failed_call(worker, now_ms)
 
     def note_stop_accepted(self, run: Run | None, now_ms: int) -> None:
         """Record that the worker has accepted a stop, so the run can no longer start there."""
--- a/src/greengagewood/internal/cells/crashes.py
+++ b/src/greengagewood/internal/cells/crashes.py
@@ -61,14 +61,14 @@
     return [(run.task.id, worker.placed_run(run.number)) for run in recent]
 
 
-def is_culprit(task: Task, suspect_count: int) -> bool:
+def is_culprit(task: Task, alone: bool) -> bool:
     """Return whether to give up a task under which a worker has just crashed.
 
-    With several suspects the crash may be another's doing, and with a single address the machine's.
+    Unless the task was the only suspect, the crash may be due to another one. If all crashes were
+    at one address, they may be due to the machine.
     """
     addresses = {address for _, address in task.crashes}
-    alone = suspect_count == 1 and len(addresses) >= MIN_CRASHED_WORKERS
-    return alone or len(task.crashes) >= MAX_CRASHES
+    return (alone and len(addresses) >= MIN_CRASHED_WORKERS) or len(task.crashes) >= MAX_CRASHES
 
 
 class CrashTracker:
@@ -82,10 +82,20 @@
 
     def restore(self, job: Job) -> None:
         """Add the stored suspects of an earlier owner."""
-        for task in job.suspects:
+        for task in job.opened_tasks():
             if task.trial is not None:
                 self._unresolved.setdefault(task.trial.address, []).append((task.id, task.trial))
 
+    def note_failed_call(self, worker: Worker, now_ms: int) -> None:
+        """Record a failed call to a worker; store the suspects of a crash for a later owner."""
+        if worker.failing_since_ms is not None:
+            return
+        worker.failing_since_ms = now_ms
+        for task_id, run in find_suspects(worker):
+            task = self._book.find_task(task_id)
+            if task is not None:
+                self._book.note_trial(task, run)
+
     def keep_suspects(self, worker: Worker) -> None:
         """Keep the suspects of a silent worker whose runs have lapsed."""
         if suspects := find_suspects(worker):
@@ -98,12 +108,15 @@
         if others := [suspect for suspect in kept if suspect[1].worker_id != worker.name]:
             self._unresolved[address] = others
         own = [suspect for suspect in kept if suspect[1].worker_id == worker.name]
-        self._note_suspects(find_suspects(worker) or own, now_ms)
+        suspects = find_suspects(worker)
+        self._note_suspects(suspects, len(suspects) == 1, now_ms)
+        self._note_suspects(own, False, now_ms)
 
     def handle_answer(self, worker: Worker, boot_time_ms: int, now_ms: int) -> None:
         """Process the answer of a boot: earlier boots at its address have crashed."""
         suspects = self._unresolved.pop(worker.info.address, [])
-        self._note_suspects([s for s in suspects if s[1].boot_time_ms < boot_time_ms], now_ms)
+        crashed = [s for s in suspects if s[1].boot_time_ms < boot_time_ms]
+        self._note_suspects(crashed, False, now_ms)
 
     def handle_outlived(self, worker: Worker, run: Run) -> None:
         """Clear the task of a run whose worker has outlived its start."""
@@ -113,10 +126,14 @@
         task = run.task
         if task.crashes:
             self._on_event("crash_cleared", {"task": task.id, "crashes": task.crashes})
+        if task.crashes or task.trial:
             self._book.note_cleared(task)
 
-    def _note_suspects(self, suspects: list[Suspect], now_ms: int) -> None:
-        """Record the runs that may have crashed a worker; give up tasks that certainly do."""
+    def _note_suspects(self, suspects: list[Suspect], alone: bool, now_ms: int) -> None:
+        """Record the runs that may have crashed a worker; give up tasks that certainly do.
+
+        Those that were kept were never alone: the worker may have crashed long after their start.
+        """
         for task_id, run in suspects:
             task = self._book.find_task(task_id)
             if task is None or task.end_state or task.step.job.is_final:
@@ -126,10 +143,10 @@
                 "task": task_id,
                 "run": run.number,
                 "worker": run.worker_id,
-                "suspects": len(suspects),
+                "alone": alone,
                 "crashes": task.crashes,
             }
             self._on_event("crash_suspected", fields)
-            if is_culprit(task, len(suspects)):
+            if is_culprit(task, alone):
                 self._book.give_up(task, now_ms)
                 self._on_event("job_failed", {"job": task_id.job_id, **fields})
--- a/src/greengagewood/internal/cells/planner.py
+++ b/src/greengagewood/internal/cells/planner.py
@@ -411,9 +411,10 @@
                 or MIN_SPEED_PERCENT
             )
         worker.add_run(run)
-        if task.crashes:
+        if task.crashes or task.trial:
             self._book.note_trial(task, worker.placed_run(number))
-            worker.trial = None if task.step.spec.gang else run
+        if task.crashes and not task.step.spec.gang:
+            worker.trial = run
         worker.latest_deadline_ms = max(worker.latest_deadline_ms, deadline)
         payload = task.step.job.submission.spec.payload
         return StartRun(worker, run, payload, deadline, task.checkpoint)
--- a/src/greengagewood/internal/jobs/book.py
+++ b/src/greengagewood/internal/jobs/book.py
@@ -85,7 +85,7 @@
     last_run_ended_ms: int = 0  # 0 if no run is known to have ended
     # The runs that may have crashed their worker, and its address; none if the task is unsuspected.
     crashes: tuple[tuple[int, str], ...] = ()
-    trial: PlacedRun | None = None  # the latest run since the first of `crashes`
+    trial: PlacedRun | None = None  # the run that may crash its worker now
 
 
 @dataclass(slots=True, eq=False)
@@ -439,16 +439,17 @@
         self.changed_jobs[task.step.job.id] = None
 
     def note_trial(self, task: Task, trial: PlacedRun) -> None:
-        """Record that a task is started again after a run of it may have crashed its worker."""
+        """Record a run of which a later owner must know that it may have crashed its worker."""
         task.trial = trial
         self.changed_jobs[task.step.job.id] = None
 
     def note_cleared(self, task: Task) -> None:
         """Record that the task does not crash its workers."""
+        job = task.step.job
+        job.had_cleared = job.had_cleared or bool(task.crashes)
+        job.suspects.pop(task, None)
         task.crashes = ()
         task.trial = None
-        task.step.job.suspects.pop(task, None)
-        task.step.job.had_cleared = True
         self.changed_jobs[task.step.job.id] = None
 
     def give_up(self, task: Task, now_ms: int) -> None:
@@ -509,7 +510,9 @@
                 ):
                     done.append((number, step.number, _done_bitmap(step)))
                 for task in step.tasks:
-                    if not task.end_state and (task.failed_runs or task.checkpoint or task.crashes):
+                    if not task.end_state and (
+                        task.failed_runs or task.checkpoint or task.crashes or task.trial
+                    ):
                         unfinished.append(
                             TaskProgress(
                                 number,
--- a/src/greengagewood/internal/jobs/records.py
+++ b/src/greengagewood/internal/jobs/records.py
@@ -75,8 +75,8 @@
 class TaskProgress(msgspec.Struct, frozen=True, array_like=True, omit_defaults=True):
     """Numbers of the failed runs and newest checkpoint of a task that has not ended.
 
-    `crashes` lists the runs under which their worker crashed, with the worker's address. `trial` is
-    the latest run since.
+    `crashes` lists the runs that may have crashed their worker, with the worker's address. `trial`
+    is a run that may do so now: it was started after such a crash, or its worker does not answer.
     """
 
     occurrence: int
--- a/tests/cover/test_crashes.py
+++ b/tests/cover/test_crashes.py
@@ -12,7 +12,12 @@
 from greengagewood.internal.cells.orders import StartRun
 from greengagewood.internal.jobs.book import JobBook
 from greengagewood.internal.jobs.model import JobSpec, StepSpec
-from greengagewood.internal.jobs.records import Progress, TaskId, TaskProgress, decode_record
+from greengagewood.internal.jobs.records import (
+    Progress,
+    TaskId,
+    TaskProgress,
+    decode_record,
+)
 from greengagewood.internal.ports import LeaseReply, RunEnd, RunningTask
 from tests.common.desk import CellHarness, start_orders
 from tests.common.drive import CellSimulation, long_running_job, run_simulation, short_job
@@ -155,6 +160,47 @@
         assert run_simulation(CellSimulation(seed), script).platform.violations == []
 
 
+async def _kill_owners(sim: CellSimulation, count: int) -> None:
+    for _ in range(count):
+        await asyncio.sleep(sim.rng.uniform(1, 7))
+        owner = sim.owner()
+        if owner is not None:
+            await sim.kill_instance(owner)
+            await asyncio.sleep(0.5)
+            sim.start_instance(owner)
+
+
+async def _crash_workers(sim: CellSimulation, count: int) -> None:
+    for _ in range(count):
+        await asyncio.sleep(sim.rng.uniform(1, 9))
+        sim.platform.crash_and_restart(sim.rng.choice(list(sim.platform.workers.values())))
+
+
+# Each seed failed while only proven crashes were stored.
+@pytest.mark.parametrize("seed", [0, 2, 10, 22, 23, 27])
+class TestChangesOfOwner:
+    """Owners are killed between a crash and its proof, while workers also crash by themselves."""
+
+    def test_crashing_tasks_are_given_up_and_innocent_jobs_complete(self, seed: int) -> None:
+        async def script(sim: CellSimulation) -> None:
+            jobs = _ids(14)
+            crashing_jobs = [f"c{number:015x}" for number in range(3)]
+            for job in crashing_jobs:
+                _crash_with(sim, TaskId(job, 0, 0, 0))
+            order = jobs + crashing_jobs
+            sim.rng.shuffle(order)
+            faults = asyncio.gather(_kill_owners(sim, 3), _crash_workers(sim, 2))
+            for job in order:
+                await sim.submit(job, "fast", _step(sim.rng.randint(1, 6)))
+                await asyncio.sleep(sim.rng.uniform(0, 0.3))
+            await faults
+            assert await sim.wait_until_ended(set(order), SETTLE_S) == set()
+            assert {await sim.state(job) for job in jobs} == {"completed"}
+            assert {await sim.state(job) for job in crashing_jobs} == {"failed"}
+
+        assert run_simulation(CellSimulation(seed), script).platform.violations == []
+
+
 def _run_of(start: StartRun, percent: int = 10) -> RunningTask:
     return RunningTask(start.run.task.id, start.run.number, "", percent, 0)
 
@@ -278,6 +324,37 @@
         assert len(task.crashes) == rebooted
 
 
+class TestStoredSuspects:
+    """What an owner stores before a crash is proven."""
+
+    def _stored(self, harness: CellHarness, start: StartRun) -> Progress:
+        return harness.cell.book.progress_record(start.run.task.step.job, 0)
+
+    def test_the_next_owner_counts_a_crash_whose_proof_the_last_one_did_not_see(self) -> None:
+        harness = _harness("w0", "w1")
+        harness.submit(StepSpec(1, cpu_millis=1_000))
+        (start,) = start_orders(harness.plan())
+        _accept(harness, start)
+        harness.cell.note_lease_failure(start.worker, harness.now_ms)
+        later = _harness("w0", "w1")
+        job = start.run.task.step.job
+        later.cell.add_job(job.submission, self._stored(harness, start), False, later.now_ms)
+        _reboot(later, start.worker.name)
+        (task,) = later.cell.book.jobs[job.id].suspects
+        assert task.crashes == ((start.run.number, start.worker.info.address),)
+
+    def test_a_worker_that_answers_again_leaves_no_suspect(self) -> None:
+        harness = _harness("w0", "w1")
+        harness.submit(StepSpec(1, cpu_millis=1_000, estimate_ms=60_000))
+        (start,) = start_orders(harness.plan())
+        _accept(harness, start)
+        harness.cell.note_lease_failure(start.worker, harness.now_ms)
+        assert self._stored(harness, start).tasks[0].trial is not None
+        harness.now_ms += 600
+        harness.answer_lease(start.worker.name, _run_of(start))
+        assert self._stored(harness, start).tasks == ()
+
+
 class TestTrials:
     """How a suspected task is started again."""
 
@@ -326,6 +403,7 @@
         (start,) = start_orders(harness.plan())
         task = start.run.task
         harness.cell.book.note_crash(task, 7, "10.0.0.9:80")
+        harness.cell.book.note_crash(task, 8, "10.0.0.8:80")
         harness.cell.book.note_trial(task, start.worker.placed_run(start.run.number))
         progress = harness.cell.book.progress_record(task.step.job, 0)
         later = _harness("w0", "w1")
@@ -338,25 +416,25 @@
     """When a task is given up."""
 
     @pytest.mark.parametrize(
-        ("addresses", "suspect_count", "given_up"),
+        ("addresses", "alone", "given_up"),
         [
-            ("a", 1, False),
-            ("ab", 1, True),
-            ("ab", 2, False),  # the second crash may be another's doing
-            ("aa", 1, False),  # the machine may be broken
-            ("aaa", 1, True),
-            ("abc", 2, True),
+            ("a", True, False),
+            ("ab", True, True),
+            ("ab", False, False),  # the second crash may be due to another task
+            ("aa", True, False),  # the machine may be broken
+            ("aaa", True, True),
+            ("abc", False, True),
         ],
     )
     def test_a_task_is_given_up_after_its_second_crash_alone_or_its_third(
-        self, addresses: str, suspect_count: int, given_up: bool
+        self, addresses: str, alone: bool, given_up: bool
     ) -> None:
         harness = _harness("w0")
         harness.submit(StepSpec(1, cpu_millis=1_000))
         (start,) = start_orders(harness.plan())
         task = start.run.task
         task.crashes = tuple(enumerate(addresses))
-        assert is_culprit(task, suspect_count) == given_up
+        assert is_culprit(task, alone) == given_up
 
 
 def test_a_progress_record_from_before_crashes_were_counted_is_read() -> None:
