Do not give a task up for a start that may never have reached its worker

The second start was sent at 9.45 s to a worker that had crashed by itself at 9.0 s and refused the connection; the worker's other runs had been outlived, so that start was the only suspect of its crash, and the job was given up.

Cause: a start without an answer counted as a run under which the worker crashed. If no other run was suspected, even one that was sent after the first failed call did.

The change: a start that was sent after a failed call and not answered is no suspect. Other starts without an answer count, but a task is given up only if workers had accepted two of its runs, or at four crashes in all, since the rule bounds its starts. The events say for each crash whether the run was accepted.

Class of fault: an order that was sent is taken for one that was carried out.

The new test fails before the change.

--- a/src/greengagewood/internal/cells/crashes.py
+++ b/src/greengagewood/internal/cells/crashes.py
@@ -21,10 +21,12 @@
 __all__ = ["CrashTracker", "find_suspects", "is_culprit", "outlives"]
 
 OUTLIVED_AFTER_MS = 500  # a worker that lists a run this long after its start has outlived it
-MIN_CRASHED_WORKERS = 2  # by the platform's rules, no task may be given up after fewer crashes
-# The platform allows two more starts after three crashes. They are left for crashes that an owner
-# saw but did not live to store.
-MAX_CRASHES = 3
+# By the platform's rules, a task may be given up once two workers have crashed under it.
+MIN_CRASHES = 2
+MIN_CRASHES_WITH_OTHERS = 3
+# The most, counting runs that may never have reached the worker. The platform allows two more
+# starts after three crashes; the second is left for a crash that an owner did not live to store.
+MAX_CRASHES = 4
 
 Suspect = tuple[TaskId, PlacedRun]
 
@@ -45,30 +47,37 @@
 def find_suspects(worker: Worker) -> list[Suspect]:
     """Return the runs that may have crashed a worker, if it has crashed.
 
-    A start that was sent after the first call that failed did not cause that failure, so it is
-    suspected only if no other run is.
+    A start that was sent after the first call that failed, and not answered either, did not cause
+    that failure.
     """
     if worker.info.draining:
         return []  # it has left as announced
-    recent = [run for run in worker.runs.values() if not run.outlived and not run.task.end_state]
     failing_since_ms = worker.failing_since_ms
-    if failing_since_ms is not None:
-        recent = [
-            run
-            for run in recent
-            if run.accepted_ms is not None or run.started_ms <= failing_since_ms
-        ] or recent
-    return [(run.task.id, worker.placed_run(run.number)) for run in recent]
+    return [
+        (run.task.id, worker.placed_run(run))
+        for run in worker.runs.values()
+        if not run.outlived
+        and not run.task.end_state
+        and (
+            run.accepted_ms is not None
+            or failing_since_ms is None
+            or run.started_ms <= failing_since_ms
+        )
+    ]
 
 
 def is_culprit(task: Task, alone: bool) -> bool:
     """Return whether to give up a task under which a worker has just crashed.
 
-    Unless the task was the only suspect, the crash may be due to another one. If all crashes were
-    at one address, they may be due to the machine.
+    A start that was not answered may never have reached the worker. Unless the task was the only
+    suspect, the crash may be due to another one. If all crashes were at one address, they may be
+    due to the machine.
     """
-    addresses = {address for _, address in task.crashes}
-    return (alone and len(addresses) >= MIN_CRASHED_WORKERS) or len(task.crashes) >= MAX_CRASHES
+    accepted = [run for run in task.crashes if run.accepted]
+    if len(accepted) < MIN_CRASHES:
+        return len(task.crashes) >= MAX_CRASHES
+    addresses = {run.address for run in accepted}
+    return (alone and len(addresses) > 1) or len(task.crashes) >= MIN_CRASHES_WITH_OTHERS
 
 
 class CrashTracker:
@@ -109,7 +118,8 @@
             self._unresolved[address] = others
         own = [suspect for suspect in kept if suspect[1].worker_id == worker.name]
         suspects = find_suspects(worker)
-        self._note_suspects(suspects, len(suspects) == 1, now_ms)
+        alone = len(suspects) == 1 and suspects[0][1].accepted
+        self._note_suspects(suspects, alone, now_ms)
         self._note_suspects(own, False, now_ms)
 
     def handle_answer(self, worker: Worker, boot_time_ms: int, now_ms: int) -> None:
@@ -125,7 +135,7 @@
             worker.trial = None
         task = run.task
         if task.crashes:
-            self._on_event("crash_cleared", {"task": task.id, "crashes": task.crashes})
+            self._on_event("crash_cleared", {"task": task.id, "crashes": len(task.crashes)})
         if task.crashes or task.trial:
             self._book.note_cleared(task)
 
@@ -138,13 +148,15 @@
             task = self._book.find_task(task_id)
             if task is None or task.end_state or task.step.job.is_final:
                 continue
-            self._book.note_crash(task, run.number, run.address)
+            self._book.note_crash(task, run)
             fields: dict[str, object] = {
                 "task": task_id,
                 "run": run.number,
                 "worker": run.worker_id,
                 "alone": alone,
-                "crashes": task.crashes,
+                "crashes": [
+                    (crash.number, crash.address, crash.accepted) for crash in task.crashes
+                ],
             }
             self._on_event("crash_suspected", fields)
             if is_culprit(task, alone):
--- a/src/greengagewood/internal/cells/fleet.py
+++ b/src/greengagewood/internal/cells/fleet.py
@@ -90,10 +90,11 @@
         """Return the worker's ID."""
         return self.info.worker_id
 
-    def placed_run(self, run_number: int) -> PlacedRun:
+    def placed_run(self, run: Run) -> PlacedRun:
         """Return a run with this boot, as it is stored."""
         info = self.info
-        return PlacedRun(run_number, info.worker_id, info.address, info.boot_time_ms)
+        accepted = run.accepted_ms is not None
+        return PlacedRun(run.number, info.worker_id, info.address, info.boot_time_ms, accepted)
 
     def is_usable(self, now_ms: int) -> bool:
         """Return whether runs may be placed here now.
--- a/src/greengagewood/internal/cells/placement.py
+++ b/src/greengagewood/internal/cells/placement.py
@@ -207,7 +207,7 @@
         return free
     if len(workers) - len(free) >= max(1, len(workers) // MIN_WORKERS_PER_TRIAL):
         return []
-    addresses = {address for _, address in task.crashes}
+    addresses = {run.address for run in task.crashes}
     quiet = [w for w in free if all(run.outlived for run in w.runs.values())]
     return [w for w in quiet if w.info.address not in addresses] or quiet
 
--- a/src/greengagewood/internal/cells/planner.py
+++ b/src/greengagewood/internal/cells/planner.py
@@ -412,7 +412,7 @@
             )
         worker.add_run(run)
         if task.crashes or task.trial:
-            self._book.note_trial(task, worker.placed_run(number))
+            self._book.note_trial(task, worker.placed_run(run))
         if task.crashes and not task.step.spec.gang:
             worker.trial = run
         worker.latest_deadline_ms = max(worker.latest_deadline_ms, deadline)
--- a/src/greengagewood/internal/jobs/book.py
+++ b/src/greengagewood/internal/jobs/book.py
@@ -83,8 +83,7 @@
     failed_workers: tuple[str, ...] = ()
     not_before_ms: int = 0
     last_run_ended_ms: int = 0  # 0 if no run is known to have ended
-    # The runs that may have crashed their worker, and its address; none if the task is unsuspected.
-    crashes: tuple[tuple[int, str], ...] = ()
+    crashes: tuple[PlacedRun, ...] = ()  # the runs that may have crashed their worker
     trial: PlacedRun | None = None  # the run that may crash its worker now
 
 
@@ -430,11 +429,11 @@
         if len(task.failed_runs) >= max_attempts:
             self.give_up(task, now_ms)
 
-    def note_crash(self, task: Task, run_number: int, address: str) -> None:
+    def note_crash(self, task: Task, run: PlacedRun) -> None:
         """Record that a run of the task may have crashed its worker."""
-        if any(number == run_number for number, _ in task.crashes):
+        if any(crash.number == run.number for crash in task.crashes):
             return
-        task.crashes = (*task.crashes, (run_number, address))
+        task.crashes = (*task.crashes, run)
         task.step.job.suspects[task] = None
         self.changed_jobs[task.step.job.id] = None
 
--- a/src/greengagewood/internal/jobs/records.py
+++ b/src/greengagewood/internal/jobs/records.py
@@ -64,19 +64,20 @@
 
 
 class PlacedRun(msgspec.Struct, frozen=True, array_like=True):
-    """A run of a task, and the boot of the worker that was to start it."""
+    """A run of a task, whether its worker had accepted it, and that worker's boot."""
 
     number: int
     worker_id: str
     address: str
     boot_time_ms: int
+    accepted: bool
 
 
 class TaskProgress(msgspec.Struct, frozen=True, array_like=True, omit_defaults=True):
     """Numbers of the failed runs and newest checkpoint of a task that has not ended.
 
-    `crashes` lists the runs that may have crashed their worker, with the worker's address. `trial`
-    is a run that may do so now: it was started after such a crash, or its worker does not answer.
+    `crashes` lists the runs that may have crashed their worker. `trial` is a run that may do so
+    now: it was started after such a crash, or its worker does not answer.
     """
 
     occurrence: int
@@ -84,7 +85,7 @@
     number: int
     failed_runs: tuple[int, ...] = ()
     checkpoint: str = ""
-    crashes: tuple[tuple[int, str], ...] = ()
+    crashes: tuple[PlacedRun, ...] = ()
     trial: PlacedRun | None = None
 
 
--- a/tests/cover/test_crashes.py
+++ b/tests/cover/test_crashes.py
@@ -13,6 +13,7 @@
 from greengagewood.internal.jobs.book import JobBook
 from greengagewood.internal.jobs.model import JobSpec, StepSpec
 from greengagewood.internal.jobs.records import (
+    PlacedRun,
     Progress,
     TaskId,
     TaskProgress,
@@ -201,6 +202,10 @@
         assert run_simulation(CellSimulation(seed), script).platform.violations == []
 
 
+def _crash(number: int, address: str, accepted: bool = True) -> PlacedRun:
+    return PlacedRun(number, "w", address, 1, accepted)
+
+
 def _run_of(start: StartRun, percent: int = 10) -> RunningTask:
     return RunningTask(start.run.task.id, start.run.number, "", percent, 0)
 
@@ -244,7 +249,7 @@
         (start,) = start_orders(harness.plan())
         _accept(harness, start)
         harness.cell.note_wrong_boot(start.worker, harness.now_ms)
-        assert start.run.task.crashes == ((start.run.number, start.worker.info.address),)
+        assert [run.number for run in start.run.task.crashes] == [start.run.number]
         harness.cell.note_wrong_boot(start.worker, harness.now_ms)
         assert len(start.run.task.crashes) == 1
 
@@ -269,6 +274,17 @@
         harness.cell.note_wrong_boot(first.worker, harness.now_ms)
         assert first.run.task.crashes and not second.run.task.crashes
 
+    def test_a_start_that_was_not_answered_does_not_convict_alone(self) -> None:
+        # Found by: lapjeshuis-ops crashing-tasks 25, where the worker had crashed by itself before
+        harness = _harness("w0")
+        harness.submit(StepSpec(1, cpu_millis=1_000))
+        (start,) = start_orders(harness.plan())
+        harness.cell.book.note_crash(start.run.task, _crash(7, "a"))
+        harness.cell.note_start_unanswered(start.run, harness.now_ms)
+        harness.cell.note_wrong_boot(start.worker, harness.now_ms)
+        assert len(start.run.task.crashes) == 2
+        assert start.run.task.step.job.state != "failed"
+
     def test_a_run_that_the_worker_has_listed_for_long_is_not_suspected(self) -> None:
         harness = _harness("w0")
         harness.submit(StepSpec(1, cpu_millis=1_000, estimate_ms=60_000))
@@ -341,7 +357,7 @@
         later.cell.add_job(job.submission, self._stored(harness, start), False, later.now_ms)
         _reboot(later, start.worker.name)
         (task,) = later.cell.book.jobs[job.id].suspects
-        assert task.crashes == ((start.run.number, start.worker.info.address),)
+        assert [(run.number, run.accepted) for run in task.crashes] == [(start.run.number, True)]
 
     def test_a_worker_that_answers_again_leaves_no_suspect(self) -> None:
         harness = _harness("w0", "w1")
@@ -383,13 +399,13 @@
         harness.submit(StepSpec(1, cpu_millis=1_000))
         (start,) = start_orders(harness.plan())
         book = harness.cell.book
-        book.note_crash(start.run.task, 7, "10.0.0.9:80")
+        book.note_crash(start.run.task, _crash(7, "a"))
         job = start.run.task.step.job
         stored = book.progress_record(job, 0)
         restored = JobBook()
         restored.add(job.submission, stored, True, 0)
         task = restored.find_task(start.run.task.id)
-        assert task is not None and task.crashes == ((7, "10.0.0.9:80"),)
+        assert task is not None and task.crashes == (_crash(7, "a"),)
         assert list(restored.jobs[job.id].suspects) == [task]
         _accept(harness, start)
         end = RunEnd(1, start.run.task.id, start.run.number, "failed", "")
@@ -402,9 +418,9 @@
         harness.submit(StepSpec(1, cpu_millis=1_000))
         (start,) = start_orders(harness.plan())
         task = start.run.task
-        harness.cell.book.note_crash(task, 7, "10.0.0.9:80")
-        harness.cell.book.note_crash(task, 8, "10.0.0.8:80")
-        harness.cell.book.note_trial(task, start.worker.placed_run(start.run.number))
+        harness.cell.book.note_crash(task, _crash(7, "a"))
+        harness.cell.book.note_crash(task, _crash(8, "b"))
+        harness.cell.book.note_trial(task, start.worker.placed_run(start.run))
         progress = harness.cell.book.progress_record(task.step.job, 0)
         later = _harness("w0", "w1")
         later.cell.add_job(task.step.job.submission, progress, False, later.now_ms)
@@ -424,6 +440,9 @@
             ("aa", True, False),  # the machine may be broken
             ("aaa", True, True),
             ("abc", False, True),
+            ("aBC", False, False),  # in upper case: the start was not answered
+            ("aBCD", False, True),
+            ("abC", False, True),
         ],
     )
     def test_a_task_is_given_up_after_its_second_crash_alone_or_its_third(
@@ -433,7 +452,10 @@
         harness.submit(StepSpec(1, cpu_millis=1_000))
         (start,) = start_orders(harness.plan())
         task = start.run.task
-        task.crashes = tuple(enumerate(addresses))
+        task.crashes = tuple(
+            _crash(number, address.lower(), address.islower())
+            for number, address in enumerate(addresses)
+        )
         assert is_culprit(task, alone) == given_up
 
 
