--- a/src/greengagewood/internal/jobs/records.py
+++ b/src/greengagewood/internal/jobs/records.py
@@ -16,6 +16,7 @@
 __all__ = [
     "Cancellation",
     "Ownership",
+    "PlacedRun",
     "PossibleRuns",
     "Progress",
     "Record",
@@ -63,21 +64,38 @@
     job_id: str
 
 
+class PlacedRun(msgspec.Struct, frozen=True, array_like=True):
+    """A run of a task, whether its worker had accepted it, and that worker's boot."""
+
+    number: int
+    worker_id: str
+    address: str
+    boot_time_ms: int
+    accepted: bool
+
+
 class TaskProgress(msgspec.Struct, frozen=True, array_like=True, omit_defaults=True):
-    """Numbers of the failed runs and newest checkpoint of a task that has not ended."""
+    """Numbers of the failed runs and newest checkpoint of a task that has not ended.
+
+    `crashes` lists the runs that may have crashed their worker. `trial` is a run that may do so
+    now: it was started after such a crash, or its worker does not answer.
+    """
 
     occurrence: int
     step: int
     number: int
     failed_runs: tuple[int, ...] = ()
     checkpoint: str = ""
+    crashes: tuple[PlacedRun, ...] = ()
+    trial: PlacedRun | None = None
 
 
 class Progress(_Record, frozen=True):
     """Progress of a job.
 
     `done` lists (occurrence, step, bitmap): bit i of the bitmap, least significant bit first, is
-    set if task i has succeeded. `tasks` lists other tasks with failed runs or a checkpoint.
+    set if task i has succeeded. `tasks` lists other tasks with failed runs, a checkpoint or
+    crashes.
     """
 
     job_id: str
