Rule out inherited runs on a worker that another one has replaced

Since what earlier owners may have started is kept in groups, an answer of another worker at the address no longer ended the wait for them. The test failed before.

--- a/src/greengagewood/internal/cells/cell.py
+++ b/src/greengagewood/internal/cells/cell.py
@@ -532,6 +532,7 @@
             worker.adopted = False
             worker.latest_deadline_ms = 0
             worker.earlier_orders_expiry_ms = 0
+            worker.inherited = ()
             worker.clock_read_ms = None
 
     def handle_start_reply(self, worker: Worker, run: Run, reason: str, now_ms: int) -> list[Order]:
--- a/tests/cover/test_owner_changes.py
+++ b/tests/cover/test_owner_changes.py
@@ -121,6 +121,15 @@
         assert self._started_numbers(record_token=4, wait_ms=3_000) == [1]
         assert self._started_numbers(record_token=4, wait_ms=3_100) == [0, 1]
 
+    def test_a_worker_replaced_by_another_holds_nothing_back(self) -> None:
+        now_ms = 100_000
+        successor = Cell(LIMITS, 5, now_ms)
+        successor.set_registered_workers(RegisteredWorkers((self.SILENT,), 4), now_ms, now_ms)
+        worker = successor.workers["silent"]
+        assert worker.unlisted_runs(now_ms)
+        successor.note_wrong_boot(worker, now_ms)
+        assert not worker.unlisted_runs(now_ms)
+
     def test_the_limits_of_an_owner_before_the_last_one_do_not_count(self) -> None:
         assert self._started_numbers(record_token=3, wait_ms=11_000) == []
         assert self._started_numbers(record_token=3, wait_ms=11_200) == [0, 1]
