Keep the limits of a stored record for a later boot, and end inherited runs at adoption

- A worker that a stored record says to get no lease extensions, and that boots again, was sent a deadline before the record was replaced; a late start on it could outlast what the next owner reads.
- A worker that had been adopted and then lost counted as holding inherited runs again until the bound of the term's start.
An adopted worker has listed what it inherited and accepts nothing older.

--- a/src/greengagewood/internal/cells/cell.py
+++ b/src/greengagewood/internal/cells/cell.py
@@ -66,9 +66,7 @@
 MOVE_INTERVAL_MS = 150  # between two moves, each of which costs a stop and a start
 STUCK_AFTER_MS = 2_500  # minimum time without any progress after which a run is stopped as stuck
 REFUSAL_DELAY_MS = 150  # before a refused task, or a worker that lacked resources, is tried again
-FIRST_REFUSAL_BACKOFF_MS = (
-    400  # by then, ends that the worker lists with the next reading are known
-)
+FIRST_REFUSAL_BACKOFF_MS = 400  # by then, the run ends that the worker lists next are known
 LONGEST_REFUSAL_BACKOFF_MS = 2_000  # room that is back must be used within 3 s
 FIRST_WORKER_BACKOFF_MS = 1_000  # each backoff is twice as long as the last, until a success
 LONGEST_WORKER_BACKOFF_MS = 8_000
@@ -228,7 +226,11 @@
         self.on_event("worker_reborn", {"worker": info.worker_id, "runs": len(worker.runs)})
         self._crashes.handle_crash(worker, now_ms)
         rebooted = Worker(
-            info, now_ms, registered=worker.registered, in_directory=worker.in_directory
+            info,
+            now_ms,
+            registered=worker.registered,
+            in_directory=worker.in_directory,
+            lease_limited=worker.lease_limited,
         )
         if worker.unlisted_runs(now_ms):  # a late start may still reach the new boot
             rebooted.inherited = worker.inherited
@@ -356,6 +358,7 @@
         self.planner.tail_model.learn(worker, now_ms)
         if not worker.adopted:
             worker.adopted = True
+            worker.inherited = ()
             self._shorten_earlier_expiry(worker, now_ms)
             self.on_event("worker_adopted", {"worker": worker.name, "runs": len(listed_keys)})
         orders.extend(
--- a/src/greengagewood/internal/cells/fleet.py
+++ b/src/greengagewood/internal/cells/fleet.py
@@ -107,7 +107,7 @@
     clock_read_ms: int | None = None  # when its clock was last read
     latest_deadline_ms: int = 0  # the latest deadline that this owner gave it, on its own clock
     earlier_orders_expiry_ms: int = 0  # when orders of earlier owners have certainly expired
-    inherited: tuple[InheritedRuns, ...] = ()
+    inherited: tuple[InheritedRuns, ...] = ()  # empty once it has been adopted
     lease_limited: bool = False  # whether a stored record may say when its lease expires
     closed_to_starts: bool = False  # whether the last record says which tasks it can run
     stored_empty: bool = False  # whether the last record says, or implies, that it runs none
@@ -323,8 +323,6 @@
 
     def unlisted_runs(self, now_ms: int) -> tuple[InheritedRuns, ...]:
         """Return the runs of earlier owners that may go on, or start, without being listed."""
-        if self.adopted:
-            return ()
         return tuple(runs for runs in self.inherited if now_ms <= runs.expiry_ms)
 
     # Failures.
--- a/tests/cover/test_owner_changes.py
+++ b/tests/cover/test_owner_changes.py
@@ -22,7 +22,7 @@
     TaskId,
 )
 from greengagewood.internal.ports import LeaseReply, OrderReply, WorkerCallFailed, WorkerInfo
-from tests.common.desk import LIMITS, QUEUE, make_worker_info, start_orders
+from tests.common.desk import LIMITS, QUEUE, CellHarness, make_worker_info, start_orders
 from tests.common.drive import CellSimulation, long_running_job, run_simulation, short_job
 from tests.common.plant import SimWorker, SimWorkerLink
 
@@ -121,6 +121,33 @@
         assert self._started_numbers(record_token=4, wait_ms=3_000) == [1]
         assert self._started_numbers(record_token=4, wait_ms=3_100) == [0, 1]
 
+    def test_an_adopted_worker_that_is_lost_holds_nothing_back_again(self) -> None:
+        now_ms = 100_000
+        successor = Cell(LIMITS, 5, now_ms)
+        record = RegisteredWorkers((RegisteredWorker("w0", "10.0.0.1:80", "svc"),), 4)
+        successor.set_registered_workers(record, now_ms, now_ms)
+        worker = successor.workers["w0"]
+        successor.handle_lease_reply(worker, LeaseReply(5_000, 1, (), ()), now_ms, now_ms)
+        now_ms += 7_000
+        successor.note_lease_failure(worker, now_ms)
+        successor.plan(now_ms, 0)
+        assert not worker.adopted
+        assert worker.unlisted_runs(now_ms) == ()
+
+    def test_a_new_boot_gets_no_lease_while_a_record_limits_it(self) -> None:
+        harness = CellHarness("w0")
+        harness.now_ms += 4_000
+        harness.cell.note_lease_failure(harness.cell.workers["w0"], harness.now_ms)
+        harness.cell.set_workers(harness.worker_infos, harness.now_ms)
+        harness.store_changes()
+        harness.worker_infos["w0"] = make_worker_info("w0", boot_time_ms=2)
+        harness.cell.set_workers(harness.worker_infos, harness.now_ms)
+        harness.answer_lease("w0")
+        worker = harness.cell.workers["w0"]
+        assert harness.cell.prepare_lease_extension(worker, harness.now_ms)[0] is None
+        harness.store_changes()
+        assert harness.cell.prepare_lease_extension(worker, harness.now_ms)[0] is not None
+
     def test_a_worker_replaced_by_another_holds_nothing_back(self) -> None:
         now_ms = 100_000
         successor = Cell(LIMITS, 5, now_ms)
