--- a/tests/cover/test_owner_changes.py
+++ b/tests/cover/test_owner_changes.py
@@ -168,7 +168,7 @@
     def __init__(self, sim: CellSimulation, patch: pytest.MonkeyPatch, crashes: bool) -> None:
         self._sim = sim
         self._sent_ms: int | None = None
-        self._worker = ""
+        self.worker = ""
         self._deliver: Callable[[SimWorker], object] = lambda worker: None
         start = SimWorkerLink.start
 
@@ -176,7 +176,7 @@
             if self._sent_ms is not None:
                 return await start(link, info, *order)
             self._sent_ms = monotonic_ms()
-            self._worker = info.worker_id
+            self.worker = info.worker_id
             task, run, _, deadline_ms, token, checkpoint, _ = order
             self._deliver = lambda worker: link._start(
                 worker, task, run, deadline_ms, token, checkpoint
@@ -194,15 +194,15 @@
 
     async def boot(self, after_s: float) -> None:
         await self._sleep_until(after_s)
-        self._sim.platform.restart(self._worker)
+        self._sim.platform.restart(self.worker)
 
     def cut_off(self) -> None:
-        links = {(instance, self._worker) for instance in self._sim.instances}
+        links = {(instance, self.worker) for instance in self._sim.instances}
         self._sim.platform.faults.cut_links.update(links)
 
     async def arrive(self, after_s: float) -> None:
         await self._sleep_until(after_s)
-        self._deliver(self._sim.platform.workers[self._worker])
+        self._deliver(self._sim.platform.workers[self.worker])
 
 
 class TestDelayedStarts:
@@ -242,6 +242,21 @@
 
         run_simulation(CellSimulation(1), script)
 
+    def test_a_stop_accepted_by_an_earlier_boot_does_not_rule_out_the_start(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        async def script(sim: CellSimulation) -> None:
+            start = _DelayedStart(sim, monkeypatch, crashes=False)
+            await sim.submit("0" * 16, "serve", long_running_job())
+            await asyncio.sleep(0.5)
+            sim.platform.drain(start.worker)
+            await start.boot(4.0)
+            await start.arrive(6.0)
+            await asyncio.sleep(1)
+            assert sim.platform.violations == []
+
+        run_simulation(CellSimulation(1), script)
+
     def test_a_list_without_the_run_does_not_rule_out_the_start(
         self, monkeypatch: pytest.MonkeyPatch
     ) -> None:
