Compute the bound of slow clocks in one place, and drop what became dead

No behaviour changes:

- 'at most this long on the slowest clock' was written out in six places; longest_ms says it once.
- Possible runs are built from one list of groups, instead of three variants of the same expression.
- A worker is removed only when it has no runs, so marking its runs lost as 'gone' was dead code.

./dev check, and 223 tests of the cell, owners, crashes, capacity, reports and pages pass.

--- a/src/greengagewood/internal/cells/cell.py
+++ b/src/greengagewood/internal/cells/cell.py
@@ -26,11 +26,11 @@
 
 from greengagewood.internal.cells.crashes import CrashTracker, outlives
 from greengagewood.internal.cells.fleet import (
-    MAX_CLOCK_DRIFT,
     MAX_ORDER_DELAY_MS,
     UNRESPONSIVE_AFTER_MS,
     Worker,
     late_start_expiry_ms,
+    longest_ms,
 )
 from greengagewood.internal.cells.orders import (
     Changes,
@@ -109,7 +109,7 @@
         # When every lease and order of earlier owners has certainly expired: an earlier owner may
         # have extended leases until its last confirmation timed out.
         self._earlier_orders_expiry_ms = (
-            now_ms + limits.confirmation_timeout_ms + int(limits.lease_ms * (1 + MAX_CLOCK_DRIFT))
+            now_ms + limits.confirmation_timeout_ms + longest_ms(limits.lease_ms)
         )
         # When a run of an unknown task was last sent a stop, by worker, task and run number.
         self._unknown_run_stop_sent_ms: dict[tuple[str, TaskId, int], int] = {}
@@ -174,7 +174,7 @@
                 and not worker.runs
                 and worker.orders_expired(now_ms)
             ):
-                self._remove_worker(worker, now_ms)
+                self._remove_worker(worker)
         # The first record of a term replaces that of the earlier owner, which no longer applies.
         self._registration_due |= self._directory_unread or any(
             is_record_outdated(worker, now_ms) for worker in self.workers.values()
@@ -252,16 +252,16 @@
             run.accepted_ms = run.stop_sent_ms = run.stop_answered_ms = None
             deadline_ms = run.start_deadline_ms
             rebooted.latest_deadline_ms = max(rebooted.latest_deadline_ms, deadline_ms)
-            longest_ms = min(deadline_ms, MAX_ORDER_DELAY_MS) + self.limits.lease_ms
+            order_ms = min(deadline_ms, MAX_ORDER_DELAY_MS) + self.limits.lease_ms
             rebooted.earlier_orders_expiry_ms = max(
                 rebooted.earlier_orders_expiry_ms,
-                now_ms + int(longest_ms * (1 + MAX_CLOCK_DRIFT)),
+                now_ms + longest_ms(order_ms),
             )
         self._mark_runs_lost(worker, now_ms, "reborn")
         self._last_stop_scan_ms = None
 
-    def _remove_worker(self, worker: Worker, now_ms: int) -> None:
-        self._mark_runs_lost(worker, now_ms, "gone")
+    def _remove_worker(self, worker: Worker) -> None:
+        """Remove a worker that has no runs."""
         del self.workers[worker.name]
         self._registration_due = True
         self.on_event("worker_forgotten", {"worker": worker.name})
@@ -273,7 +273,7 @@
             # A later boot may still carry out a start that was not answered.
             if reason != "lapsed" or now_ms > late_start_expiry_ms(run, self.limits.lease_ms)
         ]
-        if lost and reason in ("lapsed", "gone"):
+        if lost and reason == "lapsed":
             self._crashes.keep_suspects(worker)
         for run in lost:
             self._end_run(worker, run, "lost", now_ms)
@@ -376,9 +376,8 @@
         """
         if any(run.accepted_ms is None for run in worker.runs.values()):
             return  # a start sent to an earlier boot may still reach this one
-        longest_lease_ms = int(self.limits.lease_ms * (1 + MAX_CLOCK_DRIFT))
         worker.earlier_orders_expiry_ms = min(
-            worker.earlier_orders_expiry_ms, now_ms + longest_lease_ms
+            worker.earlier_orders_expiry_ms, now_ms + longest_ms(self.limits.lease_ms)
         )
 
     def _match_listed_run(
@@ -614,7 +613,7 @@
             self._mark_runs_lost(worker, now_ms, "lapsed")
             worker.adopted = False
             if not worker.in_directory and not worker.runs:
-                self._remove_worker(worker, now_ms)
+                self._remove_worker(worker)
 
     def _open_due_occurrences(self, wall_ms: int) -> None:
         """Open the occurrences of timed jobs whose time has come."""
--- a/src/greengagewood/internal/cells/fleet.py
+++ b/src/greengagewood/internal/cells/fleet.py
@@ -25,6 +25,7 @@
     "Resources",
     "Worker",
     "late_start_expiry_ms",
+    "longest_ms",
 ]
 
 UNRESPONSIVE_AFTER_MS = 1_500  # no run is started on a worker that has not answered for longer
@@ -83,6 +84,11 @@
     expiry_ms: int
 
 
+def longest_ms(duration_ms: int) -> int:
+    """Return how long a duration on the slowest clock of a worker takes on the owner's."""
+    return int(duration_ms * (1 + MAX_CLOCK_DRIFT))
+
+
 def late_start_expiry_ms(run: Run, lease_ms: int) -> int:
     """Return when a start that was not answered is over, even on a later boot of its worker.
 
@@ -91,7 +97,7 @@
     """
     if run.accepted_ms is not None:
         return 0
-    return run.started_ms + MAX_ORDER_DELAY_MS + int(lease_ms * (1 + MAX_CLOCK_DRIFT))
+    return run.started_ms + MAX_ORDER_DELAY_MS + longest_ms(lease_ms)
 
 
 @dataclass(slots=True, eq=False)
@@ -317,8 +323,8 @@
         """Return an upper bound of the time until the orders that any owner sent have expired."""
         remaining_ms = max(0, self.earlier_orders_expiry_ms - now_ms)
         if self.clock_read_ms is not None:
-            longest_ms = int((self.latest_deadline_ms - self.clock_ms) * (1 + MAX_CLOCK_DRIFT)) + 1
-            remaining_ms = max(remaining_ms, longest_ms - (now_ms - self.clock_read_ms))
+            own_ms = longest_ms(self.latest_deadline_ms - self.clock_ms) + 1
+            remaining_ms = max(remaining_ms, own_ms - (now_ms - self.clock_read_ms))
         return remaining_ms
 
     def unlisted_runs(self, now_ms: int) -> tuple[InheritedRuns, ...]:
--- a/src/greengagewood/internal/cells/registration.py
+++ b/src/greengagewood/internal/cells/registration.py
@@ -19,12 +19,12 @@
 from collections.abc import Iterable
 
 from greengagewood.internal.cells.fleet import (
-    MAX_CLOCK_DRIFT,
     InheritedRuns,
     Worker,
     late_start_expiry_ms,
+    longest_ms,
 )
-from greengagewood.internal.jobs.book import JobBook
+from greengagewood.internal.jobs.book import JobBook, Run
 from greengagewood.internal.jobs.records import (
     PossibleRuns,
     RegisteredWorker,
@@ -101,24 +101,23 @@
     worker: Worker, book: JobBook, now_ms: int, lease_ms: int
 ) -> tuple[PossibleRuns, ...]:
     late = {run for run in worker.runs.values() if late_start_expiry_ms(run, lease_ms) > now_ms}
-    listed = [run for run in worker.runs.values() if run not in late]
-    possible_runs = []
-    for runs, remaining_ms in (
-        (listed, worker.remaining_order_ms(now_ms)),
-        (late, max((late_start_expiry_ms(run, lease_ms) - now_ms for run in late), default=0)),
-    ):
-        if runs:
-            tasks = tuple(sorted({run.task.id for run in runs}))
-            possible_runs.append(
-                PossibleRuns(tasks, remaining_ms if worker.lease_limited else None)
-            )
+    listed = {run for run in worker.runs.values() if run not in late}
+    groups: list[tuple[tuple[TaskId, ...] | None, int]] = []  # tasks, and the time left
+    if listed:
+        groups.append((_task_ids(listed), worker.remaining_order_ms(now_ms)))
+    if late:
+        expiry_ms = max(late_start_expiry_ms(run, lease_ms) for run in late)
+        groups.append((_task_ids(late), expiry_ms - now_ms))
     for inherited in worker.unlisted_runs(now_ms):
-        inherited_tasks = _listable_tasks(inherited, book)
-        remaining_ms = inherited.expiry_ms - now_ms
-        possible_runs.append(
-            PossibleRuns(inherited_tasks, remaining_ms if worker.lease_limited else None)
-        )
-    return tuple(possible_runs)
+        groups.append((_listable_tasks(inherited, book), inherited.expiry_ms - now_ms))
+    return tuple(
+        PossibleRuns(tasks, remaining_ms if worker.lease_limited else None)
+        for tasks, remaining_ms in groups
+    )
+
+
+def _task_ids(runs: Iterable[Run]) -> tuple[TaskId, ...]:
+    return tuple(sorted({run.task.id for run in runs}))
 
 
 def _listable_tasks(inherited: InheritedRuns, book: JobBook) -> tuple[TaskId, ...] | None:
@@ -150,7 +149,7 @@
                 (
                     latest_expiry_ms
                     if runs.expire_in_ms is None
-                    else read_ms + int(runs.expire_in_ms * (1 + MAX_CLOCK_DRIFT)) + 1
+                    else read_ms + longest_ms(runs.expire_in_ms) + 1
                 ),
             )
             for runs in stored.possible_runs
--- a/tests/common/drive.py
+++ b/tests/common/drive.py
@@ -81,6 +81,15 @@
     return JobSpec("watch", (step,))
 
 
+def mixed_job(number: int) -> tuple[str, JobSpec]:
+    """Return a queue and a job for it, of each kind in turn; every third job is long-running."""
+    return (
+        ("fast", short_job()),
+        ("wide", best_effort_job()),
+        ("serve", long_running_job()),
+    )[number % 3]
+
+
 @dataclass
 class CellSimulation:
     """Run entry instances and callers; record the answer that each caller got for its job."""
--- a/tests/cover/test_capacity.py
+++ b/tests/cover/test_capacity.py
@@ -23,8 +23,8 @@
 from tests.common.desk import LIMITS, QUEUE, CellHarness, start_orders
 from tests.common.drive import (
     CellSimulation,
-    best_effort_job,
     long_running_job,
+    mixed_job,
     run_simulation,
     short_job,
 )
@@ -522,11 +522,7 @@
     changes = asyncio.ensure_future(_resize_at_random(sim, 25))
     calls = []
     for number, job in enumerate(JOB_IDS):
-        queue, spec = (
-            ("fast", short_job()),
-            ("wide", best_effort_job()),
-            ("serve", long_running_job()),
-        )[number % 3]
+        queue, spec = mixed_job(number)
         calls.append(asyncio.ensure_future(sim.submit(job, queue, spec)))
         await asyncio.sleep(0.6)
     await changes
--- a/tests/cover/test_cells.py
+++ b/tests/cover/test_cells.py
@@ -14,6 +14,7 @@
     CellSimulation,
     best_effort_job,
     long_running_job,
+    mixed_job,
     run_simulation,
     short_job,
 )
@@ -359,11 +360,7 @@
     injection = asyncio.ensure_future(_inject_faults(sim, 25))
     calls = []
     for number, job in enumerate(_ids(25)):
-        queue, spec = (
-            ("fast", short_job()),
-            ("wide", best_effort_job()),
-            ("serve", long_running_job()),
-        )[number % 3]
+        queue, spec = mixed_job(number)
         calls.append(asyncio.ensure_future(sim.submit(job, queue, spec)))
         await asyncio.sleep(1)
     await injection
--- a/tests/cover/test_owner_changes.py
+++ b/tests/cover/test_owner_changes.py
@@ -205,6 +205,16 @@
         self._deliver(self._sim.platform.workers[self.worker])
 
 
+async def _lose_first_start(
+    sim: CellSimulation, patch: pytest.MonkeyPatch, crashes: bool, wait_s: float
+) -> _DelayedStart:
+    """Submit a job whose first start is lost, and wait."""
+    start = _DelayedStart(sim, patch, crashes)
+    await sim.submit("0" * 16, "serve", long_running_job())
+    await asyncio.sleep(wait_s)
+    return start
+
+
 class TestDelayedStarts:
     """Starts without an answer that reach a later boot of their worker, whose clock began anew."""
 
@@ -213,9 +223,7 @@
         self, boot_s: float, arrival_s: float, monkeypatch: pytest.MonkeyPatch
     ) -> None:
         async def script(sim: CellSimulation) -> None:
-            start = _DelayedStart(sim, monkeypatch, crashes=True)
-            await sim.submit("0" * 16, "serve", long_running_job())
-            await asyncio.sleep(0.5)
+            start = await _lose_first_start(sim, monkeypatch, crashes=True, wait_s=0.5)
             await start.boot(boot_s)
             await start.arrive(arrival_s)
             await asyncio.sleep(5)
@@ -228,9 +236,7 @@
         self, boot_s: float, monkeypatch: pytest.MonkeyPatch
     ) -> None:
         async def script(sim: CellSimulation) -> None:
-            start = _DelayedStart(sim, monkeypatch, crashes=True)
-            await sim.submit("0" * 16, "serve", long_running_job())
-            await asyncio.sleep(0.8)
+            start = await _lose_first_start(sim, monkeypatch, crashes=True, wait_s=0.8)
             owner = sim.owner()
             assert owner is not None
             await sim.instances[owner].release_cell()
@@ -246,9 +252,7 @@
         self, monkeypatch: pytest.MonkeyPatch
     ) -> None:
         async def script(sim: CellSimulation) -> None:
-            start = _DelayedStart(sim, monkeypatch, crashes=False)
-            await sim.submit("0" * 16, "serve", long_running_job())
-            await asyncio.sleep(0.5)
+            start = await _lose_first_start(sim, monkeypatch, crashes=False, wait_s=0.5)
             sim.platform.drain(start.worker)
             await start.boot(4.0)
             await start.arrive(6.0)
@@ -261,9 +265,7 @@
         self, monkeypatch: pytest.MonkeyPatch
     ) -> None:
         async def script(sim: CellSimulation) -> None:
-            start = _DelayedStart(sim, monkeypatch, crashes=False)
-            await sim.submit("0" * 16, "serve", long_running_job())
-            await asyncio.sleep(0.5)
+            start = await _lose_first_start(sim, monkeypatch, crashes=False, wait_s=0.5)
             await start.boot(0.6)
             start.cut_off()
             await start.arrive(5.0)
