Start nothing in evacuated failure domains on the platform

An operator could not keep new work out of a failure domain. The operators' topic now carries one record per domain under evacuate/DOMAIN. Every instance reads the orders with the configuration, and the owner of the cell starts nothing on the workers of these domains. Runs there go on under their leases. The workers don't count where the cell asks whether a run fits or is faster elsewhere, how much headroom is left, and whether most CPUs are uncommitted.

ManifestSource used to skip to the newest record when several were behind, which would have lost orders. It now reads record by record, and loads the newest record of each key if versions of the manifest, or more than 64 records, are behind.

If the store is down, the last orders stay in force.

--- a/src/greengagewood/internal/cells/cell.py
+++ b/src/greengagewood/internal/cells/cell.py
@@ -45,6 +45,7 @@
     registration_record,
     tasks_held_back,
 )
+from greengagewood.internal.evacuation import Evacuations
 from greengagewood.internal.jobs.book import JobBook, Run, Task
 from greengagewood.internal.jobs.model import Queue
 from greengagewood.internal.jobs.records import (
@@ -118,6 +119,7 @@
         self._adopting = True  # until every worker is known to have no other runs of the cell
         self._adoption_report_ms = now_ms + ADOPTION_REPORT_DELAY_MS
         self._next_move_ms = 0  # no run is moved before this time
+        self._starts_suspended = False  # whether the evacuation orders are not known
         self._last_stop_scan_ms: int | None = None  # None requests a scan by the next plan
 
     # Jobs.
@@ -149,6 +151,34 @@
         self.planner.queues.update(queues)
         self.planner.request_replan()
 
+    def set_evacuations(self, evacuations: Evacuations, now_ms: int) -> None:
+        """Start nothing more in the domains of these orders; the first ones must be recent."""
+        known = self.planner.evacuations
+        if known is None and not evacuations.may_begin_term(now_ms):
+            return
+        self.planner.evacuations = evacuations
+        domains_before = known.domains if known is not None else frozenset[str]()
+        if evacuations.domains != domains_before:
+            self.planner.request_replan()
+        for event, domains in (
+            ("evacuation_in_force", evacuations.domains - domains_before),
+            ("evacuation_withdrawn", domains_before - evacuations.domains),
+        ):
+            for domain in sorted(domains):
+                read_age_ms = now_ms - evacuations.read_ms
+                self.on_event(
+                    event,
+                    {"domain": domain, "offset": evacuations.offset, "read_age_ms": read_age_ms},
+                )
+
+    @property
+    def evacuated_worker_count(self) -> int:
+        """Return how many workers of the directory are in evacuated domains."""
+        return sum(
+            worker.in_directory and self.planner.is_evacuated(worker)
+            for worker in self.workers.values()
+        )
+
     # Workers.
 
     def set_workers(
@@ -595,6 +625,7 @@
         self._end_expired_runs(now_ms)
         self._open_due_occurrences(wall_ms)
         self._finish_adoption(now_ms)
+        self._report_suspension(now_ms)
         orders: list[Order] = []
         if (
             self._last_stop_scan_ms is None
@@ -659,6 +690,18 @@
             },
         )
 
+    def _report_suspension(self, now_ms: int) -> None:
+        """Report when starts begin or cease to wait for a read of the evacuation orders."""
+        suspended = not self.planner.evacuations_known
+        if suspended == self._starts_suspended:
+            return
+        self._starts_suspended = suspended
+        known = self.planner.evacuations
+        self.on_event(
+            "starts_suspended" if suspended else "starts_resumed",
+            {"read_age_ms": now_ms - known.read_ms if known is not None else None},
+        )
+
     def _plan_stops(self, now_ms: int) -> list[Order]:
         orders: list[Order] = []
         for worker in self.workers.values():
@@ -742,7 +785,7 @@
 
     def _fits_elsewhere(self, run: Run, now_ms: int) -> bool:
         return any(
-            other.is_usable(now_ms) and other.fits(run.task.step.spec)
+            self.planner.may_start_on(other, now_ms) and other.fits(run.task.step.spec)
             for other in self.workers.values()
             if other.info.service == self.planner.queue_of(run.task.step.job).service
         )
--- a/src/greengagewood/internal/cells/planner.py
+++ b/src/greengagewood/internal/cells/planner.py
@@ -22,6 +22,7 @@
 )
 from greengagewood.internal.cells.tails import MIN_SPEED_PERCENT, TailLatencyModel
 from greengagewood.internal.cells.value import JobValues
+from greengagewood.internal.evacuation import Evacuations
 from greengagewood.internal.jobs.book import Job, JobBook, Run, Step, Task
 from greengagewood.internal.jobs.model import Queue, StepSpec
 from greengagewood.internal.ports import Permit
@@ -106,6 +107,7 @@
         self.values = JobValues(book)
         self.queues: dict[str, Queue] = {}
         self.directory_read_ms: int | None = None  # when the last complete read of it was sent
+        self.evacuations: Evacuations | None = None  # None until they are known
         self._book = book
         self._workers = workers
         self._token = token
@@ -137,9 +139,29 @@
         """
         if self._book.waiting_version == self._planned_version or max_starts <= 0:
             return []
+        if not self.evacuations_known:
+            return []
         self._planned_version = self._book.waiting_version
         return self._place(now_ms, max_starts)
 
+    @property
+    def evacuations_known(self) -> bool:
+        """Return whether the evacuation orders were read, and recently if the store was."""
+        return self.evacuations is not None and not (
+            self.directory_read_ms is not None
+            and self.evacuations.lags_behind(self.directory_read_ms)
+        )
+
+    def is_evacuated(self, worker: Worker) -> bool:
+        """Return whether nothing may be started on the worker by an evacuation order."""
+        return (
+            self.evacuations is not None and worker.info.failure_domain in self.evacuations.domains
+        )
+
+    def may_start_on(self, worker: Worker, now_ms: int) -> bool:
+        """Return whether runs may be started on the worker now."""
+        return self.evacuations_known and worker.is_usable(now_ms) and not self.is_evacuated(worker)
+
     def can_run_faster_elsewhere(self, run: Run, current: Worker, now_ms: int) -> bool:
         """Return whether a best-effort run could run at full speed on another worker."""
         spec = run.task.step.spec
@@ -147,7 +169,7 @@
         return any(
             worker is not current
             and worker.info.service == service
-            and worker.is_usable(now_ms)
+            and self.may_start_on(worker, now_ms)
             and worker.fits(spec)
             and idle_cpu_millis(worker) >= spec.cpu_millis
             and self.tail_model.admission_for(worker, spec).speed_percent == 100
@@ -175,7 +197,7 @@
         by_service: dict[str, list[Worker]] = {}
         for worker in self._workers.values():
             worker.update_refusals(now_ms)
-            if worker.is_usable(now_ms):
+            if self.may_start_on(worker, now_ms):
                 by_service.setdefault(worker.info.service, []).append(worker)
         last_ms = self._best_effort_placed_ms
         place_best_effort = last_ms is None or now_ms - last_ms >= BEST_EFFORT_INTERVAL_MS
--- a/src/greengagewood/internal/cells/runner.py
+++ b/src/greengagewood/internal/cells/runner.py
@@ -27,6 +27,7 @@
 from greengagewood.internal.cells.window import StartWindow
 from greengagewood.internal.clock import monotonic_ms, wall_ms
 from greengagewood.internal.daemon import raise_location, supervised_loop
+from greengagewood.internal.evacuation import Evacuations
 from greengagewood.internal.jobs.records import (
     Cancellation,
     Ownership,
@@ -149,6 +150,7 @@
     async def stop(self) -> None:
         """Cancel all loops and the orders that are being carried out."""
         self._stopping = True
+        self._metrics.gauge("evacuated_workers", 0)  # only an owner counts them
         tasks = [*self._tasks, *self._lease_tasks.values()]
         for task in tasks:
             task.cancel()
@@ -168,6 +170,12 @@
                 return
         self._plan_wakeup.set()
 
+    def set_evacuations(self, evacuations: Evacuations) -> None:
+        """Pass orders that were read to the cell, and plan soon."""
+        self.cell.set_evacuations(evacuations, monotonic_ms())
+        self._metrics.gauge("evacuated_workers", self.cell.evacuated_worker_count)
+        self._plan_wakeup.set()
+
     def _record_event(self, event: str, fields: dict[str, object]) -> None:
         self._metrics.count("cell_events", event=event)
         _log.info(event, token=self.token, **fields)
@@ -349,6 +357,7 @@
             self._metrics.count("directory_failures")
         else:
             self.cell.set_workers(listed, monotonic_ms(), sent_ms)
+            self._metrics.gauge("evacuated_workers", self.cell.evacuated_worker_count)
             self._update_lease_tasks()
             self._plan_wakeup.set()
         await asyncio.sleep(DIRECTORY_INTERVAL_S)
--- a/src/greengagewood/internal/entry/node.py
+++ b/src/greengagewood/internal/entry/node.py
@@ -21,6 +21,7 @@
 from greengagewood.internal.entry.intake import MAX_READ_AGE_MS, BatchWriter
 from greengagewood.internal.entry.routes import RouteTable
 from greengagewood.internal.entry.settings import EntrySettings
+from greengagewood.internal.evacuation import Evacuations
 from greengagewood.internal.jobs.book import FINAL_STATES
 from greengagewood.internal.jobs.model import JobSpec, Queue
 from greengagewood.internal.jobs.records import (
@@ -59,10 +60,13 @@
 
 
 class ConfigSource(Protocol):
-    """Source of the operators' configuration."""
+    """Source of the operators' configuration and evacuation orders."""
 
-    async def next(self) -> Configuration | None:
-        """Wait for a newer configuration; return None if there was none for a while."""
+    async def next(self) -> Configuration | Evacuations | None:
+        """Wait for a newer configuration or read of the orders; return None if there was none.
+
+        The orders are returned after every read of them, also if they are the same.
+        """
 
 
 class EntryInstance:
@@ -76,6 +80,7 @@
         self._source = source
         self._metrics = metrics
         self.config: Configuration | None = None
+        self.evacuations: Evacuations | None = None  # as last read, also while not the owner
         self._routes = RouteTable(())
         self.ledger = Ledger()
         self._writer = BatchWriter(ports.store, self.ledger, self.read_age_ms)
@@ -291,6 +296,8 @@
         if self.config is not None:
             runner.cell.set_queues(self.config.queues)
         runner.start()
+        if self.evacuations is not None:
+            runner.set_evacuations(self.evacuations)
         self._runner = runner
 
     async def _end_term(self, reason: str) -> None:
@@ -317,9 +324,16 @@
     # Configuration.
 
     async def _follow_config(self) -> None:
-        config = await self._source.next()
-        if config is None:
-            return
+        update = await self._source.next()
+        match update:
+            case Evacuations():
+                self.evacuations = update
+                if self._runner is not None:
+                    self._runner.set_evacuations(update)
+            case Configuration():
+                self._apply_config(update)
+
+    def _apply_config(self, config: Configuration) -> None:
         if self.config is not None and config.version <= self.config.version:
             return
         self.config = config
--- a/src/greengagewood/platform/manifest.py
+++ b/src/greengagewood/platform/manifest.py
@@ -1,11 +1,14 @@
-"""The operators' manifest: routes, services and limits, converted to a configuration."""
+"""The operators' records: the manifest, converted to a configuration, and evacuation orders."""
 
 from __future__ import annotations
 
 import asyncio
+from collections import deque
 
 import msgspec
 
+from greengagewood.internal.clock import monotonic_ms
+from greengagewood.internal.evacuation import Evacuations
 from greengagewood.internal.jobs.model import Queue
 from greengagewood.internal.logs import Log
 from greengagewood.internal.ports import (
@@ -21,10 +24,14 @@
 __all__ = ["ManifestParser", "ManifestSource"]
 
 CONFIG_KEY = "config"
+EVACUATION_KEY_PREFIX = "evacuate/"  # followed by the failure domain
 READ_LONG_POLL_MS = 800  # with READ_SILENCE_MARGIN_S, a dead connection is detected within 2 s
 # The store sends one record if the first is larger than this. A manifest with all of its routes can
 # take seconds on a small link, so versions that are out of date already are not read.
 MAX_READ_KB = 1
+# If more records follow, the newest of each key are loaded instead. Reads of 1 KB catch up with
+# this many in less time than a manifest takes on a small link.
+MAX_RECORDS_BEHIND = 64
 RETRY_DELAY_S = 0.1
 
 _log = Log("manifest")
@@ -117,57 +124,118 @@
     return RouteRule(route.host, route.path_prefix, queue)
 
 
+class _EvacuationRecords:
+    """The evacuation orders in force, from the records of their keys."""
+
+    def __init__(self) -> None:
+        self._offsets: dict[str, int] = {}  # of the order of each domain that is in force
+
+    @property
+    def domains(self) -> frozenset[str]:
+        """Return the domains whose orders are in force."""
+        return frozenset(self._offsets)
+
+    def apply(self, entry: LogEntry) -> None:
+        """Apply a record of any key; a record without a value withdraws the order."""
+        domain = entry.key.removeprefix(EVACUATION_KEY_PREFIX)
+        if domain in ("", entry.key) or entry.offset < self._offsets.get(domain, -1):
+            return
+        if entry.value:
+            self._offsets[domain] = entry.offset
+        else:
+            self._offsets.pop(domain, None)
+
+    def retain(self, page: LogPage) -> None:
+        """Withdraw the orders that are not among the newest records of all keys."""
+        keys = {entry.key for entry in page.entries}
+        self._offsets = {
+            domain: offset
+            for domain, offset in self._offsets.items()
+            if EVACUATION_KEY_PREFIX + domain in keys or offset >= page.next_offset
+        }
+
+
 class ManifestSource:
-    """Follow the versions of the manifest in the store."""
+    """Follow the manifest and the evacuation orders in the store.
+
+    No record of an order is passed over. Where versions of the manifest are, the newest record of
+    each key is loaded, and so the newest order of each domain.
+    """
 
     def __init__(self, topic: KeyedLog) -> None:
         self._topic = topic
         self._parser = ManifestParser()
-        self._next_offset: int | None = None
-        self._skipped_records = False  # whether records below `_next_offset` were not read
+        self._next_offset: int | None = None  # None requests the newest record of each key
+        self._config_offset = -1  # of the newest manifest that was parsed
+        self._orders = _EvacuationRecords()
+        self._last_read_ms: int | None = None  # when the last read up to the end was sent
+        self._updates: deque[Configuration | Evacuations] = deque()
         self._reads_failing = False
 
-    async def next(self) -> Configuration | None:
-        """Wait for a newer configuration; return None if there was none for a while."""
+    async def next(self) -> Configuration | Evacuations | None:
+        """Wait for a newer configuration or read of the orders; return None if there was none.
+
+        The orders are returned after each read up to the end of the log, also if they are the same,
+        and before a configuration from the same read.
+        """
+        if not self._updates:
+            await self._read()
+        return self._updates.popleft() if self._updates else None
+
+    async def _read(self) -> None:
+        sent_ms = monotonic_ms()
         try:
             page = await self._read_page()
         except LogTruncated:
             _log.info("manifest_log_truncated", offset=self._next_offset)
             self._next_offset = None
-            return None
+            return
         except StoreUnavailable as exc:
             _log.warning("manifest_not_read", offset=self._next_offset, error=str(exc))
             self._reads_failing = True
             await asyncio.sleep(RETRY_DELAY_S)
-            return None
+            return
         if self._reads_failing:
             self._reads_failing = False
             _log.info("manifest_read_again", offset=page.next_offset)
-        return self._apply_page(page)
+        self._apply_page(page, sent_ms)
 
     async def _read_page(self) -> LogPage:
         if self._next_offset is None:
-            self._skipped_records = False
             return await self._topic.load()
         return await self._topic.read(self._next_offset, READ_LONG_POLL_MS, MAX_READ_KB)
 
-    def _apply_page(self, page: LogPage) -> Configuration | None:
-        candidates = [e for e in page.entries if e.key == CONFIG_KEY and e.value]
-        if self._skipped_records and page.entries and not candidates:
-            # The newest record is not the manifest, so the newest manifest may have been skipped.
-            self._next_offset = None
-            return None
-        if page.entries:
-            self._skipped_records = False
-        self._next_offset = page.next_offset
-        if page.end_offset > page.next_offset + 1:
-            self._next_offset = page.end_offset - 1
-            self._skipped_records = True
-        return self._newest_readable(candidates)
+    def _apply_page(self, page: LogPage, sent_ms: int) -> None:
+        domains_before = self._orders.domains
+        if self._next_offset is None:
+            self._orders.retain(page)
+        for entry in page.entries:
+            self._orders.apply(entry)
+        if page.reaches_end:
+            self._last_read_ms = sent_ms
+        if self._last_read_ms is not None and (
+            page.reaches_end or self._orders.domains != domains_before
+        ):
+            self._updates.append(
+                Evacuations(self._orders.domains, page.next_offset, self._last_read_ms)
+            )
+        candidates = [
+            e
+            for e in page.entries
+            if e.key == CONFIG_KEY and e.value and e.offset > self._config_offset
+        ]
+        behind = page.end_offset - page.next_offset
+        # A manifest that others follow may be out of date, and the next ones as well.
+        skip = behind > MAX_RECORDS_BEHIND or (behind > 1 and bool(candidates))
+        self._next_offset = None if skip else page.next_offset
+        config = self._newest_readable(candidates)
+        if config is not None:
+            self._updates.append(config)
 
     def _newest_readable(self, entries: list[LogEntry]) -> Configuration | None:
         """Return the configuration of the newest valid entry, or None."""
         for entry in sorted(entries, key=lambda e: e.offset, reverse=True):
+            self._config_offset = max(self._config_offset, entry.offset)
             config = self._parser.parse(entry.value)
             if config is not None:
                 return config
--- a/tests/common/desk.py
+++ b/tests/common/desk.py
@@ -6,6 +6,7 @@
 
 from greengagewood.internal.cells.cell import Cell, CellLimits
 from greengagewood.internal.cells.orders import StartRun
+from greengagewood.internal.evacuation import Evacuations
 from greengagewood.internal.jobs.model import JobSpec, Queue, StepSpec
 from greengagewood.internal.jobs.records import Submission
 from greengagewood.internal.ports import LeaseReply, RunEnd, RunningTask, WorkerInfo
@@ -34,10 +35,17 @@
         self.cell = Cell(LIMITS, 1, self.now_ms)
         self.worker_infos = {name: make_worker_info(name) for name in workers}
         self.cell.set_workers(self.worker_infos, self.now_ms)
+        self.read_orders()
         self.store_changes()
         for name in workers:
             self.answer_lease(name)
 
+    def read_orders(self, *domains: str) -> None:
+        """Let the owner read which failure domains are evacuated."""
+        self.evacuated = frozenset(domains)
+        read = Evacuations(self.evacuated, 0, self.now_ms)
+        self.cell.set_evacuations(read, self.now_ms)
+
     def store_changes(self) -> None:
         """Collect the changes of the cell and report them as stored."""
         changes = self.cell.collect_changes(self.now_ms, self.now_ms)
@@ -65,6 +73,7 @@
             self.worker_infos[name], cpu_millis=cpu_millis, memory_mb=memory_mb
         )
         self.cell.set_workers(self.worker_infos, self.now_ms)
+        self.read_orders(*self.evacuated)  # both are read from the same store
 
     def start(self, elapsed_ms: int = 10) -> list[StartRun]:
         """Plan, let the workers accept every start, and return the starts."""
--- a/tests/cover/test_docs.py
+++ b/tests/cover/test_docs.py
@@ -64,6 +64,7 @@
 EVENTS = re.compile(r'(?:_log\.\w+|on_event)\(\s*"(\w+)"')
 METRICS = {"total": re.compile(r'metrics\.count\(\s*"(\w+)"')}
 METRICS["seconds"] = re.compile(r'metrics\.observe\(\s*"(\w+)"')
+GAUGES = re.compile(r'metrics\.gauge\(\s*"(\w+)"')
 
 
 def _entry_sources() -> str:
@@ -89,6 +90,6 @@
             f"{name}_{suffix}"
             for suffix, pattern in METRICS.items()
             for name in pattern.findall(source)
-        }
+        } | set(GAUGES.findall(source))
         assert len(names) > 5
         assert sorted(name for name in names if f"`{name}`" not in self.PAGE) == []
--- a/tests/cover/test_owner_changes.py
+++ b/tests/cover/test_owner_changes.py
@@ -12,6 +12,7 @@
 from greengagewood.internal.cells.cell import Cell
 from greengagewood.internal.cells.fleet import Worker
 from greengagewood.internal.clock import monotonic_ms
+from greengagewood.internal.evacuation import Evacuations
 from greengagewood.internal.jobs.model import JobSpec, StepSpec
 from greengagewood.internal.jobs.records import (
     PossibleRuns,
@@ -103,6 +104,7 @@
         """Return the tasks that an owner with token 5 has started after a wait."""
         now_ms = 100_000
         successor = Cell(LIMITS, 5, now_ms)
+        successor.set_evacuations(Evacuations(frozenset(), 0, now_ms), now_ms)
         submission = Submission(self.JOB, QUEUE, JobSpec("p", (StepSpec(2, cpu_millis=1),)), 0)
         successor.add_job(submission, Progress(self.JOB, "running"), False, now_ms)
         workers = (RegisteredWorker("w0", "10.0.0.1:80", "svc"), self.SILENT)
