Start a task again only on the boot that ruled out its unanswered start

A start without an answer may be carried out up to 12 s after it was sent. A stop that its worker accepts, and the deadline on its clock, bind only that boot. After a reboot under the same ID, the next boot could carry the start out while the task ran elsewhere.

Until the start cannot arrive any more, the task is started only on the boot that has ruled it out. If a later boot carries the start out, the other run is gone with the earlier boot. The new boot is sent a stop of each such run, also of tasks that have ended. A task waits only if that worker drains, is silent or has no room: 12 s while the same boot answers, otherwise a lease longer. A gang may place its other tasks anew. The stored record of a silent worker names these tasks.

The new tests deliver the start at the moment of the reboot, after a second one, and after the task has ended; they check that the task runs meanwhile, and after 12 s at a draining worker.

--- a/src/greengagewood/internal/cells/cell.py
+++ b/src/greengagewood/internal/cells/cell.py
@@ -11,6 +11,7 @@
 A start that was not answered may be carried out seconds later. Its run stays `unconfirmed` until a
 later list of the worker's runs shows it, or the worker's clock has passed the deadline of the
 start, or the worker has accepted a stop of that run, after which the run can never start there.
+A later boot of the worker may still carry the start out, see `latestarts`.
 
 A run on an unresponsive worker is over when the worker's clock has certainly passed every deadline
 that the worker was ever given.
@@ -32,6 +33,7 @@
     late_start_expiry_ms,
     longest_ms,
 )
+from greengagewood.internal.cells.latestarts import LateStarts
 from greengagewood.internal.cells.orders import (
     Changes,
     Order,
@@ -106,6 +108,7 @@
         self.planner = Planner(self.book, self.workers, token, settled_offset, claim_offset)
         self.on_event: Callable[[str, dict[str, object]], None] = lambda event, fields: None
         self._crashes = CrashTracker(self.book, lambda event, fields: self.on_event(event, fields))
+        self._late_starts = LateStarts(limits.lease_ms)
         # When every lease and order of earlier owners has certainly expired: an earlier owner may
         # have extended leases until its last confirmation timed out.
         self._earlier_orders_expiry_ms = (
@@ -246,20 +249,41 @@
             # The start may not have reached the old boot, so the new boot may receive it. It
             # compares the deadline with its own clock, which has started anew.
             worker.remove_run(run)
-            rebooted.add_run(run)
             if run.state == "running":
                 run.transition("worker_restarted")
             run.accepted_ms = run.stop_sent_ms = run.stop_answered_ms = None
-            deadline_ms = run.start_deadline_ms
-            rebooted.latest_deadline_ms = max(rebooted.latest_deadline_ms, deadline_ms)
-            order_ms = min(deadline_ms, MAX_ORDER_DELAY_MS) + self.limits.lease_ms
-            rebooted.earlier_orders_expiry_ms = max(
-                rebooted.earlier_orders_expiry_ms,
-                now_ms + longest_ms(order_ms),
-            )
+            self._expect_late_start(rebooted, run, now_ms)
         self._mark_runs_lost(worker, now_ms, "reborn")
+        for ruled_out in self._late_starts.forget_worker(worker):
+            self._expect_late_start(rebooted, self._reopen_start(ruled_out), now_ms)
         self._last_stop_scan_ms = None
 
+    def _expect_late_start(self, rebooted: Worker, run: Run, now_ms: int) -> None:
+        """Add a run that a new boot may still start, or has started."""
+        rebooted.add_run(run)
+        deadline_ms = run.start_deadline_ms
+        rebooted.latest_deadline_ms = max(rebooted.latest_deadline_ms, deadline_ms)
+        order_ms = min(deadline_ms, MAX_ORDER_DELAY_MS) + self.limits.lease_ms
+        rebooted.earlier_orders_expiry_ms = max(
+            rebooted.earlier_orders_expiry_ms, now_ms + longest_ms(order_ms)
+        )
+
+    def _reopen_start(self, ruled_out: Run) -> Run:
+        """Return an unconfirmed run for a start that an earlier boot had ruled out.
+
+        Its task waits for it. If the task has ended, or waits for another such run, the run is only
+        stopped.
+        """
+        task = ruled_out.task
+        started_ms, deadline_ms = ruled_out.started_ms, ruled_out.start_deadline_ms
+        place = (ruled_out.number, ruled_out.worker_id, ruled_out.rack)
+        if task.run is None and not task.end_state and not task.step.job.is_final:
+            run = self.book.attach_run(task, *place, "starting", started_ms, deadline_ms)
+        else:
+            run = Run(task, *place, "starting", started_ms, deadline_ms)
+        run.transition("unanswered")
+        return run
+
     def _remove_worker(self, worker: Worker) -> None:
         """Remove a worker that has no runs."""
         del self.workers[worker.name]
@@ -355,6 +379,7 @@
             else:
                 orders.extend(self._stop_unknown_run(worker, listed_run, now_ms))
         self._end_unlisted_runs(worker, reply, listed_keys, sent_ms, now_ms)
+        self._late_starts.note_list(worker, sent_ms)
         self.planner.tail_model.learn(worker, now_ms)
         if not worker.adopted:
             worker.adopted = True
@@ -457,9 +482,11 @@
             vanished = run.accepted_ms is not None and run.accepted_ms < sent_ms
             if run.state == "unconfirmed" and (start_expired or stop_done):
                 self._end_run(worker, run, "ruled_out", now_ms)
+                self._late_starts.add(worker, run, now_ms)
                 self._queue_again(run.task)
             elif run.state in ("running", "stopping") and (vanished or stop_done or start_expired):
                 self._end_run(worker, run, "lost", now_ms)
+                self._late_starts.add(worker, run, now_ms)
                 self.on_event(
                     "run_unlisted",
                     {"task": run.task.id, "run": run.number, "worker": worker.name},
@@ -530,6 +557,7 @@
             self.on_event("worker_replaced", {"worker": worker.name, "runs": len(worker.runs)})
             self._crashes.handle_crash(worker, now_ms)
             self._mark_runs_lost(worker, now_ms, "replaced")
+            self._late_starts.forget_worker(worker)
             worker.unresponsive = True
             worker.adopted = False
             worker.latest_deadline_ms = 0
@@ -593,6 +621,8 @@
     def plan(self, now_ms: int, wall_ms: int, max_starts: int = MAX_STARTS_PER_PLAN) -> list[Order]:
         """Return the orders to send now; what may not start yet is left to a later plan."""
         self._end_expired_runs(now_ms)
+        if self._late_starts.forget_expired(now_ms):
+            self.planner.request_replan()
         self._open_due_occurrences(wall_ms)
         self._finish_adoption(now_ms)
         orders: list[Order] = []
@@ -687,6 +717,8 @@
             return "job_over"
         if run.state == "unconfirmed":
             return "unanswered"
+        if run.task.run is not run:
+            return "superseded"
         if run.state != "running":
             return ""
         if self._is_stuck(run):
--- a/src/greengagewood/internal/cells/fleet.py
+++ b/src/greengagewood/internal/cells/fleet.py
@@ -148,6 +148,8 @@
     last_on_target_ms: int = 0  # when every tail latency was last within its target
     failing_since_ms: int | None = None  # when the first call after its last answer failed
     trial: Run | None = None  # the run of a suspected task, see `crashes`; it must stay alone
+    # Unanswered starts that only a later boot may still carry out, see `latestarts`.
+    ruled_out: dict[Run, None] = field(default_factory=dict)
 
     @property
     def name(self) -> str:
@@ -164,6 +166,13 @@
         accepted = run.accepted_ms is not None
         return PlacedRun(run.number, info.worker_id, info.address, info.boot_time_ms, accepted)
 
+    def may_start(self, task: Task) -> bool:
+        """Return whether no unanswered start of the task forbids a run on this boot."""
+        late = task.late_start
+        return late is None or (
+            late in self.ruled_out and all(other is not task for other, _ in self.runs)
+        )
+
     def is_usable(self, now_ms: int) -> bool:
         """Return whether runs may be placed here now.
 
--- a/src/greengagewood/internal/cells/placement.py
+++ b/src/greengagewood/internal/cells/placement.py
@@ -254,16 +254,19 @@
 
 def _place_all_tasks(step: Step, workers: Sequence[Worker]) -> list[tuple[Task, Worker]] | None:
     spec = step.spec
-    tasks = [task for task in step.tasks if not task.end_state]
+    unplaced = [task for task in step.tasks if not task.end_state]
+    bound = [task for task in unplaced if task.late_start is not None]
+    unplaced = [task for task in unplaced if task.late_start is None]
     placed: list[tuple[Task, Worker]] = []
     for worker in sorted(workers, key=lambda w: spec.data_rack not in ("", w.info.rack)):
         if not meets_constraints(worker, step):
             continue
-        for _ in range(_free_slots(worker, step)):
-            if len(placed) == len(tasks):
-                return placed
-            placed.append((tasks[len(placed)], worker))
-    return placed if len(placed) == len(tasks) else None
+        bound_here = [task for task in bound if worker.may_start(task)]
+        here = [*bound_here, *unplaced][: _free_slots(worker, step)]
+        placed.extend((task, worker) for task in here)
+        bound = [task for task in bound if task not in here]
+        unplaced = unplaced[max(0, len(here) - len(bound_here)) :]
+    return None if bound or unplaced else placed
 
 
 def _free_slots(worker: Worker, step: Step) -> int:
--- a/src/greengagewood/internal/cells/planner.py
+++ b/src/greengagewood/internal/cells/planner.py
@@ -308,7 +308,12 @@
             if task.not_before_ms > now_ms:
                 self.request_replan()
                 continue
-            if task.crashes:
+            if task.late_start is not None:
+                bound_to = [w for w in workers if w.may_start(task)]
+                worker = choose_worker(task, bound_to, self.tail_model, starving)
+                if worker is None:
+                    continue  # the others may be started elsewhere
+            elif task.crashes:
                 worker = self._choose_for_trial(task, workers, starving, now_ms)
                 if worker is None:
                     continue  # the others need not be tried alone
--- a/src/greengagewood/internal/cells/registration.py
+++ b/src/greengagewood/internal/cells/registration.py
@@ -54,7 +54,7 @@
     closed = _is_closed(worker, now_ms)
     if closed != worker.closed_to_starts or not (closed or worker.registered):
         return True
-    is_empty = not worker.runs and not worker.unlisted_runs(now_ms)
+    is_empty = not (worker.runs or worker.ruled_out or worker.unlisted_runs(now_ms))
     return closed and is_empty and not worker.stored_empty
 
 
@@ -100,7 +100,11 @@
 def _possible_runs(
     worker: Worker, book: JobBook, now_ms: int, lease_ms: int
 ) -> tuple[PossibleRuns, ...]:
-    late = {run for run in worker.runs.values() if late_start_expiry_ms(run, lease_ms) > now_ms}
+    late = {
+        run
+        for run in (*worker.runs.values(), *worker.ruled_out)
+        if late_start_expiry_ms(run, lease_ms) > now_ms
+    }
     listed = {run for run in worker.runs.values() if run not in late}
     groups: list[tuple[tuple[TaskId, ...] | None, int]] = []  # tasks, and the time left
     if listed:
--- a/src/greengagewood/internal/jobs/book.py
+++ b/src/greengagewood/internal/jobs/book.py
@@ -39,6 +39,7 @@
     started_ms: int
     start_deadline_ms: int = 0  # on the worker's clock; the worker refuses the start after it
     accepted_ms: int | None = None  # when this owner learned that the worker has the run
+    was_carried_out: bool = False  # whether the start was ever carried out, by any boot
     stop_sent_ms: int | None = None
     stop_answered_ms: int | None = None
     speed_percent: int = 100  # the last speed limit sent, of its full speed
@@ -62,6 +63,7 @@
     def note_accepted(self, now_ms: int) -> None:
         """Record that the worker has the run."""
         self.accepted_ms = now_ms
+        self.was_carried_out = True
         self.progress_changed_ms = now_ms
 
 
@@ -85,6 +87,7 @@
     last_run_ended_ms: int = 0  # 0 if no run is known to have ended
     crashes: tuple[PlacedRun, ...] = ()  # the runs that may have crashed their worker
     trial: PlacedRun | None = None  # the run that may crash its worker now
+    late_start: Run | None = None  # an unanswered start that binds it to one boot, see `latestarts`
 
 
 @dataclass(slots=True, eq=False)
--- a/tests/cover/test_owner_changes.py
+++ b/tests/cover/test_owner_changes.py
@@ -261,6 +261,72 @@
 
         run_simulation(CellSimulation(1), script)
 
+    @pytest.mark.parametrize("drains", [False, True])
+    @pytest.mark.parametrize("boots_s", [(4.0,), (4.0, 7.0)])
+    def test_the_next_boot_may_carry_out_the_start_before_the_owner_knows_of_it(
+        self, boots_s: tuple[float, ...], drains: bool, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        async def script(sim: CellSimulation) -> None:
+            start = await _lose_first_start(sim, monkeypatch, crashes=False, wait_s=2.5)
+            if drains:
+                sim.platform.drain(start.worker)
+            assert len(sim.platform.running_tasks()) == 3
+            for boot_s in boots_s:
+                await start.boot(boot_s)
+            await start.arrive(boots_s[-1])
+            await asyncio.sleep(14)
+            assert sim.platform.violations == []
+            assert len(sim.platform.running_tasks()) == 3
+
+        run_simulation(CellSimulation(1), script)
+
+    def test_the_task_waits_only_until_the_start_cannot_arrive_any_more(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        async def script(sim: CellSimulation) -> None:
+            start = await _lose_first_start(sim, monkeypatch, crashes=False, wait_s=0.5)
+            sim.platform.drain(start.worker)
+            await asyncio.sleep(11)
+            assert len(sim.platform.running_tasks()) == 2
+            await asyncio.sleep(2)
+            assert len(sim.platform.running_tasks()) == 3
+            assert sim.platform.violations == []
+
+        run_simulation(CellSimulation(1), script)
+
+    def test_a_task_that_has_ended_is_not_started_by_a_later_boot(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        async def script(sim: CellSimulation) -> None:
+            start = _DelayedStart(sim, monkeypatch, crashes=False)
+            await sim.submit("0" * 16, "fast", short_job())
+            await asyncio.sleep(6)
+            assert await sim.state("0" * 16) == "completed"
+            await start.boot(7.0)
+            await start.arrive(8.0)
+            await asyncio.sleep(1)
+            assert sim.platform.violations == []
+
+        run_simulation(CellSimulation(1), script)
+
+    def test_the_other_tasks_of_a_gang_may_be_placed_anew(self) -> None:
+        harness = CellHarness("w0", "w1")
+        harness.submit(StepSpec(2, cpu_millis=40_000, gang=True))
+        lost, kept = start_orders(harness.plan())
+        harness.cell.handle_start_reply(kept.worker, kept.run, "room", harness.now_ms)
+        harness.cell.note_start_unanswered(lost.run, harness.now_ms)
+        harness.plan()
+        harness.cell.note_stop_accepted(lost.run, harness.now_ms)
+        harness.now_ms += 500
+        harness.worker_infos["w2"] = make_worker_info("w2")
+        harness.cell.set_workers(harness.worker_infos, harness.now_ms)
+        harness.store_changes()
+        for name in ("w0", "w1", "w2"):
+            harness.answer_lease(name)
+        places = {order.run.task: order.worker for order in start_orders(harness.plan())}
+        assert len(places) == 2
+        assert places[lost.run.task] is lost.worker
+
     def test_a_list_without_the_run_does_not_rule_out_the_start(
         self, monkeypatch: pytest.MonkeyPatch
     ) -> None:
