Count records of registered workers as heartbeats of the owner

On a calm start the owner stores a new record of its registered workers each time some register. Each such append postponed its next ownership record, but followers counted only ownership and progress records as heartbeats. So they replaced a live owner after 1,400 ms, and its successors alike, until all workers were registered.

Followers now count the record as a heartbeat.

--- a/src/greengagewood/internal/cells/ownership.py
+++ b/src/greengagewood/internal/cells/ownership.py
@@ -2,10 +2,11 @@
 
 A claim carries a fencing token one above the newest, and is appended only if the log still ends
 where the claimant has read up to. So one of two concurrent claims wins, and the store itself
-refuses later writes with a lower token. The owner writes at least every `HEARTBEAT_INTERVAL_MS`. A
-follower claims the cell when its reads of the log have shown no write of the owner for
-`OWNER_TIMEOUT_MS`. Instances don't ask each other: an owner that reaches the store is alive,
-whatever else it can reach.
+refuses later writes with a lower token. The owner writes a heartbeat at least every
+`HEARTBEAT_INTERVAL_MS`: any record that only an owner writes is one, but a deletion is not. A
+follower claims the cell when its reads of the log have shown no heartbeat for `OWNER_TIMEOUT_MS`.
+Instances don't ask each other: an owner that reaches the store is alive, whatever else it can
+reach.
 
 Instances may have different CPU capacities. One with far less CPU than the last owner claims later
 than the others. One with far more CPU than the present owner takes over the cell.
@@ -17,7 +18,12 @@
 from __future__ import annotations
 
 from greengagewood.internal.chart import load_chart
-from greengagewood.internal.jobs.records import Ownership, Progress, Record
+from greengagewood.internal.jobs.records import (
+    Ownership,
+    Progress,
+    Record,
+    RegisteredWorkers,
+)
 
 __all__ = ["HEARTBEAT_INTERVAL_MS", "OwnershipView"]
 
@@ -45,7 +51,7 @@
         self.shutting_down = False
         self._confirmation_timeout_ms = confirmation_timeout_ms
         self._claim_delay_ms = claim_delay_ms
-        self._heartbeat_ms: int | None = None  # when a write of the owner was last seen
+        self._heartbeat_ms: int | None = None  # when a heartbeat was last seen
         self._owner_since_ms = 0  # when the newest token was first seen
         self._read_sent_ms: int | None = None  # when the last answered read was sent
         self._claim_sent_ms = 0
@@ -57,7 +63,7 @@
 
     def note_record(self, record: Record, now_ms: int) -> None:
         """Process a record read from the log."""
-        if isinstance(record, Progress):  # only an owner writes progress
+        if isinstance(record, Progress | RegisteredWorkers):  # only an owner writes these
             self._heartbeat_ms = now_ms
         if not isinstance(record, Ownership) or record.token < self.current.token:
             return
--- a/src/greengagewood/internal/cells/runner.py
+++ b/src/greengagewood/internal/cells/runner.py
@@ -103,7 +103,7 @@
         self._on_fenced = on_fenced
         self._may_send_orders = may_send_orders
         self._sequence = 1  # number of the last append; the claim was the first of the term
-        self._last_append_ms = monotonic_ms()
+        self._last_heartbeat_ms = monotonic_ms()  # of the last append that followers count as one
         self._append_lock = asyncio.Lock()
         self._plan_wakeup = asyncio.Event()
         self._urgent_changes = asyncio.Event()
@@ -409,7 +409,7 @@
             await self._store(changes)
         elif changes is not None:
             self.cell.note_changes_stored(changes)
-        if monotonic_ms() - self._last_append_ms > HEARTBEAT_INTERVAL_MS:
+        if monotonic_ms() - self._last_heartbeat_ms > HEARTBEAT_INTERVAL_MS:
             await self._append([self._ownership_record(False)])
 
     async def _wait_for_urgent_changes(self) -> None:
@@ -439,7 +439,10 @@
     async def _append(self, records: list[Record]) -> bool:
         """Append records as the owner, with retries; return whether they were stored."""
         entries = [(key_of(record), encode_record(record)) for record in records]
-        return await self._append_entries(entries)
+        stored = await self._append_entries(entries)
+        if stored:
+            self._last_heartbeat_ms = monotonic_ms()
+        return stored
 
     async def _append_entries(self, entries: list[tuple[str, bytes]]) -> bool:
         async with self._append_lock:  # the store takes sequence numbers only in order
@@ -451,7 +454,9 @@
         while not self._stopping:
             result = await self._ports.store.append_fenced(entries, self.token, sequence)
             if result.outcome is Outcome.DONE:
-                self._last_append_ms = monotonic_ms()
+                self._last_heartbeat_ms = (
+                    monotonic_ms()
+                )  # of the last append that followers count as one
                 return True
             if result.fenced:
                 _log.warning("fenced_by_store", token=self.token)
--- a/tests/cover/test_owner_view.py
+++ b/tests/cover/test_owner_view.py
@@ -9,7 +9,7 @@
 from greengagewood.internal.cells.ownership import OWNER_TIMEOUT_MS, OWNERSHIP_CHART, OwnershipView
 from greengagewood.internal.chart import IllegalTransition
 from greengagewood.internal.clock import monotonic_ms
-from greengagewood.internal.jobs.records import Ownership, Progress
+from greengagewood.internal.jobs.records import Ownership, Progress, Record, RegisteredWorkers
 
 CONFIRMATION_TIMEOUT_MS = 5_000
 
@@ -46,10 +46,11 @@
             view.note_read(now, now)
             assert not view.should_claim(now)
 
-    def test_a_progress_record_counts_as_a_heartbeat(self) -> None:
+    @pytest.mark.parametrize("record", [Progress("0" * 16, "running"), RegisteredWorkers((), 1)])
+    def test_a_record_that_only_owners_write_counts_as_a_heartbeat(self, record: Record) -> None:
         view = _view()
         view.note_record(Ownership(1, "other"), 0)
-        view.note_record(Progress("0" * 16, "running"), 2_000)
+        view.note_record(record, 2_000)
         view.note_read(2_100, 2_100)
         assert not view.should_claim(2_100)
 
