Log each series of failed reads of the manifest twice

While the store refuses calls, a read of the manifest fails and is tried again every 100 ms, and each attempt wrote a line: one instance writes 263 lines in an outage of about 26 s. The first failure now writes manifest_not_read with its error, and the next success manifest_read_again with the number of failed reads.

A read of a topic without records is answered at once with 404, so it was repeated without a pause. It now pauses for 100 ms.

--- a/src/greengagewood/platform/manifest.py
+++ b/src/greengagewood/platform/manifest.py
@@ -125,7 +125,7 @@
         self._parser = ManifestParser()
         self._next_offset: int | None = None
         self._skipped_records = False  # whether records below `_next_offset` were not read
-        self._reads_failing = False
+        self._failed_reads = 0  # since the last one that succeeded
 
     async def next(self) -> Configuration | None:
         """Wait for a newer configuration; return None if there was none for a while."""
@@ -136,13 +136,17 @@
             self._next_offset = None
             return None
         except StoreUnavailable as exc:
-            _log.warning("manifest_not_read", offset=self._next_offset, error=str(exc))
-            self._reads_failing = True
+            # During an outage reads may fail ten times a second, so only the first is logged.
+            if self._failed_reads == 0:
+                _log.warning("manifest_not_read", offset=self._next_offset, error=str(exc))
+            self._failed_reads += 1
             await asyncio.sleep(RETRY_DELAY_S)
             return None
-        if self._reads_failing:
-            self._reads_failing = False
-            _log.info("manifest_read_again", offset=page.next_offset)
+        if self._failed_reads:
+            _log.info("manifest_read_again", offset=page.next_offset, failed=self._failed_reads)
+            self._failed_reads = 0
+        if not page.entries and page.end_offset < 0:  # the store answers at once without a topic
+            await asyncio.sleep(RETRY_DELAY_S)
         return self._apply_page(page)
 
     async def _read_page(self) -> LogPage:
