Start no further term while an instance stops

An instance that stops first ends its term, and waits for the loops of its runner to end. Meanwhile the check of ownership saw an owner without a runner, and started a second runner under the same token. Nobody stopped this one: in a simulation it went on with heartbeats of the stopped instance for 45 s, so that no other instance claimed the cell.

TestStops reproduces it without a second owner: fails before, passes after.

--- a/src/greengagewood/internal/entry/node.py
+++ b/src/greengagewood/internal/entry/node.py
@@ -113,6 +113,7 @@
 
     async def stop(self) -> None:
         """End the term of ownership and cancel all tasks."""
+        self._ownership.shutting_down = True
         await self._end_term("stopped")
         for task in self._tasks:
             task.cancel()
@@ -254,7 +255,8 @@
         runner = self._runner
         if runner is not None and not self._is_current_term(runner):
             await self._end_term("replaced")
-        if self._ownership.owning and self._runner is None:
+        # While an instance stops, its term may still be the current one, but has no runner.
+        if self._ownership.owning and self._runner is None and not self._ownership.shutting_down:
             self._start_term()
         if self._ownership.should_claim(now_ms) and self.config is not None:
             await self._claim(now_ms)
--- a/tests/cover/test_owner_changes.py
+++ b/tests/cover/test_owner_changes.py
@@ -11,6 +11,7 @@
 from greengagewood.internal.cells import registration
 from greengagewood.internal.cells.cell import Cell
 from greengagewood.internal.cells.fleet import Worker
+from greengagewood.internal.cells.runner import CellRunner
 from greengagewood.internal.clock import monotonic_ms
 from greengagewood.internal.jobs.model import JobSpec, StepSpec
 from greengagewood.internal.jobs.records import (
@@ -91,6 +92,33 @@
         run_simulation(CellSimulation(seed, worker_count=8), script)
 
 
+class TestStops:
+    """Instances that stop while they own the cell."""
+
+    @pytest.mark.parametrize("releases", [False, True])
+    def test_a_stopped_instance_starts_no_further_term(
+        self, releases: bool, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Guards against an owner that goes on with heartbeats, so that nobody replaces it."""
+        stop = CellRunner.stop
+
+        async def stop_slowly(runner: CellRunner) -> None:
+            await stop(runner)
+            await asyncio.sleep(0.2)  # longer than the interval of checks of ownership
+
+        async def script(sim: CellSimulation) -> None:
+            first = sim.owner()
+            assert first is not None
+            instance = sim.instances[first]
+            if releases:
+                await instance.release_cell()
+            await sim.kill_instance(first)
+            assert instance._runner is None
+
+        monkeypatch.setattr(CellRunner, "stop", stop_slowly)
+        run_simulation(CellSimulation(1), script)
+
+
 class TestStoredLimits:
     """What a new owner concludes from the record of registered workers."""
 
