Poll a worker again only once its run ends are stored

A worker answers a poll at once while it has run ends that are not acknowledged, and these are acknowledged only once the progress is stored, up to 150 ms later. So each end led to several polls that brought nothing new, 50 ms apart. The next poll now waits until the ends are stored, or for 160 ms at most. What was waited counts against the next long poll, so readings are read as often.

--- a/src/greengagewood/internal/cells/runner.py
+++ b/src/greengagewood/internal/cells/runner.py
@@ -54,10 +54,16 @@
 
 __all__ = ["CellRunner", "Ports"]
 
-LEASE_WAIT_MS = 450  # less than the half second after which workers list new tail latencies
+# From one reply of a worker to the next; less than the half second after which workers list new
+# tail latencies.
+LEASE_WAIT_MS = 450
 FAILED_LEASE_PAUSE_S = 0.25
 # After an early reply without new run ends, or while no orders may be sent.
 REPEATED_LEASE_PAUSE_S = 0.05
+# A worker answers at once while it has run ends that are not acknowledged. So it is polled again
+# only once they are stored, or after this time: the next steps of jobs wait for ends that follow.
+# The usual wait is shorter, as changes are stored every COMMIT_INTERVAL_S.
+MAX_STORE_WAIT_S = 0.16
 DIRECTORY_INTERVAL_S = 0.5
 MAX_PLAN_INTERVAL_S = 0.05
 MIN_PLAN_INTERVAL_S = 0.01  # so that run ends that arrive together lead to one plan
@@ -107,6 +113,7 @@
         self._append_lock = asyncio.Lock()
         self._plan_wakeup = asyncio.Event()
         self._urgent_changes = asyncio.Event()
+        self._changes_stored = asyncio.Event()  # replaced each time that it is set
         self._tasks: set[asyncio.Task[None]] = set()
         self._lease_tasks: dict[Worker, asyncio.Task[None]] = {}
         self._stopping = False
@@ -370,7 +377,9 @@
         sent_ms = monotonic_ms()
         deadline_ms, acknowledged = self.cell.prepare_lease_extension(worker, sent_ms)
         previous_end = worker.last_end_sequence
-        wait_ms = LEASE_WAIT_MS if worker.adopted else 0
+        wait_ms = 0
+        if worker.adopted and worker.last_answer_ms is not None:
+            wait_ms = max(0, LEASE_WAIT_MS - (sent_ms - worker.last_answer_ms))
         try:
             reply = await self._ports.workers.extend_lease(
                 worker.info, deadline_ms, self.token, acknowledged, wait_ms
@@ -393,9 +402,20 @@
             self._update_lease_tasks()
         if worker.last_end_sequence > previous_end:
             self._plan_wakeup.set()
-        elif monotonic_ms() - sent_ms < LEASE_WAIT_MS // 2:
+        if worker.last_end_sequence > worker.acknowledged_sequence:
+            await self._wait_until_stored(worker, worker.last_end_sequence)
+        elif monotonic_ms() - sent_ms < wait_ms // 2:
             await asyncio.sleep(REPEATED_LEASE_PAUSE_S)
 
+    async def _wait_until_stored(self, worker: Worker, sequence: int) -> None:
+        """Wait until run ends of a worker may be acknowledged, or the next poll is due."""
+        try:
+            async with asyncio.timeout(MAX_STORE_WAIT_S):
+                while worker.acknowledged_sequence < sequence:
+                    await self._changes_stored.wait()
+        except TimeoutError:
+            pass
+
     # The store.
 
     async def _commit_once(self) -> None:
@@ -408,7 +428,7 @@
         if changes is not None and changes.records:
             await self._store(changes)
         elif changes is not None:
-            self.cell.note_changes_stored(changes)
+            self._note_changes_stored(changes)
         if monotonic_ms() - self._last_heartbeat_ms > HEARTBEAT_INTERVAL_MS:
             await self._append([self._ownership_record(False)])
 
@@ -431,11 +451,16 @@
 
     async def _store(self, changes: Changes) -> None:
         if await self._append(list(changes.records)):
-            self.cell.note_changes_stored(changes)
+            self._note_changes_stored(changes)
             self._plan_wakeup.set()
         else:
             self.cell.note_changes_unconfirmed(changes)
 
+    def _note_changes_stored(self, changes: Changes) -> None:
+        self.cell.note_changes_stored(changes)
+        self._changes_stored.set()
+        self._changes_stored = asyncio.Event()
+
     async def _append(self, records: list[Record]) -> bool:
         """Append records as the owner, with retries; return whether they were stored."""
         entries = [(key_of(record), encode_record(record)) for record in records]
