Pace the reads of followers by the heartbeats of the owner

A follower read the cell's log 200 ms after each answer, and a busy log answers at once. The reads for callers came in addition. A follower now sends a read 500 ms after the last one, whichever it was, while heartbeats arrive. Once one is overdue, it reads sooner, and sends a read exactly when it may replace the owner. Callers that ask for states at the same time share one read; a job that is not known is still looked up by a read of its own. Reads for callers now also confirm the owner.

An answer is at most 650 ms apart from the last one, plus the time that the store takes, as before, so that no records are refused because of an old read (MAX_READ_AGE_MS).

--- a/src/greengagewood/internal/cells/ownership.py
+++ b/src/greengagewood/internal/cells/ownership.py
@@ -120,16 +120,32 @@
         """Return whether a recent read shows no live owner, or one with far less CPU."""
         if self.state != "following" or self.shutting_down or self._read_sent_ms is None:
             return False
-        if now_ms - self._read_sent_ms > OWNER_TIMEOUT_MS or self._heartbeat_ms is None:
+        claim_due_ms = self.claim_due_ms
+        if now_ms - self._read_sent_ms > OWNER_TIMEOUT_MS or claim_due_ms is None:
             return False
-        current = self.current
-        if current.owner and not current.released and self._should_replace_live_owner(now_ms):
+        if not self.vacant and self._should_replace_live_owner(now_ms):
             return True
-        vacant = not current.owner or current.released
-        claim_after_ms = self._claim_delay_ms + (0 if vacant else OWNER_TIMEOUT_MS)
-        if 0 < self.cpu_millis * TAKEOVER_CPU_RATIO <= current.cpu_millis:
+        return self._read_sent_ms >= claim_due_ms
+
+    @property
+    def vacant(self) -> bool:
+        """Return whether the cell never had an owner, or its last owner has released it."""
+        return not self.current.owner or self.current.released
+
+    @property
+    def claim_due_ms(self) -> int | None:
+        """Return when a read must be sent, and show no heartbeat, for a claim of the cell."""
+        if self._heartbeat_ms is None:
+            return None
+        claim_after_ms = self._claim_delay_ms + (0 if self.vacant else OWNER_TIMEOUT_MS)
+        if 0 < self.cpu_millis * TAKEOVER_CPU_RATIO <= self.current.cpu_millis:
             claim_after_ms += SMALLER_INSTANCE_DELAY_MS
-        return self._read_sent_ms - self._heartbeat_ms >= claim_after_ms
+        return self._heartbeat_ms + claim_after_ms
+
+    def expects_change(self, now_ms: int, overdue_after_ms: int) -> bool:
+        """Return whether the owner may change soon: a claim is sent, or heartbeats are overdue."""
+        overdue = self._heartbeat_ms is None or now_ms - self._heartbeat_ms >= overdue_after_ms
+        return self.state != "following" or self.vacant or overdue
 
     def _should_replace_live_owner(self, now_ms: int) -> bool:
         """Return whether this instance has far more CPU than an owner that is not new."""
--- a/src/greengagewood/internal/entry/node.py
+++ b/src/greengagewood/internal/entry/node.py
@@ -19,6 +19,12 @@
 from greengagewood.internal.clock import monotonic_ms, wall_ms
 from greengagewood.internal.daemon import supervised_loop
 from greengagewood.internal.entry.intake import MAX_READ_AGE_MS, BatchWriter
+from greengagewood.internal.entry.readpace import (
+    EAGER_AFTER_MS,
+    READ_INTERVAL_MS,
+    READ_JITTER_MS,
+    plan_read,
+)
 from greengagewood.internal.entry.routes import RouteTable
 from greengagewood.internal.entry.settings import EntrySettings
 from greengagewood.internal.jobs.book import FINAL_STATES
@@ -44,7 +50,6 @@
 __all__ = ["ConfigSource", "EntryInstance"]
 
 READ_LONG_POLL_MS = 400  # short, because each answered read confirms who owns the cell
-FOLLOWER_READ_PAUSE_S = 0.2  # lets records accumulate, so that followers call the store less often
 # Before a caller is told a state that is older than this and may still change, the store is read.
 STATE_REFRESH_AGE_MS = 30
 RETRY_DELAY_S = 0.1
@@ -88,6 +93,11 @@
         self._loaded = False
         # When the store was last read up to its end; before the first time, too long ago.
         self._last_read_ms = monotonic_ms() - MAX_READ_AGE_MS
+        # When the last read was sent, by the loop that follows the log or for a caller.
+        self._last_sent_ms = self._last_read_ms
+        self._read_wakeup = asyncio.Event()  # ends the pause before the next read
+        self._refresh: asyncio.Task[None] | None = None  # the last read for callers
+        self._refresh_sent_ms = 0
         self._reads_failing = False
         self._tasks: list[asyncio.Future[None]] = []
 
@@ -115,9 +125,10 @@
         """End the term of ownership and cancel all tasks."""
         self._ownership.shutting_down = True
         await self._end_term("stopped")
-        for task in self._tasks:
+        tasks = [*self._tasks, *([self._refresh] if self._refresh is not None else [])]
+        for task in tasks:
             task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await asyncio.gather(*tasks, return_exceptions=True)
 
     @property
     def ready(self) -> bool:
@@ -153,11 +164,12 @@
         """
         stored_job = self.ledger.jobs.get(job_id)
         if stored_job is None or stored_job.submission is None:
+            # The job may just have been stored, so only a read sent from now on shows its absence.
             await self._read_to_end(LOOKUP_TIMEOUT_S)
             stored_job = self.ledger.jobs.get(job_id)
         elif stored_job.state not in FINAL_STATES and self._is_refresh_due:
             try:
-                await self._read_to_end(REFRESH_TIMEOUT_S)
+                await self._share_refresh()
             except StoreUnavailable as exc:
                 _log.debug(
                     "stale_state_returned", job=job_id, age_ms=self.read_age_ms(), error=str(exc)
@@ -175,11 +187,30 @@
         """Return the time since the last read of the store up to its end."""
         return monotonic_ms() - self._last_read_ms
 
+    async def _share_refresh(self) -> None:
+        """Read to the end of the log, together with other callers that have just asked for it."""
+        now_ms = monotonic_ms()
+        refresh = self._refresh
+        if (
+            refresh is None
+            or refresh.done()
+            or now_ms - self._refresh_sent_ms > STATE_REFRESH_AGE_MS
+        ):
+            refresh = asyncio.create_task(self._read_to_end(LOOKUP_TIMEOUT_S))
+            refresh.add_done_callback(_retrieve_exception)
+            self._refresh, self._refresh_sent_ms = refresh, now_ms
+        try:
+            async with asyncio.timeout(REFRESH_TIMEOUT_S):
+                await asyncio.shield(refresh)
+        except TimeoutError as exc:
+            raise StoreUnavailable(repr(exc)) from exc
+
     async def _read_to_end(self, timeout_s: float) -> None:
         """Read the records that were appended to the store since the last read."""
         if not self._loaded:
             raise StoreUnavailable("the store has not been read yet")
-        now_ms = monotonic_ms()
+        sent_ms = monotonic_ms()
+        self._last_sent_ms = sent_ms
         try:
             async with asyncio.timeout(timeout_s):
                 while True:
@@ -189,7 +220,8 @@
                         break
         except (TimeoutError, LogTruncated) as exc:
             raise StoreUnavailable(repr(exc)) from exc
-        self._last_read_ms = max(now_ms, self._last_read_ms)
+        self._last_read_ms = max(sent_ms, self._last_read_ms)
+        self._ownership.note_read(sent_ms, monotonic_ms())
 
     # The cell's log.
 
@@ -199,7 +231,9 @@
             if not self._loaded:
                 page = await self._ports.store.load()
             else:
-                page = await self._ports.store.read(self.ledger.next_offset, READ_LONG_POLL_MS)
+                wait_ms = await self._pause_reads()
+                sent_ms = self._last_sent_ms = monotonic_ms()
+                page = await self._ports.store.read(self.ledger.next_offset, wait_ms)
         except LogTruncated:
             _log.info("log_truncated", offset=self.ledger.next_offset)
             self._loaded = False
@@ -218,8 +252,29 @@
             return  # a newer claim may stand in what has not been read
         self._last_read_ms = now_ms
         self._ownership.note_read(sent_ms, now_ms)
-        if not self._ownership.owning:
-            await asyncio.sleep(FOLLOWER_READ_PAUSE_S)
+
+    async def _pause_reads(self) -> int:
+        """Wait until the next read is to be sent; return how long the store may hold it."""
+        interval_ms = READ_INTERVAL_MS + random.randint(-READ_JITTER_MS, READ_JITTER_MS)
+        while not self._ownership.owning:
+            now_ms = monotonic_ms()
+            plan = plan_read(
+                now_ms,
+                self._last_sent_ms,
+                self._last_read_ms,
+                self._ownership.expects_change(now_ms, EAGER_AFTER_MS),
+                self._ownership.claim_due_ms,
+                interval_ms,
+            )
+            if not plan.pause_ms:
+                return plan.wait_ms
+            self._read_wakeup.clear()
+            try:
+                async with asyncio.timeout(plan.pause_ms / 1000):
+                    await self._read_wakeup.wait()
+            except TimeoutError:
+                pass
+        return READ_LONG_POLL_MS
 
     def _note_read_result(self, succeeded: bool, error: str) -> None:
         if succeeded and self._reads_failing:
@@ -275,6 +330,7 @@
                     await self._read_to_end(REFRESH_TIMEOUT_S)
                 except StoreUnavailable as exc:
                     _log.info("claim_unconfirmed", token=claim.token, error=str(exc))
+        self._read_wakeup.set()
 
     def _start_term(self) -> None:
         bounds = self._cfg.bounds
@@ -329,3 +385,9 @@
         if self._runner is not None:
             self._runner.cell.set_queues(config.queues)
         _log.info("configuration", version=config.version, routes=len(config.routes))
+
+
+def _retrieve_exception(task: asyncio.Task[None]) -> None:
+    """Retrieve the exception of a read for which no caller waits any more, so it is not logged."""
+    if not task.cancelled():
+        task.exception()
--- a/tests/cover/test_control_cost.py
+++ b/tests/cover/test_control_cost.py
@@ -3,18 +3,34 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Iterator
+from collections import Counter
+from collections.abc import Iterator, Sequence
 from dataclasses import dataclass, field
 from typing import Any
 
 import pytest
 
+from greengagewood.internal.cells.ownership import OWNER_TIMEOUT_MS
 from greengagewood.internal.clock import monotonic_ms
-from greengagewood.internal.jobs.records import Ownership, decode_record
-from greengagewood.internal.ports import LeaseReply, OrderReply, WorkerInfo
+from greengagewood.internal.entry.intake import MAX_READ_AGE_MS
+from greengagewood.internal.entry.readpace import ReadPlan, plan_read
+from greengagewood.internal.jobs.records import (
+    Ownership,
+    Progress,
+    Record,
+    RegisteredWorkers,
+    decode_record,
+)
+from greengagewood.internal.ports import LeaseReply, LogPage, OrderReply, Outcome, WorkerInfo
 from tests.common import plant
-from tests.common.drive import CellSimulation, run_simulation, short_job
-from tests.common.plant import SimWorker, SimWorkerLink
+from tests.common.drive import (
+    QUEUES,
+    CellSimulation,
+    long_running_job,
+    run_simulation,
+    short_job,
+)
+from tests.common.plant import SimStore, SimStoreClient, SimWorker, SimWorkerLink
 
 MEASURED_S = 30
 
@@ -81,7 +97,7 @@
 
 
 async def _submit_steadily(sim: CellSimulation, jobs_per_s: float, duration_s: float) -> None:
-    """Submit short jobs of seven tasks at random times."""
+    """Submit short jobs of seven tasks at random times; none if `jobs_per_s` is 0."""
     submissions = []
     for number in range(int(duration_s * jobs_per_s)):
         submissions.append(asyncio.ensure_future(sim.submit(f"{number:016x}", "fast", short_job())))
@@ -145,3 +161,192 @@
         run_simulation(CellSimulation(1, worker_count=self.WORKERS), script)
         assert polls.end_count > 20
         assert max(polls.end_delays_ms) <= self.MAX_END_DELAY_MS
+
+
+class _StoreLog:
+    """The calls of each instance to the store, and when records were appended."""
+
+    def __init__(self, patch: pytest.MonkeyPatch) -> None:
+        self._token = 1  # of the first owner
+        self.reads: Counter[str] = Counter()
+        self.claims_ms: list[int] = []
+        self.last_write_ms = 0  # of an owner, before the last claim
+        read, append_records = SimStoreClient.read, SimStore.append_records
+
+        async def counted(client: SimStoreClient, start: int, wait_ms: int) -> LogPage:
+            self.reads[client.instance] += 1
+            return await read(client, start, wait_ms)
+
+        def timed(store: SimStore, entries: Sequence[tuple[str, bytes]]) -> int:
+            self._note([decode_record(value) for _, value in entries if value])
+            return append_records(store, entries)
+
+        patch.setattr(SimStoreClient, "read", counted)
+        patch.setattr(SimStore, "append_records", timed)
+
+    def _note(self, records: list[Record]) -> None:
+        for record in records:
+            if isinstance(record, Ownership) and record.token > self._token:
+                self._token = record.token
+                self.claims_ms.append(monotonic_ms() - self.last_write_ms)
+            if isinstance(record, Ownership | Progress | RegisteredWorkers):
+                self.last_write_ms = monotonic_ms()
+
+
+async def _ask_steadily(sim: CellSimulation, per_instance_s: float) -> None:
+    """Ask every instance for the state of a job that has not ended, at random times."""
+    job = "f" * 16
+    await sim.submit(job, "serve", long_running_job())
+    asks = []
+    while True:
+        await asyncio.sleep(sim.rng.expovariate(per_instance_s * sim.instance_count))
+        instance = sim.rng.choice(list(sim.instances.values()))
+        asks.append(asyncio.ensure_future(instance.state_of(job)))
+
+
+class TestStoreCalls:
+    """Reads of the cell's log by instances that do not own the cell."""
+
+    @pytest.mark.parametrize(
+        ("jobs_per_s", "asks_per_s", "max_reads_per_s"),
+        [
+            (0.0, 0.0, 2.2),
+            (6.0, 0.0, 2.5),  # 5.2 if a read follows 200 ms after each answer
+            (6.0, 4.0, 4.2),  # 7.8 if the reads for callers come in addition
+        ],
+    )
+    def test_a_follower_reads_half_as_often(
+        self,
+        jobs_per_s: float,
+        asks_per_s: float,
+        max_reads_per_s: float,
+        monkeypatch: pytest.MonkeyPatch,
+    ) -> None:
+        async def script(sim: CellSimulation) -> None:
+            log = _StoreLog(monkeypatch)
+            asks = asyncio.ensure_future(_ask_steadily(sim, asks_per_s)) if asks_per_s else None
+            if jobs_per_s:
+                await _submit_steadily(sim, jobs_per_s, MEASURED_S)
+            else:
+                await asyncio.sleep(MEASURED_S)
+            if asks is not None:
+                asks.cancel()
+            owner = sim.owner()
+            reads = [log.reads[name] for name in sim.instances if name != owner]
+            assert len(reads) == 2
+            assert sum(reads) <= max_reads_per_s * MEASURED_S * len(reads)
+
+        run_simulation(CellSimulation(1, worker_count=12), script)
+
+    @pytest.mark.parametrize("jobs_per_s", [0.0, 4.0])
+    def test_a_slow_store_does_not_make_followers_refuse_records(
+        self, jobs_per_s: float, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        async def script(sim: CellSimulation) -> None:
+            monkeypatch.setattr(plant, "STORE_LATENCY_S", 0.3)
+            submissions = asyncio.ensure_future(_submit_steadily(sim, jobs_per_s, 10))
+            for _ in range(1_000):
+                await asyncio.sleep(0.01)
+                ages_ms = [instance.read_age_ms() for instance in sim.instances.values()]
+                assert max(ages_ms) < MAX_READ_AGE_MS
+            await submissions
+
+        run_simulation(CellSimulation(1, worker_count=12), script)
+
+    def test_callers_that_ask_at_once_share_a_read(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        async def script(sim: CellSimulation) -> None:
+            job = "f" * 16
+            await sim.submit(job, "serve", long_running_job())
+            name = next(name for name in sim.instances if name != sim.owner())
+            await asyncio.sleep(1)
+            log = _StoreLog(monkeypatch)
+            states = await asyncio.gather(*(sim.instances[name].state_of(job) for _ in range(20)))
+            assert set(states) == {"running"}
+            assert log.reads[name] <= 2  # one more by the loop that follows the log
+
+        run_simulation(CellSimulation(1), script)
+
+    def test_an_absent_job_is_looked_up_by_a_read_of_its_own(self) -> None:
+        """Guards against a job being denied that was stored after a shared read was sent."""
+
+        async def script(sim: CellSimulation) -> None:
+            await sim.submit("f" * 16, "serve", long_running_job())
+            first, second = sim.instances.values()
+            await asyncio.sleep(0.05)
+            refresh = asyncio.ensure_future(first.state_of("f" * 16))
+            await asyncio.sleep(0.001)
+            assert await second.submit("e" * 16, QUEUES["fast"], short_job(), 1_000) is Outcome.DONE
+            assert await first.state_of("e" * 16) is not None
+            await refresh
+
+        run_simulation(CellSimulation(1, instance_count=2), script)
+
+
+class TestTakeoverTime:
+    """How long a cell is without an owner, although followers read seldom."""
+
+    SEEDS = range(10)
+
+    def _claim_delays_ms(self, jobs_per_s: float, releases: bool) -> list[int]:
+        """Return the times from the last write of an owner to the claim of the next one."""
+        delays_ms: list[int] = []
+
+        async def script(sim: CellSimulation) -> None:
+            log = _StoreLog(patch)
+            submissions = asyncio.ensure_future(_submit_steadily(sim, jobs_per_s, 3))
+            await asyncio.sleep(2 + sim.rng.random())
+            owner = sim.owner()
+            assert owner is not None
+            if releases:
+                await sim.instances[owner].release_cell()
+            await sim.kill_instance(owner)
+            await asyncio.sleep(4)
+            await submissions
+            assert _claim_count(sim) == 2
+            delays_ms.append(log.claims_ms[-1])
+
+        for seed in self.SEEDS:
+            with pytest.MonkeyPatch.context() as patch:
+                run_simulation(CellSimulation(seed, worker_count=12), script)
+        return delays_ms
+
+    @pytest.mark.parametrize("jobs_per_s", [0.0, 4.0])
+    def test_a_dead_owner_is_replaced_on_time(self, jobs_per_s: float) -> None:
+        delays_ms = self._claim_delays_ms(jobs_per_s, releases=False)
+        assert min(delays_ms) >= OWNER_TIMEOUT_MS
+        # The time to the next read of a follower, and a random delay of claims.
+        assert max(delays_ms) <= OWNER_TIMEOUT_MS + 850
+
+    @pytest.mark.parametrize("jobs_per_s", [0.0, 4.0])
+    def test_a_released_cell_is_claimed_soon(self, jobs_per_s: float) -> None:
+        delays_ms = self._claim_delays_ms(jobs_per_s, releases=True)
+        assert max(delays_ms) <= 850
+        assert sum(delays_ms) <= 450 * len(delays_ms)
+
+
+class TestReadPlan:
+    """When a follower sends its next read."""
+
+    @pytest.mark.parametrize(
+        ("now_ms", "last_sent_ms", "last_read_ms", "eager", "claim_due_ms", "plan"),
+        [
+            (1_000, 990, 1_000, False, 2_400, ReadPlan(490, 160)),  # the owner is alive
+            (1_490, 990, 1_000, False, 2_400, ReadPlan(0, 160)),
+            (1_000, 990, 900, False, 2_400, ReadPlan(400, 150)),  # the last read has failed
+            (1_000, 990, 1_000, True, 1_900, ReadPlan(90, 400)),  # a heartbeat is overdue
+            (1_000, 990, 1_000, True, 1_300, ReadPlan(90, 210)),  # until the claim is due
+            (1_000, 990, 1_000, True, 1_020, ReadPlan(20, 0)),
+            (1_000, 990, 1_000, True, 980, ReadPlan(90, 400)),  # the decisive read is sent
+            (1_000, 990, 1_000, True, None, ReadPlan(90, 400)),
+        ],
+    )
+    def test_plan(
+        self,
+        now_ms: int,
+        last_sent_ms: int,
+        last_read_ms: int,
+        eager: bool,
+        claim_due_ms: int | None,
+        plan: ReadPlan,
+    ) -> None:
+        assert plan_read(now_ms, last_sent_ms, last_read_ms, eager, claim_due_ms, 500) == plan
