--- a/src/greengagewood/platform/manifest.py
+++ b/src/greengagewood/platform/manifest.py
@@ -170,7 +170,7 @@
         self._orders = _EvacuationRecords()
         self._last_read_ms: int | None = None  # when the last read up to the end was sent
         self._updates: deque[Configuration | Evacuations] = deque()
-        self._reads_failing = False
+        self._failed_reads = 0  # since the last one that succeeded
 
     async def next(self) -> Configuration | Evacuations | None:
         """Wait for a newer configuration or read of the orders; return None if there was none.
@@ -191,13 +191,17 @@
             self._next_offset = None
             return
         except StoreUnavailable as exc:
-            _log.warning("manifest_not_read", offset=self._next_offset, error=str(exc))
-            self._reads_failing = True
+            # During an outage reads may fail ten times a second, so only the first is logged.
+            if self._failed_reads == 0:
+                _log.warning("manifest_not_read", offset=self._next_offset, error=str(exc))
+            self._failed_reads += 1
             await asyncio.sleep(RETRY_DELAY_S)
             return
-        if self._reads_failing:
-            self._reads_failing = False
-            _log.info("manifest_read_again", offset=page.next_offset)
+        if self._failed_reads:
+            _log.info("manifest_read_again", offset=page.next_offset, failed=self._failed_reads)
+            self._failed_reads = 0
+        if not page.entries and page.end_offset < 0:  # the store answers at once without a topic
+            await asyncio.sleep(RETRY_DELAY_S)
         self._apply_page(page, sent_ms)
 
     async def _read_page(self) -> LogPage:
