Place tasks on warm workers first, and fill a restarted domain gradually

Placement ignored cold-remaining-ms.

WorkerInfo.cold_ms (before: warmup_left_ms) now ranks a cold worker after every warm one that fits, for short and best-effort tasks and for gangs. Short tasks are spread over cold workers. Best-effort tasks get half of a cold worker's CPU at first, rising to all of it until it is warm; the first task of a job of which nothing runs is exempt. A plan compares steps that could not be placed only with others on the same side of that exemption, since it would skip unstarted jobs otherwise. Slow runs are not moved to cold workers.

The start line says whether the worker is cold.

--- a/src/greengagewood/internal/cells/cell.py
+++ b/src/greengagewood/internal/cells/cell.py
@@ -195,7 +195,7 @@
             elif worker.is_newer_than(info):
                 continue  # the directory lags behind what the worker itself has said
             else:
-                self._update_worker(worker, info)
+                self._update_worker(worker, info, now_ms)
         for name, worker in list(self.workers.items()):
             worker.in_directory = name in listed and not worker.is_newer_than(listed[name])
             if (
@@ -217,10 +217,10 @@
         self.workers[info.worker_id] = worker
         return worker
 
-    def _update_worker(self, worker: Worker, info: WorkerInfo) -> None:
+    def _update_worker(self, worker: Worker, info: WorkerInfo, now_ms: int) -> None:
         if info.draining and not worker.info.draining:
             self.on_event("worker_draining", {"worker": info.worker_id})
-        worker.update_info(info)
+        worker.update_info(info, now_ms)
 
     def set_registered_workers(
         self, registered: RegisteredWorkers, read_ms: int, now_ms: int
--- a/src/greengagewood/internal/cells/fleet.py
+++ b/src/greengagewood/internal/cells/fleet.py
@@ -32,6 +32,8 @@
 # By the platform's documentation: the fraction by which a worker's clock may run slower.
 MAX_CLOCK_DRIFT = 0.02
 MAX_ORDER_DELAY_MS = 12_000  # a worker carries out an order at most this long after it was sent
+# Share of its CPU that a worker gives to tasks when it was just started; it rises until it is warm.
+INITIAL_WARM_SHARE = 0.5
 
 
 @dataclass(slots=True)
@@ -148,6 +150,13 @@
     last_on_target_ms: int = 0  # when every tail latency was last within its target
     failing_since_ms: int | None = None  # when the first call after its last answer failed
     trial: Run | None = None  # the run of a suspected task, see `crashes`; it must stay alone
+    cold_since_ms: int = 0  # when it was first seen to be cold
+    cold_until_ms: int = 0  # when it is no longer slow from its start
+    cold: bool = False  # whether `cold_until_ms` was ahead at the last plan
+    warm_share: float = 1.0  # share of its CPU that best-effort tasks may use beside others
+
+    def __post_init__(self) -> None:
+        self._note_cold(self.info, self.added_ms)
 
     @property
     def name(self) -> str:
@@ -180,12 +189,24 @@
             and now_ms - self.last_answer_ms <= UNRESPONSIVE_AFTER_MS
         )
 
+    def is_cold(self, now_ms: int) -> bool:
+        """Return whether the worker is still slow from its start."""
+        return now_ms < self.cold_until_ms
+
+    def _note_cold(self, info: WorkerInfo, now_ms: int) -> None:
+        """Record for how long an entry that was just read says that the worker stays slow."""
+        if info.cold_ms > 0 and not self.is_cold(now_ms):
+            self.cold_since_ms = now_ms
+        self.cold_until_ms = now_ms + info.cold_ms
+
     # Resources.
 
-    def update_info(self, info: WorkerInfo) -> None:
+    def update_info(self, info: WorkerInfo, now_ms: int) -> None:
         """Replace what the directory says of the worker."""
         old = self.info
         self.info = info
+        if info.cold_ms != old.cold_ms:  # an entry that is read again says nothing new
+            self._note_cold(info, now_ms)
         if (info.cpu_millis, info.memory_mb, info.accelerators) != (
             old.cpu_millis,
             old.memory_mb,
@@ -282,9 +303,14 @@
         if any(accepted.reaches(refused) for refused in self.refused_allocations):
             self._forget_refusals()
 
-    def update_refusals(self, now_ms: int) -> None:
-        """Decide whether the refusals still exclude runs."""
+    def prepare_plan(self, now_ms: int) -> None:
+        """Decide whether the refusals still exclude runs, and how warm the worker is."""
         self.refusals_apply = now_ms < self.refused_until_ms
+        self.cold = self.is_cold(now_ms)
+        self.warm_share = 1.0
+        if self.cold:
+            left = (self.cold_until_ms - now_ms) / (self.cold_until_ms - self.cold_since_ms)
+            self.warm_share = 1.0 - (1.0 - INITIAL_WARM_SHARE) * min(1.0, left)
 
     def _forget_refusals(self) -> None:
         self.refused_allocations.clear()
--- a/src/greengagewood/internal/cells/placement.py
+++ b/src/greengagewood/internal/cells/placement.py
@@ -4,6 +4,11 @@
 the others stay free for best-effort tasks. Ordinary batch tasks go to the rack of their data, and
 otherwise where they leave the least CPU free. Best-effort tasks go where the most CPU is idle and
 no tail latency is near its target.
+
+The load on cold workers, which are slow for some time after their start, is a failure domain that
+was restarted. Batch and best-effort tasks go to a warm worker if one fits. Cold workers are filled
+up evenly, and best-effort tasks get a share of their CPU that rises until they are warm. Only the
+first task of a job is placed beyond that share, since nothing may run of the job otherwise.
 """
 
 from __future__ import annotations
@@ -147,17 +152,22 @@
     """Return a function that scores workers that fit a task and meet the step's constraints."""
     spec = step.spec
     if spec.best_effort:
-        return lambda worker: _score_best_effort(worker, spec, model, starving)
+        return lambda worker: _score_best_effort(worker, step, model, starving)
     if spec.long_running:
         return lambda worker: _score_long_running(worker, spec)
     racks = _racks_in_use(step) if spec.same_rack else frozenset()
 
     def score(worker: Worker) -> tuple[float, ...]:
+        cold = worker.cold
         rack = worker.info.rack
         off_data_rack = float(bool(spec.data_rack) and rack != spec.data_rack)
         off_racks_in_use = float(bool(racks) and rack not in racks)
         left_millis = worker.info.cpu_millis - worker.allocated.cpu_millis - spec.cpu_millis
-        return (off_data_rack + off_racks_in_use, float(left_millis))
+        return (
+            float(cold),
+            off_data_rack + off_racks_in_use,
+            float(-left_millis if cold else left_millis),
+        )
 
     return score
 
@@ -180,9 +190,14 @@
 
 
 def _score_best_effort(
-    worker: Worker, spec: StepSpec, model: TailLatencyModel, starving: bool
+    worker: Worker, step: Step, model: TailLatencyModel, starving: bool
 ) -> tuple[float, ...] | None:
+    spec = step.spec
     idle_millis = idle_cpu_millis(worker)
+    if worker.cold and step.job.active_run_count:
+        reserved_millis = worker.info.cpu_millis * (1 - worker.warm_share)
+        if idle_millis - spec.cpu_millis < reserved_millis:
+            return None
     if not starving and idle_millis < spec.cpu_millis * MIN_BEST_EFFORT_CPU_SHARE:
         return None
     admission = model.admission_for(worker, spec)
@@ -192,6 +207,7 @@
     # Workers without long-running tasks are kept for images that would disturb those on any other.
     without_long_running = float(not worker.long_running_cpu_millis)
     return (
+        float(worker.cold),
         100.0 - admission.speed_percent,
         off_data_rack,
         without_long_running,
@@ -237,8 +253,17 @@
 def place_gang(step: Step, workers: Sequence[Worker]) -> list[tuple[Task, Worker]] | None:
     """Return a worker for each unfinished task of a gang, or None if they do not all fit.
 
-    With `same_rack`, a rack that holds the whole gang is preferred, but not required.
+    With `same_rack`, a rack that holds the whole gang is preferred, but not required. Cold workers
+    are used only if the gang does not fit on the warm ones.
     """
+    warm = [worker for worker in workers if not worker.cold]
+    placed = _place_gang(step, warm)
+    if placed is None and len(warm) < len(workers):
+        placed = _place_gang(step, workers)
+    return placed
+
+
+def _place_gang(step: Step, workers: Sequence[Worker]) -> list[tuple[Task, Worker]] | None:
     if not step.spec.same_rack:
         return _place_all_tasks(step, workers)
     workers_by_rack: dict[str, list[Worker]] = {}
@@ -256,7 +281,7 @@
     spec = step.spec
     tasks = [task for task in step.tasks if not task.end_state]
     placed: list[tuple[Task, Worker]] = []
-    for worker in sorted(workers, key=lambda w: spec.data_rack not in ("", w.info.rack)):
+    for worker in sorted(workers, key=lambda w: (w.cold, spec.data_rack not in ("", w.info.rack))):
         if not meets_constraints(worker, step):
             continue
         for _ in range(_free_slots(worker, step)):
--- a/src/greengagewood/internal/cells/planner.py
+++ b/src/greengagewood/internal/cells/planner.py
@@ -60,15 +60,18 @@
     """The steps that one plan could not place, to skip other steps that need at least as much."""
 
     def __init__(self) -> None:
-        self._specs_by_group: dict[tuple[str, str, str, bool], list[StepSpec]] = {}
+        self._specs_by_group: dict[tuple[str, str, str, bool, bool], list[StepSpec]] = {}
 
     @staticmethod
-    def _group(service: str, step: Step) -> tuple[str, str, str, bool]:
+    def _group(service: str, step: Step) -> tuple[str, str, str, bool, bool]:
         """Return what two steps must have in common to be compared by size."""
         spec = step.spec
         # Only long-running tasks that never ran must leave headroom, see `leaves_headroom`.
         has_run = spec.long_running and any(task.last_run_ended_ms for task in step.waiting_tasks)
-        return service, spec.image if spec.best_effort else "", spec.required_label, has_run
+        # Cold workers take the first task of a job beyond the share of others.
+        unstarted = spec.best_effort and not step.job.active_run_count
+        image = spec.image if spec.best_effort else ""
+        return service, image, spec.required_label, has_run, unstarted
 
     def rules_out(self, service: str, step: Step) -> bool:
         """Return whether a step that needs no more than this one could not be placed."""
@@ -170,6 +173,7 @@
             worker is not current
             and worker.info.service == service
             and self.may_start_on(worker, now_ms)
+            and not worker.is_cold(now_ms)
             and worker.fits(spec)
             and idle_cpu_millis(worker) >= spec.cpu_millis
             and self.tail_model.admission_for(worker, spec).speed_percent == 100
@@ -196,7 +200,7 @@
         orders: list[Order] = []
         by_service: dict[str, list[Worker]] = {}
         for worker in self._workers.values():
-            worker.update_refusals(now_ms)
+            worker.prepare_plan(now_ms)
             if self.may_start_on(worker, now_ms):
                 by_service.setdefault(worker.info.service, []).append(worker)
         last_ms = self._best_effort_placed_ms
@@ -419,7 +423,8 @@
         }
         if valid_permits:
             return []
-        candidates = [w.name for w in workers if w.fits(step.spec)][:MAX_WORKERS_PER_ADVICE_REQUEST]
+        fitting = sorted((w for w in workers if w.fits(step.spec)), key=lambda w: w.cold)
+        candidates = [worker.name for worker in fitting[:MAX_WORKERS_PER_ADVICE_REQUEST]]
         if not candidates:
             return []
         self._advice_pending.add(step)
--- a/src/greengagewood/internal/cells/runner.py
+++ b/src/greengagewood/internal/cells/runner.py
@@ -269,6 +269,7 @@
             image=run.task.step.spec.image,
             cpu=run.task.step.spec.cpu_millis,
             percent=run.initial_speed_percent,
+            cold=worker.cold,
             free_cpu=worker.info.cpu_millis - worker.allocated.cpu_millis,
             answered_ms=monotonic_ms() - run.started_ms,
             window=int(self._start_window.limit),
--- a/src/greengagewood/internal/ports.py
+++ b/src/greengagewood/internal/ports.py
@@ -145,7 +145,8 @@
     """A worker as it describes itself in the directory.
 
     `leaving_in_ms` is the shortest time for which a draining worker will still run. `boot_time_ms`
-    tells the boots of a worker apart: a later boot has a higher value, and 0 means unknown.
+    tells the boots of a worker apart: a later boot has a higher value, and 0 means unknown. For
+    `cold_ms` after this entry, the worker is still slow from its start.
     """
 
     worker_id: str
@@ -160,7 +161,7 @@
     draining: bool
     leaving_in_ms: int | None
     boot_time_ms: int
-    warmup_left_ms: int = 0
+    cold_ms: int = 0
 
 
 class WorkerDirectory(Protocol):
--- a/tests/cover/test_planner.py
+++ b/tests/cover/test_planner.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+import random
 from dataclasses import replace
 
 import pytest
+from msgspec.structs import replace as replace_spec
 
 from greengagewood.internal.cells.fleet import Worker
 from greengagewood.internal.cells.orders import StartRun
+from greengagewood.internal.cells.placement import choose_worker
 from greengagewood.internal.cells.planner import (
     BEST_EFFORT_INTERVAL_MS,
     GROUPING_DELAY_MS,
@@ -183,6 +186,93 @@
         assert slowed[runs["old"]] < slowed.get(runs["new"], 100)
 
 
+class TestColdWorkers:
+    """Guard against a restarted domain that is flooded, and against jobs that wait for it."""
+
+    COLD_MS = 20_000
+
+    def _harness(self, warm: int, cold: int) -> CellHarness:
+        harness = CellHarness(*(f"w{number}" for number in range(warm + cold)))
+        for number in range(warm, warm + cold):
+            name = f"w{number}"
+            info = replace(harness.worker_infos[name], boot_time_ms=2, cold_ms=self.COLD_MS)
+            harness.worker_infos[name] = info
+        harness.cell.set_workers(harness.worker_infos, harness.now_ms)
+        harness.store_changes()
+        harness.answer_leases()
+        return harness
+
+    @staticmethod
+    def _cold_cpu_shares(harness: CellHarness) -> list[float]:
+        """Return the share of the CPU that tasks use, for each cold worker."""
+        workers = [w for w in harness.cell.workers.values() if w.info.cold_ms]
+        return [w.best_effort_cpu_millis / w.info.cpu_millis for w in workers]
+
+    def test_the_warm_workers_are_filled_first(self) -> None:
+        harness = self._harness(warm=2, cold=2)
+        harness.submit(TestBestEffortOrder._spec(18))
+        harness.start(BEST_EFFORT_INTERVAL_MS)
+        assert self._cold_cpu_shares(harness) == [0.0, 0.0]
+
+    def test_cold_workers_get_more_as_they_warm_up(self) -> None:
+        harness = self._harness(warm=0, cold=2)
+        harness.submit(TestBestEffortOrder._spec(40))
+        highest = []
+        for _ in range(3):
+            harness.start(BEST_EFFORT_INTERVAL_MS)
+            highest.append(max(self._cold_cpu_shares(harness)))
+            harness.now_ms += self.COLD_MS // 2
+            harness.answer_leases()
+        assert highest[0] <= 0.5 < highest[1] <= 0.76
+        assert highest[2] > 0.9
+
+    def test_an_entry_that_is_read_again_does_not_make_a_worker_cold_again(self) -> None:
+        harness = self._harness(warm=0, cold=1)
+        worker = harness.cell.workers["w0"]
+        for _ in range(4):
+            harness.now_ms += self.COLD_MS // 4
+            harness.cell.set_workers(harness.worker_infos, harness.now_ms)
+        assert not worker.is_cold(harness.now_ms)
+
+    def test_a_slow_run_is_not_moved_to_a_cold_worker(self) -> None:
+        harness = self._harness(warm=1, cold=1)
+        harness.submit(replace_spec(TestBestEffortOrder._spec(1), checkpointing=True))
+        (start,) = harness.start(BEST_EFFORT_INTERVAL_MS)
+        assert start.worker.name == "w0"
+        planner = harness.cell.planner
+        warm_ms = harness.now_ms + self.COLD_MS
+        assert not planner.can_run_faster_elsewhere(start.run, start.worker, harness.now_ms)
+        harness.now_ms = warm_ms
+        harness.answer_leases()
+        assert planner.can_run_faster_elsewhere(start.run, start.worker, warm_ms)
+
+    @pytest.mark.parametrize("seed", range(40))
+    def test_no_job_waits_that_would_be_started_on_a_warm_worker(self, seed: int) -> None:
+        rng = random.Random(seed)
+        harness = self._harness(warm=rng.randrange(2), cold=rng.randrange(1, 4))
+        for number in range(rng.randrange(5, 40)):
+            best_effort = rng.random() < 0.7
+            spec = StepSpec(
+                rng.randrange(1, 12),
+                cpu_millis=rng.choice((4_000, 9_000, 40_000)),
+                memory_mb=rng.choice((1_000, 30_000)),
+                estimate_ms=1_000,
+                image=f"f{rng.randrange(3)}" if best_effort else "",
+                best_effort=best_effort,
+            )
+            harness.submit(spec, job=f"{number:016x}")
+        for _ in range(3):
+            harness.start(BEST_EFFORT_INTERVAL_MS)
+            harness.answer_leases()
+        workers = list(harness.cell.workers.values())
+        for worker in workers:
+            worker.cold = False
+        for job in harness.cell.book.jobs.values():
+            if not job.active_run_count:
+                task = next(iter(job.opened_tasks()))
+                assert choose_worker(task, workers, TailLatencyModel(), False) is None
+
+
 class TestStarvingJobs:
     """Guard against a job of which nothing runs while most of the CPUs are uncommitted."""
 
--- a/tests/cover/test_platform_border.py
+++ b/tests/cover/test_platform_border.py
@@ -139,6 +139,11 @@
         assert not info.draining
         assert {field.name for field in fields(info)} >= {"failure_domain", "leaving_in_ms"}
 
+    def test_the_remaining_cold_time_is_parsed(self) -> None:
+        entry = {**WORKER_ENTRY, "cold-remaining-ms": 8_500}
+        info = parse_worker("i-1", json.dumps(entry).encode())
+        assert info is not None and info.cold_ms == 8_500
+
     def test_a_draining_worker_has_a_remaining_time(self) -> None:
         entry = {**WORKER_ENTRY, "state": "draining", "remaining-ms": 1500}
         info = parse_worker("i-1", json.dumps(entry).encode())
