Run evacuation orders through the operators' log in the simulation

The simulated instances got the orders from a source of their own. A test now has them read the operators' log with ManifestSource, between versions of the manifest, with half of the reads failing, and through a change of owner.

--- a/tests/cover/test_evacuation.py
+++ b/tests/cover/test_evacuation.py
@@ -24,6 +24,7 @@
     StoreUnavailable,
 )
 from greengagewood.platform.manifest import ManifestSource
+from tests.common import drive
 from tests.common.desk import CellHarness, start_orders
 from tests.common.drive import (
     CellSimulation,
@@ -654,6 +655,33 @@
 
         assert run_simulation(CellSimulation(9), script).platform.violations == []
 
+    @pytest.mark.parametrize("failing_share", [0.0, 0.5])
+    def test_orders_reach_the_owner_through_the_operators_log(
+        self, failing_share: float, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        topic = OperatorTopic(failing_share=failing_share)
+        monkeypatch.setattr(drive, "SimConfigSource", lambda platform, name: ManifestSource(topic))  # type: ignore[arg-type]
+
+        async def script(sim: CellSimulation) -> None:
+            for version in range(2, 8):
+                topic.add_manifest(version, CONFIG_BYTES)
+                topic.append(f"evacuate/z{version % 3}", b"x" if version > 3 else b"")
+            topic.append("evacuate/z0")  # z1 and z2 stay
+            sim.platform.evacuate("z1", "z2")
+            jobs = _ids(12)
+            for job in jobs:
+                await sim.submit(job, "fast", short_job())
+                await asyncio.sleep(1)
+                if job == jobs[5]:
+                    await sim.kill_instance(sim.owner() or "n0")
+            assert await sim.wait_until_ended(set(jobs), SETTLE_S) == set()
+            assert {i.evacuations.domains for i in sim.instances.values() if i.evacuations} == {
+                frozenset(("z1", "z2"))
+            }
+
+        topic.add_manifest(1)
+        assert run_simulation(CellSimulation(10), script).platform.violations == []
+
     @pytest.mark.parametrize("seed", range(6))
     def test_random_orders_beside_random_faults(self, seed: int) -> None:
         async def script(sim: CellSimulation) -> None:
