Keep submissions encoded in the ledger, and ended jobs without details

Every instance keeps all jobs until they are deleted, also those that have ended, with decoded submissions and the progress of each task. Only an owner needs them, and of an ended job nobody needs more than its state. Submissions are now kept as they were read, and decoded when a term of ownership starts.

--- a/src/greengagewood/internal/cells/ledger.py
+++ b/src/greengagewood/internal/cells/ledger.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import sys
 from dataclasses import dataclass
 
 from greengagewood.internal.clock import monotonic_ms
@@ -20,6 +21,7 @@
     RegisteredWorkers,
     Submission,
     decode_record,
+    encode_record,
 )
 from greengagewood.internal.ports import LogEntry
 
@@ -28,13 +30,28 @@
 
 @dataclass(slots=True)
 class StoredJob:
-    """Stored records of one job."""
+    """Stored records of one job.
 
-    submission: Submission | None = None
+    A submission takes six times the memory once it is decoded. Every instance keeps all jobs, also
+    those that have ended, but only an owner needs their submissions, so they are kept encoded.
+    """
+
+    queue: str | None = None  # None until the submission was read
+    encoded_submission: bytes = b""
     submission_offset: int = -1  # in the cell's log
-    progress: Progress | None = None
+    progress: Progress | None = None  # without details once the job has ended
     cancelled: bool = False
 
+    @property
+    def is_submitted(self) -> bool:
+        """Return whether the submission of the job was read."""
+        return self.queue is not None
+
+    def decode_submission(self) -> Submission | None:
+        """Return the submission of the job, or None if it was not read."""
+        record = decode_record(self.encoded_submission) if self.is_submitted else None
+        return record if isinstance(record, Submission) else None
+
     @property
     def state(self) -> str:
         """Return the state of the job: queued, running, completed, failed or cancelled."""
@@ -76,21 +93,22 @@
         except RecordError:
             self.unreadable_count += 1
             return None
-        self.apply_stored(record, entry.offset)
+        self.apply_stored(record, entry.offset, entry.value)
         return record
 
-    def apply_stored(self, record: Record, offset: int) -> None:
+    def apply_stored(self, record: Record, offset: int, encoded: bytes = b"") -> None:
         """Apply a record that is certainly stored."""
         match record:
             case Submission():
                 job = self.jobs.setdefault(record.job_id, StoredJob())
-                if job.submission is None:
-                    job.submission = record
+                if not job.is_submitted:
+                    job.queue = sys.intern(record.queue.name)
+                    job.encoded_submission = encoded or encode_record(record)
                     job.submission_offset = offset
                 self._update_queued(record.job_id, job)
             case Progress():
                 job = self.jobs.setdefault(record.job_id, StoredJob())
-                job.progress = record
+                job.progress = _without_details(record)
                 self._update_queued(record.job_id, job)
             case Cancellation():
                 job = self.jobs.setdefault(record.job_id, StoredJob())
@@ -114,9 +132,9 @@
                 self._delete(key)
 
     def _update_queued(self, job_id: str, job: StoredJob) -> None:
-        if job.submission is None:
+        if job.queue is None:
             return
-        queued_jobs = self._queued_jobs.setdefault(job.submission.queue.name, set())
+        queued_jobs = self._queued_jobs.setdefault(job.queue, set())
         if job.state == "queued":
             queued_jobs.add(job_id)
         else:
@@ -127,8 +145,8 @@
         if key[:1] != "j":  # see records.key_of
             return
         job = self.jobs.pop(key[1:], None)
-        if job is not None and job.submission is not None:
-            self._queued_jobs.get(job.submission.queue.name, set()).discard(key[1:])
+        if job is not None and job.queue is not None:
+            self._queued_jobs.get(job.queue, set()).discard(key[1:])
 
     def queued_count(self, queue: str) -> int:
         """Return the number of accepted jobs of a queue of which no task was started yet."""
@@ -143,3 +161,10 @@
             and job.progress.state in FINAL_STATES
             and job.progress.ended_ms < wall_ms
         ]
+
+
+def _without_details(progress: Progress) -> Progress:
+    """Return the progress of an ended job without its tasks, which nobody needs any more."""
+    if progress.state not in FINAL_STATES:
+        return progress
+    return Progress(progress.job_id, sys.intern(progress.state), ended_ms=progress.ended_ms)
--- a/src/greengagewood/internal/cells/runner.py
+++ b/src/greengagewood/internal/cells/runner.py
@@ -128,14 +128,15 @@
         """Add the stored jobs to the cell and start the loops that run it."""
         now_ms = monotonic_ms()
         for job_id, stored in self._ledger.jobs.items():
-            if stored.submission is None:
+            submission = stored.decode_submission()
+            if submission is None:
                 continue
             offset = stored.submission_offset
             # No earlier owner has started a task of the job if it was submitted after the claim, or
             # if it is below the settled offset and has no progress record.
             unrecorded = stored.progress is None and offset < self._ledger.ownership.settled_offset
             never_started = unrecorded or offset > self._ledger.claim_offset
-            self.cell.add_job(stored.submission, stored.progress, never_started, now_ms, offset)
+            self.cell.add_job(submission, stored.progress, never_started, now_ms, offset)
             if stored.cancelled:
                 self.cell.cancel(job_id, now_ms)
         self.cell.set_registered_workers(
--- a/src/greengagewood/internal/entry/intake.py
+++ b/src/greengagewood/internal/entry/intake.py
@@ -104,7 +104,7 @@
                 _log.info("appends_recovered", after_ms=now_ms - self._failing_since_ms)
             self._failing_since_ms = None
             for number, pending in enumerate(batch):
-                self._ledger.apply_stored(pending.record, result.offset + number)
+                self._ledger.apply_stored(pending.record, result.offset + number, pending.value)
                 _resolve(pending, Outcome.DONE)
             return
         if self._failing_since_ms is None:
--- a/src/greengagewood/internal/entry/node.py
+++ b/src/greengagewood/internal/entry/node.py
@@ -148,7 +148,7 @@
 
     async def submit(self, job_id: str, queue: Queue, spec: JobSpec, timeout_ms: int) -> Outcome:
         """Store a job; a job that was submitted before is accepted without storing it again."""
-        if job_id in self.ledger.jobs and self.ledger.jobs[job_id].submission is not None:
+        if job_id in self.ledger.jobs and self.ledger.jobs[job_id].is_submitted:
             return Outcome.DONE
         record = Submission(job_id, queue, spec, wall_ms())
         return await self._writer.store_record(record, timeout_ms)
@@ -163,7 +163,7 @@
         Raise StoreUnavailable if the job is not known here and the store cannot be read.
         """
         stored_job = self.ledger.jobs.get(job_id)
-        if stored_job is None or stored_job.submission is None:
+        if stored_job is None or not stored_job.is_submitted:
             # The job may just have been stored, so only a read sent from now on shows its absence.
             await self._read_to_end(LOOKUP_TIMEOUT_S)
             stored_job = self.ledger.jobs.get(job_id)
@@ -174,7 +174,7 @@
                 _log.debug(
                     "stale_state_returned", job=job_id, age_ms=self.read_age_ms(), error=str(exc)
                 )
-        if stored_job is None or stored_job.submission is None:
+        if stored_job is None or not stored_job.is_submitted:
             return None
         return stored_job.state
 
--- a/tests/cover/test_control_cost.py
+++ b/tests/cover/test_control_cost.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import tracemalloc
 from collections import Counter
 from collections.abc import Iterator, Sequence
 from dataclasses import dataclass, field
@@ -10,18 +11,30 @@
 
 import pytest
 
+from greengagewood.internal.cells.ledger import Ledger
 from greengagewood.internal.cells.ownership import OWNER_TIMEOUT_MS
 from greengagewood.internal.clock import monotonic_ms
 from greengagewood.internal.entry.intake import MAX_READ_AGE_MS
 from greengagewood.internal.entry.readpace import ReadPlan, plan_read
+from greengagewood.internal.jobs.model import JobSpec, StepSpec
 from greengagewood.internal.jobs.records import (
     Ownership,
     Progress,
     Record,
     RegisteredWorkers,
+    Submission,
     decode_record,
+    encode_record,
+    key_of,
+)
+from greengagewood.internal.ports import (
+    LeaseReply,
+    LogEntry,
+    LogPage,
+    OrderReply,
+    Outcome,
+    WorkerInfo,
 )
-from greengagewood.internal.ports import LeaseReply, LogPage, OrderReply, Outcome, WorkerInfo
 from tests.common import plant
 from tests.common.drive import (
     QUEUES,
@@ -350,3 +363,46 @@
         plan: ReadPlan,
     ) -> None:
         assert plan_read(now_ms, last_sent_ms, last_read_ms, eager, claim_due_ms, 500) == plan
+
+
+class TestLedgerMemory:
+    """What an instance keeps of each job; it keeps thousands that have ended."""
+
+    JOB_COUNT = 2_000
+    MAX_BYTES_PER_JOB = 1_000  # 2,100 if submissions are kept decoded
+
+    @staticmethod
+    def _entries(number: int) -> list[LogEntry]:
+        job = f"{number:016x}"
+        step = StepSpec(20, cpu_millis=3_500, memory_mb=7_000, estimate_ms=1_900, image="layout")
+        submission = Submission(job, QUEUES["wide"], JobSpec("p" * 20, (step, step)), 0)
+        done = ((0, 0, b"\xff\xff\x0f"), (0, 1, b"\xff\xff\x0f"))
+        progress = Progress(job, "completed", done, (), 1_700_000_000_000)
+        records: list[Record] = [submission, progress]
+        return [
+            LogEntry(2 * number + index, key_of(record), encode_record(record))
+            for index, record in enumerate(records)
+        ]
+
+    def test_an_ended_job_takes_little_memory(self) -> None:
+        ledger = Ledger()
+        tracemalloc.start()
+        try:
+            before, _ = tracemalloc.get_traced_memory()
+            for number in range(self.JOB_COUNT):
+                for entry in self._entries(number):
+                    ledger.apply(entry)
+            after, _ = tracemalloc.get_traced_memory()
+        finally:
+            tracemalloc.stop()
+        assert after - before <= self.MAX_BYTES_PER_JOB * self.JOB_COUNT
+
+    def test_the_submission_of_a_job_is_kept_whole(self) -> None:
+        ledger = Ledger()
+        submission, progress = self._entries(7)
+        record = ledger.apply(submission)
+        ledger.apply(progress)
+        (job,) = ledger.jobs.values()
+        assert job.decode_submission() == record
+        assert job.state == "completed" and job.progress is not None
+        assert job.progress.ended_ms == 1_700_000_000_000
