Load the library for flags only if there are flags

The platform starts ggw-entry without flags, and absl, which parses them, takes 2 MB in each instance. What all processes share apart from flags moves from internal/daemon.py to internal/process.py.

--- a/src/greengagewood/internal/cells/runner.py
+++ b/src/greengagewood/internal/cells/runner.py
@@ -26,7 +26,6 @@
 from greengagewood.internal.cells.ownership import HEARTBEAT_INTERVAL_MS
 from greengagewood.internal.cells.window import StartWindow
 from greengagewood.internal.clock import monotonic_ms, wall_ms
-from greengagewood.internal.daemon import raise_location, supervised_loop
 from greengagewood.internal.jobs.records import (
     Cancellation,
     Ownership,
@@ -51,6 +50,7 @@
     WorkerUnreachable,
     WrongBoot,
 )
+from greengagewood.internal.process import raise_location, supervised_loop
 
 __all__ = ["CellRunner", "Ports"]
 
--- a/src/greengagewood/internal/daemon.py
+++ b/src/greengagewood/internal/daemon.py
@@ -6,8 +6,8 @@
 import signal
 import sys
 import time
-from collections.abc import Awaitable, Callable
-from typing import Any, NoReturn, Protocol, TypeVar
+from collections.abc import Callable
+from typing import Any, Protocol, TypeVar
 
 import msgspec
 import uvloop
@@ -17,6 +17,7 @@
 
 from greengagewood.internal.logs import Log, set_up_logs
 from greengagewood.internal.metrics import Metrics
+from greengagewood.internal.process import exit_with_usage_error
 from greengagewood.internal.settings import Address
 from greengagewood.internal.yamlfile import load_yaml
 
@@ -25,12 +26,9 @@
     "Daemon",
     "define_help_flag",
     "parse_flags",
-    "raise_location",
     "run_daemon",
-    "supervised_loop",
 ]
 
-EXIT_USAGE = 2
 EXAMPLE_FLAGS = "--settings=/etc/greengagewood/settings.yaml"
 MAX_HEADER_FIELD_BYTES = 16 * 1024
 
@@ -65,12 +63,6 @@
         """Return the process's state for operators, to be encoded as JSON."""
 
 
-def exit_with_usage_error(message: str) -> NoReturn:
-    """Print one line to standard error and exit with the status of a usage error."""
-    print(message, file=sys.stderr)
-    sys.exit(EXIT_USAGE)
-
-
 def parse_flags(program: str, define_flags: Callable[[flags.FlagValues], None]) -> flags.FlagValues:
     """Parse the command line; exit with 0 after --help, and with 2 and one line on an error."""
     values = flags.FlagValues()
@@ -185,31 +177,3 @@
         exit_with_usage_error(
             f"{program}: {exc}; free the address or change it in {values.settings}"
         )
-
-
-def supervised_loop(
-    name: str, step: Callable[[], Awaitable[None]], metrics: Metrics, pause_s: float
-) -> Callable[[], Awaitable[None]]:
-    """Return a loop that repeats a step forever.
-
-    An exception of the step is counted and logged, and the step is tried again after `pause_s`.
-    """
-
-    async def loop() -> None:
-        while True:
-            try:
-                await step()
-            except Exception as exc:  # one bad record or message must not stop the process
-                metrics.count("task_failures", task=name, kind=type(exc).__name__)
-                _log.warning("task_failed", task=name, error=repr(exc), where=raise_location(exc))
-                await asyncio.sleep(pause_s)
-
-    return loop
-
-
-def raise_location(exc: BaseException) -> str:
-    """Return the file and line at which an exception was raised."""
-    traceback = exc.__traceback__
-    while traceback is not None and traceback.tb_next is not None:
-        traceback = traceback.tb_next
-    return f"{traceback.tb_frame.f_code.co_filename}:{traceback.tb_lineno}" if traceback else ""
--- a/src/greengagewood/internal/entry/node.py
+++ b/src/greengagewood/internal/entry/node.py
@@ -17,7 +17,6 @@
 from greengagewood.internal.cells.ownership import OwnershipView
 from greengagewood.internal.cells.runner import CellRunner, Ports
 from greengagewood.internal.clock import monotonic_ms, wall_ms
-from greengagewood.internal.daemon import supervised_loop
 from greengagewood.internal.entry.intake import MAX_READ_AGE_MS, BatchWriter
 from greengagewood.internal.entry.readpace import (
     EAGER_AFTER_MS,
@@ -46,6 +45,7 @@
     RouteRule,
     StoreUnavailable,
 )
+from greengagewood.internal.process import supervised_loop
 
 __all__ = ["ConfigSource", "EntryInstance"]
 
--- a/src/greengagewood/internal/gateway.py
+++ b/src/greengagewood/internal/gateway.py
@@ -19,7 +19,6 @@
 from greengagewood.internal.clock import monotonic_ms
 from greengagewood.internal.confighistory import AcceptedConfig
 from greengagewood.internal.connections import ConnectionGuard
-from greengagewood.internal.daemon import supervised_loop
 from greengagewood.internal.dispatch import Dispatcher, OpenAnswer
 from greengagewood.internal.document import Document, Service
 from greengagewood.internal.feed import Feed, ReplayedRecord
@@ -39,6 +38,7 @@
     BackendResponse,
     OutgoingRequest,
 )
+from greengagewood.internal.process import supervised_loop
 from greengagewood.internal.records import JobSubmitted, StreamNames
 from greengagewood.internal.settings import GatewaySettings
 from greengagewood.internal.verdict import Reason, Refusal, Verdict, not_run
--- a/src/greengagewood/internal/keeper.py
+++ b/src/greengagewood/internal/keeper.py
@@ -17,7 +17,6 @@
 from greengagewood.internal.clock import monotonic_ms, wall_ms
 from greengagewood.internal.committer import Committer
 from greengagewood.internal.confighistory import ConfigHistory
-from greengagewood.internal.daemon import supervised_loop
 from greengagewood.internal.heartbeats import Heartbeats
 from greengagewood.internal.keyclaims import KeyClaims
 from greengagewood.internal.link import LinkTimeout, Listener
@@ -52,6 +51,7 @@
     NewRecord,
     StreamBatch,
 )
+from greengagewood.internal.process import supervised_loop
 from greengagewood.internal.records import (
     CellClaimed,
     CellSnapshot,
--- a/src/greengagewood/internal/programs/standin.py
+++ b/src/greengagewood/internal/programs/standin.py
@@ -6,7 +6,8 @@
 from absl import flags
 from result import Err
 
-from greengagewood.internal.daemon import exit_with_usage_error, parse_flags
+from greengagewood.internal.daemon import parse_flags
+from greengagewood.internal.process import exit_with_usage_error
 from greengagewood.internal.standin.platform import StandinPlatform
 from greengagewood.internal.standin.settings import StandinSettings
 from greengagewood.internal.yamlfile import load_yaml
--- a/src/greengagewood/internal/scheduler.py
+++ b/src/greengagewood/internal/scheduler.py
@@ -16,7 +16,6 @@
 
 from greengagewood.internal.clock import monotonic_ms, wall_ms
 from greengagewood.internal.confighistory import AcceptedConfig
-from greengagewood.internal.daemon import supervised_loop
 from greengagewood.internal.document import Cell
 from greengagewood.internal.feed import ClusterStatus, Feed, ReplayedRecord
 from greengagewood.internal.interference import LatencySample
@@ -39,6 +38,7 @@
 from greengagewood.internal.native.workers import WorkerClient, WorkerUnreachable
 from greengagewood.internal.owner import Append, CellOwner, ClusterView, Command, Send
 from greengagewood.internal.placement import Resources
+from greengagewood.internal.process import supervised_loop
 from greengagewood.internal.ranking import rendezvous_rank
 from greengagewood.internal.records import (
     CellClaimed,
--- a/src/greengagewood/platform/program.py
+++ b/src/greengagewood/platform/program.py
@@ -5,20 +5,20 @@
 import asyncio
 import os
 import signal
+import sys
 from collections.abc import Awaitable, Callable
 
 import uvloop
-from absl import flags
 from aiohttp import web
 from result import Err
 
 from greengagewood.internal.cells.runner import Ports
 from greengagewood.internal.connections import ConnectionGuard
-from greengagewood.internal.daemon import exit_with_usage_error, parse_flags
 from greengagewood.internal.entry import EntryInstance, EntrySettings
 from greengagewood.internal.httplistener import HttpListener
 from greengagewood.internal.logs import Log, set_up_logs
 from greengagewood.internal.metrics import Metrics
+from greengagewood.internal.process import exit_with_usage_error
 from greengagewood.internal.yamlfile import load_yaml
 from greengagewood.platform.advice import HttpAdvice
 from greengagewood.platform.directory import StoreDirectory
@@ -116,14 +116,22 @@
     return handle
 
 
-def main() -> None:
-    """Run an entry instance."""
+def _path_in_flags() -> str:
+    """Return the path of the settings file that the command line names, or an empty string."""
+    # The platform starts instances without flags, and the library for them takes 2 MB of memory.
+    from absl import flags
+
+    from greengagewood.internal.daemon import parse_flags
 
     def define(values: flags.FlagValues) -> None:
-        flags.DEFINE_string("settings", None, "YAML settings file", flag_values=values)
+        flags.DEFINE_string("settings", "", "YAML settings file", flag_values=values)
+
+    return str(parse_flags(PROGRAM, define).settings or "")
 
-    values = parse_flags(PROGRAM, define)
-    path = values.settings or os.environ.get(SETTINGS_VARIABLE)
+
+def main() -> None:
+    """Run an entry instance."""
+    path = (_path_in_flags() if len(sys.argv) > 1 else "") or os.environ.get(SETTINGS_VARIABLE)
     if not path:
         exit_with_usage_error(f"{PROGRAM}: --settings is missing; name the YAML settings file")
     loaded = load_yaml(path, EntrySettings)
--- a/tests/cover/test_control_cost.py
+++ b/tests/cover/test_control_cost.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import subprocess
+import sys
 import tracemalloc
 from collections import Counter
 from collections.abc import Iterator, Sequence
@@ -406,3 +408,19 @@
         assert job.decode_submission() == record
         assert job.state == "completed" and job.progress is not None
         assert job.progress.ended_ms == 1_700_000_000_000
+
+
+class TestImports:
+    """What an instance loads that the platform starts without flags."""
+
+    SCRIPT = """
+import sys
+import greengagewood.platform.program
+print(sorted({"absl", "reactivex", "zmq"} & set(sys.modules)))
+"""
+
+    def test_unused_libraries_are_not_loaded(self) -> None:
+        """Guards against 2 MB of absl, which parses flags, in each instance."""
+        command = [sys.executable, "-c", self.SCRIPT]
+        output = subprocess.run(command, capture_output=True, text=True, check=True).stdout
+        assert output == "[]\n"
