Free the cell of an owner that was replaced

The jobs, tasks and runs of a cell refer to each other, so an instance that was replaced kept its cell until the next collection of its oldest generation, which comes seldom in a process that allocates little. The instance now collects once the term has ended.

--- a/src/greengagewood/internal/entry/node.py
+++ b/src/greengagewood/internal/entry/node.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import gc
 import random
 from collections.abc import Awaitable, Callable
 from typing import Protocol
@@ -310,6 +311,10 @@
         runner = self._runner
         if runner is not None and not self._is_current_term(runner):
             await self._end_term("replaced")
+            runner = None
+            await asyncio.sleep(0)  # runs callbacks of the cancelled tasks that refer to the cell
+            if not self._ownership.owning:
+                gc.collect()  # the jobs and tasks of the cell refer to each other
         # While an instance stops, its term may still be the current one, but has no runner.
         if self._ownership.owning and self._runner is None and not self._ownership.shutting_down:
             self._start_term()
--- a/tests/cover/test_control_cost.py
+++ b/tests/cover/test_control_cost.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+import gc
 import subprocess
 import sys
 import tracemalloc
+import weakref
 from collections import Counter
 from collections.abc import Iterator, Sequence
 from dataclasses import dataclass, field
@@ -410,6 +412,32 @@
         assert job.progress.ended_ms == 1_700_000_000_000
 
 
+class TestFormerOwners:
+    """What is left in an instance that owned the cell."""
+
+    def test_the_cell_is_freed_at_the_end_of_its_term(self) -> None:
+        async def script(sim: CellSimulation) -> None:
+            await _submit_steadily(sim, 4, 3)
+            first = sim.owner()
+            assert first is not None
+            runner = sim.instances[first]._runner
+            assert runner is not None
+            cell = weakref.ref(runner.cell)
+            del runner
+            sim.platform.faults.store_silent_to.add(first)
+            await asyncio.sleep(4)
+            sim.platform.faults.store_silent_to.clear()
+            await asyncio.sleep(3)
+            assert sim.owner() not in (None, first)
+            assert cell() is None
+
+        gc.disable()  # a collection of its own may come minutes later
+        try:
+            run_simulation(CellSimulation(1), script)
+        finally:
+            gc.enable()
+
+
 class TestImports:
     """What an instance loads that the platform starts without flags."""
 
