Evacuate a failure domain on the native path, by an order in the configuration stream

Cause: operators could not keep new work away from a failure domain that is about to lose power. The document has no key for it, and publishing takes a trial and a promotion.

Change: `ggwctl evacuate DOMAIN` and `ggwctl take-back DOMAIN` append a record of their own kind to the configuration stream; the newest record of a domain, by its offset, counts. `ggwctl evacuations` lists the orders in force, and `ggwctl status` shows which ones each instance obeys. Owners of cells in an evacuated domain place nothing, send no start again that was not confirmed, and go on with running tasks. They place nothing either while orders may be missing. Gateways choose no backend server of an evacuated domain and refuse with `evacuated`, `not_run` and Retry-After if a service has no other. New jobs go to cells of other domains.

--- a/src/greengagewood/internal/ctl/admin.py
+++ b/src/greengagewood/internal/ctl/admin.py
@@ -49,17 +49,19 @@
     offset: int,
     started_ms: int,
     timeout_s: float,
+    field: str = "in_force_offset",
 ) -> RolloutStatus:
     """Wait until every process of every instance has this offset, or a newer one, in force.
 
-    Give up after `timeout_s`, counted from `started_ms`.
+    `field` is the field of the status that has the offset. Give up after `timeout_s`, counted from
+    `started_ms`.
     """
     missing = {str(address): address for address in addresses}
     slowest = ""
     while True:
         statuses = await asyncio.gather(*(read_status(session, a) for a in missing.values()))
         for name, status in zip(list(missing), statuses, strict=True):
-            if status is not None and status["in_force_offset"] >= offset:
+            if status is not None and status.get(field, 0) >= offset:
                 slowest = f"{status['instance']} ({name})"
                 del missing[name]
         seconds = (monotonic_ms() - started_ms) / 1000
--- a/src/greengagewood/internal/ctl/main.py
+++ b/src/greengagewood/internal/ctl/main.py
@@ -1,4 +1,4 @@
-"""ggwctl: publish configuration documents, show their state, and trace jobs through log files."""
+"""ggwctl: publish configuration documents, evacuate failure domains, show the state, trace jobs."""
 
 from __future__ import annotations
 
@@ -28,6 +28,7 @@
     LogService,
     LogUnavailable,
 )
+from greengagewood.internal.records import EvacuationOrder
 from greengagewood.internal.settings import ControlSettings
 from greengagewood.internal.yamlfile import load_yaml
 
@@ -88,6 +89,23 @@
         "show the instances, cells and the versions in force",
         "ggwctl status --output=json",
     ),
+    "evacuate": Command(
+        "DOMAIN",
+        1,
+        1,
+        "start nothing more in a failure domain until it is taken back",
+        "ggwctl evacuate pd-verona --wait",
+    ),
+    "take-back": Command(
+        "DOMAIN",
+        1,
+        1,
+        "end the evacuation of a failure domain",
+        "ggwctl take-back pd-verona --wait",
+    ),
+    "evacuations": Command(
+        "", 0, 0, "list the failure domains that are evacuated", "ggwctl evacuations --output=json"
+    ),
     "trace": Command(
         "JOB FILE...",
         2,
@@ -234,6 +252,10 @@
     return EXIT_OK if rollout.everywhere else EXIT_FAILED
 
 
+def _format_time(at_ms: int) -> str:
+    return time.strftime("%Y-%m-%d %H:%M:%S", time.gmtime(at_ms / 1000))
+
+
 async def _history(ctx: CommandContext, args: list[str]) -> int:
     history, entries = await ctx.publisher.history(ctx.stage)
     rows = [
@@ -241,7 +263,7 @@
             str(entry.offset),
             entry.digest[:12],
             entry.operator,
-            time.strftime("%Y-%m-%d %H:%M:%S", time.gmtime(entry.at_ms / 1000)),
+            _format_time(entry.at_ms),
             entry.outcome + (" (in force)" if entry.offset == history.accepted_offset else ""),
         ]
         for entry in entries
@@ -251,13 +273,106 @@
     return EXIT_OK
 
 
+async def _evacuate(ctx: CommandContext, args: list[str]) -> int:
+    return await _order(ctx, args[0], True)
+
+
+async def _take_back(ctx: CommandContext, args: list[str]) -> int:
+    return await _order(ctx, args[0], False)
+
+
+async def _order(ctx: CommandContext, domain: str, in_force: bool) -> int:
+    """Append an order unless the newest one says the same already."""
+    started_ms = monotonic_ms()
+    state = await ctx.publisher.read(ctx.stage)
+    accepted = state.history.accepted
+    known_domains = set(accepted.document.failure_domains) if accepted else set()
+    if not in_force:
+        known_domains |= state.orders.domains()
+    if not known_domains:
+        _print_error(f"no document is in force in {ctx.stage}; publish one first")
+        return EXIT_FAILED
+    if domain not in known_domains:
+        _print_error(f"{domain!r} is not a failure domain; use one of {sorted(known_domains)}")
+        return EXIT_USAGE
+    order = state.orders.newest(domain)
+    is_in_force = order is not None and order.in_force
+    if not state.orders.known or is_in_force != in_force:
+        operator = getpass.getuser()
+        order = await ctx.publisher.order(ctx.stage, domain, in_force, operator, ctx.timeout_s)
+    if order is None:
+        ctx.print_result(_describe_order(ctx.stage, domain, None), f"{domain} is not evacuated")
+        return EXIT_OK
+    if order.in_force != in_force:
+        _print_error(
+            f"operator {order.operator!r} has {'evacuated' if order.in_force else 'taken back'} "
+            f"{domain} at offset {order.offset}; check `ggwctl evacuations` and try again"
+        )
+        return EXIT_CONFLICT
+    result = _describe_order(ctx.stage, domain, order)
+    text = f"{domain} is {'' if in_force else 'not '}evacuated, by {order.operator}'s order"
+    if not ctx.wait:
+        ctx.print_result(result, f"{text} at offset {order.offset}")
+        return EXIT_OK
+    admins = ctx.cfg.trial_admins if ctx.stage == "trial" else ctx.cfg.admins
+    rollout = await wait_for_rollout(
+        ctx.session,
+        admins,
+        order.offset,
+        started_ms,
+        ctx.timeout_s,
+        "evacuations_in_force_offset",
+    )
+    ctx.print_result(
+        {
+            **result,
+            "in_force_everywhere": rollout.everywhere,
+            "seconds": rollout.seconds,
+            "slowest": rollout.slowest,
+            "missing": rollout.missing,
+        },
+        f"{text}, obeyed by {len(admins) - len(rollout.missing)} of {len(admins)} instances after "
+        f"{rollout.seconds:.2f} s, slowest {rollout.slowest or '-'}"
+        + "".join(f"\n  not yet: {name}" for name in rollout.missing),
+    )
+    return EXIT_OK if rollout.everywhere else EXIT_FAILED
+
+
+def _describe_order(stage: str, domain: str, order: EvacuationOrder | None) -> dict[str, Any]:
+    return {
+        "stage": stage,
+        "domain": domain,
+        "evacuated": order is not None and order.in_force,
+        "offset": order.offset if order else 0,
+        "operator": order.operator if order else "",
+        "at_ms": order.at_ms if order else 0,
+    }
+
+
+async def _evacuations(ctx: CommandContext, args: list[str]) -> int:
+    state = await ctx.publisher.read(ctx.stage)
+    orders = [order for order in state.orders.all_newest() if order.in_force]
+    if not state.orders.known:
+        _print_error("the log has dropped older orders, and no snapshot of them was found yet")
+    rows = [
+        [order.domain, order.operator, _format_time(order.at_ms), str(order.offset)]
+        for order in orders
+    ]
+    header = ["DOMAIN", "OPERATOR", "SINCE (UTC)", "OFFSET"]
+    ctx.print_result(
+        [_describe_order(ctx.stage, order.domain, order) for order in orders],
+        format_table(header, rows),
+    )
+    return EXIT_OK if state.orders.known else EXIT_FAILED
+
+
 async def _status(ctx: CommandContext, args: list[str]) -> int:
     admins = ctx.cfg.trial_admins if ctx.stage == "trial" else ctx.cfg.admins
     statuses = await asyncio.gather(*(read_status(ctx.session, a) for a in admins))
     rows = []
     for address, status in zip(admins, statuses, strict=True):
         if status is None:
-            rows.append(["?", str(address), "-", "-", "out of reach"])
+            rows.append(["?", str(address), "-", "-", "-", "out of reach"])
             continue
         # Members, cells and configurations are encoded as arrays, so fields are read by position.
         own_entry = next(m for m in status["members"] if m["member"][1] == status["instance"])
@@ -267,8 +382,12 @@
         condition = (
             "log ok" if 0 <= log_read_age_ms < 3000 else f"log not read for {log_read_age_ms} ms"
         )
-        rows.append([status["instance"], str(address), config, cells, condition])
-    header = ["INSTANCE", "ADMIN", "CONFIG", "CELLS", "CONDITION"]
+        evacuations = status.get("evacuations", {"known": False, "domains": []})
+        evacuated = ", ".join(evacuations["domains"]) or "-"
+        if not evacuations["known"]:
+            condition += ", evacuations not known"
+        rows.append([status["instance"], str(address), config, cells, evacuated, condition])
+    header = ["INSTANCE", "ADMIN", "CONFIG", "CELLS", "EVACUATED", "CONDITION"]
     ctx.print_result(statuses, format_table(header, rows))
     return EXIT_OK if any(statuses) else EXIT_UNREACHABLE
 
@@ -278,6 +397,9 @@
     "promote": _promote,
     "history": _history,
     "status": _status,
+    "evacuate": _evacuate,
+    "take-back": _take_back,
+    "evacuations": _evacuations,
 }
 
 
--- a/src/greengagewood/internal/dispatch.py
+++ b/src/greengagewood/internal/dispatch.py
@@ -9,7 +9,7 @@
 
 import math
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from dataclasses import dataclass
 
 from greengagewood.internal.clock import monotonic_ms
@@ -32,6 +32,7 @@
 SLOT_OVERCOMMIT_FACTOR = 2.0
 MIN_IN_FLIGHT = 2
 BUSY_RETRY_AFTER_MS = 200
+EVACUATED_RETRY_AFTER_MS = 5000  # a withdrawal is in force on every instance after this time
 MAX_ATTEMPTS = 4
 
 _log = Log("dispatch")
@@ -91,9 +92,11 @@
         self.limiter.max_queued = service.limits.queue
         self.retry_budget.fraction = service.limits.retry_budget
 
-    def set_backends(self, entries: list[BackendEntry], gateways: int) -> None:
+    def set_backends(
+        self, entries: list[BackendEntry], gateways: int, evacuated_domains: Collection[str] = ()
+    ) -> None:
         """Set the service's backend servers and the number of gateways that share them."""
-        self.table.update(entries)
+        self.table.update(entries, evacuated_domains)
         slot_share = SLOT_OVERCOMMIT_FACTOR * self.service.slots / max(1, gateways)
         max_share = self.service.connections // max(1, gateways)
         self.table.in_flight_cap = max(MIN_IN_FLIGHT, min(int(slot_share), max_share))
@@ -101,6 +104,8 @@
     async def send(self, req: OutgoingRequest, deadline_ms: int) -> OpenAnswer | Refusal:
         """Send a request; on success, the caller must call `close` of the answer."""
         started_ms = monotonic_ms()
+        if self.table.all_evacuated():
+            return _evacuated()
         self.retry_budget.record_request()
         if not await self.limiter.acquire((deadline_ms - started_ms) / 1000):
             return not_run(Reason.OVERLOADED, "too many requests wait", 503, BUSY_RETRY_AFTER_MS)
@@ -133,6 +138,8 @@
                 break
             backend = self.table.choose(now_ms, failed_urls)
             if backend is None:
+                if not attempt and self.table.all_evacuated():
+                    refusal = _evacuated()
                 break
             if attempt:
                 if not self.retry_budget.try_take(now_ms):
@@ -191,6 +198,11 @@
             _log.info("backend server ejected", service=self.name, backend=backend.url)
 
 
+def _evacuated() -> Refusal:
+    detail = "every failure domain with backend servers of this service is being evacuated"
+    return not_run(Reason.EVACUATED, detail, 503, EVACUATED_RETRY_AFTER_MS)
+
+
 def _refusal_of(exc: AttemptFailed) -> Refusal:
     if exc.verdict is Verdict.NOT_RUN:
         return not_run(exc.reason, exc.detail, 503, BUSY_RETRY_AFTER_MS)
--- a/src/greengagewood/internal/feed.py
+++ b/src/greengagewood/internal/feed.py
@@ -12,11 +12,13 @@
 from greengagewood.internal.clock import monotonic_ms
 from greengagewood.internal.confighistory import AcceptedConfig
 from greengagewood.internal.document import parse_document
+from greengagewood.internal.evacuationorders import EvacuationOrders
 from greengagewood.internal.link import Link, LinkTimeout
 from greengagewood.internal.messages import (
     BackendEntry,
     CellLoad,
     ConfigCopy,
+    EvacuationsCopy,
     Member,
     SyncReply,
     SyncRequest,
@@ -25,7 +27,7 @@
 from greengagewood.internal.metrics import Metrics
 from greengagewood.internal.records import AnyRecord, decode_record
 
-__all__ = ["ClusterStatus", "Feed"]
+__all__ = ["ClusterStatus", "EvacuationState", "Feed"]
 
 SYNC_WAIT_MS = 800  # the longest time for which the keeper holds a request without news
 SYNC_TIMEOUT_S = 2.0
@@ -49,6 +51,19 @@
     log_writable: bool = False
 
 
+@dataclass(frozen=True)
+class EvacuationState:
+    """Hold the failure domains to evacuate.
+
+    `known` says whether the keeper knows all orders that are in the log, and `offset` is that of
+    the newest one.
+    """
+
+    known: bool = False
+    domains: frozenset[str] = frozenset()
+    offset: int = 0
+
+
 @dataclass(frozen=True)
 class ReplayedRecord:
     """Hold one record that was read from a stream."""
@@ -77,8 +92,11 @@
         self._owned_cells = owned_cells
         self._members_version = 0
         self._instance_list_version = 0
+        self._evacuations_version = 0
+        self._evacuation_orders = EvacuationOrders()
         self._cursors: dict[str, int] = {}
         self.config: BehaviorSubject[AcceptedConfig | None] = BehaviorSubject(None)
+        self.evacuations: BehaviorSubject[EvacuationState] = BehaviorSubject(EvacuationState())
         self.cluster_status: BehaviorSubject[ClusterStatus] = BehaviorSubject(ClusterStatus())
         self.records: Subject[ReplayedRecord] = Subject()
         self.gaps: Subject[str] = Subject()
@@ -101,6 +119,8 @@
             cursors=dict(self._cursors),
             wait_ms=SYNC_WAIT_MS,
             owned_cells=self._owned_cells() if self._owned_cells else None,
+            evacuations_version=self._evacuations_version,
+            evacuations_offset=self._evacuation_orders.newest_offset,
         )
         try:
             reply = await self._link.request(req, SYNC_TIMEOUT_S)
@@ -113,6 +133,9 @@
             await asyncio.sleep(0.2)
 
     def _publish(self, reply: SyncReply, sent_ms: int, requested_streams: frozenset[str]) -> None:
+        if reply.evacuations is not None:
+            self._publish_evacuations(reply.evacuations)
+            self._evacuations_version = reply.evacuations_version
         if reply.config is not None:
             self._publish_config(reply.config)
         if reply.workers is not None:
@@ -152,6 +175,14 @@
             log_writable=reply.log_writable,
         )
 
+    def _publish_evacuations(self, copy: EvacuationsCopy) -> None:
+        """Publish the orders; a keeper that was replaced may not know the newest ones yet."""
+        orders = self._evacuation_orders
+        orders.merge(copy.orders)
+        state = EvacuationState(copy.known, orders.domains(), orders.newest_offset)
+        if state != self.evacuations.value:
+            self.evacuations.on_next(state)
+
     def _publish_config(self, config: ConfigCopy) -> None:
         published = self.config.value
         if published is not None and config.offset <= published.offset:
--- a/src/greengagewood/internal/gateway.py
+++ b/src/greengagewood/internal/gateway.py
@@ -110,6 +110,7 @@
         )
         self._feed.config.subscribe(self._apply_config)
         self._feed.backends.subscribe(lambda _: self._update_backends())
+        self._feed.evacuations.subscribe(lambda _: self._update_backends())
         self._feed.records.subscribe(self._apply_record)
         self._listener = Listener(
             name, cfg.peer, cfg.keys, self._keyed_requests.handle, self._metrics
@@ -239,9 +240,12 @@
 
     def _update_backends(self) -> None:
         gateways = sum(1 for member in self._live_members() if member.gateway_address)
+        evacuated_domains = self._feed.evacuations.value.domains
         for name, dispatcher in self._dispatchers.items():
             entries = [b for b in self._feed.backends.value if b.service == name]
-            dispatcher.set_backends(entries, gateways)
+            dispatcher.set_backends(entries, gateways, evacuated_domains)
+            evacuated = sum(backend.evacuated for backend in dispatcher.table)
+            self._metrics.gauge("evacuated_backends", evacuated, service=name)
 
     def _live_members(self) -> list[Member]:
         if self._document is None:
--- a/src/greengagewood/internal/jobapi.py
+++ b/src/greengagewood/internal/jobapi.py
@@ -106,7 +106,8 @@
         refusal = check_job_request(spec, caller.team, document, loads)
         if refusal is not None:
             return refusal
-        cell = choose_cell(spec, document, loads, self._failure_domain)
+        evacuated_domains = self._feed.evacuations.value.domains
+        cell = choose_cell(spec, document, loads, self._failure_domain, evacuated_domains)
         job = job_name(caller.name, req.headers.get("Idempotency-Key", ""))
         record = _job_record(spec, job, caller, cell, hashlib.sha256(body).hexdigest())
         return await self._append_job(record, document.outage.batch_hold_ms)
--- a/src/greengagewood/internal/jobindex.py
+++ b/src/greengagewood/internal/jobindex.py
@@ -5,6 +5,7 @@
 import asyncio
 import hashlib
 import uuid
+from collections.abc import Collection
 from typing import Annotated
 
 import msgspec
@@ -115,24 +116,40 @@
 
 
 def choose_cell(
-    req: JobRequest, document: Document, loads: list[CellLoad], failure_domain: str
+    req: JobRequest,
+    document: Document,
+    loads: list[CellLoad],
+    failure_domain: str,
+    evacuated_domains: Collection[str] = (),
 ) -> str:
     """Return the cell with the most free processors that has a worker large enough for a task.
 
-    Processors that waiting tasks will take count as used, and cells whose owner places tasks at
-    present come first. If no cell is known to have a large enough worker, return the first cell of
-    the failure domain, or of the document if the failure domain has none.
+    Processors that waiting tasks will take count as used. Cells whose failure domain is not being
+    evacuated come first, then cells whose owner places tasks at present. If no cell is known to
+    have a large enough worker, return the first cell of the failure domain, or of the document if
+    the failure domain has none or is being evacuated.
     """
+
+    def stays(cell: str) -> bool:
+        return document.cells[cell].failure_domain not in evacuated_domains
+
     fitting = [load for load in loads if load.cell in document.cells and _fits(req, load)]
     if fitting:
         best = max(
-            fitting, key=lambda load: (load.placing, load.free_cpus - load.waiting_cpus, load.cell)
+            fitting,
+            key=lambda load: (
+                stays(load.cell),
+                load.placing,
+                load.free_cpus - load.waiting_cpus,
+                load.cell,
+            ),
         )
         return best.cell
+    staying_cells = [name for name in document.cells if stays(name)] or list(document.cells)
     local_cells = [
-        name for name, cell in document.cells.items() if cell.failure_domain == failure_domain
+        name for name in staying_cells if document.cells[name].failure_domain == failure_domain
     ]
-    return sorted(local_cells or document.cells)[0]
+    return min(local_cells or staying_cells)
 
 
 def newest_cell_loads(members: list[Member]) -> dict[str, tuple[CellLoad, Member]]:
--- a/src/greengagewood/internal/keeper.py
+++ b/src/greengagewood/internal/keeper.py
@@ -9,6 +9,7 @@
 import asyncio
 import random
 import uuid
+from collections.abc import Coroutine
 from typing import Any
 
 import aiohttp
@@ -18,6 +19,7 @@
 from greengagewood.internal.committer import Committer
 from greengagewood.internal.confighistory import ConfigHistory
 from greengagewood.internal.daemon import supervised_loop
+from greengagewood.internal.evacuationorders import EvacuationOrders
 from greengagewood.internal.heartbeats import Heartbeats
 from greengagewood.internal.keyclaims import KeyClaims
 from greengagewood.internal.link import LinkTimeout, Listener
@@ -32,8 +34,10 @@
     ClaimKey,
     ClaimReply,
     ConfigCopy,
+    EvacuationsCopy,
     Failure,
     FetchConfig,
+    FetchEvacuations,
     Heartbeat,
     Member,
     SyncReply,
@@ -57,6 +61,8 @@
     CellSnapshot,
     ConfigPublished,
     ConfigSnapshot,
+    EvacuationOrdered,
+    EvacuationsSnapshot,
     KeyClaimed,
     KeyReleased,
     StoredRecord,
@@ -84,6 +90,10 @@
 CONFIG_SNAPSHOT_CHECK_S = 1.0
 CONFIG_SNAPSHOT_TIMEOUT_MS = 5000
 CONFIG_SNAPSHOT_RETENTION_FRACTION = 0.25
+# How long to wait for a snapshot or a peer's copy of the orders to evacuate failure domains, when
+# the log has dropped its first records. A log that was written by earlier versions only has no such
+# snapshot. Peers send heartbeats every 0.5 s and answer within 2 s.
+EVACUATIONS_WAIT_MS = 10_000
 CELL_SNAPSHOT_PREFIX = b'{"type":"snapshot"'  # of an encoded CellSnapshot
 APPEND_STOP_TIMEOUT_S = 3.0
 ROLES_STOP_TIMEOUT_MS = 40_000
@@ -114,7 +124,14 @@
         self._replaced_epochs: dict[str, int] = {}  # by cell, of claims appended from here
         self._seen_snapshot_parts: dict[tuple[str, str], set[int]] = {}  # by stream and name
         self._config_read_ms = monotonic_ms()
+        self._evacuations = EvacuationOrders()
+        self._evacuations_in_force: frozenset[str] = frozenset()
+        self._evacuations_version = 0  # 0 while the orders were never read
+        self._evacuations_published: EvacuationsCopy | None = None
+        self._evacuations_snapshot_ms = monotonic_ms()
+        self._evacuations_missing_ms: int | None = None  # since when orders may be missing
         self._role_synced_ms: dict[str, int] = {}
+        self._role_evacuations_offsets: dict[str, int] = {}
         self._role_config_offsets: dict[str, int] = {}
         self._tasks: list[asyncio.Task[None]] = []
         self._random = random.Random()
@@ -125,7 +142,7 @@
             tuple(str(seed) for seed in cfg.seeds),
             self._pool,
             metrics,
-            self._fetch_newer_config,
+            self._fetch_news,
             self._signal_change,
         )
         self._membership = self._heartbeats.membership
@@ -148,6 +165,7 @@
             "list": self._read_list,
             "heartbeat": self._send_heartbeats,
             "config snapshot": self._snapshot_config,
+            "evacuations snapshot": self._snapshot_evacuations,
         }
         for name, step in steps.items():
             loop = supervised_loop(name, step, self._metrics, 0.5)
@@ -183,6 +201,11 @@
             "stage": self._cfg.stage,
             "config": self._config_version(),
             "in_force_offset": self._in_force_offset(),
+            "evacuations": {
+                "known": self._evacuations.known,
+                "domains": sorted(self._evacuations.domains()),
+            },
+            "evacuations_in_force_offset": self._evacuations_in_force_offset(),
             "log_read_age_ms": self._log_read_age_ms(now_ms),
             "log_writable": self._committer.log_writable,
             "keys_held": len(self._key_claims),
@@ -209,6 +232,8 @@
                 return self._heartbeats.handle(message)
             case FetchConfig():
                 return self._config_copy() or Failure("no configuration is in force here")
+            case FetchEvacuations():
+                return self._evacuations_copy()
             case _:
                 self._metrics.count("link_dropped", reason="unexpected_kind")
                 return Failure("unexpected kind of message")
@@ -284,6 +309,7 @@
     async def _sync(self, req: SyncRequest) -> SyncReply:
         self._role_synced_ms[req.role] = monotonic_ms()
         self._role_config_offsets[req.role] = req.config_offset
+        self._role_evacuations_offsets[req.role] = req.evacuations_offset
         if req.owned_cells is not None:
             self._owned_cells = req.owned_cells
         deadline_ms = monotonic_ms() + req.wait_ms
@@ -294,6 +320,7 @@
     def _has_changes(self, req: SyncRequest) -> bool:
         return (
             self._config_history.accepted_offset > req.config_offset
+            or self._evacuations_version not in (0, req.evacuations_version)
             or self._membership.version != req.members_version
             or self._list_version != req.list_version
             or any(
@@ -306,6 +333,7 @@
         now_ms = monotonic_ms()
         config_changed = self._config_history.accepted_offset > req.config_offset
         list_changed = self._list_version != req.list_version
+        evacuations_changed = self._evacuations_version not in (0, req.evacuations_version)
         caches = {s: self._caches[s] for s in req.cursors if s in self._caches}
         records = {
             s: c.read_from(req.cursors[s], SYNC_MAX_RECORDS, SYNC_MAX_BYTES)
@@ -327,6 +355,8 @@
             confirmed_ages_ms={
                 name: now_ms - p.confirmed_ms for name, p in peers if p.confirmed_ms is not None
             },
+            evacuations=self._evacuations_copy() if evacuations_changed else None,
+            evacuations_version=self._evacuations_version,
         )
 
     def _members_with_ages(self, now_ms: int) -> tuple[tuple[Member, int], ...]:
@@ -375,6 +405,86 @@
         new = NewRecord(uuid.uuid4().hex, msgspec.Raw(encode_record(record)))
         await self._committer.submit(self._stream_names.config, new, CONFIG_SNAPSHOT_TIMEOUT_MS)
 
+    # Evacuations of failure domains.
+
+    def _evacuations_copy(self) -> EvacuationsCopy:
+        orders = self._evacuations
+        return EvacuationsCopy(orders.known, orders.known_upto, orders.all_newest())
+
+    def _evacuations_in_force_offset(self) -> int:
+        """Return the offset of the newest order that all running processes here obey."""
+        offsets = [self._role_evacuations_offsets[role] for role in self._alive_roles()]
+        return min([self._evacuations.newest_offset, *offsets])
+
+    def _evacuations_offset(self) -> int:
+        """Return the newest order's offset, or -1 while an order may be missing here."""
+        return self._evacuations.newest_offset if self._evacuations.known else -1
+
+    def _publish_evacuations(self, source: str, read_age_ms: int) -> None:
+        """Tell the processes of this instance what has changed, and log it."""
+        copy = self._evacuations_copy()
+        published = self._evacuations_published
+        if not self._evacuations.informed or (
+            published is not None
+            and (published.known, published.orders) == (copy.known, copy.orders)
+        ):
+            return
+        self._evacuations_published = copy
+        # Counted from the time of the start, so that it differs from that of an earlier keeper.
+        self._evacuations_version = max(self._boot, self._evacuations_version + 1)
+        self._log_evacuations(source, read_age_ms)
+        self._metrics.gauge("evacuated_domains", len(self._evacuations_in_force))
+        self._heartbeats.update_self()
+        self._signal_change()
+
+    def _log_evacuations(self, source: str, read_age_ms: int) -> None:
+        before = self._evacuations_in_force
+        self._evacuations_in_force = self._evacuations.domains()
+        for order in self._evacuations.all_newest():
+            if (order.domain in before) != order.in_force:
+                event = "evacuation_in_force" if order.in_force else "evacuation_withdrawn"
+                _log.info(
+                    event,
+                    domain=order.domain,
+                    offset=order.offset,
+                    operator=order.operator,
+                    source=source,
+                    read_age_ms=read_age_ms,
+                )
+
+    async def _snapshot_evacuations(self) -> None:
+        """Append a snapshot of the orders before the log drops the last copy.
+
+        It is written even if there are no orders, so that a keeper that starts later knows that.
+        """
+        await asyncio.sleep(self._random.uniform(0.5, 1.5) * CONFIG_SNAPSHOT_CHECK_S)
+        accepted = self._config_history.accepted
+        if accepted is None or not self._evacuations.known:
+            return
+        due_ms = accepted.document.log.keeps_ms * CONFIG_SNAPSHOT_RETENTION_FRACTION
+        if monotonic_ms() - self._evacuations_snapshot_ms < due_ms:
+            return
+        orders = self._evacuations
+        record = EvacuationsSnapshot(orders.known_upto, orders.all_newest())
+        new = NewRecord(uuid.uuid4().hex, msgspec.Raw(encode_record(record)))
+        await self._committer.submit(self._stream_names.config, new, CONFIG_SNAPSHOT_TIMEOUT_MS)
+
+    def _note_config_stream_read(self, batch: StreamBatch, sent_ms: int) -> None:
+        """Update from a read of the configuration stream what is known of the orders."""
+        now_ms = monotonic_ms()
+        upto = self._cursors[self._stream_names.config] - 1
+        reached_end = upto + 1 >= batch.end_offset
+        self._evacuations.note_read(upto, reached_end)
+        if self._evacuations.known:
+            self._evacuations_missing_ms = None
+        elif reached_end:
+            self._evacuations_missing_ms = self._evacuations_missing_ms or now_ms
+            if now_ms - self._evacuations_missing_ms >= EVACUATIONS_WAIT_MS:
+                _log.warning("evacuations_assumed_complete", offset=upto)
+                self._evacuations.assume_complete()
+                self._evacuations_missing_ms = None
+        self._publish_evacuations("log", now_ms - sent_ms)
+
     # The log.
 
     async def _read_log(self) -> None:
@@ -390,6 +500,9 @@
             return
         self._committer.log_writable = True
         reached_ends = [self._apply_batch(name, batch) for name, batch in batches.items()]
+        config_batch = batches.get(self._stream_names.config)
+        if config_batch is not None:
+            self._note_config_stream_read(config_batch, sent_ms)
         if all(reached_ends) and self._caches.keys() <= batches.keys():
             self._log_confirmed_ms = sent_ms
         if any(batch.records for batch in batches.values()):
@@ -407,6 +520,7 @@
             self._cursors[stream] = batch.first_offset
             if stream == self._stream_names.config:
                 self._config_history.lose_sync()
+                self._evacuations.note_missing(batch.first_offset)
         for stored in batch.records:
             self._apply_record(stored)
         if batch.records:
@@ -440,6 +554,11 @@
                     == "accepted"
                 ):
                     self._config_changed()
+            case EvacuationOrdered():
+                self._evacuations.replay(stored.offset, record)
+            case EvacuationsSnapshot():
+                self._evacuations_snapshot_ms = monotonic_ms()
+                self._evacuations.adopt(record.orders, record.upto)
             case KeyClaimed() | KeyReleased():
                 self._key_claims.replay(record)
             case _:
@@ -485,6 +604,7 @@
             cell_claims=tuple(
                 CellClaim(cell, based_on) for cell, based_on in self._replaced_epochs.items()
             ),
+            evacuations_offset=self._evacuations_offset(),
         )
 
     async def _send_heartbeats(self) -> None:
@@ -495,17 +615,31 @@
         self._heartbeat_number += 1
         self._heartbeats.send(self._list_snapshot.entries)
 
-    def _fetch_newer_config(self, member: Member) -> None:
-        """Fetch a newer configuration from a peer, in case the log cannot be read here."""
-        if (
-            member.config.offset <= self._config_history.accepted_offset
-            or not member.keeper_address
-        ):
+    def _fetch_news(self, member: Member) -> None:
+        """Fetch what is newer at a peer, in case the log cannot be read here."""
+        if not member.keeper_address:
             return
-        task = asyncio.create_task(self._fetch_config(member.keeper_address))
+        if member.config.offset > self._config_history.accepted_offset:
+            self._start_fetch(self._fetch_config(member.keeper_address))
+        if member.evacuations_offset > self._evacuations_offset():
+            self._start_fetch(self._fetch_evacuations(member.keeper_address))
+
+    def _start_fetch(self, fetch: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(fetch)
         self._tasks.append(task)
         task.add_done_callback(self._tasks.remove)
 
+    async def _fetch_evacuations(self, address: str) -> None:
+        sent_ms = monotonic_ms()
+        try:
+            reply = await self._pool.link(address).request(FetchEvacuations(), FETCH_TIMEOUT_S)
+        except LinkTimeout:
+            return
+        if isinstance(reply, EvacuationsCopy) and reply.known:
+            self._evacuations.adopt(reply.orders, reply.upto)
+            self._evacuations.informed = True
+            self._publish_evacuations("peer", monotonic_ms() - sent_ms)
+
     async def _fetch_config(self, address: str) -> None:
         try:
             reply = await self._pool.link(address).request(FetchConfig(), FETCH_TIMEOUT_S)
--- a/src/greengagewood/internal/messages.py
+++ b/src/greengagewood/internal/messages.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from greengagewood.internal.records import StoredRecord
+from greengagewood.internal.records import EvacuationOrder, StoredRecord
 from greengagewood.internal.verdict import Refusal
 
 __all__ = ["AnyMessage"]
@@ -65,7 +65,8 @@
     """Describe one instance, as stated by its own keeper.
 
     `boot` is the wall-clock time of the keeper's start in milliseconds. An address is empty while
-    the process is not running.
+    the process is not running. `evacuations_offset` is the offset of the newest order to evacuate a
+    failure domain that the keeper knows, 0 if there is none, or -1 while it may miss one.
     """
 
     instance: str
@@ -79,6 +80,7 @@
     config: Version
     owned_cells: tuple[CellLoad, ...] = ()
     cell_claims: tuple[CellClaim, ...] = ()
+    evacuations_offset: int = -1
 
 
 class Heartbeat(_Message, frozen=True):
@@ -98,6 +100,22 @@
     """Ask a peer for its accepted configuration."""
 
 
+class FetchEvacuations(_Message, frozen=True):
+    """Ask a peer for the orders to evacuate failure domains that it knows."""
+
+
+class EvacuationsCopy(_Message, frozen=True):
+    """Carry the newest order of each failure domain.
+
+    Every order up to the offset `upto` is known to the sender; `known` says whether that includes
+    all that were in the log when the sender last read it.
+    """
+
+    known: bool
+    upto: int
+    orders: tuple[EvacuationOrder, ...]
+
+
 class AppendRequest(_Message, frozen=True):
     """Ask the keeper to append a record; answered once it is durable or has reached its timeout."""
 
@@ -160,7 +178,8 @@
     """Ask the keeper for what is newer than what the sender has.
 
     The keeper holds the request until there is something newer or `wait_ms` has passed. `cursors`
-    are the next offsets that the sender wants, by stream.
+    are the next offsets that the sender wants, by stream. `evacuations_offset` is the offset of the
+    newest order to evacuate a failure domain that the sender obeys.
     """
 
     role: str
@@ -170,6 +189,8 @@
     cursors: dict[str, int]
     wait_ms: int
     owned_cells: tuple[CellLoad, ...] | None = None
+    evacuations_version: int = 0
+    evacuations_offset: int = 0
 
 
 class SyncReply(_Message, frozen=True):
@@ -192,6 +213,8 @@
     workers: tuple[WorkerEntry, ...] | None
     backends: tuple[BackendEntry, ...] | None
     confirmed_ages_ms: dict[str, int]
+    evacuations: EvacuationsCopy | None = None
+    evacuations_version: int = 0
 
 
 class AnswerQuery(_Message, frozen=True):
@@ -276,6 +299,8 @@
     | HeartbeatAck
     | FetchConfig
     | ConfigCopy
+    | FetchEvacuations
+    | EvacuationsCopy
     | AppendRequest
     | AppendReply
     | ClaimKey
--- a/src/greengagewood/internal/owner.py
+++ b/src/greengagewood/internal/owner.py
@@ -146,6 +146,7 @@
         self.evictions = 0
         self.on_event: Callable[[str, dict[str, object]], None] = lambda event, fields: None
         self._document: Document | None = None
+        self._hold_reason = ""
         self._jobs: dict[str, LoggedJob] = {}
         self._listed_workers: dict[str, WorkerEntry] = {}
         self._reserves: dict[str, Resources] = {}
@@ -174,6 +175,19 @@
         self._document = document
         self.tail_controller.set_document(document)
 
+    def hold_placement(self, reason: str) -> None:
+        """Start nothing while `reason`, which callers see, is not empty; running tasks go on."""
+        if reason == self._hold_reason:
+            return
+        self._hold_reason = reason
+        if reason:
+            for worker in self.workers.values():
+                worker.withdraw_starts()
+        else:
+            # A task may not be evicted because an urgent job has waited for the hold to end.
+            self.placer.restart_waits()
+        self._emit("placement_held" if reason else "placement_resumed", reason=reason)
+
     def set_workers(self, entries: Iterable[WorkerEntry], reserves: dict[str, Resources]) -> None:
         """Set the cell's workers, as the instance list shows them, and their reserves."""
         self._listed_workers = {entry.worker: entry for entry in entries}
@@ -637,7 +651,10 @@
 
     def _place_tasks(self, now_ms: int) -> None:
         assert self._document is not None
-        if self.book.waiting_jobs:
+        if self._hold_reason:
+            for job in self.book.waiting_jobs:
+                job.wait_reason = self._hold_reason
+        elif self.book.waiting_jobs:
             self.placer.place(now_ms, self.book, self._document, self._start, self.evict)
 
     def _start(self, placed: Placement) -> None:
@@ -772,7 +789,7 @@
         """Return a summary of the cell, or None unless it is owned and not being released."""
         if self.state not in OWNING_STATES or self.state == "releasing":
             return None
-        placing = self.state == "placing"
+        placing = self.state == "placing" and not self._hold_reason
         return summarise_cell(self.cell, self.epoch, placing, self.book, self.workers.values())
 
     def view(self, name: str, with_results: bool) -> JobView | None:
--- a/src/greengagewood/internal/placer.py
+++ b/src/greengagewood/internal/placer.py
@@ -204,6 +204,12 @@
         """Discard cached costs after new samples of the services were recorded."""
         self._cost_cache.clear()
 
+    def restart_waits(self) -> None:
+        """Count the waits of blocked jobs from now on, and drop the reservations for them."""
+        self._reserved.clear()
+        self._blocked_since_ms.clear()
+        self._replan_at_ms = 0
+
     # Reservations and evictions.
 
     def _reserve_or_evict(
--- a/src/greengagewood/internal/records.py
+++ b/src/greengagewood/internal/records.py
@@ -15,6 +15,9 @@
     "CellSnapshot",
     "ConfigPublished",
     "ConfigSnapshot",
+    "EvacuationOrder",
+    "EvacuationOrdered",
+    "EvacuationsSnapshot",
     "JobCancelled",
     "JobSubmitted",
     "JobsAdopted",
@@ -156,6 +159,37 @@
     text: str
 
 
+class EvacuationOrdered(msgspec.Struct, frozen=True, tag="evacuation", forbid_unknown_fields=True):
+    """Order the evacuation of a failure domain, or withdraw the order.
+
+    The newest record of each failure domain counts.
+    """
+
+    domain: str
+    in_force: bool
+    operator: str
+    at_ms: int
+
+
+class EvacuationOrder(msgspec.Struct, frozen=True, array_like=True):
+    """Hold an order that was read from the log, with the offset of its record."""
+
+    domain: str
+    offset: int
+    in_force: bool
+    operator: str
+    at_ms: int
+
+
+class EvacuationsSnapshot(
+    msgspec.Struct, frozen=True, tag="evacuations-snapshot", forbid_unknown_fields=True
+):
+    """Repeat the newest order of each failure domain, as of the offset `upto`."""
+
+    upto: int
+    orders: tuple[EvacuationOrder, ...]
+
+
 AnyRecord = (
     ConfigPublished
     | JobSubmitted
@@ -169,6 +203,8 @@
     | JobsAdopted
     | CellSnapshot
     | ConfigSnapshot
+    | EvacuationOrdered
+    | EvacuationsSnapshot
 )
 
 
--- a/src/greengagewood/internal/routing.py
+++ b/src/greengagewood/internal/routing.py
@@ -9,6 +9,7 @@
 A backend server that fails several requests in a row is ejected for a time that doubles with each
 ejection, but never more than half of them at once. A leaving backend server gets no new requests
 after the first sign that it leaves: the instance list, its own answer, or a message from a peer.
+Those of failure domains that operators evacuate get none either; their requests in progress finish.
 """
 
 from __future__ import annotations
@@ -43,6 +44,7 @@
     ejections: int = 0  # since the last complete answer
     ejected_until_ms: int = 0
     leaving: bool = False
+    evacuated: bool = False  # operators evacuate its failure domain
 
     def cost(self) -> float:
         """Return the expected wait of one more request, higher in another failure domain."""
@@ -65,7 +67,9 @@
     def __iter__(self) -> Iterator[Backend]:
         return iter(self._backends.values())
 
-    def update(self, entries: Iterable[BackendEntry]) -> None:
+    def update(
+        self, entries: Iterable[BackendEntry], evacuated_domains: Collection[str] = ()
+    ) -> None:
         """Apply the instance list, which may lag: a leaving backend server stays leaving."""
         listed = {}
         for entry in entries:
@@ -75,6 +79,7 @@
                     entry.url, entry.worker, entry.failure_domain == self._failure_domain
                 )
             known.leaving = known.leaving or entry.leaving
+            known.evacuated = entry.failure_domain in evacuated_domains
             listed[entry.url] = known
         self._backends = listed
 
@@ -86,12 +91,18 @@
         backend.leaving = True
         return True
 
+    def all_evacuated(self) -> bool:
+        """Return whether evacuations alone leave no backend server that takes requests."""
+        staying = [backend for backend in self._backends.values() if not backend.leaving]
+        return bool(staying) and all(backend.evacuated for backend in staying)
+
     def choose(self, now_ms: int, excluded_urls: Collection[str] = ()) -> Backend | None:
         """Return the backend server for a request, or None if none is available."""
         available = [
             backend
             for backend in self._backends.values()
             if not backend.leaving
+            and not backend.evacuated
             and backend.in_flight < self.in_flight_cap
             and backend.url not in excluded_urls
         ]
--- a/src/greengagewood/internal/scheduler.py
+++ b/src/greengagewood/internal/scheduler.py
@@ -97,6 +97,7 @@
         self._feed.config.subscribe(self._apply_config)
         self._feed.workers.subscribe(lambda _: self._update_workers())
         self._feed.backends.subscribe(lambda _: self._update_workers())
+        self._feed.evacuations.subscribe(lambda _: self._update_holds())
         self._feed.records.subscribe(self._apply_record)
         self._feed.gaps.subscribe(self._handle_gap)
         self._listener.start()
@@ -175,6 +176,7 @@
     def _add_owner(self, cell: str) -> None:
         owner = CellOwner(cell, self._cfg.instance, self._boot_ms, wall_ms)
         owner.on_event = self._record_event
+        owner.hold_placement(self._hold_reason())
         self._owners[cell] = owner
         self._owners_by_stream[self._stream_names.cell(cell)] = owner
         for job in self._job_log.jobs.values():
@@ -189,6 +191,24 @@
         else:
             _log.info(event, **fields)
 
+    def _hold_reason(self) -> str:
+        """Return why the cells' owners may start nothing, or an empty string if they may."""
+        evacuations = self._feed.evacuations.value
+        if self._cfg.failure_domain in evacuations.domains:
+            return "evacuated"
+        return "" if evacuations.known else "evacuations_unknown"
+
+    def _update_holds(self) -> None:
+        reason = self._hold_reason()
+        for owner in self._owners.values():
+            owner.hold_placement(reason)
+
+    def _measure_evacuated_workers(self) -> None:
+        evacuated = self._cfg.failure_domain in self._feed.evacuations.value.domains
+        for name, owner in self._owners.items():
+            count = len(owner.workers) if evacuated else 0
+            self._metrics.gauge("evacuated_workers", count, cell=name)
+
     def _update_workers(self) -> None:
         accepted = self._feed.config.value
         if accepted is None:
@@ -257,6 +277,7 @@
         for owner in self._owners.values():
             for command in owner.plan(now_ms, self._cluster_view(owner, cluster_status, now_ms)):
                 self._execute(owner, command)
+        self._measure_evacuated_workers()
         await asyncio.sleep(TICK_INTERVAL_S)
 
     def _cluster_view(
--- a/src/greengagewood/internal/verdict.py
+++ b/src/greengagewood/internal/verdict.py
@@ -28,6 +28,7 @@
     NOT_READY = "not_ready"
     OVERLOADED = "overloaded"
     NO_BACKEND = "no_backend"
+    EVACUATED = "evacuated"
     BACKEND_UNREACHABLE = "backend_unreachable"
     BACKEND_REFUSED = "backend_refused"
     BACKEND_BROKE_OFF = "backend_broke_off"
--- a/src/greengagewood/internal/workerstate.py
+++ b/src/greengagewood/internal/workerstate.py
@@ -121,6 +121,10 @@
         self.assigned[key] = start
         self.to_start[key] = start
 
+    def withdraw_starts(self) -> None:
+        """Send no start again; the next reply tells which attempts run, and the others are over."""
+        self.to_start.clear()
+
     def forget_attempt(self, key: AttemptId) -> None:
         """Forget an attempt that no longer runs on the worker."""
         self.mark_changed()
