Check a document before it is published, with `ggwctl check FILE`

Cause: `validate` reported only what keepers refuse. A route that another one shadows, a class that nobody can use or limits that contradict each other were found after the document was in force.

Change: `documentcheck.examine` is the one validator of `validate`, `check` and `try`. Its errors are those of `parse_document`. What it finds beyond them are warnings, which do not keep a document from being accepted: a stricter parser would make keepers refuse a document in force after an upgrade. A document is now parsed once for the lines of all findings.

--- a/src/greengagewood/internal/ctl/main.py
+++ b/src/greengagewood/internal/ctl/main.py
@@ -18,28 +18,38 @@
 
 from greengagewood.internal.clock import monotonic_ms
 from greengagewood.internal.ctl.admin import read_status, wait_for_rollout
+from greengagewood.internal.ctl.check import (
+    check_against_file,
+    examine_file,
+    read_text,
+    report_check,
+)
+from greengagewood.internal.ctl.output import (
+    EXIT_CONFLICT,
+    EXIT_FAILED,
+    EXIT_OK,
+    EXIT_UNREACHABLE,
+    EXIT_USAGE,
+    print_error,
+)
 from greengagewood.internal.ctl.publish import AcceptedDocument, Publisher
 from greengagewood.internal.ctl.table import format_table
 from greengagewood.internal.ctl.trace import trace_job
 from greengagewood.internal.daemon import define_help_flag
-from greengagewood.internal.document import document_digest, parse_document
+from greengagewood.internal.document import document_digest
+from greengagewood.internal.documentcheck import examine
 from greengagewood.internal.native.logservice import (
     AppendOutcomeUnknown,
     LogService,
     LogUnavailable,
 )
+from greengagewood.internal.placement import Resources
 from greengagewood.internal.records import EvacuationOrder
 from greengagewood.internal.settings import ControlSettings
 from greengagewood.internal.yamlfile import load_yaml
 
 __all__ = ["main"]
 
-EXIT_OK = 0
-EXIT_FAILED = 1
-EXIT_USAGE = 2
-EXIT_CONFLICT = 3
-EXIT_UNREACHABLE = 4
-
 USAGE = """usage: ggwctl COMMAND [ARGUMENT] [FLAGS]
 
 commands, each of which explains itself with --help:
@@ -61,10 +71,24 @@
     max_args: int
     summary: str
     example: str
+    details: str = ""
 
 
 COMMANDS = {
     "validate": Command("FILE", 1, 1, "check a document", "ggwctl validate shop.yaml"),
+    "check": Command(
+        "FILE",
+        1,
+        1,
+        "check a document and compare it with the version in force, or with --against",
+        "ggwctl check shop.yaml --against=shop-in-force.yaml --output=json",
+        """Lists errors, entries that can never match, limits that contradict each other, and the
+keys whose values differ. --worker adds a comparison of the reserves with the size of a worker.
+
+exit codes: 0 nothing to correct, 1 warnings, 2 invalid document or wrong call,
+            4 the log is out of reach, so nothing was compared
+""",
+    ),
     "try": Command(
         "FILE",
         1,
@@ -128,7 +152,8 @@
 def _command_usage(name: str) -> str:
     command = COMMANDS[name]
     synopsis = f"ggwctl {name} {command.arguments}".rstrip()
-    return f"usage: {synopsis} [FLAGS]\n\n{command.summary}\n\nexample: {command.example}\n"
+    details = f"\n\n{command.details}" if command.details else "\n"
+    return f"usage: {synopsis} [FLAGS]\n\n{command.summary}{details}\nexample: {command.example}\n"
 
 
 @dataclass
@@ -142,28 +167,42 @@
     wait: bool
     stage: str
     timeout_s: float
+    worker_size: Resources | None
 
     def print_result(self, data: Any, text: str) -> None:
         """Print a result as JSON if --output=json was given, else as text."""
         print(msgspec.json.encode(data).decode() if self.as_json else text)
 
 
-def _print_error(message: str) -> None:
-    print(f"ggwctl: {message}", file=sys.stderr)
+def _read_document(path: str) -> str | None:
+    """Return the text of a valid document; print its errors or its warnings."""
+    text = read_text(path)
+    if text is None:
+        return None
+    examination = examine(text, path)
+    for error in examination.errors:
+        print_error(str(error))
+    for warning in examination.warnings:
+        print_error(f"warning: {warning}")
+    return text if examination.document is not None else None
 
 
-def _read_document(path: str) -> str | None:
+async def _check(ctx: CommandContext, args: list[str]) -> int:
+    checked = examine_file(args[0], ctx.worker_size)
+    if checked is None:
+        return EXIT_USAGE
+    if checked.examination.document is None:
+        return report_check(checked, "", None, ctx.as_json)
     try:
-        text = Path(path).read_text(encoding="utf-8")
-    except (OSError, UnicodeDecodeError) as exc:
-        _print_error(f"{path}: {exc}")
-        return None
-    parsed = parse_document(text, path)
-    if isinstance(parsed, Err):
-        for error in parsed.err_value:
-            _print_error(str(error))
-        return None
-    return text
+        accepted = await ctx.publisher.accepted(ctx.stage)
+    except LogUnavailable:
+        report_check(checked, "", None, ctx.as_json)
+        raise
+    if accepted is None:
+        print_error(f"nothing is in force in {ctx.stage}")
+        return report_check(checked, "", None, ctx.as_json)
+    against = f"the version in force in {ctx.stage}, {accepted.digest[:12]}@{accepted.offset}"
+    return report_check(checked, against, accepted.document, ctx.as_json)
 
 
 def _validate(args: list[str]) -> int:
@@ -181,12 +220,12 @@
         try:
             text = sys.stdin.read() if path == "-" else Path(path).read_text(errors="replace")
         except OSError as exc:
-            _print_error(f"{path}: {exc}; pass a readable log file")
+            print_error(f"{path}: {exc}; pass a readable log file")
             return EXIT_USAGE
         lines.extend(text.splitlines())
     trace = trace_job(lines, job)
     if trace.unparsed_lines:
-        _print_error(f"{trace.unparsed_lines} skipped lines mention {job} but are not log events")
+        print_error(f"{trace.unparsed_lines} skipped lines mention {job} but are not log events")
     if as_json:
         print(msgspec.json.encode(trace.events).decode())
     else:
@@ -204,10 +243,10 @@
 async def _promote(ctx: CommandContext, args: list[str]) -> int:
     accepted = await ctx.publisher.accepted("trial")
     if accepted is None:
-        _print_error("nothing is in force in the trial environment; use `ggwctl try FILE` first")
+        print_error("nothing is in force in the trial environment; use `ggwctl try FILE` first")
         return EXIT_FAILED
     if args and not accepted.digest.startswith(args[0]):
-        _print_error(f"digest {accepted.digest[:12]} is in force in the trial environment")
+        print_error(f"digest {accepted.digest[:12]} is in force in the trial environment")
         return EXIT_CONFLICT
     return await _publish(ctx, "production", accepted.text)
 
@@ -216,7 +255,7 @@
     started_ms = monotonic_ms()
     outcome = await ctx.publisher.publish(stage, text, getpass.getuser(), ctx.timeout_s)
     if isinstance(outcome, Err):
-        _print_error(outcome.err_value)
+        print_error(outcome.err_value)
         return EXIT_CONFLICT
     accepted = outcome.ok_value
     if not ctx.wait:
@@ -290,10 +329,10 @@
     if not in_force:
         known_domains |= state.orders.domains()
     if not known_domains:
-        _print_error(f"no document is in force in {ctx.stage}; publish one first")
+        print_error(f"no document is in force in {ctx.stage}; publish one first")
         return EXIT_FAILED
     if domain not in known_domains:
-        _print_error(f"{domain!r} is not a failure domain; use one of {sorted(known_domains)}")
+        print_error(f"{domain!r} is not a failure domain; use one of {sorted(known_domains)}")
         return EXIT_USAGE
     order = state.orders.newest(domain)
     is_in_force = order is not None and order.in_force
@@ -304,7 +343,7 @@
         ctx.print_result(_describe_order(ctx.stage, domain, None), f"{domain} is not evacuated")
         return EXIT_OK
     if order.in_force != in_force:
-        _print_error(
+        print_error(
             f"operator {order.operator!r} has {'evacuated' if order.in_force else 'taken back'} "
             f"{domain} at offset {order.offset}; check `ggwctl evacuations` and try again"
         )
@@ -353,7 +392,7 @@
     state = await ctx.publisher.read(ctx.stage)
     orders = [order for order in state.orders.all_newest() if order.in_force]
     if not state.orders.known:
-        _print_error("the log has dropped older orders, and no snapshot of them was found yet")
+        print_error("the log has dropped older orders, and no snapshot of them was found yet")
     rows = [
         [order.domain, order.operator, _format_time(order.at_ms), str(order.offset)]
         for order in orders
@@ -393,6 +432,7 @@
 
 
 HANDLERS: dict[str, Callable[[CommandContext, list[str]], Awaitable[int]]] = {
+    "check": _check,
     "try": _try,
     "promote": _promote,
     "history": _history,
@@ -410,10 +450,27 @@
         "stage", "production", ["production", "trial"], "which environment", flag_values=values
     )
     flags.DEFINE_bool("wait", False, "wait until in force everywhere", flag_values=values)
+    flags.DEFINE_string("against", None, "document to compare with", flag_values=values)
+    flags.DEFINE_string(
+        "worker",
+        None,
+        "size of the largest worker: processors, megabytes and accelerators, as 64,256000,4",
+        flag_values=values,
+    )
     define_help_flag(values)
     flags.DEFINE_float("timeout", 30.0, "seconds to wait or retry", flag_values=values)
 
 
+def _parse_worker_size(text: str | None) -> Resources | None:
+    """Return the size of a worker, or None if none is given; raise ValueError."""
+    if text is None:
+        return None
+    amounts = [int(part) for part in text.split(",")]
+    if not 2 <= len(amounts) <= 3 or min(amounts) < 0:
+        raise ValueError(f"--worker={text}: give two or three amounts")
+    return Resources(*amounts)
+
+
 async def _run(cfg: ControlSettings, values: flags.FlagValues, args: list[str]) -> int:
     name, *rest = args
     async with aiohttp.ClientSession() as session:
@@ -426,11 +483,12 @@
             values.wait,
             values.stage,
             values.timeout,
+            _parse_worker_size(values.worker),
         )
         try:
             return await HANDLERS[name](ctx, rest)
         except (LogUnavailable, AppendOutcomeUnknown) as exc:
-            _print_error(f"cannot use the platform's log at {cfg.platform}: {exc}; try again")
+            print_error(f"cannot use the platform's log at {cfg.platform}: {exc}; try again")
             return EXIT_UNREACHABLE
 
 
@@ -441,7 +499,7 @@
     try:
         args = values(sys.argv, known_only=False)[1:]
     except flags.Error as exc:
-        _print_error(str(exc))
+        print_error(str(exc))
         sys.exit(EXIT_USAGE)
     name = args[0] if args else ""
     if values.help:
@@ -453,10 +511,18 @@
         sys.exit(EXIT_USAGE)
     if name == "validate":
         sys.exit(_validate(args[1:]))
+    try:
+        worker_size = _parse_worker_size(values.worker)
+    except ValueError as exc:
+        print_error(f"--worker: {exc}; use amounts as in --worker=64,256000")
+        sys.exit(EXIT_USAGE)
+    if name == "check" and values.against is not None:
+        as_json = values.output == "json"
+        sys.exit(check_against_file(args[1], values.against, worker_size, as_json))
     if name == "trace":
         sys.exit(_trace(args[1:], values.output == "json"))
     loaded = load_yaml(values.settings, ControlSettings)
     if isinstance(loaded, Err):
-        _print_error(str(loaded.err_value))
+        print_error(str(loaded.err_value))
         sys.exit(EXIT_USAGE)
     sys.exit(asyncio.run(_run(loaded.ok_value, values, args)))
--- a/src/greengagewood/internal/document.py
+++ b/src/greengagewood/internal/document.py
@@ -14,9 +14,10 @@
 from msgspec import Meta
 from result import Err, Ok, Result
 
-from greengagewood.internal.yamlfile import FileError, decode_yaml, locate
+from greengagewood.internal.yamlfile import FileError, Locator, decode_yaml
 
 __all__ = [
+    "MAX_JOB_TASKS",
     "BatchClass",
     "Caller",
     "Cell",
@@ -29,6 +30,7 @@
 ]
 
 MAX_DOCUMENT_BYTES = 256 * 1024
+MAX_JOB_TASKS = 10_000  # that a caller may submit, whatever its class allows
 
 Name = Annotated[str, Meta(pattern=r"^[a-z0-9][a-z0-9-]{0,62}$")]
 Count = Annotated[int, Meta(ge=1, le=1_000_000)]
@@ -92,7 +94,7 @@
 
     urgent: bool = False
     max_attempts: Count = 5
-    max_tasks: Count = 10_000
+    max_tasks: Count = MAX_JOB_TASKS
     checkpoints: bool = True
 
 
@@ -174,11 +176,16 @@
 
 
 def check_document(document: Document, text: str, file: str) -> list[FileError]:
-    """Return the violations of rules that involve several keys."""
+    """Return the violations of rules that involve several keys.
+
+    A keeper accepts no document that violates them. So a new rule belongs in `documentcheck`, or a
+    document in force would be refused after an upgrade.
+    """
     errors: list[FileError] = []
+    locator = Locator(text)
 
     def report(key: str, problem: str, remedy: str) -> None:
-        line, value = locate(text, key)
+        line, value = locator.locate(key)
         errors.append(FileError(file, line, key, problem, value, remedy))
 
     failure_domains = set(document.failure_domains)
--- a/src/greengagewood/internal/jobindex.py
+++ b/src/greengagewood/internal/jobindex.py
@@ -12,7 +12,7 @@
 from msgspec import Meta
 
 from greengagewood.internal.clock import monotonic_ms
-from greengagewood.internal.document import Document
+from greengagewood.internal.document import MAX_JOB_TASKS, Document
 from greengagewood.internal.messages import CellLoad, Member
 from greengagewood.internal.records import JobSubmitted
 from greengagewood.internal.verdict import Reason, Refusal, not_run
@@ -31,7 +31,7 @@
     """
 
     batch_class: str
-    tasks: Annotated[int, Meta(ge=1, le=10_000)]
+    tasks: Annotated[int, Meta(ge=1, le=MAX_JOB_TASKS)]
     cpus: Annotated[int, Meta(ge=1, le=1_000)]
     memory_mb: Annotated[int, Meta(ge=1, le=10_000_000)]
     run_ms: Annotated[int, Meta(ge=1, le=604_800_000)]
--- a/src/greengagewood/internal/yamlfile.py
+++ b/src/greengagewood/internal/yamlfile.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import functools
 import re
+from collections.abc import Iterator
 from pathlib import Path
 from typing import Any, TypeVar
 
@@ -10,7 +12,7 @@
 import yaml
 from result import Err, Ok, Result
 
-__all__ = ["FileError", "decode_yaml", "load_yaml"]
+__all__ = ["FileError", "Locator", "decode_yaml", "load_yaml", "locate"]
 
 T = TypeVar("T")
 
@@ -57,21 +59,59 @@
     return node
 
 
-def locate(text: str, path: str) -> tuple[int, str]:
-    """Return the line and the value at a path of a YAML text.
+class Locator:
+    """Find the lines of keys in a YAML text, which is parsed at the first use only."""
+
+    def __init__(self, text: str) -> None:
+        self._text = text
+
+    @functools.cached_property
+    def _root(self) -> yaml.Node | None:
+        try:
+            return yaml.compose(self._text, Loader=yaml.SafeLoader)
+        except yaml.YAMLError:
+            return None
+
+    def locate(self, path: str) -> tuple[int, str]:
+        """Return the line and the value at a path.
+
+        If the path does not exist, the line is that of its deepest existing parent, or 1. The value
+        is empty unless it is a scalar.
+        """
+        keys = _split_path(path if path.startswith((".", "[")) else f".{path}")
+        node = _find_node(self._root, keys)
+        if node is None:
+            return 1, ""
+        value = node.value if isinstance(node, yaml.ScalarNode) else ""
+        return node.start_mark.line + 1, repr(value) if value else ""
+
+    def repeated_keys(self) -> Iterator[tuple[int, str]]:
+        """Return the line and the path of each key that its mapping has had before."""
+        visited: set[int] = set()  # an alias repeats a node, which may even contain itself
+
+        def walk(node: yaml.Node, path: str) -> Iterator[tuple[int, str]]:
+            if id(node) in visited:
+                return
+            visited.add(id(node))
+            if isinstance(node, yaml.SequenceNode):
+                for index, item in enumerate(node.value):
+                    yield from walk(item, f"{path}[{index}]")
+            elif isinstance(node, yaml.MappingNode):
+                seen: set[str] = set()
+                for key, value in node.value:
+                    name = key.value if isinstance(key, yaml.ScalarNode) else ""
+                    if name in seen:
+                        yield key.start_mark.line + 1, f"{path}.{name}".lstrip(".")
+                    seen.add(name)
+                    yield from walk(value, f"{path}.{name}")
+
+        if self._root is not None:
+            yield from walk(self._root, "")
 
-    If the path does not exist, the line is that of its deepest existing parent, or 1. The value is
-    empty unless it is a scalar.
-    """
-    try:
-        root = yaml.compose(text, Loader=yaml.SafeLoader)
-    except yaml.YAMLError:
-        return 1, ""
-    node = _find_node(root, _split_path(path if path.startswith((".", "[")) else f".{path}"))
-    if node is None:
-        return 1, ""
-    value = node.value if isinstance(node, yaml.ScalarNode) else ""
-    return node.start_mark.line + 1, repr(value) if value else ""
+
+def locate(text: str, path: str) -> tuple[int, str]:
+    """Return the line and the value at a path of a YAML text, as `Locator` does."""
+    return Locator(text).locate(path)
 
 
 def _fill_in_keys(raw: Any, model: Any, path: str) -> str:
