Learn run times and speeds of workers from run ends

Callers' estimates are off by up to half, 3 of 100 tasks take 7 times as long as the rest, and a worker that turns slow got as many short tasks as any other. Nothing told how long a task would still run.

`cells/runtimes.py` keeps the ratio of work to estimate for each queue and image, in a histogram on a log scale with slow decay. The work of a best-effort run is the integral of its CPU use, so neither speed limits nor busy workers count as work. The time left of a run follows from progress against work. A worker's speed is the median of how its last five ends compare with others.

Short tasks now go last to workers below two thirds of the median speed, at most a quarter of a service; none is excluded. The limit of time without progress, after which a run counts as stuck, grows with the expected time and never became shorter.

--- a/src/greengagewood/internal/cells/cell.py
+++ b/src/greengagewood/internal/cells/cell.py
@@ -183,8 +183,29 @@
             is_record_outdated(worker, now_ms) for worker in self.workers.values()
         )
         self._directory_unread = False
+        self._update_slow_workers(now_ms)
         self.planner.request_replan()
 
+    def _update_slow_workers(self, now_ms: int) -> None:
+        """Mark the workers that are clearly slower than others of their service."""
+        run_times = self.planner.run_times
+        by_service: dict[str, list[str]] = {}
+        for worker in self.workers.values():
+            by_service.setdefault(worker.info.service, []).append(worker.name)
+        for names in by_service.values():
+            slow = run_times.slow_workers(names, now_ms)
+            for worker in (self.workers[name] for name in names):
+                if worker.slow == (worker.name in slow):
+                    continue
+                worker.slow = not worker.slow
+                self.on_event(
+                    "worker_slow" if worker.slow else "worker_fast_again",
+                    {
+                        "worker": worker.name,
+                        "speed_percent": round(100 * run_times.worker_speed(worker.name, now_ms)),
+                    },
+                )
+
     def _add_worker(self, info: WorkerInfo, now_ms: int) -> Worker:
         worker = Worker(info, now_ms)
         self.workers[info.worker_id] = worker
@@ -228,6 +249,7 @@
         """Replace a worker that has rebooted, and so has none of its earlier runs."""
         self.on_event("worker_reborn", {"worker": info.worker_id, "runs": len(worker.runs)})
         self._crashes.handle_crash(worker, now_ms)
+        self.planner.run_times.forget_worker(worker.name)
         rebooted = Worker(
             info,
             now_ms,
@@ -287,6 +309,7 @@
     def _remove_worker(self, worker: Worker) -> None:
         """Remove a worker that has no runs."""
         del self.workers[worker.name]
+        self.planner.run_times.forget_worker(worker.name)
         self._registration_due = True
         self.on_event("worker_forgotten", {"worker": worker.name})
 
@@ -418,6 +441,7 @@
                 task, listed_run.run_number, worker.name, worker.info.rack, "running", now_ms
             )
             run.note_accepted(now_ms)
+            run.resumed = True
             worker.add_run(run)
         elif run.state in ("starting", "unconfirmed"):
             run.transition("accepted")
@@ -430,6 +454,7 @@
         if not run.outlived and outlives(run, worker.clock_ms, now_ms):
             self._crashes.handle_outlived(worker, run)
         run.tail_ms_or_cpu_millis = listed_run.tail_ms_or_cpu_millis
+        self.planner.run_times.note_listed(run, now_ms)
         self.book.note_checkpoint(task, listed_run.checkpoint)
         return True
 
@@ -506,6 +531,8 @@
         if run is not None:
             if end.result in ("done", "failed"):
                 self._crashes.handle_outlived(worker, run)
+            if end.result == "done":
+                self.planner.run_times.note_end(run, now_ms)
             self._end_run(worker, run, "ended", now_ms)
         self.book.note_checkpoint(task, end.checkpoint)
         step = task.step
@@ -735,11 +762,11 @@
             return "worker_leaves"
         return ""
 
-    @staticmethod
-    def _is_stuck(run: Run) -> bool:
+    def _is_stuck(self, run: Run) -> bool:
         """Return whether the worker has listed a run for long without any progress.
 
-        Time in which the worker, or this owner, was silent says nothing about the run.
+        Time in which the worker, or this owner, was silent says nothing about the run. Neither does
+        the time that a long task, of an image that takes longer than estimated, needs for 1 %.
         """
         spec = run.task.step.spec
         listed_without_progress_ms = run.listed_ms - run.progress_changed_ms
@@ -747,11 +774,15 @@
             run.speed_percent < 100
             or (spec.long_running and run.progress_percent == 100)
             or spec.gang
+            or listed_without_progress_ms <= STUCK_AFTER_MS
         ):
             return False
+        queue = run.task.step.job.submission.queue.name
+        expected_ms = self.planner.run_times.expected_ms(queue, spec.image, spec.estimate_ms)
         if spec.best_effort:
-            return listed_without_progress_ms > 2 * STUCK_AFTER_MS
-        return listed_without_progress_ms > max(STUCK_AFTER_MS, spec.estimate_ms // 4)
+            return listed_without_progress_ms > max(2 * STUCK_AFTER_MS, expected_ms // 10)
+        estimate_ms = max(spec.estimate_ms, expected_ms)
+        return listed_without_progress_ms > max(STUCK_AFTER_MS, estimate_ms // 4)
 
     def _should_move(self, worker: Worker, run: Run, now_ms: int) -> bool:
         """Return whether to move a best-effort run that has been slow for long.
--- a/src/greengagewood/internal/cells/fleet.py
+++ b/src/greengagewood/internal/cells/fleet.py
@@ -147,6 +147,7 @@
     last_learned_ms: int = 0  # when the tail model last learned from a reading
     last_on_target_ms: int = 0  # when every tail latency was last within its target
     failing_since_ms: int | None = None  # when the first call after its last answer failed
+    slow: bool = False  # whether it is clearly slower than other workers, see `runtimes`
     trial: Run | None = None  # the run of a suspected task, see `crashes`; it must stay alone
     # Unanswered starts that only a later boot may still carry out, see `latestarts`.
     ruled_out: dict[Run, None] = field(default_factory=dict)
--- a/src/greengagewood/internal/cells/placement.py
+++ b/src/greengagewood/internal/cells/placement.py
@@ -1,9 +1,9 @@
 """Choose a worker for a task.
 
 Pure functions over the workers of a cell. Long-running tasks are packed onto few workers, so that
-the others stay free for best-effort tasks. Ordinary batch tasks go to the rack of their data, and
-otherwise where they leave the least CPU free. Best-effort tasks go where the most CPU is idle and
-no tail latency is near its target.
+the others stay free for best-effort tasks. Ordinary batch tasks go to a slow worker last, then to
+the rack of their data, and otherwise where they leave the least CPU free. Best-effort tasks go
+where the most CPU is idle and no tail latency is near its target.
 """
 
 from __future__ import annotations
@@ -157,7 +157,9 @@
         off_data_rack = float(bool(spec.data_rack) and rack != spec.data_rack)
         off_racks_in_use = float(bool(racks) and rack not in racks)
         left_millis = worker.info.cpu_millis - worker.allocated.cpu_millis - spec.cpu_millis
-        return (off_data_rack + off_racks_in_use, float(left_millis))
+        off_racks, slow = off_data_rack + off_racks_in_use, float(worker.slow)
+        ranks = (off_racks, slow) if spec.same_rack else (slow, off_racks)
+        return (*ranks, float(left_millis))
 
     return score
 
--- a/src/greengagewood/internal/cells/planner.py
+++ b/src/greengagewood/internal/cells/planner.py
@@ -20,6 +20,7 @@
     place_gang,
     workers_for_trial,
 )
+from greengagewood.internal.cells.runtimes import RunTimes
 from greengagewood.internal.cells.tails import MIN_SPEED_PERCENT, TailLatencyModel
 from greengagewood.internal.cells.value import JobValues
 from greengagewood.internal.jobs.book import Job, JobBook, Run, Step, Task
@@ -103,6 +104,7 @@
         claim_offset: int,
     ) -> None:
         self.tail_model = TailLatencyModel()
+        self.run_times = RunTimes()
         self.values = JobValues(book)
         self.queues: dict[str, Queue] = {}
         self.directory_read_ms: int | None = None  # when the last complete read of it was sent
@@ -432,6 +434,7 @@
         )
         permit = self._permits.get(task.step, {}).get(worker.name)
         run.ticket = permit.ticket if permit else ""
+        run.resumed = bool(task.checkpoint)
         if task.step.spec.best_effort:
             run.initial_speed_percent = (
                 self.tail_model.admission_for(worker, task.step.spec).speed_percent
--- a/src/greengagewood/internal/jobs/book.py
+++ b/src/greengagewood/internal/jobs/book.py
@@ -48,6 +48,10 @@
     progress_percent: int = 0  # as last listed by the worker
     progress_changed_ms: int = 0  # when `progress_percent` last changed
     listed_ms: int = 0  # when the worker last listed it
+    resumed: bool = False  # whether part of its work may have been done before this owner counts it
+    work_ms: float = 0.0  # time at full speed that it has run, see `cells.runtimes`
+    work_counted_ms: int | None = None  # up to when `work_ms` counts
+    baseline_percent: int = 0  # its progress when `work_ms` began to count
     outlived: bool = False  # whether its start has certainly not crashed the worker
     tail_ms_or_cpu_millis: int = 0  # see ports.RunningTask
     ticket: str = ""
@@ -64,6 +68,8 @@
         """Record that the worker has the run."""
         self.accepted_ms = now_ms
         self.was_carried_out = True
+        self.work_ms = 0.0  # a later boot begins anew
+        self.work_counted_ms = None
         self.progress_changed_ms = now_ms
 
 
