--- a/tests/cover/test_runtimes.py
+++ b/tests/cover/test_runtimes.py
@@ -392,6 +392,7 @@
         for other in self.WORKERS:
             harness.answer_lease(other, ends=(end,) if other == name else ())
         harness.cell.set_workers(harness.worker_infos, harness.now_ms)
+        harness.read_orders()  # both are read from the same store
         harness.store_changes()
         return name
 
