Read the evacuation orders before each job in the test of slow workers

The first correction read them after the job, so that the last job, after 16 s without reads, found its starts suspended.

--- a/tests/cover/test_runtimes.py
+++ b/tests/cover/test_runtimes.py
@@ -381,6 +381,7 @@
         self, harness: CellHarness, number: int, slow_worker: str, work_ms: int = 1_000
     ) -> str:
         """Run a job of one task to its end; return the worker."""
+        harness.read_orders()  # as often as the directory
         harness.submit(
             StepSpec(1, cpu_millis=1_000, estimate_ms=1_000, image="i"), job=f"{number:016x}"
         )
@@ -392,7 +393,6 @@
         for other in self.WORKERS:
             harness.answer_lease(other, ends=(end,) if other == name else ())
         harness.cell.set_workers(harness.worker_infos, harness.now_ms)
-        harness.read_orders()  # both are read from the same store
         harness.store_changes()
         return name
 
