--- a/tests/common/plant.py
+++ b/tests/common/plant.py
@@ -261,6 +261,8 @@
         self.acknowledged_tasks: set[TaskId] = set()
         self.failures: Counter[TaskId] = Counter()
         self.crashes: Counter[TaskId] = Counter()  # workers that each task has crashed
+        # The runs that were going on when their worker crashed: its name, by task and run number.
+        self.crashed_runs: dict[tuple[TaskId, int], str] = {}
         self.starts_after_crashes: Counter[TaskId] = Counter()  # once three workers have crashed
         self.specs: dict[str, tuple[StepSpec, ...]] = {}
         self.cancelled_ms: dict[str, float] = {}
@@ -302,6 +304,8 @@
 
     def crash(self, name: str) -> None:
         worker = self.workers[name]
+        for task, run in worker.runs.items():
+            self.crashed_runs[task, run.number] = name
         worker.up = False
         worker.runs.clear()
         worker.ends.clear()
