Keep deletions of old jobs from postponing heartbeats

Now only appends of records set it.

In operation a deletion comes every 10 s, so it lengthened single gaps between heartbeats by up to 500 ms.

--- a/src/greengagewood/internal/cells/runner.py
+++ b/src/greengagewood/internal/cells/runner.py
@@ -480,9 +480,6 @@
         while not self._stopping:
             result = await self._ports.store.append_fenced(entries, self.token, sequence)
             if result.outcome is Outcome.DONE:
-                self._last_heartbeat_ms = (
-                    monotonic_ms()
-                )  # of the last append that followers count as one
                 return True
             if result.fenced:
                 _log.warning("fenced_by_store", token=self.token)
--- a/tests/cover/test_control_cost.py
+++ b/tests/cover/test_control_cost.py
@@ -15,6 +15,7 @@
 
 import pytest
 
+from greengagewood.internal.cells import runner
 from greengagewood.internal.cells.ledger import Ledger
 from greengagewood.internal.cells.ownership import OWNER_TIMEOUT_MS
 from greengagewood.internal.clock import monotonic_ms
@@ -71,6 +72,18 @@
 
         run_simulation(CellSimulation(1, worker_count=1), script)
 
+    def test_deletions_of_old_jobs_do_not_postpone_heartbeats(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        monkeypatch.setattr(runner, "DELETION_INTERVAL_S", 0.3)
+        monkeypatch.setattr(Ledger, "ended_before", lambda ledger, wall_ms: ["e" * 16])
+
+        async def script(sim: CellSimulation) -> None:
+            await asyncio.sleep(10)
+            assert _claim_count(sim) == 1
+
+        run_simulation(CellSimulation(1), script)
+
 
 @dataclass
 class _Polls:
@@ -420,10 +433,10 @@
             await _submit_steadily(sim, 4, 3)
             first = sim.owner()
             assert first is not None
-            runner = sim.instances[first]._runner
-            assert runner is not None
-            cell = weakref.ref(runner.cell)
-            del runner
+            term = sim.instances[first]._runner
+            assert term is not None
+            cell = weakref.ref(term.cell)
+            del term
             sim.platform.faults.store_silent_to.add(first)
             await asyncio.sleep(4)
             sim.platform.faults.store_silent_to.clear()
