--- a/src/greengagewood/internal/entry/readpace.py
+++ b/src/greengagewood/internal/entry/readpace.py
@@ -47,10 +47,8 @@
     # After a read that failed or did not reach the end, the next one is not delayed.
     paced_from_ms = min(last_sent_ms, last_read_ms)
     send_ms = max(now_ms, paced_from_ms + (EAGER_INTERVAL_MS if eager else interval_ms))
-    is_claim_ahead = claim_due_ms is not None and last_sent_ms < claim_due_ms
-    if is_claim_ahead and claim_due_ms is not None:
-        send_ms = max(now_ms, min(send_ms, claim_due_ms))
     wait_ms = min(LONG_POLL_MS, max(0, MAX_READ_AGE_MS - (send_ms - last_read_ms)))
-    if is_claim_ahead and claim_due_ms is not None:
+    if claim_due_ms is not None and last_sent_ms < claim_due_ms:
+        send_ms = max(now_ms, min(send_ms, claim_due_ms))
         wait_ms = min(wait_ms, max(0, claim_due_ms - send_ms))
     return ReadPlan(send_ms - now_ms, wait_ms)
