Start copies of stragglers of speculative steps

The field `speculative` was decoded and nothing acted on it: a job waited for its slowest task.

A task of such a step gets one copy on another worker if its run has lasted as long as expected and has at least twice that left. Copies request at most 5 % of a service's CPU. The first end counts and the other run is stopped with the next plan; if one fails, the other goes on. There is no copy where a failure of it would end the job, for runs of earlier owners, or while copies of the image rarely end first.

--- a/src/greengagewood/internal/cells/cell.py
+++ b/src/greengagewood/internal/cells/cell.py
@@ -37,6 +37,7 @@
 from greengagewood.internal.cells.orders import (
     Changes,
     Order,
+    StartRun,
     StopRun,
     ThrottleRun,
 )
@@ -455,7 +456,8 @@
             self._crashes.handle_outlived(worker, run)
         run.tail_ms_or_cpu_millis = listed_run.tail_ms_or_cpu_millis
         self.planner.run_times.note_listed(run, now_ms)
-        self.book.note_checkpoint(task, listed_run.checkpoint)
+        if run is not task.copy:  # a copy may be behind the first run
+            self.book.note_checkpoint(task, listed_run.checkpoint)
         return True
 
     def _track_unexpected_run(
@@ -529,6 +531,8 @@
         self.book.note_started(task.step.job)
         run = worker.runs.get((task, end.run_number))
         if run is not None:
+            if end.result == "done" and task.copy is not None and not task.end_state:
+                self._note_copy_outcome(run, now_ms)
             if end.result in ("done", "failed"):
                 self._crashes.handle_outlived(worker, run)
             if end.result == "done":
@@ -551,6 +555,17 @@
         if not task.maybe_running:
             self._queue_again(task)
 
+    def _note_copy_outcome(self, run: Run, now_ms: int) -> None:
+        """Record which of a task's two runs has ended first; the next plan stops the other."""
+        task = run.task
+        copy_won = run is task.copy
+        self.planner.copies.note_outcome(run, copy_won, now_ms)
+        self._last_stop_scan_ms = None
+        self.on_event(
+            "copy_ended_first" if copy_won else "copy_not_needed",
+            {"task": task.id, "run": run.number, "worker": run.worker_id},
+        )
+
     def _handle_failed_run(self, worker: Worker, task: Task, end: RunEnd, now_ms: int) -> None:
         worker.note_outcome(False)
         if sum(not ok for ok in worker.recent_outcomes) >= FAILURES_BEFORE_BACKOFF and not any(
@@ -609,6 +624,8 @@
             if run.initial_speed_percent < run.speed_percent:
                 return [ThrottleRun(worker, run, run.initial_speed_percent)]
             return []
+        if run is run.task.copy:
+            run.task.was_copied = False  # another worker may take it
         self._end_run(worker, run, "refused", now_ms)
         run.task.not_before_ms = now_ms + REFUSAL_DELAY_MS
         if reason in ("unhealthy", "invalid"):
@@ -659,7 +676,27 @@
         ):
             self._last_stop_scan_ms = now_ms
             orders.extend(self._plan_stops(now_ms))
-        orders.extend(self.planner.plan(now_ms, min(max_starts, MAX_STARTS_PER_PLAN)))
+            orders.extend(self._plan_copies(now_ms, min(max_starts, MAX_STARTS_PER_PLAN)))
+        starts = sum(isinstance(order, StartRun) for order in orders)
+        orders.extend(self.planner.plan(now_ms, min(max_starts, MAX_STARTS_PER_PLAN) - starts))
+        return orders
+
+    def _plan_copies(self, now_ms: int, max_starts: int) -> list[Order]:
+        orders: list[Order] = []
+        for straggler, order in self.planner.plan_copies(max_starts, now_ms):
+            orders.append(order)
+            self.on_event(
+                "copy_started",
+                {
+                    "task": order.run.task.id,
+                    "run": order.run.number,
+                    "worker": order.worker.name,
+                    "straggler": straggler.run.worker_id,
+                    "remaining_ms": straggler.remaining_ms,
+                    "expected_ms": straggler.expected_ms,
+                    "listed_ago_ms": now_ms - straggler.run.listed_ms,
+                },
+            )
         return orders
 
     def _end_expired_runs(self, now_ms: int) -> None:
@@ -744,7 +781,7 @@
             return "job_over"
         if run.state == "unconfirmed":
             return "unanswered"
-        if run.task.run is not run:
+        if run.task.run is not run and run.task.copy is not run:
             return "superseded"
         if run.state != "running":
             return ""
--- a/src/greengagewood/internal/cells/planner.py
+++ b/src/greengagewood/internal/cells/planner.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+from greengagewood.internal.cells.copies import CopyPolicy, Straggler
 from greengagewood.internal.cells.fleet import Worker
 from greengagewood.internal.cells.orders import Order, RequestAdvice, StartRun
 from greengagewood.internal.cells.placement import (
@@ -105,6 +106,7 @@
     ) -> None:
         self.tail_model = TailLatencyModel()
         self.run_times = RunTimes()
+        self.copies = CopyPolicy(self.run_times)
         self.values = JobValues(book)
         self.queues: dict[str, Queue] = {}
         self.directory_read_ms: int | None = None  # when the last complete read of it was sent
@@ -156,6 +158,62 @@
             for worker in self._workers.values()
         )
 
+    def plan_copies(self, max_starts: int, now_ms: int) -> list[tuple[Straggler, StartRun]]:
+        """Return the starts of copies of stragglers, the longest first, within their budget."""
+        budgets: dict[str, int] = {}  # CPU left for copies, by service
+        stragglers: list[Straggler] = []
+        for worker in self._workers.values():
+            service = worker.info.service
+            budgets[service] = budgets.get(service, 0) + worker.info.cpu_millis
+            for run in worker.runs.values():
+                if not run.task.step.spec.speculative or run.task.end_state:
+                    continue
+                queue = self.queue_of(run.task.step.job)
+                found = self.copies.find_straggler(run, queue.max_attempts, now_ms)
+                if found is not None and not queue.decision_ms:
+                    stragglers.append(found)
+        if not stragglers:
+            return []
+        budgets = {service: self.copies.budget_millis(cpu) for service, cpu in budgets.items()}
+        for worker in self._workers.values():
+            for run in worker.runs.values():
+                if run.task.copy is run:
+                    budgets[worker.info.service] -= run.task.step.spec.cpu_millis
+        starts = []
+        for straggler in sorted(stragglers, key=lambda s: -s.remaining_ms)[: max(0, max_starts)]:
+            order = self._plan_copy(straggler, budgets, now_ms)
+            if order is not None:
+                starts.append((straggler, order))
+        return starts
+
+    def _plan_copy(
+        self, straggler: Straggler, budgets: dict[str, int], now_ms: int
+    ) -> StartRun | None:
+        """Return the start of a copy on a sound worker; take its CPU from the budget."""
+        run = straggler.run
+        task = run.task
+        queue = self.queue_of(task.step.job)
+        spec = task.step.spec
+        if (
+            budgets.get(queue.service, 0) < spec.cpu_millis
+            or task.not_before_ms > now_ms
+            or self._start_window_ms(queue, now_ms) < MIN_START_WINDOW_MS
+        ):
+            return None
+        candidates = [
+            worker
+            for worker in self._workers.values()
+            if worker.info.service == queue.service
+            and worker.name != run.worker_id
+            and not worker.slow
+            and worker.is_usable(now_ms)
+        ]
+        worker = choose_worker(task, candidates, self.tail_model, False)
+        if worker is None:
+            return None
+        budgets[queue.service] -= spec.cpu_millis
+        return self._start(task, worker, now_ms, task.start_count + 1)
+
     def note_permits(self, step: Step, permits: dict[str, Permit]) -> None:
         """Record the permits that the advice service gave for a step, by worker."""
         self._permits.setdefault(step, {}).update(permits)
--- a/src/greengagewood/internal/cells/runtimes.py
+++ b/src/greengagewood/internal/cells/runtimes.py
@@ -64,6 +64,7 @@
     def __init__(self) -> None:
         self._weights = [0.0] * (2 * MAX_BIN + 1)
         self._sum = 0.0
+        self._median: float | None = 0.0  # None if it must be computed anew
 
     def add(self, log_ratio: float) -> None:
         """Add a sample."""
@@ -71,6 +72,14 @@
         self._weights = [weight * SAMPLE_DECAY for weight in self._weights]
         self._weights[index] += 1.0
         self._sum = self._sum * SAMPLE_DECAY + 1.0
+        self._median = None
+
+    @property
+    def median(self) -> float:
+        """Return the logarithm of the median ratio."""
+        if self._median is None:
+            self._median = self.quantile(0.5)
+        return self._median
 
     @property
     def sample_count(self) -> float:
@@ -177,7 +186,7 @@
         if len(others) >= MIN_SIBLINGS:
             expected, step = median(others), None
         elif ratios.sample_count >= MIN_SAMPLES:
-            expected = ratios.quantile(0.5)
+            expected = ratios.median
         else:
             return  # the estimate may be wrong
         votes = self._votes.setdefault((run.worker_id, run.task.step.spec.best_effort), _Votes())
@@ -190,9 +199,16 @@
 
     # Run times.
 
+    def knows(self, queue: str, image: str) -> bool:
+        """Return whether enough runs have ended to know how long tasks take."""
+        ratios = self._ratios.get((queue, image))
+        return ratios is not None and ratios.sample_count >= MIN_SAMPLES
+
     def expected_ms(self, queue: str, image: str, estimate_ms: int) -> int:
         """Return how long a task will take at full speed on a typical worker: the median."""
-        return self.quantile_ms(queue, image, estimate_ms, 0.5)
+        ratios = self._ratios.get((queue, image))
+        ratio = math.exp(ratios.median) if ratios else 1.0
+        return round((estimate_ms or DEFAULT_ESTIMATE_MS) * ratio)
 
     def quantile_ms(self, queue: str, image: str, estimate_ms: int, share: float) -> int:
         """Return the time at full speed that a share of the tasks does not exceed."""
--- a/src/greengagewood/internal/jobs/book.py
+++ b/src/greengagewood/internal/jobs/book.py
@@ -1,6 +1,7 @@
 """In-memory state of one cell's jobs, as kept by its owner.
 
-This module does no I/O and reads no clock. A task has at most one run at a time. A task is
+This module does no I/O and reads no clock. A task has at most one run at a time, or one run and a
+copy of it if its step is speculative. A task is
 `maybe_running`, and must not be started, while an earlier owner's run of it may still be going on
 on a worker that has not answered this owner yet.
 """
@@ -86,6 +87,8 @@
     failed_runs: frozenset[int] = frozenset()
     checkpoint: str = ""
     run: Run | None = None
+    copy: Run | None = None  # a second run of a task of a speculative step, see `cells.copies`
+    was_copied: bool = False  # whether this owner has started a copy
     maybe_running: bool = False
     start_count: int = 0  # starts by this owner
     failed_workers: tuple[str, ...] = ()
@@ -352,13 +355,17 @@
         now_ms: int,
         deadline_ms: int = 0,
     ) -> Run:
-        """Attach a run to a task."""
+        """Attach a run to a task; if the task has a run, attach it as its copy."""
         self.unmark_waiting(task)
         if task.maybe_running:
             task.maybe_running = False
             self.maybe_running_tasks.pop(task, None)
         run = Run(task, number, worker_id, rack, state, now_ms, deadline_ms)
-        task.run = run
+        if task.run is None:
+            task.run = run
+        else:
+            task.copy = run
+            task.was_copied = True
         task.step.job.active_run_count += 1
         task.step.runs_by_worker[worker_id] += 1
         task.step.runs_by_rack[rack] += 1
@@ -379,11 +386,14 @@
             self.changed_jobs[job.id] = None
 
     def detach_run(self, run: Run, now_ms: int) -> None:
-        """Detach a run that is over from its task."""
+        """Detach a run that is over from its task; a copy takes its place."""
         task = run.task
-        if task.run is not run:
+        if task.copy is run:
+            task.copy = None
+        elif task.run is run:
+            task.run, task.copy = task.copy, None
+        else:
             return
-        task.run = None
         task.step.job.active_run_count -= 1
         task.last_run_ended_ms = now_ms
         for counts, key in (
