Start no copy in an evacuated failure domain

Copies of stragglers chose among all usable workers: after the merge with evacuation, one was started in an evacuated domain. The test fails before and passes after; it also sees the copy start once the order is withdrawn.

--- a/src/greengagewood/internal/cells/planner.py
+++ b/src/greengagewood/internal/cells/planner.py
@@ -232,7 +232,7 @@
             if worker.info.service == queue.service
             and worker.name != run.worker_id
             and not worker.slow
-            and worker.is_usable(now_ms)
+            and self.may_start_on(worker, now_ms)
         ]
         worker = choose_worker(task, candidates, self.tail_model, False)
         if worker is None:
--- a/tests/cover/test_copies.py
+++ b/tests/cover/test_copies.py
@@ -113,6 +113,13 @@
         total = sum(worker.info.cpu_millis for worker in desk.cell.workers.values())
         assert 0 < len(starts) * 4_000 <= CopyPolicy.budget_millis(total)
 
+    def test_no_copy_is_started_in_an_evacuated_domain(self) -> None:
+        desk = Desk()
+        desk.read_orders(desk.cell.workers[desk.run.worker_id].info.failure_domain)
+        assert desk.copy_after() is None
+        desk.read_orders()
+        assert desk.copy_after() is not None
+
     def test_no_copy_goes_to_a_slow_worker(self) -> None:
         desk = Desk()
         for name in WORKERS[1:]:
