Test an evacuation with real processes, and name a truncated log in the error

Cause: only tests inside one process showed that an order is obeyed.

Change: a test with the demo's programs under load orders an evacuation, compares what the workers themselves started 5 s and 11 s after it, takes the domain back and audits the run. The error message tells the two cases apart.

The test with real processes fails if the feed drops the domains.

--- a/src/greengagewood/internal/ctl/main.py
+++ b/src/greengagewood/internal/ctl/main.py
@@ -329,7 +329,10 @@
     if not in_force:
         known_domains |= state.orders.domains()
     if not known_domains:
-        print_error(f"no document is in force in {ctx.stage}; publish one first")
+        if state.history.synced:
+            print_error(f"no document is in force in {ctx.stage}; publish one first")
+        else:
+            print_error("the log no longer has the document in force; wait for a keeper's snapshot")
         return EXIT_FAILED
     if domain not in known_domains:
         print_error(f"{domain!r} is not a failure domain; use one of {sorted(known_domains)}")
--- a/tests/cover/test_native_evacuation.py
+++ b/tests/cover/test_native_evacuation.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+import asyncio
 import contextlib
 import random
+import time
 from collections.abc import AsyncIterator, Iterator
+from pathlib import Path
 from typing import Any
 from unittest import mock
 
@@ -12,6 +15,9 @@
 import msgspec
 import pytest
 from absl import flags
+from devtools.callers import LoadCaller
+from devtools.cluster import Cluster, ClusterPlan
+from devtools.demo import CALLERS, Demo, audit, document, publish
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -501,6 +507,18 @@
             assert await _ggwctl(cluster, "evacuate", "pd-verona") == ctl.EXIT_OK
             assert cluster.platform.log._stream(cluster.names.config).end_offset == 3
 
+    async def test_a_log_without_a_document_accepts_no_order(
+        self, capsys: pytest.CaptureFixture[str]
+    ) -> None:
+        """A name that no document can confirm must not become an order."""
+        async with _keepers(1) as cluster:
+            assert await _ggwctl(cluster, "evacuate", "pd-milano", "--stage=trial") == 1
+            assert "publish one first" in capsys.readouterr().err
+            cluster.publish("not a document", based_on=1)
+            _truncate(cluster, 1)
+            assert await _ggwctl(cluster, "evacuate", "pd-milano") == ctl.EXIT_FAILED
+            assert "wait for a keeper's snapshot" in capsys.readouterr().err
+
     async def test_an_unreachable_log_is_reported(self) -> None:
         async with _keepers(1) as cluster:
             cluster.platform.log.faults = LogFaults(down=True)
@@ -626,3 +644,74 @@
     async with session.get(f"{cluster.url()}/quotazioni/eggs", headers=auth()) as resp:
         reason = (await resp.json())["reason"] if resp.status != 200 else ""
         return resp.status, reason, resp.headers.get("Retry-After", "")
+
+
+PLAN = ClusterPlan(
+    environment="padana",
+    service="quotazioni",
+    rack_by_domain={"pd-milano": "milano-r1", "pd-verona": "verona-r1", "pd-forli": "forli-r1"},
+    workers_per_domain=2,
+    instances_per_domain=1,
+)
+
+
+@pytest.fixture
+def demo(tmp_path: Path) -> Iterator[Demo]:
+    cluster = Cluster(PLAN, tmp_path)
+    started = Demo(cluster, cluster.write_control_settings())
+    try:
+        cluster.start()
+        time.sleep(2)
+        publish(started, document())
+        cluster.wait_ready(20)
+        yield started
+    finally:
+        cluster.stop()
+
+
+def _starts_in(demo: Demo, domain: str) -> set[tuple[str, int]]:
+    events = demo.cluster.fetch_json("/audit")["tasks"]
+    return {
+        (event["task"], event["attempt"])
+        for event in events
+        if event["event"] == "start" and event["worker"].startswith(domain)
+    }
+
+
+class TestProcesses:
+    """The programs obey an order under load; the workers themselves tell what was started."""
+
+    def test_nothing_is_started_later_than_5_s_after_the_order(self, demo: Demo) -> None:
+        """Guard against a start in the evacuated domain, and against work lost because of it."""
+        production = [i for i in demo.cluster.instances.values() if i.stage == "production"]
+        gateways = [instance.url for instance in production]
+        callers = [LoadCaller(name, gateways, set(), random.Random(7)) for name in CALLERS]
+        seen: dict[str, set[tuple[str, int]]] = {}
+
+        async def evacuate_and_take_back() -> None:
+            await asyncio.sleep(3)
+            seen["before"] = await asyncio.to_thread(_starts_in, demo, "pd-verona")
+            ordered = await asyncio.to_thread(
+                demo.run_ggwctl, "evacuate", "pd-verona", "--wait", "--output=json"
+            )
+            demo.check(ordered.returncode == 0, f"evacuate: {ordered.stderr or ordered.stdout}")
+            await asyncio.sleep(5)
+            seen["at 5 s"] = await asyncio.to_thread(_starts_in, demo, "pd-verona")
+            other = await asyncio.to_thread(_starts_in, demo, "pd-milano")
+            await asyncio.sleep(6)
+            seen["at 11 s"] = await asyncio.to_thread(_starts_in, demo, "pd-verona")
+            seen["elsewhere"] = await asyncio.to_thread(_starts_in, demo, "pd-milano") - other
+            withdrawn = await asyncio.to_thread(demo.run_ggwctl, "take-back", "pd-verona")
+            demo.check(withdrawn.returncode == 0, f"take-back: {withdrawn.stderr}")
+
+        async def run_load() -> None:
+            jobs = [caller.submit_jobs(16, 1.0, 6, 700) for caller in callers]
+            requests = [caller.send_requests(16, 0.05) for caller in callers]
+            await asyncio.gather(*jobs, *requests, evacuate_and_take_back())
+            await asyncio.gather(*(caller.await_jobs(30) for caller in callers))
+
+        asyncio.run(run_load())
+        found = audit(demo, callers)
+        assert found.violations() == 0 and not demo.problems, (found.notes + demo.problems)[:10]
+        assert seen["before"] and seen["elsewhere"], "the load must reach both domains"
+        assert seen["at 11 s"] == seen["at 5 s"]
