Try a suspected task alone also while an unanswered start binds it to a boot

A task with `late_start` may be started only on the boot that has ruled its start out. The planner placed such a task like any other, also if workers had crashed under it: beside runs that the worker had not outlived, or another trial, whose entry in `Worker.trial` it replaced. The next crash of the worker then had several suspects, and each of them was started apart from the others no longer.

A suspected task now always goes through the choice for trials, which considers only workers that may start it. The new test fails without this. test_crashes.py and test_owner_changes.py pass (108).

--- a/src/greengagewood/internal/cells/placement.py
+++ b/src/greengagewood/internal/cells/placement.py
@@ -203,9 +203,11 @@
 def workers_for_trial(task: Task, workers: Sequence[Worker], waited_ms: int) -> Sequence[Worker]:
     """Return the workers on which a suspected task may be tried, see `crashes`."""
     free = [worker for worker in workers if worker.trial is None]
+    trial_count = len(workers) - len(free)
+    free = [worker for worker in free if worker.may_start(task)]
     if waited_ms > LONGEST_TRIAL_WAIT_MS:
         return free
-    if len(workers) - len(free) >= max(1, len(workers) // MIN_WORKERS_PER_TRIAL):
+    if trial_count >= max(1, len(workers) // MIN_WORKERS_PER_TRIAL):
         return []
     addresses = {run.address for run in task.crashes}
     quiet = [w for w in free if all(run.outlived for run in w.runs.values())]
--- a/src/greengagewood/internal/cells/planner.py
+++ b/src/greengagewood/internal/cells/planner.py
@@ -330,15 +330,15 @@
             if task.not_before_ms > now_ms:
                 self.request_replan()
                 continue
-            if task.late_start is not None:
+            if task.crashes:
+                worker = self._choose_for_trial(task, workers, starving, now_ms)
+                if worker is None:
+                    continue  # the others need not be tried alone
+            elif task.late_start is not None:
                 bound_to = [w for w in workers if w.may_start(task)]
                 worker = choose_worker(task, bound_to, self.tail_model, starving)
                 if worker is None:
                     continue  # the others may be started elsewhere
-            elif task.crashes:
-                worker = self._choose_for_trial(task, workers, starving, now_ms)
-                if worker is None:
-                    continue  # the others need not be tried alone
             else:
                 worker = choose(task)
             if worker is None or (step.spec.long_running and not leaves_headroom(task, workers)):
--- a/tests/cover/test_crashes.py
+++ b/tests/cover/test_crashes.py
@@ -471,6 +471,32 @@
         _answer_all(harness)
         assert not trial.run.task.crashes and trial.worker.trial is None
 
+    def test_a_suspected_task_bound_to_a_boot_is_started_alone(self) -> None:
+        """Guards against a trial beside a run that is suspected as well if the worker crashes."""
+        harness = _harness("w0", "w1")
+        harness.submit(StepSpec(1, cpu_millis=1_000))
+        (start,) = start_orders(harness.plan())
+        name = start.worker.name
+        harness.cell.book.note_crash(start.run.task, _crash(7, "a"))
+        harness.cell.note_start_unanswered(start.run, harness.now_ms)
+        harness.plan()
+        harness.cell.note_stop_accepted(start.run, harness.now_ms)
+        constraint = StepSpec(2, cpu_millis=60_000, estimate_ms=60_000)
+        harness.submit(constraint, job="1" * 16)
+        others = start_orders(harness.plan())
+        for other in others:
+            _accept(harness, other)
+        assert name in {other.worker.name for other in others}
+        harness.now_ms += 10
+        _answer_all(harness)  # which rules out that this boot carries out the start
+        assert start.run.task.late_start is start.run
+        assert start_orders(harness.plan()) == []
+        harness.now_ms += 600
+        _answer_all(harness)
+        (trial,) = start_orders(harness.plan())
+        assert trial.run.task is start.run.task and trial.worker is start.worker
+        assert trial.worker.trial is trial.run
+
     def test_a_cleared_task_is_stored_as_cleared(self) -> None:
         harness = _harness("w0", "w1")
         harness.submit(StepSpec(1, cpu_millis=1_000))
