Hold back the tasks of a rebooted worker that an earlier owner may have started there before

An owner whose start is not answered lets the worker's boot rule it out, and starts the task there again. Its successor knows only the second run, from the worker's list. If the worker rebooted then, the successor started the task elsewhere at once, while the new boot could carry out the first start.

While a start of an earlier owner can still arrive, the tasks that a worker ran for such an owner now wait, after its reboot, until the new boot has listed its runs, or until the starts have expired. A boot that has accepted the owner's token refuses the late start.

--- a/src/greengagewood/internal/cells/cell.py
+++ b/src/greengagewood/internal/cells/cell.py
@@ -29,6 +29,7 @@
 from greengagewood.internal.cells.fleet import (
     MAX_ORDER_DELAY_MS,
     UNRESPONSIVE_AFTER_MS,
+    InheritedRuns,
     Worker,
     late_start_expiry_ms,
     longest_ms,
@@ -115,6 +116,8 @@
         self._earlier_orders_expiry_ms = (
             now_ms + limits.confirmation_timeout_ms + longest_ms(limits.lease_ms)
         )
+        # When every start of earlier owners is over that a later boot of a worker may carry out.
+        self._earlier_starts_expiry_ms = self._earlier_orders_expiry_ms + MAX_ORDER_DELAY_MS
         # When a run of an unknown task was last sent a stop, by worker, task and run number.
         self._unknown_run_stop_sent_ms: dict[tuple[str, TaskId, int], int] = {}
         self._registration_due = False
@@ -283,11 +286,31 @@
                 run.transition("worker_restarted")
             run.accepted_ms = run.stop_sent_ms = run.stop_answered_ms = None
             self._expect_late_start(rebooted, run, now_ms)
+        self._hold_back_inherited(worker, rebooted, now_ms)
         self._mark_runs_lost(worker, now_ms, "reborn")
         for ruled_out in self._late_starts.forget_worker(worker):
             self._expect_late_start(rebooted, self._reopen_start(ruled_out), now_ms)
         self._last_stop_scan_ms = None
 
+    def _hold_back_inherited(self, worker: Worker, rebooted: Worker, now_ms: int) -> None:
+        """Hold back the tasks that a worker ran for earlier owners until its new boot answers.
+
+        An earlier owner may have sent a start before that of the present run, without an answer.
+        The old boot has ruled it out, but the new boot may carry it out.
+        """
+        tasks = [
+            run.task
+            for run in worker.runs.values()
+            if not run.start_deadline_ms and run.task.run is run and not run.task.end_state
+        ]
+        if not tasks or now_ms > self._earlier_starts_expiry_ms:
+            return
+        for task in tasks:
+            self.book.note_maybe_running(task)
+        runs = InheritedRuns(frozenset(task.id for task in tasks), self._earlier_starts_expiry_ms)
+        rebooted.inherited = (*rebooted.inherited, runs)
+        rebooted.earlier_orders_expiry_ms = max(rebooted.earlier_orders_expiry_ms, runs.expiry_ms)
+
     def _expect_late_start(self, rebooted: Worker, run: Run, now_ms: int) -> None:
         """Add a run that a new boot may still start, or has started."""
         rebooted.add_run(run)
--- a/src/greengagewood/internal/jobs/book.py
+++ b/src/greengagewood/internal/jobs/book.py
@@ -325,6 +325,12 @@
         if not task.step.waiting_tasks:
             self.waiting_steps.pop(task.step, None)
 
+    def note_maybe_running(self, task: Task) -> None:
+        """Record that a run by an earlier owner may still be carried out."""
+        task.maybe_running = True
+        self.maybe_running_tasks[task] = None
+        self.unmark_waiting(task)
+
     def note_not_running(self, task: Task, now_ms: int) -> None:
         """Record that no run by an earlier owner can be going on, so the task may be started."""
         if task.maybe_running:
--- a/tests/cover/test_owner_changes.py
+++ b/tests/cover/test_owner_changes.py
@@ -324,6 +324,30 @@
 
         run_simulation(CellSimulation(1), script)
 
+    def test_a_start_ruled_out_by_an_earlier_owner_may_reach_the_next_boot(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Guards against two runs of a task whose first start its new owner knows nothing of."""
+
+        async def script(sim: CellSimulation) -> None:
+            start = await _lose_first_start(sim, monkeypatch, crashes=False, wait_s=2.5)
+            assert len(sim.platform.running_tasks()) == 3
+            first = sim.owner()
+            assert first is not None
+            await sim.kill_instance(first)
+            await asyncio.sleep(3)
+            assert sim.owner() is not None
+            start.cut_off()
+            await start.boot(7.0)
+            await start.arrive(7.0)
+            await asyncio.sleep(1)
+            sim.platform.faults.cut_links.clear()
+            await asyncio.sleep(14)
+            assert sim.platform.violations == []
+            assert len(sim.platform.running_tasks()) == 3
+
+        run_simulation(CellSimulation(1), script)
+
     def test_a_task_that_has_ended_is_not_started_by_a_later_boot(
         self, monkeypatch: pytest.MonkeyPatch
     ) -> None:
