Refuse best-effort jobs that would earn their callers nothing

When callers offer more best-effort work than the workers carry out, jobs that end after three times their objective are worth nothing, and their callers learn that only by waiting.

The owner now observes the CPU in use by best-effort runs, the unfinished work by density of value, and what arrives. While most tasks wait for longer than a second, it stores a forecast in the cell's log, at most once a second and together with other changes. Any instance refuses a job of the lowest priority with 503 and Retry-After if the forecast end exceeds three times its objective by a quarter, after a read of the store that shows nothing of the job. Forecasts that are older than 3 s, of an earlier owner or of unknown age are not used. A forecast that is stored alone is accompanied by a record of ownership, since instances of older versions can't read it.

--- a/src/greengagewood/internal/cells/cell.py
+++ b/src/greengagewood/internal/cells/cell.py
@@ -33,6 +33,7 @@
     late_start_expiry_ms,
     longest_ms,
 )
+from greengagewood.internal.cells.forecast import LoadObserver
 from greengagewood.internal.cells.latestarts import LateStarts
 from greengagewood.internal.cells.orders import (
     Changes,
@@ -51,6 +52,7 @@
 from greengagewood.internal.jobs.book import JobBook, Run, Task
 from greengagewood.internal.jobs.model import Queue
 from greengagewood.internal.jobs.records import (
+    Forecast,
     Progress,
     Record,
     RegisteredWorkers,
@@ -107,6 +109,7 @@
         self.book = JobBook()
         self.workers: dict[str, Worker] = {}
         self.planner = Planner(self.book, self.workers, token, settled_offset, claim_offset)
+        self._load = LoadObserver(self.book, self.planner, token)
         self.on_event: Callable[[str, dict[str, object]], None] = lambda event, fields: None
         self._crashes = CrashTracker(self.book, lambda event, fields: self.on_event(event, fields))
         self._late_starts = LateStarts(limits.lease_ms)
@@ -123,6 +126,7 @@
         self._adoption_report_ms = now_ms + ADOPTION_REPORT_DELAY_MS
         self._next_move_ms = 0  # no run is moved before this time
         self._starts_suspended = False  # whether the evacuation orders are not known
+        self._saturated_services: set[str] = set()  # of the last forecast
         self._last_stop_scan_ms: int | None = None  # None requests a scan by the next plan
 
     # Jobs.
@@ -140,6 +144,7 @@
         job = self.book.add(submission, progress, not never_started, now_ms, log_offset)
         if job is not None:
             self.planner.values.note_job(job)
+            self._load.note_arrival(job)
             self._crashes.restore(job)
 
     def cancel(self, job_id: str, now_ms: int) -> None:
@@ -664,6 +669,7 @@
             self._last_stop_scan_ms = now_ms
             orders.extend(self._plan_stops(now_ms))
         orders.extend(self.planner.plan(now_ms, min(max_starts, MAX_STARTS_PER_PLAN)))
+        self._load.sample(self.workers.values(), now_ms)
         return orders
 
     def _end_expired_runs(self, now_ms: int) -> None:
@@ -846,6 +852,10 @@
             )
             records.append(record)
             urgent = True
+        forecast = None if releasing else self._load.due_record(now_ms)
+        if forecast is not None:
+            self._report_saturation(forecast)
+            records.append(forecast)
         end_sequences = {
             w: w.last_end_sequence
             for w in self.workers.values()
@@ -855,6 +865,18 @@
             return None
         return Changes(tuple(records), end_sequences, registered, urgent)
 
+    def _report_saturation(self, forecast: Forecast) -> None:
+        """Report the services of which best-effort tasks begin or cease to wait for long."""
+        saturated = {service.service for service in forecast.services}
+        for service in forecast.services:
+            if service.service not in self._saturated_services:
+                backlog_cpu_ms = sum(queue.cpu_ms for queue in service.queues)
+                fields = {"backlog_cpu_ms": backlog_cpu_ms, "cpu_millis": service.cpu_millis}
+                self.on_event("saturated", {"service": service.service, **fields})
+        for name in sorted(self._saturated_services - saturated):
+            self.on_event("saturation_ended", {"service": name})
+        self._saturated_services = saturated
+
     @property
     def has_urgent_changes(self) -> bool:
         """Return whether a change must be stored without delay."""
@@ -887,6 +909,8 @@
                 self.book.changed_jobs[record.job_id] = None
             elif isinstance(record, RegisteredWorkers):
                 self._registration_due = True
+            elif isinstance(record, Forecast):
+                self._load.note_unconfirmed(record)
 
     def remove_jobs(self, job_ids: Iterable[str]) -> None:
         """Remove jobs that have ended."""
--- a/src/greengagewood/internal/cells/ledger.py
+++ b/src/greengagewood/internal/cells/ledger.py
@@ -13,6 +13,7 @@
 from greengagewood.internal.jobs.book import FINAL_STATES
 from greengagewood.internal.jobs.records import (
     Cancellation,
+    Forecast,
     Ownership,
     Progress,
     Record,
@@ -53,14 +54,17 @@
         self.registered_workers = RegisteredWorkers(())
         self.registered_workers_offset = -1
         self.registered_workers_read_ms = 0  # when the record was first read
+        self.forecast: Forecast | None = None
+        self.forecast_offset = -1
+        self.forecast_since_ms: int | None = None  # when it was stored at the earliest, if known
         self.next_offset = 0  # where the next read of the log starts
         self.claim_offset = -1  # of the first ownership record with the newest token
         self.unreadable_count = 0  # records that could not be decoded
         self._queued_jobs: dict[str, set[str]] = {}  # job IDs by queue
         self._offsets: dict[str, int] = {}  # of the newest record of each key
 
-    def apply(self, entry: LogEntry) -> Record | None:
-        """Apply an entry of the log; return its record, or None.
+    def apply(self, entry: LogEntry, since_ms: int | None = None) -> Record | None:
+        """Apply an entry of the log, stored at `since_ms` or later; return its record, or None.
 
         None is returned for a deletion, for an entry that cannot be decoded, and for one that is
         older than the newest entry of its key.
@@ -76,6 +80,8 @@
         except RecordError:
             self.unreadable_count += 1
             return None
+        if isinstance(record, Forecast) and entry.offset != self.forecast_offset:
+            self.forecast_since_ms = since_ms
         self.apply_stored(record, entry.offset)
         return record
 
@@ -106,6 +112,9 @@
                 if offset != self.registered_workers_offset:
                     self.registered_workers_offset = offset
                     self.registered_workers_read_ms = monotonic_ms()
+            case Forecast():
+                self.forecast = record
+                self.forecast_offset = offset
 
     def retain(self, keys: set[str], end_offset: int) -> None:
         """Delete the entries below an offset whose keys the store no longer has."""
--- a/src/greengagewood/internal/cells/ownership.py
+++ b/src/greengagewood/internal/cells/ownership.py
@@ -19,6 +19,7 @@
 
 from greengagewood.internal.chart import load_chart
 from greengagewood.internal.jobs.records import (
+    Forecast,
     Ownership,
     Progress,
     Record,
@@ -63,7 +64,9 @@
 
     def note_record(self, record: Record, now_ms: int) -> None:
         """Process a record read from the log."""
-        if isinstance(record, Progress | RegisteredWorkers):  # only an owner writes these
+        if isinstance(
+            record, Progress | RegisteredWorkers | Forecast
+        ):  # only an owner writes these
             self._heartbeat_ms = now_ms
         if not isinstance(record, Ownership) or record.token < self.current.token:
             return
--- a/src/greengagewood/internal/cells/runner.py
+++ b/src/greengagewood/internal/cells/runner.py
@@ -30,6 +30,7 @@
 from greengagewood.internal.evacuation import Evacuations
 from greengagewood.internal.jobs.records import (
     Cancellation,
+    Forecast,
     Ownership,
     Record,
     Submission,
@@ -459,7 +460,11 @@
         )
 
     async def _store(self, changes: Changes) -> None:
-        if await self._append(list(changes.records)):
+        records = list(changes.records)
+        if all(isinstance(record, Forecast) for record in records):
+            # Instances of older versions can't read a forecast, so it is no heartbeat to them.
+            records.append(self._ownership_record(False))
+        if await self._append(records):
             self._note_changes_stored(changes)
             self._plan_wakeup.set()
         else:
--- a/src/greengagewood/internal/cells/value.py
+++ b/src/greengagewood/internal/cells/value.py
@@ -13,7 +13,7 @@
 from greengagewood.internal.jobs.book import Job, JobBook
 from greengagewood.internal.jobs.model import Queue
 
-__all__ = ["JobValues"]
+__all__ = ["LATE_VALUE", "WORTHLESS_AGE_FACTOR", "JobValues", "full_value", "objective_of"]
 
 # By the platform's rules, a job earns nothing once its age is this multiple of its objective.
 WORTHLESS_AGE_FACTOR = 3
@@ -41,7 +41,7 @@
 
         `step` is the step of which tasks wait or run.
         """
-        objective_ms = queue.slack_factor * max(job.critical_paths_ms, default=0) + queue.target_ms
+        objective_ms = objective_of(queue, max(job.critical_paths_ms, default=0))
         age_ms = now_ms - job.arrived_ms
         if age_ms + job.critical_paths_ms[step] <= objective_ms:
             return 0
@@ -50,8 +50,19 @@
     def density(self, job: Job, occurrence: int, step: int, queue: Queue, now_ms: int) -> float:
         """Return the value of a job per CPU millisecond of its remaining work."""
         value = (1.0, LATE_VALUE, WORTHLESS_VALUE)[self.lateness(job, step, queue, now_ms)]
-        name = job.submission.queue.name
-        mean_cpu_ms = self._cpu_ms[name] / self._job_counts[name]
-        relative_work = job.total_cpu_ms / max(1.0, mean_cpu_ms)
-        value *= FIXED_VALUE_SHARE + (1 - FIXED_VALUE_SHARE) * relative_work
+        value *= full_value(job.total_cpu_ms, self.mean_cpu_ms(job.submission.queue.name))
         return value / max(1, self._book.remaining_cpu_ms(job, occurrence))
+
+    def mean_cpu_ms(self, queue: str) -> float:
+        """Return the mean work of a queue's jobs."""
+        return self._cpu_ms[queue] / self._job_counts[queue]
+
+
+def objective_of(queue: Queue, critical_path_ms: int) -> float:
+    """Return the age at which a job must have ended to be in time."""
+    return queue.slack_factor * critical_path_ms + queue.target_ms
+
+
+def full_value(cpu_ms: int, mean_cpu_ms: float) -> float:
+    """Return the value of a job that ends in time, from its work and the mean work of its queue."""
+    return FIXED_VALUE_SHARE + (1 - FIXED_VALUE_SHARE) * cpu_ms / max(1.0, mean_cpu_ms)
--- a/src/greengagewood/internal/entry/node.py
+++ b/src/greengagewood/internal/entry/node.py
@@ -10,6 +10,7 @@
 import asyncio
 import random
 from collections.abc import Awaitable, Callable
+from dataclasses import asdict
 from typing import Protocol
 
 from greengagewood.internal.cells.cell import CellLimits
@@ -19,6 +20,7 @@
 from greengagewood.internal.clock import monotonic_ms, wall_ms
 from greengagewood.internal.daemon import supervised_loop
 from greengagewood.internal.entry.intake import MAX_READ_AGE_MS, BatchWriter
+from greengagewood.internal.entry.overload import Refusal, decide_refusal
 from greengagewood.internal.entry.readpace import (
     EAGER_AFTER_MS,
     READ_INTERVAL_MS,
@@ -60,6 +62,8 @@
 # Even a slow store answers a read within this time; without an answer, the old state is used.
 REFRESH_TIMEOUT_S = 0.3
 OWNERSHIP_INTERVAL_S = 0.05
+# Far more jobs than one instance gets in the minutes in which their callers may repeat them.
+MAX_MAYBE_STORED = 10_000
 
 _log = Log("entry")
 
@@ -94,6 +98,8 @@
         self._ownership = OwnershipView(
             owner_id, CONFIRMATION_TIMEOUT_MS, claim_delay_ms, cfg.cpu_millis
         )
+        # The last jobs that were sent to the store and not refused by it.
+        self._maybe_stored: dict[str, None] = {}
         self._runner: CellRunner | None = None
         self._loaded = False
         # When the store was last read up to its end; before the first time, too long ago.
@@ -156,7 +162,47 @@
         if job_id in self.ledger.jobs and self.ledger.jobs[job_id].submission is not None:
             return Outcome.DONE
         record = Submission(job_id, queue, spec, wall_ms())
-        return await self._writer.store_record(record, timeout_ms)
+        self._maybe_stored[job_id] = None
+        if len(self._maybe_stored) > MAX_MAYBE_STORED:
+            del self._maybe_stored[next(iter(self._maybe_stored))]
+        outcome = await self._writer.store_record(record, timeout_ms)
+        if outcome is Outcome.REFUSED:
+            self._maybe_stored.pop(job_id, None)
+        return outcome
+
+    async def find_refusal(self, job_id: str, queue: Queue, spec: JobSpec) -> Refusal | None:
+        """Return why a job is refused in an overload, or None if it is to be stored.
+
+        Only a job of which certainly nothing is stored is refused, so the store is read first.
+        """
+        if self._decide_refusal(job_id, queue, spec) is None:
+            return None
+        try:
+            await self._read_to_end(REFRESH_TIMEOUT_S)
+        except StoreUnavailable as exc:
+            _log.debug("not_refused", job=job_id, error=str(exc))
+            return None
+        refusal = self._decide_refusal(job_id, queue, spec)
+        if refusal is not None:
+            self._metrics.count("refused_jobs", queue=queue.name, reason="overloaded")
+            _log.info("job_refused", job=job_id, queue=queue.name, **asdict(refusal))
+        return refusal
+
+    def _decide_refusal(self, job_id: str, queue: Queue, spec: JobSpec) -> Refusal | None:
+        forecast, since_ms = self.ledger.forecast, self.ledger.forecast_since_ms
+        if (
+            forecast is None
+            or since_ms is None
+            or forecast.token != self.ledger.ownership.token
+            or self.ledger.ownership.released
+            or self.config is None
+            or self._writer.store_down
+            or job_id in self.ledger.jobs
+            or job_id in self._maybe_stored
+        ):
+            return None
+        age_ms = monotonic_ms() - since_ms
+        return decide_refusal(job_id, queue, spec, self.config.queues.values(), forecast, age_ms)
 
     async def cancel(self, job_id: str, timeout_ms: int) -> Outcome:
         """Store the cancellation of a job."""
@@ -220,7 +266,7 @@
             async with asyncio.timeout(timeout_s):
                 while True:
                     page = await self._ports.store.read(self.ledger.next_offset, 0)
-                    self._apply_page(page)
+                    self._apply_page(page, self._last_read_ms)
                     if page.reaches_end:
                         break
         except (TimeoutError, LogTruncated) as exc:
@@ -251,7 +297,7 @@
         now_ms = monotonic_ms()
         if not self._loaded:
             self.ledger.retain({entry.key for entry in page.entries}, page.next_offset)
-        self._apply_page(page)
+        self._apply_page(page, self._last_read_ms if self._loaded else None)
         self._loaded = True
         if not page.reaches_end:
             return  # a newer claim may stand in what has not been read
@@ -288,14 +334,18 @@
             _log.warning("reads_failing", error=error)
         self._reads_failing = not succeeded
 
-    def _apply_page(self, page: LogPage) -> None:
+    def _apply_page(self, page: LogPage, since_ms: int | None) -> None:
+        """Apply records that were stored at `since_ms` or later, if that is known.
+
+        They were stored after the last read that reached the end of the log.
+        """
         for entry in page.entries:
-            self._apply_entry(entry)
+            self._apply_entry(entry, since_ms)
         self.ledger.next_offset = max(self.ledger.next_offset, page.next_offset)
 
-    def _apply_entry(self, entry: LogEntry) -> None:
+    def _apply_entry(self, entry: LogEntry, since_ms: int | None) -> None:
         unreadable_before = self.ledger.unreadable_count
-        record = self.ledger.apply(entry)
+        record = self.ledger.apply(entry, since_ms)
         if self.ledger.unreadable_count > unreadable_before:
             self._metrics.count("unreadable_records")
             _log.warning("record_unreadable", key=entry.key, offset=entry.offset)
--- a/src/greengagewood/internal/jobs/records.py
+++ b/src/greengagewood/internal/jobs/records.py
@@ -15,14 +15,18 @@
 
 __all__ = [
     "Cancellation",
+    "DensityBand",
+    "Forecast",
     "Ownership",
     "PlacedRun",
     "PossibleRuns",
     "Progress",
+    "QueueBacklog",
     "Record",
     "RecordError",
     "RegisteredWorker",
     "RegisteredWorkers",
+    "ServiceForecast",
     "Submission",
     "TaskId",
     "TaskProgress",
@@ -157,13 +161,51 @@
     cpu_millis: int = 0
 
 
-Record = Submission | Cancellation | Progress | Ownership | RegisteredWorkers
+class QueueBacklog(msgspec.Struct, frozen=True, array_like=True):
+    """Unfinished best-effort work of a queue and mean work of its jobs, in CPU milliseconds."""
+
+    queue: str
+    cpu_ms: int
+    mean_job_cpu_ms: int
+
+
+class DensityBand(msgspec.Struct, frozen=True, array_like=True):
+    """Best-effort work of jobs of one priority and of about the same value per CPU millisecond.
+
+    `cpu_ms` is unfinished; `arriving_cpu_millis` arrives each ms, in thousandths of a CPU. A higher
+    `band` goes first within a priority, see `forecast.density_band`.
+    """
+
+    priority: int
+    band: int
+    cpu_ms: int
+    arriving_cpu_millis: int
+
+
+class ServiceForecast(msgspec.Struct, frozen=True, array_like=True):
+    """Best-effort load of a saturated service; `cpu_millis` is what its workers carry out."""
+
+    service: str
+    cpu_millis: int
+    queues: tuple[QueueBacklog, ...]
+    bands: tuple[DensityBand, ...]
+
+
+class Forecast(_Record, frozen=True):
+    """Forecast by the owner with the fencing token `token`; names only saturated services."""
+
+    token: int
+    services: tuple[ServiceForecast, ...] = ()
+
+
+Record = Submission | Cancellation | Progress | Ownership | RegisteredWorkers | Forecast
 
 _decoder: msgspec.msgpack.Decoder[Record] = msgspec.msgpack.Decoder(Record)
 _encoder = msgspec.msgpack.Encoder()
 
 OWNERSHIP_KEY = "o"
 REGISTERED_WORKERS_KEY = "w"
+FORECAST_KEY = "f"
 
 
 def key_of(record: Record) -> str:
@@ -179,6 +221,8 @@
             return OWNERSHIP_KEY
         case RegisteredWorkers():
             return REGISTERED_WORKERS_KEY
+        case Forecast():
+            return FORECAST_KEY
 
 
 def encode_record(record: Record) -> bytes:
--- a/src/greengagewood/platform/frontend.py
+++ b/src/greengagewood/platform/frontend.py
@@ -110,6 +110,9 @@
             return _error_response(400, str(exc)), "invalid_job"
         except web.HTTPRequestEntityTooLarge:
             return _error_response(413, "the body is too large; send a smaller job"), "too_large"
+        refusal = await self._instance.find_refusal(job_id, rule.queue, spec)
+        if refusal is not None:
+            return _unavailable_response(503, refusal.retry_after_s), "overloaded"
         outcome = await self._instance.submit(job_id, rule.queue, spec, timeout_ms)
         return self._response_to_outcome(outcome)
 
--- a/tests/common/desk.py
+++ b/tests/common/desk.py
@@ -8,7 +8,7 @@
 from greengagewood.internal.cells.orders import StartRun
 from greengagewood.internal.evacuation import Evacuations
 from greengagewood.internal.jobs.model import JobSpec, Queue, StepSpec
-from greengagewood.internal.jobs.records import Submission
+from greengagewood.internal.jobs.records import Forecast, Submission
 from greengagewood.internal.ports import LeaseReply, RunEnd, RunningTask, WorkerInfo
 
 QUEUE = Queue("q", "svc", 0, 3, 2.0, 1000)
@@ -32,6 +32,7 @@
     def __init__(self, *workers: str) -> None:
         self.now_ms = 100_000
         self.orders: list = []
+        self.forecasts: list[tuple[int, Forecast]] = []  # that were stored, and when
         self.cell = Cell(LIMITS, 1, self.now_ms)
         self.worker_infos = {name: make_worker_info(name) for name in workers}
         self.cell.set_workers(self.worker_infos, self.now_ms)
@@ -51,6 +52,8 @@
         changes = self.cell.collect_changes(self.now_ms, self.now_ms)
         if changes is not None:
             self.cell.note_changes_stored(changes)
+            forecasts = (r for r in changes.records if isinstance(r, Forecast))
+            self.forecasts.extend((self.now_ms, record) for record in forecasts)
 
     def answer_lease(self, name: str, *runs: RunningTask, ends: tuple[RunEnd, ...] = ()) -> list:
         """Let a worker answer a lease extension with its runs and their ends; return the orders."""
