Publish no forecast while workers are idle or the owner is short of starts

Tasks of a wide job that fits nowhere counted as a backlog beside little other load, and tasks waited long when the owner had too many starts under way. In both cases workers may be free, and no job may be refused then.

A service is saturated only if less than half of the CPU of its usable workers is idle, and no plan of the last 2 s was short of starts. Tests for both, and for the answer that a refused caller gets.

--- a/src/greengagewood/internal/cells/cell.py
+++ b/src/greengagewood/internal/cells/cell.py
@@ -668,7 +668,11 @@
         ):
             self._last_stop_scan_ms = now_ms
             orders.extend(self._plan_stops(now_ms))
-        orders.extend(self.planner.plan(now_ms, min(max_starts, MAX_STARTS_PER_PLAN)))
+        max_starts = min(max_starts, MAX_STARTS_PER_PLAN)
+        starts = self.planner.plan(now_ms, max_starts)
+        if len(starts) >= max_starts:
+            self._load.note_short_plan(now_ms)
+        orders.extend(starts)
         self._load.sample(self.workers.values(), now_ms)
         return orders
 
--- a/src/greengagewood/internal/cells/forecast.py
+++ b/src/greengagewood/internal/cells/forecast.py
@@ -18,6 +18,7 @@
 from dataclasses import dataclass, field
 
 from greengagewood.internal.cells.fleet import Worker
+from greengagewood.internal.cells.placement import idle_cpu_millis
 from greengagewood.internal.cells.planner import Planner
 from greengagewood.internal.cells.value import LATE_VALUE, full_value, objective_of
 from greengagewood.internal.jobs.book import (
@@ -45,6 +46,9 @@
 ARRIVAL_SMOOTHING_MS = 10_000  # a few jobs arrive each second, of very different sizes
 MIN_OBSERVATION_MS = 3_000  # before the first forecast of a term
 OVERDUE_AFTER_MS = 1_000  # far longer than a plan takes to place a task that fits
+# After a plan that left tasks waiting because no more starts may be under way: then the owner, not
+# the workers, is what the tasks wait for.
+SHORT_PLAN_MEMORY_MS = 2_000
 SETTLED_AFTER_MS = 900  # workers list the CPU use of the last half second, twice a second
 BANDS_PER_OCTAVE = 2
 # Share of the arrivals that is expected to go on: a wave of them may end before the job does.
@@ -136,12 +140,14 @@
     prompt_starts: float = 0.0  # tasks started within OVERDUE_AFTER_MS
     overdue_tasks: float = 0.0  # tasks that were not
     overdue_now: bool = False
+    mostly_idle: bool = True  # whether half of the CPU is idle
 
     @property
     def saturated(self) -> bool:
         """Return whether tasks wait for long now, and most tasks of the last seconds did."""
         return (
             self.overdue_now
+            and not self.mostly_idle
             and self.observed_ms >= MIN_OBSERVATION_MS
             and self.cpu_millis >= 1
             and self.overdue_tasks > self.prompt_starts
@@ -160,6 +166,7 @@
     _overdue: set[Step] = field(default_factory=set)
     _arrived_cpu_ms: dict[tuple[str, int, int], float] = field(default_factory=dict)
     _arriving: dict[tuple[str, int, int], float] = field(default_factory=dict)
+    _short_plan_ms: int | None = None  # when a plan was last short of starts
     _sampled_ms: int | None = None
     _published_ms: int | None = None
     _published: tuple[str, ...] = ()  # the services of the last forecast
@@ -173,6 +180,10 @@
         key = (queue.service, queue.priority, density_band(value / max(1, job.total_cpu_ms)))
         self._arrived_cpu_ms[key] = self._arrived_cpu_ms.get(key, 0.0) + job.total_cpu_ms
 
+    def note_short_plan(self, now_ms: int) -> None:
+        """Record that a plan may have left tasks waiting for which workers have room."""
+        self._short_plan_ms = now_ms
+
     # Samples.
 
     def sample(self, workers: Iterable[Worker], now_ms: int) -> None:
@@ -200,6 +211,8 @@
         for service, service_runs in runs.items():
             load = self._loads.setdefault(service, _ServiceLoad())
             self._sample_runs(load, service_runs, last_ms, now_ms)
+            served_by = [w for w in workers if w.info.service == service]
+            load.mostly_idle = self._are_mostly_idle(served_by, now_ms)
         self._sample_waiting(usable, now_ms)
         self._sample_arrivals(elapsed_ms)
 
@@ -223,6 +236,12 @@
         load.cpu_millis += (cpu_now - load.cpu_millis) * weight
         load.observed_ms += now_ms - last_ms
 
+    def _are_mostly_idle(self, workers: Iterable[Worker], now_ms: int) -> bool:
+        """Return whether half of the CPU of the workers that may be started on is idle."""
+        usable = [worker for worker in workers if self.planner.may_start_on(worker, now_ms)]
+        idle_millis = sum(max(0.0, idle_cpu_millis(worker)) for worker in usable)
+        return 2 * idle_millis >= sum(worker.info.cpu_millis for worker in usable)
+
     def _sample_waiting(self, usable: set[str], now_ms: int) -> None:
         waiting: dict[Step, int] = {}
         for step in self.book.waiting_steps:
@@ -263,15 +282,18 @@
 
     # Publishing.
 
-    def is_saturated(self, service: str) -> bool:
-        """Return whether most best-effort tasks of a service wait for long."""
+    def is_saturated(self, service: str, now_ms: int) -> bool:
+        """Return whether most best-effort tasks of a service wait for long for want of room."""
+        short_plan_ms = self._short_plan_ms
+        if short_plan_ms is not None and now_ms - short_plan_ms < SHORT_PLAN_MEMORY_MS:
+            return False
         return service in self._loads and self._loads[service].saturated
 
     def due_record(self, now_ms: int) -> Forecast | None:
         """Return the record to store now, or None."""
         if self._published_ms is not None and now_ms - self._published_ms < PUBLISH_INTERVAL_MS:
             return None
-        saturated = tuple(sorted(filter(self.is_saturated, self._loads)))
+        saturated = tuple(sorted(s for s in self._loads if self.is_saturated(s, now_ms)))
         if not saturated and not self._published:
             return None
         self._published_ms = now_ms
--- a/tests/cover/test_overload.py
+++ b/tests/cover/test_overload.py
@@ -3,10 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+import json
 from itertools import pairwise
 
+import aiohttp
 import msgspec
 import pytest
+from aiohttp import web
 
 from greengagewood.internal.cells.forecast import density_band, forecast_job
 from greengagewood.internal.cells.ledger import Ledger
@@ -17,6 +20,7 @@
     FORECAST_MARGIN,
     MAX_FORECAST_AGE_MS,
     MAX_RETRY_AFTER_S,
+    Refusal,
     decide_refusal,
     retry_after_s,
 )
@@ -36,9 +40,12 @@
     encode_record,
     key_of,
 )
-from greengagewood.internal.ports import LogEntry, Outcome
+from greengagewood.internal.metrics import Metrics
+from greengagewood.internal.ports import LogEntry, Outcome, RouteRule
+from greengagewood.platform.frontend import Frontend
 from tests.common.backlog import TASK_CPU_MILLIS, Overload, SharedBacklog, arrival_order
 from tests.common.drive import (
+    CONFIG,
     QUEUES,
     CellSimulation,
     best_effort_job,
@@ -206,7 +213,7 @@
                 played.harness.submit(spec, job=f"{number:015x}0")
             played._step()
             played._list_runs()
-            assert not load.is_saturated("svc")
+            assert not load.is_saturated("svc", played.harness.now_ms)
         assert max(load._waiting_since_ms.values(), default=0) > 0
         assert load._loads["svc"].overdue_now
 
@@ -218,9 +225,42 @@
             played.harness.submit(_steps(8)[0], job=f"{number:016x}")
             played._step()
             played._list_runs()
-        assert not played.harness.cell._load.is_saturated("svc")
+        assert not played.harness.cell._load.is_saturated("svc", played.harness.now_ms)
         assert played.harness.forecasts == []
 
+    def test_workers_with_idle_cpus_are_not_saturated(self) -> None:
+        # A wide job that fits nowhere, and little other load: few CPUs are in use, so that a
+        # forecast from the work that is done would be far too late.
+        played = Overload(3, 0.5, seconds=30.0, later_load=0.5, service_cpu_millis=0)
+        played.begin()
+        harness = played.harness
+        stuck = StepSpec(90, cpu_millis=7_000, memory_mb=10**9, estimate_ms=900, best_effort=True)
+        for number in range(200):
+            if number == 40:
+                harness.submit(stuck, job="f" * 16)
+            if number % 15 == 0:
+                harness.submit(_steps(2)[0], job=f"{number:016x}")
+            played._step()
+            played._list_runs()
+        load = harness.cell._load._loads["svc"]
+        assert load.overdue_tasks > load.prompt_starts
+        assert harness.forecasts == []
+
+    def test_tasks_that_wait_for_the_owner_do_not_saturate_a_service(self) -> None:
+        played = Overload(3, 2.5, seconds=20.0, later_load=2.5, service_cpu_millis=0)
+        played.begin()
+        harness = played.harness
+        for number in range(200):
+            harness.submit(_steps(20)[0], job=f"{number:016x}")
+            played._step()
+            played._list_runs()
+            harness.cell.plan(harness.now_ms, harness.now_ms, 0)  # it awaits answers to starts
+            if number == 150:
+                load = harness.cell._load._loads["svc"]
+                assert load.overdue_tasks > load.prompt_starts
+                assert load.overdue_now
+        assert harness.forecasts == []
+
     def test_higher_priorities_and_denser_jobs_go_before(self) -> None:
         spec = JobSpec("p", _steps(10))
         cpu_ms = 10 * 7_000
@@ -539,6 +579,58 @@
         run_simulation(CellSimulation(37), script)
 
 
+class _Answering:
+    """The part of an entry instance that handles a POST."""
+
+    def __init__(self, refusal: Refusal | None) -> None:
+        self.refusal = refusal
+        self.config = CONFIG
+        self.retry_after_s = 1
+        self.submitted: list[str] = []
+
+    def find_route(self, host: str, path: str) -> RouteRule | None:
+        return next((rule for rule in CONFIG.routes if path.startswith(rule.path_prefix)), None)
+
+    async def find_refusal(self, job_id: str, queue: Queue, spec: JobSpec) -> Refusal | None:
+        return self.refusal
+
+    async def submit(self, job_id: str, queue: Queue, spec: JobSpec, timeout_ms: int) -> Outcome:
+        self.submitted.append(job_id)
+        return Outcome.DONE
+
+
+class TestAnswer:
+    """Guard against a refusal that does not say that the job will not run, or when to retry."""
+
+    @staticmethod
+    async def _post(instance: _Answering) -> tuple[int, str, str]:
+        frontend = Frontend(instance, Metrics())  # type: ignore[arg-type]
+        runner = web.ServerRunner(web.Server(frontend.handle))
+        await runner.setup()
+        await web.TCPSite(runner, "127.0.0.1", 0).start()
+        host, port = runner.addresses[0][:2]
+        body = json.dumps({"spec": "p", "steps": [{"count": 1, "cpu": 1_000}]}).encode()
+        url = f"http://{host}:{port}/wide/{'a' * 16}"
+        try:
+            async with aiohttp.ClientSession() as session, session.post(url, data=body) as resp:
+                return resp.status, resp.headers.get("Retry-After", ""), await resp.text()
+        finally:
+            await runner.cleanup()
+
+    async def test_a_refused_job_is_answered_at_once_and_not_stored(self) -> None:
+        instance = _Answering(Refusal(17, 60_000, 5_000, 10**7, 10_000, 10_000, 500))
+        status, retry_after, text = await self._post(instance)
+        assert (status, retry_after) == (503, "17")
+        assert "not accepted, and it will not run" in text
+        assert instance.submitted == []
+
+    async def test_any_other_job_is_stored(self) -> None:
+        instance = _Answering(None)
+        status, retry_after, _ = await self._post(instance)
+        assert (status, retry_after) == (200, "")
+        assert instance.submitted == ["a" * 16]
+
+
 # The records of older and newer instances.
 
 OlderRecord = Submission | Cancellation | Progress | Ownership | RegisteredWorkers
