--- a/src/greengagewood/internal/cells/cell.py
+++ b/src/greengagewood/internal/cells/cell.py
@@ -34,6 +34,7 @@
     late_start_expiry_ms,
     longest_ms,
 )
+from greengagewood.internal.cells.forecast import LoadObserver
 from greengagewood.internal.cells.latestarts import LateStarts
 from greengagewood.internal.cells.orders import (
     Changes,
@@ -53,6 +54,7 @@
 from greengagewood.internal.jobs.book import JobBook, Run, Task
 from greengagewood.internal.jobs.model import Queue
 from greengagewood.internal.jobs.records import (
+    Forecast,
     Progress,
     Record,
     RegisteredWorkers,
@@ -109,6 +111,7 @@
         self.book = JobBook()
         self.workers: dict[str, Worker] = {}
         self.planner = Planner(self.book, self.workers, token, settled_offset, claim_offset)
+        self._load = LoadObserver(self.book, self.planner, token)
         self.on_event: Callable[[str, dict[str, object]], None] = lambda event, fields: None
         self._crashes = CrashTracker(self.book, lambda event, fields: self.on_event(event, fields))
         self._late_starts = LateStarts(limits.lease_ms)
@@ -127,6 +130,7 @@
         self._adoption_report_ms = now_ms + ADOPTION_REPORT_DELAY_MS
         self._next_move_ms = 0  # no run is moved before this time
         self._starts_suspended = False  # whether the evacuation orders are not known
+        self._saturated_services: set[str] = set()  # of the last forecast
         self._last_stop_scan_ms: int | None = None  # None requests a scan by the next plan
 
     # Jobs.
@@ -144,6 +148,7 @@
         job = self.book.add(submission, progress, not never_started, now_ms, log_offset)
         if job is not None:
             self.planner.values.note_job(job)
+            self._load.note_arrival(job)
             self._crashes.restore(job)
 
     def cancel(self, job_id: str, now_ms: int) -> None:
@@ -724,15 +729,20 @@
         self._finish_adoption(now_ms)
         self._report_suspension(now_ms)
         orders: list[Order] = []
+        max_starts = min(max_starts, MAX_STARTS_PER_PLAN)
         if (
             self._last_stop_scan_ms is None
             or now_ms - self._last_stop_scan_ms >= STOP_SCAN_INTERVAL_MS
         ):
             self._last_stop_scan_ms = now_ms
             orders.extend(self._plan_stops(now_ms))
-            orders.extend(self._plan_copies(now_ms, min(max_starts, MAX_STARTS_PER_PLAN)))
-        starts = sum(isinstance(order, StartRun) for order in orders)
-        orders.extend(self.planner.plan(now_ms, min(max_starts, MAX_STARTS_PER_PLAN) - starts))
+            orders.extend(self._plan_copies(now_ms, max_starts))
+        max_starts -= sum(isinstance(order, StartRun) for order in orders)
+        starts = self.planner.plan(now_ms, max_starts)
+        if len(starts) >= max_starts:
+            self._load.note_short_plan(now_ms)
+        orders.extend(starts)
+        self._load.sample(self.workers.values(), now_ms)
         return orders
 
     def _plan_copies(self, now_ms: int, max_starts: int) -> list[Order]:
@@ -937,6 +947,10 @@
             )
             records.append(record)
             urgent = True
+        forecast = None if releasing else self._load.due_record(now_ms)
+        if forecast is not None:
+            self._report_saturation(forecast)
+            records.append(forecast)
         end_sequences = {
             w: w.last_end_sequence
             for w in self.workers.values()
@@ -946,6 +960,18 @@
             return None
         return Changes(tuple(records), end_sequences, registered, urgent)
 
+    def _report_saturation(self, forecast: Forecast) -> None:
+        """Report the services of which best-effort tasks begin or cease to wait for long."""
+        saturated = {service.service for service in forecast.services}
+        for service in forecast.services:
+            if service.service not in self._saturated_services:
+                backlog_cpu_ms = sum(queue.cpu_ms for queue in service.queues)
+                fields = {"backlog_cpu_ms": backlog_cpu_ms, "cpu_millis": service.cpu_millis}
+                self.on_event("saturated", {"service": service.service, **fields})
+        for name in sorted(self._saturated_services - saturated):
+            self.on_event("saturation_ended", {"service": name})
+        self._saturated_services = saturated
+
     @property
     def has_urgent_changes(self) -> bool:
         """Return whether a change must be stored without delay."""
@@ -978,6 +1004,8 @@
                 self.book.changed_jobs[record.job_id] = None
             elif isinstance(record, RegisteredWorkers):
                 self._registration_due = True
+            elif isinstance(record, Forecast):
+                self._load.note_unconfirmed(record)
 
     def remove_jobs(self, job_ids: Iterable[str]) -> None:
         """Remove jobs that have ended."""
--- a/src/greengagewood/internal/cells/runner.py
+++ b/src/greengagewood/internal/cells/runner.py
@@ -29,6 +29,7 @@
 from greengagewood.internal.evacuation import Evacuations
 from greengagewood.internal.jobs.records import (
     Cancellation,
+    Forecast,
     Ownership,
     Record,
     Submission,
@@ -461,7 +462,11 @@
         )
 
     async def _store(self, changes: Changes) -> None:
-        if await self._append(list(changes.records)):
+        records = list(changes.records)
+        if all(isinstance(record, Forecast) for record in records):
+            # Instances of older versions can't read a forecast, so it is no heartbeat to them.
+            records.append(self._ownership_record(False))
+        if await self._append(records):
             self._note_changes_stored(changes)
             self._plan_wakeup.set()
         else:
