Keep a task bound to a boot while a superseded run of it goes on there

If two starts of a task were not answered, and the next boot of the worker carries out the first one after it has ruled out the second, the first run is only stopped. The task was bound to that boot for 12 s from the second start; then it was started again, even if the first run had not stopped.

The ruled-out starts are now kept until that run has ended.

--- a/src/greengagewood/internal/cells/latestarts.py
+++ b/src/greengagewood/internal/cells/latestarts.py
@@ -15,7 +15,7 @@
 from __future__ import annotations
 
 from greengagewood.internal.cells.fleet import MAX_ORDER_DELAY_MS, Worker, late_start_expiry_ms
-from greengagewood.internal.jobs.book import Run
+from greengagewood.internal.jobs.book import Run, Task
 
 __all__ = ["LateStarts"]
 
@@ -42,13 +42,23 @@
         The list was requested at `sent_ms`. Return whether a task may be started elsewhere again.
         """
         return self._forget(
-            [run for run in worker.ruled_out if sent_ms > run.started_ms + MAX_ORDER_DELAY_MS]
+            [
+                run
+                for run in worker.ruled_out
+                if sent_ms > run.started_ms + MAX_ORDER_DELAY_MS
+                and not _has_superseded_run(worker, run.task)
+            ]
         )
 
     def forget_expired(self, now_ms: int) -> bool:
         """Forget the starts that are over on any boot; return whether there were any."""
         return self._forget(
-            [run for run in self._runs if now_ms > late_start_expiry_ms(run, self._lease_ms)]
+            [
+                run
+                for run, worker in self._runs.items()
+                if now_ms > late_start_expiry_ms(run, self._lease_ms)
+                and not _has_superseded_run(worker, run.task)
+            ]
         )
 
     def forget_worker(self, worker: Worker) -> list[Run]:
@@ -64,3 +74,11 @@
             if run.task.late_start is run:
                 run.task.late_start = None
         return bool(runs)
+
+
+def _has_superseded_run(worker: Worker, task: Task) -> bool:
+    """Return whether an earlier run of the task, which is being stopped, still goes on there.
+
+    Until it has ended, the task stays bound to the boot, where `Worker.may_start` holds it back.
+    """
+    return any(other is task and run is not task.run for (other, _), run in worker.runs.items())
--- a/tests/cover/test_owner_changes.py
+++ b/tests/cover/test_owner_changes.py
@@ -23,7 +23,13 @@
     Submission,
     TaskId,
 )
-from greengagewood.internal.ports import LeaseReply, OrderReply, WorkerCallFailed, WorkerInfo
+from greengagewood.internal.ports import (
+    LeaseReply,
+    OrderReply,
+    RunningTask,
+    WorkerCallFailed,
+    WorkerInfo,
+)
 from tests.common.desk import LIMITS, QUEUE, CellHarness, make_worker_info, start_orders
 from tests.common.drive import CellSimulation, long_running_job, run_simulation, short_job
 from tests.common.plant import SimWorker, SimWorkerLink
@@ -363,6 +369,35 @@
 
         run_simulation(CellSimulation(1), script)
 
+    def test_a_superseded_run_that_stops_slowly_keeps_its_task_from_other_workers(self) -> None:
+        """Guards against a second run once the later of two unanswered starts has expired."""
+        harness = CellHarness("w0", "w1")
+        harness.submit(StepSpec(1, cpu_millis=1_000, estimate_ms=60_000))
+        (first,) = start_orders(harness.plan())
+        name = first.worker.name
+        harness.cell.note_start_unanswered(first.run, harness.now_ms)
+        harness.plan()
+        harness.cell.note_stop_accepted(first.run, harness.now_ms)
+        harness.now_ms += 500
+        harness.answer_leases()
+        (second,) = start_orders(harness.plan())
+        assert second.worker is first.worker
+        harness.cell.note_start_unanswered(second.run, harness.now_ms)
+        harness.worker_infos[name] = make_worker_info(name, boot_time_ms=9_999)
+        harness.cell.set_workers(harness.worker_infos, harness.now_ms)
+        listed = RunningTask(first.run.task.id, first.run.number, "", 10, 0)
+        harness.answer_lease(name, listed)
+        harness.plan()
+        harness.cell.note_stop_accepted(second.run, harness.now_ms)
+        for _ in range(60):
+            harness.now_ms += 500
+            harness.answer_lease("w1")
+            harness.answer_lease(name, listed)
+            harness.read_orders()
+            assert start_orders(harness.plan()) == []
+        harness.answer_lease(name)
+        assert len(start_orders(harness.plan())) == 1
+
     def test_the_other_tasks_of_a_gang_may_be_placed_anew(self) -> None:
         harness = CellHarness("w0", "w1")
         harness.submit(StepSpec(2, cpu_millis=40_000, gang=True))
