Avoid disturbed services only where there are others, and refuse jobs only if asked to

The slack is kept now if an image disturbs no service on 8 workers or more, counted once a second.

The rule of 8 workers itself was not played before this commit.

--- a/src/greengagewood/internal/cells/fleet.py
+++ b/src/greengagewood/internal/cells/fleet.py
@@ -135,8 +135,8 @@
     # Forecast slack by serving image, less what best-effort runs take; discarded like `admissions`
     # when the runs or their speeds change.
     remaining_slack: dict[str, float] | None = None
-    # By image and CPU of the best-effort task.
-    admissions: dict[tuple[str, int], Admission] = field(default_factory=dict)
+    # By image and CPU of the best-effort task, and whether it avoids services that it disturbs.
+    admissions: dict[tuple[str, int, bool], Admission] = field(default_factory=dict)
     last_end_sequence: int = 0  # of the run ends that it has listed
     acknowledged_sequence: int = 0  # run ends up to this one are stored
     backoff_until_ms: int = 0
--- a/src/greengagewood/internal/cells/planner.py
+++ b/src/greengagewood/internal/cells/planner.py
@@ -45,6 +45,10 @@
 # Time between placements of best-effort tasks, so that a backlog of them does not delay others.
 BEST_EFFORT_INTERVAL_MS = 60
 
+# Between two counts of the workers on which images disturb no service. Services move seldom, and
+# the model learns from two readings a second.
+COUNT_INTERVAL_MS = 1_000
+
 # How long after its arrival a job may be started without a stored progress record.
 UNSTORED_START_MS = 1_000
 
@@ -125,6 +129,7 @@
         self._advice_retry_ms: dict[Step, int] = {}  # when the advice service may be asked again
         self._planned_version = -1
         self._best_effort_placed_ms: int | None = None
+        self._counted_ms: int | None = None  # see COUNT_INTERVAL_MS
 
     def queue_of(self, job: Job) -> Queue:
         """Return the settings of a job's queue."""
@@ -267,6 +272,7 @@
         place_best_effort = last_ms is None or now_ms - last_ms >= BEST_EFFORT_INTERVAL_MS
         if place_best_effort:
             self._best_effort_placed_ms = now_ms
+            self._count_undisturbed(by_service, now_ms)
         steps = [
             step
             for step in self._book.waiting_steps
@@ -310,6 +316,12 @@
                 break
         return orders
 
+    def _count_undisturbed(self, by_service: dict[str, list[Worker]], now_ms: int) -> None:
+        if self._counted_ms is not None and now_ms - self._counted_ms < COUNT_INTERVAL_MS:
+            return
+        self._counted_ms = now_ms
+        self.tail_model.count_undisturbed(w for workers in by_service.values() for w in workers)
+
     @staticmethod
     def _awaits_grouping(step: Step, now_ms: int) -> bool:
         """Return whether a long-running step still waits for others, to be placed with them."""
--- a/src/greengagewood/internal/cells/tails.py
+++ b/src/greengagewood/internal/cells/tails.py
@@ -16,6 +16,7 @@
 from __future__ import annotations
 
 import math
+from collections import Counter
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
@@ -45,10 +46,12 @@
 
 # The least forecast slack that best-effort tasks must leave to a service.
 MIN_SLACK_TO_PLACE = 1.3  # when another task is placed beside the service
-# When a task is placed beside a service that its image is known to disturb. The load of services
-# swings by half within seconds; with 1.3, such tasks were soon stopped by a speed limit of 0, and
-# the other tasks of their jobs waited for them.
+# When a task is placed beside a service that its image is known to disturb, although there are
+# workers without such services. The load of services swings by half within seconds; with 1.3, such
+# tasks were soon stopped by a speed limit of 0, and the rest of the step waited for them.
 MIN_SLACK_TO_DISTURB = 3.0
+# With fewer workers on which an image disturbs no service, its tasks would hardly be placed at all.
+MIN_UNDISTURBED_WORKERS = 8
 MIN_SLACK_TO_RUN = 1.15  # while tasks run beside it
 MIN_SLACK_IF_HARMLESS = 1.0  # for tasks of harmless images, which may bring it to its target
 FORECAST_READINGS = 2.0  # number of readings by which a falling slack is extrapolated
@@ -67,9 +70,12 @@
     """Learn how far best-effort images disturb serving images, and limit the tasks accordingly.
 
     `regressions` has one entry for each serving image; its features are best-effort images.
+    `undisturbed_counts` has the number of workers on which a best-effort image is not known to
+    disturb any service, by image.
     """
 
     regressions: dict[str, Regression] = field(default_factory=dict)
+    undisturbed_counts: dict[str, int] = field(default_factory=dict)
 
     # Learning.
 
@@ -168,9 +174,33 @@
 
     # Decisions.
 
+    def count_undisturbed(self, workers: Iterable[Worker]) -> None:
+        """Count for each best-effort image the workers on which it disturbs no service."""
+        images = {image for known in self.regressions.values() for image in known.sample_counts}
+        groups = Counter(
+            frozenset(
+                run.task.step.spec.image
+                for run in worker.runs.values()
+                if run.task.step.spec.tail_target_ms
+            )
+            for worker in workers
+        )
+        self.undisturbed_counts = {
+            image: sum(
+                count
+                for serving_images, count in groups.items()
+                if not any(self.is_disturbing(serving, image) for serving in serving_images)
+            )
+            for image in images
+        }
+
+    def avoids_disturbed(self, image: str) -> bool:
+        """Return whether a best-effort image avoids the services that it is known to disturb."""
+        return self.undisturbed_counts.get(image, 0) >= MIN_UNDISTURBED_WORKERS
+
     def admission_for(self, worker: Worker, spec: StepSpec) -> Admission:
         """Return how fast one more best-effort task may run beside the worker's serving tasks."""
-        key = (spec.image, spec.cpu_millis)
+        key = (spec.image, spec.cpu_millis, self.avoids_disturbed(spec.image))
         admission = worker.admissions.get(key)
         if admission is None:
             admission = worker.admissions[key] = self._compute_admission(worker, spec)
@@ -255,7 +285,7 @@
             return MIN_SLACK_IF_HARMLESS
         if not placing:
             return MIN_SLACK_TO_RUN
-        if self.is_disturbing(serving, best_effort):
+        if self.avoids_disturbed(best_effort) and self.is_disturbing(serving, best_effort):
             return MIN_SLACK_TO_DISTURB
         return MIN_SLACK_TO_PLACE
 
--- a/src/greengagewood/internal/entry/node.py
+++ b/src/greengagewood/internal/entry/node.py
@@ -176,7 +176,7 @@
 
         Only a job of which certainly nothing is stored is refused, so the store is read first.
         """
-        if self._decide_refusal(job_id, queue, spec) is None:
+        if not self._cfg.refuse_hopeless_jobs or self._decide_refusal(job_id, queue, spec) is None:
             return None
         try:
             await self._read_to_end(REFRESH_TIMEOUT_S)
--- a/src/greengagewood/internal/entry/settings.py
+++ b/src/greengagewood/internal/entry/settings.py
@@ -36,6 +36,8 @@
     bounds: Bounds
     cores: Annotated[float, Meta(gt=0, le=1_024)] = 1.0
     cpu_share: Annotated[float, Meta(gt=0, le=1)] = 1.0  # usable share of the time of `cores`
+    # Whether to refuse best-effort jobs that would end too late to be worth anything.
+    refuse_hopeless_jobs: bool = False
     log_level: Annotated[str, Meta(pattern=r"^(DEBUG|INFO|NOTICE|WARNING|ERROR)$")] = "INFO"
 
     @property
--- a/tests/common/drive.py
+++ b/tests/common/drive.py
@@ -43,6 +43,7 @@
         admin=address,
         store=address,
         bounds=Bounds(lease_ms=LEASE_MS, grace_s=6, status_s=120),
+        refuse_hopeless_jobs=True,
     )
 
 
--- a/tests/common/sharing.py
+++ b/tests/common/sharing.py
@@ -162,6 +162,8 @@
             self.over_target_count += run.tail_ms_or_cpu_millis > TARGET_MS
 
     def _place(self) -> None:
+        if self.use_model:
+            self.model.count_undisturbed(self.workers)
         for task in list(self.waiting_tasks):
             worker = self._choose(task)
             if worker is None:
--- a/tests/cover/test_overload.py
+++ b/tests/cover/test_overload.py
@@ -432,6 +432,23 @@
         return await instance.find_refusal(job, WIDE, JOB) is not None
 
 
+class TestSetting:
+    """Guard against refusals where the operators have not asked for them."""
+
+    def test_nothing_is_refused_without_the_setting(self) -> None:
+        async def script(sim: CellSimulation) -> None:
+            stored = StoredForecasts(sim)
+            name = stored.follower()
+            stored.append()
+            await asyncio.sleep(1)
+            assert await stored.is_refused(name)
+            instance = sim.instances[name]
+            instance._cfg = msgspec.structs.replace(instance._cfg, refuse_hopeless_jobs=False)
+            assert not await stored.is_refused(name)
+
+        run_simulation(CellSimulation(38), script)
+
+
 class TestFailures:
     """Guard against a refusal that is not true, or by an instance that knows too little."""
 
