Reserve the loopback networks of clusters between processes

The networks were derived from the process id modulo 100 (tests) or 250 (devtools), so two processes on one machine could choose the same one, and those of tests and devtools overlapped. A trial of test_keyed beside other test runs failed to bind 127.130.1.1:17100 that way.

A process now keeps a lock port of its network bound, and skips a network on which a stand-in platform still runs. Processes of earlier revisions hold no lock.

--- a/devtools/cluster.py
+++ b/devtools/cluster.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import contextlib
-import os
 import signal
 import subprocess
 import sys
@@ -16,6 +15,8 @@
 import msgspec
 import yaml
 
+from devtools.loopback import PLATFORM_PORT, reserve_network
+
 __all__ = ["Cluster", "ClusterPlan", "Instance"]
 
 KEEPER_PORT = 17001
@@ -25,7 +26,6 @@
 KEEPER_ADMIN_PORT = 17011
 GATEWAY_ADMIN_PORT = 17012
 SCHEDULER_ADMIN_PORT = 17013
-PLATFORM_PORT = 17100
 FIRST_BACKEND_PORT = 17200
 ADMIN_PORTS = {
     "keeper": KEEPER_ADMIN_PORT,
@@ -75,13 +75,13 @@
 class Cluster:
     """Run the stand-in platform and the entry instances as processes.
 
-    The second octet of every loopback address is derived from the process id.
+    Its loopback addresses share a second octet that no other cluster on the machine uses.
     """
 
     def __init__(self, plan: ClusterPlan, folder: Path) -> None:
         self.plan = plan
         self.folder = folder
-        octet = os.getpid() % 250 + 1
+        octet = reserve_network()
         self.platform_ip = f"127.{octet}.0.1"
         self.platform = f"http://{self.platform_ip}:{PLATFORM_PORT}"
         self.instances: dict[str, Instance] = {}
--- a/tests/common/system.py
+++ b/tests/common/system.py
@@ -4,9 +4,9 @@
 
 import asyncio
 import contextlib
+import functools
 import hashlib
 import itertools
-import os
 import random
 import uuid
 from pathlib import Path
@@ -14,6 +14,7 @@
 import aiohttp
 import msgspec
 import yaml
+from devtools.loopback import reserve_network
 
 from greengagewood.internal.clock import wall_ms
 from greengagewood.internal.document import document_digest
@@ -42,6 +43,12 @@
 _network_numbers = itertools.count(1)
 
 
+@functools.cache
+def _process_network():
+    """Return the network of all clusters of this process, reserved when it is first needed."""
+    return reserve_network()
+
+
 def auth(caller="alice", **headers):
     return {"Authorization": f"Bearer {TOKENS[caller]}", **headers}
 
@@ -65,8 +72,7 @@
     """A cluster of one failure domain; each instance has a keeper, a gateway and a scheduler."""
 
     def __init__(self, instances=1, workers=2, **standin_settings):
-        second_octet = 128 + os.getpid() % 100
-        self.net = f"127.{second_octet}.{next(_network_numbers) % 250}"
+        self.net = f"127.{_process_network()}.{next(_network_numbers) % 250}"
         self.names = StreamNames("padana", "production")
         names = [f"i{n + 1}" for n in range(instances)]
         self.platform = StandinPlatform(
