Read arrived requests before a connection is closed as idle

The connection guard aborted a kept connection at the idle limit even if a request already waited unread in its socket, after a busy event loop or a pause of the process: its caller got a reset. The guard now lets the event loop read first. An incomplete head still does not keep a connection.

test_a_request_runs_once_if_the_log_loses_append_answers uses connections again after about the second of its idle limit.

--- a/src/greengagewood/internal/connections.py
+++ b/src/greengagewood/internal/connections.py
@@ -20,6 +20,9 @@
 IDLE_LIMIT_MS = 10_000
 CHECK_INTERVAL_S = 0.5
 MAX_CONNECTIONS = 8000
+# Passes of the event loop in which a request that has reached the socket is read and its handler
+# starts; aiohttp needs three.
+READ_PASSES = 10
 
 
 @dataclass
@@ -69,18 +72,28 @@
         state = self._state(transport)
         return -1 if state.requests_in_progress else now_ms - state.last_active_ms
 
+    def _overdue(self, server: web.Server) -> list[asyncio.Transport]:
+        now_ms = monotonic_ms()
+        return [
+            transport
+            for transport in _open_transports(server)
+            if self._idle_ms(transport, now_ms) > self.idle_limit_ms
+        ]
+
     async def enforce_limits(self, server: web.Server) -> None:
         """Close connections that are idle for too long, and the newest ones above the maximum.
 
-        A connection with a request in progress is never closed.
+        A connection with a request in progress is never closed. A request may wait unread in the
+        socket if the event loop was busy or the process was paused, so the event loop reads what
+        has arrived before a connection is closed as idle.
         """
-        now_ms = monotonic_ms()
-        transports = _open_transports(server)
-        for transport in transports:
-            if self._idle_ms(transport, now_ms) > self.idle_limit_ms:
-                self.metrics.count("connections_closed", reason="quiet")
-                transport.abort()
-        for transport in transports[self.max_connections :]:
+        if self._overdue(server):
+            for _ in range(READ_PASSES):
+                await asyncio.sleep(0)
+        for transport in self._overdue(server):
+            self.metrics.count("connections_closed", reason="quiet")
+            transport.abort()
+        for transport in _open_transports(server)[self.max_connections :]:
             if self._state(transport).requests_in_progress == 0:
                 self.metrics.count("connections_closed", reason="too_many")
                 transport.abort()
