Move the decisions which runs to stop or move out of Cell

Behaviour is unchanged.

The mutant `free_on_stop_sent` now wraps `StopPlanner.plan` of each cell in place of `Cell._plan_stops`; no assertion has changed.

test_cell.py, test_cells.py, test_owner_changes.py, test_crashes.py, test_capacity.py, test_runtimes.py, test_copies.py, test_planner.py, test_evacuation.py, test_cell_mutants.py, test_mutants.py and test_docs.py pass (542), and so does ./dev check.

--- a/src/greengagewood/internal/cells/cell.py
+++ b/src/greengagewood/internal/cells/cell.py
@@ -40,7 +40,6 @@
     Changes,
     Order,
     StartRun,
-    StopRun,
     ThrottleRun,
 )
 from greengagewood.internal.cells.planner import Planner
@@ -50,6 +49,7 @@
     registration_record,
     tasks_held_back,
 )
+from greengagewood.internal.cells.stops import StopPlanner
 from greengagewood.internal.evacuation import Evacuations
 from greengagewood.internal.jobs.book import JobBook, Run, Task
 from greengagewood.internal.jobs.model import Queue
@@ -59,19 +59,12 @@
     Record,
     RegisteredWorkers,
     Submission,
-    TaskId,
 )
 from greengagewood.internal.ports import LeaseReply, RunEnd, RunningTask, WorkerInfo
 
 __all__ = ["Cell", "CellLimits"]
 
 MAX_STARTS_PER_PLAN = 200  # so that no plan delays the replies of workers for long
-STOP_REPEAT_INTERVAL_MS = 400
-STOP_SCAN_INTERVAL_MS = 100  # between two scans for runs to stop, unless an event requests one
-SLOW_SPEED_PERCENT = 60  # a run limited to this or less may be moved to run at full speed
-MOVE_DELAY_MS = 450  # how long a run must have been slow before it is moved: about one reading
-MOVE_INTERVAL_MS = 150  # between two moves, each of which costs a stop and a start
-STUCK_AFTER_MS = 2_500  # minimum time without any progress after which a run is stopped as stuck
 REFUSAL_DELAY_MS = 150  # before a refused task, or a worker that lacked resources, is tried again
 FIRST_REFUSAL_BACKOFF_MS = 400  # by then, the run ends that the worker lists next are known
 LONGEST_REFUSAL_BACKOFF_MS = 2_000  # room that is back must be used within 3 s
@@ -115,6 +108,7 @@
         self.on_event: Callable[[str, dict[str, object]], None] = lambda event, fields: None
         self._crashes = CrashTracker(self.book, lambda event, fields: self.on_event(event, fields))
         self._late_starts = LateStarts(limits.lease_ms)
+        self._stops = StopPlanner(self.workers, self.planner)
         # When every lease and order of earlier owners has certainly expired: an earlier owner may
         # have extended leases until its last confirmation timed out.
         self._earlier_orders_expiry_ms = (
@@ -122,16 +116,12 @@
         )
         # When every start of earlier owners is over that a later boot of a worker may carry out.
         self._earlier_starts_expiry_ms = self._earlier_orders_expiry_ms + MAX_ORDER_DELAY_MS
-        # When a run of an unknown task was last sent a stop, by worker, task and run number.
-        self._unknown_run_stop_sent_ms: dict[tuple[str, TaskId, int], int] = {}
         self._registration_due = False
         self._directory_unread = True
         self._adopting = True  # until every worker is known to have no other runs of the cell
         self._adoption_report_ms = now_ms + ADOPTION_REPORT_DELAY_MS
-        self._next_move_ms = 0  # no run is moved before this time
         self._starts_suspended = False  # whether the evacuation orders are not known
         self._saturated_services: set[str] = set()  # of the last forecast
-        self._last_stop_scan_ms: int | None = None  # None requests a scan by the next plan
 
     # Jobs.
 
@@ -155,7 +145,7 @@
         """Cancel a job; the next plan stops its runs."""
         job = self.book.cancel(job_id, now_ms)
         if job is not None:
-            self._last_stop_scan_ms = None
+            self._stops.request_scan()
             self.on_event("job_cancelled", {"job": job_id})
 
     def set_queues(self, queues: dict[str, Queue]) -> None:
@@ -318,7 +308,7 @@
         self._mark_runs_lost(worker, now_ms, "reborn")
         for ruled_out in self._late_starts.forget_worker(worker):
             self._expect_late_start(rebooted, self._reopen_start(ruled_out), now_ms)
-        self._last_stop_scan_ms = None
+        self._stops.request_scan()
 
     def _hold_back_inherited(self, worker: Worker, rebooted: Worker, now_ms: int) -> None:
         """Hold back the tasks that a worker ran for earlier owners until its new boot answers.
@@ -458,8 +448,8 @@
                 task = self._track_unexpected_run(worker, listed_run, now_ms)
             if task is not None:
                 listed_keys.add((task, listed_run.run_number))
-            else:
-                orders.extend(self._stop_unknown_run(worker, listed_run, now_ms))
+            elif stop := self._stops.stop_unknown_run(worker, listed_run, now_ms):
+                orders.append(stop)
         self._end_unlisted_runs(worker, reply, listed_keys, sent_ms, now_ms)
         self._late_starts.note_list(worker, sent_ms)
         self.planner.tail_model.learn(worker, now_ms)
@@ -535,18 +525,6 @@
             worker.add_run(run)
         return task
 
-    def _stop_unknown_run(
-        self, worker: Worker, listed_run: RunningTask, now_ms: int
-    ) -> list[Order]:
-        key = (worker.name, listed_run.task_id, listed_run.run_number)
-        if (
-            now_ms - self._unknown_run_stop_sent_ms.get(key, -STOP_REPEAT_INTERVAL_MS)
-            < STOP_REPEAT_INTERVAL_MS
-        ):
-            return []
-        self._unknown_run_stop_sent_ms[key] = now_ms
-        return [StopRun(worker, listed_run.task_id, listed_run.run_number, None, "not_ours")]
-
     def _end_unlisted_runs(
         self,
         worker: Worker,
@@ -618,7 +596,7 @@
         task = run.task
         copy_won = run is task.copy
         self.planner.copies.note_outcome(run, copy_won, now_ms)
-        self._last_stop_scan_ms = None
+        self._stops.request_scan()
         self.on_event(
             "copy_ended_first" if copy_won else "copy_not_needed",
             {"task": task.id, "run": run.number, "worker": run.worker_id},
@@ -635,7 +613,7 @@
         attempts = self.planner.queue_of(task.step.job).max_attempts
         self.book.note_run_failed(task, end.run_number, attempts, now_ms)
         if task.step.job.state == "failed":
-            self._last_stop_scan_ms = None
+            self._stops.request_scan()
             self.on_event(
                 "job_failed", {"job": task.id.job_id, "task": task.id, "attempts": attempts}
             )
@@ -708,7 +686,7 @@
         """Record that a start was not answered, so it may or may not be carried out."""
         if run.state in ("starting", "stopping"):
             run.transition("unanswered")
-            self._last_stop_scan_ms = None
+            self._stops.request_scan()
             worker = self.workers.get(run.worker_id)
             if worker is not None:
                 self._crashes.note_failed_call(worker, now_ms)
@@ -730,12 +708,8 @@
         self._report_suspension(now_ms)
         orders: list[Order] = []
         max_starts = min(max_starts, MAX_STARTS_PER_PLAN)
-        if (
-            self._last_stop_scan_ms is None
-            or now_ms - self._last_stop_scan_ms >= STOP_SCAN_INTERVAL_MS
-        ):
-            self._last_stop_scan_ms = now_ms
-            orders.extend(self._plan_stops(now_ms))
+        if self._stops.is_scan_due(now_ms):
+            orders.extend(self._stops.plan(now_ms))
             orders.extend(self._plan_copies(now_ms, max_starts))
         max_starts -= sum(isinstance(order, StartRun) for order in orders)
         starts = self.planner.plan(now_ms, max_starts)
@@ -829,100 +803,6 @@
             {"read_age_ms": now_ms - known.read_ms if known is not None else None},
         )
 
-    def _plan_stops(self, now_ms: int) -> list[Order]:
-        orders: list[Order] = []
-        for worker in self.workers.values():
-            if worker.unresponsive:
-                continue
-            for run in worker.runs.values():
-                reason = self._stop_reason(worker, run, now_ms)
-                if reason and self._may_send_stop(run, now_ms):
-                    if run.state != "unconfirmed":
-                        run.transition("stop")
-                    run.stop_sent_ms = now_ms
-                    orders.append(StopRun(worker, run.task.id, run.number, run, reason))
-        return orders
-
-    @staticmethod
-    def _may_send_stop(run: Run, now_ms: int) -> bool:
-        if run.state == "starting":
-            return False  # wait for the reply to the start
-        return run.stop_sent_ms is None or now_ms - run.stop_sent_ms >= STOP_REPEAT_INTERVAL_MS
-
-    def _stop_reason(self, worker: Worker, run: Run, now_ms: int) -> str:
-        """Return the reason to stop a run, or an empty string."""
-        if run.state == "stopping":
-            return "again"
-        if run.task.step.job.is_final or run.task.end_state:
-            return "job_over"
-        if run.state == "unconfirmed":
-            return "unanswered"
-        if run.task.run is not run and run.task.copy is not run:
-            return "superseded"
-        if run.state != "running":
-            return ""
-        if self._is_stuck(run):
-            run.task.failed_workers = (*run.task.failed_workers, worker.name)[-4:]
-            worker.note_outcome(False)
-            return "stands_still"
-        if self._should_move(worker, run, now_ms):
-            return "moves"
-        if (
-            worker.info.draining
-            and run.task.step.spec.long_running
-            and self._fits_elsewhere(run, now_ms)
-        ):
-            return "worker_leaves"
-        return ""
-
-    def _is_stuck(self, run: Run) -> bool:
-        """Return whether the worker has listed a run for long without any progress.
-
-        Time in which the worker, or this owner, was silent says nothing about the run. Neither does
-        the time that a long task, of an image that takes longer than estimated, needs for 1 %.
-        """
-        spec = run.task.step.spec
-        listed_without_progress_ms = run.listed_ms - run.progress_changed_ms
-        if (
-            run.speed_percent < 100
-            or (spec.long_running and run.progress_percent == 100)
-            or spec.gang
-            or listed_without_progress_ms <= STUCK_AFTER_MS
-        ):
-            return False
-        queue = run.task.step.job.submission.queue.name
-        expected_ms = self.planner.run_times.expected_ms(queue, spec.image, spec.estimate_ms)
-        if spec.best_effort:
-            return listed_without_progress_ms > max(2 * STUCK_AFTER_MS, expected_ms // 10)
-        estimate_ms = max(spec.estimate_ms, expected_ms)
-        return listed_without_progress_ms > max(STUCK_AFTER_MS, estimate_ms // 4)
-
-    def _should_move(self, worker: Worker, run: Run, now_ms: int) -> bool:
-        """Return whether to move a best-effort run that has been slow for long.
-
-        The move frees memory that the slow run hardly uses. The task continues on another worker
-        from its checkpoint, so it must support checkpointing.
-        """
-        spec = run.task.step.spec
-        if not spec.best_effort or not spec.checkpointing or run.speed_percent > SLOW_SPEED_PERCENT:
-            run.slow_since_ms = None
-            return False
-        if run.slow_since_ms is None:
-            run.slow_since_ms = now_ms
-        if now_ms - run.slow_since_ms < MOVE_DELAY_MS or now_ms < self._next_move_ms:
-            return False
-        if not self.planner.can_run_faster_elsewhere(run, worker, now_ms):
-            return False
-        self._next_move_ms = now_ms + MOVE_INTERVAL_MS
-        return True
-
-    def _fits_elsewhere(self, run: Run, now_ms: int) -> bool:
-        return any(
-            self.planner.may_start_on(other, now_ms) and other.fits(run.task.step.spec)
-            for other in self.workers.values()
-            if other.info.service == self.planner.queue_of(run.task.step.job).service
-        )
-
     # Changes to store.
 
     def collect_changes(self, wall_ms: int, now_ms: int, releasing: bool = False) -> Changes | None:
--- /dev/null
+++ b/src/greengagewood/internal/cells/stops.py
@@ -0,0 +1,162 @@
+"""Decide which runs of a cell to stop, and which tasks thereby move to other workers.
+
+The load: tasks that hang while their worker still answers, best-effort tasks that stay slowed down
+for the sake of a service beside them, and long-running tasks on workers that drain. Their runs hold
+resources with little or no progress, or will end with their worker. Such a run is stopped, and its
+task is started again once the run is over.
+
+Runs that nothing waits for are stopped too: those of jobs that have ended, of starts that were not
+answered, of tasks that have another run, and of tasks that are not known.
+
+A stop may be lost, so it is repeated until the run is over. Until then the resources of the run
+stay allocated, see `Cell`.
+
+This module does no I/O and reads no clock.
+"""
+
+from __future__ import annotations
+
+from greengagewood.internal.cells.fleet import Worker
+from greengagewood.internal.cells.orders import StopRun
+from greengagewood.internal.cells.planner import Planner
+from greengagewood.internal.jobs.book import Run
+from greengagewood.internal.jobs.records import TaskId
+from greengagewood.internal.ports import RunningTask
+
+__all__ = ["StopPlanner"]
+
+REPEAT_INTERVAL_MS = 400
+SCAN_INTERVAL_MS = 100  # between two scans for runs to stop, unless an event requests one
+SLOW_SPEED_PERCENT = 60  # a run limited to this or less may be moved to run at full speed
+MOVE_DELAY_MS = 450  # how long a run must have been slow before it is moved: about one reading
+MOVE_INTERVAL_MS = 150  # between two moves, each of which costs a stop and a start
+STUCK_AFTER_MS = 2_500  # minimum time without any progress after which a run is stopped as stuck
+
+
+class StopPlanner:
+    """The stops of one term of ownership."""
+
+    def __init__(self, workers: dict[str, Worker], planner: Planner) -> None:
+        self._workers = workers
+        self._planner = planner
+        self._last_scan_ms: int | None = None  # None requests a scan by the next plan
+        self._next_move_ms = 0  # no run is moved before this time
+        # When a run of an unknown task was last sent a stop, by worker, task and run number.
+        self._unknown_run_stop_sent_ms: dict[tuple[str, TaskId, int], int] = {}
+
+    def request_scan(self) -> None:
+        """Make a scan due at once, as an event may have given reason to stop a run."""
+        self._last_scan_ms = None
+
+    def is_scan_due(self, now_ms: int) -> bool:
+        """Return whether to scan for runs to stop."""
+        return self._last_scan_ms is None or now_ms - self._last_scan_ms >= SCAN_INTERVAL_MS
+
+    def plan(self, now_ms: int) -> list[StopRun]:
+        """Scan for runs to stop; return the stops to send now."""
+        self._last_scan_ms = now_ms
+        orders: list[StopRun] = []
+        for worker in self._workers.values():
+            if worker.unresponsive:
+                continue
+            for run in worker.runs.values():
+                reason = self._stop_reason(worker, run, now_ms)
+                if reason and _may_send_stop(run, now_ms):
+                    if run.state != "unconfirmed":
+                        run.transition("stop")
+                    run.stop_sent_ms = now_ms
+                    orders.append(StopRun(worker, run.task.id, run.number, run, reason))
+        return orders
+
+    def stop_unknown_run(
+        self, worker: Worker, listed_run: RunningTask, now_ms: int
+    ) -> StopRun | None:
+        """Return a stop of a listed run of an unknown task, unless one was sent recently."""
+        key = (worker.name, listed_run.task_id, listed_run.run_number)
+        if (
+            now_ms - self._unknown_run_stop_sent_ms.get(key, -REPEAT_INTERVAL_MS)
+            < REPEAT_INTERVAL_MS
+        ):
+            return None
+        self._unknown_run_stop_sent_ms[key] = now_ms
+        return StopRun(worker, listed_run.task_id, listed_run.run_number, None, "not_ours")
+
+    def _stop_reason(self, worker: Worker, run: Run, now_ms: int) -> str:
+        """Return the reason to stop a run, or an empty string."""
+        if run.state == "stopping":
+            return "again"
+        if run.task.step.job.is_final or run.task.end_state:
+            return "job_over"
+        if run.state == "unconfirmed":
+            return "unanswered"
+        if run.task.run is not run and run.task.copy is not run:
+            return "superseded"
+        if run.state != "running":
+            return ""
+        if self._is_stuck(run):
+            run.task.failed_workers = (*run.task.failed_workers, worker.name)[-4:]
+            worker.note_outcome(False)
+            return "stands_still"
+        if self._should_move(worker, run, now_ms):
+            return "moves"
+        if (
+            worker.info.draining
+            and run.task.step.spec.long_running
+            and self._fits_elsewhere(run, now_ms)
+        ):
+            return "worker_leaves"
+        return ""
+
+    def _is_stuck(self, run: Run) -> bool:
+        """Return whether the worker has listed a run for long without any progress.
+
+        Time in which the worker, or this owner, was silent says nothing about the run. Neither does
+        the time that a long task, of an image that takes longer than estimated, needs for 1 %.
+        """
+        spec = run.task.step.spec
+        listed_without_progress_ms = run.listed_ms - run.progress_changed_ms
+        if (
+            run.speed_percent < 100
+            or (spec.long_running and run.progress_percent == 100)
+            or spec.gang
+            or listed_without_progress_ms <= STUCK_AFTER_MS
+        ):
+            return False
+        queue = run.task.step.job.submission.queue.name
+        expected_ms = self._planner.run_times.expected_ms(queue, spec.image, spec.estimate_ms)
+        if spec.best_effort:
+            return listed_without_progress_ms > max(2 * STUCK_AFTER_MS, expected_ms // 10)
+        estimate_ms = max(spec.estimate_ms, expected_ms)
+        return listed_without_progress_ms > max(STUCK_AFTER_MS, estimate_ms // 4)
+
+    def _should_move(self, worker: Worker, run: Run, now_ms: int) -> bool:
+        """Return whether to move a best-effort run that has been slow for long.
+
+        The move frees memory that the slow run hardly uses. The task continues on another worker
+        from its checkpoint, so it must support checkpointing.
+        """
+        spec = run.task.step.spec
+        if not spec.best_effort or not spec.checkpointing or run.speed_percent > SLOW_SPEED_PERCENT:
+            run.slow_since_ms = None
+            return False
+        if run.slow_since_ms is None:
+            run.slow_since_ms = now_ms
+        if now_ms - run.slow_since_ms < MOVE_DELAY_MS or now_ms < self._next_move_ms:
+            return False
+        if not self._planner.can_run_faster_elsewhere(run, worker, now_ms):
+            return False
+        self._next_move_ms = now_ms + MOVE_INTERVAL_MS
+        return True
+
+    def _fits_elsewhere(self, run: Run, now_ms: int) -> bool:
+        return any(
+            self._planner.may_start_on(other, now_ms) and other.fits(run.task.step.spec)
+            for other in self._workers.values()
+            if other.info.service == self._planner.queue_of(run.task.step.job).service
+        )
+
+
+def _may_send_stop(run: Run, now_ms: int) -> bool:
+    if run.state == "starting":
+        return False  # wait for the reply to the start
+    return run.stop_sent_ms is None or now_ms - run.stop_sent_ms >= REPEAT_INTERVAL_MS
--- a/tests/cover/test_cell_mutants.py
+++ b/tests/cover/test_cell_mutants.py
@@ -71,17 +71,23 @@
 
 def _free_on_stop_sent(patch: pytest.MonkeyPatch) -> None:
     """Resources of a run count as free as soon as a stop was sent."""
-    plan_stops = Cell._plan_stops
+    init = Cell.__init__
 
-    def free_resources(self: Cell, now_ms: int) -> list[Any]:
-        orders = plan_stops(self, now_ms)
-        for order in orders:
-            if order.run is not None and order.run.state == "stopping":
-                self._end_run(order.worker, order.run, "lost", now_ms)
-                self._queue_again(order.run.task)
-        return orders
+    def init_freeing(self: Cell, *args: Any, **kwargs: Any) -> None:
+        init(self, *args, **kwargs)
+        plan_stops = self._stops.plan
 
-    patch.setattr(Cell, "_plan_stops", free_resources)
+        def free_resources(now_ms: int) -> list[Any]:
+            orders = plan_stops(now_ms)
+            for order in orders:
+                if order.run is not None and order.run.state == "stopping":
+                    self._end_run(order.worker, order.run, "lost", now_ms)
+                    self._queue_again(order.run.task)
+            return orders
+
+        patch.setattr(self._stops, "plan", free_resources)
+
+    patch.setattr(Cell, "__init__", init_freeing)
 
 
 SEEDS = range(500, 560)
