Print rollouts and compute the work of a job in one place

ggwctl printed the outcome of a promotion and of an evacuation with two copies of the same report, and the forecast repeated the formula for a job's work that the job book has. Each has one function now; output, figures and tests are unchanged.

--- a/src/greengagewood/internal/cells/forecast.py
+++ b/src/greengagewood/internal/cells/forecast.py
@@ -28,6 +28,7 @@
     Step,
     Task,
     critical_path_lengths,
+    total_work_cpu_ms,
 )
 from greengagewood.internal.jobs.model import JobSpec, Queue, StepSpec
 from greengagewood.internal.jobs.records import (
@@ -93,7 +94,7 @@
     backlog = next((held for held in service.queues if held.queue == queue.name), None)
     if backlog is None:
         return None
-    cpu_ms = sum(s.task_count * s.cpu_millis * s.estimate_ms // 1000 for s in spec.steps)
+    cpu_ms = total_work_cpu_ms(spec.steps)
     value = full_value(cpu_ms, backlog.mean_job_cpu_ms)
     critical_path_ms = max(critical_path_lengths(spec.steps), default=0)
     objective_ms = objective_of(queue, critical_path_ms)
--- a/src/greengagewood/internal/cells/ownership.py
+++ b/src/greengagewood/internal/cells/ownership.py
@@ -64,9 +64,8 @@
 
     def note_record(self, record: Record, now_ms: int) -> None:
         """Process a record read from the log."""
-        if isinstance(
-            record, Progress | RegisteredWorkers | Forecast
-        ):  # only an owner writes these
+        # Only an owner writes these.
+        if isinstance(record, Progress | RegisteredWorkers | Forecast):
             self._heartbeat_ms = now_ms
         if not isinstance(record, Ownership) or record.token < self.current.token:
             return
--- a/src/greengagewood/internal/ctl/main.py
+++ b/src/greengagewood/internal/ctl/main.py
@@ -17,7 +17,7 @@
 from result import Err
 
 from greengagewood.internal.clock import monotonic_ms
-from greengagewood.internal.ctl.admin import read_status, wait_for_rollout
+from greengagewood.internal.ctl.admin import RolloutStatus, read_status, wait_for_rollout
 from greengagewood.internal.ctl.check import (
     check_against_file,
     examine_file,
@@ -274,18 +274,24 @@
     rollout = await wait_for_rollout(
         ctx.session, admins, accepted.offset, started_ms, ctx.timeout_s
     )
+    result = {"stage": stage, "offset": accepted.offset, "digest": accepted.digest}
+    return _print_rollout(ctx, result, f"in force in {stage} on", rollout, len(admins))
+
+
+def _print_rollout(
+    ctx: CommandContext, result: dict[str, Any], text: str, rollout: RolloutStatus, count: int
+) -> int:
+    """Print on how many of `count` instances something is in force; return the exit code."""
     ctx.print_result(
         {
-            "stage": stage,
-            "offset": accepted.offset,
-            "digest": accepted.digest,
+            **result,
             "in_force_everywhere": rollout.everywhere,
             "seconds": rollout.seconds,
             "slowest": rollout.slowest,
             "missing": rollout.missing,
         },
-        f"in force in {stage} on {len(admins) - len(rollout.missing)} of {len(admins)} instances "
-        f"after {rollout.seconds:.2f} s, slowest {rollout.slowest or '-'}"
+        f"{text} {count - len(rollout.missing)} of {count} instances after "
+        f"{rollout.seconds:.2f} s, slowest {rollout.slowest or '-'}"
         + "".join(f"\n  not yet: {name}" for name in rollout.missing),
     )
     return EXIT_OK if rollout.everywhere else EXIT_FAILED
@@ -365,19 +371,7 @@
         ctx.timeout_s,
         "evacuations_in_force_offset",
     )
-    ctx.print_result(
-        {
-            **result,
-            "in_force_everywhere": rollout.everywhere,
-            "seconds": rollout.seconds,
-            "slowest": rollout.slowest,
-            "missing": rollout.missing,
-        },
-        f"{text}, obeyed by {len(admins) - len(rollout.missing)} of {len(admins)} instances after "
-        f"{rollout.seconds:.2f} s, slowest {rollout.slowest or '-'}"
-        + "".join(f"\n  not yet: {name}" for name in rollout.missing),
-    )
-    return EXIT_OK if rollout.everywhere else EXIT_FAILED
+    return _print_rollout(ctx, result, f"{text}, obeyed by", rollout, len(admins))
 
 
 def _describe_order(stage: str, domain: str, order: EvacuationOrder | None) -> dict[str, Any]:
--- a/src/greengagewood/internal/jobs/book.py
+++ b/src/greengagewood/internal/jobs/book.py
@@ -156,6 +156,11 @@
     return task_count * spec.cpu_millis * spec.estimate_ms // 1000
 
 
+def total_work_cpu_ms(steps: tuple[StepSpec, ...]) -> int:
+    """Return the estimated work of one occurrence of a job in CPU milliseconds."""
+    return sum(_work_cpu_ms(spec, spec.task_count) for spec in steps)
+
+
 def critical_path_lengths(steps: tuple[StepSpec, ...]) -> tuple[int, ...]:
     """Return for each step the length in ms of the longest dependency chain from it on."""
     lengths = [step.estimate_ms for step in steps]
@@ -194,7 +199,7 @@
         if submission.job_id in self.jobs:
             return None
         steps = submission.spec.steps
-        total_cpu_ms = sum(_work_cpu_ms(spec, spec.task_count) for spec in steps)
+        total_cpu_ms = total_work_cpu_ms(steps)
         job = Job(submission, now_ms, offset, critical_path_lengths(steps), total_cpu_ms)
         job.maybe_inherited = maybe_running
         self.jobs[submission.job_id] = job
