Log how old an owner's knowledge is when it concludes that runs are lost

The hypotheses differ in whether the read that last confirmed an owner was sent before or after a lease had expired, which no line said.

run_lost and adopted have confirmed_ago_ms, run_lost also silent_ms; term_suspended and term_resumed say when an owner holds orders back. No decision changes: Cell.note_confirmed only keeps the time.

--- a/src/greengagewood/internal/cells/cell.py
+++ b/src/greengagewood/internal/cells/cell.py
@@ -118,11 +118,16 @@
         self._earlier_starts_expiry_ms = self._earlier_orders_expiry_ms + MAX_ORDER_DELAY_MS
         self._registration_due = False
         self._directory_unread = True
+        self._confirmed_ms = now_ms  # when the last read that confirmed the ownership was sent
         self._adopting = True  # until every worker is known to have no other runs of the cell
         self._adoption_report_ms = now_ms + ADOPTION_REPORT_DELAY_MS
         self._starts_suspended = False  # whether the evacuation orders are not known
         self._saturated_services: set[str] = set()  # of the last forecast
 
+    def note_confirmed(self, sent_ms: int) -> None:
+        """Record that a read of the cell's log sent at `sent_ms` has shown no later owner."""
+        self._confirmed_ms = max(self._confirmed_ms, sent_ms)
+
     # Jobs.
 
     def add_job(
@@ -373,9 +378,17 @@
             self._crashes.keep_suspects(worker)
         for run in lost:
             self._end_run(worker, run, "lost", now_ms)
+            answered_ms = worker.last_answer_ms
             self.on_event(
                 "run_lost",
-                {"task": run.task.id, "run": run.number, "worker": worker.name, "reason": reason},
+                {
+                    "task": run.task.id,
+                    "run": run.number,
+                    "worker": worker.name,
+                    "reason": reason,
+                    "silent_ms": None if answered_ms is None else now_ms - answered_ms,
+                    "confirmed_ago_ms": now_ms - self._confirmed_ms,
+                },
             )
             self._queue_again(run.task)
 
@@ -770,7 +783,13 @@
             return
         if self._adopting and not unresolved:
             self._adopting = False
-            self.on_event("adopted", {"unknown": len(self.book.maybe_running_tasks)})
+            self.on_event(
+                "adopted",
+                {
+                    "unknown": len(self.book.maybe_running_tasks),
+                    "confirmed_ago_ms": now_ms - self._confirmed_ms,
+                },
+            )
         for task in list(self.book.maybe_running_tasks):
             if task.id not in held_back:
                 self.book.note_not_running(task, now_ms)
--- a/src/greengagewood/internal/cells/runner.py
+++ b/src/greengagewood/internal/cells/runner.py
@@ -185,6 +185,10 @@
         self._metrics.gauge("evacuated_workers", self.cell.evacuated_worker_count)
         self._plan_wakeup.set()
 
+    def note_confirmed(self, sent_ms: int) -> None:
+        """Pass on that a read of the cell's log sent at `sent_ms` has shown no later owner."""
+        self.cell.note_confirmed(sent_ms)
+
     def _record_event(self, event: str, fields: dict[str, object]) -> None:
         self._metrics.count("cell_events", event=event)
         _log.info(event, token=self.token, **fields)
--- a/src/greengagewood/internal/entry/node.py
+++ b/src/greengagewood/internal/entry/node.py
@@ -111,6 +111,7 @@
         self._refresh: asyncio.Task[None] | None = None  # the last read for callers
         self._refresh_sent_ms = 0
         self._reads_failing = False
+        self._suspended = False  # whether orders are held back, by the last report
         self._tasks: list[asyncio.Future[None]] = []
 
     def start(self) -> None:
@@ -273,7 +274,7 @@
         except (TimeoutError, LogTruncated) as exc:
             raise StoreUnavailable(repr(exc)) from exc
         self._last_read_ms = max(sent_ms, self._last_read_ms)
-        self._ownership.note_read(sent_ms, monotonic_ms())
+        self._note_read_to_end(sent_ms, monotonic_ms())
 
     # The cell's log.
 
@@ -303,7 +304,14 @@
         if not page.reaches_end:
             return  # a newer claim may stand in what has not been read
         self._last_read_ms = now_ms
+        self._note_read_to_end(sent_ms, now_ms)
+
+    def _note_read_to_end(self, sent_ms: int, now_ms: int) -> None:
+        """Record that a read sent at `sent_ms` has shown all claims that were stored until then."""
         self._ownership.note_read(sent_ms, now_ms)
+        runner = self._runner
+        if runner is not None and self._is_current_term(runner):
+            runner.note_confirmed(sent_ms)
 
     async def _pause_reads(self) -> int:
         """Wait until the next read is to be sent; return how long the store may hold it."""
@@ -363,6 +371,7 @@
         await asyncio.sleep(OWNERSHIP_INTERVAL_S)
         now_ms = monotonic_ms()
         self._ownership.tick(now_ms)
+        self._report_suspension(now_ms)
         runner = self._runner
         if runner is not None and not self._is_current_term(runner):
             await self._end_term("replaced")
@@ -376,6 +385,19 @@
         if self._ownership.should_claim(now_ms) and self.config is not None:
             await self._claim(now_ms)
 
+    def _report_suspension(self, now_ms: int) -> None:
+        """Report when the owner begins or ceases to hold orders back, as no read confirms it."""
+        state = self._ownership.state
+        if self._suspended == (state == "suspended"):
+            return
+        self._suspended = state == "suspended"
+        if self._suspended or state == "owning":  # otherwise `term_ended` follows
+            _log.info(
+                "term_suspended" if self._suspended else "term_resumed",
+                token=self._ownership.token,
+                read_age_ms=now_ms - self._last_read_ms,
+            )
+
     async def _claim(self, now_ms: int) -> None:
         claim = self._ownership.make_claim(now_ms)
         expected_end = self.ledger.next_offset
