Conclude that leases have expired only once a later read confirms the owner

Cause: an owner may send orders for 5 s after its last confirmed read, and within them it took the leases on silent workers to have expired by the deadlines that it had sent itself. A successor, which claims the cell 1.4 s after the last heartbeat, may have extended the same leases, or acknowledged ends of the runs, in the meantime. Class of fault: a conclusion from silence whose premise, that nobody else acts on the cell, was confirmed only for a time before the conclusion.

Ruled out: clocks (the overlap is 1.5 s, a clock at 0.98 explains 2.4 ms), late starts and a second start by the successor (both runs are of one term, the first 29 s old); see docs/incidents.

Change: leases, unanswered starts and inherited runs count as expired only as of the time at which the last read that showed no later owner was sent, not as of now. When tasks wait just for that, the instance reads the log at once instead of with its next long poll.

Why it works: until the read was sent no successor had claimed, so nobody but this owner had given leases, and these had expired by then. A later owner starts the task only after each worker has accepted its token, which fences the starts that this owner still sends.

Tests that call Cell.plan directly now say when the owner was confirmed.

--- a/src/greengagewood/internal/cells/cell.py
+++ b/src/greengagewood/internal/cells/cell.py
@@ -14,7 +14,9 @@
 A later boot of the worker may still carry the start out, see `latestarts`.
 
 A run on an unresponsive worker is over when the worker's clock has certainly passed every deadline
-that the worker was ever given.
+that the worker was ever given. A later owner may extend the worker's lease, so what follows from
+the time that has passed counts only once a read of the log that was sent afterwards has shown no
+later owner.
 
 A task that an earlier owner may have started is `maybe_running` until it is ruled out on every
 registered worker, see `registration`.
@@ -128,6 +130,16 @@
         """Record that a read of the cell's log sent at `sent_ms` has shown no later owner."""
         self._confirmed_ms = max(self._confirmed_ms, sent_ms)
 
+    def awaits_confirmation(self, now_ms: int) -> bool:
+        """Return whether tasks wait only for a read that confirms the ownership."""
+        return any(
+            worker.unresponsive
+            and worker.runs
+            and worker.orders_expired(now_ms)
+            and not worker.orders_expired(self._confirmed_ms)
+            for worker in self.workers.values()
+        )
+
     # Jobs.
 
     def add_job(
@@ -209,7 +221,7 @@
                 not worker.in_directory
                 and worker.unresponsive
                 and not worker.runs
-                and worker.orders_expired(now_ms)
+                and worker.orders_expired(self._confirmed_ms)
             ):
                 self._remove_worker(worker)
         # The first record of a term replaces that of the earlier owner, which no longer applies.
@@ -291,7 +303,7 @@
             in_directory=worker.in_directory,
             lease_limited=worker.lease_limited,
         )
-        if worker.unlisted_runs(now_ms):  # a late start may still reach the new boot
+        if worker.unlisted_runs(self._confirmed_ms):  # a late start may still reach the new boot
             rebooted.inherited = worker.inherited
             rebooted.earlier_orders_expiry_ms = worker.earlier_orders_expiry_ms
         self.workers[info.worker_id] = rebooted
@@ -326,7 +338,7 @@
             for run in worker.runs.values()
             if not run.start_deadline_ms and run.task.run is run and not run.task.end_state
         ]
-        if not tasks or now_ms > self._earlier_starts_expiry_ms:
+        if not tasks or self._confirmed_ms > self._earlier_starts_expiry_ms:
             return
         for task in tasks:
             self.book.note_maybe_running(task)
@@ -372,7 +384,8 @@
             run
             for run in worker.runs.values()
             # A later boot may still carry out a start that was not answered.
-            if reason != "lapsed" or now_ms > late_start_expiry_ms(run, self.limits.lease_ms)
+            if reason != "lapsed"
+            or self._confirmed_ms > late_start_expiry_ms(run, self.limits.lease_ms)
         ]
         if lost and reason == "lapsed":
             self._crashes.keep_suspects(worker)
@@ -714,7 +727,7 @@
     def plan(self, now_ms: int, wall_ms: int, max_starts: int = MAX_STARTS_PER_PLAN) -> list[Order]:
         """Return the orders to send now; what may not start yet is left to a later plan."""
         self._end_expired_runs(now_ms)
-        if self._late_starts.forget_expired(now_ms):
+        if self._late_starts.forget_expired(self._confirmed_ms):
             self.planner.request_replan()
         self._open_due_occurrences(wall_ms)
         self._finish_adoption(now_ms)
@@ -753,7 +766,7 @@
     def _end_expired_runs(self, now_ms: int) -> None:
         """End the runs on unresponsive workers whose leases have certainly expired."""
         for worker in list(self.workers.values()):
-            if not worker.unresponsive or not worker.orders_expired(now_ms):
+            if not worker.unresponsive or not worker.orders_expired(self._confirmed_ms):
                 continue
             self._mark_runs_lost(worker, now_ms, "lapsed")
             worker.adopted = False
@@ -775,10 +788,11 @@
         """Mark the tasks as not running that no run of an earlier owner can go on with unlisted."""
         if not self._adopting and not self.book.maybe_running_tasks:
             return
-        unresolved = [w for w in self.workers.values() if w.unlisted_runs(now_ms)]
+        confirmed_ms = self._confirmed_ms
+        unresolved = [w for w in self.workers.values() if w.unlisted_runs(confirmed_ms)]
         if unresolved:
             self._report_adoption(unresolved, now_ms)
-        held_back = tasks_held_back(unresolved, now_ms)
+        held_back = tasks_held_back(unresolved, confirmed_ms)
         if held_back is None:
             return
         if self._adopting and not unresolved:
--- a/src/greengagewood/internal/cells/fleet.py
+++ b/src/greengagewood/internal/cells/fleet.py
@@ -342,7 +342,7 @@
 
     def has_passed(self, deadline_ms: int, now_ms: int) -> bool:
         """Return whether a time on the worker's clock has certainly passed."""
-        if self.clock_read_ms is None:
+        if self.clock_read_ms is None or now_ms < self.clock_read_ms:
             return False
         elapsed = (now_ms - self.clock_read_ms) / (1 + MAX_CLOCK_DRIFT)
         return self.clock_ms + elapsed > deadline_ms
--- a/src/greengagewood/internal/cells/runner.py
+++ b/src/greengagewood/internal/cells/runner.py
@@ -189,6 +189,11 @@
         """Pass on that a read of the cell's log sent at `sent_ms` has shown no later owner."""
         self.cell.note_confirmed(sent_ms)
 
+    @property
+    def awaits_confirmation(self) -> bool:
+        """Return whether tasks wait only for a read of the log that confirms the ownership."""
+        return self.cell.awaits_confirmation(monotonic_ms())
+
     def _record_event(self, event: str, fields: dict[str, object]) -> None:
         self._metrics.count("cell_events", event=event)
         _log.info(event, token=self.token, **fields)
--- a/src/greengagewood/internal/entry/node.py
+++ b/src/greengagewood/internal/entry/node.py
@@ -242,22 +242,25 @@
 
     async def _share_refresh(self) -> None:
         """Read to the end of the log, together with other callers that have just asked for it."""
-        now_ms = monotonic_ms()
         refresh = self._refresh
         if (
             refresh is None
             or refresh.done()
-            or now_ms - self._refresh_sent_ms > STATE_REFRESH_AGE_MS
+            or monotonic_ms() - self._refresh_sent_ms > STATE_REFRESH_AGE_MS
         ):
-            refresh = asyncio.create_task(self._read_to_end(LOOKUP_TIMEOUT_S))
-            refresh.add_done_callback(_retrieve_exception)
-            self._refresh, self._refresh_sent_ms = refresh, now_ms
+            refresh = self._start_refresh()
         try:
             async with asyncio.timeout(REFRESH_TIMEOUT_S):
                 await asyncio.shield(refresh)
         except TimeoutError as exc:
             raise StoreUnavailable(repr(exc)) from exc
 
+    def _start_refresh(self) -> asyncio.Task[None]:
+        refresh = asyncio.create_task(self._read_to_end(LOOKUP_TIMEOUT_S))
+        refresh.add_done_callback(_retrieve_exception)
+        self._refresh, self._refresh_sent_ms = refresh, monotonic_ms()
+        return refresh
+
     async def _read_to_end(self, timeout_s: float) -> None:
         """Read the records that were appended to the store since the last read."""
         if not self._loaded:
@@ -379,6 +382,12 @@
             await asyncio.sleep(0)  # runs callbacks of the cancelled tasks that refer to the cell
             if not self._ownership.owning:
                 gc.collect()  # the jobs and tasks of the cell refer to each other
+        if (
+            runner is not None
+            and runner.awaits_confirmation
+            and (self._refresh is None or self._refresh.done())
+        ):
+            self._start_refresh()  # sooner than the read that waits for records
         # While an instance stops, its term may still be the current one, but has no runner.
         if self._ownership.owning and self._runner is None and not self._ownership.shutting_down:
             self._start_term()
--- a/tests/common/desk.py
+++ b/tests/common/desk.py
@@ -93,6 +93,7 @@
     def plan(self, elapsed_ms: int = 10) -> list:
         """Advance the clock, plan, store the changes, and plan again; return the orders."""
         self.now_ms += elapsed_ms
+        self.cell.note_confirmed(self.now_ms)
         orders = self.cell.plan(self.now_ms, self.now_ms)
         self.store_changes()
         self.now_ms += 1
--- a/tests/cover/test_owner_changes.py
+++ b/tests/cover/test_owner_changes.py
@@ -148,6 +148,7 @@
         now_ms += wait_ms
         reply = LeaseReply(5_000, 1, (), ())
         successor.handle_lease_reply(successor.workers["w0"], reply, now_ms, now_ms)
+        successor.note_confirmed(now_ms)
         return [order.run.task.id.number for order in start_orders(successor.plan(now_ms, 0))]
 
     def test_only_the_tasks_of_a_silent_worker_wait_for_it(self) -> None:
@@ -166,6 +167,7 @@
         successor.handle_lease_reply(worker, LeaseReply(5_000, 1, (), ()), now_ms, now_ms)
         now_ms += 7_000
         successor.note_lease_failure(worker, now_ms)
+        successor.note_confirmed(now_ms)
         successor.plan(now_ms, 0)
         assert not worker.adopted
         assert worker.unlisted_runs(now_ms) == ()
--- a/tests/cover/test_owner_cut_off.py
+++ b/tests/cover/test_owner_cut_off.py
@@ -3,8 +3,55 @@
 from __future__ import annotations
 
 import asyncio
+import random
+from collections.abc import Callable
 
-from tests.common.drive import CellSimulation, long_running_job, run_simulation
+import pytest
+
+from greengagewood.internal.cells.cell import Cell
+from greengagewood.internal.evacuation import Evacuations
+from greengagewood.internal.jobs.model import JobSpec, StepSpec
+from greengagewood.internal.jobs.records import (
+    Progress,
+    RegisteredWorker,
+    RegisteredWorkers,
+    Submission,
+)
+from greengagewood.internal.ports import LeaseReply
+from tests.common.desk import LIMITS, QUEUE, CellHarness, make_worker_info, start_orders
+from tests.common.drive import (
+    CellSimulation,
+    long_running_job,
+    mixed_job,
+    run_simulation,
+    short_job,
+)
+
+JOB = "0" * 16
+
+
+def _plan_unconfirmed(harness: CellHarness, elapsed_ms: int) -> list:
+    """Plan after a time in which no read has confirmed the owner."""
+    harness.now_ms += elapsed_ms
+    harness.read_orders()
+    for name, worker in harness.cell.workers.items():
+        if not worker.unresponsive and not worker.runs:
+            harness.answer_lease(name)
+    return start_orders(harness.cell.plan(harness.now_ms, harness.now_ms))
+
+
+def _plan_confirmed(harness: CellHarness) -> list:
+    harness.cell.note_confirmed(harness.now_ms)
+    return _plan_unconfirmed(harness, 1)
+
+
+def _start_one(harness: CellHarness, spec: StepSpec | None = None) -> str:
+    """Start a task, let its worker list it, and return the worker."""
+    harness.submit(spec or StepSpec(1, cpu_millis=1_000))
+    (start,) = harness.start()
+    harness.now_ms += 10
+    harness.answer_leases()
+    return start.worker.name
 
 
 class TestExpiredLeases:
@@ -16,7 +63,7 @@
         async def script(sim: CellSimulation) -> None:
             owner = sim.owner()
             assert owner is not None
-            await sim.submit("0" * 16, "serve", long_running_job())
+            await sim.submit(JOB, "serve", long_running_job())
             await asyncio.sleep(2)
             lost = next(n for n, worker in sim.platform.workers.items() if worker.runs)
             sim.platform.faults.cut_links.add((owner, lost))
@@ -36,3 +83,126 @@
             assert len(sim.platform.running_tasks()) == 3
 
         run_simulation(CellSimulation(1), script)
+
+    def test_the_tasks_of_a_silent_worker_wait_for_a_read_sent_after_its_lease(self) -> None:
+        harness = CellHarness("w0", "w1")
+        lost = _start_one(harness)
+        harness.cell.prepare_lease_extension(harness.cell.workers[lost], harness.now_ms)
+        harness.cell.note_confirmed(harness.now_ms)
+        harness.now_ms += 3_000
+        harness.cell.note_lease_failure(harness.cell.workers[lost], harness.now_ms)
+        assert _plan_unconfirmed(harness, 3_000) == []
+        assert not harness.cell.awaits_confirmation(harness.now_ms)
+        harness.cell.note_confirmed(harness.now_ms)
+        assert _plan_unconfirmed(harness, 500) == []
+        assert harness.cell.awaits_confirmation(harness.now_ms)
+        assert len(_plan_confirmed(harness)) == 1
+        assert not harness.cell.awaits_confirmation(harness.now_ms)
+
+    def test_a_start_without_an_answer_waits_for_a_read_sent_after_it_has_expired(self) -> None:
+        harness = CellHarness("w0", "w1")
+        harness.submit(StepSpec(1, cpu_millis=1_000))
+        (start,) = start_orders(harness.plan())
+        harness.cell.note_start_unanswered(start.run, harness.now_ms)
+        harness.now_ms += 3_000
+        harness.cell.note_lease_failure(start.worker, harness.now_ms)
+        harness.cell.note_confirmed(harness.now_ms)
+        assert _plan_unconfirmed(harness, 20_000) == []
+        assert len(_plan_confirmed(harness)) == 1
+
+    def test_what_earlier_owners_started_is_not_ruled_out_by_time_alone(self) -> None:
+        """Guards against a new owner, cut off at once, that waits until inherited runs are over."""
+        now_ms = 100_000
+        owner = Cell(LIMITS, 5, now_ms)
+        owner.set_evacuations(Evacuations(frozenset(), 0, now_ms), now_ms)
+        submission = Submission(JOB, QUEUE, JobSpec("p", (StepSpec(1, cpu_millis=1),)), 0)
+        owner.add_job(submission, Progress(JOB, "running"), False, now_ms)
+        workers = (RegisteredWorker("w0", "", "svc"), RegisteredWorker("silent", "", "svc"))
+        owner.set_registered_workers(RegisteredWorkers(workers, 4), now_ms, now_ms)
+        owner.set_workers({"w0": make_worker_info("w0")}, now_ms)
+        now_ms += 12_000
+        reply = LeaseReply(5_000, 1, (), ())
+        owner.handle_lease_reply(owner.workers["w0"], reply, now_ms, now_ms)
+        assert start_orders(owner.plan(now_ms, 0)) == []
+        owner.note_confirmed(now_ms)
+        assert len(start_orders(owner.plan(now_ms, 0))) == 1
+
+
+class _CutDomains:
+    """Cuts between failure domains; each has an instance, and the store is in none of them."""
+
+    def __init__(self, sim: CellSimulation) -> None:
+        self._sim = sim
+        self.domains = {name: f"z{number}" for number, name in enumerate(("n0", "n1", "n2"))}
+
+    def cut(self, instance: str) -> None:
+        """Cut the failure domain of an instance off from the store and the other domains."""
+        faults, domain = self._sim.platform.faults, self.domains[instance]
+        faults.store_silent_to.add(instance)
+        for name, worker in self._sim.platform.workers.items():
+            is_inside = worker.info.failure_domain == domain
+            faults.cut_links.update(
+                (other, name) for other in self.domains if (other == instance) != is_inside
+            )
+
+    def heal(self) -> None:
+        self._sim.platform.faults.store_silent_to.clear()
+        self._sim.platform.faults.cut_links.clear()
+
+
+async def _cut_owners_at_random(sim: CellSimulation) -> None:
+    """Cut off owners while single workers are out of reach, reboot or answer late."""
+    rng = random.Random(sim.seed)
+    faults, cuts = sim.platform.faults, _CutDomains(sim)
+    jobs = [asyncio.ensure_future(sim.submit(f"{n:016x}", *mixed_job(n))) for n in range(9)]
+    await asyncio.sleep(2)
+    for number in range(6):
+        owner = sim.owner()
+        names = sorted(sim.platform.workers)
+        if owner is not None:
+            for name in rng.sample(names, 2):
+                faults.cut_links.add((owner, name))
+            await asyncio.sleep(rng.uniform(1, 6))
+            cuts.cut(owner)
+        await asyncio.sleep(rng.uniform(0.5, 4))
+        if rng.random() < 0.5:
+            name = rng.choice(names)
+            sim.platform.crash_and_restart(sim.platform.workers[name], rng.uniform(0.1, 2))
+        await asyncio.sleep(rng.uniform(1, 6))
+        cuts.heal()
+        jobs.append(asyncio.ensure_future(sim.submit(f"{100 + number:016x}", "fast", short_job())))
+        await asyncio.sleep(rng.uniform(0, 3))
+    await asyncio.gather(*jobs)
+    await asyncio.sleep(25)
+
+
+def _violations(seed: int) -> list[str]:
+    sim = CellSimulation(seed, worker_count=6)
+    run_simulation(sim, _cut_owners_at_random)
+    return sim.platform.violations
+
+
+def _trust_the_time(patch: pytest.MonkeyPatch) -> None:
+    """What follows from the time that has passed counts at once."""
+    plan = Cell.plan
+
+    def plan_as_if_confirmed(cell: Cell, now_ms: int, *rest: int) -> object:
+        cell.note_confirmed(now_ms)
+        return plan(cell, now_ms, *rest)
+
+    patch.setattr(Cell, "plan", plan_as_if_confirmed)
+
+
+class TestRandomCuts:
+    """Owners that are cut off at random, beside workers that are silent or reboot."""
+
+    @pytest.mark.parametrize("seed", range(8))
+    def test_no_task_runs_twice(self, seed: int) -> None:
+        assert _violations(seed) == []
+
+    @pytest.mark.parametrize("mutate", [_trust_the_time])
+    def test_a_missing_rule_lets_a_task_run_twice(
+        self, mutate: Callable[[pytest.MonkeyPatch], None], monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        mutate(monkeypatch)
+        assert any(_violations(seed) for seed in range(20))
