Start tasks of a lost boot only once a later read confirms the owner

An owner that no read has confirmed for a while learns from a worker, or the directory, that another boot has taken the place of one with runs, and starts their tasks again. Its successor may have acknowledged before the reboot that they were done; then a task runs again after its end was taken note of (TWICE).

Change: the tasks of a boot that is gone wait until a read sent after the loss shows no later owner. So do those whose starts the next boot rules out, and gangs as a whole.

--- a/src/greengagewood/internal/cells/cell.py
+++ b/src/greengagewood/internal/cells/cell.py
@@ -14,9 +14,9 @@
 A later boot of the worker may still carry the start out, see `latestarts`.
 
 A run on an unresponsive worker is over when the worker's clock has certainly passed every deadline
-that the worker was ever given. A later owner may extend the worker's lease, so what follows from
-the time that has passed counts only once a read of the log that was sent afterwards has shown no
-later owner.
+that the worker was ever given. A later owner may extend the worker's lease or acknowledge the end
+of the run, so what follows from the time that has passed, or from another boot of a worker, counts
+only once a read of the log that was sent afterwards has shown no later owner.
 
 A task that an earlier owner may have started is `maybe_running` until it is ruled out on every
 registered worker, see `registration`.
@@ -121,6 +121,7 @@
         self._registration_due = False
         self._directory_unread = True
         self._confirmed_ms = now_ms  # when the last read that confirmed the ownership was sent
+        self._unconfirmed_losses: dict[Task, int] = {}  # when their runs were found to be lost
         self._adopting = True  # until every worker is known to have no other runs of the cell
         self._adoption_report_ms = now_ms + ADOPTION_REPORT_DELAY_MS
         self._starts_suspended = False  # whether the evacuation orders are not known
@@ -132,7 +133,7 @@
 
     def awaits_confirmation(self, now_ms: int) -> bool:
         """Return whether tasks wait only for a read that confirms the ownership."""
-        return any(
+        return bool(self._unconfirmed_losses) or any(
             worker.unresponsive
             and worker.runs
             and worker.orders_expired(now_ms)
@@ -307,6 +308,7 @@
             rebooted.inherited = worker.inherited
             rebooted.earlier_orders_expiry_ms = worker.earlier_orders_expiry_ms
         self.workers[info.worker_id] = rebooted
+        self._await_confirmation(worker, now_ms)
         for run in list(worker.runs.values()):
             if (
                 run.accepted_ms is not None
@@ -379,6 +381,23 @@
         self._registration_due = True
         self.on_event("worker_forgotten", {"worker": worker.name})
 
+    def _await_confirmation(self, worker: Worker, now_ms: int) -> None:
+        """Start the tasks of a boot that is gone only once a read confirms the ownership.
+
+        A later owner may have acknowledged that they are done before the boot was gone.
+        """
+        for run in worker.runs.values():
+            run.task.loss_unconfirmed = True
+            self._unconfirmed_losses[run.task] = now_ms
+
+    def _confirm_losses(self) -> None:
+        """Queue the tasks whose runs were lost before the last confirmed read was sent."""
+        for task, lost_ms in list(self._unconfirmed_losses.items()):
+            if lost_ms < self._confirmed_ms:
+                del self._unconfirmed_losses[task]
+                task.loss_unconfirmed = False
+                self._queue_again(task)
+
     def _mark_runs_lost(self, worker: Worker, now_ms: int, reason: str) -> None:
         lost = [
             run
@@ -660,6 +679,7 @@
         if self.workers.get(worker.name) is worker:
             self.on_event("worker_replaced", {"worker": worker.name, "runs": len(worker.runs)})
             self._crashes.handle_crash(worker, now_ms)
+            self._await_confirmation(worker, now_ms)
             self._mark_runs_lost(worker, now_ms, "replaced")
             self._late_starts.forget_worker(worker)
             worker.unresponsive = True
@@ -726,6 +746,7 @@
 
     def plan(self, now_ms: int, wall_ms: int, max_starts: int = MAX_STARTS_PER_PLAN) -> list[Order]:
         """Return the orders to send now; what may not start yet is left to a later plan."""
+        self._confirm_losses()
         self._end_expired_runs(now_ms)
         if self._late_starts.forget_expired(self._confirmed_ms):
             self.planner.request_replan()
--- a/src/greengagewood/internal/cells/planner.py
+++ b/src/greengagewood/internal/cells/planner.py
@@ -448,7 +448,8 @@
     def _place_gang(self, step: Step, workers: list[Worker], now_ms: int) -> list[Order]:
         unfinished = [task for task in step.tasks if not task.end_state]
         if any(
-            task.run or task.maybe_running or task.not_before_ms > now_ms for task in unfinished
+            task.run or task.maybe_running or task.loss_unconfirmed or task.not_before_ms > now_ms
+            for task in unfinished
         ):
             self.request_replan()
             return []
--- a/src/greengagewood/internal/jobs/book.py
+++ b/src/greengagewood/internal/jobs/book.py
@@ -90,6 +90,7 @@
     copy: Run | None = None  # a second run of a task of a speculative step, see `cells.copies`
     was_copied: bool = False  # whether this owner has started a copy
     maybe_running: bool = False
+    loss_unconfirmed: bool = False  # whether a later owner may have started it since its last run
     start_count: int = 0  # starts by this owner
     failed_workers: tuple[str, ...] = ()
     not_before_ms: int = 0
@@ -327,7 +328,9 @@
     def mark_waiting(self, task: Task) -> None:
         """Add a task to those that wait for a start, if it may be started now."""
         step = task.step
-        if task.end_state or task.run or task.maybe_running or not step.ready or step.job.is_final:
+        if task.end_state or task.run or not step.ready or step.job.is_final:
+            return
+        if task.maybe_running or task.loss_unconfirmed:
             return
         step.waiting_tasks[task] = None
         self.waiting_steps[step] = None
--- a/tests/cover/test_owner_cut_off.py
+++ b/tests/cover/test_owner_cut_off.py
@@ -5,6 +5,7 @@
 import asyncio
 import random
 from collections.abc import Callable
+from dataclasses import replace
 
 import pytest
 
@@ -128,6 +129,73 @@
         assert len(start_orders(owner.plan(now_ms, 0))) == 1
 
 
+class TestLostBoots:
+    """Workers that reboot after a successor may have acknowledged how their runs ended."""
+
+    def _lose(self, harness: CellHarness, name: str, replaced: bool) -> None:
+        harness.now_ms += 10
+        if replaced:
+            harness.cell.note_wrong_boot(harness.cell.workers[name], harness.now_ms)
+            return
+        infos = harness.worker_infos
+        infos[name] = replace(infos[name], boot_time_ms=2)
+        harness.cell.set_workers(infos, harness.now_ms)
+        harness.answer_lease(name)
+
+    @pytest.mark.parametrize("replaced", [False, True])
+    def test_a_task_of_a_lost_boot_waits_for_a_read_sent_after_the_loss(
+        self, replaced: bool
+    ) -> None:
+        """Guards against a start of a task whose end a later owner has acknowledged."""
+        harness = CellHarness("w0", "w1")
+        lost = _start_one(harness)
+        harness.cell.note_confirmed(harness.now_ms)
+        self._lose(harness, lost, replaced)
+        assert _plan_unconfirmed(harness, 10) == []
+        assert harness.cell.awaits_confirmation(harness.now_ms)
+        harness.cell.note_confirmed(harness.now_ms - 10)  # sent just as the loss was found
+        assert _plan_unconfirmed(harness, 10) == []
+        assert len(_plan_confirmed(harness)) == 1
+
+    @pytest.mark.parametrize("replaced", [False, True])
+    def test_a_gang_of_a_lost_boot_waits_as_a_whole(self, replaced: bool) -> None:
+        harness = CellHarness("w0", "w1")
+        harness.submit(StepSpec(2, cpu_millis=40_000, gang=True))
+        starts = harness.start()
+        assert len(starts) == 2
+        harness.now_ms += 10
+        harness.answer_leases()
+        lost, other = starts[0].worker.name, starts[1].run
+        harness.cell.note_confirmed(harness.now_ms)
+        self._lose(harness, lost, replaced)
+        harness.cell._end_run(starts[1].worker, other, "ended", harness.now_ms)
+        harness.cell._queue_again(other.task)
+        assert _plan_unconfirmed(harness, 10) == []
+
+    def test_a_start_that_the_new_boot_rules_out_waits_too(self) -> None:
+        harness = CellHarness("w0", "w1")
+        harness.submit(StepSpec(1, cpu_millis=1_000))
+        (start,) = start_orders(harness.plan())
+        name = start.worker.name
+        harness.cell.note_confirmed(harness.now_ms)
+        harness.cell.note_start_unanswered(start.run, harness.now_ms)
+        self._lose(harness, name, False)
+        harness.cell.plan(harness.now_ms, harness.now_ms)
+        harness.cell.note_stop_accepted(start.run, harness.now_ms)
+        harness.now_ms += 10
+        harness.answer_lease(name)
+        assert start.run.state == "finished"
+        assert _plan_unconfirmed(harness, 10) == []
+        assert len(_plan_confirmed(harness)) == 1
+
+    def test_a_run_that_its_worker_lists_as_ended_needs_no_read(self) -> None:
+        harness = CellHarness("w0", "w1")
+        lost = _start_one(harness)
+        harness.now_ms += 10
+        harness.answer_lease(lost)
+        assert len(_plan_unconfirmed(harness, 10)) == 1
+
+
 class _CutDomains:
     """Cuts between failure domains; each has an instance, and the store is in none of them."""
 
