Rule out inherited runs by adoption only once a later read confirms the owner

Cause: a worker that has rebooted knows neither the token of a later owner nor the ends that this owner has acknowledged. An owner whose reads were not answered adopted such a boot, took its empty list for proof that the tasks of earlier owners don't run, and started tasks again whose ends its successor had acknowledged.

Change: tasks that earlier owners may have started are ruled out only as of a read of the log that was sent after the last adoption of a worker with inherited runs. The instance reads the log at once when only that is missing.

Two tests of test_owner_changes and one of test_owner_cut_off confirmed the owner in the millisecond of the adoption; they do it one millisecond later now, as a read sent in the same millisecond may precede the reply.

--- a/src/greengagewood/internal/cells/cell.py
+++ b/src/greengagewood/internal/cells/cell.py
@@ -123,6 +123,8 @@
         self._confirmed_ms = now_ms  # when the last read that confirmed the ownership was sent
         self._unconfirmed_losses: dict[Task, int] = {}  # when their runs were found to be lost
         self._adopting = True  # until every worker is known to have no other runs of the cell
+        self._last_adoption_ms = 0  # when a worker last ruled out runs of earlier owners
+        self._adoption_unconfirmed = False  # whether tasks wait for a read sent after that
         self._adoption_report_ms = now_ms + ADOPTION_REPORT_DELAY_MS
         self._starts_suspended = False  # whether the evacuation orders are not known
         self._saturated_services: set[str] = set()  # of the last forecast
@@ -133,12 +135,16 @@
 
     def awaits_confirmation(self, now_ms: int) -> bool:
         """Return whether tasks wait only for a read that confirms the ownership."""
-        return bool(self._unconfirmed_losses) or any(
-            worker.unresponsive
-            and worker.runs
-            and worker.orders_expired(now_ms)
-            and not worker.orders_expired(self._confirmed_ms)
-            for worker in self.workers.values()
+        return (
+            bool(self._unconfirmed_losses)
+            or self._adoption_unconfirmed
+            or any(
+                worker.unresponsive
+                and worker.runs
+                and worker.orders_expired(now_ms)
+                and not worker.orders_expired(self._confirmed_ms)
+                for worker in self.workers.values()
+            )
         )
 
     # Jobs.
@@ -500,6 +506,8 @@
         self.planner.tail_model.learn(worker, now_ms)
         if not worker.adopted:
             worker.adopted = True
+            if worker.inherited:
+                self._last_adoption_ms = now_ms
             worker.inherited = ()
             self._shorten_earlier_expiry(worker, now_ms)
             self.on_event("worker_adopted", {"worker": worker.name, "runs": len(listed_keys)})
@@ -806,7 +814,12 @@
                 self.book.open_occurrence(job, number, self._adopting and job.maybe_inherited)
 
     def _finish_adoption(self, now_ms: int) -> None:
-        """Mark the tasks as not running that no run of an earlier owner can go on with unlisted."""
+        """Mark the tasks as not running that no run of an earlier owner can go on with unlisted.
+
+        A worker that accepts this owner's token may have rebooted since a later owner acknowledged
+        the ends of its runs, so a read that was sent afterwards must show no later owner.
+        """
+        self._adoption_unconfirmed = False
         if not self._adopting and not self.book.maybe_running_tasks:
             return
         confirmed_ms = self._confirmed_ms
@@ -816,6 +829,9 @@
         held_back = tasks_held_back(unresolved, confirmed_ms)
         if held_back is None:
             return
+        self._adoption_unconfirmed = self._last_adoption_ms >= confirmed_ms
+        if self._adoption_unconfirmed:
+            return
         if self._adopting and not unresolved:
             self._adopting = False
             self.on_event(
--- a/tests/cover/test_owner_changes.py
+++ b/tests/cover/test_owner_changes.py
@@ -148,6 +148,7 @@
         now_ms += wait_ms
         reply = LeaseReply(5_000, 1, (), ())
         successor.handle_lease_reply(successor.workers["w0"], reply, now_ms, now_ms)
+        now_ms += 1  # a read sent in the same millisecond may precede the reply
         successor.note_confirmed(now_ms)
         return [order.run.task.id.number for order in start_orders(successor.plan(now_ms, 0))]
 
--- a/tests/cover/test_owner_cut_off.py
+++ b/tests/cover/test_owner_cut_off.py
@@ -125,6 +125,7 @@
         reply = LeaseReply(5_000, 1, (), ())
         owner.handle_lease_reply(owner.workers["w0"], reply, now_ms, now_ms)
         assert start_orders(owner.plan(now_ms, 0)) == []
+        now_ms += 1
         owner.note_confirmed(now_ms)
         assert len(start_orders(owner.plan(now_ms, 0))) == 1
 
@@ -196,6 +197,75 @@
         assert len(_plan_unconfirmed(harness, 10)) == 1
 
 
+class TestAdoptedBoots:
+    """Workers that reboot before an owner adopts them, after a successor has adopted them."""
+
+    def _cell(self, now_ms: int) -> Cell:
+        owner = Cell(LIMITS, 5, now_ms)
+        owner.set_evacuations(Evacuations(frozenset(), 0, now_ms), now_ms)
+        submission = Submission(JOB, QUEUE, JobSpec("p", (StepSpec(1, cpu_millis=1),)), 0)
+        owner.add_job(submission, Progress(JOB, "running"), False, now_ms)
+        workers = (RegisteredWorker("w0", "", "svc"), RegisteredWorker("w1", "", "svc"))
+        owner.set_registered_workers(RegisteredWorkers(workers, 4), now_ms, now_ms)
+        owner.set_workers({name: make_worker_info(name) for name in ("w0", "w1")}, now_ms)
+        return owner
+
+    @pytest.mark.parametrize("boot_time_ms", [1, 2])
+    def test_an_inherited_task_waits_for_a_read_sent_after_the_last_adoption(
+        self, boot_time_ms: int
+    ) -> None:
+        """Guards against a start of a task whose end a later owner has acknowledged."""
+        now_ms = 100_000
+        owner = self._cell(now_ms)
+        owner.note_confirmed(now_ms)
+        for _ in range(2):  # the first answer of another boot only makes it known
+            now_ms += 10
+            for name, boot in (("w0", 1), ("w1", boot_time_ms)):
+                reply = LeaseReply(5_000, boot, (), ())
+                owner.handle_lease_reply(owner.workers[name], reply, now_ms - 1, now_ms)
+        now_ms += 10
+        assert start_orders(owner.plan(now_ms, 0)) == []
+        assert owner.awaits_confirmation(now_ms)
+        owner.note_confirmed(now_ms)
+        assert len(start_orders(owner.plan(now_ms, 0))) == 1
+        assert not owner.awaits_confirmation(now_ms)
+
+    def test_an_end_that_the_successor_acknowledged_is_not_lost_with_its_boot(self) -> None:
+        """Guards against a second run of a task that was done for the successor."""
+
+        async def script(sim: CellSimulation) -> None:
+            first = sim.owner()
+            assert first is not None
+            step = StepSpec(1, cpu_millis=1_000, memory_mb=1_000, estimate_ms=3_500)
+            await sim.submit(JOB, "fast", JobSpec("one", (step,)))
+            await asyncio.sleep(1)
+            (runner,) = (n for n, worker in sim.platform.workers.items() if worker.runs)
+            faults = sim.platform.faults
+            others = [name for name in sim.instances if name != first]
+            faults.cut_links.update((name, runner) for name in others)
+            await sim.kill_instance(first)
+            while sim.owner() is None:
+                await asyncio.sleep(0.01)
+            owner = sim.owner()
+            (successor,) = (name for name in others if name != owner)
+            await asyncio.sleep(0.6)
+            faults.store_silent_to.add(owner)
+            faults.cut_links.discard((successor, runner))
+            faults.cut_links.update((successor, n) for n in sim.platform.workers if n != runner)
+            while not sim.instances[successor]._ownership.owning:
+                await asyncio.sleep(0.01)
+            while sim.instances[successor].ledger.jobs[JOB].state != "completed":
+                await asyncio.sleep(0.01)
+            await asyncio.sleep(0.2)
+            sim.platform.crash_and_restart(sim.platform.workers[runner], 0.1)
+            faults.cut_links.discard((owner, runner))
+            faults.cut_links.add((successor, runner))
+            await asyncio.sleep(4)
+            assert sim.platform.violations == []
+
+        run_simulation(CellSimulation(1), script)
+
+
 class _CutDomains:
     """Cuts between failure domains; each has an instance, and the store is in none of them."""
 
