Count a term as confirmed from the read that showed its claim

Cause: a new term took the time at which it began for the time at which its ownership was last confirmed. The read that showed the claim was sent earlier: by 50 ms as a rule, by seconds if its answer was late or the process was frozen. A successor may have claimed in between and extended leases that a stored record says have expired.

Change: the instance passes the time at which its last answered read was sent to the term.

--- a/src/greengagewood/internal/cells/cell.py
+++ b/src/greengagewood/internal/cells/cell.py
@@ -100,6 +100,7 @@
         now_ms: int,
         settled_offset: int = 0,
         claim_offset: int = 0,
+        confirmed_ms: int | None = None,
     ) -> None:
         self.limits = limits
         self.token = token
@@ -120,7 +121,8 @@
         self._earlier_starts_expiry_ms = self._earlier_orders_expiry_ms + MAX_ORDER_DELAY_MS
         self._registration_due = False
         self._directory_unread = True
-        self._confirmed_ms = now_ms  # when the last read that confirmed the ownership was sent
+        # When the last read that confirmed the ownership was sent, by default now.
+        self._confirmed_ms = now_ms if confirmed_ms is None else confirmed_ms
         self._unconfirmed_losses: dict[Task, int] = {}  # when their runs were found to be lost
         self._adopting = True  # until every worker is known to have no other runs of the cell
         self._last_adoption_ms = 0  # when a worker last ruled out runs of earlier owners
--- a/src/greengagewood/internal/cells/ownership.py
+++ b/src/greengagewood/internal/cells/ownership.py
@@ -62,6 +62,11 @@
         """Return whether this instance owns the cell, even if no recent read has confirmed it."""
         return self.state in ("owning", "suspended")
 
+    @property
+    def confirmed_ms(self) -> int:
+        """Return when the last answered read was sent; 0 before the first."""
+        return self._read_sent_ms or 0
+
     def note_record(self, record: Record, now_ms: int) -> None:
         """Process a record read from the log."""
         # Only an owner writes these.
--- a/src/greengagewood/internal/cells/runner.py
+++ b/src/greengagewood/internal/cells/runner.py
@@ -101,6 +101,7 @@
         metrics: Metrics,
         on_fenced: Callable[[], None],
         may_send_orders: Callable[[], bool],
+        confirmed_ms: int,
     ) -> None:
         self._ports = ports
         self._ledger = ledger
@@ -122,7 +123,12 @@
         self._releasing = False
         self._start_window = StartWindow()
         self.cell = Cell(
-            limits, token, monotonic_ms(), ledger.ownership.settled_offset, ledger.claim_offset
+            limits,
+            token,
+            monotonic_ms(),
+            ledger.ownership.settled_offset,
+            ledger.claim_offset,
+            confirmed_ms,
         )
         self.cell.on_event = self._record_event
 
--- a/src/greengagewood/internal/entry/node.py
+++ b/src/greengagewood/internal/entry/node.py
@@ -435,6 +435,7 @@
             self._metrics,
             self._ownership.note_fenced,
             self._may_send_orders,
+            self._ownership.confirmed_ms,
         )
         _log.info("term_started", token=self._ownership.token, jobs=len(self.ledger.jobs))
         if self.config is not None:
--- a/tests/cover/test_owner_cut_off.py
+++ b/tests/cover/test_owner_cut_off.py
@@ -10,13 +10,16 @@
 import pytest
 
 from greengagewood.internal.cells.cell import Cell
+from greengagewood.internal.clock import monotonic_ms
 from greengagewood.internal.evacuation import Evacuations
 from greengagewood.internal.jobs.model import JobSpec, StepSpec
 from greengagewood.internal.jobs.records import (
+    PossibleRuns,
     Progress,
     RegisteredWorker,
     RegisteredWorkers,
     Submission,
+    TaskId,
 )
 from greengagewood.internal.ports import LeaseReply
 from tests.common.desk import LIMITS, QUEUE, CellHarness, make_worker_info, start_orders
@@ -129,6 +132,46 @@
         owner.note_confirmed(now_ms)
         assert len(start_orders(owner.plan(now_ms, 0))) == 1
 
+    def test_a_term_counts_as_confirmed_when_the_read_that_showed_its_claim_was_sent(self) -> None:
+        """Guards against a new owner whose read is answered late, after a successor has claimed."""
+
+        async def script(sim: CellSimulation) -> None:
+            name = sim.owner()
+            assert name is not None
+            instance = sim.instances[name]
+            await instance._end_term("stopped")
+            instance._ownership._transition("claim_sent")
+            instance._ownership._transition("claim_won")
+            sim.platform.faults.store_silent_to.add(name)
+            await asyncio.sleep(0.1)
+            sent_ms = instance._ownership.confirmed_ms
+            instance._start_term()
+            assert instance._runner is not None
+            assert instance._runner.cell._confirmed_ms == sent_ms < monotonic_ms()
+
+        run_simulation(CellSimulation(1), script)
+
+    @pytest.mark.parametrize(("confirmed_ms", "starts"), [(99_000, 0), (100_000, 1)])
+    def test_inherited_runs_that_expire_before_a_term_begins_need_a_later_read(
+        self, confirmed_ms: int, starts: int
+    ) -> None:
+        """Guards against a term that begins long after the read that showed its claim was sent."""
+        now_ms = 100_000
+        owner = Cell(LIMITS, 5, now_ms, confirmed_ms=confirmed_ms)
+        owner.set_evacuations(Evacuations(frozenset(), 0, now_ms), now_ms)
+        submission = Submission(JOB, QUEUE, JobSpec("p", (StepSpec(1, cpu_millis=1),)), 0)
+        owner.add_job(submission, Progress(JOB, "running"), False, now_ms)
+        silent = PossibleRuns((TaskId(JOB, 0, 0, 0),), 500)
+        workers = (RegisteredWorker("silent", "", "svc", (silent,)),)
+        owner.set_registered_workers(RegisteredWorkers(workers, 4), now_ms - 1_000, now_ms)
+        owner.set_workers({"w0": make_worker_info("w0")}, now_ms)
+        changes = owner.collect_changes(now_ms, now_ms)
+        assert changes is not None
+        owner.note_changes_stored(changes)
+        reply = LeaseReply(5_000, 1, (), ())
+        owner.handle_lease_reply(owner.workers["w0"], reply, now_ms, now_ms)
+        assert len(start_orders(owner.plan(now_ms, 0))) == starts
+
 
 class TestLostBoots:
     """Workers that reboot after a successor may have acknowledged how their runs ended."""
