Take up jobs that were stored after the claim only once the log was read up to them

Cause: a new term took up the jobs that its instance had stored for callers, also those behind the part of the log that it had read. A later owner may have claimed the cell between the two; it starts such a job at once, as no earlier owner can know a job that was submitted after its claim.

Change: a job behind both the claim and the end of what was read is taken up when the log is read.

Evidence: test_a_term_takes_up_a_job_only_once_the_log_was_read_up_to_it failed before and passes now. It builds the state by hand; no simulated play reached two runs by it.

--- a/src/greengagewood/internal/cells/runner.py
+++ b/src/greengagewood/internal/cells/runner.py
@@ -140,6 +140,8 @@
             if submission is None:
                 continue
             offset = stored.submission_offset
+            if offset >= max(self._ledger.next_offset, self._ledger.claim_offset + 1):
+                continue  # a later owner may have claimed before the job, so the log is read first
             # No earlier owner has started a task of the job if it was submitted after the claim, or
             # if it is below the settled offset and has no progress record.
             unrecorded = stored.progress is None and offset < self._ledger.ownership.settled_offset
--- a/tests/cover/test_owner_cut_off.py
+++ b/tests/cover/test_owner_cut_off.py
@@ -309,6 +309,45 @@
         run_simulation(CellSimulation(1), script)
 
 
+class TestJobsAheadOfTheLog:
+    """Jobs that an instance has stored itself, but not yet read from the log."""
+
+    def test_a_term_takes_up_a_job_only_once_the_log_was_read_up_to_it(self) -> None:
+        """Guards against a start by an owner that is replaced before the job was stored.
+
+        Its successor starts such a job at once, as it was submitted after the successor's claim.
+        """
+
+        async def script(sim: CellSimulation) -> None:
+            name = sim.owner()
+            assert name is not None
+            instance = sim.instances[name]
+            await instance._end_term("stopped")
+            instance._ownership._transition("claim_sent")
+            instance._ownership._transition("claim_won")
+            sim.platform.faults.store_silent_to.add(name)
+            await asyncio.sleep(1)
+            spec = JobSpec("p", (StepSpec(1, cpu_millis=1_000),))
+            offset = instance.ledger.next_offset + 1  # behind a claim that was not read
+            instance.ledger.apply_stored(Submission(JOB, QUEUE, spec, 0), offset)
+            instance._start_term()
+            assert instance._runner is not None
+            assert JOB not in instance._runner.cell.book.jobs
+
+        run_simulation(CellSimulation(1), script)
+
+    def test_a_job_that_was_stored_before_the_term_began_runs(self) -> None:
+        async def script(sim: CellSimulation) -> None:
+            first = sim.owner()
+            assert first is not None
+            await sim.kill_instance(first)
+            await sim.submit(JOB, "fast", short_job())
+            await asyncio.sleep(20)
+            assert await sim.state(JOB) == "completed"
+
+        run_simulation(CellSimulation(1), script)
+
+
 class _CutDomains:
     """Cuts between failure domains; each has an instance, and the store is in none of them."""
 
