Send no extra reads to confirm an owner while reads are failing

Cause: while tasks wait for a confirming read, the instance sent one as soon as the last had failed, in addition to the read that follows the log and is repeated every 0.1 s. The store counts and prices refused calls.

Change: no extra read while the last read of the log has failed.

Evidence: test_no_further_reads_are_sent_while_the_store_refuses_them counted 36 reads in 2 s before; it allows 20 and passes now.

--- a/src/greengagewood/internal/entry/node.py
+++ b/src/greengagewood/internal/entry/node.py
@@ -384,6 +384,7 @@
                 gc.collect()  # the jobs and tasks of the cell refer to each other
         if (
             runner is not None
+            and not self._reads_failing
             and runner.awaits_confirmation
             and (self._refresh is None or self._refresh.done())
         ):
--- a/tests/cover/test_owner_cut_off.py
+++ b/tests/cover/test_owner_cut_off.py
@@ -21,7 +21,7 @@
     Submission,
     TaskId,
 )
-from greengagewood.internal.ports import LeaseReply
+from greengagewood.internal.ports import LeaseReply, LogPage
 from tests.common.desk import LIMITS, QUEUE, CellHarness, make_worker_info, start_orders
 from tests.common.drive import (
     CellSimulation,
@@ -348,6 +348,40 @@
         run_simulation(CellSimulation(1), script)
 
 
+class TestConfirmingReads:
+    """Reads that are sent only to confirm an owner for whose tasks it matters."""
+
+    def test_no_further_reads_are_sent_while_the_store_refuses_them(self) -> None:
+        """Guards against twice the calls to a store that turns the owner away."""
+
+        async def script(sim: CellSimulation) -> None:
+            owner = sim.owner()
+            assert owner is not None
+            await sim.submit(JOB, "serve", long_running_job())
+            await asyncio.sleep(2)
+            sim.platform.faults.store_refuses_to.add(owner)
+            await asyncio.sleep(1)
+            instance = sim.instances[owner]
+            assert instance._runner is not None
+            cell, log = instance._runner.cell, instance._ports.store
+            lost = next(worker for worker in cell.workers.values() if worker.runs)
+            cell.note_wrong_boot(lost, monotonic_ms())
+            assert cell.awaits_confirmation(monotonic_ms())
+            sent: list[int] = []
+            read = log.read
+
+            async def count_and_read(start: int, wait_ms: int) -> LogPage:
+                sent.append(monotonic_ms())
+                return await read(start, wait_ms)
+
+            with pytest.MonkeyPatch.context() as patch:
+                patch.setattr(log, "read", count_and_read)
+                await asyncio.sleep(2)
+            assert len(sent) <= 20  # one each RETRY_DELAY_S
+
+        run_simulation(CellSimulation(1), script)
+
+
 class _CutDomains:
     """Cuts between failure domains; each has an instance, and the store is in none of them."""
 
