--- a/src/greengagewood/internal/cells/runner.py
+++ b/src/greengagewood/internal/cells/runner.py
@@ -101,6 +101,7 @@
         metrics: Metrics,
         on_fenced: Callable[[], None],
         may_send_orders: Callable[[], bool],
+        confirmed_ms: int,
     ) -> None:
         self._ports = ports
         self._ledger = ledger
@@ -122,7 +123,12 @@
         self._releasing = False
         self._start_window = StartWindow()
         self.cell = Cell(
-            limits, token, monotonic_ms(), ledger.ownership.settled_offset, ledger.claim_offset
+            limits,
+            token,
+            monotonic_ms(),
+            ledger.ownership.settled_offset,
+            ledger.claim_offset,
+            confirmed_ms,
         )
         self.cell.on_event = self._record_event
 
@@ -134,6 +140,8 @@
             if submission is None:
                 continue
             offset = stored.submission_offset
+            if offset >= max(self._ledger.next_offset, self._ledger.claim_offset + 1):
+                continue  # a later owner may have claimed before the job, so the log is read first
             # No earlier owner has started a task of the job if it was submitted after the claim, or
             # if it is below the settled offset and has no progress record.
             unrecorded = stored.progress is None and offset < self._ledger.ownership.settled_offset
--- a/src/greengagewood/internal/entry/node.py
+++ b/src/greengagewood/internal/entry/node.py
@@ -384,6 +384,7 @@
                 gc.collect()  # the jobs and tasks of the cell refer to each other
         if (
             runner is not None
+            and not self._reads_failing
             and runner.awaits_confirmation
             and (self._refresh is None or self._refresh.done())
         ):
@@ -435,6 +436,7 @@
             self._metrics,
             self._ownership.note_fenced,
             self._may_send_orders,
+            self._ownership.confirmed_ms,
         )
         _log.info("term_started", token=self._ownership.token, jobs=len(self.ledger.jobs))
         if self.config is not None:
--- a/tests/cover/test_owner_cut_off.py
+++ b/tests/cover/test_owner_cut_off.py
@@ -10,15 +10,18 @@
 import pytest
 
 from greengagewood.internal.cells.cell import Cell
+from greengagewood.internal.clock import monotonic_ms
 from greengagewood.internal.evacuation import Evacuations
 from greengagewood.internal.jobs.model import JobSpec, StepSpec
 from greengagewood.internal.jobs.records import (
+    PossibleRuns,
     Progress,
     RegisteredWorker,
     RegisteredWorkers,
     Submission,
+    TaskId,
 )
-from greengagewood.internal.ports import LeaseReply
+from greengagewood.internal.ports import LeaseReply, LogPage
 from tests.common.desk import LIMITS, QUEUE, CellHarness, make_worker_info, start_orders
 from tests.common.drive import (
     CellSimulation,
@@ -125,9 +128,50 @@
         reply = LeaseReply(5_000, 1, (), ())
         owner.handle_lease_reply(owner.workers["w0"], reply, now_ms, now_ms)
         assert start_orders(owner.plan(now_ms, 0)) == []
+        now_ms += 1
         owner.note_confirmed(now_ms)
         assert len(start_orders(owner.plan(now_ms, 0))) == 1
 
+    def test_a_term_counts_as_confirmed_when_the_read_that_showed_its_claim_was_sent(self) -> None:
+        """Guards against a new owner whose read is answered late, after a successor has claimed."""
+
+        async def script(sim: CellSimulation) -> None:
+            name = sim.owner()
+            assert name is not None
+            instance = sim.instances[name]
+            await instance._end_term("stopped")
+            instance._ownership._transition("claim_sent")
+            instance._ownership._transition("claim_won")
+            sim.platform.faults.store_silent_to.add(name)
+            await asyncio.sleep(0.1)
+            sent_ms = instance._ownership.confirmed_ms
+            instance._start_term()
+            assert instance._runner is not None
+            assert instance._runner.cell._confirmed_ms == sent_ms < monotonic_ms()
+
+        run_simulation(CellSimulation(1), script)
+
+    @pytest.mark.parametrize(("confirmed_ms", "starts"), [(99_000, 0), (100_000, 1)])
+    def test_inherited_runs_that_expire_before_a_term_begins_need_a_later_read(
+        self, confirmed_ms: int, starts: int
+    ) -> None:
+        """Guards against a term that begins long after the read that showed its claim was sent."""
+        now_ms = 100_000
+        owner = Cell(LIMITS, 5, now_ms, confirmed_ms=confirmed_ms)
+        owner.set_evacuations(Evacuations(frozenset(), 0, now_ms), now_ms)
+        submission = Submission(JOB, QUEUE, JobSpec("p", (StepSpec(1, cpu_millis=1),)), 0)
+        owner.add_job(submission, Progress(JOB, "running"), False, now_ms)
+        silent = PossibleRuns((TaskId(JOB, 0, 0, 0),), 500)
+        workers = (RegisteredWorker("silent", "", "svc", (silent,)),)
+        owner.set_registered_workers(RegisteredWorkers(workers, 4), now_ms - 1_000, now_ms)
+        owner.set_workers({"w0": make_worker_info("w0")}, now_ms)
+        changes = owner.collect_changes(now_ms, now_ms)
+        assert changes is not None
+        owner.note_changes_stored(changes)
+        reply = LeaseReply(5_000, 1, (), ())
+        owner.handle_lease_reply(owner.workers["w0"], reply, now_ms, now_ms)
+        assert len(start_orders(owner.plan(now_ms, 0))) == starts
+
 
 class TestLostBoots:
     """Workers that reboot after a successor may have acknowledged how their runs ended."""
@@ -196,6 +240,148 @@
         assert len(_plan_unconfirmed(harness, 10)) == 1
 
 
+class TestAdoptedBoots:
+    """Workers that reboot before an owner adopts them, after a successor has adopted them."""
+
+    def _cell(self, now_ms: int) -> Cell:
+        owner = Cell(LIMITS, 5, now_ms)
+        owner.set_evacuations(Evacuations(frozenset(), 0, now_ms), now_ms)
+        submission = Submission(JOB, QUEUE, JobSpec("p", (StepSpec(1, cpu_millis=1),)), 0)
+        owner.add_job(submission, Progress(JOB, "running"), False, now_ms)
+        workers = (RegisteredWorker("w0", "", "svc"), RegisteredWorker("w1", "", "svc"))
+        owner.set_registered_workers(RegisteredWorkers(workers, 4), now_ms, now_ms)
+        owner.set_workers({name: make_worker_info(name) for name in ("w0", "w1")}, now_ms)
+        return owner
+
+    @pytest.mark.parametrize("boot_time_ms", [1, 2])
+    def test_an_inherited_task_waits_for_a_read_sent_after_the_last_adoption(
+        self, boot_time_ms: int
+    ) -> None:
+        """Guards against a start of a task whose end a later owner has acknowledged."""
+        now_ms = 100_000
+        owner = self._cell(now_ms)
+        owner.note_confirmed(now_ms)
+        for _ in range(2):  # the first answer of another boot only makes it known
+            now_ms += 10
+            for name, boot in (("w0", 1), ("w1", boot_time_ms)):
+                reply = LeaseReply(5_000, boot, (), ())
+                owner.handle_lease_reply(owner.workers[name], reply, now_ms - 1, now_ms)
+        now_ms += 10
+        assert start_orders(owner.plan(now_ms, 0)) == []
+        assert owner.awaits_confirmation(now_ms)
+        owner.note_confirmed(now_ms)
+        assert len(start_orders(owner.plan(now_ms, 0))) == 1
+        assert not owner.awaits_confirmation(now_ms)
+
+    def test_an_end_that_the_successor_acknowledged_is_not_lost_with_its_boot(self) -> None:
+        """Guards against a second run of a task that was done for the successor."""
+
+        async def script(sim: CellSimulation) -> None:
+            first = sim.owner()
+            assert first is not None
+            step = StepSpec(1, cpu_millis=1_000, memory_mb=1_000, estimate_ms=3_500)
+            await sim.submit(JOB, "fast", JobSpec("one", (step,)))
+            await asyncio.sleep(1)
+            (runner,) = (n for n, worker in sim.platform.workers.items() if worker.runs)
+            faults = sim.platform.faults
+            others = [name for name in sim.instances if name != first]
+            faults.cut_links.update((name, runner) for name in others)
+            await sim.kill_instance(first)
+            while sim.owner() is None:
+                await asyncio.sleep(0.01)
+            owner = sim.owner()
+            (successor,) = (name for name in others if name != owner)
+            await asyncio.sleep(0.6)
+            faults.store_silent_to.add(owner)
+            faults.cut_links.discard((successor, runner))
+            faults.cut_links.update((successor, n) for n in sim.platform.workers if n != runner)
+            while not sim.instances[successor]._ownership.owning:
+                await asyncio.sleep(0.01)
+            while sim.instances[successor].ledger.jobs[JOB].state != "completed":
+                await asyncio.sleep(0.01)
+            await asyncio.sleep(0.2)
+            sim.platform.crash_and_restart(sim.platform.workers[runner], 0.1)
+            faults.cut_links.discard((owner, runner))
+            faults.cut_links.add((successor, runner))
+            await asyncio.sleep(4)
+            assert sim.platform.violations == []
+
+        run_simulation(CellSimulation(1), script)
+
+
+class TestJobsAheadOfTheLog:
+    """Jobs that an instance has stored itself, but not yet read from the log."""
+
+    def test_a_term_takes_up_a_job_only_once_the_log_was_read_up_to_it(self) -> None:
+        """Guards against a start by an owner that is replaced before the job was stored.
+
+        Its successor starts such a job at once, as it was submitted after the successor's claim.
+        """
+
+        async def script(sim: CellSimulation) -> None:
+            name = sim.owner()
+            assert name is not None
+            instance = sim.instances[name]
+            await instance._end_term("stopped")
+            instance._ownership._transition("claim_sent")
+            instance._ownership._transition("claim_won")
+            sim.platform.faults.store_silent_to.add(name)
+            await asyncio.sleep(1)
+            spec = JobSpec("p", (StepSpec(1, cpu_millis=1_000),))
+            offset = instance.ledger.next_offset + 1  # behind a claim that was not read
+            instance.ledger.apply_stored(Submission(JOB, QUEUE, spec, 0), offset)
+            instance._start_term()
+            assert instance._runner is not None
+            assert JOB not in instance._runner.cell.book.jobs
+
+        run_simulation(CellSimulation(1), script)
+
+    def test_a_job_that_was_stored_before_the_term_began_runs(self) -> None:
+        async def script(sim: CellSimulation) -> None:
+            first = sim.owner()
+            assert first is not None
+            await sim.kill_instance(first)
+            await sim.submit(JOB, "fast", short_job())
+            await asyncio.sleep(20)
+            assert await sim.state(JOB) == "completed"
+
+        run_simulation(CellSimulation(1), script)
+
+
+class TestConfirmingReads:
+    """Reads that are sent only to confirm an owner for whose tasks it matters."""
+
+    def test_no_further_reads_are_sent_while_the_store_refuses_them(self) -> None:
+        """Guards against twice the calls to a store that turns the owner away."""
+
+        async def script(sim: CellSimulation) -> None:
+            owner = sim.owner()
+            assert owner is not None
+            await sim.submit(JOB, "serve", long_running_job())
+            await asyncio.sleep(2)
+            sim.platform.faults.store_refuses_to.add(owner)
+            await asyncio.sleep(1)
+            instance = sim.instances[owner]
+            assert instance._runner is not None
+            cell, log = instance._runner.cell, instance._ports.store
+            lost = next(worker for worker in cell.workers.values() if worker.runs)
+            cell.note_wrong_boot(lost, monotonic_ms())
+            assert cell.awaits_confirmation(monotonic_ms())
+            sent: list[int] = []
+            read = log.read
+
+            async def count_and_read(start: int, wait_ms: int) -> LogPage:
+                sent.append(monotonic_ms())
+                return await read(start, wait_ms)
+
+            with pytest.MonkeyPatch.context() as patch:
+                patch.setattr(log, "read", count_and_read)
+                await asyncio.sleep(2)
+            assert len(sent) <= 20  # one each RETRY_DELAY_S
+
+        run_simulation(CellSimulation(1), script)
+
+
 class _CutDomains:
     """Cuts between failure domains; each has an instance, and the store is in none of them."""
 
