--- a/src/greengagewood/internal/cells/ownership.py
+++ b/src/greengagewood/internal/cells/ownership.py
@@ -144,6 +144,10 @@
             claim_after_ms += SMALLER_INSTANCE_DELAY_MS
         return self._heartbeat_ms + claim_after_ms
 
+    def heartbeat_age_ms(self, now_ms: int) -> int | None:
+        """Return the time since a heartbeat was last read, or None before the first read."""
+        return None if self._heartbeat_ms is None else now_ms - self._heartbeat_ms
+
     def expects_change(self, now_ms: int, overdue_after_ms: int) -> bool:
         """Return whether the owner may change soon: a claim is sent, or heartbeats are overdue."""
         overdue = self._heartbeat_ms is None or now_ms - self._heartbeat_ms >= overdue_after_ms
--- a/src/greengagewood/internal/entry/node.py
+++ b/src/greengagewood/internal/entry/node.py
@@ -412,7 +412,13 @@
         expected_end = self.ledger.next_offset
         entry = (key_of(claim), encode_record(claim))
         result = await self._ports.store.claim(entry, expected_end, claim.token)
-        _log.info("claim", token=claim.token, at=expected_end, outcome=result.outcome.value)
+        _log.info(
+            "claim",
+            token=claim.token,
+            at=expected_end,
+            outcome=result.outcome.value,
+            heartbeat_age_ms=self._ownership.heartbeat_age_ms(now_ms),
+        )
         match result.outcome:
             case Outcome.REFUSED:
                 self._ownership.note_claim_failed()
