Count earlier orders from the last heartbeat, not from the claim

Cause: an owner could send orders for 5 s after its last confirmed read. Its successor knew only that such a read was sent before its claim, so it waited 5 s and a lease from the claim, 11.1 s, also if the owner had been silent for 8 s before. Class of fault: a wait that each new owner starts anew.

Ruled out: starts without an answer (the wait had 9.6 s left 1.5 s after the claim, not 16.6 s); room and the planner (the tasks start at once after `adopted`).

Change: an owner sends orders only while both its last confirming read and its last stored heartbeat were sent less than 5 s ago. A claim is appended only where the claimant has read to, so it has read every heartbeat before; it counts from when it read the last one. The ownership record says that its writer keeps to this; after an owner of an older version the claim counts, as before. term_suspended has heartbeat_age_ms.

TestHeartbeats plays an owner that reads but can't append: without the new limit a task runs twice. Two tests of OwnershipView now report a stored heartbeat too, as an owner without one is suspended, which a new test checks.

--- a/src/greengagewood/internal/cells/cell.py
+++ b/src/greengagewood/internal/cells/cell.py
@@ -82,8 +82,8 @@
     """Time limits in milliseconds.
 
     `lease_ms` is the length of a worker's lease. `confirmation_timeout_ms` is how long an owner may
-    send orders after the last read that confirmed its ownership, and so how long an earlier owner
-    may still have sent orders.
+    send orders after the last read that confirmed its ownership and the last stored heartbeat, and
+    so how long an earlier owner may have sent orders after its last heartbeat.
     """
 
     lease_ms: int
@@ -100,7 +100,9 @@
         now_ms: int,
         settled_offset: int = 0,
         claim_offset: int = 0,
+        earlier_heartbeat_ms: int | None = None,
     ) -> None:
+        """Begin a term; the last heartbeat of earlier owners was read then, or else now."""
         self.limits = limits
         self.token = token
         self.book = JobBook()
@@ -112,9 +114,11 @@
         self._late_starts = LateStarts(limits.lease_ms)
         self._stops = StopPlanner(self.workers, self.planner)
         # When every lease and order of earlier owners has certainly expired: an earlier owner may
-        # have extended leases until its last confirmation timed out.
+        # have extended leases until the confirmation by its last heartbeat timed out.
         self._earlier_orders_expiry_ms = (
-            now_ms + limits.confirmation_timeout_ms + longest_ms(limits.lease_ms)
+            (now_ms if earlier_heartbeat_ms is None else earlier_heartbeat_ms)
+            + limits.confirmation_timeout_ms
+            + longest_ms(limits.lease_ms)
         )
         # When every start of earlier owners is over that a later boot of a worker may carry out.
         self._earlier_starts_expiry_ms = self._earlier_orders_expiry_ms + MAX_ORDER_DELAY_MS
--- a/src/greengagewood/internal/cells/ownership.py
+++ b/src/greengagewood/internal/cells/ownership.py
@@ -11,8 +11,11 @@
 Instances may have different CPU capacities. One with far less CPU than the last owner claims later
 than the others. One with far more CPU than the present owner takes over the cell.
 
-An owner sends no orders once no read has confirmed its ownership for `confirmation_timeout_ms`. A
-successor relies on this for workers that it cannot reach itself.
+An owner sends orders only for `confirmation_timeout_ms` after it has sent the last read that
+confirmed its ownership, and the last heartbeat that is known to be stored. A successor relies on
+this for workers that it cannot reach itself: it has read every heartbeat before it claims, so it
+counts that time from when it read the last one. The time of an outage of the store before the claim
+is not waited for again.
 """
 
 from __future__ import annotations
@@ -55,7 +58,13 @@
         self._heartbeat_ms: int | None = None  # when a heartbeat was last seen
         self._owner_since_ms = 0  # when the newest token was first seen
         self._read_sent_ms: int | None = None  # when the last answered read was sent
+        # When the last heartbeat of this term that is known to be stored was first sent.
+        self._stored_sent_ms: int | None = None
+        # When the last heartbeat of earlier owners was read, as of the last claim that was won.
+        self.earlier_heartbeat_ms = 0
         self._claim_sent_ms = 0
+        self._claimed_token = 0  # of the last claim that was sent
+        self._first_claim_sent_ms = 0  # when a claim with that token was first sent
 
     @property
     def owning(self) -> bool:
@@ -64,6 +73,7 @@
 
     def note_record(self, record: Record, now_ms: int) -> None:
         """Process a record read from the log."""
+        previous_heartbeat_ms = self._heartbeat_ms
         # Only an owner writes these.
         if isinstance(record, Progress | RegisteredWorkers | Forecast):
             self._heartbeat_ms = now_ms
@@ -72,7 +82,7 @@
         self._heartbeat_ms = now_ms
         if record.token > self.current.token:
             self._owner_since_ms = now_ms
-        self.current = record
+        previous, self.current = self.current, record
         own_claim = (
             record.owner == self.owner_id
             and not record.released
@@ -87,20 +97,48 @@
                 self._transition("claim_sent")
             self._transition("claim_won")
             self.token = record.token
+            self._note_claim_won(previous, previous_heartbeat_ms, now_ms)
         elif self.state == "claiming":
             self._transition("claim_lost")
 
+    def _note_claim_won(
+        self, previous: Ownership, previous_heartbeat_ms: int | None, now_ms: int
+    ) -> None:
+        # An earlier claim with the same token may be the one that was stored.
+        is_last_claim = self.token == self._claimed_token
+        self._stored_sent_ms = self._first_claim_sent_ms if is_last_claim else None
+        self.earlier_heartbeat_ms = now_ms
+        # The claim was appended where the log ended, so no heartbeat before it was missed.
+        if previous.heartbeats_limit_orders and previous_heartbeat_ms is not None:
+            self.earlier_heartbeat_ms = previous_heartbeat_ms
+
+    def note_stored(self, token: int, sent_ms: int, now_ms: int) -> None:
+        """Record that a heartbeat of the term with this token, first sent at `sent_ms`, is stored.
+
+        Followers must read what was stored as a heartbeat.
+        """
+        if self.owning and token == self.token:
+            self._stored_sent_ms = max(sent_ms, self._stored_sent_ms or 0)
+            self._resume(now_ms)
+
     def note_read(self, sent_ms: int, now_ms: int) -> None:
         """Record that a read sent at `sent_ms` was answered and its records were processed."""
         self._read_sent_ms = max(sent_ms, self._read_sent_ms or 0)
         if self._heartbeat_ms is None:
             self._heartbeat_ms = now_ms
-        if (
-            self.state == "suspended"
-            and now_ms - self._read_sent_ms <= self._confirmation_timeout_ms
-        ):
+        self._resume(now_ms)
+
+    def _resume(self, now_ms: int) -> None:
+        if self.state == "suspended" and self._is_confirmed(now_ms):
             self._transition("confirmed")
 
+    def _is_confirmed(self, now_ms: int) -> bool:
+        """Return whether a recent read and a recent heartbeat allow the owner to send orders."""
+        return all(
+            sent_ms is not None and now_ms - sent_ms <= self._confirmation_timeout_ms
+            for sent_ms in (self._read_sent_ms, self._stored_sent_ms)
+        )
+
     def note_fenced(self) -> None:
         """Record that the store or a worker has refused the fencing token."""
         if self.owning:
@@ -110,10 +148,7 @@
 
     def tick(self, now_ms: int) -> None:
         """Apply the timeouts of confirmations and claims."""
-        read_sent_ms = self._read_sent_ms
-        if self.state == "owning" and (
-            read_sent_ms is None or now_ms - read_sent_ms > self._confirmation_timeout_ms
-        ):
+        if self.state == "owning" and not self._is_confirmed(now_ms):
             self._transition("unconfirmed")
         if self.state == "claiming" and now_ms - self._claim_sent_ms > CLAIM_TIMEOUT_MS:
             self._transition("claim_lost")
@@ -162,11 +197,15 @@
         """Return the claim to append at the end of what was read of the log."""
         self._transition("claim_sent")
         self._claim_sent_ms = now_ms
+        token = self.current.token + 1
+        if token != self._claimed_token:
+            self._claimed_token, self._first_claim_sent_ms = token, now_ms
         return Ownership(
-            self.current.token + 1,
+            token,
             self.owner_id,
             settled_offset=self.current.settled_offset,
             cpu_millis=self.cpu_millis,
+            heartbeats_limit_orders=True,
         )
 
     def note_claim_failed(self) -> None:
--- a/src/greengagewood/internal/cells/runner.py
+++ b/src/greengagewood/internal/cells/runner.py
@@ -23,7 +23,7 @@
     StopRun,
     ThrottleRun,
 )
-from greengagewood.internal.cells.ownership import HEARTBEAT_INTERVAL_MS
+from greengagewood.internal.cells.ownership import HEARTBEAT_INTERVAL_MS, OwnershipView
 from greengagewood.internal.cells.window import StartWindow
 from greengagewood.internal.clock import monotonic_ms, wall_ms
 from greengagewood.internal.evacuation import Evacuations
@@ -99,7 +99,7 @@
         token: int,
         status_retention_ms: int,
         metrics: Metrics,
-        on_fenced: Callable[[], None],
+        ownership: OwnershipView,
         may_send_orders: Callable[[], bool],
     ) -> None:
         self._ports = ports
@@ -108,7 +108,7 @@
         self.token = token
         self._status_retention_ms = status_retention_ms
         self._metrics = metrics
-        self._on_fenced = on_fenced
+        self._ownership = ownership
         self._may_send_orders = may_send_orders
         self._sequence = 1  # number of the last append; the claim was the first of the term
         self._last_heartbeat_ms = monotonic_ms()  # of the last append that followers count as one
@@ -122,7 +122,12 @@
         self._releasing = False
         self._start_window = StartWindow()
         self.cell = Cell(
-            limits, token, monotonic_ms(), ledger.ownership.settled_offset, ledger.claim_offset
+            limits,
+            token,
+            monotonic_ms(),
+            ledger.ownership.settled_offset,
+            ledger.claim_offset,
+            ownership.earlier_heartbeat_ms,
         )
         self.cell.on_event = self._record_event
 
@@ -297,7 +302,7 @@
     def _check_fencing(self, reply: OrderReply) -> None:
         if reply.reason == "fence":
             _log.warning("fenced_by_worker", token=self.token)
-            self._on_fenced()
+            self._ownership.note_fenced()
 
     async def _stop_run(self, order: StopRun) -> None:
         outcome = "unanswered"
@@ -487,11 +492,16 @@
         self._changes_stored = asyncio.Event()
 
     async def _append(self, records: list[Record]) -> bool:
-        """Append records as the owner, with retries; return whether they were stored."""
+        """Append records as the owner, with retries; return whether they were stored.
+
+        Followers read the append as a heartbeat.
+        """
         entries = [(key_of(record), encode_record(record)) for record in records]
+        sent_ms = monotonic_ms()  # any of the tries may be the one that is stored
         stored = await self._append_entries(entries)
         if stored:
             self._last_heartbeat_ms = monotonic_ms()
+            self._ownership.note_stored(self.token, sent_ms, self._last_heartbeat_ms)
         return stored
 
     async def _append_entries(self, entries: list[tuple[str, bytes]]) -> bool:
@@ -507,7 +517,7 @@
                 return True
             if result.fenced:
                 _log.warning("fenced_by_store", token=self.token)
-                self._on_fenced()
+                self._ownership.note_fenced()
                 await asyncio.sleep(STORE_RETRY_PAUSE_S)
                 return False
             self._metrics.count("append_retries", outcome=result.outcome.value)
--- a/src/greengagewood/internal/entry/node.py
+++ b/src/greengagewood/internal/entry/node.py
@@ -395,7 +395,7 @@
             await self._claim(now_ms)
 
     def _report_suspension(self, now_ms: int) -> None:
-        """Report when the owner begins or ceases to hold orders back, as no read confirms it."""
+        """Report when the owner begins or ceases to hold orders back, as nothing confirms it."""
         state = self._ownership.state
         if self._suspended == (state == "suspended"):
             return
@@ -405,11 +405,13 @@
                 "term_suspended" if self._suspended else "term_resumed",
                 token=self._ownership.token,
                 read_age_ms=now_ms - self._last_read_ms,
+                heartbeat_age_ms=self._ownership.heartbeat_age_ms(now_ms),
             )
 
     async def _claim(self, now_ms: int) -> None:
         claim = self._ownership.make_claim(now_ms)
         expected_end = self.ledger.next_offset
+        heartbeat_age_ms = self._ownership.heartbeat_age_ms(now_ms)
         entry = (key_of(claim), encode_record(claim))
         result = await self._ports.store.claim(entry, expected_end, claim.token)
         _log.info(
@@ -417,7 +419,7 @@
             token=claim.token,
             at=expected_end,
             outcome=result.outcome.value,
-            heartbeat_age_ms=self._ownership.heartbeat_age_ms(now_ms),
+            heartbeat_age_ms=heartbeat_age_ms,
         )
         match result.outcome:
             case Outcome.REFUSED:
@@ -439,7 +441,7 @@
             self._ownership.token,
             int(bounds.status_s * 1000),
             self._metrics,
-            self._ownership.note_fenced,
+            self._ownership,
             self._may_send_orders,
         )
         _log.info("term_started", token=self._ownership.token, jobs=len(self.ledger.jobs))
--- a/src/greengagewood/internal/jobs/records.py
+++ b/src/greengagewood/internal/jobs/records.py
@@ -151,7 +151,9 @@
 
     `token` is the fencing token, one above that of the previous owner. No job whose submission is
     below `settled_offset` was ever started unless a progress record of it is stored. `cpu_millis`
-    is the CPU capacity of the owner's instance.
+    is the CPU capacity of the owner's instance. `heartbeats_limit_orders` says that the owner sends
+    orders only for a limited time after a heartbeat that is stored; instances of older versions
+    count that time from their reads alone.
     """
 
     token: int
@@ -159,6 +161,7 @@
     released: bool = False
     settled_offset: int = 0
     cpu_millis: int = 0
+    heartbeats_limit_orders: bool = False
 
 
 class QueueBacklog(msgspec.Struct, frozen=True, array_like=True):
--- a/tests/common/plant.py
+++ b/tests/common/plant.py
@@ -54,6 +54,7 @@
 
     store_silent_to: set[str] = field(default_factory=set)  # instances that get no answer
     store_refuses_to: set[str] = field(default_factory=set)  # instances whose calls are refused
+    appends_silent_to: set[str] = field(default_factory=set)  # instances that can only read
     lost_answer_share: float = 0.0  # share of appends that are carried out but not answered
     late_order_share: float = 0.0  # share of orders without an answer, most of them late
     cut_links: set[tuple[str, str]] = field(default_factory=set)  # (instance, worker)
@@ -140,7 +141,8 @@
     async def _begin_append(self) -> AppendResult | None:
         if self.instance in self.store.faults.store_refuses_to:
             return AppendResult(Outcome.REFUSED)
-        if self.instance in self.store.faults.store_silent_to:
+        faults = self.store.faults
+        if self.instance in faults.store_silent_to | faults.appends_silent_to:
             await asyncio.sleep(CALL_TIMEOUT_S)
             return AppendResult(Outcome.UNKNOWN)
         await asyncio.sleep(STORE_LATENCY_S)
--- a/tests/cover/test_owner_changes.py
+++ b/tests/cover/test_owner_changes.py
@@ -99,6 +99,36 @@
         run_simulation(CellSimulation(seed, worker_count=8), script)
 
 
+class TestOutages:
+    """Owners that are replaced after an outage of the store."""
+
+    @pytest.mark.parametrize("seed", range(3))
+    def test_tasks_of_a_lost_worker_do_not_wait_for_the_outage_again(self, seed: int) -> None:
+        """Guards against a wait for orders of the earlier owner that counts from the claim."""
+
+        async def script(sim: CellSimulation) -> None:
+            await sim.submit("0" * 16, "serve", long_running_job())
+            await asyncio.sleep(2)
+            owner = sim.owner()
+            assert owner is not None
+            faults = sim.platform.faults
+            leaving = next(n for n, worker in sim.platform.workers.items() if worker.runs)
+            faults.store_silent_to.add(owner)
+            await asyncio.sleep(1)
+            faults.store_silent_to.update(sim.instances)
+            await asyncio.sleep(2)
+            sim.platform.crash(leaving)
+            await asyncio.sleep(6)
+            faults.store_silent_to &= {owner}
+            await asyncio.sleep(4)
+            others = (instance for name, instance in sim.instances.items() if name != owner)
+            assert any(instance._ownership.owning for instance in others)
+            assert sim.platform.violations == []
+            assert len(sim.platform.running_tasks()) == 3
+
+        run_simulation(CellSimulation(seed), script)
+
+
 class TestStops:
     """Instances that stop while they own the cell."""
 
--- a/tests/cover/test_owner_cut_off.py
+++ b/tests/cover/test_owner_cut_off.py
@@ -10,6 +10,7 @@
 import pytest
 
 from greengagewood.internal.cells.cell import Cell
+from greengagewood.internal.cells.ownership import OwnershipView
 from greengagewood.internal.evacuation import Evacuations
 from greengagewood.internal.jobs.model import JobSpec, StepSpec
 from greengagewood.internal.jobs.records import (
@@ -129,6 +130,99 @@
         assert len(start_orders(owner.plan(now_ms, 0))) == 1
 
 
+async def _stop_storing_heartbeats(sim: CellSimulation) -> None:
+    """Replace an owner that can read, but not append, and then reaches one worker alone."""
+    owner = sim.owner()
+    assert owner is not None
+    await sim.submit(JOB, "serve", long_running_job())
+    await asyncio.sleep(2)
+    lost = next(n for n, worker in sim.platform.workers.items() if worker.runs)
+    others = set(sim.instances) - {owner}
+    faults = sim.platform.faults
+    faults.cut_links.update((name, lost) for name in others)
+    await asyncio.sleep(0.6)  # the others have read the last heartbeat
+    faults.store_silent_to.update(others)
+    faults.appends_silent_to.add(owner)
+    await asyncio.sleep(4)
+    faults.store_silent_to.clear()
+    faults.store_silent_to.add(owner)
+    faults.cut_links.update((owner, worker) for worker in sim.platform.workers if worker != lost)
+    await asyncio.sleep(20)
+    assert sim.owner() is not None
+
+
+async def _break_the_store_at_random(sim: CellSimulation) -> None:
+    """Let the store fail for all, for the owner, or for its appends, while workers are cut off."""
+    rng = random.Random(sim.seed)
+    faults = sim.platform.faults
+    names = sorted(sim.platform.workers)
+    jobs = [asyncio.ensure_future(sim.submit(f"{n:016x}", *mixed_job(n))) for n in range(9)]
+    await asyncio.sleep(2)
+    for number in range(5):
+        owner = sim.owner() or "n0"
+        others = set(sim.instances) - {owner}
+        for name in rng.sample(names, 2):  # that only the owner, or only another instance, reaches
+            cut_off = others if rng.random() < 0.7 else {owner}
+            faults.cut_links.update((instance, name) for instance in cut_off)
+        faults.lost_answer_share = rng.choice((0.0, 0.0, 0.5))
+        faults.appends_silent_to.update({owner} if rng.random() < 0.5 else set())
+        await asyncio.sleep(rng.uniform(0, 1))
+        faults.store_silent_to.update(rng.choice((others, {owner}, {*others, owner})))
+        await asyncio.sleep(rng.uniform(1, 6))
+        faults.store_silent_to.clear()
+        if rng.random() < 0.7:
+            faults.store_silent_to.add(owner)
+            faults.cut_links.update((owner, name) for name in rng.sample(names, 4))
+        if rng.random() < 0.3:
+            await sim.kill_instance(owner)
+            sim.start_instance(owner)
+        await asyncio.sleep(rng.uniform(5, 15))
+        faults.store_silent_to.clear()
+        faults.appends_silent_to.clear()
+        faults.cut_links.clear()
+        faults.lost_answer_share = 0.0
+        jobs.append(asyncio.ensure_future(sim.submit(f"{100 + number:016x}", "fast", short_job())))
+        await asyncio.sleep(rng.uniform(0, 3))
+    await asyncio.gather(*jobs)
+    await asyncio.sleep(25)
+
+
+def _violations_of_outages(seed: int) -> list[str]:
+    sim = CellSimulation(seed, worker_count=6)
+    run_simulation(sim, _break_the_store_at_random)
+    return sim.platform.violations
+
+
+def _confirm_by_reads_alone(patch: pytest.MonkeyPatch) -> None:
+    """An owner sends orders for as long as its reads are answered."""
+    note_read = OwnershipView.note_read
+
+    def note_read_as_stored(view: OwnershipView, sent_ms: int, now_ms: int) -> None:
+        view.note_stored(view.token, sent_ms, now_ms)
+        note_read(view, sent_ms, now_ms)
+
+    patch.setattr(OwnershipView, "note_read", note_read_as_stored)
+
+
+class TestHeartbeats:
+    """An owner whose heartbeats are not stored any more, while it still reads the log."""
+
+    def test_its_orders_have_expired_when_its_successor_relies_on_that(self) -> None:
+        sim = CellSimulation(1)
+        run_simulation(sim, _stop_storing_heartbeats)
+        assert sim.platform.violations == []
+
+    def test_without_that_limit_a_task_runs_twice(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        _confirm_by_reads_alone(monkeypatch)
+        sim = CellSimulation(1)
+        run_simulation(sim, _stop_storing_heartbeats)
+        assert sim.platform.violations != []
+
+    @pytest.mark.parametrize("seed", range(8))
+    def test_no_task_runs_twice_beside_outages_of_the_store(self, seed: int) -> None:
+        assert _violations_of_outages(seed) == []
+
+
 class TestLostBoots:
     """Workers that reboot after a successor may have acknowledged how their runs ended."""
 
--- a/tests/cover/test_owner_view.py
+++ b/tests/cover/test_owner_view.py
@@ -141,11 +141,44 @@
         assert small.should_claim(OWNER_TIMEOUT_MS + 500)
 
 
+class TestEarlierOwners:
+    """From when a new owner counts how long orders of earlier owners hold."""
+
+    HEARTBEAT = Ownership(1, "other", heartbeats_limit_orders=True)
+
+    @staticmethod
+    def _earlier_heartbeat_ms(heartbeat: Ownership, claimed_ms: int = 9_000) -> int:
+        view = _view()
+        view.note_record(heartbeat, 1_000)
+        view.note_read(claimed_ms, claimed_ms)
+        view.note_record(view.make_claim(claimed_ms), claimed_ms + 50)
+        assert view.state == "owning"
+        return view.earlier_heartbeat_ms
+
+    def test_the_time_counts_from_the_last_heartbeat_that_was_read(self) -> None:
+        assert self._earlier_heartbeat_ms(self.HEARTBEAT) == 1_000
+
+    def test_an_owner_of_an_older_version_may_send_orders_until_the_claim(self) -> None:
+        assert self._earlier_heartbeat_ms(Ownership(1, "other")) == 9_050
+
+    def test_a_claim_whose_reply_was_lost_is_no_heartbeat_of_an_earlier_owner(self) -> None:
+        view = _view()
+        view.note_record(self.HEARTBEAT, 1_000)
+        claim = view.make_claim(3_000)
+        view.tick(6_000)
+        view.note_record(claim, 6_001)
+        assert view.earlier_heartbeat_ms == 1_000
+
+    def test_a_heartbeat_says_that_heartbeats_limit_orders(self) -> None:
+        assert _view().make_claim(0).heartbeats_limit_orders
+
+
 class TestConfirmation:
     """How long an owner may send orders without a read that confirms its ownership."""
 
     def test_an_owner_without_a_confirmed_read_is_suspended(self) -> None:
         view = _owning()
+        view.note_stored(view.token, 1_001, 1_001)
         view.note_read(1_000, 1_000)
         view.tick(1_000 + CONFIRMATION_TIMEOUT_MS)
         assert view.state == "owning"
@@ -157,9 +190,36 @@
         view.tick(20_000)  # the machine was suspended
         view.note_read(500, 20_001)
         assert view.state == "suspended"
+        view.note_stored(view.token, 20_001, 20_002)
+        assert view.state == "suspended"
         view.note_read(20_002, 20_010)
         assert view.state == "owning"
 
+    def test_an_owner_without_a_stored_heartbeat_is_suspended(self) -> None:
+        """Guards against orders that a successor, who counts from heartbeats, takes for expired."""
+        view = _owning()
+        view.note_stored(view.token, 1_000, 1_100)
+        view.note_read(6_000, 6_001)
+        view.tick(1_000 + CONFIRMATION_TIMEOUT_MS)
+        assert view.state == "owning"
+        view.tick(1_001 + CONFIRMATION_TIMEOUT_MS)
+        assert view.state == "suspended"
+        view.note_stored(view.token - 1, 6_100, 6_200)  # of an earlier term
+        assert view.state == "suspended"
+        view.note_stored(view.token, 6_100, 6_200)
+        assert view.state == "owning"
+
+    def test_a_claim_counts_as_a_heartbeat_from_when_it_was_first_sent(self) -> None:
+        view = _view()
+        view.make_claim(0)
+        view.tick(2_001)
+        view.note_record(view.make_claim(2_100), 2_200)  # the first one may have been stored
+        view.note_read(2_200, 2_200)
+        view.tick(CONFIRMATION_TIMEOUT_MS)
+        assert view.state == "owning"
+        view.tick(1 + CONFIRMATION_TIMEOUT_MS)
+        assert view.state == "suspended"
+
     def test_a_newer_token_ends_the_ownership(self) -> None:
         view = _owning()
         view.note_record(Ownership(2, "other"), 1)
