--- a/src/greengagewood/internal/cells/cell.py
+++ b/src/greengagewood/internal/cells/cell.py
@@ -82,8 +82,8 @@
     """Time limits in milliseconds.
 
     `lease_ms` is the length of a worker's lease. `confirmation_timeout_ms` is how long an owner may
-    send orders after the last read that confirmed its ownership, and so how long an earlier owner
-    may still have sent orders.
+    send orders after the last read that confirmed its ownership and the last stored heartbeat, and
+    so how long an earlier owner may have sent orders after its last heartbeat.
     """
 
     lease_ms: int
@@ -101,7 +101,13 @@
         settled_offset: int = 0,
         claim_offset: int = 0,
         confirmed_ms: int | None = None,
+        earlier_heartbeat_ms: int | None = None,
     ) -> None:
+        """Begin a term.
+
+        The read that confirmed the ownership was sent at `confirmed_ms`, and the last heartbeat of
+        earlier owners was read at `earlier_heartbeat_ms`; both are now by default.
+        """
         self.limits = limits
         self.token = token
         self.book = JobBook()
@@ -113,15 +119,17 @@
         self._late_starts = LateStarts(limits.lease_ms)
         self._stops = StopPlanner(self.workers, self.planner)
         # When every lease and order of earlier owners has certainly expired: an earlier owner may
-        # have extended leases until its last confirmation timed out.
+        # have extended leases until the confirmation by its last heartbeat timed out.
         self._earlier_orders_expiry_ms = (
-            now_ms + limits.confirmation_timeout_ms + longest_ms(limits.lease_ms)
+            (now_ms if earlier_heartbeat_ms is None else earlier_heartbeat_ms)
+            + limits.confirmation_timeout_ms
+            + longest_ms(limits.lease_ms)
         )
         # When every start of earlier owners is over that a later boot of a worker may carry out.
         self._earlier_starts_expiry_ms = self._earlier_orders_expiry_ms + MAX_ORDER_DELAY_MS
         self._registration_due = False
         self._directory_unread = True
-        # When the last read that confirmed the ownership was sent, by default now.
+        # When the last read that confirmed the ownership was sent.
         self._confirmed_ms = now_ms if confirmed_ms is None else confirmed_ms
         self._unconfirmed_losses: dict[Task, int] = {}  # when their runs were found to be lost
         self._adopting = True  # until every worker is known to have no other runs of the cell
--- a/src/greengagewood/internal/entry/node.py
+++ b/src/greengagewood/internal/entry/node.py
@@ -396,7 +396,7 @@
             await self._claim(now_ms)
 
     def _report_suspension(self, now_ms: int) -> None:
-        """Report when the owner begins or ceases to hold orders back, as no read confirms it."""
+        """Report when the owner begins or ceases to hold orders back, as nothing confirms it."""
         state = self._ownership.state
         if self._suspended == (state == "suspended"):
             return
@@ -406,14 +406,22 @@
                 "term_suspended" if self._suspended else "term_resumed",
                 token=self._ownership.token,
                 read_age_ms=now_ms - self._last_read_ms,
+                heartbeat_age_ms=self._ownership.heartbeat_age_ms(now_ms),
             )
 
     async def _claim(self, now_ms: int) -> None:
         claim = self._ownership.make_claim(now_ms)
         expected_end = self.ledger.next_offset
+        heartbeat_age_ms = self._ownership.heartbeat_age_ms(now_ms)
         entry = (key_of(claim), encode_record(claim))
         result = await self._ports.store.claim(entry, expected_end, claim.token)
-        _log.info("claim", token=claim.token, at=expected_end, outcome=result.outcome.value)
+        _log.info(
+            "claim",
+            token=claim.token,
+            at=expected_end,
+            outcome=result.outcome.value,
+            heartbeat_age_ms=heartbeat_age_ms,
+        )
         match result.outcome:
             case Outcome.REFUSED:
                 self._ownership.note_claim_failed()
@@ -434,9 +442,8 @@
             self._ownership.token,
             int(bounds.status_s * 1000),
             self._metrics,
-            self._ownership.note_fenced,
+            self._ownership,
             self._may_send_orders,
-            self._ownership.confirmed_ms,
         )
         _log.info("term_started", token=self._ownership.token, jobs=len(self.ledger.jobs))
         if self.config is not None:
