Start nothing on a boot before a read sent after its adoption confirms the owner

A boot that an owner adopts after its last confirmed read may have replaced one that had accepted the token of a later owner, which starts the task elsewhere. So the fence that makes late orders of the earlier owner harmless may be gone with the reboot.

Change: a worker takes runs only once a read sent after its adoption shows no later owner. The read is sent at once, as for lost boots, which also replaces the flag of the inherited tasks.

Evidence: the test started a run before.

--- a/src/greengagewood/internal/cells/cell.py
+++ b/src/greengagewood/internal/cells/cell.py
@@ -129,25 +129,29 @@
         self._earlier_starts_expiry_ms = self._earlier_orders_expiry_ms + MAX_ORDER_DELAY_MS
         self._registration_due = False
         self._directory_unread = True
-        # When the last read that confirmed the ownership was sent.
-        self._confirmed_ms = now_ms if confirmed_ms is None else confirmed_ms
+        self.planner.confirmed_ms = now_ms if confirmed_ms is None else confirmed_ms
         self._unconfirmed_losses: dict[Task, int] = {}  # when their runs were found to be lost
         self._adopting = True  # until every worker is known to have no other runs of the cell
-        self._last_adoption_ms = 0  # when a worker last ruled out runs of earlier owners
-        self._adoption_unconfirmed = False  # whether tasks wait for a read sent after that
+        self._last_adoption_ms = 0  # when a worker was last adopted
         self._adoption_report_ms = now_ms + ADOPTION_REPORT_DELAY_MS
         self._starts_suspended = False  # whether the evacuation orders are not known
         self._saturated_services: set[str] = set()  # of the last forecast
 
     def note_confirmed(self, sent_ms: int) -> None:
         """Record that a read of the cell's log sent at `sent_ms` has shown no later owner."""
-        self._confirmed_ms = max(self._confirmed_ms, sent_ms)
+        if self._confirmed_ms <= self._last_adoption_ms < sent_ms:
+            self.planner.request_replan()
+        self.planner.confirmed_ms = max(self._confirmed_ms, sent_ms)
+
+    @property
+    def _confirmed_ms(self) -> int:
+        return self.planner.confirmed_ms
 
     def awaits_confirmation(self, now_ms: int) -> bool:
         """Return whether tasks wait only for a read that confirms the ownership."""
         return (
             bool(self._unconfirmed_losses)
-            or self._adoption_unconfirmed
+            or self._last_adoption_ms >= self._confirmed_ms
             or any(
                 worker.unresponsive
                 and worker.runs
@@ -516,8 +520,7 @@
         self.planner.tail_model.learn(worker, now_ms)
         if not worker.adopted:
             worker.adopted = True
-            if worker.inherited:
-                self._last_adoption_ms = now_ms
+            worker.adopted_ms = self._last_adoption_ms = now_ms
             worker.inherited = ()
             self._shorten_earlier_expiry(worker, now_ms)
             self.on_event("worker_adopted", {"worker": worker.name, "runs": len(listed_keys)})
@@ -829,7 +832,6 @@
         A worker that accepts this owner's token may have rebooted since a later owner acknowledged
         the ends of its runs, so a read that was sent afterwards must show no later owner.
         """
-        self._adoption_unconfirmed = False
         if not self._adopting and not self.book.maybe_running_tasks:
             return
         confirmed_ms = self._confirmed_ms
@@ -839,8 +841,7 @@
         held_back = tasks_held_back(unresolved, confirmed_ms)
         if held_back is None:
             return
-        self._adoption_unconfirmed = self._last_adoption_ms >= confirmed_ms
-        if self._adoption_unconfirmed:
+        if self._last_adoption_ms >= confirmed_ms:
             return
         if self._adopting and not unresolved:
             self._adopting = False
--- a/src/greengagewood/internal/cells/fleet.py
+++ b/src/greengagewood/internal/cells/fleet.py
@@ -109,6 +109,7 @@
     info: WorkerInfo
     added_ms: int
     adopted: bool = False  # whether it has accepted this owner's token and listed its runs
+    adopted_ms: int = 0  # when it was adopted
     registered: bool = False  # whether the stored RegisteredWorkers record names it
     in_directory: bool = True  # whether the directory lists this boot
     clock_ms: int = 0  # the last reading of its clock
--- a/src/greengagewood/internal/cells/planner.py
+++ b/src/greengagewood/internal/cells/planner.py
@@ -119,6 +119,7 @@
         self.queues: dict[str, Queue] = {}
         self.directory_read_ms: int | None = None  # when the last complete read of it was sent
         self.evacuations: Evacuations | None = None  # None until they are known
+        self.confirmed_ms = 0  # when the last read that confirmed the ownership was sent
         self._book = book
         self._workers = workers
         self._token = token
@@ -171,8 +172,17 @@
         )
 
     def may_start_on(self, worker: Worker, now_ms: int) -> bool:
-        """Return whether runs may be started on the worker now."""
-        return self.evacuations_known and worker.is_usable(now_ms) and not self.is_evacuated(worker)
+        """Return whether runs may be started on the worker now.
+
+        A boot that was adopted after the last confirmed read may have replaced one that had
+        accepted the token of a later owner.
+        """
+        return (
+            self.evacuations_known
+            and worker.is_usable(now_ms)
+            and worker.adopted_ms < self.confirmed_ms
+            and not self.is_evacuated(worker)
+        )
 
     def can_run_faster_elsewhere(self, run: Run, current: Worker, now_ms: int) -> bool:
         """Return whether a best-effort run could run at full speed on another worker."""
--- a/tests/common/desk.py
+++ b/tests/common/desk.py
@@ -40,6 +40,7 @@
         self.store_changes()
         for name in workers:
             self.answer_lease(name)
+        self.cell.note_confirmed(self.now_ms + 1)  # by a read sent after the workers' answers
 
     def read_orders(self, *domains: str) -> None:
         """Let the owner read which failure domains are evacuated."""
--- a/tests/cover/test_owner_cut_off.py
+++ b/tests/cover/test_owner_cut_off.py
@@ -170,7 +170,8 @@
         assert changes is not None
         owner.note_changes_stored(changes)
         reply = LeaseReply(5_000, 1, (), ())
-        owner.handle_lease_reply(owner.workers["w0"], reply, now_ms, now_ms)
+        adopted_ms = 98_999  # before either read
+        owner.handle_lease_reply(owner.workers["w0"], reply, adopted_ms, adopted_ms)
         assert len(start_orders(owner.plan(now_ms, 0))) == starts
 
 
@@ -367,6 +368,19 @@
         assert len(start_orders(owner.plan(now_ms, 0))) == 1
         assert not owner.awaits_confirmation(now_ms)
 
+    def test_nothing_is_started_on_a_boot_before_a_read_sent_after_its_adoption(self) -> None:
+        """Guards against a start on a boot that doesn't know the token of a later owner."""
+        harness = CellHarness("w0")
+        harness.cell.note_confirmed(harness.now_ms + 1)
+        harness.now_ms += 10
+        harness.worker_infos["w0"] = replace(harness.worker_infos["w0"], boot_time_ms=2)
+        harness.cell.set_workers(harness.worker_infos, harness.now_ms)
+        harness.answer_lease("w0")
+        harness.submit(StepSpec(1, cpu_millis=1_000))
+        assert _plan_unconfirmed(harness, 10) == []
+        assert harness.cell.awaits_confirmation(harness.now_ms)
+        assert len(_plan_confirmed(harness)) == 1
+
     def test_an_end_that_the_successor_acknowledged_is_not_lost_with_its_boot(self) -> None:
         """Guards against a second run of a task that was done for the successor."""
 
