--- /dev/null
+++ b/src/greengagewood/platform/standin/common.py
@@ -0,0 +1,137 @@
+"""Listeners, faults and the recorded history, which both stand-ins share."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+from collections.abc import Awaitable, Callable
+from typing import Any, TypeVar
+
+import msgspec
+from aiohttp import web
+
+from greengagewood.platform.standin.settings import Fault
+
+__all__ = [
+    "Faults",
+    "Handler",
+    "History",
+    "admin_handler",
+    "json_answer",
+    "leave_unanswered",
+    "listen",
+    "monotonic_ms",
+    "reset_connection",
+]
+
+T = TypeVar("T")
+Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
+
+SHUTDOWN_S = 0.01  # aiohttp takes 0 as no limit
+UNANSWERED_CHECK_S = 0.1
+MAX_UNANSWERED_S = 60.0  # callers give up long before; bounds what half-open connections hold
+
+
+def monotonic_ms() -> float:
+    """Return the time of the machine's monotonic clock, which all recorded histories share."""
+    return round(time.monotonic() * 1000, 1)
+
+
+class History:
+    """Append what happened to a file, one JSON object a line."""
+
+    def __init__(self, path: str) -> None:
+        self._file = open(path, "ab", buffering=0)  # noqa: SIM115
+
+    def write(self, what: str, fields: dict[str, Any]) -> None:
+        """Append one line with the time."""
+        line = {"t": monotonic_ms(), "what": what, **fields}
+        self._file.write(msgspec.json.encode(line) + b"\n")
+
+    def close(self) -> None:
+        """Close the file."""
+        self._file.close()
+
+
+class Faults:
+    """The faults that are switched on, by kind."""
+
+    def __init__(self, kinds: frozenset[str], rng: random.Random) -> None:
+        self._kinds = kinds
+        self._rng = rng
+        self._active: dict[str, Fault] = {}
+
+    def change(self, fault: Fault) -> None:
+        """Switch a fault on, or faults off; raise ValueError."""
+        if fault.kind == "clear":
+            for kind in [fault.only] if fault.only else list(self._active):
+                self._active.pop(kind, None)
+        elif fault.kind in self._kinds:
+            self._active[fault.kind] = fault
+        else:
+            raise ValueError(f"unknown fault {fault.kind!r}; use clear or {sorted(self._kinds)}")
+
+    def draw(self, kind: str, client: str = "", worker: str = "") -> Fault | None:
+        """Return the fault if it hits this call."""
+        fault = self._active.get(kind)
+        if fault is None or (fault.clients and client not in fault.clients):
+            return None
+        if fault.workers and worker not in fault.workers:
+            return None
+        return fault if fault.share >= 1 or self._rng.random() < fault.share else None
+
+
+async def listen(handler: Handler, address: str) -> web.ServerRunner:
+    """Serve an address; port 0 takes any free one."""
+    runner = web.ServerRunner(web.Server(handler, access_log=None), shutdown_timeout=SHUTDOWN_S)
+    await runner.setup()
+    ip, _, port = address.rpartition(":")
+    try:
+        await web.TCPSite(runner, ip, int(port), backlog=1024).start()
+    except OSError as exc:
+        await runner.cleanup()
+        raise OSError(f"{address}: {exc}; free the address or change it") from exc
+    return runner
+
+
+def json_answer(body: Any, status: int = 200) -> web.Response:
+    """Return an answer with a JSON body."""
+    return web.Response(
+        status=status, body=msgspec.json.encode(body), content_type="application/json"
+    )
+
+
+async def leave_unanswered(req: web.BaseRequest) -> web.Response:
+    """Hold a call without an answer until its caller closes the connection."""
+    deadline = time.monotonic() + MAX_UNANSWERED_S
+    while time.monotonic() < deadline:
+        if req.transport is None or req.transport.is_closing():
+            break
+        await asyncio.sleep(UNANSWERED_CHECK_S)
+    return reset_connection(req)
+
+
+def reset_connection(req: web.BaseRequest) -> web.Response:
+    """Break the connection of a call; the answer that is returned is not sent."""
+    if req.transport is not None:
+        req.transport.abort()
+    return web.Response(status=503)
+
+
+def admin_handler(calls: dict[str, Callable[[web.BaseRequest, bytes], Any]]) -> Handler:
+    """Return a handler of admin calls, by their path; a ValueError is answered with 400."""
+
+    async def handle(req: web.BaseRequest) -> web.StreamResponse:
+        call = calls.get(req.path)
+        if call is None:
+            return json_answer({"error": f"no call {req.path}; use one of {sorted(calls)}"}, 404)
+        try:
+            result = call(req, await req.read())
+            return json_answer(await result if asyncio.iscoroutine(result) else result)
+        except (ValueError, KeyError) as exc:
+            return json_answer({"error": str(exc)}, 400)
+        except ConnectionRefusedError as exc:
+            return json_answer({"error": str(exc)}, 503)
+
+    return handle
