--- a/src/greengagewood/platform/standin/__main__.py
+++ b/src/greengagewood/platform/standin/__main__.py
@@ -43,8 +43,8 @@
     stop_requested = asyncio.Event()
     for signal_number in (signal.SIGTERM, signal.SIGINT):
         asyncio.get_running_loop().add_signal_handler(signal_number, stop_requested.set)
-    standin = _build(role, path)
     try:
+        standin = _build(role, path)
         await standin.start()
     except OSError as exc:
         exit_with_usage_error(f"{PROGRAM} {role}: {exc} in {path}")
