Start native tasks of a lost boot only once a later read confirms the owner

What callers would see: a task that was reported as done runs again, when its worker reboots while an earlier owner is cut off from the log.

Cause: an owner ended the attempts that a new boot did not list and placed their tasks at once, and it sent starts without an answer to the new boot, under the same attempt number. Its successor may have made the end of these tasks final; the new boot does not know the successor's epoch, so it obeys the old owner.

Change: a task lost with a boot is held back until a read of the log that was sent after the loss was answered. Starts that an earlier boot may have carried out are withdrawn. The license as a whole does not suffice as the confirmation: an owner whose claim names no candidates counts as confirmed at any time, and heartbeats of candidates do not rule out a claim of another scheduler. In an outage of the log the tasks of a worker that reboots now wait until the log is read again.

Evidence: the three cases of test_native_owner_cut_off.py fail without the change, and also with `_license_confirmed_ms` in place of the read (a trial). Passed: test_ownership, _mutants, _planner, _workers_border, _owner_changes, _owner_cut_off, _owner_view, _processes and _docs.

--- a/src/greengagewood/internal/owner.py
+++ b/src/greengagewood/internal/owner.py
@@ -25,6 +25,10 @@
 3. *Expiry.* A task on a worker that no longer answers is placed again only when every command and
    lease that the worker was given has expired, and the license has been confirmed at a time
    *after* that. Without the confirmation, a newer owner could have renewed the task meanwhile.
+   A task that was lost with a boot of its worker waits for a read of the log that was sent after
+   the loss was found: a newer owner may have made its end final, and the new boot does not know
+   that owner's epoch. Acknowledged heartbeats do not suffice here, because a newer owner need not
+   be a candidate and only fencing, which the reboot undid, kept the older one out.
 
 docs/design/ownership.md describes the alternatives and their costs.
 """
@@ -268,6 +272,8 @@
         if self._document is None:
             return []
         self._update_license(now_ms, view)
+        if view.log_confirmed_ms is not None:
+            self.book.confirm_losses(view.log_confirmed_ms)
         snapshot = self._plan_snapshot(now_ms, view)
         if snapshot:
             return snapshot
@@ -488,10 +494,16 @@
             if reply.epoch > self.epoch:
                 self._emit("refused_by_worker", worker=worker.name, newer=reply.epoch)
             return
+        rebooted = worker.boot not in (0, reply.boot)
         worker.apply_reply(sent.exchange, reply, now_ms)
         self._last_reply_ms = now_ms
         self._record_usage(worker, reply)
+        if rebooted:
+            # The earlier boot may have carried out a start that it did not confirm.
+            worker.withdraw_starts()
         for key in worker.missing_attempts():
+            if rebooted:
+                self.book.hold_back(key[0], now_ms)
             self._end_attempt(worker, key, "lapsed")
         self._reconcile_running(worker)
         for ended in list(worker.outbox.values()):
--- a/src/greengagewood/internal/taskbook.py
+++ b/src/greengagewood/internal/taskbook.py
@@ -50,7 +50,8 @@
     """One job of the cell.
 
     `size` is what each of its tasks requests; `sequence` increases with each added job.
-    `pending` names the tasks in state `pending`, in the order in which they became so.
+    `pending` names the tasks in state `pending` that may be placed, in the order in which they
+    became so.
     `wait_reason` says why they wait; it is shown to callers.
     """
 
@@ -86,6 +87,7 @@
         self._unlogged: dict[TaskOutcome, _UnloggedOutcome] = {}
         self._unlogged_attempts: Counter[tuple[str, int]] = Counter()
         self._jobs_added = 0
+        self._lost_ms: dict[str, int] = {}  # for each task that is held back, see `hold_back`
         self.waiting_jobs: dict[Job, None] = {}
         self.pending_version = 0
         self.team_usage: dict[str, Resources] = {}
@@ -119,7 +121,23 @@
         if task.state == "pending":
             self._add_pending(task)
 
+    def hold_back(self, name: str, lost_ms: int) -> None:
+        """Keep a task from being placed until the log is read after the loss of its attempt."""
+        self._lost_ms[name] = lost_ms
+
+    def confirm_losses(self, confirmed_ms: int) -> None:
+        """Let tasks be placed that were lost before the last answered read was sent."""
+        for name, lost_ms in list(self._lost_ms.items()):
+            if lost_ms >= confirmed_ms:
+                continue
+            del self._lost_ms[name]
+            task = self.tasks.get(name)
+            if task is not None and task.state == "pending":
+                self._add_pending(task)
+
     def _add_pending(self, task: Task) -> None:
+        if task.name in self._lost_ms:
+            return
         self.pending_version += 1
         task.job.pending[task.name] = None
         self.waiting_jobs[task.job] = None
