--- a/devtools/soak/__main__.py
+++ b/devtools/soak/__main__.py
@@ -34,6 +34,9 @@
 def _prepare(seed: int, scale: str, steps: list[Step], folder: Path) -> None:
     """Save a script to the folder of its run and print it."""
     folder.mkdir(parents=True, exist_ok=True)
+    for pattern in ("*.jsonl", "*.log", "*.err"):  # the programs append to them
+        for path in folder.glob(pattern):
+            path.unlink()
     script_path = folder / "script.jsonl"
     save_script(script_path, seed, scale, steps)
     print(f"seed {seed}, scale {scale}: {len(steps)} faults, script {script_path}", flush=True)
--- a/devtools/soak/proxy.py
+++ b/devtools/soak/proxy.py
@@ -44,7 +44,7 @@
         """Reset both sides."""
         for writer in self.writers:
             sock = writer.get_extra_info("socket")
-            with contextlib.suppress(OSError, AttributeError):
+            with contextlib.suppress(OSError, ValueError):  # closed already
                 linger = struct.pack("ii", 1, 0)  # close() sends a reset
                 sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
             writer.transport.abort()
--- /dev/null
+++ b/tests/cover/test_soak.py
@@ -0,0 +1,303 @@
+"""The soak itself: its checks, its scripts, its proxy, and one short run of real processes."""
+
+import asyncio
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+from devtools.soak import checker
+from devtools.soak.deployment import SCALES, JobShape
+from devtools.soak.proxy import LinkFault, LinkProxy
+from devtools.soak.records import Disruption, JobRecord, Request
+from devtools.soak.script import Step, draw_script, load_script, save_script, shrink_script
+
+JOB = "00000000000000aa"
+TASK = f"{JOB}.0.0.0"
+ROOT = Path(__file__).parents[2]
+
+
+def _start(t, worker="w0", run=1, task=TASK):
+    return {"t": t, "what": "start", "worker": worker, "task": task, "run": run}
+
+
+def _end(t, how="done", worker="w0", run=1, task=TASK):
+    return {"t": t, "what": "end", "worker": worker, "task": task, "run": run, "how": how}
+
+
+def _ack(t, worker="w0", run=1, task=TASK):
+    return {"t": t, "what": "ack", "worker": worker, "task": task, "run": run, "how": "done"}
+
+
+def _job(*requests, kind="short", counts=(1,)):
+    return {JOB: JobRecord(JOB, JobShape(kind, counts, 1_000, 500), list(requests))}
+
+
+def _request(method, status, sent=0, ended=10, **more):
+    return Request(0, method, JOB, sent, ended, status, **more)
+
+
+ACCEPTED = _request("POST", 200)
+
+
+def _found(events, jobs=None, disruptions=()):
+    jobs = jobs if jobs is not None else _job(ACCEPTED)
+    return checker.check_all(events, jobs, list(disruptions), 16_000, {"w0"})
+
+
+class TestRuns:
+    """Each promise on where and how often tasks run is seen broken in a history."""
+
+    def test_a_history_without_faults_has_no_findings(self):
+        completed = _request("GET", 200, 400, 410, state="completed")
+        events = [_start(100), _end(300), _ack(350)]
+        assert _found(events, _job(ACCEPTED, completed)) == []
+
+    def test_a_task_in_two_places_is_found(self):
+        found = _found([_start(100), _start(200, "w1", 2), _end(300)])
+        assert [f.partition(":")[0] for f in found] == ["TWO PLACES"]
+
+    def test_a_reboot_ends_the_runs_of_a_worker(self):
+        boot = {"t": 150, "what": "boot", "worker": "w0"}
+        assert _found([_start(100), boot, _start(200, "w1", 2)]) == []
+
+    def test_a_start_after_an_acknowledged_done_is_found(self):
+        found = _found([_start(100), _end(200), _ack(250), _start(300, "w1", 2)])
+        assert [f.partition(":")[0] for f in found] == ["AFTER DONE"]
+
+    def test_a_start_after_a_done_that_was_never_acknowledged_is_allowed(self):
+        assert _found([_start(100), _end(200), _start(300, "w1", 2)]) == []
+
+    def test_a_start_after_all_permitted_attempts_is_found(self):
+        events = []
+        for run in (1, 2, 3):
+            events += [_start(run * 100, run=run), _end(run * 100 + 50, "failed", run=run)]
+            events.append(_ack(run * 100 + 60, run=run))
+        found = _found([*events, _start(900, run=4)])
+        assert [f.partition(":")[0] for f in found] == ["ATTEMPTS"]
+
+    def test_a_start_before_the_step_before_is_done_is_found(self):
+        found = _found([_start(100, task=f"{JOB}.0.1.0")], _job(ACCEPTED, counts=(1, 1)))
+        assert [f.partition(":")[0] for f in found] == ["ORDER"]
+
+    def test_a_task_that_nobody_submitted_is_found(self):
+        assert _found([_start(100)], {})[0].startswith("UNASKED")
+
+    def test_a_worker_over_its_capacity_is_found(self):
+        events = [_start(100, task=f"{JOB}.0.0.{n}") for n in range(17)]
+        found = _found(events, _job(ACCEPTED, counts=(17,)))
+        assert [f.partition(":")[0] for f in found] == ["CAPACITY"]
+
+
+class TestAnswers:
+    """Each promise on answers is seen broken in what callers saw."""
+
+    def test_a_refused_job_that_runs_is_found(self):
+        assert _found([_start(100)], _job(_request("POST", 503)))[0].startswith("REFUSED")
+
+    def test_a_refused_job_whose_other_attempt_was_not_answered_may_run(self):
+        jobs = _job(_request("POST", 503), _request("POST", None, error="reset"))
+        kill = Disruption("kill", 0, 0, 20)
+        assert _found([_start(100)], jobs, [kill]) == []
+
+    def test_an_accepted_job_that_is_unknown_is_found(self):
+        jobs = _job(ACCEPTED, _request("GET", 410, 5_000, 5_010))
+        assert _found([], jobs)[0].startswith("LOST")
+
+    def test_a_completed_job_whose_task_did_not_end_is_found(self):
+        jobs = _job(ACCEPTED, _request("GET", 200, 5_000, 5_010, state="completed"))
+        assert _found([_start(100)], jobs)[0].startswith("MIXED")
+
+    def test_a_job_that_comes_back_after_its_end_is_found(self):
+        states = [
+            _request("GET", 200, 500, 510, state="completed"),
+            _request("GET", 200, 600, 610, state="running"),
+        ]
+        found = _found([_start(100), _end(200)], _job(ACCEPTED, *states))
+        assert found[0].startswith("STATE")
+
+    def test_a_job_that_does_not_end_once_calm_is_found(self):
+        jobs = _job(ACCEPTED)
+        jobs[JOB].final_states[2] = "queued"
+        assert _found([], jobs)[0].startswith("LOST")
+
+    def test_a_job_shown_as_failed_without_failed_runs_is_found(self):
+        jobs = _job(ACCEPTED)
+        jobs[JOB].final_states[2] = "failed"
+        assert _found([_start(100), _end(200, "failed")], jobs)[0].startswith("LOST")
+
+    def test_a_standing_task_that_does_not_run_is_found(self):
+        jobs = _job(ACCEPTED, kind="standing", counts=(2,))
+        runs = checker.build_runs([_start(100), _start(100, task=f"{JOB}.0.0.1"), _end(200)])
+        assert checker.missing_standing_tasks(runs, jobs) == [TASK]
+
+    def test_a_start_long_after_a_cancellation_is_found(self):
+        jobs = _job(ACCEPTED, _request("DELETE", 200))
+        assert _found([_start(60_000)], jobs)[0].startswith("CANCELLED")
+
+    def test_a_broken_connection_to_a_running_process_is_found(self):
+        jobs = _job(ACCEPTED, _request("GET", None, 50_000, 51_000, error="reset"))
+        assert _found([], jobs)[0].startswith("ANSWER")
+
+    def test_a_request_without_an_answer_in_time_is_found(self):
+        jobs = _job(ACCEPTED, _request("GET", 200, 50_000, 59_000))
+        assert _found([], jobs)[0].startswith("ANSWER")
+
+    def test_a_request_cut_in_a_planned_stop_is_found(self):
+        jobs = _job(ACCEPTED, _request("GET", None, 50_000, 51_000, error="reset"))
+        stop = Disruption("terminate", 0, 50_500, 52_000)
+        assert _found([], jobs, [stop])[0].startswith("CUT")
+        kill = Disruption("kill", 1, 50_000, 52_000)
+        assert _found([], jobs, [stop, kill]) == []
+
+
+class TestLogLines:
+    @pytest.mark.parametrize("line", [b"Traceback", b"[]", b'{"event":"task_failed"}', b'{"a":1}'])
+    def test_a_line_that_cannot_be_read_or_reports_an_error_is_found(self, line):
+        assert len(list(checker.check_log_line(line, {}, "entry-0"))) == 1
+
+    def test_a_version_that_goes_back_within_a_boot_is_found(self):
+        versions = {}
+        lines = [b'{"event":"configuration","version":%d}' % version for version in (5, 4)]
+        found = [f for line in lines for f in checker.check_log_line(line, versions, "entry-0")]
+        assert found[0].startswith("CONFIG")
+
+
+class TestScripts:
+    """A script is the same whenever it is drawn or read, and shrinks to what matters."""
+
+    def test_the_same_seed_draws_the_same_script(self):
+        first, second = (draw_script(7, SCALES["small"], 60_000) for _ in range(2))
+        assert first == second
+        assert first != draw_script(8, SCALES["small"], 60_000)
+
+    def test_a_saved_script_is_read_as_it_was(self, tmp_path):
+        steps = draw_script(7, SCALES["small"], 60_000)
+        save_script(tmp_path / "script", 7, "small", steps)
+        assert load_script(tmp_path / "script") == (7, "small", steps)
+
+    async def test_shrinking_keeps_only_the_steps_that_fail_together(self):
+        steps = [Step(n * 1_000, "kill", {"instance": n}) for n in range(9)]
+
+        async def fails(shorter):
+            return steps[2] in shorter and steps[7] in shorter
+
+        assert await shrink_script(steps, fails) == [steps[2], steps[7]]
+
+
+class _Echo:
+    """An echo server behind a proxy; `call` sends through the proxy from an address."""
+
+    address, behind = "127.99.7.1:17960", "127.99.7.2:17960"
+
+    def __init__(self):
+        self.proxy = LinkProxy()
+        self.received = []
+
+    async def __aenter__(self):
+        async def echo(reader, writer):
+            while data := await reader.read(100):
+                self.received.append((writer.get_extra_info("peername")[0], data))
+                writer.write(data)
+            writer.close()
+
+        ip, _, port = self.behind.partition(":")
+        self._server = await asyncio.start_server(echo, ip, int(port))
+        await self.proxy.listen(self.address, self.behind)
+        return self
+
+    async def __aexit__(self, *exc_info):
+        self._server.close()
+        await self.proxy.close()
+
+    async def connect(self, source="127.99.7.3"):
+        ip, _, port = self.address.partition(":")
+        return await asyncio.open_connection(ip, int(port), local_addr=(source, 0))
+
+    def fault(self, mode, **more):
+        return LinkFault(frozenset({"127.99.7.3"}), frozenset({self.address}), mode, **more)
+
+
+async def _ask(streams, timeout_s=0.3):
+    """Send a message; return the answer, or None if none arrives in time."""
+    reader, writer = streams
+    writer.write(b"hello")
+    try:
+        return await asyncio.wait_for(reader.read(100), timeout_s)
+    except TimeoutError:
+        return None
+
+
+class TestProxy:
+    """The proxy does to a link what the script says, and to no other link."""
+
+    async def test_the_target_sees_the_address_of_the_source(self):
+        async with _Echo() as echo:
+            assert await _ask(await echo.connect()) == b"hello"
+            assert echo.received == [("127.99.7.3", b"hello")]
+
+    async def test_a_cut_holds_for_the_named_source_only(self):
+        async with _Echo() as echo:
+            cut, other = await echo.connect(), await echo.connect("127.99.7.4")
+            echo.proxy.add(echo.fault("drop"))
+            assert await _ask(cut) is None
+            assert await _ask(other) == b"hello"
+
+    async def test_a_connection_that_lost_bytes_is_reset_after_a_cut(self):
+        async with _Echo() as echo:
+            cut, fault = await echo.connect(), echo.fault("drop")
+            assert await _ask(cut) == b"hello"
+            echo.proxy.add(fault)
+            assert await _ask(cut) is None
+            echo.proxy.remove(fault)
+            with pytest.raises(ConnectionResetError):
+                await cut[0].read(100)
+            assert len(echo.received) == 1
+
+    async def test_held_bytes_are_delivered_at_the_end(self):
+        async with _Echo() as echo:
+            cut, fault = await echo.connect(), echo.fault("hold")
+            assert await _ask(cut) == b"hello"
+            echo.proxy.add(fault)
+            assert await _ask(cut) is None
+            echo.proxy.remove(fault)
+            assert await cut[0].read(100) == b"hello"
+
+    async def test_a_cut_one_way_back_lets_orders_through(self):
+        async with _Echo() as echo:
+            cut = await echo.connect()
+            assert await _ask(cut) == b"hello"
+            echo.proxy.add(echo.fault("drop", way="back"))
+            assert await _ask(cut) is None
+            assert len(echo.received) == 2
+
+    async def test_refused_connections_are_reset(self):
+        async with _Echo() as echo:
+            echo.proxy.add(echo.fault("refuse"))
+            with pytest.raises(ConnectionResetError):
+                await _ask(await echo.connect())
+
+    async def test_a_delayed_answer_arrives_later(self):
+        async with _Echo() as echo:
+            echo.proxy.add(echo.fault("delay", delay_ms=250))
+            streams = await echo.connect()
+            assert await _ask(streams, 0.3) is None
+            assert await streams[0].read(100) == b"hello"
+
+
+def _soak(*args, timeout_s):
+    command = [sys.executable, "-m", "devtools.soak", *args]
+    return subprocess.run(command, cwd=ROOT, capture_output=True, text=True, timeout=timeout_s)
+
+
+class TestProgram:
+    """The soak as a program, with real processes."""
+
+    def test_a_short_seeded_run_finds_nothing(self, tmp_path):
+        done = _soak("--seed=3", "--minutes=0.3", f"--keep={tmp_path}", timeout_s=150)
+        assert done.returncode == 0, done.stdout[-4_000:] + done.stderr[-2_000:]
+
+    def test_a_script_that_cannot_be_read_is_an_error(self, tmp_path):
+        done = _soak(f"--replay={tmp_path / 'missing'}", timeout_s=30)
+        assert done.returncode == 2
+        assert "missing" in done.stderr
