--- a/devtools/soak/deployment.py
+++ b/devtools/soak/deployment.py
@@ -36,7 +36,7 @@
 STANDIN_ADMIN_PORT = 17101
 # The proxy holds orders as well; together they stay below the 12 s that the platform allows.
 MAX_ORDER_DELAY_MS = 8_000
-WORKER_CPU, WORKER_MEMORY_MB = 16_000, 64_000
+WORKER_CPU, WORKER_MEMORY_MB = 4_000, 64_000
 
 
 @dataclass(frozen=True)
