--- a/devtools/soak/deployment.py
+++ b/devtools/soak/deployment.py
@@ -101,8 +101,9 @@
     store's address and at those which the workers' entries say.
     """
 
-    def __init__(self, scale: Scale) -> None:
+    def __init__(self, scale: Scale, seed: int) -> None:
         self.scale = scale
+        self.admission_check = bool(seed % 3)  # whether workers refuse what does not fit
         self._net = f"127.{reserve_network()}"
         self.store = f"{self._net}.0.1:{PLATFORM_PORT}"
         self.store_behind = f"{self._net}.0.2:{PLATFORM_PORT}"
@@ -194,7 +195,7 @@
             "cpu": WORKER_CPU,
             "mem_mb": WORKER_MEMORY_MB,
             "clock_rate": (1.0, 0.98)[number % 2],
-            "guarded": bool(number % 4),
+            "guarded": self.admission_check,
         }
 
     def next_manifest(self) -> dict[str, Any]:
@@ -210,5 +211,5 @@
             "max-attempts": MAX_ATTEMPTS,
             "slack-factor": 2.0,
         }
-        services = [{"name": SERVICE, "admission-check": False}]
+        services = [{"name": SERVICE, "admission-check": self.admission_check}]
         return {"version": self.version, "routes": [route], "services": services, "limits": {}}
--- a/devtools/soak/run.py
+++ b/devtools/soak/run.py
@@ -58,7 +58,7 @@
 ) -> RunResult:
     """Play a script on a system of its own, whose settings and logs go to the folder."""
     started_ms = now_ms()
-    deployment = Deployment(scale)
+    deployment = Deployment(scale, seed)
     system = System(deployment, folder, seed, mutant)
     callers = Callers(deployment, seed, system.is_up)
     player = Player(system)
@@ -75,7 +75,8 @@
         await system.stop()
         (folder / "faults.txt").write_text("\n".join(player.notes) + "\n", encoding="utf-8")
     system.read_new_lines()
-    unguarded = {deployment.worker_id(n) for n in range(0, scale.workers, 4)}
+    workers = {deployment.worker_id(number) for number in range(scale.workers)}
+    unguarded = set() if deployment.admission_check else workers
     jobs = callers.jobs
     findings = [
         *system.findings,
--- a/tests/cover/test_soak.py
+++ b/tests/cover/test_soak.py
@@ -15,6 +15,7 @@
 JOB = "00000000000000aa"
 TASK = f"{JOB}.0.0.0"
 ROOT = Path(__file__).parents[2]
+REGRESSIONS = ROOT / "tests" / "soak" / "regressions"
 
 
 def _start(t, worker="w0", run=1, task=TASK):
@@ -297,6 +298,11 @@
         done = _soak("--seed=3", "--minutes=0.3", f"--keep={tmp_path}", timeout_s=150)
         assert done.returncode == 0, done.stdout[-4_000:] + done.stderr[-2_000:]
 
+    @pytest.mark.parametrize("script", sorted(REGRESSIONS.glob("*.jsonl")), ids=lambda p: p.stem)
+    def test_a_script_that_failed_once_passes(self, script, tmp_path):
+        done = _soak(f"--replay={script}", f"--keep={tmp_path}", timeout_s=150)
+        assert done.returncode == 0, done.stdout[-4_000:] + done.stderr[-2_000:]
+
     def test_a_script_that_cannot_be_read_is_an_error(self, tmp_path):
         done = _soak(f"--replay={tmp_path / 'missing'}", timeout_s=30)
         assert done.returncode == 2
