--- a/devtools/soak/__main__.py
+++ b/devtools/soak/__main__.py
@@ -17,7 +17,6 @@
 from devtools.soak.mutants import MUTANTS
 from devtools.soak.run import RunResult, run_script
 from devtools.soak.script import Step, draw_script, load_script, save_script, shrink_script
-from devtools.soak.system import StartError
 
 flags.DEFINE_integer("seed", None, "first seed; drawn if it is not given")
 flags.DEFINE_integer("seeds", 1, "number of seeds to play", lower_bound=1)
@@ -103,7 +102,7 @@
     try:
         with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
             return runner.run(_run_all())
-    except (StartError, RuntimeError) as exc:
+    except (OSError, RuntimeError, ValueError) as exc:
         print(f"soak: {exc}", file=sys.stderr)
         return 2
     except (asyncio.CancelledError, KeyboardInterrupt):
--- a/devtools/soak/system.py
+++ b/devtools/soak/system.py
@@ -277,10 +277,18 @@
         deadline = asyncio.get_running_loop().time() + BOUNDS["grace_s"]
         while popen.poll() is None:
             if asyncio.get_running_loop().time() > deadline:
-                self.findings.append(f"GRACE: entry-{number} did not end {BOUNDS['grace_s']} s")
+                if not self._was_frozen(number, disruption.from_ms):
+                    limit = f"{BOUNDS['grace_s']} s after SIGTERM at {disruption.from_ms:.0f}"
+                    self.findings.append(f"GRACE: entry-{number} did not end in {limit}")
                 popen.kill()
             await asyncio.sleep(0.05)
 
+    def _was_frozen(self, number: int, since_ms: float) -> bool:
+        return any(
+            d.kind == "freeze" and d.instance == number and d.to_ms > since_ms
+            for d in self.disruptions
+        )
+
     async def admin(self, address: str, call: str, **body: Any) -> Any:
         """Call a control address of the stand-in."""
         assert self._session is not None
