Hold back a waiting task, too, if a boot with another run of it is lost

A late start that was reopened is no run of its task, so the task may wait for a start meanwhile. When the boot of the late start was lost, the flag for its task was set, but the task was planned all the same.

Evidence: the test started the task at once before, and waits for the read now.

--- a/src/greengagewood/internal/cells/cell.py
+++ b/src/greengagewood/internal/cells/cell.py
@@ -408,6 +408,7 @@
         """
         for run in worker.runs.values():
             run.task.loss_unconfirmed = True
+            self.book.unmark_waiting(run.task)
             self._unconfirmed_losses[run.task] = now_ms
 
     def _confirm_losses(self) -> None:
--- a/tests/cover/test_owner_cut_off.py
+++ b/tests/cover/test_owner_cut_off.py
@@ -13,6 +13,7 @@
 from greengagewood.internal.cells.ownership import OwnershipView
 from greengagewood.internal.clock import monotonic_ms
 from greengagewood.internal.evacuation import Evacuations
+from greengagewood.internal.jobs.book import Run
 from greengagewood.internal.jobs.model import JobSpec, StepSpec
 from greengagewood.internal.jobs.records import (
     PossibleRuns,
@@ -327,6 +328,19 @@
         assert _plan_unconfirmed(harness, 10) == []
         assert len(_plan_confirmed(harness)) == 1
 
+    def test_a_waiting_task_with_another_run_on_the_lost_boot_waits_too(self) -> None:
+        """Guards against a start beside a reopened late start, which is no run of the task."""
+        harness = CellHarness("w0", "w1")
+        harness.submit(StepSpec(1, cpu_millis=1_000))
+        (task,) = harness.cell.book.jobs[JOB].opened_tasks()
+        late = Run(task, 7, "w0", "r0", "starting", harness.now_ms)
+        late.transition("unanswered")
+        harness.cell.workers["w0"].add_run(late)
+        harness.cell.note_confirmed(harness.now_ms)
+        self._lose(harness, "w0", True)
+        assert _plan_unconfirmed(harness, 10) == []
+        assert len(_plan_confirmed(harness)) == 1
+
     def test_a_run_that_its_worker_lists_as_ended_needs_no_read(self) -> None:
         harness = CellHarness("w0", "w1")
         lost = _start_one(harness)
