--- a/src/greengagewood/internal/cells/cell.py
+++ b/src/greengagewood/internal/cells/cell.py
@@ -328,7 +328,7 @@
             rebooted.inherited = worker.inherited
             rebooted.earlier_orders_expiry_ms = worker.earlier_orders_expiry_ms
         self.workers[info.worker_id] = rebooted
-        self._await_confirmation(worker, now_ms)
+        self._hold_back_lost_tasks(worker, now_ms)
         for run in list(worker.runs.values()):
             if (
                 run.accepted_ms is not None
@@ -401,7 +401,7 @@
         self._registration_due = True
         self.on_event("worker_forgotten", {"worker": worker.name})
 
-    def _await_confirmation(self, worker: Worker, now_ms: int) -> None:
+    def _hold_back_lost_tasks(self, worker: Worker, now_ms: int) -> None:
         """Start the tasks of a boot that is gone only once a read confirms the ownership.
 
         A later owner may have acknowledged that they are done before the boot was gone.
@@ -701,7 +701,7 @@
         if self.workers.get(worker.name) is worker:
             self.on_event("worker_replaced", {"worker": worker.name, "runs": len(worker.runs)})
             self._crashes.handle_crash(worker, now_ms)
-            self._await_confirmation(worker, now_ms)
+            self._hold_back_lost_tasks(worker, now_ms)
             self._mark_runs_lost(worker, now_ms, "replaced")
             self._late_starts.forget_worker(worker)
             worker.unresponsive = True
