--- /dev/null
+++ b/devtools/soak/checker.py
@@ -0,0 +1,310 @@
+"""Check the promises to callers from what they saw and from the stand-in's own history.
+
+Nothing here is shared with the code that decides. Each check returns findings as text.
+"""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from collections.abc import Iterable, Iterator, Mapping
+from typing import Any
+
+import msgspec
+
+from devtools.soak.deployment import MAX_ATTEMPTS
+from devtools.soak.records import Disruption, Event, JobRecord, Request, Run
+
+__all__ = [
+    "ORDER_DELAY_AND_LEASE_MS",
+    "build_runs",
+    "check_all",
+    "check_log_line",
+    "missing_standing_tasks",
+]
+
+ANSWER_LIMIT_MS = 6_000  # the callers' own deadline of 3 s, and a margin for a busy machine
+CUT_SLACK_MS = 200  # a request sent so shortly before its connection closed may be unanswered
+CONTACT_MS = 3_000
+VISIBLE_MS = 3_000
+CANCEL_MS = 3_000
+# An order may be carried out 12 s after it was sent, and what it starts has a lease of 6 s on a
+# clock that may be 2% slow.
+ORDER_DELAY_AND_LEASE_MS = 12_000 + 6_200
+FINAL_STATES = frozenset({"completed", "failed", "cancelled"})
+STATUSES_ANSWERED = frozenset({200, 201, 202, 404, 410, 429, 502, 503, 504})
+
+
+def build_runs(events: Iterable[Event]) -> list[Run]:
+    """Return the runs in a history in the order of their starts."""
+    runs: list[Run] = []
+    open_runs: dict[str, dict[tuple[str, int], Run]] = defaultdict(dict)  # by worker
+    ended: dict[tuple[str, str, int], Run] = {}
+    for event in sorted(events, key=lambda e: float(e["t"])):
+        worker, what = event.get("worker", ""), event["what"]
+        if what == "boot":  # nothing of an earlier boot is left
+            for run in open_runs.pop(worker, {}).values():
+                run.end_ms, run.how = event["t"], "boot"
+        elif what == "start":
+            run = Run(event["task"], event["run"], worker, event["t"])
+            runs.append(run)
+            open_runs[worker][(run.task, run.run)] = run
+        elif what == "end":
+            found = open_runs[worker].pop((event["task"], event["run"]), None)
+            if found is not None:
+                found.end_ms, found.how = event["t"], event["how"]
+                ended[(worker, found.task, found.run)] = found
+        elif what == "ack":
+            found = ended.get((worker, event["task"], event["run"]))
+            if found is not None:
+                found.acked_ms = min(found.acked_ms, event["t"])
+    return runs
+
+
+def _by_task(runs: Iterable[Run]) -> dict[str, list[Run]]:
+    grouped: dict[str, list[Run]] = defaultdict(list)
+    for run in runs:
+        grouped[run.task].append(run)
+    return grouped
+
+
+def check_two_places(runs: list[Run]) -> Iterator[str]:
+    """No task runs in two places at once."""
+    for task, found in _by_task(runs).items():
+        for index, first in enumerate(found):
+            for second in found[index + 1 :]:
+                if first.start_ms <= second.start_ms < first.end_ms:
+                    yield (
+                        f"TWO PLACES: {task} run {second.run} started on {second.worker} at "
+                        f"{second.start_ms:.0f} while run {first.run} was open on {first.worker} "
+                        f"({first.start_ms:.0f} to {first.end_ms:.0f})"
+                    )
+
+
+def check_restarts_after_done(runs: list[Run]) -> Iterator[str]:
+    """No task starts after an acknowledged end as done, nor after all permitted attempts."""
+    for task, found in _by_task(runs).items():
+        for run in found:
+            done = [r for r in found if r.how == "done" and r.end_ms <= run.start_ms]
+            if any(r.acked_ms < float("inf") for r in done):
+                yield (
+                    f"AFTER DONE: {task} run {run.run} started on {run.worker} at "
+                    f"{run.start_ms:.0f} after its done of run {done[0].run} on {done[0].worker} "
+                    f"at {done[0].end_ms:.0f}, acknowledged at {done[0].acked_ms:.0f}"
+                )
+
+
+def check_attempts(runs: list[Run], jobs: Mapping[str, JobRecord]) -> Iterator[str]:
+    """No task starts after all permitted attempts have failed."""
+    for task, found in _by_task(runs).items():
+        record = jobs.get(task.partition(".")[0])
+        if record is None or record.shape.kind == "standing":
+            continue
+        for run in found:
+            failed = [
+                r
+                for r in found
+                if r.how == "failed" and r.end_ms <= run.start_ms and r.acked_ms < float("inf")
+            ]
+            if len(failed) >= MAX_ATTEMPTS:
+                yield (
+                    f"ATTEMPTS: {task} run {run.run} started on {run.worker} at "
+                    f"{run.start_ms:.0f} after {len(failed)} failed runs"
+                )
+
+
+def check_order(runs: list[Run], jobs: Mapping[str, JobRecord]) -> Iterator[str]:
+    """No task starts that was not submitted, or before all tasks of the step before it are done."""
+    tasks = _by_task(runs)
+    for task, found in tasks.items():
+        job, _, step, _ = task.split(".")
+        record = jobs.get(job)
+        if record is None or task not in record.task_names()[int(step)]:
+            yield f"UNASKED: {task} was started on {found[0].worker}, and nobody submitted it"
+            continue
+        if step == "0":
+            continue
+        for earlier in record.task_names()[int(step) - 1]:
+            ends = [r.end_ms for r in tasks.get(earlier, []) if r.how == "done"]
+            if min(ends, default=float("inf")) > found[0].start_ms:
+                yield f"ORDER: {task} started at {found[0].start_ms:.0f} before {earlier} was done"
+
+
+def check_refusals(runs: list[Run], jobs: Mapping[str, JobRecord]) -> Iterator[str]:
+    """A job of which every submission was refused never runs."""
+    started = {run.task.partition(".")[0]: run for run in runs}
+    for record in jobs.values():
+        if record.is_refused and record.job in started:
+            run = started[record.job]
+            yield f"REFUSED: {record.job} was refused, and {run.task} started at {run.start_ms:.0f}"
+
+
+def check_cancelled(runs: list[Run], jobs: Mapping[str, JobRecord]) -> Iterator[str]:
+    """A cancelled job is not started any more once late orders are over."""
+    for record in jobs.values():
+        acks = [r.ended_ms for r in record.answers("DELETE", 200, 202)]
+        bound_ms = min(acks, default=float("inf")) + CANCEL_MS + ORDER_DELAY_AND_LEASE_MS
+        for run in runs:
+            if run.task.startswith(record.job) and run.start_ms > bound_ms:
+                yield f"CANCELLED: {run.task} started at {run.start_ms:.0f}, acked {acks[0]:.0f}"
+
+
+def check_capacity(
+    runs: list[Run], jobs: Mapping[str, JobRecord], capacity: int, unguarded: set[str]
+) -> Iterator[str]:
+    """No start brings a worker that does not guard its capacity over it."""
+    per_worker: dict[str, list[tuple[float, int, Run]]] = defaultdict(list)
+    for run in runs:
+        record = jobs.get(run.task.partition(".")[0])
+        if record is not None and run.worker in unguarded:
+            per_worker[run.worker].append((run.start_ms, record.shape.cpu, run))
+            per_worker[run.worker].append((run.end_ms, -record.shape.cpu, run))
+    for worker, changes in per_worker.items():
+        used = 0
+        for at_ms, change, run in sorted(changes, key=lambda c: (c[0], c[1])):
+            used += change
+            if change > 0 and used > capacity:
+                yield f"CAPACITY: {run.task} at {at_ms:.0f} brings {worker} to {used} of {capacity}"
+
+
+def check_states(runs: list[Run], jobs: Mapping[str, JobRecord]) -> Iterator[str]:
+    """An accepted job is known, is completed only when its tasks are, and stays ended."""
+    done = {run.task: run.end_ms for run in reversed(runs) if run.how == "done"}
+    for record in jobs.values():
+        accepted_ms = record.accepted_ms
+        final = ""
+        for req in sorted(record.answers("GET", 200, 410), key=lambda r: r.ended_ms):
+            known = accepted_ms is not None and req.sent_ms > accepted_ms + VISIBLE_MS
+            if req.status == 410 and known:
+                yield f"LOST: {record.job} is unknown at entry-{req.instance}, {req.ended_ms:.0f}"
+            if req.state == "completed":
+                yield from _check_completed(record, req, done)
+            if req.state == "cancelled" and not record.is_cancelling:
+                yield f"LOST: {record.job} was shown as cancelled, and nobody cancelled it"
+            if final and req.state and req.state != final:
+                yield f"STATE: {record.job} was {final}, then {req.state} at {req.ended_ms:.0f}"
+            final = req.state if req.state in FINAL_STATES else final
+
+
+def _check_completed(record: JobRecord, req: Request, done: Mapping[str, float]) -> Iterator[str]:
+    for task in (t for step in record.task_names() for t in step):
+        if done.get(task, float("inf")) > req.ended_ms:
+            yield f"MIXED: {record.job} was completed at {req.ended_ms:.0f}, {task} was not done"
+            return
+
+
+def check_final_states(runs: list[Run], jobs: Mapping[str, JobRecord]) -> Iterator[str]:
+    """Once calm, every accepted job is readable everywhere, and has ended or goes on."""
+    tasks = _by_task(runs)
+    for record in jobs.values():
+        if record.accepted_ms is None or record.is_cancelling:
+            continue
+        for instance, state in record.final_states.items():
+            if state not in ("queued", "running", *FINAL_STATES):
+                yield f"LOST: {record.job} can not be read at entry-{instance} in the end: {state}"
+            elif record.shape.kind != "standing" and state not in FINAL_STATES:
+                yield f"LOST: {record.job} is {state} at entry-{instance} in the end"
+            elif state == "failed" and not _has_cause_to_fail(record, tasks):
+                yield f"LOST: {record.job} was shown as failed without {MAX_ATTEMPTS} failed runs"
+
+
+def _has_cause_to_fail(record: JobRecord, tasks: Mapping[str, list[Run]]) -> bool:
+    names = (task for step in record.task_names() for task in step)
+    return any(
+        sum(run.how in ("failed", "crashed", "boot") for run in tasks.get(task, [])) >= MAX_ATTEMPTS
+        for task in names
+    )
+
+
+def missing_standing_tasks(runs: list[Run], jobs: Mapping[str, JobRecord]) -> list[str]:
+    """Return the tasks of standing jobs that are accepted and not cancelled, but do not run."""
+    at_work = {run.task for run in runs if run.end_ms == float("inf")}
+    return [
+        task
+        for record in jobs.values()
+        if record.shape.kind == "standing"
+        and record.accepted_ms is not None
+        and not record.is_cancelling
+        for step in record.task_names()
+        for task in step
+        if task not in at_work
+    ]
+
+
+def check_answers(requests: Iterable[Request], disruptions: list[Disruption]) -> Iterator[str]:
+    """Every request is answered in time, or its connection ends with its process."""
+    for req in requests:
+        where = f"{req.method} {req.job} at entry-{req.instance}, sent {req.sent_ms:.0f}"
+        if req.status is not None and req.status not in STATUSES_ANSWERED:
+            yield f"ANSWER: {where}: unexpected status {req.status}"
+        own = [
+            d
+            for d in disruptions
+            if d.instance == req.instance
+            and d.from_ms <= req.ended_ms
+            and d.to_ms + CONTACT_MS >= req.sent_ms
+        ]
+        if not own and (req.status is None or req.ended_ms - req.sent_ms > ANSWER_LIMIT_MS):
+            took_ms = req.ended_ms - req.sent_ms
+            yield f"ANSWER: {where}: {req.status or req.error} after {took_ms:.0f} ms"
+        # A planned stop alone does not excuse an open request.
+        if (
+            req.status is None
+            and not req.unsent
+            and own
+            and all(d.kind == "terminate" for d in own)
+            and req.ended_ms - req.sent_ms > CUT_SLACK_MS
+            and not _is_near_fault(req, disruptions)
+        ):
+            yield f"CUT: {where}: {req.error} at {req.ended_ms:.0f} in a planned stop"
+
+
+def _is_near_fault(req: Request, disruptions: list[Disruption]) -> bool:
+    return any(
+        d.kind != "terminate"
+        and d.from_ms <= req.ended_ms
+        and d.to_ms + CONTACT_MS >= req.sent_ms - CONTACT_MS
+        for d in disruptions
+    )
+
+
+def check_log_line(line: bytes, versions: dict[str, int], source: str) -> Iterator[str]:
+    """Every log line is a JSON object without an unexpected error; versions never go back."""
+    try:
+        fields: Any = msgspec.json.decode(line)
+    except ValueError:
+        fields = None
+    if not isinstance(fields, dict) or "event" not in fields:
+        yield f"LOG: {source} wrote a line that is no JSON event: {line[:200]!r}"
+        return
+    if fields["event"] in ("task_failed", "log_lines_dropped"):
+        yield f"LOG: {source}: {line[:300].decode(errors='replace')}"
+    if fields["event"] == "started":
+        versions.pop(source, None)
+    if fields["event"] == "configuration":
+        if fields["version"] < versions.get(source, 0):
+            yield f"CONFIG: {source} went back to version {fields['version']}"
+        versions[source] = fields["version"]
+
+
+def check_all(
+    events: Iterable[Event],
+    jobs: Mapping[str, JobRecord],
+    disruptions: list[Disruption],
+    capacity: int,
+    unguarded: set[str],
+) -> list[str]:
+    """Run every check that needs the whole history."""
+    runs = build_runs(events)
+    requests = [req for record in jobs.values() for req in record.requests]
+    return [
+        *check_two_places(runs),
+        *check_restarts_after_done(runs),
+        *check_attempts(runs, jobs),
+        *check_order(runs, jobs),
+        *check_refusals(runs, jobs),
+        *check_cancelled(runs, jobs),
+        *check_capacity(runs, jobs, capacity, unguarded),
+        *check_states(runs, jobs),
+        *check_final_states(runs, jobs),
+        *check_answers(requests, disruptions),
+    ]
--- /dev/null
+++ b/devtools/soak/deployment.py
@@ -0,0 +1,214 @@
+"""Addresses, settings files and messages of a soak in the terms of the users' platform."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass
+from typing import Any
+
+import msgspec
+
+from devtools.cluster import FIRST_BACKEND_PORT
+from devtools.loopback import PLATFORM_PORT, reserve_network
+
+__all__ = [
+    "BOUNDS",
+    "HOST",
+    "MAX_ATTEMPTS",
+    "PREFIX",
+    "READY_PATH",
+    "SCALES",
+    "WORKER_CPU",
+    "Deployment",
+    "JobShape",
+    "Scale",
+    "draw_job",
+]
+
+HOST = "queue.example"
+PREFIX = "/work/"
+READY_PATH = "/greengagewood/ready"
+SERVICE = "compute"
+QUEUE = "work"
+MAX_ATTEMPTS = 3
+BOUNDS = {"lease_ms": 6_000, "grace_s": 6, "status_s": 600}
+FRONTEND_PORT, READY_PORT, ADMIN_PORT = 17001, 17002, 17003
+STANDIN_ADMIN_PORT = 17101
+# The proxy holds orders as well; together they stay below the 12 s that the platform allows.
+MAX_ORDER_DELAY_MS = 8_000
+WORKER_CPU, WORKER_MEMORY_MB = 16_000, 64_000
+
+
+@dataclass(frozen=True)
+class Scale:
+    """How many of each are started."""
+
+    domains: int
+    instances: int
+    workers: int
+    callers: int
+    worker_processes: int
+
+
+SCALES = {
+    "small": Scale(3, 4, 12, 6, 1),
+    "usual": Scale(4, 24, 48, 16, 4),
+    "full": Scale(6, 96, 300, 32, 8),
+}
+
+
+@dataclass(frozen=True)
+class JobShape:
+    """A job as its caller describes it."""
+
+    kind: str  # short, long or standing
+    counts: tuple[int, ...]  # of tasks, by step
+    cpu: int
+    estimate_ms: int
+
+    def body(self) -> dict[str, Any]:
+        """Return the body of its submission; each step depends on the one before.
+
+        The stand-in's workers read from the payload what a task needs.
+        """
+        steps = []
+        for number, count in enumerate(self.counts):
+            step: dict[str, Any] = {"count": count, "cpu": self.cpu, "mem-mb": 256}
+            step["estimate-ms"] = self.estimate_ms
+            if number:
+                step["depends-on"] = [number - 1]
+            if self.kind == "standing":
+                step["long-running"] = True
+            steps.append(step)
+        return {"spec": msgspec.json.encode(steps).decode(), "steps": steps}
+
+
+def draw_job(rng: random.Random) -> JobShape:
+    """Draw a job: most are short, some outlast a change of the owner, some never end."""
+    draw = rng.random()
+    if draw < 0.6:
+        counts = tuple(rng.randint(1, 4) for _ in range(rng.randint(1, 2)))
+        return JobShape("short", counts, 1_000, rng.randint(200, 1_500))
+    if draw < 0.9:
+        return JobShape("long", (rng.randint(1, 3),), 1_000, rng.randint(5_000, 12_000))
+    return JobShape("standing", (rng.randint(1, 3),), 500, 400)
+
+
+class Deployment:
+    """Addresses in one loopback network, and the settings that refer to them.
+
+    Every instance has an address of its own, from which it also connects. The proxy stands at the
+    store's address and at those which the workers' entries say.
+    """
+
+    def __init__(self, scale: Scale) -> None:
+        self.scale = scale
+        self._net = f"127.{reserve_network()}"
+        self.store = f"{self._net}.0.1:{PLATFORM_PORT}"
+        self.store_behind = f"{self._net}.0.2:{PLATFORM_PORT}"
+        self.store_admin = f"{self._net}.0.2:{STANDIN_ADMIN_PORT}"
+        self.instances = [
+            f"{self._net}.{10 + i // 200}.{i % 200 + 1}" for i in range(scale.instances)
+        ]
+        self.workers = [
+            f"{self._net}.{40 + i // 200}.{i % 200 + 1}:{FIRST_BACKEND_PORT}"
+            for i in range(scale.workers)
+        ]
+        self.version = 0
+
+    def domain(self, number: int) -> int:
+        """Return the failure domain of the instance or worker with this number."""
+        return number % self.scale.domains
+
+    def worker_id(self, number: int) -> str:
+        """Return the ID of a worker."""
+        return f"w{number:03}"
+
+    def worker_behind(self, number: int) -> str:
+        """Return the address at which a worker listens behind the proxy."""
+        ip, _, port = self.workers[number].partition(":")
+        octets = ip.split(".")
+        octets[2] = str(int(octets[2]) + 40)
+        return f"{'.'.join(octets)}:{port}"
+
+    def worker_admin(self, process: int) -> str:
+        """Return the control address of a process of workers."""
+        return f"{self._net}.0.{10 + process}:{STANDIN_ADMIN_PORT}"
+
+    def frontend(self, number: int) -> str:
+        """Return the address for callers of an instance."""
+        return f"{self.instances[number]}:{FRONTEND_PORT}"
+
+    def ready(self, number: int) -> str:
+        """Return the readiness address of an instance."""
+        return f"{self.instances[number]}:{READY_PORT}"
+
+    def instance_settings(self, number: int) -> dict[str, Any]:
+        """Return the settings of an entry instance."""
+        return {
+            "instance": f"entry-{number}",
+            "failure_domain": f"z{self.domain(number)}",
+            "listen": self.frontend(number),
+            "ready": self.ready(number),
+            "admin": f"{self.instances[number]}:{ADMIN_PORT}",
+            "store": self.store,
+            "bounds": BOUNDS,
+        }
+
+    def store_settings(self, record: str) -> dict[str, Any]:
+        """Return the settings of the stand-in's store."""
+        rates = {"writes_per_s": 800, "reads_per_s": 2_000}
+        addresses = {"listen": self.store_behind, "admin": self.store_admin}
+        return {**addresses, "record": record, "rates": rates}
+
+    def worker_process(self, number: int) -> int:
+        """Return the process in which a worker runs."""
+        return number % self.scale.worker_processes
+
+    def workers_settings(self, process: int, seed: int, record: str) -> dict[str, Any]:
+        """Return the settings of one process of workers."""
+        return {
+            "admin": self.worker_admin(process),
+            "store_admin": self.store_admin,
+            "record": record,
+            "seed": seed,
+            "lease_ms": BOUNDS["lease_ms"],
+            "heartbeat_ms": 1_500,
+            "stop_ms": 300,
+            "max_order_delay_ms": MAX_ORDER_DELAY_MS,
+            "workers": [
+                self._worker_settings(number)
+                for number in range(self.scale.workers)
+                if self.worker_process(number) == process
+            ],
+        }
+
+    def _worker_settings(self, number: int) -> dict[str, Any]:
+        return {
+            "id": self.worker_id(number),
+            "listen": self.worker_behind(number),
+            "advertised": self.workers[number],
+            "service": SERVICE,
+            "zone": f"z{self.domain(number)}",
+            "rack": f"z{self.domain(number)}-r{number % 2}",
+            "cpu": WORKER_CPU,
+            "mem_mb": WORKER_MEMORY_MB,
+            "clock_rate": (1.0, 0.98)[number % 2],
+            "guarded": bool(number % 4),
+        }
+
+    def next_manifest(self) -> dict[str, Any]:
+        """Return the next version of the manifest."""
+        self.version += 1
+        route = {
+            "name": QUEUE,
+            "host": HOST,
+            "path-prefix": PREFIX,
+            "service": SERVICE,
+            "timeout-ms": 3_000,
+            "target-latency-ms": 2_000 + self.version,
+            "max-attempts": MAX_ATTEMPTS,
+            "slack-factor": 2.0,
+        }
+        services = [{"name": SERVICE, "admission-check": False}]
+        return {"version": self.version, "routes": [route], "services": services, "limits": {}}
--- /dev/null
+++ b/devtools/soak/launch.py
@@ -0,0 +1,33 @@
+"""Run ggw-entry from an address of its own, and with a mutant if one is named.
+
+Arguments: ADDRESS MUTANT, then those of ggw-entry; MUTANT is none to change nothing.
+
+On the platform every instance has an address of its own. On one machine the proxy can only tell
+instances apart if each connects from its own loopback address.
+"""
+
+from __future__ import annotations
+
+import functools
+import sys
+
+import aiohttp
+
+from devtools.soak.mutants import MUTANTS
+from greengagewood.platform import program
+
+__all__ = ["main"]
+
+
+def main() -> None:
+    """Bind outgoing connections to the address, apply the mutant and run the program."""
+    address, mutant = sys.argv[1:3]
+    del sys.argv[1:3]
+    connector = functools.partial(aiohttp.TCPConnector, local_addr=(address, 0))
+    aiohttp.TCPConnector = connector  # type: ignore[assignment, misc]
+    MUTANTS[mutant]()
+    program.main()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/devtools/soak/player.py
@@ -0,0 +1,205 @@
+"""Play a script of faults on a running system."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+from collections import Counter
+from collections.abc import AsyncIterator, Iterable
+from contextlib import asynccontextmanager
+from typing import Any
+
+from devtools.soak.callers import now_ms
+from devtools.soak.checker import build_runs
+from devtools.soak.proxy import LinkFault
+from devtools.soak.records import Disruption
+from devtools.soak.script import OWNER, Step
+from devtools.soak.system import System
+
+__all__ = ["Player"]
+
+STORE = -1
+CELL_TOPIC = "keyed.cell0"
+
+
+class Player:
+    """Inject the faults of a script; `notes` says what each one hit."""
+
+    def __init__(self, system: System) -> None:
+        self._system = system
+        self._dep = system.deployment
+        self.played: Counter[str] = Counter()
+        self.notes: list[str] = []
+
+    async def play(self, steps: list[Step]) -> None:
+        """Play all steps at their times and wait until their faults have ended."""
+        started_ms = now_ms()
+        tasks = []
+        for step in steps:
+            await asyncio.sleep(max(0.0, started_ms + step.at_ms - now_ms()) / 1000)
+            tasks.append(asyncio.create_task(self._play_step(step)))
+        for result in await asyncio.gather(*tasks, return_exceptions=True):
+            if isinstance(result, Exception):
+                raise result
+
+    async def _play_step(self, step: Step) -> None:
+        args = dict(step.args)
+        if args.get("instance") == OWNER:
+            args["instance"] = self._system.owner_number
+        if args.get("domain") == OWNER:
+            args["domain"] = self._dep.domain(self._system.owner_number)
+        self.played[step.kind] += 1
+        owner = self._system.owner_number
+        self.notes.append(f"{now_ms():.0f} {step.kind} {args} (owner entry-{owner})")
+        await getattr(self, f"_{step.kind}")(args)
+
+    @asynccontextmanager
+    async def _disruption(self, kind: str, instance: int | None) -> AsyncIterator[None]:
+        disruption = Disruption(kind, instance, now_ms())
+        self._system.disruptions.append(disruption)
+        try:
+            yield
+        finally:
+            disruption.to_ms = now_ms()
+
+    # Processes.
+
+    async def _terminate(self, args: dict[str, Any]) -> None:
+        await self._system.end_instance(args["instance"], "terminate", args["pause_ms"] / 1000)
+
+    async def _kill(self, args: dict[str, Any]) -> None:
+        await self._system.end_instance(args["instance"], "kill", args["pause_ms"] / 1000)
+
+    async def _freeze(self, args: dict[str, Any]) -> None:
+        async with self._disruption("freeze", args["instance"]):
+            self._system.signal_instance(args["instance"], signal.SIGSTOP)
+            await asyncio.sleep(args["for_ms"] / 1000)
+            self._system.signal_instance(args["instance"], signal.SIGCONT)
+
+    async def _hangup(self, args: dict[str, Any]) -> None:
+        self._system.signal_instance(args["instance"], signal.SIGHUP)
+
+    # Links.
+
+    def _ips(self, domain: int | None = None, others: bool = False) -> frozenset[str]:
+        """Return the addresses of all instances, of those in a domain, or of the others."""
+        return frozenset(
+            ip
+            for number, ip in enumerate(self._dep.instances)
+            if domain is None or (self._dep.domain(number) == domain) != others
+        )
+
+    def _worker_addresses(self, domain: int, others: bool) -> frozenset[str]:
+        return frozenset(
+            address
+            for number, address in enumerate(self._dep.workers)
+            if (self._dep.domain(number) == domain) != others
+        )
+
+    async def _hold_faults(self, faults: Iterable[LinkFault], for_ms: int) -> None:
+        active = list(faults)
+        async with self._disruption("link", None):
+            for fault in active:
+                self._system.proxy.add(fault)
+            try:
+                await asyncio.sleep(for_ms / 1000)
+            finally:
+                for fault in active:
+                    self._system.proxy.remove(fault)
+
+    async def _cut_domain(self, args: dict[str, Any]) -> None:
+        domain, mode, way = args["domain"], args["mode"], args["way"]
+        outside = self._worker_addresses(domain, others=True) | {self._dep.store}
+        inside = self._worker_addresses(domain, others=False)
+        # The way is seen from the domain: what its instances send out, others send back to it.
+        opposite = {"out": "back", "back": "out", "both": "both"}[way]
+        faults = [
+            LinkFault(self._ips(domain), outside, mode, way),
+            LinkFault(self._ips(domain, others=True), inside, mode, opposite),
+        ]
+        await self._hold_faults(faults, args["for_ms"])
+
+    async def _cut_off_owner(self, args: dict[str, Any]) -> None:
+        """Cut the owner off from one worker, then its failure domain from the rest."""
+        owner = self._system.owner_number
+        worker = self._busiest_worker_outside(self._dep.domain(owner))
+        source, target = frozenset({self._dep.instances[owner]}), self._dep.workers[worker]
+        self.notes.append(f"{now_ms():.0f} entry-{owner} loses {self._dep.worker_id(worker)}")
+        first = LinkFault(source, frozenset({target}), "drop")
+        first_lasts_ms = args["lead_ms"] + args["for_ms"]
+        first_cut = asyncio.create_task(self._hold_faults([first], first_lasts_ms))
+        await asyncio.sleep(args["lead_ms"] / 1000)
+        cut = {"domain": self._dep.domain(owner), "mode": "drop", "way": "both"}
+        await self._cut_domain({**cut, "for_ms": args["for_ms"]})
+        await first_cut
+
+    def _busiest_worker_outside(self, domain: int) -> int:
+        counts = Counter(run.worker for run in build_runs(self._system.events) if not run.how)
+        candidates = [n for n in range(len(self._dep.workers)) if self._dep.domain(n) != domain]
+        return max(candidates, key=lambda n: (counts[self._dep.worker_id(n)], -n))
+
+    async def _cut_pair(self, args: dict[str, Any]) -> None:
+        target = args["target"]
+        address = self._dep.store if target == STORE else self._dep.workers[target]
+        source = frozenset({self._dep.instances[args["instance"]]})
+        fault = LinkFault(source, frozenset({address}), args["mode"], args["way"])
+        await self._hold_faults([fault], args["for_ms"])
+
+    async def _delay(self, args: dict[str, Any]) -> None:
+        source = frozenset({self._dep.instances[args["instance"]]})
+        targets = frozenset({self._dep.store, *self._dep.workers})
+        fault = LinkFault(source, targets, "delay", "both", args["by_ms"])
+        await self._hold_faults([fault], args["for_ms"])
+
+    async def _reset(self, args: dict[str, Any]) -> None:
+        source = frozenset({self._dep.instances[args["instance"]]})
+        async with self._disruption("link", None):
+            self._system.proxy.reset(source, frozenset({self._dep.store, *self._dep.workers}))
+
+    # The stand-in.
+
+    async def _store(self, args: dict[str, Any]) -> None:
+        fault = {"kind": args["fault"], "ms": args["ms"]}
+        if args["fault"] in ("lose_answers", "apply_late"):
+            fault["share"] = args["share"]
+        if args["instance"] is not None:
+            fault["for"] = [self._dep.instances[args["instance"]]]
+        async with self._disruption("store", None):
+            await self._system.admin(self._dep.store_admin, "fault", **fault)
+            await asyncio.sleep(args["for_ms"] / 1000)
+            clear = {"kind": "clear", "only": args["fault"]}
+            await self._system.admin(self._dep.store_admin, "fault", **clear)
+
+    async def _truncate(self, args: dict[str, Any]) -> None:
+        async with self._disruption("store", None):
+            truncation = {"topic": CELL_TOPIC, "keep": args["keep"]}
+            await self._system.admin(self._dep.store_admin, "truncate", **truncation)
+
+    async def _worker(self, args: dict[str, Any]) -> None:
+        number = args["worker"]
+        worker = self._dep.worker_id(number)
+        admin = self._dep.worker_admin(self._dep.worker_process(number))
+        async with self._disruption("worker", None):
+            if args["do"] == "drain":
+                await self._system.try_admin(admin, "worker", id=worker, do="drain")
+                await asyncio.sleep(3)
+            await self._system.try_admin(admin, "worker", id=worker, do="crash")
+            if args["do"] != "boot":
+                await asyncio.sleep(args["pause_ms"] / 1000)
+            await self._system.try_admin(admin, "worker", id=worker, do="boot")
+
+    async def _orders(self, args: dict[str, Any]) -> None:
+        workers = [self._dep.worker_id(number) for number in args["workers"]]
+        fault = {"kind": args["fault"], "share": args["share"], "workers": workers}
+        processes = range(self._dep.scale.worker_processes)
+        admins = [self._dep.worker_admin(number) for number in processes]
+        async with self._disruption("worker", None):
+            for admin in admins:
+                await self._system.admin(admin, "fault", **fault)
+            await asyncio.sleep(args["for_ms"] / 1000)
+            for admin in admins:
+                await self._system.admin(admin, "fault", kind="clear", only=args["fault"])
+
+    async def _configure(self, args: dict[str, Any]) -> None:
+        manifest = self._dep.next_manifest()
+        await self._system.admin(self._dep.store_admin, "entry", key="op/config", value=manifest)
--- /dev/null
+++ b/devtools/soak/records.py
@@ -0,0 +1,89 @@
+"""What callers saw and which faults were injected, as the checker reads it."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import Any
+
+from devtools.soak.deployment import JobShape
+
+__all__ = ["Disruption", "Event", "JobRecord", "Request", "Run"]
+
+Event = dict[str, Any]  # a line of the stand-in's history
+
+
+@dataclass
+class Request:
+    """A request of a caller; times are in milliseconds of the machine's monotonic clock.
+
+    `status` is None if no complete answer arrived, and `error` then says why. A request whose
+    connection was refused was not sent.
+    """
+
+    instance: int
+    method: str
+    job: str
+    sent_ms: float
+    ended_ms: float = 0
+    status: int | None = None
+    error: str = ""
+    state: str = ""  # that a GET returned
+    unsent: bool = False
+
+
+@dataclass
+class JobRecord:
+    """A job that was submitted, and the requests about it."""
+
+    job: str
+    shape: JobShape
+    requests: list[Request] = field(default_factory=list)
+    final_states: dict[int, str] = field(default_factory=dict)  # by instance, read at the end
+
+    def answers(self, method: str, *statuses: int) -> list[Request]:
+        """Return the requests with this method that got one of these statuses."""
+        return [r for r in self.requests if r.method == method and r.status in statuses]
+
+    @property
+    def accepted_ms(self) -> float | None:
+        """Return when the job was first acknowledged, or None."""
+        return min((r.ended_ms for r in self.answers("POST", 200, 201, 202)), default=None)
+
+    @property
+    def is_refused(self) -> bool:
+        """Return whether every attempt to submit the job was refused or never sent."""
+        posts = [r for r in self.requests if r.method == "POST"]
+        return bool(posts) and all(r.unsent or r.status in (429, 503) for r in posts)
+
+    @property
+    def is_cancelling(self) -> bool:
+        """Return whether a cancellation was sent."""
+        return any(r.method == "DELETE" and not r.unsent for r in self.requests)
+
+    def task_names(self) -> list[list[str]]:
+        """Return the names of its tasks by step."""
+        counts = enumerate(self.shape.counts)
+        return [[f"{self.job}.0.{step}.{i}" for i in range(count)] for step, count in counts]
+
+
+@dataclass
+class Disruption:
+    """A fault while it lasted; `instance` is None if it was not one of an instance's process."""
+
+    kind: str
+    instance: int | None
+    from_ms: float
+    to_ms: float = float("inf")
+
+
+@dataclass
+class Run:
+    """A run of a task at a worker, from the stand-in's history."""
+
+    task: str
+    run: int
+    worker: str
+    start_ms: float
+    end_ms: float = float("inf")
+    how: str = ""
+    acked_ms: float = float("inf")
