Report runs that outlive their job, and cancellations that are read before their job

What was missing: no line said that a run goes on after the end of its job, nor why; after a change of owner none said when it ended, as the new owner keeps no tasks of such a job.

Change: run_outlives_job, 2 s after the owner saw the end of the job and each 2 s from then on, with the state of the run, the last stop and the worker's silence, also for workers that do not answer; run_ended for such runs, too; unknown_job_cancelled. No decision depends on any of them.

--- a/src/greengagewood/internal/cells/cell.py
+++ b/src/greengagewood/internal/cells/cell.py
@@ -185,6 +185,8 @@
         if job is not None:
             self._stops.request_scan()
             self.on_event("job_cancelled", {"job": job_id})
+        elif job_id not in self.book.jobs:
+            self.on_event("unknown_job_cancelled", {"job": job_id})
 
     def set_queues(self, queues: dict[str, Queue]) -> None:
         """Update the queues; a queue missing from the new ones keeps its last settings."""
@@ -628,6 +630,7 @@
         for unexpected in [r for r in worker.runs.values() if r.task.end_state == "unexpected"]:
             if (unexpected.task.id, unexpected.number) == (end.task_id, end.run_number):
                 self._end_run(worker, unexpected, "ended", now_ms)
+                self._report_run_end(worker, end)
         task = self.book.find_listed_task(end.task_id, self._adopting)
         if task is None:
             return
@@ -643,10 +646,7 @@
             self._end_run(worker, run, "ended", now_ms)
         self.book.note_checkpoint(task, end.checkpoint)
         step = task.step
-        self.on_event(
-            "run_ended",
-            {"task": end.task_id, "run": end.run_number, "worker": worker.name, "how": end.result},
-        )
+        self._report_run_end(worker, end)
         if end.result == "done" and not step.spec.long_running:
             worker.note_outcome(True)
             self.book.note_task_done(task, now_ms)
@@ -658,6 +658,12 @@
         if not task.maybe_running:
             self._queue_again(task)
 
+    def _report_run_end(self, worker: Worker, end: RunEnd) -> None:
+        self.on_event(
+            "run_ended",
+            {"task": end.task_id, "run": end.run_number, "worker": worker.name, "how": end.result},
+        )
+
     def _note_copy_outcome(self, run: Run, now_ms: int) -> None:
         """Record which of a task's two runs has ended first; the next plan stops the other."""
         task = run.task
@@ -778,6 +784,7 @@
         orders: list[Order] = []
         max_starts = min(max_starts, MAX_STARTS_PER_PLAN)
         if self._stops.is_scan_due(now_ms):
+            self._report_overdue_runs(now_ms)
             orders.extend(self._stops.plan(now_ms))
             orders.extend(self._plan_copies(now_ms, max_starts))
         max_starts -= sum(isinstance(order, StartRun) for order in orders)
@@ -788,6 +795,26 @@
         self._load.sample(self.workers.values(), now_ms)
         return orders
 
+    def _report_overdue_runs(self, now_ms: int) -> None:
+        """Report the runs that go on long after their jobs have ended."""
+        for worker, run in self._stops.overdue_runs(now_ms):
+            sent_ms, answered_ms = run.stop_sent_ms, worker.last_answer_ms
+            self.on_event(
+                "run_outlives_job",
+                {
+                    "task": run.task.id,
+                    "run": run.number,
+                    "worker": worker.name,
+                    "job_state": run.task.step.job.state,
+                    "run_state": run.state,
+                    "for_ms": now_ms - (run.unwanted_since_ms or now_ms),
+                    "stop_sent_ago_ms": None if sent_ms is None else now_ms - sent_ms,
+                    "stop_accepted": run.stop_answered_ms is not None,
+                    "silent_ms": None if answered_ms is None else now_ms - answered_ms,
+                    "unresponsive": worker.unresponsive,
+                },
+            )
+
     def _plan_copies(self, now_ms: int, max_starts: int) -> list[Order]:
         orders: list[Order] = []
         for straggler, order in self.planner.plan_copies(max_starts, now_ms):
--- a/src/greengagewood/internal/cells/stops.py
+++ b/src/greengagewood/internal/cells/stops.py
@@ -30,6 +30,7 @@
 SLOW_SPEED_PERCENT = 60  # a run limited to this or less may be moved to run at full speed
 MOVE_DELAY_MS = 450  # how long a run must have been slow before it is moved: about one reading
 MOVE_INTERVAL_MS = 150  # between two moves, each of which costs a stop and a start
+REMAINING_REPORT_MS = 2_000  # a run that goes on for this long after its job's end is reported
 STUCK_AFTER_MS = 2_500  # minimum time without any progress after which a run is stopped as stuck
 
 
@@ -68,6 +69,22 @@
                     orders.append(StopRun(worker, run.task.id, run.number, run, reason))
         return orders
 
+    def overdue_runs(self, now_ms: int) -> list[tuple[Worker, Run]]:
+        """Return the runs to report now, as they go on long after the end of their jobs."""
+        overdue = []
+        for worker in self._workers.values():
+            for run in worker.runs.values():
+                if not run.task.step.job.is_final:
+                    continue
+                if run.unwanted_since_ms is None:
+                    run.unwanted_since_ms = run.reported_ms = now_ms
+                elif (
+                    run.reported_ms is not None and now_ms - run.reported_ms >= REMAINING_REPORT_MS
+                ):
+                    run.reported_ms = now_ms
+                    overdue.append((worker, run))
+        return overdue
+
     def stop_unknown_run(
         self, worker: Worker, listed_run: RunningTask, now_ms: int
     ) -> StopRun | None:
