Add failing tests: a refusal after a reboot stops the owner's plans, a late read revives a cancelled job

- A start is refused after the directory has shown a later boot of its worker.
The run is ended but stays among the runs of the new boot; each later scan for runs to stop raises IllegalTransition, so the owner sends no stops and no starts until its term ends.
- An owner that lags behind a truncated log reads the newest record of each key, in the order of keys.
It applies the cancellation before the submission, and starts the job.
Shown through entry instances on the simulated platform, which can truncate its log now and loads records in the order of keys, as the platform does.
A second record of the submission, stored after the cancellation, does the same.

--- a/tests/common/plant.py
+++ b/tests/common/plant.py
@@ -22,6 +22,7 @@
     LeaseReply,
     LogEntry,
     LogPage,
+    LogTruncated,
     OrderReply,
     Outcome,
     RunEnd,
@@ -79,11 +80,16 @@
         self.offsets_by_append: dict[tuple[int, int], int] = {}
         self.appended = asyncio.Event()
         self.max_page_records: int | None = None  # most records that one read returns
+        self.first_offset = 0  # of the oldest record that a read returns
 
     def client(self, instance: str) -> SimStoreClient:
         """Return a client of the store for one instance."""
         return SimStoreClient(self, instance)
 
+    def truncate(self) -> None:
+        """Delete all records except the newest of each key, which only `load` returns."""
+        self.first_offset = len(self.records)
+
     def append_records(self, entries: Sequence[tuple[str, bytes]]) -> int:
         """Append records; return the offset of the first one."""
         offset = len(self.records)
@@ -114,10 +120,12 @@
         for offset, (key, value) in enumerate(self.store.records):
             newest[key] = LogEntry(offset, key, value)
         end = len(self.store.records)
-        return LogPage(tuple(e for e in newest.values() if e.value), end)
+        return LogPage(tuple(newest[key] for key in sorted(newest) if newest[key].value), end)
 
     async def read(self, start: int, wait_ms: int) -> LogPage:
         await self._reach()
+        if start < self.store.first_offset:
+            raise LogTruncated("read")
         if len(self.store.records) <= start and wait_ms:
             try:
                 async with asyncio.timeout(wait_ms / 1000):
--- a/tests/cover/test_cancelled_jobs.py
+++ b/tests/cover/test_cancelled_jobs.py
@@ -2,12 +2,26 @@
 
 from __future__ import annotations
 
+import asyncio
+
+import msgspec
+import pytest
+
 from greengagewood.internal.cells.cell import Cell
 from greengagewood.internal.cells.orders import StartRun, StopRun
 from greengagewood.internal.jobs.model import StepSpec
-from greengagewood.internal.jobs.records import Progress, TaskId
+from greengagewood.internal.jobs.records import (
+    Cancellation,
+    Progress,
+    Record,
+    Submission,
+    TaskId,
+    encode_record,
+    key_of,
+)
 from greengagewood.internal.ports import RunEnd, RunningTask
-from tests.common.desk import CellHarness, make_submission
+from tests.common.desk import CellHarness, make_submission, make_worker_info, start_orders
+from tests.common.drive import QUEUES, CellSimulation, long_running_job, run_simulation
 
 JOB = "0" * 16
 LASTING = StepSpec(1, cpu_millis=1_000, long_running=True)
@@ -19,9 +33,9 @@
     return events
 
 
-def _start_lasting(harness: CellHarness) -> StartRun:
+def _start_lasting(harness: CellHarness, spec: StepSpec = LASTING) -> StartRun:
     """Start a task that lasts, and let its worker list it."""
-    harness.submit(LASTING)
+    harness.submit(spec)
     (start,) = harness.start(500)
     harness.answer_leases()
     return start
@@ -74,3 +88,67 @@
         events = _record_events(harness.cell)
         harness.cell.cancel(JOB, harness.now_ms)
         assert events == [("unknown_job_cancelled", {"job": JOB})]
+
+
+class TestRefusedStarts:
+    """Answers to starts that arrive after their worker has rebooted."""
+
+    @staticmethod
+    def _reboot_before_the_answer(harness: CellHarness) -> StartRun:
+        """Send a start, let the directory show a later boot of its worker, and refuse the start."""
+        harness.submit(StepSpec(1, cpu_millis=10_000), job="1" * 16)
+        (start,) = start_orders(harness.plan())
+        name = start.worker.name
+        harness.worker_infos[name] = make_worker_info(name, boot_time_ms=2)
+        harness.cell.set_workers(harness.worker_infos, harness.now_ms)
+        harness.cell.handle_start_reply(start.worker, start.run, "room", harness.now_ms)
+        return start
+
+    def test_a_refusal_after_a_reboot_does_not_keep_other_runs_from_being_stopped(self) -> None:
+        """Guards against runs of cancelled jobs that go on because each plan fails."""
+        harness = CellHarness("w0", "w1")
+        lasting = _start_lasting(harness, msgspec.structs.replace(LASTING, cpu_millis=60_000))
+        refused = self._reboot_before_the_answer(harness)
+        assert refused.worker.name != lasting.worker.name
+        harness.cell.cancel(JOB, harness.now_ms)
+        stops = [order.run for order in harness.plan() if isinstance(order, StopRun)]
+        assert lasting.run in stops
+
+    def test_a_start_refused_after_a_reboot_frees_its_resources(self) -> None:
+        harness = CellHarness("w0")
+        start = self._reboot_before_the_answer(harness)
+        assert start.run.state == "finished"
+        assert harness.cell.workers["w0"].runs == {}
+        assert harness.cell.workers["w0"].allocated.cpu_millis == 0
+
+
+class TestTruncatedLog:
+    """An owner whose log is truncated reads the newest record of each key, in the order of keys."""
+
+    @pytest.mark.parametrize("start_again", [False, True])
+    def test_a_job_cancelled_while_the_owner_lagged_behind_is_not_started(
+        self, start_again: bool
+    ) -> None:
+        """Guards against a start of a job whose cancellation was read before its submission."""
+
+        async def script(sim: CellSimulation) -> None:
+            owner = sim.owner()
+            assert owner is not None
+            sim.platform.faults.store_silent_to.add(owner)
+            client = sim.platform.store.client("caller")
+            submission = Submission(JOB, QUEUES["serve"], long_running_job(), 0)
+            sim.platform.specs[JOB] = submission.spec.steps
+            records: list[Record] = [submission, Cancellation(JOB)]
+            if start_again:  # a repeated submission, stored after the cancellation
+                records.append(submission)
+            for record in records:
+                await client.append([(key_of(record), encode_record(record))])
+            sim.platform.store.truncate()
+            sim.platform.faults.store_silent_to.clear()
+            for _ in range(40):
+                await asyncio.sleep(0.2)
+                assert sim.platform.running_tasks() == set()
+            assert sim.owner() == owner
+            assert await sim.state(JOB) == "cancelled"
+
+        run_simulation(CellSimulation(1), script)
