Free a refused start on the boot that holds it, so that later plans don't fail

Cause: when a worker reboots, the starts that its new boot may still receive move to that boot. A refusal that arrived after that was applied to the old boot: the run ended, but stayed among the runs of the new one. The next scan tried to stop it, and raised IllegalTransition, as did each scan after it. An owner in that state sends no stops and no starts, and goes on extending the leases of what runs, until its term ends. Class: an answer is applied to the state in which the order was sent, though the state has moved on.

Ruled out: the stop itself (a run that has ended accepts none, rightly).

Change: a refusal is applied to the boot that holds the run. It ends the run on either: a start that was answered, or for which no connection was opened, is not carried out later.

Evidence: two tests of test_cancelled_jobs.py failed before and pass now.

--- a/src/greengagewood/internal/cells/cell.py
+++ b/src/greengagewood/internal/cells/cell.py
@@ -725,6 +725,7 @@
             worker.failing_since_ms = None
         if run.state not in ("starting", "stopping"):
             return []
+        worker = self._holder(worker, run)
         if not reason:
             if run.state == "starting":
                 run.transition("accepted")
@@ -756,6 +757,11 @@
         self._queue_again(run.task)
         return []
 
+    def _holder(self, worker: Worker, run: Run) -> Worker:
+        """Return the boot to which a run that was sent to an earlier boot of it belongs now."""
+        current = self.workers.get(worker.name, worker)
+        return current if (run.task, run.number) in current.runs else worker
+
     def note_start_unanswered(self, run: Run, now_ms: int) -> None:
         """Record that a start was not answered, so it may or may not be carried out."""
         if run.state in ("starting", "stopping"):
