Take up a job by all its stored records, in whatever order they are read

Cause: the owner decides by its book, which was fed record by record, on the assumption that a submission is read before the cancellation. An owner that lags behind a truncated log reads the newest record of each key, in the order of keys, and meets cancellations first; a submission that is stored again meets a later owner in the wrong order, too. A cancellation of a job that the book does not know was dropped, and a stored progress record was ignored. The ledger, by which callers are answered, had both. Class: what is known is kept in two places, and the second relies on an order of events.

Change: CellRunner takes a job up by what the ledger has of it, by the same function at the start of a term and later. An instance applies a whole page to the ledger before its cell hears of any of its records.

Not shown: that the users saw this.

--- a/src/greengagewood/internal/cells/runner.py
+++ b/src/greengagewood/internal/cells/runner.py
@@ -137,20 +137,8 @@
     def start(self) -> None:
         """Add the stored jobs to the cell and start the loops that run it."""
         now_ms = monotonic_ms()
-        for job_id, stored in self._ledger.jobs.items():
-            submission = stored.decode_submission()
-            if submission is None:
-                continue
-            offset = stored.submission_offset
-            if offset >= max(self._ledger.next_offset, self._ledger.claim_offset + 1):
-                continue  # a later owner may have claimed before the job, so the log is read first
-            # No earlier owner has started a task of the job if it was submitted after the claim, or
-            # if it is below the settled offset and has no progress record.
-            unrecorded = stored.progress is None and offset < self._ledger.ownership.settled_offset
-            never_started = unrecorded or offset > self._ledger.claim_offset
-            self.cell.add_job(submission, stored.progress, never_started, now_ms, offset)
-            if stored.cancelled:
-                self.cell.cancel(job_id, now_ms)
+        for job_id in self._ledger.jobs:
+            self._take_up_job(job_id, now_ms)
         self.cell.set_registered_workers(
             self._ledger.registered_workers, self._ledger.registered_workers_read_ms, now_ms
         )
@@ -162,6 +150,27 @@
         }.items():
             self._spawn(self._loop(name, step))
 
+    def _take_up_job(self, job_id: str, now_ms: int) -> None:
+        """Add a stored job to the cell, unless it is there, and cancel it if that is stored.
+
+        Its records may have been read in any order.
+        """
+        stored = self._ledger.jobs.get(job_id)
+        if stored is None:
+            return  # it was deleted later
+        offset = stored.submission_offset
+        if offset >= max(self._ledger.next_offset, self._ledger.claim_offset + 1):
+            return  # a later owner may have claimed before the job, so the log is read first
+        submission = stored.decode_submission() if job_id not in self.cell.book.jobs else None
+        if submission is not None:
+            # No earlier owner has started a task of the job if it was submitted after the claim, or
+            # if it is below the settled offset and has no progress record.
+            unrecorded = stored.progress is None and offset < self._ledger.ownership.settled_offset
+            never_started = unrecorded or offset > self._ledger.claim_offset
+            self.cell.add_job(submission, stored.progress, never_started, now_ms, offset)
+        if stored.cancelled:
+            self.cell.cancel(job_id, now_ms)
+
     async def _loop(self, name: str, step: Callable[[], Awaitable[None]]) -> None:
         """Repeat a step for the whole term; a bad record or answer does not end it."""
         await supervised_loop(name, step, self._metrics, STORE_RETRY_PAUSE_S)()
@@ -177,17 +186,9 @@
 
     def apply_record(self, record: Record) -> None:
         """Apply a record that an instance has stored for a caller."""
-        now_ms = monotonic_ms()
-        match record:
-            case Submission():
-                self.cell.add_job(
-                    record, None, True, now_ms, self._ledger.jobs[record.job_id].submission_offset
-                )
-            case Cancellation():
-                self.cell.cancel(record.job_id, now_ms)
-            case _:
-                return
-        self._plan_wakeup.set()
+        if isinstance(record, Submission | Cancellation):
+            self._take_up_job(record.job_id, monotonic_ms())
+            self._plan_wakeup.set()
 
     def set_evacuations(self, evacuations: Evacuations) -> None:
         """Pass orders that were read to the cell, and plan soon."""
--- a/src/greengagewood/internal/entry/node.py
+++ b/src/greengagewood/internal/entry/node.py
@@ -34,6 +34,7 @@
 from greengagewood.internal.jobs.model import JobSpec, Queue
 from greengagewood.internal.jobs.records import (
     Cancellation,
+    Record,
     Submission,
     encode_record,
     key_of,
@@ -351,18 +352,22 @@
 
         They were stored after the last read that reached the end of the log.
         """
-        for entry in page.entries:
-            self._apply_entry(entry, since_ms)
+        records = [self._apply_entry(entry, since_ms) for entry in page.entries]
         self.ledger.next_offset = max(self.ledger.next_offset, page.next_offset)
+        # After the whole page, as the ledger then has all records of a job that are in it.
+        for record in records:
+            if record is not None:
+                self._note_record(record)
 
-    def _apply_entry(self, entry: LogEntry, since_ms: int | None) -> None:
+    def _apply_entry(self, entry: LogEntry, since_ms: int | None) -> Record | None:
         unreadable_before = self.ledger.unreadable_count
         record = self.ledger.apply(entry, since_ms)
         if self.ledger.unreadable_count > unreadable_before:
             self._metrics.count("unreadable_records")
             _log.warning("record_unreadable", key=entry.key, offset=entry.offset)
-        if record is None:
-            return
+        return record
+
+    def _note_record(self, record: Record) -> None:
         self._ownership.note_record(record, monotonic_ms())
         runner = self._runner
         if runner is not None and self._is_current_term(runner):
