Keep the offset of the first submission of a job that was stored several times

Cause: an instance that stores a repeated submission itself knows it before it has read the first one. It kept the later offset. As a new owner it then took a job that an earlier owner may have started for one that was submitted after its claim, which is started without waiting for the workers of the earlier owner. Found by reading, while looking for more places that rely on the order of records.

Change: the lowest offset counts.

Evidence: test_a_job_counts_from_the_first_of_its_submissions failed before (9 instead of 4) and passes now. No play or simulation has shown a task twice by this cause.

--- a/src/greengagewood/internal/cells/ledger.py
+++ b/src/greengagewood/internal/cells/ledger.py
@@ -39,7 +39,7 @@
 
     queue: str | None = None  # None until the submission was read
     encoded_submission: bytes = b""
-    submission_offset: int = -1  # in the cell's log
+    submission_offset: int = -1  # of the earliest submission that was read, in the cell's log
     progress: Progress | None = None  # without details once the job has ended
     cancelled: bool = False
 
@@ -107,7 +107,9 @@
         match record:
             case Submission():
                 job = self.jobs.setdefault(record.job_id, StoredJob())
-                if not job.is_submitted:
+                if job.is_submitted:
+                    job.submission_offset = min(job.submission_offset, offset)
+                else:
                     job.queue = sys.intern(record.queue.name)
                     job.encoded_submission = encoded or encode_record(record)
                     job.submission_offset = offset
--- a/tests/cover/test_cancelled_jobs.py
+++ b/tests/cover/test_cancelled_jobs.py
@@ -8,6 +8,7 @@
 import pytest
 
 from greengagewood.internal.cells.cell import Cell
+from greengagewood.internal.cells.ledger import Ledger
 from greengagewood.internal.cells.orders import StartRun, StopRun
 from greengagewood.internal.jobs.model import StepSpec
 from greengagewood.internal.jobs.records import (
@@ -19,7 +20,7 @@
     encode_record,
     key_of,
 )
-from greengagewood.internal.ports import RunEnd, RunningTask
+from greengagewood.internal.ports import LogEntry, RunEnd, RunningTask
 from tests.common.desk import CellHarness, make_submission, make_worker_info, start_orders
 from tests.common.drive import QUEUES, CellSimulation, long_running_job, run_simulation
 
@@ -152,3 +153,12 @@
             assert await sim.state(JOB) == "cancelled"
 
         run_simulation(CellSimulation(1), script)
+
+    def test_a_job_counts_from_the_first_of_its_submissions(self) -> None:
+        """Guards against a new owner that takes a job to be submitted after its claim."""
+        ledger = Ledger()
+        submission = make_submission(JOB)
+        ledger.apply_stored(submission, 9)
+        ledger.apply(LogEntry(4, key_of(submission), encode_record(submission)))
+        ledger.apply(LogEntry(9, key_of(submission), encode_record(submission)))
+        assert ledger.jobs[JOB].submission_offset == 4
