--- a/tests/cover/test_cancelled_jobs.py
+++ b/tests/cover/test_cancelled_jobs.py
@@ -4,13 +4,13 @@
 
 import asyncio
 
-import msgspec
 import pytest
+from msgspec.structs import replace as replace_spec
 
 from greengagewood.internal.cells.cell import Cell
 from greengagewood.internal.cells.ledger import Ledger
 from greengagewood.internal.cells.orders import StartRun, StopRun
-from greengagewood.internal.jobs.model import StepSpec
+from greengagewood.internal.jobs.model import JobSpec, StepSpec
 from greengagewood.internal.jobs.records import (
     Cancellation,
     Progress,
@@ -21,7 +21,13 @@
     key_of,
 )
 from greengagewood.internal.ports import LogEntry, RunEnd, RunningTask
-from tests.common.desk import CellHarness, make_submission, make_worker_info, start_orders
+from tests.common.desk import (
+    QUEUE,
+    CellHarness,
+    make_submission,
+    make_worker_info,
+    start_orders,
+)
 from tests.common.drive import QUEUES, CellSimulation, long_running_job, run_simulation
 
 JOB = "0" * 16
@@ -91,6 +97,28 @@
         assert events == [("unknown_job_cancelled", {"job": JOB})]
 
 
+class TestRunsOfEndedJobs:
+    """Runs that a new owner finds, of jobs that ended under an earlier one."""
+
+    def test_a_list_with_a_best_effort_run_of_an_ended_job_is_processed(self) -> None:
+        """Guards against lists that fail, so that their worker is polled without a pause."""
+        harness = CellHarness("w0")
+        harness.submit(replace_spec(LASTING, image="serve", tail_target_ms=20))
+        (serving,) = harness.start(500)
+        best_effort = StepSpec(1, cpu_millis=1_000, best_effort=True, image="fill")
+        submission = Submission("1" * 16, QUEUE, JobSpec("p", (best_effort,)), 0)
+        ended = Progress(submission.job_id, "cancelled", ended_ms=1)
+        harness.cell.add_job(submission, ended, False, harness.now_ms)
+        listed = RunningTask(TaskId(submission.job_id, 0, 0, 0), 7, "", 10, 900)
+        harness.answer_lease("w0", RunningTask(serving.run.task.id, serving.run.number, "", 100, 5))
+        harness.now_ms += 500
+        harness.answer_lease(
+            "w0", RunningTask(serving.run.task.id, serving.run.number, "", 100, 6), listed
+        )
+        stops = [order.task_id for order in harness.plan() if isinstance(order, StopRun)]
+        assert stops == [listed.task_id]
+
+
 class TestRefusedStarts:
     """Answers to starts that arrive after their worker has rebooted."""
 
@@ -108,7 +136,7 @@
     def test_a_refusal_after_a_reboot_does_not_keep_other_runs_from_being_stopped(self) -> None:
         """Guards against runs of cancelled jobs that go on because each plan fails."""
         harness = CellHarness("w0", "w1")
-        lasting = _start_lasting(harness, msgspec.structs.replace(LASTING, cpu_millis=60_000))
+        lasting = _start_lasting(harness, replace_spec(LASTING, cpu_millis=60_000))
         refused = self._reboot_before_the_answer(harness)
         assert refused.worker.name != lasting.worker.name
         harness.cell.cancel(JOB, harness.now_ms)
