--- a/tests/cover/test_cancelled_jobs.py
+++ b/tests/cover/test_cancelled_jobs.py
@@ -10,6 +10,8 @@
 from greengagewood.internal.cells.cell import Cell
 from greengagewood.internal.cells.ledger import Ledger
 from greengagewood.internal.cells.orders import StartRun, StopRun
+from greengagewood.internal.cells.ownership import OwnershipView
+from greengagewood.internal.cells.runner import CellRunner, Ports
 from greengagewood.internal.jobs.model import JobSpec, StepSpec
 from greengagewood.internal.jobs.records import (
     Cancellation,
@@ -20,8 +22,10 @@
     encode_record,
     key_of,
 )
-from greengagewood.internal.ports import LogEntry, RunEnd, RunningTask
+from greengagewood.internal.metrics import Metrics
+from greengagewood.internal.ports import LogEntry, RunEnd, RunningTask, WrongBoot
 from tests.common.desk import (
+    LIMITS,
     QUEUE,
     CellHarness,
     make_submission,
@@ -143,6 +147,27 @@
         stops = [order.run for order in harness.plan() if isinstance(order, StopRun)]
         assert lasting.run in stops
 
+    async def test_a_start_that_reaches_a_boot_of_another_worker_is_over(self) -> None:
+        """Guards against a run that is never stopped, as the answer to its start is awaited."""
+        harness = CellHarness("w0")
+        harness.submit(StepSpec(1, cpu_millis=10_000))
+        (start,) = start_orders(harness.plan())
+        harness.worker_infos["w0"] = make_worker_info("w0", boot_time_ms=2)
+        harness.cell.set_workers(harness.worker_infos, harness.now_ms)
+
+        class Link:
+            async def start(self, *args: object) -> None:
+                raise WrongBoot("w0")
+
+        ledger = Ledger()
+        ownership = OwnershipView("n0", LIMITS.confirmation_timeout_ms, 0)
+        ports = Ports(None, None, Link(), None)  # type: ignore[arg-type]
+        runner = CellRunner(ports, ledger, LIMITS, 1, 0, Metrics(), ownership, lambda: True)
+        runner.cell = harness.cell
+        await runner._start_run(start)
+        assert start.run.state == "finished"
+        assert harness.cell.workers["w0"].runs == {}
+
     def test_a_start_refused_after_a_reboot_frees_its_resources(self) -> None:
         harness = CellHarness("w0")
         start = self._reboot_before_the_answer(harness)
