--- a/tests/common/drive.py
+++ b/tests/common/drive.py
@@ -131,6 +131,7 @@
 
     async def kill_instance(self, name: str) -> None:
         """Stop an instance without releasing its cell."""
+        self.platform.disturbed_ms = self._now_ms()
         await self.instances.pop(name).stop()
 
     def owner(self) -> str | None:
--- a/tests/common/plant.py
+++ b/tests/common/plant.py
@@ -47,6 +47,10 @@
 IMMEDIATE_LATE_ORDER_SHARE = 0.4  # of the unanswered orders, share carried out at once
 EVACUATION_BOUND_MS = 5_000  # after which an order must be obeyed by who reaches the store
 ORDERS_READ_INTERVAL_S = 0.05
+CANCEL_BOUND_MS = 3_000  # from the acknowledged cancellation of a job to its last start
+STOP_TIMEOUT_MS = 400  # until when a run that is stopped then has ended
+CONTACT_MS = 3_000  # how long after a fault the bounds hold again
+RUNS_CHECK_INTERVAL_MS = 100
 
 
 @dataclass
@@ -61,6 +65,10 @@
     cut_links: set[tuple[str, str]] = field(default_factory=set)  # (instance, worker)
     # Links (instance, worker) on which orders arrive, but their answers are lost.
     unanswered_links: set[tuple[str, str]] = field(default_factory=set)
+    # Links (instance, worker) on which only lease extensions fail: the worker refuses them, or its
+    # answer cannot be read.
+    refused_lease_links: set[tuple[str, str]] = field(default_factory=set)
+    unreadable_lease_links: set[tuple[str, str]] = field(default_factory=set)
     failing_workers: set[str] = field(default_factory=set)  # workers on which every run fails
     directory_unreadable_to: set[str] = field(default_factory=set)  # instances
     orders_unreadable_to: set[str] = field(default_factory=set)  # instances
@@ -279,6 +287,9 @@
         self.copies: Counter[TaskId] = Counter()  # starts while another run was going on
         self.specs: dict[str, tuple[StepSpec, ...]] = {}
         self.cancelled_ms: dict[str, float] = {}
+        self.disturbed_ms = 0.0  # when a fault was last in force, or a process ended
+        self._runs_checked_ms = 0.0
+        self._overdue_runs: set[tuple[TaskId, int]] = set()  # those that were recorded
         self.evacuated_ms: dict[str, int] = {}  # by domain, when its order was acknowledged
         self.orders_offset = 0
         self.max_attempts = max(q.max_attempts for q in config.queues.values())
@@ -316,6 +327,7 @@
         asyncio.get_running_loop().call_later(delay_s, show)
 
     def crash(self, name: str) -> None:
+        self.disturbed_ms = monotonic_ms()
         worker = self.workers[name]
         for task, run in worker.runs.items():
             self.crashed_runs[task, run.number] = name
@@ -354,6 +366,7 @@
         return {task for worker in self.workers.values() if worker.up for task in worker.runs}
 
     def restart(self, name: str) -> None:
+        self.disturbed_ms = monotonic_ms()
         old_worker = self.workers[name]
         worker_info = replace(old_worker.info, boot_time_ms=int(monotonic_ms()) + 1)
         self.workers[name] = SimWorker(worker_info, self, monotonic_ms())
@@ -419,9 +432,29 @@
                 f"over capacity: {worker.info.worker_id} cpu {used_cpu} memory {used_memory_mb}"
             )
         cancelled_at_ms = self.cancelled_ms.get(task.job_id)
-        if cancelled_at_ms is not None and monotonic_ms() - cancelled_at_ms > 3_000:
+        if cancelled_at_ms is not None and monotonic_ms() - cancelled_at_ms > CANCEL_BOUND_MS:
             self.violations.append(f"started after cancellation: {task} of a cancelled job")
 
+    def check_cancelled_runs(self) -> None:
+        """Record runs that go on long after the cancellation of their jobs, though all is calm."""
+        now_ms = monotonic_ms()
+        if self.faults != Faults():
+            self.disturbed_ms = now_ms
+        if not self.cancelled_ms or now_ms - self._runs_checked_ms < RUNS_CHECK_INTERVAL_MS:
+            return
+        self._runs_checked_ms = now_ms
+        for worker in self.workers.values():
+            worker.expire_lease()
+            for run in worker.runs.values() if worker.up else ():
+                cancelled_ms = self.cancelled_ms.get(run.task.job_id)
+                key = (run.task, run.number)
+                if cancelled_ms is None or key in self._overdue_runs:
+                    continue
+                since_ms = max(cancelled_ms, run.started_ms, self.disturbed_ms + CONTACT_MS)
+                if now_ms - since_ms > CANCEL_BOUND_MS + STOP_TIMEOUT_MS:
+                    self._overdue_runs.add(key)
+                    self.violations.append(f"goes on after cancellation: {run.task}")
+
     def record_end(self, worker: SimWorker, run: _Run, result: str) -> None:
         if result == "done":
             self.done.add(run.task)
@@ -436,6 +469,7 @@
 
     async def _reach(self, worker_info: WorkerInfo) -> SimWorker:
         await asyncio.sleep(WORKER_LATENCY_S)
+        self.platform.check_cancelled_runs()
         worker = self.platform.workers.get(worker_info.worker_id)
         is_cut = (self.instance, worker_info.worker_id) in self.platform.faults.cut_links
         if worker is None or not worker.up or is_cut:
@@ -585,6 +619,8 @@
         worker_now_ms = worker.clock_ms()
         if token < worker.token:
             return OrderReply("fence", worker_now_ms)
+        if (self.instance, worker_info.worker_id) in self.platform.faults.refused_lease_links:
+            return OrderReply("unhealthy", worker_now_ms)
         worker.token = token
         for end in worker.ends:
             if end.sequence <= acknowledged:
@@ -598,6 +634,8 @@
                 worker.lease_deadline_ms, min(deadline_ms, worker_now_ms + LEASE_MS)
             )
         await self._maybe_lose_answer(worker_info)
+        if (self.instance, worker_info.worker_id) in self.platform.faults.unreadable_lease_links:
+            raise WorkerCallFailed("hold: unreadable answer")
         if wait_ms and not worker.ends:
             try:
                 async with asyncio.timeout(wait_ms / 1000):
