Send stops to workers that answer no lease extension but may carry out orders

Cause: StopPlanner skipped every worker that counts as silent. A worker counts as silent when its lease extensions fail, also if only their answers are lost or can't be read. A run of a cancelled job then went on until its lease had expired, up to 6.2 s after the last extension, though the bound is 3.4 s.

Ruled out: stopping all that is stopped elsewhere, since a wanted task of a silent worker is left to its lease; and repeating every stop each 400 ms, since calls without an answer hold the connections that lease extensions need. So at most 4 stops are on their way to a silent worker, each repeated after 1 s, the run that has waited longest first.

--- a/src/greengagewood/internal/cells/stops.py
+++ b/src/greengagewood/internal/cells/stops.py
@@ -11,6 +11,10 @@
 A stop may be lost, so it is repeated until the run is over. Until then the resources of the run
 stay allocated, see `Cell`.
 
+A worker that does not answer lease extensions may still carry out a stop. So the runs that nothing
+waits for are stopped there too, a few at a time: calls without an answer hold connections that the
+lease extensions need, which show that the worker answers again.
+
 This module does no I/O and reads no clock.
 """
 
@@ -26,6 +30,8 @@
 __all__ = ["StopPlanner"]
 
 REPEAT_INTERVAL_MS = 400
+SILENT_REPEAT_INTERVAL_MS = 1_000  # by then a call without an answer has ended
+MAX_STOPS_TO_SILENT = 4  # at a time to one worker; an owner opens 12 connections to each
 SCAN_INTERVAL_MS = 100  # between two scans for runs to stop, unless an event requests one
 SLOW_SPEED_PERCENT = 60  # a run limited to this or less may be moved to run at full speed
 MOVE_DELAY_MS = 450  # how long a run must have been slow before it is moved: about one reading
@@ -59,14 +65,13 @@
         orders: list[StopRun] = []
         for worker in self._workers.values():
             if worker.unresponsive:
+                due = _due_on_silent(worker, now_ms)
+                orders.extend(_stop(worker, run, "job_over", now_ms) for run in due)
                 continue
             for run in worker.runs.values():
                 reason = self._stop_reason(worker, run, now_ms)
                 if reason and _may_send_stop(run, now_ms):
-                    if run.state != "unconfirmed":
-                        run.transition("stop")
-                    run.stop_sent_ms = now_ms
-                    orders.append(StopRun(worker, run.task.id, run.number, run, reason))
+                    orders.append(_stop(worker, run, reason, now_ms))
         return orders
 
     def overdue_runs(self, now_ms: int) -> list[tuple[Worker, Run]]:
@@ -102,7 +107,7 @@
         """Return the reason to stop a run, or an empty string."""
         if run.state == "stopping":
             return "again"
-        if run.task.step.job.is_final or run.task.end_state:
+        if _is_unwanted(run):
             return "job_over"
         if run.state == "unconfirmed":
             return "unanswered"
@@ -173,6 +178,32 @@
         )
 
 
+def _is_unwanted(run: Run) -> bool:
+    return run.task.step.job.is_final or bool(run.task.end_state)
+
+
+def _due_on_silent(worker: Worker, now_ms: int) -> list[Run]:
+    """Return the runs on a silent worker to stop now, those that have waited longest first."""
+    unwanted = [
+        run for run in worker.runs.values() if _is_unwanted(run) and run.state != "starting"
+    ]
+    waiting = [
+        run
+        for run in unwanted
+        if run.stop_sent_ms is None or now_ms - run.stop_sent_ms >= SILENT_REPEAT_INTERVAL_MS
+    ]
+    waiting.sort(key=lambda run: run.stop_sent_ms or 0)
+    pending_count = len(unwanted) - len(waiting)
+    return waiting[: max(0, MAX_STOPS_TO_SILENT - pending_count)]
+
+
+def _stop(worker: Worker, run: Run, reason: str, now_ms: int) -> StopRun:
+    if run.state != "unconfirmed":
+        run.transition("stop")
+    run.stop_sent_ms = now_ms
+    return StopRun(worker, run.task.id, run.number, run, reason)
+
+
 def _may_send_stop(run: Run, now_ms: int) -> bool:
     if run.state == "starting":
         return False  # wait for the reply to the start
