Count a worker that refuses lease extensions as silent after some time

Cause: only a lease extension without an answer made a worker silent. A worker that answered each one with a refusal extended no lease, so its runs lapsed, but the owner went on to count them as running: their tasks were never started again, and the tasks of a cancelled job stayed in its books.

Ruled out: treating a refusal as a failed call, which is a sign of a crash and makes the worker's runs suspects.

Before: the new test in test_cells.py failed, no task ran 10 s after the first refusal. After: it passes, and so do test_cancel_roads, test_owner_changes and test_owner_cut_off (117 tests).

--- a/src/greengagewood/internal/cells/cell.py
+++ b/src/greengagewood/internal/cells/cell.py
@@ -695,6 +695,10 @@
         """Record that a worker did not answer a lease extension."""
         worker.lease_call_failed = True
         self._crashes.note_failed_call(worker, now_ms)
+        self.note_lease_refused(worker, now_ms)
+
+    def note_lease_refused(self, worker: Worker, now_ms: int) -> None:
+        """Record that a worker did not extend the lease; after some time it counts as silent."""
         if worker.unresponsive or self.workers.get(worker.name) is not worker:
             return
         since = worker.last_answer_ms if worker.last_answer_ms is not None else worker.added_ms
--- a/src/greengagewood/internal/cells/runner.py
+++ b/src/greengagewood/internal/cells/runner.py
@@ -429,6 +429,7 @@
             return
         if not isinstance(reply, LeaseReply):
             self._check_fencing(reply)
+            self.cell.note_lease_refused(worker, monotonic_ms())
             await asyncio.sleep(FAILED_LEASE_PAUSE_S)
             return
         self._carry_out_all(self.cell.handle_lease_reply(worker, reply, sent_ms, monotonic_ms()))
--- a/tests/cover/test_cells.py
+++ b/tests/cover/test_cells.py
@@ -288,6 +288,24 @@
 
         run_simulation(CellSimulation(16), script)
 
+    def test_tasks_of_a_worker_that_refuses_lease_extensions_are_started_elsewhere(self) -> None:
+        """Guards against tasks that wait for runs that have lapsed, as their worker answers."""
+
+        async def script(sim: CellSimulation) -> None:
+            await sim.submit(_ids(1)[0], "serve", long_running_job())
+            await asyncio.sleep(2)
+            owner = sim.owner()
+            assert owner is not None
+            name = next(n for n, worker in sim.platform.workers.items() if worker.runs)
+            sim.platform.faults.refused_lease_links.add((owner, name))
+            await asyncio.sleep(10)
+            assert not sim.platform.workers[name].runs
+            assert len(sim.platform.running_tasks()) == 3
+            await sim.cancel(_ids(1)[0])
+            await asyncio.sleep(2)
+
+        _check(run_simulation(CellSimulation(1), script), set())
+
     def test_the_runs_of_a_rebooted_worker_are_started_again(self) -> None:
         async def script(sim: CellSimulation) -> None:
             await sim.submit(_ids(1)[0], "serve", long_running_job())
