Withdraw the start of a native task whose job is cancelled before its worker took it

Cause: the owner asked for a stop but kept the start among the commands that it repeats until the worker confirms them. A worker that was out of reach then started the task, at any time after the cancellation, and stopped it in the same exchange.

Ruled out: a start that arrives later after all. Rounds rise, so once a worker has accepted an exchange without the start it refuses the one with it; and if it has taken the start, it lists the attempt, which is then stopped.

Before: test_a_start_that_its_worker_has_not_taken_is_withdrawn failed. After: it passes, and so do test_ownership, test_native_owner_cut_off, test_workers_border and test_native_evacuation (42 tests).

--- a/src/greengagewood/internal/owner.py
+++ b/src/greengagewood/internal/owner.py
@@ -659,7 +659,7 @@
             if task.state == "cancelled":
                 self.book.record_end(task)
             elif task.state == "stopping":
-                self.workers[task.worker].to_stop.add((task.name, task.attempt))
+                self.workers[task.worker].stop_attempt((task.name, task.attempt))
 
     def _place_tasks(self, now_ms: int) -> None:
         assert self._document is not None
--- a/src/greengagewood/internal/workerstate.py
+++ b/src/greengagewood/internal/workerstate.py
@@ -125,6 +125,11 @@
         """Send no start again; the next reply tells which attempts run, and the others are over."""
         self.to_start.clear()
 
+    def stop_attempt(self, key: AttemptId) -> None:
+        """Stop an attempt; if its start was not confirmed, it is not sent again."""
+        self.to_start.pop(key, None)
+        self.to_stop.add(key)
+
     def forget_attempt(self, key: AttemptId) -> None:
         """Forget an attempt that no longer runs on the worker."""
         self.mark_changed()
