Keep the cancellations of native jobs whose submission was not read

Cause: JobLog dropped a cancellation of a job that it did not know. The job stream drops a submission after keeps_ms, while the cell's stream still has the job. So a scheduler that was started later ignored the cancellation of a job that ran for longer than that: the caller got 202, and the tasks ran on to their end. A repeated submission after the cancellation ran too.

Ruled out: taking up the jobs of the cell's stream in JobLog, since a scheduler that does not own the cell may not have read that stream yet. The owner keeps the cancellation until it knows the job, and drops it as late as the job.

The simulated schedulers of tests/common/world.py pass cancellations on as Scheduler does; a test of its own covers Scheduler.

--- a/src/greengagewood/internal/owner.py
+++ b/src/greengagewood/internal/owner.py
@@ -59,6 +59,7 @@
     CellClaimed,
     CellReleased,
     CellSnapshot,
+    JobCancelled,
     JobsAdopted,
     JobSubmitted,
     TaskOutcome,
@@ -152,6 +153,7 @@
         self._document: Document | None = None
         self._hold_reason = ""
         self._jobs: dict[str, LoggedJob] = {}
+        self._early_cancellations: dict[str, JobCancelled] = {}  # of jobs not in `_jobs`
         self._listed_workers: dict[str, WorkerEntry] = {}
         self._reserves: dict[str, Resources] = {}
         # Set at a takeover: whether elapsed time may replace fencing, the workers that were
@@ -205,6 +207,15 @@
         if self.state in OWNING_STATES:
             self._add_job(job)
 
+    def note_cancelled(self, record: JobCancelled) -> None:
+        """Record the cancellation of a job that may be known only from the cell's stream."""
+        job = self._jobs.get(record.job)
+        if job is None:
+            self._early_cancellations[record.job] = record
+        elif not job.cancelled:
+            job.cancelled = True
+            self.set_job(job)
+
     def replay(self, offset: int, record: AnyRecord, now_ms: int) -> None:
         """Apply a record of the cell's stream."""
         previous_epoch = self.log.epoch
@@ -240,6 +251,9 @@
             in_log = name in state.jobs or name in state.ended
             if not in_log and job.spec.at_ms < oldest_ms:
                 del self._jobs[name]
+        for name, record in list(self._early_cancellations.items()):
+            if name not in state.jobs and record.at_ms < oldest_ms:
+                del self._early_cancellations[name]
 
     def append_finished(self, record: AnyRecord, durable: bool) -> None:
         """Process the result of an append; its record is applied only when it is read back."""
@@ -364,7 +378,8 @@
         self.book = TaskBook(self.log)
         self._reset_workers()
         for name, spec in self.log.state.jobs.items():
-            self._jobs.setdefault(name, LoggedJob(spec))
+            cancelled = self._early_cancellations.pop(name, None) is not None
+            self._jobs.setdefault(name, LoggedJob(spec)).cancelled |= cancelled
         for job in self._jobs.values():
             self._add_job(job)
         self._merge_workers()
--- a/src/greengagewood/internal/scheduler.py
+++ b/src/greengagewood/internal/scheduler.py
@@ -182,6 +182,8 @@
         for job in self._job_log.jobs.values():
             if job.spec.cell == cell:
                 owner.set_job(job)
+        for record in self._job_log.early_cancellations.values():
+            owner.note_cancelled(record)
         self._feed.follow(self._stream_names.cell(cell))
 
     def _record_event(self, event: str, fields: dict[str, object]) -> None:
@@ -243,6 +245,9 @@
                 owner = self._owners.get(job.spec.cell)
                 if owner is not None:
                     owner.set_job(job)
+            elif isinstance(record, JobCancelled):
+                for owner in self._owners.values():  # its cell is not known
+                    owner.note_cancelled(record)
             return
         owner = self._owners_by_stream.get(replayed.stream)
         if owner is not None:
--- a/tests/common/world.py
+++ b/tests/common/world.py
@@ -281,6 +281,8 @@
             scheduler.job_cursor += 1
             if scheduler.jobs.replay(record):
                 scheduler.owner.set_job(scheduler.jobs.jobs[record.job])
+            elif isinstance(record, JobCancelled):
+                scheduler.owner.note_cancelled(record)
         for offset, record in records:
             scheduler.log_cursor = offset
             scheduler.owner.replay(offset, record, self.now_ms)
--- a/tests/cover/test_native_cancel_roads.py
+++ b/tests/cover/test_native_cancel_roads.py
@@ -4,8 +4,11 @@
 
 import pytest
 
+from greengagewood.internal.feed import ReplayedRecord
 from greengagewood.internal.joblog import JobLog
+from greengagewood.internal.owner import CellOwner
 from greengagewood.internal.records import JobCancelled, JobSubmitted
+from tests.common.system import System
 from tests.common.world import CELL, World
 
 JOB = JobSubmitted("j", "a", "mercato", "price-grid", CELL, 1, 1, 100, 0, 1_000, "", 0)
@@ -171,3 +174,22 @@
         assert not jobs.replay(JobCancelled(JOB.job, 0))
         assert jobs.replay(JOB)
         assert jobs.jobs[JOB.job].cancelled
+
+    def test_a_scheduler_passes_a_cancellation_of_an_unknown_job_to_its_owners(self):
+        """Guards against a cancellation that only the simulated scheduler passes on."""
+        system = System()
+        scheduler = system.daemons["i1"]["scheduler"]
+        owner = scheduler._owners[CELL] = CellOwner(CELL, "i1", 1)
+        record = JobCancelled(JOB.job, 5)
+        scheduler._apply_record(ReplayedRecord(system.names.jobs, 1, record))
+        assert owner._early_cancellations == {JOB.job: record}
+
+    def test_cancellations_of_jobs_that_nobody_knows_are_dropped_in_time(self):
+        """Guards against memory that grows with each cancellation."""
+        jobs, owner = JobLog(), CellOwner(CELL, "i1", 1, lambda: 1_000)
+        for record in (JobCancelled("old", 5), JobCancelled("new", 995)):
+            jobs.replay(record)
+            owner.note_cancelled(record)
+        jobs.drop_before(990, set())
+        owner.drop_expired(0, 10)
+        assert list(jobs.early_cancellations) == list(owner._early_cancellations) == ["new"]
