Let another instance claim the cell of an owner whose reads of the log fail for long

Cause: an owner that has not read the log for 5 s sends no orders, but it went on to store heartbeats, which keep the other instances from claiming the cell. If the store refused only its reads, the cell stood still: nothing was started or stopped and no lease was extended, for as long as the reads failed. It now stores nothing either in that state.

Ruled out: an owner that is suspended because its appends fail must go on to append, as only that ends the suspension; so the condition is the age of the last answered read alone.

--- a/src/greengagewood/internal/cells/ownership.py
+++ b/src/greengagewood/internal/cells/ownership.py
@@ -144,6 +144,14 @@
             for sent_ms in (self._read_sent_ms, self._stored_sent_ms)
         )
 
+    def is_read_recent(self, now_ms: int) -> bool:
+        """Return whether a recent read has shown that nobody else owns the cell.
+
+        An owner without one sends no orders, so it must store no heartbeats either: they would keep
+        others from claiming the cell for as long as only the reads of this instance fail.
+        """
+        return now_ms - self.confirmed_ms <= self._confirmation_timeout_ms
+
     def note_fenced(self) -> None:
         """Record that the store or a worker has refused the fencing token."""
         if self.owning:
--- a/src/greengagewood/internal/cells/runner.py
+++ b/src/greengagewood/internal/cells/runner.py
@@ -456,7 +456,8 @@
     async def _commit_once(self) -> None:
         if not self.cell.has_urgent_changes:
             await self._wait_for_urgent_changes()
-        if self._releasing:  # a later record would supersede the release record
+        # A record after the release record would supersede that.
+        if self._releasing or not self._ownership.is_read_recent(monotonic_ms()):
             await asyncio.sleep(COMMIT_INTERVAL_S)
             return
         changes = self.cell.collect_changes(wall_ms(), monotonic_ms())
--- a/tests/common/plant.py
+++ b/tests/common/plant.py
@@ -60,6 +60,7 @@
     store_silent_to: set[str] = field(default_factory=set)  # instances that get no answer
     store_refuses_to: set[str] = field(default_factory=set)  # instances whose calls are refused
     appends_silent_to: set[str] = field(default_factory=set)  # instances that can only read
+    reads_refused_to: set[str] = field(default_factory=set)  # instances that can only append
     lost_answer_share: float = 0.0  # share of appends that are carried out but not answered
     late_order_share: float = 0.0  # share of orders without an answer, most of them late
     cut_links: set[tuple[str, str]] = field(default_factory=set)  # (instance, worker)
@@ -132,6 +133,8 @@
 
     async def read(self, start: int, wait_ms: int) -> LogPage:
         await self._reach()
+        if self.instance in self.store.faults.reads_refused_to:
+            raise StoreUnavailable("refused")
         if start < self.store.first_offset:
             raise LogTruncated("read")
         if len(self.store.records) <= start and wait_ms:
--- a/tests/cover/test_cells.py
+++ b/tests/cover/test_cells.py
@@ -166,6 +166,23 @@
 
         run_simulation(CellSimulation(11), script)
 
+    def test_an_owner_whose_reads_the_store_refuses_is_replaced(self) -> None:
+        """Guards against a cell without orders, as its owner still stores heartbeats."""
+
+        async def script(sim: CellSimulation) -> None:
+            owner = sim.owner()
+            assert owner is not None
+            sim.platform.faults.reads_refused_to.add(owner)
+            await asyncio.sleep(8)
+            others = [i for name, i in sim.instances.items() if name != owner]
+            assert any(instance._ownership.owning for instance in others)
+            job = _ids(1)[0]
+            await sim.submit(job, "fast", short_job())
+            sim.platform.faults.reads_refused_to.clear()
+            _check(sim, await sim.wait_until_ended({job}, SETTLE_S))
+
+        run_simulation(CellSimulation(8), script)
+
     def test_runs_continue_through_an_outage_of_the_store(self) -> None:
         async def script(sim: CellSimulation) -> None:
             await sim.submit(_ids(1)[0], "serve", long_running_job())
