--- a/src/greengagewood/internal/cells/runner.py
+++ b/src/greengagewood/internal/cells/runner.py
@@ -276,6 +276,7 @@
         except WrongBoot:
             outcome = "wrong_boot"
             self.cell.note_wrong_boot(worker, monotonic_ms())
+            # The run is still there if the directory has shown a later boot meanwhile.
             self.cell.handle_start_reply(worker, run, outcome, monotonic_ms())
         else:
             outcome = reply.reason or "accepted"
@@ -428,6 +429,7 @@
             return
         if not isinstance(reply, LeaseReply):
             self._check_fencing(reply)
+            self.cell.note_lease_refused(worker, monotonic_ms())
             await asyncio.sleep(FAILED_LEASE_PAUSE_S)
             return
         self._carry_out_all(self.cell.handle_lease_reply(worker, reply, sent_ms, monotonic_ms()))
@@ -454,7 +456,8 @@
     async def _commit_once(self) -> None:
         if not self.cell.has_urgent_changes:
             await self._wait_for_urgent_changes()
-        if self._releasing:  # a later record would supersede the release record
+        # A record after the release record would supersede that.
+        if self._releasing or not self._ownership.is_read_recent(monotonic_ms()):
             await asyncio.sleep(COMMIT_INTERVAL_S)
             return
         changes = self.cell.collect_changes(wall_ms(), monotonic_ms())
--- a/tests/cover/test_cells.py
+++ b/tests/cover/test_cells.py
@@ -166,6 +166,23 @@
 
         run_simulation(CellSimulation(11), script)
 
+    def test_an_owner_whose_reads_the_store_refuses_is_replaced(self) -> None:
+        """Guards against a cell without orders, as its owner still stores heartbeats."""
+
+        async def script(sim: CellSimulation) -> None:
+            owner = sim.owner()
+            assert owner is not None
+            sim.platform.faults.reads_refused_to.add(owner)
+            await asyncio.sleep(8)
+            others = [i for name, i in sim.instances.items() if name != owner]
+            assert any(instance._ownership.owning for instance in others)
+            job = _ids(1)[0]
+            await sim.submit(job, "fast", short_job())
+            sim.platform.faults.reads_refused_to.clear()
+            _check(sim, await sim.wait_until_ended({job}, SETTLE_S))
+
+        run_simulation(CellSimulation(8), script)
+
     def test_runs_continue_through_an_outage_of_the_store(self) -> None:
         async def script(sim: CellSimulation) -> None:
             await sim.submit(_ids(1)[0], "serve", long_running_job())
@@ -288,6 +305,24 @@
 
         run_simulation(CellSimulation(16), script)
 
+    def test_tasks_of_a_worker_that_refuses_lease_extensions_are_started_elsewhere(self) -> None:
+        """Guards against tasks that wait for runs that have lapsed, as their worker answers."""
+
+        async def script(sim: CellSimulation) -> None:
+            await sim.submit(_ids(1)[0], "serve", long_running_job())
+            await asyncio.sleep(2)
+            owner = sim.owner()
+            assert owner is not None
+            name = next(n for n, worker in sim.platform.workers.items() if worker.runs)
+            sim.platform.faults.refused_lease_links.add((owner, name))
+            await asyncio.sleep(10)
+            assert not sim.platform.workers[name].runs
+            assert len(sim.platform.running_tasks()) == 3
+            await sim.cancel(_ids(1)[0])
+            await asyncio.sleep(2)
+
+        _check(run_simulation(CellSimulation(1), script), set())
+
     def test_the_runs_of_a_rebooted_worker_are_started_again(self) -> None:
         async def script(sim: CellSimulation) -> None:
             await sim.submit(_ids(1)[0], "serve", long_running_job())
