End a start that another worker answers after its worker was seen to reboot

Cause: a reboot moves the starts that are not answered yet to the new boot. If the answer is then that another worker has the address, note_wrong_boot ignores it, as the boot that the start was sent to is no longer current. The run stayed "starting" on the new boot for good: it is not stopped, it is not ended when the worker lists its runs without it, and it keeps its task and its resources.

Ruled out: that the start may still be carried out. The worker that answered did nothing, and an order is answered once.

Change: this answer is handled like a refusal, too, which ends the run on the boot that holds it. Where the worker has not been replaced, note_wrong_boot has ended the run before.

--- a/src/greengagewood/internal/cells/runner.py
+++ b/src/greengagewood/internal/cells/runner.py
@@ -276,6 +276,8 @@
         except WrongBoot:
             self.cell.note_wrong_boot(worker, monotonic_ms())
             outcome = "wrong_boot"
+            # Ends the run also if a reboot that was seen meanwhile has moved it to the new boot.
+            self.cell.handle_start_reply(worker, run, outcome, monotonic_ms())
         else:
             outcome = reply.reason or "accepted"
             self._check_fencing(reply)
--- /dev/null
+++ b/tests/cover/test_stale_answers.py
@@ -0,0 +1,70 @@
+"""Answers, records and jobs that an owner did not expect: they affect nothing else."""
+
+from __future__ import annotations
+
+import asyncio
+
+from greengagewood.internal.cells.ledger import Ledger
+from greengagewood.internal.cells.ownership import OwnershipView
+from greengagewood.internal.cells.runner import CellRunner, Ports
+from greengagewood.internal.jobs.model import StepSpec
+from greengagewood.internal.jobs.records import (
+    Cancellation,
+    Ownership,
+    Progress,
+    Submission,
+    encode_record,
+    key_of,
+)
+from greengagewood.internal.metrics import Metrics
+from greengagewood.internal.ports import LogEntry, OrderReply, WrongBoot
+from tests.common.desk import (
+    LIMITS,
+    CellHarness,
+    make_worker_info,
+    start_orders,
+)
+
+JOB = "0" * 16
+OTHER_JOB = "1" * 16
+
+
+class _ReplacedWorkers:
+    """Workers at whose addresses other boots answer."""
+
+    async def start(self, *args: object) -> OrderReply:
+        raise WrongBoot("w0")
+
+
+def _make_runner(ledger: Ledger | None = None, link: _ReplacedWorkers | None = None) -> CellRunner:
+    ports = Ports(None, None, link, None)  # type: ignore[arg-type]
+    return CellRunner(
+        ports,
+        ledger or Ledger(),
+        LIMITS,
+        token=1,
+        status_retention_ms=0,
+        metrics=Metrics(),
+        ownership=OwnershipView("n0", 5_000, 0),
+        may_send_orders=lambda: True,
+    )
+
+
+def _entry(offset: int, record: Submission | Cancellation | Ownership | Progress) -> LogEntry:
+    return LogEntry(offset, key_of(record), encode_record(record))
+
+
+class TestReboots:
+    def test_a_start_that_another_worker_answers_after_a_reboot_is_sent_again(self) -> None:
+        """Guards against a task that waits for good for the answer to a start."""
+        harness = CellHarness("w0")
+        runner = _make_runner(link=_ReplacedWorkers())
+        runner.cell = harness.cell
+        harness.submit(StepSpec(1, cpu_millis=1_000))
+        (start,) = start_orders(harness.plan())
+        harness.worker_infos["w0"] = make_worker_info("w0", boot_time_ms=2)
+        harness.cell.set_workers(harness.worker_infos, harness.now_ms)
+        asyncio.run(runner._carry_out(start))
+        assert start.run.state == "finished"
+        assert start.run.task.run is None
+        assert harness.cell.workers["w0"].runs == {}
