Plan no speed limits for runs of tasks that have ended

Cause: for a run of a job that had ended before its term, an owner keeps a placeholder of a task, but no occurrences of the job. The speed limits of a worker's best-effort runs are planned in the order of their value, for which the occurrence is looked up: KeyError, which leaves Cell.handle_lease_reply. The owner then takes its time for the next call (0.1 s), and the stops of unknown runs in that answer are not sent for 0.4 s.

Ruled out: that it explains UNASKED by itself. The stop of such a run comes from the next plan, and the failure ends with it, as a run that is being stopped gets no limit.

Change: runs of ended tasks, which the next plan stops, are left out. It also holds for the slower copy of a done task.

Evidence: test_a_best_effort_run_of_an_ended_job_does_not_spoil_its_workers_answer failed before (KeyError: 0), 6 of 6 times, and passes now; test_cell, test_cancelled_jobs, test_tails, test_planner and test_copies pass (125 tests with it).

--- a/src/greengagewood/internal/cells/tails.py
+++ b/src/greengagewood/internal/cells/tails.py
@@ -234,7 +234,10 @@
         if worker.last_learned_ms != now_ms:
             return []
         best_effort_runs = [
-            r for r in worker.runs.values() if r.task.step.spec.best_effort and r.state == "running"
+            run
+            for run in worker.runs.values()
+            # A run of a task that has ended is about to be stopped.
+            if run.task.step.spec.best_effort and run.state == "running" and not run.task.end_state
         ]
         if not best_effort_runs:
             return []
--- a/tests/cover/test_stale_answers.py
+++ b/tests/cover/test_stale_answers.py
@@ -5,21 +5,24 @@
 import asyncio
 
 from greengagewood.internal.cells.ledger import Ledger
+from greengagewood.internal.cells.orders import StopRun
 from greengagewood.internal.cells.ownership import OwnershipView
 from greengagewood.internal.cells.runner import CellRunner, Ports
-from greengagewood.internal.jobs.model import StepSpec
+from greengagewood.internal.jobs.model import JobSpec, StepSpec
 from greengagewood.internal.jobs.records import (
     Cancellation,
     Ownership,
     Progress,
     Submission,
+    TaskId,
     encode_record,
     key_of,
 )
 from greengagewood.internal.metrics import Metrics
-from greengagewood.internal.ports import LogEntry, OrderReply, WrongBoot
+from greengagewood.internal.ports import LogEntry, OrderReply, RunningTask, WrongBoot
 from tests.common.desk import (
     LIMITS,
+    QUEUE,
     CellHarness,
     make_worker_info,
     start_orders,
@@ -68,3 +71,22 @@
         assert start.run.state == "finished"
         assert start.run.task.run is None
         assert harness.cell.workers["w0"].runs == {}
+
+
+class TestEndedJobs:
+    def test_a_best_effort_run_of_an_ended_job_does_not_spoil_its_workers_answer(self) -> None:
+        """Guards against answers that are lost because the book keeps no tasks of the job."""
+        harness = CellHarness("w0")
+        step = StepSpec(1, cpu_millis=1_000, best_effort=True, image="layout")
+        submission = Submission(JOB, QUEUE, JobSpec("p", (step,)), 0)
+        cancelled = Progress(JOB, "cancelled", ended_ms=1)
+        harness.cell.add_job(submission, cancelled, False, harness.now_ms)
+        ended, unknown = TaskId(JOB, 0, 0, 0), TaskId(OTHER_JOB, 0, 0, 0)
+        harness.now_ms += 1_000
+        orders = harness.answer_lease(
+            "w0", RunningTask(ended, 1, "", 10, 900), RunningTask(unknown, 1, "", 10, 900)
+        )
+        assert [o.task_id for o in orders if isinstance(o, StopRun)] == [unknown]
+        assert [o.task_id for o in harness.plan() if isinstance(o, StopRun)] == [ended]
+        harness.now_ms += 1_000
+        harness.answer_lease("w0", RunningTask(ended, 1, "", 10, 900))
