--- a/tests/cover/test_stale_answers.py
+++ b/tests/cover/test_stale_answers.py
@@ -24,6 +24,7 @@
     LIMITS,
     QUEUE,
     CellHarness,
+    make_submission,
     make_worker_info,
     start_orders,
 )
@@ -90,3 +91,32 @@
         assert [o.task_id for o in harness.plan() if isinstance(o, StopRun)] == [ended]
         harness.now_ms += 1_000
         harness.answer_lease("w0", RunningTask(ended, 1, "", 10, 900))
+
+
+class TestRepeatedSubmissions:
+    """A job that was stored at offset 4 by one append, and at 9 by another."""
+
+    @staticmethod
+    def _add_as_new_owner(settled_offset: int, claim_offset: int) -> bool:
+        """Return whether a new owner rules out that an earlier one has started the job."""
+        ledger = Ledger()
+        submission = make_submission(JOB)
+        ledger.apply(_entry(4, submission))
+        ledger.apply(_entry(9, submission))
+        claim = Ownership(2, "n0", settled_offset=settled_offset)
+        ledger.apply(_entry(claim_offset, claim))
+        ledger.next_offset = 12
+        runner = _make_runner(ledger)
+        runner._take_up_job(JOB, 0)
+        return not runner.cell.book.jobs[JOB].maybe_inherited
+
+    def test_an_earlier_owner_may_have_read_only_the_later_one(self) -> None:
+        """Guards against a second run: such an owner settles offsets up to 9, and may start it."""
+        assert not self._add_as_new_owner(settled_offset=9, claim_offset=11)
+
+    def test_an_earlier_owner_may_have_read_only_the_first_one(self) -> None:
+        """Guards against a second run: such an owner may have started it before the claim at 7."""
+        assert not self._add_as_new_owner(settled_offset=4, claim_offset=7)
+
+    def test_a_job_below_the_settled_offset_was_never_started(self) -> None:
+        assert self._add_as_new_owner(settled_offset=10, claim_offset=11)
