--- a/tests/cover/test_stale_answers.py
+++ b/tests/cover/test_stale_answers.py
@@ -10,8 +10,9 @@
 
 from greengagewood.internal.cells.cell import Cell
 from greengagewood.internal.cells.ledger import Ledger
-from greengagewood.internal.cells.orders import StopRun
+from greengagewood.internal.cells.orders import Order, StopRun
 from greengagewood.internal.cells.ownership import OwnershipView
+from greengagewood.internal.cells.planner import Planner
 from greengagewood.internal.cells.runner import CellRunner, Ports
 from greengagewood.internal.jobs.model import JobSpec, StepSpec
 from greengagewood.internal.jobs.records import (
@@ -24,7 +25,14 @@
     key_of,
 )
 from greengagewood.internal.metrics import Metrics
-from greengagewood.internal.ports import LogEntry, OrderReply, RunningTask, WrongBoot
+from greengagewood.internal.ports import (
+    JobStore,
+    LogEntry,
+    OrderReply,
+    RunningTask,
+    WorkerInfo,
+    WrongBoot,
+)
 from tests.common.desk import (
     LIMITS,
     QUEUE,
@@ -42,12 +50,23 @@
 class _ReplacedWorkers:
     """Workers at whose addresses other boots answer."""
 
+    def __init__(self) -> None:
+        self.stopped: list[tuple[TaskId, int]] = []
+
     async def start(self, *args: object) -> OrderReply:
         raise WrongBoot("w0")
 
+    async def stop(self, worker: WorkerInfo, task: TaskId, run: int, token: int) -> OrderReply:
+        self.stopped.append((task, run))
+        raise WrongBoot("w0")
+
 
-def _make_runner(ledger: Ledger | None = None, link: _ReplacedWorkers | None = None) -> CellRunner:
-    ports = Ports(None, None, link, None)  # type: ignore[arg-type]
+def _make_runner(
+    ledger: Ledger | None = None,
+    link: _ReplacedWorkers | None = None,
+    store: JobStore | None = None,
+) -> CellRunner:
+    ports = Ports(store, None, link, None)  # type: ignore[arg-type]
     return CellRunner(
         ports,
         ledger or Ledger(),
@@ -184,3 +203,29 @@
             assert len(sim.platform.running_tasks()) == 3
 
         run_simulation(CellSimulation(1), script)
+
+    def test_stops_are_sent_though_the_starts_cannot_be_planned(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Guards against runs of cancelled jobs that go on because another job cannot be placed."""
+
+        def fail(planner: Planner, now_ms: int, max_starts: int) -> list[Order]:
+            raise ValueError("a job that cannot be placed")
+
+        async def plan_repeatedly() -> None:
+            for _ in range(3):
+                with pytest.raises(ValueError, match="cannot be placed"):
+                    await runner._plan_once()
+            await asyncio.sleep(0)
+
+        harness = CellHarness("w0")
+        harness.submit(StepSpec(1, cpu_millis=1_000, long_running=True))
+        (start,) = harness.start(500)
+        harness.answer_leases()
+        harness.cell.cancel(JOB, harness.now_ms)
+        workers = _ReplacedWorkers()
+        runner = _make_runner(link=workers)
+        runner.cell = harness.cell
+        monkeypatch.setattr(Planner, "plan", fail)
+        asyncio.run(plan_repeatedly())
+        assert workers.stopped == [(start.run.task.id, start.run.number)]
