--- a/src/greengagewood/internal/cells/runner.py
+++ b/src/greengagewood/internal/cells/runner.py
@@ -153,8 +153,14 @@
     def _take_up_job(self, job_id: str, now_ms: int) -> None:
         """Add a stored job to the cell, unless it is there, and cancel it if that is stored.
 
-        Its records may have been read in any order.
+        Its records may have been read in any order. An error keeps the owner from no other job.
         """
+        try:
+            self._apply_stored_job(job_id, now_ms)
+        except Exception as exc:
+            self._report_failure("job", exc, job=job_id)
+
+    def _apply_stored_job(self, job_id: str, now_ms: int) -> None:
         stored = self._ledger.jobs.get(job_id)
         if stored is None:
             return  # it was deleted later
@@ -164,8 +170,10 @@
         submission = stored.decode_submission() if job_id not in self.cell.book.jobs else None
         if submission is not None:
             # No earlier owner has started a task of the job if it was submitted after the claim, or
-            # if it is below the settled offset and has no progress record.
-            unrecorded = stored.progress is None and offset < self._ledger.ownership.settled_offset
+            # if it is below the settled offset and has no progress record. That owner may have read
+            # only the latest of several submissions.
+            settled = stored.last_submission_offset < self._ledger.ownership.settled_offset
+            unrecorded = stored.progress is None and settled
             never_started = unrecorded or offset > self._ledger.claim_offset
             self.cell.add_job(submission, stored.progress, never_started, now_ms, offset)
         if stored.cancelled:
@@ -217,14 +225,19 @@
     def _on_task_done(self, task: asyncio.Task[None]) -> None:
         self._tasks.discard(task)
         if not task.cancelled() and (exc := task.exception()) is not None:
-            self._metrics.count("task_failures", task="order", kind=type(exc).__name__)
-            _log.warning("task_failed", task="order", error=repr(exc), where=raise_location(exc))
+            self._report_failure("order", exc)
+
+    def _report_failure(self, task: str, exc: BaseException, **fields: str) -> None:
+        self._metrics.count("task_failures", task=task, kind=type(exc).__name__)
+        where = raise_location(exc)
+        _log.warning("task_failed", task=task, error=repr(exc), where=where, **fields)
 
     # Decisions.
 
     async def _plan_once(self) -> None:
         await asyncio.sleep(MIN_PLAN_INTERVAL_S)
         if self._may_send_orders() and not self._releasing:
+            self._carry_out_all(self.cell.plan_stops(monotonic_ms()))
             self._carry_out_all(self.cell.plan(monotonic_ms(), wall_ms(), self._start_window.room))
         if self.cell.has_urgent_changes:
             self._urgent_changes.set()
@@ -490,11 +503,15 @@
         if all(isinstance(record, Forecast) for record in records):
             # Instances of older versions can't read a forecast, so it is no heartbeat to them.
             records.append(self._ownership_record(False))
-        if await self._append(records):
+        stored = False
+        try:
+            stored = await self._append(records)
+        finally:  # after an unexpected error, too, the changes may not be stored
+            if not stored:
+                self.cell.note_changes_unconfirmed(changes)
+        if stored:
             self._note_changes_stored(changes)
             self._plan_wakeup.set()
-        else:
-            self.cell.note_changes_unconfirmed(changes)
 
     def _note_changes_stored(self, changes: Changes) -> None:
         self.cell.note_changes_stored(changes)
