Count an accepted stop only for the boot that has accepted it

Cause: a start without an answer moves to the later boot when its worker reboots. An acceptance of its stop by the earlier boot that arrived after that counted for the later boot: its next list ruled the start out, and the task was started again there, though the later boot may still carry the first start out. A run of a cancelled job was ended in the same way, and no further stop was sent.

Ruled out: LateStarts. It binds the task to the boot that has ruled the start out, which doesn't help if this boot has never seen the stop.

Change: note_stop_accepted is told to which boot the stop was sent, and counts it only if that boot holds the run. A stop is repeated until the boot that holds the run has accepted it.

Other tests call the new CellHarness.accept_stop, which passes the present boot: what these tests assert is unchanged.

--- a/src/greengagewood/internal/cells/cell.py
+++ b/src/greengagewood/internal/cells/cell.py
@@ -771,9 +771,14 @@
             if worker is not None:
                 self._crashes.note_failed_call(worker, now_ms)
 
-    def note_stop_accepted(self, run: Run | None, now_ms: int) -> None:
-        """Record that the worker has accepted a stop, so the run can no longer start there."""
-        if run is not None and run.state != "finished" and run.stop_answered_ms is None:
+    def note_stop_accepted(self, worker: Worker, run: Run | None, now_ms: int) -> None:
+        """Record that the worker has accepted a stop, so the run can no longer start there.
+
+        A stop that was sent to an earlier boot says nothing of the boot that holds the run now.
+        """
+        if run is None or worker.runs.get((run.task, run.number)) is not run:
+            return
+        if run.stop_answered_ms is None:
             run.stop_answered_ms = now_ms
 
     # Orders.
--- a/src/greengagewood/internal/cells/runner.py
+++ b/src/greengagewood/internal/cells/runner.py
@@ -319,7 +319,7 @@
             self._check_fencing(reply)
             outcome = reply.reason or "accepted"
             if not reply.reason:
-                self.cell.note_stop_accepted(order.run, monotonic_ms())
+                self.cell.note_stop_accepted(order.worker, order.run, monotonic_ms())
         except WorkerCallFailed:
             pass  # the cell orders the stop again
         except WrongBoot:
--- a/tests/common/desk.py
+++ b/tests/common/desk.py
@@ -7,6 +7,7 @@
 from greengagewood.internal.cells.cell import Cell, CellLimits
 from greengagewood.internal.cells.orders import StartRun
 from greengagewood.internal.evacuation import Evacuations
+from greengagewood.internal.jobs.book import Run
 from greengagewood.internal.jobs.model import JobSpec, Queue, StepSpec
 from greengagewood.internal.jobs.records import Forecast, Submission
 from greengagewood.internal.ports import LeaseReply, RunEnd, RunningTask, WorkerInfo
@@ -70,6 +71,11 @@
             listed = (RunningTask(run.task.id, run.number, "", 10, 0) for run in runs)
             self.answer_lease(name, *listed)
 
+    def accept_stop(self, run: Run | None) -> None:
+        """Let the present boot of a run's worker accept a stop of the run."""
+        assert run is not None
+        self.cell.note_stop_accepted(self.cell.workers[run.worker_id], run, self.now_ms)
+
     def resize(self, name: str, cpu_millis: int, memory_mb: int = 256_000) -> None:
         """Let the directory show another capacity of a worker."""
         self.now_ms += 1
--- a/tests/cover/test_cancelled_jobs.py
+++ b/tests/cover/test_cancelled_jobs.py
@@ -123,6 +123,32 @@
         assert harness.cell.workers["w0"].allocated.cpu_millis == 0
 
 
+class TestStopsBeforeAReboot:
+    """Answers to stops that arrive after their worker has rebooted."""
+
+    def test_a_stop_accepted_by_an_earlier_boot_does_not_rule_out_the_start(self) -> None:
+        """Guards against a second run beside a start that the later boot carries out late."""
+        harness = CellHarness("w0", "w1")
+        harness.submit(StepSpec(1, cpu_millis=1_000, estimate_ms=60_000))
+        (start,) = start_orders(harness.plan())
+        name = start.worker.name
+        harness.cell.note_start_unanswered(start.run, harness.now_ms)
+        (stop,) = [order for order in harness.plan() if isinstance(order, StopRun)]
+        harness.worker_infos[name] = make_worker_info(name, boot_time_ms=2)
+        harness.cell.set_workers(harness.worker_infos, harness.now_ms)
+        harness.store_changes()
+        harness.cell.note_stop_accepted(stop.worker, start.run, harness.now_ms)
+        harness.now_ms += 10
+        harness.answer_leases()
+        orders = harness.plan()
+        assert start_orders(orders) == []
+        assert [order.run for order in orders if isinstance(order, StopRun)] == [start.run]
+        harness.cell.note_stop_accepted(orders[0].worker, start.run, harness.now_ms)
+        harness.now_ms += 10
+        harness.answer_leases()
+        assert [order.run.number for order in start_orders(harness.plan())] == [2]
+
+
 class TestTruncatedLog:
     """An owner whose log is truncated reads the newest record of each key, in the order of keys."""
 
--- a/tests/cover/test_capacity.py
+++ b/tests/cover/test_capacity.py
@@ -193,7 +193,7 @@
         harness.resize("w0", 16_000)
         harness.submit(StepSpec(1, cpu_millis=8_000), job=JOB_IDS[1])
         assert start_orders(harness.plan()) == []
-        harness.cell.note_stop_accepted(start.run, harness.now_ms)
+        harness.accept_stop(start.run)
         harness.now_ms += 5
         harness.answer_lease("w0")
         assert sum(s.run.task.step.spec.cpu_millis for s in start_orders(harness.plan())) <= 16_000
@@ -207,7 +207,7 @@
         harness.submit(StepSpec(1, cpu_millis=8_000), job=JOB_IDS[1])
         (stop,) = harness.plan()
         assert isinstance(stop, StopRun)
-        harness.cell.note_stop_accepted(start.run, harness.now_ms)
+        harness.accept_stop(start.run)
         assert start_orders(harness.plan()) == []
         harness.answer_lease("w0")
         assert len(start_orders(harness.plan())) == 1
@@ -483,7 +483,7 @@
         harness.plan()
         worker = harness.cell.workers["w0"]
         for run in list(worker.runs.values()):
-            harness.cell.note_stop_accepted(run, harness.now_ms)
+            harness.accept_stop(run)
         harness.now_ms += 1
         harness.answer_lease("w0")
         assert len(start_orders(harness.plan(200))) == 1
--- a/tests/cover/test_cell.py
+++ b/tests/cover/test_cell.py
@@ -31,7 +31,7 @@
             for _ in range(2):
                 for order in harness.plan(450):
                     if isinstance(order, StopRun):
-                        harness.cell.note_stop_accepted(order.run, harness.now_ms)
+                        harness.accept_stop(order.run)
             # By the worker's clock, the deadline of the start has not passed.
             reply = LeaseReply(harness.now_ms - 1_000_000, 1, (), ())
             harness.cell.handle_lease_reply(worker, reply, sent_ms, harness.now_ms)
@@ -109,7 +109,7 @@
         assert start_orders(orders) == []
         (stop,) = [order for order in orders if isinstance(order, StopRun)]
         assert stop.run_number == start.run.number
-        harness.cell.note_stop_accepted(start.run, harness.now_ms)
+        harness.accept_stop(start.run)
         harness.now_ms += 5
         harness.answer_lease(name)
         assert len(start_orders(harness.plan())) == 1
--- a/tests/cover/test_crashes.py
+++ b/tests/cover/test_crashes.py
@@ -458,7 +458,7 @@
         _accept(harness, start)
         _reboot(harness, start.worker.name)
         harness.plan()
-        harness.cell.note_stop_accepted(start.run, harness.now_ms)
+        harness.accept_stop(start.run)
         harness.now_ms += 10
         _answer_all(harness)  # which rules out that the new boot got the start
         (trial,) = start_orders(harness.plan())
@@ -480,7 +480,7 @@
         harness.cell.book.note_crash(start.run.task, _crash(7, "a"))
         harness.cell.note_start_unanswered(start.run, harness.now_ms)
         harness.plan()
-        harness.cell.note_stop_accepted(start.run, harness.now_ms)
+        harness.accept_stop(start.run)
         constraint = StepSpec(2, cpu_millis=60_000, estimate_ms=60_000)
         harness.submit(constraint, job="1" * 16)
         others = start_orders(harness.plan())
--- a/tests/cover/test_owner_changes.py
+++ b/tests/cover/test_owner_changes.py
@@ -439,7 +439,7 @@
         name = first.worker.name
         harness.cell.note_start_unanswered(first.run, harness.now_ms)
         harness.plan()
-        harness.cell.note_stop_accepted(first.run, harness.now_ms)
+        harness.accept_stop(first.run)
         harness.now_ms += 500
         harness.answer_leases()
         (second,) = start_orders(harness.plan())
@@ -450,7 +450,7 @@
         listed = RunningTask(first.run.task.id, first.run.number, "", 10, 0)
         harness.answer_lease(name, listed)
         harness.plan()
-        harness.cell.note_stop_accepted(second.run, harness.now_ms)
+        harness.accept_stop(second.run)
         for _ in range(60):
             harness.now_ms += 500
             harness.answer_lease("w1")
@@ -467,7 +467,7 @@
         harness.cell.handle_start_reply(kept.worker, kept.run, "room", harness.now_ms)
         harness.cell.note_start_unanswered(lost.run, harness.now_ms)
         harness.plan()
-        harness.cell.note_stop_accepted(lost.run, harness.now_ms)
+        harness.accept_stop(lost.run)
         harness.now_ms += 500
         harness.worker_infos["w2"] = make_worker_info("w2")
         harness.cell.set_workers(harness.worker_infos, harness.now_ms)
--- a/tests/cover/test_owner_cut_off.py
+++ b/tests/cover/test_owner_cut_off.py
@@ -321,7 +321,7 @@
         harness.cell.note_start_unanswered(start.run, harness.now_ms)
         self._lose(harness, name, False)
         harness.cell.plan(harness.now_ms, harness.now_ms)
-        harness.cell.note_stop_accepted(start.run, harness.now_ms)
+        harness.accept_stop(start.run)
         harness.now_ms += 10
         harness.answer_lease(name)
         assert start.run.state == "finished"
