Learn the boot of a worker that the directory didn't list from its first list

Cause: a worker that a new owner knows only by the stored record has no boot time until the directory lists it. If it listed its runs before that and then rebooted, the directory's entry of the later boot was taken for the same boot: the later boot's ends up to the last number of the earlier one were skipped, and acknowledged. The same happened if the earlier boot's list arrived after the entry.

Ruled out: workers whose boot is known. Each boot has its own Worker object, and an answer to another is dropped.

Change: the first list tells the boot of such a worker, so that the next boot replaces it. A list by an earlier boot than the directory has shown is dropped.

Evidence: a test with both orders of events in test_cell.py failed before and passes now.

--- a/src/greengagewood/internal/cells/cell.py
+++ b/src/greengagewood/internal/cells/cell.py
@@ -483,17 +483,17 @@
         """Process a worker's list of its runs and ends; return orders to send at once."""
         if self.workers.get(worker.name) is not worker:
             return []
-        if (
-            reply.boot_time_ms
-            and worker.info.boot_time_ms
-            and reply.boot_time_ms > worker.info.boot_time_ms
-        ):
-            self._replace_rebooted(
-                worker, replace(worker.info, boot_time_ms=reply.boot_time_ms), now_ms
-            )
-            # The new boot may have another capacity and other labels, which its entry will show.
-            self.workers[worker.name].in_directory = False
-            return []
+        if reply.boot_time_ms and reply.boot_time_ms != worker.info.boot_time_ms:
+            listed_boot = replace(worker.info, boot_time_ms=reply.boot_time_ms)
+            if reply.boot_time_ms < worker.info.boot_time_ms:
+                return []  # that boot is gone
+            if worker.info.boot_time_ms:
+                self._replace_rebooted(worker, listed_boot, now_ms)
+                # The new boot may have another capacity and labels, which its entry will show.
+                self.workers[worker.name].in_directory = False
+                return []
+            # Without it, the ends of a later boot would be taken for those that this one lists.
+            worker.info = listed_boot
         worker.note_clock(reply.clock_ms, now_ms)
         if worker.unresponsive:
             worker.unresponsive = False
--- a/tests/cover/test_cell.py
+++ b/tests/cover/test_cell.py
@@ -4,13 +4,15 @@
 
 from dataclasses import replace
 
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
 from greengagewood.internal.cells.fleet import Worker, longest_ms
 from greengagewood.internal.cells.orders import StartRun, StopRun
 from greengagewood.internal.jobs.model import StepSpec
-from greengagewood.internal.ports import LeaseReply, RunningTask
+from greengagewood.internal.jobs.records import RegisteredWorker, RegisteredWorkers, TaskId
+from greengagewood.internal.ports import LeaseReply, RunEnd, RunningTask
 from tests.common.desk import CellHarness, make_submission, make_worker_info, start_orders
 
 
@@ -114,6 +116,32 @@
         harness.answer_lease(name)
         assert len(start_orders(harness.plan())) == 1
 
+    @pytest.mark.parametrize("listed_first", [False, True])
+    def test_ends_of_a_boot_that_was_never_in_the_directory_hide_none_of_the_next(
+        self, listed_first: bool
+    ) -> None:
+        """Guards against a second run of a task whose end has a number that was seen before."""
+        harness = CellHarness()
+        cell = harness.cell
+        entry = RegisteredWorker("w0", "10.0.0.1:80", "svc")
+        cell.set_registered_workers(RegisteredWorkers((entry,)), harness.now_ms, harness.now_ms)
+        worker = cell.workers["w0"]
+        ends = (RunEnd(3, TaskId("f" * 16, 0, 0, 0), 1, "done", ""),)
+        reply = LeaseReply(harness.now_ms - 90_000, 1, (), ends)
+        harness.worker_infos["w0"] = make_worker_info("w0", boot_time_ms=2)
+        if listed_first:
+            cell.set_workers(harness.worker_infos, harness.now_ms)
+        cell.handle_lease_reply(worker, reply, harness.now_ms - 1, harness.now_ms)
+        harness.read_orders()
+        cell.set_workers(harness.worker_infos, harness.now_ms)
+        harness.store_changes()
+        harness.answer_lease("w0")
+        harness.submit(StepSpec(1, cpu_millis=1_000))
+        (start,) = harness.start()
+        end = RunEnd(1, start.run.task.id, start.run.number, "done", "")
+        harness.answer_lease("w0", ends=(end,))
+        assert cell.book.jobs["0" * 16].state == "completed"
+
     def test_a_run_that_the_old_boot_had_listed_is_lost(self) -> None:
         harness = CellHarness("w0", "w1")
         harness.submit(StepSpec(1, cpu_millis=1_000))
