--- a/tests/cover/test_cancelled_jobs.py
+++ b/tests/cover/test_cancelled_jobs.py
@@ -10,7 +10,7 @@
 from greengagewood.internal.cells.cell import Cell
 from greengagewood.internal.cells.ledger import Ledger
 from greengagewood.internal.cells.orders import StartRun, StopRun
-from greengagewood.internal.jobs.model import StepSpec
+from greengagewood.internal.jobs.model import JobSpec, StepSpec
 from greengagewood.internal.jobs.records import (
     Cancellation,
     Progress,
@@ -91,6 +91,25 @@
         assert events == [("unknown_job_cancelled", {"job": JOB})]
 
 
+class TestRunsOfEndedJobs:
+    """Runs that a new owner finds of jobs whose tasks it doesn't keep, as they have ended."""
+
+    @pytest.mark.parametrize("occurrence", [0, 7])
+    def test_a_best_effort_run_of_an_ended_job_does_not_make_its_worker_s_lists_fail(
+        self, occurrence: int
+    ) -> None:
+        """Guards against runs that are neither limited nor stopped, as each list fails."""
+        harness = CellHarness("w0")
+        spec = StepSpec(1, cpu_millis=1_000, best_effort=True, image="fill")
+        submission = msgspec.structs.replace(make_submission(JOB), spec=JobSpec("p", (spec,)))
+        cancelled = Progress(JOB, "cancelled", ended_ms=1)
+        harness.cell.add_job(submission, cancelled, False, harness.now_ms)
+        known, unknown = TaskId(JOB, occurrence, 0, 0), TaskId("f" * 16, 0, 0, 0)
+        runs = [RunningTask(task_id, 7, "", 10, 1_000) for task_id in (known, unknown)]
+        stops = harness.answer_lease("w0", *runs) + harness.plan()
+        assert {order.task_id for order in stops if isinstance(order, StopRun)} == {known, unknown}
+
+
 class TestRefusedStarts:
     """Answers to starts that arrive after their worker has rebooted."""
 
