--- a/src/greengagewood/internal/cells/cell.py
+++ b/src/greengagewood/internal/cells/cell.py
@@ -484,17 +484,17 @@
         """Process a worker's list of its runs and ends; return orders to send at once."""
         if self.workers.get(worker.name) is not worker:
             return []
-        if (
-            reply.boot_time_ms
-            and worker.info.boot_time_ms
-            and reply.boot_time_ms > worker.info.boot_time_ms
-        ):
-            self._replace_rebooted(
-                worker, replace(worker.info, boot_time_ms=reply.boot_time_ms), now_ms
-            )
-            # The new boot may have another capacity and other labels, which its entry will show.
-            self.workers[worker.name].in_directory = False
-            return []
+        if reply.boot_time_ms and reply.boot_time_ms != worker.info.boot_time_ms:
+            listed_boot = replace(worker.info, boot_time_ms=reply.boot_time_ms)
+            if reply.boot_time_ms < worker.info.boot_time_ms:
+                return []  # that boot is gone
+            if worker.info.boot_time_ms:
+                self._replace_rebooted(worker, listed_boot, now_ms)
+                # The new boot may have another capacity and labels, which its entry will show.
+                self.workers[worker.name].in_directory = False
+                return []
+            # Without it, the ends of a later boot would be taken for those that this one lists.
+            worker.info = listed_boot
         worker.note_clock(reply.clock_ms, now_ms)
         if worker.unresponsive:
             worker.unresponsive = False
@@ -776,9 +776,14 @@
             if worker is not None:
                 self._crashes.note_failed_call(worker, now_ms)
 
-    def note_stop_accepted(self, run: Run | None, now_ms: int) -> None:
-        """Record that the worker has accepted a stop, so the run can no longer start there."""
-        if run is not None and run.state != "finished" and run.stop_answered_ms is None:
+    def note_stop_accepted(self, worker: Worker, run: Run | None, now_ms: int) -> None:
+        """Record that the worker has accepted a stop, so the run can no longer start there.
+
+        A stop that was sent to an earlier boot says nothing of the boot that holds the run now.
+        """
+        if run is None or worker.runs.get((run.task, run.number)) is not run:
+            return
+        if run.stop_answered_ms is None:
             run.stop_answered_ms = now_ms
 
     # Orders.
--- a/tests/cover/test_cancel_roads.py
+++ b/tests/cover/test_cancel_roads.py
@@ -154,7 +154,7 @@
         (start,) = start_orders(harness.plan(500))
         harness.cell.note_start_unanswered(start.run, harness.now_ms)
         (stop,) = _cancel(harness)
-        harness.cell.note_stop_accepted(stop.run, harness.now_ms)
+        harness.cell.note_stop_accepted(stop.worker, stop.run, harness.now_ms)
         harness.now_ms += 10
         harness.answer_lease("w0")
         assert start.run.state == "finished"
@@ -303,7 +303,7 @@
         sent = 0
         for _ in range(10):
             if accepted:
-                harness.cell.note_stop_accepted(stop.run, harness.now_ms)
+                harness.cell.note_stop_accepted(stop.worker, stop.run, harness.now_ms)
             harness.answer_lease("w0", RunningTask(start.run.task.id, 1, "", 10, 0))
             sent += len(_stops(harness.plan(400)))
         assert sent >= 9
--- a/tests/cover/test_cancelled_jobs.py
+++ b/tests/cover/test_cancelled_jobs.py
@@ -123,6 +123,21 @@
         stops = [order.task_id for order in harness.plan() if isinstance(order, StopRun)]
         assert stops == [listed.task_id]
 
+    @pytest.mark.parametrize("occurrence", [0, 7])
+    def test_a_best_effort_run_of_an_ended_job_does_not_make_its_worker_s_lists_fail(
+        self, occurrence: int
+    ) -> None:
+        """Guards against runs that are neither limited nor stopped, as each list fails."""
+        harness = CellHarness("w0")
+        spec = StepSpec(1, cpu_millis=1_000, best_effort=True, image="fill")
+        submission = replace_spec(make_submission(JOB), spec=JobSpec("p", (spec,)))
+        cancelled = Progress(JOB, "cancelled", ended_ms=1)
+        harness.cell.add_job(submission, cancelled, False, harness.now_ms)
+        known, unknown = TaskId(JOB, occurrence, 0, 0), TaskId("f" * 16, 0, 0, 0)
+        runs = [RunningTask(task_id, 7, "", 10, 1_000) for task_id in (known, unknown)]
+        stops = harness.answer_lease("w0", *runs) + harness.plan()
+        assert {order.task_id for order in stops if isinstance(order, StopRun)} == {known, unknown}
+
 
 class TestRefusedStarts:
     """Answers to starts that arrive after their worker has rebooted."""
@@ -177,6 +192,32 @@
         assert harness.cell.workers["w0"].allocated.cpu_millis == 0
 
 
+class TestStopsBeforeAReboot:
+    """Answers to stops that arrive after their worker has rebooted."""
+
+    def test_a_stop_accepted_by_an_earlier_boot_does_not_rule_out_the_start(self) -> None:
+        """Guards against a second run beside a start that the later boot carries out late."""
+        harness = CellHarness("w0", "w1")
+        harness.submit(StepSpec(1, cpu_millis=1_000, estimate_ms=60_000))
+        (start,) = start_orders(harness.plan())
+        name = start.worker.name
+        harness.cell.note_start_unanswered(start.run, harness.now_ms)
+        (stop,) = [order for order in harness.plan() if isinstance(order, StopRun)]
+        harness.worker_infos[name] = make_worker_info(name, boot_time_ms=2)
+        harness.cell.set_workers(harness.worker_infos, harness.now_ms)
+        harness.store_changes()
+        harness.cell.note_stop_accepted(stop.worker, start.run, harness.now_ms)
+        harness.now_ms += 10
+        harness.answer_leases()
+        orders = harness.plan()
+        assert start_orders(orders) == []
+        assert [order.run for order in orders if isinstance(order, StopRun)] == [start.run]
+        harness.cell.note_stop_accepted(orders[0].worker, start.run, harness.now_ms)
+        harness.now_ms += 10
+        harness.answer_leases()
+        assert [order.run.number for order in start_orders(harness.plan())] == [2]
+
+
 class TestTruncatedLog:
     """An owner whose log is truncated reads the newest record of each key, in the order of keys."""
 
--- a/tests/cover/test_stale_answers.py
+++ b/tests/cover/test_stale_answers.py
@@ -14,6 +14,7 @@
 from greengagewood.internal.cells.ownership import OwnershipView
 from greengagewood.internal.cells.planner import Planner
 from greengagewood.internal.cells.runner import CellRunner, Ports
+from greengagewood.internal.clock import monotonic_ms
 from greengagewood.internal.jobs.model import JobSpec, StepSpec
 from greengagewood.internal.jobs.records import (
     Cancellation,
@@ -68,6 +69,8 @@
     store: JobStore | None = None,
 ) -> CellRunner:
     ports = Ports(store, None, link, None)  # type: ignore[arg-type]
+    ownership = OwnershipView("n0", 5_000, 0)
+    ownership.note_read(monotonic_ms(), monotonic_ms())
     return CellRunner(
         ports,
         ledger or Ledger(),
@@ -75,7 +78,7 @@
         token=1,
         status_retention_ms=0,
         metrics=Metrics(),
-        ownership=OwnershipView("n0", 5_000, 0),
+        ownership=ownership,
         may_send_orders=lambda: True,
     )
 
