Take a list of another boot for what the worker is now, also if its boot time is lower

Cause: the time of day of a worker's machine may be set back, so that a later boot has a lower boot time. Since the lists of such a boot were dropped: the owner went on to extend its lease, knew none of its runs, and stopped none. Before it, the list was taken for one of the earlier boot, whose ends have other numbers. An entry by another writer with too high a boot time did the same.

Ruled out: that the list is older than the entry.

Change: any other list of another boot replaces the boot.

--- a/src/greengagewood/internal/cells/cell.py
+++ b/src/greengagewood/internal/cells/cell.py
@@ -284,6 +284,8 @@
     def _update_worker(self, worker: Worker, info: WorkerInfo, now_ms: int) -> None:
         if info.draining and not worker.info.draining:
             self.on_event("worker_draining", {"worker": info.worker_id})
+        if info.boot_time_ms != worker.info.boot_time_ms:
+            worker.boot_known_ms = now_ms
         worker.update_info(info, now_ms)
 
     def set_registered_workers(
@@ -486,9 +488,10 @@
             return []
         if reply.boot_time_ms and reply.boot_time_ms != worker.info.boot_time_ms:
             listed_boot = replace(worker.info, boot_time_ms=reply.boot_time_ms)
-            if reply.boot_time_ms < worker.info.boot_time_ms:
-                return []  # that boot is gone
-            if worker.info.boot_time_ms:
+            is_earlier = reply.boot_time_ms < worker.info.boot_time_ms
+            if is_earlier and sent_ms < worker.boot_known_ms:
+                return []  # that boot was gone when the directory was read
+            if worker.info.boot_time_ms:  # a later boot; earlier if its time of day was set back
                 self._replace_rebooted(worker, listed_boot, now_ms)
                 # The new boot may have another capacity and labels, which its entry will show.
                 self.workers[worker.name].in_directory = False
--- a/src/greengagewood/internal/cells/fleet.py
+++ b/src/greengagewood/internal/cells/fleet.py
@@ -108,6 +108,7 @@
 
     info: WorkerInfo
     added_ms: int
+    boot_known_ms: int = 0  # when its boot time was read, 0 if it was when it was added
     adopted: bool = False  # whether it has accepted this owner's token and listed its runs
     adopted_ms: int = 0  # when it was adopted
     registered: bool = False  # whether the stored RegisteredWorkers record names it
--- a/tests/cover/test_cancel_roads.py
+++ b/tests/cover/test_cancel_roads.py
@@ -388,7 +388,8 @@
         harness.now_ms += 500
         harness.cell.set_workers(harness.worker_infos, harness.now_ms)
         listed = RunningTask(start.run.task.id, start.run.number, "", 10, 0)
-        harness.answer_lease("w0", listed)
+        for _ in range(2):  # the first list of another boot only shows that there is one
+            harness.answer_lease("w0", listed)
         assert [stop.run_number for stop in _stops(harness.plan())] == [start.run.number]
 
 
--- a/tests/cover/test_cell.py
+++ b/tests/cover/test_cell.py
@@ -116,6 +116,21 @@
         harness.answer_lease(name)
         assert len(start_orders(harness.plan())) == 1
 
+    def test_a_boot_with_an_earlier_time_replaces_the_one_before(self) -> None:
+        """Guards against ends that are skipped, as an earlier boot has used their numbers."""
+        harness = CellHarness("w0")
+        harness.worker_infos["w0"] = make_worker_info("w0", boot_time_ms=5)
+        harness.cell.set_workers(harness.worker_infos, harness.now_ms)
+        harness.now_ms += 10
+        harness.answer_lease("w0")
+        harness.worker_infos["w0"] = make_worker_info("w0", boot_time_ms=3)
+        harness.now_ms += 10
+        harness.answer_lease("w0")
+        assert harness.cell.workers["w0"].info.boot_time_ms == 3
+        assert harness.cell.workers["w0"].last_end_sequence == 0
+        harness.cell.set_workers(harness.worker_infos, harness.now_ms)
+        assert harness.cell.workers["w0"].in_directory
+
     @pytest.mark.parametrize("listed_first", [False, True])
     def test_ends_of_a_boot_that_was_never_in_the_directory_hide_none_of_the_next(
         self, listed_first: bool
