Treat a JSON body that is nested too deeply as unreadable, wherever one is decoded

RecursionError left the decoder of answers, which the clients of workers, store and advice did not expect: a lease extension, an append or a refusal with such a body failed its loop. The decoders of entries, manifests and jobs caught it each for itself. Now the shared decoder raises ValueError, and all of them use it. The cell's records are MessagePack and were safe.

--- a/src/greengagewood/platform/directory.py
+++ b/src/greengagewood/platform/directory.py
@@ -17,6 +17,7 @@
     WorkerInfo,
 )
 from greengagewood.platform.store import KeyedLog
+from greengagewood.platform.wire import decode
 
 __all__ = ["StoreDirectory", "parse_worker"]
 
@@ -48,8 +49,8 @@
 def parse_worker(worker_id: str, value: bytes) -> WorkerInfo | None:
     """Return the worker that an entry describes, or None if it is invalid or not a worker's."""
     try:
-        entry = msgspec.json.decode(value, type=_WorkerEntry)
-    except (ValueError, RecursionError):
+        entry = decode(value, _WorkerEntry)
+    except ValueError:
         return None
     host, _, port = entry.address.rpartition(":")
     if entry.state not in KNOWN_STATES or not host or not port.isdigit() or not worker_id:
--- a/src/greengagewood/platform/jobs.py
+++ b/src/greengagewood/platform/jobs.py
@@ -5,11 +5,10 @@
 import msgspec
 
 from greengagewood.internal.jobs.model import InvalidJob, JobSpec, StepSpec, check_job
+from greengagewood.platform.wire import decode
 
 __all__ = ["parse_job"]
 
-TOO_DEEP_ERROR = "the body is nested too deeply"
-
 
 class _Step(msgspec.Struct):
     count: int  # number of tasks
@@ -44,11 +43,9 @@
 def parse_job(body: bytes) -> JobSpec:
     """Parse the body of a submission; raise InvalidJob."""
     try:
-        job = msgspec.json.decode(body, type=_Job)
-    except msgspec.DecodeError as exc:
+        job = decode(body, _Job)
+    except ValueError as exc:
         raise InvalidJob(str(exc)) from exc
-    except RecursionError as exc:
-        raise InvalidJob(TOO_DEEP_ERROR) from exc
     spec = JobSpec(
         job.spec,
         tuple(_step_spec(step) for step in job.steps),
--- a/src/greengagewood/platform/manifest.py
+++ b/src/greengagewood/platform/manifest.py
@@ -20,6 +20,7 @@
     StoreUnavailable,
 )
 from greengagewood.platform.store import KeyedLog
+from greengagewood.platform.wire import decode
 
 __all__ = ["ManifestParser", "ManifestSource"]
 
@@ -82,9 +83,9 @@
     def parse(self, value: bytes) -> Configuration | None:
         """Return the configuration that a manifest describes, or None if it is not valid."""
         try:
-            manifest = msgspec.json.decode(value, type=_Manifest)
+            manifest = decode(value, _Manifest)
             rules = self._convert_routes(manifest)
-        except (ValueError, RecursionError):
+        except ValueError:
             return None
         return Configuration(
             manifest.version,
@@ -102,7 +103,7 @@
         for raw_route in manifest.routes:
             encoded = bytes(raw_route)
             rules[encoded] = known_rules.get(encoded) or _route_rule(
-                msgspec.json.decode(encoded, type=_Route), admission_checks
+                decode(encoded, _Route), admission_checks
             )
         self._admission_checks, self._rules = admission_checks, rules
         return rules
--- a/src/greengagewood/platform/wire.py
+++ b/src/greengagewood/platform/wire.py
@@ -53,7 +53,10 @@
 
 def decode(body: bytes, model: type[T]) -> T:
     """Decode a JSON body; raise ValueError."""
-    return msgspec.json.decode(body, type=model)
+    try:
+        return msgspec.json.decode(body, type=model)
+    except RecursionError as exc:
+        raise ValueError("the body is nested too deeply") from exc
 
 
 def encode(value: Any) -> bytes:
