Count every failure of a call to a worker as a failed call

An address such as a..b:80 made the HTTP client raise UnicodeError, and an ID with a line break ValueError. Both left extend_lease, so the loop of that worker failed ten times a second without a note that the worker is silent. A registered worker of an earlier owner may still have such an address, whatever the directory refuses. An answer to an order that cannot be read was taken for its status alone; now an order with an unreadable 200 or 409 counts as unanswered. Other statuses say all by themselves, and may come from something before the worker.

--- a/src/greengagewood/platform/workers.py
+++ b/src/greengagewood/platform/workers.py
@@ -22,9 +22,9 @@
 
 ORDER_TIMEOUT_S = 1.0
 LEASE_TIMEOUT_MARGIN_S = 1.0  # added to the time that a worker may wait for the end of a run
+MAX_ERROR_LENGTH = 300
 REASON_BY_STATUS = {400: "invalid", 429: "unhealthy", 503: "unhealthy"}
 _CONNECT_ERRORS = (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)
-_CALL_ERRORS = (aiohttp.ClientError, TimeoutError, OSError)
 
 
 class _OrderAnswer(msgspec.Struct):
@@ -123,7 +123,7 @@
             worker, "hold", order, wait_ms / 1000 + LEASE_TIMEOUT_MARGIN_S
         )
         if status != 200:
-            return _order_reply(status, body)
+            return _order_reply("hold", status, body)
         try:
             return _lease_reply(decode(body, _LeaseAnswer))
         except (ValueError, OverflowError) as exc:
@@ -131,7 +131,7 @@
 
     async def _order(self, worker: WorkerInfo, call: str, order: dict[str, object]) -> OrderReply:
         status, body = await self._post(worker, call, order, ORDER_TIMEOUT_S)
-        return _order_reply(status, body)
+        return _order_reply(call, status, body)
 
     async def _post(
         self, worker: WorkerInfo, call: str, order: dict[str, object], timeout_s: float
@@ -144,18 +144,22 @@
             ) as resp:
                 body = await resp.read()
         except _CONNECT_ERRORS as exc:
-            raise WorkerUnreachable(f"{call}: {exc!r}") from exc
-        except _CALL_ERRORS as exc:
-            raise WorkerCallFailed(f"{call}: {exc!r}") from exc
+            raise WorkerUnreachable(f"{call}: {exc!r}"[:MAX_ERROR_LENGTH]) from exc
+        except Exception as exc:
+            # An odd address, ID or answer makes the HTTP client raise errors of many types, and any
+            # that leaves here would fail the loop of the worker instead of counting as silence.
+            raise WorkerCallFailed(f"{call}: {exc!r}"[:MAX_ERROR_LENGTH]) from exc
         if resp.status == 421:
             raise WrongBoot(worker.worker_id)
         return resp.status, body
 
 
-def _order_reply(status: int, body: bytes) -> OrderReply:
+def _order_reply(call: str, status: int, body: bytes) -> OrderReply:
     try:
         answer = decode(body, _OrderAnswer) if body else _OrderAnswer()
-    except ValueError:
+    except ValueError as exc:
+        if status in (200, 409):  # any other status may come from something before the worker
+            raise WorkerCallFailed(f"{call}: unreadable answer: {exc}") from exc
         answer = _OrderAnswer()
     if status == 200:
         return OrderReply("", answer.clock_ms)
