Bound the whole numbers in answers of workers and the advice service

A boot time or run number beyond 64 bits was accepted and cannot be stored in a record of the cell, so a commit that names it would fail. Such an answer is now unreadable. The test fails before: a list of runs with a boot time of 2^64 was taken.

--- a/src/greengagewood/platform/advice.py
+++ b/src/greengagewood/platform/advice.py
@@ -9,7 +9,7 @@
 
 from greengagewood.internal.clock import monotonic_ms
 from greengagewood.internal.ports import AdviceUnavailable, Permit
-from greengagewood.platform.wire import CALL_PATH, call_timeout, decode, encode
+from greengagewood.platform.wire import CALL_PATH, Integer, call_timeout, decode, encode
 
 __all__ = ["HttpAdvice"]
 
@@ -18,7 +18,7 @@
 
 class _AdviceAnswer(msgspec.Struct):
     allowed: list[tuple[str, str]]
-    validity_ms: int = msgspec.field(name="validity-ms")
+    validity_ms: Integer = msgspec.field(name="validity-ms")
 
 
 class HttpAdvice:
--- a/src/greengagewood/platform/wire.py
+++ b/src/greengagewood/platform/wire.py
@@ -2,14 +2,17 @@
 
 from __future__ import annotations
 
-from typing import Any, TypeVar
+from typing import Annotated, Any, TypeVar
 
 import aiohttp
 import msgspec
+from msgspec import Meta
 
 __all__ = [
     "CALL_PATH",
     "SKIPPED_HEADERS",
+    "Integer",
+    "Natural",
     "call_timeout",
     "decode",
     "new_session",
@@ -18,6 +21,12 @@
 
 T = TypeVar("T")
 
+# JSON numbers may have any number of digits. Sums and products of these are exact, or are floats,
+# and each can be stored in a record, which takes 64 bits.
+MAX_INTEGER = 2**53 - 1
+Integer = Annotated[int, Meta(ge=-MAX_INTEGER, le=MAX_INTEGER)]
+Natural = Annotated[int, Meta(ge=0, le=MAX_INTEGER)]
+
 CALL_PATH = "/greengagewood/"
 # A running machine accepts a connection within 20 ms; an unreachable machine never does.
 CONNECT_TIMEOUT_S = 0.6
--- a/src/greengagewood/platform/workers.py
+++ b/src/greengagewood/platform/workers.py
@@ -16,7 +16,7 @@
     WorkerUnreachable,
     WrongBoot,
 )
-from greengagewood.platform.wire import CALL_PATH, call_timeout, decode, encode
+from greengagewood.platform.wire import CALL_PATH, Integer, call_timeout, decode, encode
 
 __all__ = ["HttpWorkers", "format_task_name", "parse_task_name"]
 
@@ -28,18 +28,18 @@
 
 
 class _OrderAnswer(msgspec.Struct):
-    clock_ms: int | None = msgspec.field(name="clock-ms", default=None)
+    clock_ms: Integer | None = msgspec.field(name="clock-ms", default=None)
     refusal_reason: str = msgspec.field(name="reason", default="")
 
 
 class _LeaseAnswer(msgspec.Struct):
-    clock_ms: int = msgspec.field(name="clock-ms")
+    clock_ms: Integer = msgspec.field(name="clock-ms")
     # Task name, run number, checkpoint, progress in percent, and the tail latency in milliseconds
     # or the CPU use in thousandths of a CPU.
-    running: list[tuple[str, int, str, float, float]]
+    running: list[tuple[str, Integer, str, float, float]]
     # Sequence number, task name, run number, result, checkpoint.
-    finished: list[tuple[int, str, int, str, str]]
-    born: int = 0  # boot time of the worker in milliseconds, 0 if unknown
+    finished: list[tuple[Integer, str, Integer, str, str]]
+    born: Integer = 0  # boot time of the worker in milliseconds, 0 if unknown
 
 
 def format_task_name(task: TaskId) -> str:
--- a/tests/cover/test_odd_entries.py
+++ b/tests/cover/test_odd_entries.py
@@ -473,6 +473,7 @@
             }
         )
     )
+    @example(b'{"clock-ms":5,"born":18446744073709551616,"running":[],"finished":[]}')
     def test_a_drawn_list_of_runs_is_read_or_a_failed_call(self, body: bytes) -> None:
         async def scenario() -> None:
             async with _answering(200, body) as address, new_session(1) as session:
@@ -481,6 +482,12 @@
                 except WorkerCallFailed:
                     return
                 assert isinstance(reply, LeaseReply)
+                numbers = [reply.clock_ms, reply.boot_time_ms]
+                numbers += [run.run_number for run in reply.running]
+                numbers += [
+                    number for end in reply.ended for number in (end.sequence, end.run_number)
+                ]
+                assert max(map(abs, numbers)) < 2**53
 
         asyncio.run(scenario())
 
