Refuse a worker's entry that is out of the page's bounds, whole, and report it

An entry of another writer with a port out of range, a host that is no IPv4 address, or numbers of 2^63 and more was taken for a worker. It was called for as long as it stood and registered as one that may hold runs. Under the key of a live worker it replaced it: a late boot time made all of its runs count as lost. Four entries with long names made the record of registered workers larger than the store accepts, so that no worker could be registered.

Such an entry now names no worker, as if it were missing: a worker that had a good one before gets no new tasks and keeps its runs. An unknown service is still listed: no queue sends anything there, and manifest and entries arrive in any order. worker_unreadable says the key, the field, the value and the error once a key.

--- a/src/greengagewood/platform/directory.py
+++ b/src/greengagewood/platform/directory.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import ipaddress
+import re
 from collections import Counter
-from typing import Annotated
+from typing import Annotated, Any
 
 import msgspec
 from msgspec import Meta
@@ -22,8 +24,17 @@
 __all__ = ["StoreDirectory", "parse_worker"]
 
 KNOWN_STATES = frozenset({"ready", "draining"})
-
-_Amount = Annotated[int, Meta(ge=0)]
+MAX_PORT = 65_535
+MAX_LABELS = 32  # a worker has two
+LAST_BOOT_MS = 4_102_444_800_000  # the year 2100; a later boot time would hide all true ones
+MAX_REPORTED_LENGTH = 100
+
+_BROADCAST = ipaddress.IPv4Address("255.255.255.255")
+_Name = Annotated[str, Meta(max_length=255)]  # kept small, as they are stored for each worker
+_Amount = Annotated[int, Meta(ge=0, le=10**9)]
+_Remaining = Annotated[int, Meta(ge=0, le=86_400_000)]  # milliseconds; a day
+_PATH = re.compile(r"`\$(.*)`$")  # at the end of an error
+_PATH_STEP = re.compile(r"\.([^.\[\]]+)|\[(\d+)\]")
 
 _log = Log("directory")
 
@@ -35,26 +46,48 @@
 
 
 class _WorkerEntry(msgspec.Struct):
-    service: str
+    service: _Name
     address: str
-    failure_domain: str = msgspec.field(name="zone")
+    failure_domain: _Name = msgspec.field(name="zone")
     state: str
     capacity: _Capacity
-    labels: list[str]  # the worker's kind, then its rack
-    leaving_in_ms: int | None = msgspec.field(name="remaining-ms", default=None)
-    cold_ms: int = msgspec.field(name="cold-remaining-ms", default=0)  # time until it is warmed up
-    born: int = 0  # boot time in milliseconds, 0 if unknown
+    # The worker's kind, then its rack.
+    labels: Annotated[list[_Name], Meta(max_length=MAX_LABELS)]
+    leaving_in_ms: _Remaining | None = msgspec.field(name="remaining-ms", default=None)
+    # Time until it is warmed up.
+    cold_ms: _Remaining = msgspec.field(name="cold-remaining-ms", default=0)
+    # Boot time in milliseconds, 0 if unknown.
+    born: Annotated[int, Meta(ge=0, le=LAST_BOOT_MS)] = 0
+
+
+class _InvalidEntry(ValueError):
+    """Raised for an entry that names no worker; `field` is empty if it is the entry as a whole."""
+
+    def __init__(self, error: str, field: str, value: object) -> None:
+        super().__init__(error)
+        self.field = field
+        self.value = ascii(value)[:MAX_REPORTED_LENGTH]
 
 
 def parse_worker(worker_id: str, value: bytes) -> WorkerInfo | None:
-    """Return the worker that an entry describes, or None if it is invalid or not a worker's."""
+    """Return the worker that an entry describes, or None if it names no worker to use."""
     try:
-        entry = decode(value, _WorkerEntry)
-    except ValueError:
-        return None
-    host, _, port = entry.address.rpartition(":")
-    if entry.state not in KNOWN_STATES or not host or not port.isdigit() or not worker_id:
+        return _read_entry(worker_id, value)
+    except _InvalidEntry:
         return None
+
+
+def _read_entry(worker_id: str, value: bytes) -> WorkerInfo:
+    if not (worker_id and worker_id.isascii() and worker_id.isprintable()):
+        raise _InvalidEntry("no ID that a header can carry", "key", worker_id)
+    try:
+        entry = decode(value, _WorkerEntry)
+    except ValueError as exc:
+        raise _invalid_entry(value, str(exc)) from exc
+    if entry.state not in KNOWN_STATES:
+        raise _InvalidEntry("unknown state", "state", entry.state)
+    if not _is_address(entry.address):
+        raise _InvalidEntry("no IPv4 address and port", "address", entry.address)
     return WorkerInfo(
         worker_id,
         entry.address,
@@ -72,6 +105,36 @@
     )
 
 
+def _is_address(address: str) -> bool:
+    """Return whether this is the IPv4 address and the port of one machine."""
+    host, _, port = address.partition(":")
+    if not (port.isascii() and port.isdigit() and len(port) <= len(str(MAX_PORT))):
+        return False
+    try:
+        ip = ipaddress.IPv4Address(host)
+    except ValueError:
+        return False
+    return 0 < int(port) <= MAX_PORT and not (
+        ip.is_unspecified or ip.is_multicast or ip == _BROADCAST
+    )
+
+
+def _invalid_entry(value: bytes, error: str) -> _InvalidEntry:
+    """Return what to report of an entry that was not decoded, from the path in the error."""
+    at = _PATH.search(error)
+    path = at[1] if at else ""
+    found: Any = None
+    try:
+        found = decode(value, object) if path else None
+        for name, index in _PATH_STEP.findall(path):
+            found = found[name] if name else found[int(index)]
+    except (ValueError, LookupError, TypeError):
+        found = None
+    if found is None:
+        found = value[:MAX_REPORTED_LENGTH]
+    return _InvalidEntry(error[:MAX_REPORTED_LENGTH], path.lstrip("."), found)
+
+
 class StoreDirectory:
     """Keep a list of the workers up to date by reading new entries of their topic."""
 
@@ -110,12 +173,26 @@
         self._next_offset = page.next_offset
 
     def _apply(self, entry: LogEntry) -> None:
-        info = parse_worker(entry.key, entry.value) if entry.value else None
-        if info is not None:
-            self._workers[entry.key] = info
-            return
-        self._workers.pop(entry.key, None)
+        invalid: _InvalidEntry | None = None
         if entry.value:
-            self.unreadable_entries[entry.key] += 1
-            if self.unreadable_entries[entry.key] == 1:  # a worker writes its entry repeatedly
-                _log.warning("worker_unreadable", key=entry.key, bytes=len(entry.value))
+            try:
+                self._workers[entry.key] = _read_entry(entry.key, entry.value)
+                return
+            except _InvalidEntry as exc:
+                invalid = exc
+        self._workers.pop(entry.key, None)
+        if invalid is not None:
+            self._note_invalid(entry, invalid)
+
+    def _note_invalid(self, entry: LogEntry, invalid: _InvalidEntry) -> None:
+        self.unreadable_entries[entry.key] += 1
+        if self.unreadable_entries[entry.key] > 1:  # an entry may be written again and again
+            return
+        _log.warning(
+            "worker_unreadable",
+            key=entry.key,
+            field=invalid.field,
+            value=invalid.value,
+            error=str(invalid),
+            bytes=len(entry.value),
+        )
--- a/src/greengagewood/platform/wire.py
+++ b/src/greengagewood/platform/wire.py
@@ -12,7 +12,6 @@
     "CALL_PATH",
     "SKIPPED_HEADERS",
     "Integer",
-    "Natural",
     "call_timeout",
     "decode",
     "new_session",
@@ -25,7 +24,6 @@
 # and each can be stored in a record, which takes 64 bits.
 MAX_INTEGER = 2**53 - 1
 Integer = Annotated[int, Meta(ge=-MAX_INTEGER, le=MAX_INTEGER)]
-Natural = Annotated[int, Meta(ge=0, le=MAX_INTEGER)]
 
 CALL_PATH = "/greengagewood/"
 # A running machine accepts a connection within 20 ms; an unreachable machine never does.
