Refuse jobs with numbers that cannot be stored, and bound the numbers of a forecast

A size, limit or time beyond 64 bits in a submitted job was accepted and raised OverflowError when the record was encoded, so the caller got 500. Sizes of 64 bits were stored, but their product in a forecast of the owner's backlog could not be: the commit that held it failed with all other changes in it, each time that a forecast was due. Numbers are now up to 2^53 - 1, the caller gets 400 above that, and a forecast says at most 2^63 - 1.

Before: test_a_drawn_job_is_invalid_or_can_be_stored and test_the_forecast_of_jobs_with_the_largest_numbers_can_be_stored fail, after: both pass.

--- a/src/greengagewood/internal/cells/forecast.py
+++ b/src/greengagewood/internal/cells/forecast.py
@@ -58,6 +58,7 @@
 # of the jobs that the loads of tests/cover/test_overload.py refuse would have earned something.
 LATE_MARGIN = 2.0
 LONGEST_FORECAST_MS = 600_000
+MAX_STORED = 2**63 - 1  # a job may claim more work than a record can hold
 
 
 def density_band(density: float) -> int:
@@ -332,16 +333,26 @@
                 service,
                 int(self._loads[service].cpu_millis),
                 tuple(
-                    QueueBacklog(name, cpu_ms, int(self.planner.values.mean_cpu_ms(name)))
+                    QueueBacklog(
+                        name, _storable(cpu_ms), _storable(self.planner.values.mean_cpu_ms(name))
+                    )
                     for name, cpu_ms in sorted(by_queue[service].items())
                 ),
                 tuple(
-                    DensityBand(*key, by_band[service].get(key, 0), int(arriving.get(key, 0)))
+                    DensityBand(
+                        *key,
+                        _storable(by_band[service].get(key, 0)),
+                        _storable(arriving.get(key, 0)),
+                    )
                     for key in sorted({*by_band[service], *arriving})
                 ),
             )
 
 
+def _storable(amount: float) -> int:
+    return int(min(amount, MAX_STORED))
+
+
 def _remaining_cpu_ms(step: Step) -> int:
     """Return the unfinished best-effort work of a step, without what its runs have done."""
     if not _is_observed(step.spec):
--- a/src/greengagewood/internal/jobs/model.py
+++ b/src/greengagewood/internal/jobs/model.py
@@ -10,6 +10,8 @@
 MAX_STEPS = 1_000
 MAX_TASKS = 20_000  # per occurrence of a job, over all its steps
 MAX_OCCURRENCES = 100_000
+# Of sizes, limits and times. JSON numbers may have any number of digits, stored ones 64 bits.
+MAX_NUMBER = 2**53 - 1
 
 
 class InvalidJob(ValueError):
@@ -86,8 +88,8 @@
         raise InvalidJob(f"a job has at most {MAX_TASKS} tasks; split it")
     if not 0 <= job.occurrences <= MAX_OCCURRENCES:
         raise InvalidJob(f"a job runs at most {MAX_OCCURRENCES} times, not {job.occurrences}")
-    if job.first_due_ms < 0 or job.interval_ms < 0:
-        raise InvalidJob("due times and intervals are not negative")
+    if not (0 <= job.first_due_ms <= MAX_NUMBER and 0 <= job.interval_ms <= MAX_NUMBER):
+        raise InvalidJob(f"due times and intervals are from 0 to {MAX_NUMBER}")
 
 
 def _check_step(number: int, step: StepSpec) -> None:
@@ -104,6 +106,8 @@
     )
     if min(amounts) < 0:
         raise InvalidJob(f"step {number} has a negative size or limit")
+    if max(amounts) > MAX_NUMBER:
+        raise InvalidJob(f"step {number} has a size or limit above {MAX_NUMBER}")
     for earlier in step.depends_on:
         if not 0 <= earlier < number:
             raise InvalidJob(f"step {number} depends on step {earlier}, which is not before it")
--- a/tests/cover/test_odd_entries.py
+++ b/tests/cover/test_odd_entries.py
@@ -18,6 +18,7 @@
 from hypothesis import example, given, settings
 from hypothesis import strategies as st
 
+from greengagewood.internal.cells.forecast import _ServiceLoad
 from greengagewood.internal.cells.ledger import Ledger
 from greengagewood.internal.evacuation import Evacuations
 from greengagewood.internal.jobs.model import InvalidJob, JobSpec, Queue, StepSpec
@@ -585,6 +586,20 @@
         for record in changes.records if changes is not None else ():
             encode_record(record)
 
+    def test_the_forecast_of_jobs_with_the_largest_numbers_can_be_stored(self) -> None:
+        largest = 2**53 - 1
+        step = StepSpec(10_000, cpu_millis=largest, estimate_ms=largest, best_effort=True)
+        harness = CellHarness("w0")
+        harness.cell._load.sample(harness.cell.workers.values(), harness.now_ms)
+        for job in ("1" * 16, "2" * 16):
+            harness.submit(step, step, job=job)
+        load = harness.cell._load
+        load._loads["svc"] = _ServiceLoad(cpu_millis=1_000)
+        load._arriving[("svc", 0, 1)] = 1e30
+        services = tuple(load._forecast_services({"svc"}, harness.now_ms))
+        assert services[0].queues and services[0].bands
+        encode_record(Forecast(1, services))
+
     @settings(max_examples=300)
     @given(st.data())
     def test_a_drawn_record_is_decoded_or_passed_over(self, data: st.DataObject) -> None:
