Refuse a manifest with numbers that cannot be stored or computed

A priority beyond 64 bits or a decision time of 1e308 was taken, and each submission to that queue then failed to be encoded. The store takes valid manifests only, so this needs an operator's odd number. The version before stays in force, as with any unreadable manifest.

Before: test_a_drawn_manifest_is_refused_or_its_queues_can_be_stored fails, after: it passes.

--- a/src/greengagewood/platform/manifest.py
+++ b/src/greengagewood/platform/manifest.py
@@ -20,7 +20,7 @@
     StoreUnavailable,
 )
 from greengagewood.platform.store import KeyedLog
-from greengagewood.platform.wire import decode
+from greengagewood.platform.wire import Integer, Number, decode
 
 __all__ = ["ManifestParser", "ManifestSource"]
 
@@ -39,7 +39,7 @@
 
 
 class _AdviceSettings(msgspec.Struct):
-    decision_ms: float = msgspec.field(name="decision-ms", default=0)
+    decision_ms: Number = msgspec.field(name="decision-ms", default=0)
 
 
 class _Route(msgspec.Struct):
@@ -47,11 +47,11 @@
     host: str
     path_prefix: str = msgspec.field(name="path-prefix")
     service: str
-    timeout_ms: int = msgspec.field(name="timeout-ms", default=0)
-    target_latency_ms: int = msgspec.field(name="target-latency-ms", default=0)
-    priority: int = 0
-    max_attempts: int = msgspec.field(name="max-attempts", default=1)
-    slack_factor: float = msgspec.field(name="slack-factor", default=2.0)
+    timeout_ms: Integer = msgspec.field(name="timeout-ms", default=0)
+    target_latency_ms: Integer = msgspec.field(name="target-latency-ms", default=0)
+    priority: Integer = 0
+    max_attempts: Integer = msgspec.field(name="max-attempts", default=1)
+    slack_factor: Number = msgspec.field(name="slack-factor", default=2.0)
     advice: _AdviceSettings | None = None
 
 
@@ -61,13 +61,13 @@
 
 
 class _Limits(msgspec.Struct):
-    header_bytes: int = msgspec.field(name="max-header-bytes", default=16_384)
-    body_bytes: int = msgspec.field(name="max-body-bytes", default=262_144)
-    idle_ms: int = msgspec.field(name="idle-timeout-ms", default=15_000)
+    header_bytes: Integer = msgspec.field(name="max-header-bytes", default=16_384)
+    body_bytes: Integer = msgspec.field(name="max-body-bytes", default=262_144)
+    idle_ms: Integer = msgspec.field(name="idle-timeout-ms", default=15_000)
 
 
 class _Manifest(msgspec.Struct):
-    version: int
+    version: Integer
     routes: list[msgspec.Raw]  # of _Route
     services: list[_Service]
     limits: _Limits = msgspec.field(default_factory=_Limits)
--- a/src/greengagewood/platform/wire.py
+++ b/src/greengagewood/platform/wire.py
@@ -12,6 +12,7 @@
     "CALL_PATH",
     "SKIPPED_HEADERS",
     "Integer",
+    "Number",
     "call_timeout",
     "decode",
     "new_session",
@@ -24,6 +25,7 @@
 # and each can be stored in a record, which takes 64 bits.
 MAX_INTEGER = 2**53 - 1
 Integer = Annotated[int, Meta(ge=-MAX_INTEGER, le=MAX_INTEGER)]
+Number = Annotated[float, Meta(ge=-MAX_INTEGER, le=MAX_INTEGER)]
 
 CALL_PATH = "/greengagewood/"
 # A running machine accepts a connection within 20 ms; an unreachable machine never does.
--- a/tests/cover/test_odd_entries.py
+++ b/tests/cover/test_odd_entries.py
@@ -8,6 +8,7 @@
 import asyncio
 import base64
 import json
+import math
 from collections.abc import AsyncIterator, Iterable
 from contextlib import asynccontextmanager, suppress
 from typing import Any
@@ -20,6 +21,7 @@
 
 from greengagewood.internal.cells.forecast import _ServiceLoad
 from greengagewood.internal.cells.ledger import Ledger
+from greengagewood.internal.cells.value import objective_of
 from greengagewood.internal.evacuation import Evacuations
 from greengagewood.internal.jobs.model import InvalidJob, JobSpec, Queue, StepSpec
 from greengagewood.internal.jobs.records import (
@@ -635,6 +637,7 @@
         config = ManifestParser().parse(value)
         for queue in config.queues.values() if config is not None else ():
             encode_record(Submission("0" * 16, queue, JobSpec("p", (StepSpec(1),)), 1))
+            assert math.isfinite(objective_of(queue, 2**60))
 
     @settings(max_examples=60)
     @given(
