Pass over an item of the newest records that cannot be read, not the whole page

A key or value that is no UTF-8, a lone surrogate, or an item of another type made the whole list of newest records unreadable: an instance that reads it could not start, and one whose read was truncated stopped following the list. The item is logged and passed over; the page is parsed a second time only then. The HTTP client's ValueError for a call to the store counts as no answer.

--- a/src/greengagewood/platform/store.py
+++ b/src/greengagewood/platform/store.py
@@ -4,6 +4,7 @@
 
 import base64
 import binascii
+import json
 import struct
 from collections.abc import Sequence
 from urllib.parse import urlencode
@@ -11,6 +12,7 @@
 import aiohttp
 import msgspec
 
+from greengagewood.internal.logs import Log
 from greengagewood.internal.ports import (
     AppendResult,
     LogEntry,
@@ -27,6 +29,7 @@
 READ_SILENCE_MARGIN_S = 1.0  # added to the time that a read may wait for records
 MAX_READ_KB = 1024
 OWNER_PRODUCER_ID = "owner"
+MAX_LOGGED_LENGTH = 100
 MAX_KEY_BYTES = 255  # the length of a key is sent as one byte
 
 # With these statuses the store says that it did nothing. Any other, such as 500 or 504, may come
@@ -35,7 +38,9 @@
 
 _READ_HEADER = struct.Struct(">QQ")  # end offset of the log, and offset of its oldest record
 _RECORD_LENGTH = struct.Struct(">I")
-_CALL_ERRORS = (aiohttp.ClientError, TimeoutError, OSError)
+_CALL_ERRORS = (aiohttp.ClientError, TimeoutError, OSError, ValueError)
+
+_log = Log("store")
 
 
 class _NewestRecord(msgspec.Struct):
@@ -50,6 +55,12 @@
     end: int
 
 
+class _LoosePage(msgspec.Struct):
+    items: list[object]  # of _NewestRecord, but some cannot be read
+    more: bool
+    end: int
+
+
 class _AppendAnswer(msgspec.Struct):
     offset: int
 
@@ -80,7 +91,7 @@
             if body is None:
                 return LogPage((), 0)
             try:
-                page = decode(body, _NewestPage)
+                page = _parse_page(body)
             except ValueError as exc:
                 raise StoreUnavailable(f"unreadable answer: {exc}") from exc
             end = page.end if end is None else end
@@ -189,6 +200,36 @@
     )
 
 
+def _parse_page(body: bytes) -> _NewestPage:
+    """Parse a page without its items that cannot be read, which are logged; raise ValueError."""
+    try:
+        return decode(body, _NewestPage)
+    except ValueError as exc:
+        page = _parse_loosely(body)
+        records = [record for record in map(_readable_record, page.items) if record is not None]
+        if page.more and not records:
+            raise ValueError("there is no key to continue after") from exc
+        return _NewestPage(records, page.more, page.end)
+
+
+def _parse_loosely(body: bytes) -> _LoosePage:
+    # msgspec does not pass over a lone surrogate, nor decode bytes that are not UTF-8.
+    try:
+        return msgspec.convert(json.loads(body.decode("utf-8", "replace")), _LoosePage)
+    except RecursionError as exc:
+        raise ValueError("the body is nested too deeply") from exc
+
+
+def _readable_record(item: object) -> _NewestRecord | None:
+    try:
+        record = msgspec.convert(item, _NewestRecord)
+        record.key.encode()  # a lone surrogate can neither be sent nor logged
+    except ValueError as exc:
+        _log.warning("item_unreadable", value=ascii(item)[:MAX_LOGGED_LENGTH], error=ascii(exc))
+        return None
+    return record
+
+
 def _log_entry(item: _NewestRecord) -> LogEntry:
     try:
         return LogEntry(item.offset, item.key, base64.b64decode(item.value))
