Let the soak write odd entries among those of the workers

Each script has the fault once; it is drawn apart, so a seed keeps its other faults. The stand-in itself failed on an entry 100,000 levels deep (RecursionError while it compared a heartbeat with the entry before it) and now uses the shared decoder.

--- a/devtools/soak/player.py
+++ b/devtools/soak/player.py
@@ -11,6 +11,7 @@
 
 from devtools.soak.callers import now_ms
 from devtools.soak.checker import build_runs
+from devtools.soak.deployment import SERVICE
 from devtools.soak.proxy import LinkFault
 from devtools.soak.records import Disruption
 from devtools.soak.script import OWNER, Step
@@ -20,6 +21,28 @@
 
 STORE = -1
 CELL_TOPIC = "keyed.cell0"
+_ENTRY = {
+    "service": SERVICE,
+    "address": "10.0.0.1:80",
+    "zone": "z0",
+    "state": "ready",
+    "capacity": {"cpu": 64_000, "mem-mb": 256_000, "gpu": 0},
+    "labels": ["a", "r"],
+    "born": 1,
+}
+# Entries of other writers, as they are stored or as text.
+ODD_ENTRIES: tuple[Any, ...] = (
+    '{"x":' + "[" * 100_000,
+    {**_ENTRY, "address": "127.0.0.1:99999"},
+    {**_ENTRY, "address": "a..b:80"},
+    {**_ENTRY, "address": "a" * 70_000 + ":80"},
+    {**_ENTRY, "service": "s" * 70_000},
+    {**_ENTRY, "capacity": {"cpu": 2**64 - 1, "mem-mb": 2**64 - 1}},
+    {**_ENTRY, "born": 2**63},
+    {**_ENTRY, "cold-remaining-ms": -1},
+    '{"service":1e999}',
+    "\0",
+)
 
 
 class Player:
@@ -200,6 +223,16 @@
             for admin in admins:
                 await self._system.admin(admin, "fault", kind="clear", only=args["fault"])
 
+    async def _odd_entries(self, args: dict[str, Any]) -> None:
+        """Write odd entries: new ones, which stay, and some that the next heartbeats replace."""
+        keys = [f"odd-{number}" for number in range(args["new"])]
+        keys += [self._dep.worker_id(number) for number in args["workers"]]
+        for number, key in enumerate(keys):
+            value = ODD_ENTRIES[number % len(ODD_ENTRIES)]
+            await self._system.admin(
+                self._dep.store_admin, "entry", key=f"servers/{key}", value=value
+            )
+
     async def _configure(self, args: dict[str, Any]) -> None:
         manifest = self._dep.next_manifest()
         await self._system.admin(self._dep.store_admin, "entry", key="op/config", value=manifest)
--- a/devtools/soak/script.py
+++ b/devtools/soak/script.py
@@ -56,7 +56,12 @@
         kind = rng.choices(kinds, weights)[0]
         steps.append(Step(at_ms, kind, _draw_args(rng, kind, scale)))
         at_ms += rng.randint(50, 800) if rng.random() < 0.4 else rng.randint(1_500, 6_000)
-    return steps
+    # Drawn apart, so that a seed keeps the other faults that it had before this kind.
+    odd_rng = random.Random(f"odd entries {seed}")
+    odd_at_ms = odd_rng.randint(1_000, max(1_000, duration_ms // 2))
+    odd_args = {"new": 20, "workers": [odd_rng.randrange(scale.workers)]}
+    steps.append(Step(odd_at_ms, "odd_entries", odd_args))
+    return sorted(steps, key=lambda step: step.at_ms)
 
 
 def _draw_args(rng: random.Random, kind: str, scale: Scale) -> dict[str, Any]:
--- a/src/greengagewood/platform/standin/store.py
+++ b/src/greengagewood/platform/standin/store.py
@@ -29,7 +29,7 @@
     split_records,
 )
 from greengagewood.platform.standin.settings import Fault, StoreSettings
-from greengagewood.platform.wire import CALL_PATH
+from greengagewood.platform.wire import CALL_PATH, decode
 
 __all__ = ["StoreStandin"]
 
@@ -333,7 +333,7 @@
 
 def _differs_in_seq_only(encoded: bytes, value: Any) -> bool:
     try:
-        previous = msgspec.json.decode(encoded)
+        previous = decode(encoded, object)
     except ValueError:
         return False
     if not isinstance(previous, dict) or not isinstance(value, dict):
