Test a new owner's adoption beside odd entries in virtual time

90 odd entries, and entries of workers at work that become odd while the owner changes: the new owner adopts within a second, knows the real workers only, and leaves each run that it would leave if the entry were missing.

--- a/tests/common/drive.py
+++ b/tests/common/drive.py
@@ -115,11 +115,15 @@
         config = replace(CONFIG, queues=self.queues)
         self.platform = SimPlatform(self.seed, self.worker_count, config)
 
+    def make_directory(self, name: str) -> SimDirectory:
+        """Return the directory that an instance reads."""
+        return SimDirectory(self.platform, name)
+
     def start_instance(self, name: str) -> None:
         """Start an instance with no state, as a new process."""
         ports = Ports(
             self.platform.store.client(name),
-            SimDirectory(self.platform, name),
+            self.make_directory(name),
             SimWorkerLink(self.platform, name),
             None,
         )
--- a/tests/cover/test_odd_entries.py
+++ b/tests/cover/test_odd_entries.py
@@ -9,8 +9,10 @@
 import base64
 import json
 import math
+from collections import Counter
 from collections.abc import AsyncIterator, Iterable
 from contextlib import asynccontextmanager, suppress
+from dataclasses import dataclass, field
 from typing import Any
 
 import logbook
@@ -60,6 +62,8 @@
 from greengagewood.platform.wire import decode, new_session
 from greengagewood.platform.workers import HttpWorkers
 from tests.common.desk import CellHarness, make_submission, make_worker_info, start_orders
+from tests.common.drive import CellSimulation, long_running_job, run_simulation, short_job
+from tests.common.plant import SimDirectory
 from tests.common.storestub import MANIFEST, ROUTE
 
 MAX_RECORD_BYTES = 262_144  # of the platform's store
@@ -309,13 +313,13 @@
 
     def test_an_amount_out_of_range_names_no_worker(self) -> None:
         values = (-1, 2**63, 2**64 - 1, 2**64, 10**400, 1.5, True, None, "1")
-        for field in ("cpu", "mem-mb", "gpu"):
-            assert _accepted({f"{v}": _capacity(**{field: v}) for v in values}) == []
+        for name in ("cpu", "mem-mb", "gpu"):
+            assert _accepted({f"{v}": _capacity(**{name: v}) for v in values}) == []
 
     def test_a_time_out_of_range_names_no_worker(self) -> None:
         values = (-1, 2**63, 2**64 - 1, 2**64, 10**400, 0.5, "1")
-        for field in ("born", "remaining-ms", "cold-remaining-ms"):
-            assert _accepted({f"{v}": _entry(**{field: v}) for v in values}) == []
+        for name in ("born", "remaining-ms", "cold-remaining-ms"):
+            assert _accepted({f"{v}": _entry(**{name: v}) for v in values}) == []
 
     def test_a_name_without_bound_names_no_worker(self) -> None:
         assert _accepted({f: _entry(**{f: "n" * 70_000}) for f in ("service", "zone")}) == []
@@ -356,7 +360,7 @@
         assert {"w0", "w1"} <= set(listed)
 
     async def test_an_odd_entry_is_reported_once_with_its_key_field_and_value(self) -> None:
-        for value, field, text in (
+        for value, field_name, text in (
             (_entry(address="10.0.0.1:99999"), "address", "10.0.0.1:99999"),
             (_entry(address="a" * 70_000 + ":80"), "address", "aaaa"),
             (_capacity(cpu=2**64 - 1), "capacity.cpu", "18446744073709551615"),
@@ -373,7 +377,7 @@
                 await directory.refresh()
                 await directory.refresh()
             (line,) = [r for r in handler.records if r.message == "worker_unreadable"]
-            assert (line.extra["key"], line.extra["field"]) == ("odd", field)
+            assert (line.extra["key"], line.extra["field"]) == ("odd", field_name)
             assert text in line.extra["value"]
             assert len(line.extra["value"]) <= 100 and len(line.extra["error"]) <= 200
 
@@ -427,6 +431,111 @@
         assert max(map(len, map(encode_record, records)), default=0) < MAX_RECORD_BYTES
 
 
+ODD_ENTRIES = (
+    _entry(address="127.0.0.1:99999"),
+    _entry(address="a..b:80"),
+    _entry(address="a" * 70_000 + ":80"),
+    _entry(service="s" * 70_000),
+    _capacity(cpu=2**64 - 1),
+    _entry(born=2**63),
+    _entry(**{"cold-remaining-ms": -1}),
+    TOO_DEEP,
+    b"\xff",
+)
+
+
+@dataclass
+class _OddDirectory(SimDirectory):
+    """The simulated directory, beside the entries of other writers as the real one reads them."""
+
+    entries: dict[str, bytes] = field(default_factory=dict)
+
+    async def refresh(self) -> dict[str, WorkerInfo]:
+        listed = await super().refresh()
+        odd = await _listed(*self.entries.items())
+        return {name: w for name, w in listed.items() if name not in self.entries} | odd
+
+
+@dataclass
+class _OddSimulation(CellSimulation):
+    """A cell whose directory also holds entries of other writers."""
+
+    entries: dict[str, bytes] = field(default_factory=dict)
+
+    def make_directory(self, name: str) -> SimDirectory:
+        return _OddDirectory(self.platform, name, self.entries)
+
+
+async def _change_owner(sim: CellSimulation) -> float:
+    """Kill the owner; return how long the next one took to adopt the workers."""
+    loop = asyncio.get_running_loop()
+    owner = sim.owner()
+    assert owner is not None
+    await sim.kill_instance(owner)
+    async with asyncio.timeout(60):
+        while (successor := sim.owner()) is None:
+            await asyncio.sleep(0.05)
+        since_s = loop.time()
+        while (runner := sim.instances[successor]._runner) is None or runner.cell._adopting:
+            await asyncio.sleep(0.05)
+    return loop.time() - since_s
+
+
+class TestNewOwner:
+    """Guard against odd entries that a new owner waits for, counts as room or stores."""
+
+    def test_odd_entries_cost_a_new_owner_nothing(self) -> None:
+        odd = {f"odd-{n}": ODD_ENTRIES[n % len(ODD_ENTRIES)] for n in range(90)}
+        jobs = {f"{n:016x}" for n in range(24)}
+
+        async def script(sim: CellSimulation) -> None:
+            for job in sorted(jobs):
+                await sim.submit(job, "fast", short_job())
+            await asyncio.sleep(0.4)
+            assert await _change_owner(sim) < 1.0
+            assert await sim.wait_until_ended(jobs, 30.0) == set()
+            runner = sim.instances[sim.owner() or ""]._runner
+            assert runner is not None and set(runner.cell.workers) == set(sim.platform.workers)
+            assert sim.platform.violations == []
+            records = (value for key, value in sim.platform.store.records if key == "w")
+            assert max(map(len, records)) < 1_000
+
+        with logbook.TestHandler() as handler:
+            run_simulation(_OddSimulation(3, entries=odd), script)
+        events = Counter(record.message for record in handler.records)
+        assert events["task_failed"] == 0
+        assert events["worker_unreadable"] % len(odd) == 0
+
+    @staticmethod
+    def _runs_after_change(entry: bytes) -> dict[str, set[TaskId]]:
+        """Let the entries of workers at work become this one, and change the owner.
+
+        Return the runs of each worker at the end.
+        """
+        entries: dict[str, bytes] = {}
+
+        async def script(sim: CellSimulation) -> None:
+            await sim.submit("f" * 16, "serve", long_running_job())
+            await asyncio.sleep(5)
+            before = {name: set(w.runs) for name, w in sim.platform.workers.items()}
+            entries.update({name: entry for name, tasks in before.items() if tasks})
+            assert entries
+            await asyncio.sleep(10)
+            assert {name: set(w.runs) for name, w in sim.platform.workers.items()} == before
+            await _change_owner(sim)
+            await asyncio.sleep(20)
+            assert sim.platform.violations == []
+
+        sim = run_simulation(_OddSimulation(5, entries=entries), script)
+        return {name: set(w.runs) for name, w in sim.platform.workers.items()}
+
+    def test_an_entry_that_becomes_odd_takes_no_runs_that_a_missing_one_leaves(self) -> None:
+        missing = self._runs_after_change(b"")
+        assert sum(map(len, missing.values())) == 3
+        for entry in (_entry(address="a..b:80"), _entry(born=2**63), TOO_DEEP):
+            assert self._runs_after_change(entry) == missing
+
+
 class TestCallsToWorkers:
     """Guard against failures of a call that leave the client as anything but a failed call."""
 
