Use new connections after a call without an answer, as the idle ones may be silent, too

A call shows it only for the connection that it uses, by its time-out. An owner keeps up to 12 idle connections to each worker for 30 s, and each further stop took the next silent one: with a stop each 400 ms and a time-out of 1 s, up to 5.8 s passed until one reached the worker, where 4.2 s are allowed, while lease extensions, which come in sequence, had found a connection that works and kept the run going. A run that began long before is hit as well, in calm, up to 30 s after the connections went silent. The store's reads and appends lost a call for each idle connection, too.

Ruled out: TCP keep-alive probes. They would show a path that drops packets, but not a server that does not answer on a connection, and nothing here can show that they work. Closing idle connections: the HTTP client has no call for one address.

Change: Session has two sets of connections. After a time-out, calls to the address use the other set until the idle connections of the first have expired.

The figures of 5.8 s and 30 s are computed from the constants.

--- a/src/greengagewood/platform/advice.py
+++ b/src/greengagewood/platform/advice.py
@@ -9,7 +9,7 @@
 
 from greengagewood.internal.clock import monotonic_ms
 from greengagewood.internal.ports import AdviceUnavailable, Permit
-from greengagewood.platform.wire import CALL_PATH, Integer, call_timeout, decode, encode
+from greengagewood.platform.wire import CALL_PATH, Integer, Session, call_timeout, decode, encode
 
 __all__ = ["HttpAdvice"]
 
@@ -24,7 +24,7 @@
 class HttpAdvice:
     """Request permits from the advice service."""
 
-    def __init__(self, session: aiohttp.ClientSession, address: str) -> None:
+    def __init__(self, session: Session, address: str) -> None:
         self._session = session
         self._url = f"http://{address}{CALL_PATH}advise"
 
--- a/src/greengagewood/platform/program.py
+++ b/src/greengagewood/platform/program.py
@@ -25,7 +25,7 @@
 from greengagewood.platform.frontend import Frontend
 from greengagewood.platform.manifest import ManifestSource
 from greengagewood.platform.store import KeyedLog
-from greengagewood.platform.wire import new_session
+from greengagewood.platform.wire import Session
 from greengagewood.platform.workers import HttpWorkers
 
 __all__ = ["main"]
@@ -63,8 +63,8 @@
     loop.add_signal_handler(signal.SIGINT, stop_requested.set)
     loop.add_signal_handler(signal.SIGHUP, lambda: _log.info("reload"))
     metrics = Metrics()
-    store_session = new_session(MAX_CONNECTIONS_TO_STORE)
-    worker_session = new_session(MAX_CONNECTIONS_PER_WORKER)
+    store_session = Session(MAX_CONNECTIONS_TO_STORE)
+    worker_session = Session(MAX_CONNECTIONS_PER_WORKER)
     ports = Ports(
         KeyedLog(store_session, cfg.store, CELL_TOPIC),
         StoreDirectory(KeyedLog(store_session, cfg.store, WORKERS_TOPIC)),
--- a/src/greengagewood/platform/store.py
+++ b/src/greengagewood/platform/store.py
@@ -21,7 +21,7 @@
     Outcome,
     StoreUnavailable,
 )
-from greengagewood.platform.wire import CALL_PATH, call_timeout, decode, transfer_timeout
+from greengagewood.platform.wire import CALL_PATH, Session, call_timeout, decode, transfer_timeout
 
 __all__ = ["KeyedLog"]
 
@@ -72,7 +72,7 @@
 class KeyedLog:
     """Read and append to partition 0 of one keyed topic."""
 
-    def __init__(self, session: aiohttp.ClientSession, address: str, topic: str) -> None:
+    def __init__(self, session: Session, address: str, topic: str) -> None:
         self._session = session
         self._url = f"http://{address}{CALL_PATH}"
         self._partition_query = {"topic": topic, "part": "0"}
--- a/src/greengagewood/platform/wire.py
+++ b/src/greengagewood/platform/wire.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import time
+from collections.abc import AsyncIterator
+from contextlib import AbstractAsyncContextManager, asynccontextmanager
 from typing import Annotated, Any, TypeVar
 
 import aiohttp
@@ -13,9 +16,9 @@
     "SKIPPED_HEADERS",
     "Integer",
     "Number",
+    "Session",
     "call_timeout",
     "decode",
-    "new_session",
     "transfer_timeout",
 ]
 
@@ -35,8 +38,63 @@
 SKIPPED_HEADERS = ("User-Agent", "Accept", "Accept-Encoding")
 
 
-def new_session(limit_per_host: int) -> aiohttp.ClientSession:
-    """Open a session that keeps idle connections for later calls."""
+class Session:
+    """HTTP client for calls to the platform; it keeps idle connections for later calls.
+
+    Open connections may go silent without a reset, while new ones work, and each shows it only by a
+    call that is not answered. So after such a call the idle connections to that address are left to
+    expire, and further calls to it use others, which are opened anew.
+    """
+
+    def __init__(self, limit_per_host: int) -> None:
+        self._usual, self._other = (_new_client(limit_per_host) for _ in range(2))
+        self._silent_until_s: dict[str, float] = {}  # by address, when idle connections expired
+
+    def get(self, url: str, **options: Any) -> AbstractAsyncContextManager[aiohttp.ClientResponse]:
+        """Send a GET request, like `aiohttp.ClientSession`."""
+        return self._request("GET", url, options)
+
+    def post(self, url: str, **options: Any) -> AbstractAsyncContextManager[aiohttp.ClientResponse]:
+        """Send a POST request, like `aiohttp.ClientSession`."""
+        return self._request("POST", url, options)
+
+    @asynccontextmanager
+    async def _request(
+        self, method: str, url: str, options: dict[str, Any]
+    ) -> AsyncIterator[aiohttp.ClientResponse]:
+        address = url.split("/", 3)[2]
+        client = self._other if self._is_silent(address) else self._usual
+        try:
+            async with client.request(method, url, **options) as resp:
+                yield resp
+        except aiohttp.ConnectionTimeoutError:
+            raise  # it has used no idle connection
+        except TimeoutError:
+            if client is self._usual:
+                self._silent_until_s[address] = time.monotonic() + KEEP_ALIVE_S
+            raise
+
+    def _is_silent(self, address: str) -> bool:
+        """Return whether connections to an address may be idle that have gone silent."""
+        until_s = self._silent_until_s.get(address)
+        if until_s is not None and time.monotonic() > until_s:
+            del self._silent_until_s[address]
+            return False
+        return until_s is not None
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self._usual.close()
+        await self._other.close()
+
+    async def __aenter__(self) -> Session:
+        return self
+
+    async def __aexit__(self, *exc_info: object) -> None:
+        await self.close()
+
+
+def _new_client(limit_per_host: int) -> aiohttp.ClientSession:
     connector = aiohttp.TCPConnector(
         limit=0, limit_per_host=limit_per_host, keepalive_timeout=KEEP_ALIVE_S
     )
--- a/src/greengagewood/platform/workers.py
+++ b/src/greengagewood/platform/workers.py
@@ -16,7 +16,7 @@
     WorkerUnreachable,
     WrongBoot,
 )
-from greengagewood.platform.wire import CALL_PATH, Integer, call_timeout, decode, encode
+from greengagewood.platform.wire import CALL_PATH, Integer, Session, call_timeout, decode, encode
 
 __all__ = ["HttpWorkers", "format_task_name", "parse_task_name"]
 
@@ -56,7 +56,7 @@
 class HttpWorkers:
     """Send orders to workers."""
 
-    def __init__(self, session: aiohttp.ClientSession) -> None:
+    def __init__(self, session: Session) -> None:
         self._session = session
 
     async def start(
--- a/tests/common/storestub.py
+++ b/tests/common/storestub.py
@@ -14,11 +14,10 @@
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 
-import aiohttp
 from aiohttp import web
 
 from greengagewood.platform.store import KeyedLog, _frame_record
-from greengagewood.platform.wire import new_session
+from greengagewood.platform.wire import Session
 
 # A route and a manifest, as operators write them.
 ROUTE = {
@@ -126,7 +125,7 @@
 
 
 @asynccontextmanager
-async def running_store(stub: StoreStub) -> AsyncIterator[aiohttp.ClientSession]:
+async def running_store(stub: StoreStub) -> AsyncIterator[Session]:
     """Serve a stand-in on a free port; yield a session for its clients."""
     runner = web.ServerRunner(web.Server(stub.handle))
     await runner.setup()
@@ -134,7 +133,7 @@
     await site.start()
     host, port = runner.addresses[0][:2]
     stub.address = f"{host}:{port}"
-    session = new_session(8)
+    session = Session(8)
     try:
         yield session
     finally:
@@ -142,6 +141,6 @@
         await runner.cleanup()
 
 
-def client_of(stub: StoreStub, session: aiohttp.ClientSession) -> KeyedLog:
+def client_of(stub: StoreStub, session: Session) -> KeyedLog:
     """Return a client of the topic that the stand-in keeps."""
     return KeyedLog(session, stub.address, "keyed.op")
--- a/tests/cover/test_odd_entries.py
+++ b/tests/cover/test_odd_entries.py
@@ -59,7 +59,7 @@
 from greengagewood.platform.jobs import parse_job
 from greengagewood.platform.manifest import ManifestParser, ManifestSource
 from greengagewood.platform.store import KeyedLog, _parse_records
-from greengagewood.platform.wire import decode, new_session
+from greengagewood.platform.wire import Session, decode
 from greengagewood.platform.workers import HttpWorkers
 from tests.common.desk import CellHarness, make_submission, make_worker_info, start_orders
 from tests.common.drive import CellSimulation, long_running_job, run_simulation, short_job
@@ -540,37 +540,37 @@
     """Guard against failures of a call that leave the client as anything but a failed call."""
 
     async def test_a_call_to_an_odd_address_is_a_failed_call(self) -> None:
-        async with new_session(1) as session:
+        async with Session(1) as session:
             for address in UNCALLABLE_ADDRESSES:
                 with pytest.raises(WorkerCallFailed):
                     await HttpWorkers(session).extend_lease(_worker_at(address), 5, 1, 0, 0)
 
     async def test_a_call_to_an_odd_id_is_a_failed_call(self) -> None:
-        async with _answering(200, b"") as address, new_session(1) as session:
+        async with _answering(200, b"") as address, Session(1) as session:
             with pytest.raises(WorkerCallFailed):
                 await HttpWorkers(session).stop(_worker_at(address, "a\r\nb"), TASK, 1, 1)
 
     async def test_an_order_that_cannot_be_encoded_is_a_failed_call(self) -> None:
-        async with _answering(200, b"") as address, new_session(1) as session:
+        async with _answering(200, b"") as address, Session(1) as session:
             with pytest.raises(WorkerCallFailed):
                 await HttpWorkers(session).extend_lease(_worker_at(address), 2**64, 1, 0, 0)
 
     async def test_an_order_with_an_unreadable_answer_is_a_failed_call(self) -> None:
         for body in (TOO_DEEP, b"\xff", b"[]", b'{"clock-ms":"1"}', b"{"):
             for status in (200, 409):
-                async with _answering(status, body) as address, new_session(1) as session:
+                async with _answering(status, body) as address, Session(1) as session:
                     with pytest.raises(WorkerCallFailed):
                         await HttpWorkers(session).stop(_worker_at(address), TASK, 1, 1)
 
     async def test_a_lease_with_an_answer_too_deep_is_a_failed_call(self) -> None:
         for status in (200, 409):
-            async with _answering(status, TOO_DEEP) as address, new_session(1) as session:
+            async with _answering(status, TOO_DEEP) as address, Session(1) as session:
                 with pytest.raises(WorkerCallFailed):
                     await HttpWorkers(session).extend_lease(_worker_at(address), 5, 1, 0, 0)
 
     async def test_a_status_that_says_all_needs_no_readable_body(self) -> None:
         for status in (400, 429, 503):
-            async with _answering(status, TOO_DEEP) as address, new_session(1) as session:
+            async with _answering(status, TOO_DEEP) as address, Session(1) as session:
                 reply = await HttpWorkers(session).stop(_worker_at(address), TASK, 1, 1)
             assert isinstance(reply, OrderReply) and reply.reason in ("invalid", "unhealthy")
 
@@ -588,7 +588,7 @@
     @example(b'{"clock-ms":5,"born":18446744073709551616,"running":[],"finished":[]}')
     def test_a_drawn_list_of_runs_is_read_or_a_failed_call(self, body: bytes) -> None:
         async def scenario() -> None:
-            async with _answering(200, body) as address, new_session(1) as session:
+            async with _answering(200, body) as address, Session(1) as session:
                 try:
                     reply = await HttpWorkers(session).extend_lease(_worker_at(address), 5, 1, 0, 0)
                 except WorkerCallFailed:
@@ -609,12 +609,12 @@
 
     @staticmethod
     async def _append(status: int, body: bytes) -> Any:
-        async with _answering(status, body) as address, new_session(1) as session:
+        async with _answering(status, body) as address, Session(1) as session:
             return await KeyedLog(session, address, "keyed.x").append([("k", b"v")])
 
     @staticmethod
     async def _load(body: bytes) -> LogPage:
-        async with _answering(200, body) as address, new_session(1) as session:
+        async with _answering(200, body) as address, Session(1) as session:
             return await KeyedLog(session, address, "keyed.x").load()
 
     async def test_an_append_with_an_answer_too_deep_may_be_stored(self) -> None:
@@ -783,7 +783,7 @@
     @example(TOO_DEEP)
     def test_a_drawn_answer_is_read_or_the_service_is_unavailable(self, body: bytes) -> None:
         async def scenario() -> None:
-            async with _answering(200, body) as address, new_session(1) as session:
+            async with _answering(200, body) as address, Session(1) as session:
                 with suppress(AdviceUnavailable):
                     await HttpAdvice(session, address).request_permits("j", 0, 0, ["w0"])
 
--- a/tests/cover/test_platform_border.py
+++ b/tests/cover/test_platform_border.py
@@ -30,7 +30,7 @@
 from greengagewood.platform.jobs import parse_job
 from greengagewood.platform.manifest import ManifestParser, ManifestSource
 from greengagewood.platform.store import _frame_record, _parse_records
-from greengagewood.platform.wire import new_session
+from greengagewood.platform.wire import Session
 from greengagewood.platform.workers import HttpWorkers, format_task_name, parse_task_name
 from tests.common.storestub import MANIFEST, ROUTE
 
@@ -276,7 +276,7 @@
         info = WorkerInfo(
             "w", f"127.0.0.1:{port}", "svc", "z", "r", frozenset(), 1, 1, 0, False, None, 1
         )
-        session = new_session(1)
+        session = Session(1)
         try:
             with pytest.raises(WorkerCallFailed) as raised:
                 await HttpWorkers(session).stop(info, TaskId("0" * 16, 0, 0, 0), 1, 1)
--- a/tests/cover/test_platform_standin.py
+++ b/tests/cover/test_platform_standin.py
@@ -49,7 +49,7 @@
 )
 from greengagewood.platform.standin.store import StoreStandin
 from greengagewood.platform.store import KeyedLog
-from greengagewood.platform.wire import new_session
+from greengagewood.platform.wire import Session
 from greengagewood.platform.workers import HttpWorkers
 from tests.common.storestub import MANIFEST
 
@@ -101,7 +101,7 @@
     """The stand-ins that run, and sessions of two callers with addresses of their own."""
 
     folder: Path
-    sessions: list[aiohttp.ClientSession]
+    sessions: list[Session | aiohttp.ClientSession]
     gate: _Gate = field(default_factory=_Gate)
     fleet: WorkersStandin | None = None
     store: StoreStandin | None = None
@@ -159,7 +159,7 @@
     rates = cfg.pop("rates", Rates())
     clock_rate = cfg.pop("clock_rate", 0.98)
     callers = [
-        new_session(8),
+        Session(8),
         aiohttp.ClientSession(connector=aiohttp.TCPConnector(local_addr=("127.0.0.9", 0))),
     ]
     platform = _Platform(folder, callers)
