Rule a job out as started only if its latest submission is below the settled offset

Cause: a job that was stored twice, at 4 and at 9, has two offsets. An owner that has read only the newest record of each key knows 9: it settles offsets up to 9 while the job has no progress record, and may start the job without one. A successor that has read the first submission compared 4 with the settled offset 9, and took the job for one that was never started: it starts it again without waiting for the workers. Before the same held for an instance that had read the records in order; made it hold for all. Class: what is known is kept in two places, here the offset of a job by two owners.

Ruled out: to keep only the latest offset. A submission that is repeated after a claim would make a job that an earlier owner has started look new (what mends). So both are kept: the first is compared with the claim, the latest with the settled offset, as no owner settles an offset above the latest while the job is not settled.

Evidence: test_an_earlier_owner_may_have_read_only_the_later_one failed before and passes now, and so do the two tests beside it, which passed before; test_cancelled_jobs, test_cells and test_owner_changes pass.

--- a/src/greengagewood/internal/cells/ledger.py
+++ b/src/greengagewood/internal/cells/ledger.py
@@ -39,7 +39,10 @@
 
     queue: str | None = None  # None until the submission was read
     encoded_submission: bytes = b""
-    submission_offset: int = -1  # of the earliest submission that was read, in the cell's log
+    # Offsets in the cell's log of the first and the last submission that was read. An instance that
+    # reads the newest record of each key knows only the last one.
+    submission_offset: int = -1
+    last_submission_offset: int = -1
     progress: Progress | None = None  # without details once the job has ended
     cancelled: bool = False
 
@@ -113,6 +116,7 @@
                     job.queue = sys.intern(record.queue.name)
                     job.encoded_submission = encoded or encode_record(record)
                     job.submission_offset = offset
+                job.last_submission_offset = max(job.last_submission_offset, offset)
                 self._update_queued(record.job_id, job)
             case Progress():
                 job = self.jobs.setdefault(record.job_id, StoredJob())
--- a/src/greengagewood/internal/cells/runner.py
+++ b/src/greengagewood/internal/cells/runner.py
@@ -164,8 +164,10 @@
         submission = stored.decode_submission() if job_id not in self.cell.book.jobs else None
         if submission is not None:
             # No earlier owner has started a task of the job if it was submitted after the claim, or
-            # if it is below the settled offset and has no progress record.
-            unrecorded = stored.progress is None and offset < self._ledger.ownership.settled_offset
+            # if it is below the settled offset and has no progress record. That owner may have read
+            # only the latest of several submissions.
+            settled = stored.last_submission_offset < self._ledger.ownership.settled_offset
+            unrecorded = stored.progress is None and settled
             never_started = unrecorded or offset > self._ledger.claim_offset
             self.cell.add_job(submission, stored.progress, never_started, now_ms, offset)
         if stored.cancelled:
