Keep an error in one job from all other jobs of the cell

Cause: an error while a job is added to the owner's book left EntryInstance._apply_page, whose position in the log had moved on: the later records of that page never reached the book. The ledger had them, so callers were answered by what the owner did not do: a job beside it was accepted and not started, a cancellation was acknowledged and its tasks ran on. At the start of a term the same error left CellRunner.start, in each instance in turn, so the cell had an owner that did nothing. Class: an error that repeats in a loop that carries many things.

Ruled out: that a job which callers can submit raises there now: none was found. The tests make one fail.

Change: such an error is logged as task_failed with the job, and the next job is taken up.

--- a/src/greengagewood/internal/cells/runner.py
+++ b/src/greengagewood/internal/cells/runner.py
@@ -153,8 +153,14 @@
     def _take_up_job(self, job_id: str, now_ms: int) -> None:
         """Add a stored job to the cell, unless it is there, and cancel it if that is stored.
 
-        Its records may have been read in any order.
+        Its records may have been read in any order. An error keeps the owner from no other job.
         """
+        try:
+            self._apply_stored_job(job_id, now_ms)
+        except Exception as exc:
+            self._report_failure("job", exc, job=job_id)
+
+    def _apply_stored_job(self, job_id: str, now_ms: int) -> None:
         stored = self._ledger.jobs.get(job_id)
         if stored is None:
             return  # it was deleted later
@@ -219,8 +225,12 @@
     def _on_task_done(self, task: asyncio.Task[None]) -> None:
         self._tasks.discard(task)
         if not task.cancelled() and (exc := task.exception()) is not None:
-            self._metrics.count("task_failures", task="order", kind=type(exc).__name__)
-            _log.warning("task_failed", task="order", error=repr(exc), where=raise_location(exc))
+            self._report_failure("order", exc)
+
+    def _report_failure(self, task: str, exc: BaseException, **fields: str) -> None:
+        self._metrics.count("task_failures", task=task, kind=type(exc).__name__)
+        where = raise_location(exc)
+        _log.warning("task_failed", task=task, error=repr(exc), where=where, **fields)
 
     # Decisions.
 
--- a/tests/cover/test_stale_answers.py
+++ b/tests/cover/test_stale_answers.py
@@ -2,6 +2,13 @@
 
 from __future__ import annotations
 
+import asyncio
+from typing import Any
+
+import pytest
+from msgspec.structs import replace
+
+from greengagewood.internal.cells.cell import Cell
 from greengagewood.internal.cells.ledger import Ledger
 from greengagewood.internal.cells.ownership import OwnershipView
 from greengagewood.internal.cells.runner import CellRunner, Ports
@@ -19,6 +26,7 @@
     LIMITS,
     make_submission,
 )
+from tests.common.drive import QUEUES, CellSimulation, long_running_job, run_simulation
 
 JOB = "0" * 16
 OTHER_JOB = "1" * 16
@@ -69,3 +77,61 @@
 
     def test_a_job_below_the_settled_offset_was_never_started(self) -> None:
         assert self._add_as_new_owner(settled_offset=10, claim_offset=11)
+
+
+class TestUnexpectedErrors:
+    """An error in one job of many, of which the log names the place."""
+
+    @staticmethod
+    def _fail_for(monkeypatch: pytest.MonkeyPatch, job_id: str) -> None:
+        """Let every owner fail to add one job."""
+        add_job = Cell.add_job
+
+        def fail_or_add(cell: Cell, submission: Submission, *args: Any) -> None:
+            if submission.job_id == job_id:
+                raise ValueError("a job that cannot be added")
+            add_job(cell, submission, *args)
+
+        monkeypatch.setattr(Cell, "add_job", fail_or_add)
+
+    def test_records_after_that_of_a_failing_job_still_count(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Guards against jobs and cancellations that the ledger has, but the owner never sees."""
+        self._fail_for(monkeypatch, JOB)
+
+        async def script(sim: CellSimulation) -> None:
+            lasting = Submission("2" * 16, QUEUES["serve"], long_running_job(), 0)
+            bad, good = (replace(lasting, job_id=job_id) for job_id in (JOB, OTHER_JOB))
+            for submission in (lasting, good):
+                sim.platform.specs[submission.job_id] = submission.spec.steps
+            client = sim.platform.store.client("caller")
+            await client.append([(key_of(lasting), encode_record(lasting))])
+            await asyncio.sleep(2)
+            assert {task.job_id for task in sim.platform.running_tasks()} == {lasting.job_id}
+            page = [bad, Cancellation(lasting.job_id), good]
+            await client.append([(key_of(record), encode_record(record)) for record in page])
+            await asyncio.sleep(3)
+            assert {task.job_id for task in sim.platform.running_tasks()} == {OTHER_JOB}
+
+        run_simulation(CellSimulation(1), script)
+
+    def test_a_new_owner_takes_up_the_jobs_beside_a_failing_one(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Guards against a cell without an owner, as each fails when its term starts."""
+        self._fail_for(monkeypatch, JOB)
+
+        async def script(sim: CellSimulation) -> None:
+            good = Submission(OTHER_JOB, QUEUES["serve"], long_running_job(), 0)
+            sim.platform.specs[OTHER_JOB] = good.spec.steps
+            client = sim.platform.store.client("caller")
+            for submission in (replace(good, job_id=JOB), good):
+                await client.append([(key_of(submission), encode_record(submission))])
+            owner = sim.owner()
+            assert owner is not None
+            await sim.kill_instance(owner)
+            await asyncio.sleep(20)
+            assert len(sim.platform.running_tasks()) == 3
+
+        run_simulation(CellSimulation(1), script)
