Send the stops of a plan though its starts cannot be planned

Cause: Cell.plan returns stops and starts together. An error while starts, copies, due times or the load are looked at, which repeats with each plan, loses the stops too: the owner sends none, while it goes on extending the leases of what runs. Class: an error that repeats in a loop that carries many things.

Ruled out: that such an error is known now.

Change: CellRunner carries the stops out before it plans the rest. Cell.plan returns them as before to other callers.

Evidence: test_stops_are_sent_though_the_starts_cannot_be_planned failed before (no stop) and passes now; test_cell, test_cancelled_jobs, test_copies and test_planner pass.

--- a/src/greengagewood/internal/cells/cell.py
+++ b/src/greengagewood/internal/cells/cell.py
@@ -118,6 +118,7 @@
         self._crashes = CrashTracker(self.book, lambda event, fields: self.on_event(event, fields))
         self._late_starts = LateStarts(limits.lease_ms)
         self._stops = StopPlanner(self.workers, self.planner)
+        self._copies_due = False  # whether runs were scanned since copies were last planned
         # When every lease and order of earlier owners has certainly expired: an earlier owner may
         # have extended leases until the confirmation by its last heartbeat timed out.
         self._earlier_orders_expiry_ms = (
@@ -778,6 +779,17 @@
 
     # Orders.
 
+    def plan_stops(self, now_ms: int) -> list[Order]:
+        """Return the stops to send now.
+
+        `plan` returns them too, but an error there must not keep runs from being stopped.
+        """
+        if not self._stops.is_scan_due(now_ms):
+            return []
+        self._copies_due = True
+        self._report_overdue_runs(now_ms)
+        return list(self._stops.plan(now_ms))
+
     def plan(self, now_ms: int, wall_ms: int, max_starts: int = MAX_STARTS_PER_PLAN) -> list[Order]:
         """Return the orders to send now; what may not start yet is left to a later plan."""
         self._confirm_losses()
@@ -787,11 +799,10 @@
         self._open_due_occurrences(wall_ms)
         self._finish_adoption(now_ms)
         self._report_suspension(now_ms)
-        orders: list[Order] = []
+        orders = self.plan_stops(now_ms)
         max_starts = min(max_starts, MAX_STARTS_PER_PLAN)
-        if self._stops.is_scan_due(now_ms):
-            self._report_overdue_runs(now_ms)
-            orders.extend(self._stops.plan(now_ms))
+        if self._copies_due:
+            self._copies_due = False
             orders.extend(self._plan_copies(now_ms, max_starts))
         max_starts -= sum(isinstance(order, StartRun) for order in orders)
         starts = self.planner.plan(now_ms, max_starts)
--- a/src/greengagewood/internal/cells/runner.py
+++ b/src/greengagewood/internal/cells/runner.py
@@ -237,6 +237,7 @@
     async def _plan_once(self) -> None:
         await asyncio.sleep(MIN_PLAN_INTERVAL_S)
         if self._may_send_orders() and not self._releasing:
+            self._carry_out_all(self.cell.plan_stops(monotonic_ms()))
             self._carry_out_all(self.cell.plan(monotonic_ms(), wall_ms(), self._start_window.room))
         if self.cell.has_urgent_changes:
             self._urgent_changes.set()
--- a/tests/cover/test_stale_answers.py
+++ b/tests/cover/test_stale_answers.py
@@ -10,20 +10,30 @@
 
 from greengagewood.internal.cells.cell import Cell
 from greengagewood.internal.cells.ledger import Ledger
+from greengagewood.internal.cells.orders import Order
 from greengagewood.internal.cells.ownership import OwnershipView
+from greengagewood.internal.cells.planner import Planner
 from greengagewood.internal.cells.runner import CellRunner, Ports
+from greengagewood.internal.jobs.model import StepSpec
 from greengagewood.internal.jobs.records import (
     Cancellation,
     Ownership,
     Progress,
     Submission,
+    TaskId,
     encode_record,
     key_of,
 )
 from greengagewood.internal.metrics import Metrics
-from greengagewood.internal.ports import LogEntry
+from greengagewood.internal.ports import (
+    JobStore,
+    LogEntry,
+    OrderReply,
+    WorkerInfo,
+)
 from tests.common.desk import (
     LIMITS,
+    CellHarness,
     make_submission,
 )
 from tests.common.drive import QUEUES, CellSimulation, long_running_job, run_simulation
@@ -32,11 +42,26 @@
 OTHER_JOB = "1" * 16
 
 
-def _make_runner(ledger: Ledger) -> CellRunner:
-    ports = Ports(None, None, None, None)  # type: ignore[arg-type]
+class _Workers:
+    """Workers that accept every stop."""
+
+    def __init__(self) -> None:
+        self.stopped: list[tuple[TaskId, int]] = []
+
+    async def stop(self, worker: WorkerInfo, task: TaskId, run: int, token: int) -> OrderReply:
+        self.stopped.append((task, run))
+        return OrderReply("", None)
+
+
+def _make_runner(
+    ledger: Ledger | None = None,
+    link: _Workers | None = None,
+    store: JobStore | None = None,
+) -> CellRunner:
+    ports = Ports(store, None, link, None)  # type: ignore[arg-type]
     return CellRunner(
         ports,
-        ledger,
+        ledger or Ledger(),
         LIMITS,
         token=1,
         status_retention_ms=0,
@@ -135,3 +160,29 @@
             assert len(sim.platform.running_tasks()) == 3
 
         run_simulation(CellSimulation(1), script)
+
+    def test_stops_are_sent_though_the_starts_cannot_be_planned(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Guards against runs of cancelled jobs that go on because another job cannot be placed."""
+
+        def fail(planner: Planner, now_ms: int, max_starts: int) -> list[Order]:
+            raise ValueError("a job that cannot be placed")
+
+        async def plan_repeatedly() -> None:
+            for _ in range(3):
+                with pytest.raises(ValueError, match="cannot be placed"):
+                    await runner._plan_once()
+            await asyncio.sleep(0)
+
+        harness = CellHarness("w0")
+        harness.submit(StepSpec(1, cpu_millis=1_000, long_running=True))
+        (start,) = harness.start(500)
+        harness.answer_leases()
+        harness.cell.cancel(JOB, harness.now_ms)
+        workers = _Workers()
+        runner = _make_runner(link=workers)
+        runner.cell = harness.cell
+        monkeypatch.setattr(Planner, "plan", fail)
+        asyncio.run(plan_repeatedly())
+        assert workers.stopped == [(start.run.task.id, start.run.number)]
