Store changes again that an error kept from the store

Cause: the changes of the cell are cleared when they are collected, and marked again if the store has not taken them. An error on the way there, in encoding them or in reading an answer, did neither: ends of tasks and jobs, and the record of registered workers, were never stored, until they changed again.

Change: after an error, too, the changes count as not stored.

Evidence: test_changes_that_an_error_kept_from_the_store_are_stored_later failed before and passes now; test_cell passes Found by reading; no play has shown such an error.

--- a/src/greengagewood/internal/cells/runner.py
+++ b/src/greengagewood/internal/cells/runner.py
@@ -500,11 +500,15 @@
         if all(isinstance(record, Forecast) for record in records):
             # Instances of older versions can't read a forecast, so it is no heartbeat to them.
             records.append(self._ownership_record(False))
-        if await self._append(records):
+        stored = False
+        try:
+            stored = await self._append(records)
+        finally:  # after an unexpected error, too, the changes may not be stored
+            if not stored:
+                self.cell.note_changes_unconfirmed(changes)
+        if stored:
             self._note_changes_stored(changes)
             self._plan_wakeup.set()
-        else:
-            self.cell.note_changes_unconfirmed(changes)
 
     def _note_changes_stored(self, changes: Changes) -> None:
         self.cell.note_changes_stored(changes)
--- a/tests/cover/test_stale_answers.py
+++ b/tests/cover/test_stale_answers.py
@@ -186,3 +186,24 @@
         monkeypatch.setattr(Planner, "plan", fail)
         asyncio.run(plan_repeatedly())
         assert workers.stopped == [(start.run.task.id, start.run.number)]
+
+    def test_changes_that_an_error_kept_from_the_store_are_stored_later(self) -> None:
+        """Guards against ends of tasks that no later owner knows of."""
+
+        class FailingStore:
+            async def append_fenced(self, *args: object) -> None:
+                raise ValueError("an answer that cannot be read")
+
+        async def commit() -> None:
+            with pytest.raises(ValueError, match="cannot be read"):
+                await runner._commit_once()
+
+        harness = CellHarness("w0")
+        harness.submit(StepSpec(1, cpu_millis=1_000, long_running=True))
+        harness.cell.cancel(JOB, harness.now_ms)
+        runner = _make_runner(store=FailingStore())  # type: ignore[arg-type]
+        runner.cell = harness.cell
+        asyncio.run(commit())
+        changes = harness.cell.collect_changes(harness.now_ms, harness.now_ms)
+        assert changes is not None
+        assert JOB in [r.job_id for r in changes.records if isinstance(r, Progress)]
