Bound the amounts of a forecast, so that it can be stored whatever callers submit

Cause: a job's work is the product of sizes that its caller chooses, each of which may have 64 bits. While a service is saturated, the owner stores the sum: beyond 64 bits the record cannot be encoded, and the error leaves CellRunner._commit_once, which carries the ends of tasks and jobs, the registered workers and the heartbeats, too. So one accepted job with cpu and estimate-ms of 2^62 keeps every owner from storing anything while its service is saturated: each is replaced in turn. Class: an error that repeats in a loop that carries many things, and a number that is too large.

Ruled out: other numbers of a job. Played with the harness for cpu, mem-mb and estimate-ms of 2^62 to 2^64 - 1; only the forecast fails. A number beyond 64 bits is not accepted (OverflowError when the submission is encoded).

Change: amounts in a forecast are at most 2^53, 285,000 years of one CPU.

Evidence: test_a_huge_job_does_not_keep_a_forecast_from_being_stored failed before (OverflowError) and passes now; test_overload passes.

--- a/src/greengagewood/internal/cells/forecast.py
+++ b/src/greengagewood/internal/cells/forecast.py
@@ -58,6 +58,8 @@
 # of the jobs that the loads of tests/cover/test_overload.py refuse would have earned something.
 LATE_MARGIN = 2.0
 LONGEST_FORECAST_MS = 600_000
+# Callers choose the sizes of their jobs, and a stored number has at most 64 bits.
+MAX_STORED_AMOUNT = 2**53
 
 
 def density_band(density: float) -> int:
@@ -330,18 +332,30 @@
             arriving = {key[1:]: rate for key, rate in self._arriving.items() if key[0] == service}
             yield ServiceForecast(
                 service,
-                int(self._loads[service].cpu_millis),
+                _stored_amount(self._loads[service].cpu_millis),
                 tuple(
-                    QueueBacklog(name, cpu_ms, int(self.planner.values.mean_cpu_ms(name)))
+                    QueueBacklog(
+                        name,
+                        _stored_amount(cpu_ms),
+                        _stored_amount(self.planner.values.mean_cpu_ms(name)),
+                    )
                     for name, cpu_ms in sorted(by_queue[service].items())
                 ),
                 tuple(
-                    DensityBand(*key, by_band[service].get(key, 0), int(arriving.get(key, 0)))
+                    DensityBand(
+                        *key,
+                        _stored_amount(by_band[service].get(key, 0)),
+                        _stored_amount(arriving.get(key, 0)),
+                    )
                     for key in sorted({*by_band[service], *arriving})
                 ),
             )
 
 
+def _stored_amount(amount: float) -> int:
+    return int(min(amount, MAX_STORED_AMOUNT))
+
+
 def _remaining_cpu_ms(step: Step) -> int:
     """Return the unfinished best-effort work of a step, without what its runs have done."""
     if not _is_observed(step.spec):
--- a/tests/cover/test_stale_answers.py
+++ b/tests/cover/test_stale_answers.py
@@ -21,6 +21,7 @@
     Progress,
     Submission,
     TaskId,
+    decode_record,
     encode_record,
     key_of,
 )
@@ -29,6 +30,7 @@
     JobStore,
     LogEntry,
     OrderReply,
+    RunningTask,
     WorkerInfo,
 )
 from tests.common.desk import (
@@ -207,3 +209,25 @@
         changes = harness.cell.collect_changes(harness.now_ms, harness.now_ms)
         assert changes is not None
         assert JOB in [r.job_id for r in changes.records if isinstance(r, Progress)]
+
+
+class TestLargeNumbers:
+    def test_a_huge_job_does_not_keep_a_forecast_from_being_stored(self) -> None:
+        """Guards against an owner that stores nothing more because of one number."""
+        harness = CellHarness("w0")
+        huge = StepSpec(1, cpu_millis=2**62, memory_mb=2**62, estimate_ms=2**62, best_effort=True)
+        harness.submit(huge)
+        backlog = StepSpec(100, cpu_millis=20_000, estimate_ms=2_000, best_effort=True)
+        harness.submit(backlog, job=OTHER_JOB)
+        worker = harness.cell.workers["w0"]
+        for _ in range(20):
+            harness.read_orders()
+            harness.start(500)
+            listed = (
+                RunningTask(run.task.id, run.number, "", 10, 9_000) for run in worker.runs.values()
+            )
+            harness.answer_lease("w0", *listed)
+        forecasts = [record for _, record in harness.forecasts]
+        assert any(record.services for record in forecasts)
+        for record in forecasts:
+            assert decode_record(encode_record(record)) == record
