--- a/tests/cover/test_cancel_roads.py
+++ b/tests/cover/test_cancel_roads.py
@@ -31,13 +31,14 @@
     WrongBoot,
 )
 from tests.common.desk import QUEUE, CellHarness, make_worker_info, start_orders
-from tests.common.drive import CellSimulation, long_running_job, run_simulation
+from tests.common.drive import CellSimulation, long_running_job, mixed_job, run_simulation
 from tests.common.plant import (
     CANCEL_BOUND_MS,
     CONTACT_MS,
     STOP_TIMEOUT_MS,
     SimWorkerLink,
 )
+from tests.cover.test_cells import _heal_all, _inject_faults
 
 JOB = "0" * 16
 LASTING = StepSpec(1, cpu_millis=1_000, long_running=True)
@@ -215,6 +216,45 @@
         run_simulation(CellSimulation(1), script)
 
 
+class TestCheckpoints:
+    """Starts with the checkpoint of their task; another one counts as a start nobody sent."""
+
+    def test_all_members_of_a_gang_start_with_the_checkpoint_of_any(self) -> None:
+        harness = CellHarness("w0")
+        harness.submit(StepSpec(2, cpu_millis=1_000, gang=True, checkpointing=True))
+        first, second = (start.run for start in harness.start(500))
+        for run, checkpoint in ((first, "c1"), (second, "c2")):
+            other = second if run is first else first
+            harness.now_ms += 10
+            harness.answer_lease(
+                "w0",
+                RunningTask(run.task.id, run.number, checkpoint, 10, 0),
+                RunningTask(other.task.id, other.number, "", 10, 0),
+            )
+        harness.now_ms += 10
+        harness.answer_lease("w0")
+        harness.now_ms += 10
+        harness.cell.note_confirmed(harness.now_ms)
+        starts = [start for _ in range(5) for start in harness.start(500)]
+        assert [start.checkpoint for start in starts] == ["c2", "c2"]
+
+    def test_a_task_takes_no_checkpoint_of_another_task(self) -> None:
+        harness = CellHarness("w0")
+        harness.submit(StepSpec(2, cpu_millis=1_000, checkpointing=True))
+        first, second = (start.run for start in harness.start(500))
+        harness.now_ms += 10
+        harness.answer_lease(
+            "w0",
+            RunningTask(first.task.id, first.number, "c1", 10, 0),
+            RunningTask(second.task.id, second.number, "", 10, 0),
+        )
+        harness.now_ms += 10
+        harness.answer_lease("w0")
+        harness.now_ms += 10
+        starts = [start for _ in range(5) for start in harness.start(500)]
+        assert {(s.run.task.id.number, s.checkpoint) for s in starts} == {(0, "c1"), (1, "")}
+
+
 class TestStops:
     """Runs that go on as their job is cancelled, and what happens to their worker meanwhile."""
 
@@ -483,3 +523,37 @@
         reply = LeaseReply(1_000, 1, (listed,), ())
         orders = harness.cell.handle_lease_reply(worker, reply, harness.now_ms - 1, harness.now_ms)
         assert [s.worker for s in _stops(orders + harness.plan())] == [worker]
+
+
+async def _cancel_amid_faults(sim: CellSimulation) -> None:
+    """Cancel jobs of every kind soon after their submission, during random faults; then heal."""
+
+    async def submit_and_cancel(number: int) -> None:
+        job = f"{number:016x}"
+        await sim.submit(job, *mixed_job(number))
+        if job not in sim.accepted:
+            return
+        await asyncio.sleep(sim.rng.choice((0.0, 0.3, 1.0, 4.0)))
+        while not sim.instances or not await sim.cancel(job):
+            await asyncio.sleep(0.3)
+
+    injection = asyncio.ensure_future(_inject_faults(sim, 25))
+    calls = []
+    for number in range(25):
+        calls.append(asyncio.ensure_future(submit_and_cancel(number)))
+        await asyncio.sleep(1)
+    await injection
+    await _heal_all(sim)
+    await asyncio.gather(*calls)
+    await asyncio.sleep(14)
+
+
+class TestRandomFaults:
+    """Prompt cancellations beside random sequences of faults, some at the same time."""
+
+    @pytest.mark.parametrize("seed", range(3))
+    def test_no_task_of_a_cancelled_job_starts_or_goes_on(self, seed: int) -> None:
+        sim = run_simulation(CellSimulation(1_000 + seed), _cancel_amid_faults)
+        assert sim.platform.violations == []
+        assert sim.cancelled == sim.accepted
+        assert sim.platform.running_tasks() == set()
--- a/tests/cover/test_platform_border.py
+++ b/tests/cover/test_platform_border.py
@@ -15,6 +15,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from greengagewood.internal.clock import monotonic_ms
 from greengagewood.internal.evacuation import Evacuations
 from greengagewood.internal.jobs.model import InvalidJob
 from greengagewood.internal.jobs.records import TaskId
@@ -300,3 +301,31 @@
         error = await self._stop_error(server.sockets[0].getsockname()[1])
         server.close()
         assert not isinstance(error, WorkerUnreachable)
+
+    async def test_an_order_that_waits_too_long_for_a_connection_is_never_sent(self) -> None:
+        """Guards against a start that reaches its worker long after its job was cancelled."""
+        received: list[bytes] = []
+
+        async def answer_late(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            received.append(await reader.readline())
+            await asyncio.sleep(1.5)
+            writer.close()
+
+        server = await asyncio.start_server(answer_late, "127.0.0.1", 0)
+        address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+        info = WorkerInfo("w", address, "svc", "z", "r", frozenset(), 1, 1, 0, False, None, 1)
+        session = new_session(1)
+        workers = HttpWorkers(session)
+        task = TaskId("0" * 16, 0, 0, 0)
+        held = asyncio.ensure_future(workers.extend_lease(info, None, 1, 0, 400))
+        await asyncio.sleep(0.1)
+        sent_ms = monotonic_ms()
+        with pytest.raises(WorkerCallFailed):
+            await workers.start(info, task, 1, "p", 1, 1, "", "")
+        assert monotonic_ms() - sent_ms < 1_500
+        with pytest.raises(WorkerCallFailed):
+            await held
+        await asyncio.sleep(0.3)
+        await session.close()
+        server.close()
+        assert [line.split()[1] for line in received] == [b"/greengagewood/hold"]
