Note the boot of a worker that a new owner knows only by the stored record

Cause: the record of registered workers does not name their boots, and a reply to a lease extension did not set the boot of such a worker. If the worker rebooted before the directory had listed it, the new boot counted as the old one, with the number of the last end that was read. The first ends of the new boot were then ignored, and acknowledged unread.

Ruled out: waiting for the directory before such a worker is asked, since it may be the only way to runs that must be stopped.

Before: the 2 cases of the new test failed. After: they pass.

--- a/src/greengagewood/internal/cells/cell.py
+++ b/src/greengagewood/internal/cells/cell.py
@@ -494,6 +494,8 @@
             # The new boot may have another capacity and other labels, which its entry will show.
             self.workers[worker.name].in_directory = False
             return []
+        if reply.boot_time_ms and not worker.info.boot_time_ms:  # known only by a stored record
+            worker.info = replace(worker.info, boot_time_ms=reply.boot_time_ms)
         worker.note_clock(reply.clock_ms, now_ms)
         if worker.unresponsive:
             worker.unresponsive = False
--- a/tests/cover/test_owner_changes.py
+++ b/tests/cover/test_owner_changes.py
@@ -28,6 +28,7 @@
     LeaseReply,
     OrderReply,
     Outcome,
+    RunEnd,
     RunningTask,
     WorkerCallFailed,
     WorkerInfo,
@@ -492,6 +493,32 @@
         run_simulation(CellSimulation(1), script)
 
 
+class TestRecordedWorkers:
+    """Workers that a new owner knows only by the record of the earlier one, without their boot."""
+
+    @pytest.mark.parametrize("by_directory", [True, False])
+    def test_a_reboot_before_the_directory_lists_the_worker_is_noticed(
+        self, by_directory: bool
+    ) -> None:
+        """Guards against ends of the new boot that count as old, so that tasks run again."""
+        harness = CellHarness("w0")
+        record = RegisteredWorkers((RegisteredWorker("w9", "10.0.0.9:80", "svc"),))
+        harness.cell.set_registered_workers(record, harness.now_ms, harness.now_ms)
+        harness.worker_infos["w9"] = make_worker_info("w9", boot_time_ms=7)
+        end = RunEnd(5, TaskId("0" * 16, 0, 0, 0), 1, "done", "")
+        harness.answer_lease("w9", ends=(end,))
+        earlier_boot = harness.cell.workers["w9"]
+        assert earlier_boot.last_end_sequence == 5
+        harness.worker_infos["w9"] = make_worker_info("w9", boot_time_ms=9)
+        harness.now_ms += 100
+        if by_directory:
+            harness.cell.set_workers(harness.worker_infos, harness.now_ms)
+        else:
+            harness.answer_lease("w9")
+        assert harness.cell.workers["w9"] is not earlier_boot
+        assert harness.cell.workers["w9"].last_end_sequence == 0
+
+
 class TestLostWorkers:
     """Workers that leave without a word while their owner stays the same."""
 
