Ask the recorded workers for their runs though the directory can't be read

Cause: a new owner began to extend leases only after its first successful read of the directory. Until then it sent no stops, and the runs of earlier owners went on to the end of their leases, though the stored record names every worker that may have them.

Ruled out: starts on such workers, since those need the directory.

Before: test_a_new_owner_that_reads_no_directory_stops_the_runs failed.

--- a/src/greengagewood/internal/cells/runner.py
+++ b/src/greengagewood/internal/cells/runner.py
@@ -390,8 +390,8 @@
         else:
             self.cell.set_workers(listed, monotonic_ms(), sent_ms)
             self._metrics.gauge("evacuated_workers", self.cell.evacuated_worker_count)
-            self._update_lease_tasks()
             self._plan_wakeup.set()
+        self._update_lease_tasks()  # without the directory, too: for the recorded workers
         await asyncio.sleep(DIRECTORY_INTERVAL_S)
 
     def _update_lease_tasks(self) -> None:
--- a/tests/cover/test_cancel_roads.py
+++ b/tests/cover/test_cancel_roads.py
@@ -446,6 +446,20 @@
 
         assert run_simulation(CellSimulation(1), script).platform.violations == []
 
+    def test_a_new_owner_that_reads_no_directory_stops_the_runs(self) -> None:
+        """Guards against a term in which no worker is asked, though the record names them."""
+
+        async def script(sim: CellSimulation) -> None:
+            await _run_lasting(sim)
+            owner = sim.owner()
+            assert owner is not None
+            sim.platform.faults.directory_unreadable_to.update(sim.instances)
+            await sim.kill_instance(owner)
+            assert await sim.cancel(JOB)
+            await _wait_until_gone(sim, CONTACT_MS + STOP_TIMEOUT_MS)
+
+        assert run_simulation(CellSimulation(1), script).platform.violations == []
+
     def test_a_job_cancelled_while_its_new_owner_adopts_is_stopped(self) -> None:
         """Guards against an adopted run whose job ended before its worker listed it."""
 
