Keep only the beginning of a very long entry among those of the workers

A worker writes a few hundred bytes; an entry that is cut is unreadable.

test_the_newest_records_of_a_topic_with_a_limit_are_not_kept_whole is new with the limit.

--- a/src/greengagewood/platform/directory.py
+++ b/src/greengagewood/platform/directory.py
@@ -21,9 +21,10 @@
 from greengagewood.platform.store import KeyedLog
 from greengagewood.platform.wire import decode
 
-__all__ = ["StoreDirectory", "parse_worker"]
+__all__ = ["MAX_ENTRY_BYTES", "StoreDirectory", "parse_worker"]
 
 KNOWN_STATES = frozenset({"ready", "draining"})
+MAX_ENTRY_BYTES = 16_384  # of which a worker writes a few hundred
 MAX_PORT = 65_535
 MAX_LABELS = 32  # a worker has two
 LAST_BOOT_MS = 4_102_444_800_000  # the year 2100; a later boot time would hide all true ones
--- a/src/greengagewood/platform/program.py
+++ b/src/greengagewood/platform/program.py
@@ -21,7 +21,7 @@
 from greengagewood.internal.process import exit_with_usage_error
 from greengagewood.internal.yamlfile import load_yaml
 from greengagewood.platform.advice import HttpAdvice
-from greengagewood.platform.directory import StoreDirectory
+from greengagewood.platform.directory import MAX_ENTRY_BYTES, StoreDirectory
 from greengagewood.platform.frontend import Frontend
 from greengagewood.platform.manifest import ManifestSource
 from greengagewood.platform.store import KeyedLog
@@ -67,7 +67,7 @@
     worker_session = new_session(MAX_CONNECTIONS_PER_WORKER)
     ports = Ports(
         KeyedLog(store_session, cfg.store, CELL_TOPIC),
-        StoreDirectory(KeyedLog(store_session, cfg.store, WORKERS_TOPIC)),
+        StoreDirectory(KeyedLog(store_session, cfg.store, WORKERS_TOPIC, MAX_ENTRY_BYTES)),
         HttpWorkers(worker_session),
         HttpAdvice(worker_session, cfg.advice) if cfg.advice else None,
     )
--- a/src/greengagewood/platform/store.py
+++ b/src/greengagewood/platform/store.py
@@ -70,10 +70,21 @@
 
 
 class KeyedLog:
-    """Read and append to partition 0 of one keyed topic."""
-
-    def __init__(self, session: aiohttp.ClientSession, address: str, topic: str) -> None:
+    """Read and append to partition 0 of one keyed topic.
+
+    Longer values than `max_value_bytes` are cut off, so that whoever else writes to the topic can't
+    make an instance hold more memory than it has.
+    """
+
+    def __init__(
+        self,
+        session: aiohttp.ClientSession,
+        address: str,
+        topic: str,
+        max_value_bytes: int | None = None,
+    ) -> None:
         self._session = session
+        self._max_value_bytes = max_value_bytes
         self._url = f"http://{address}{CALL_PATH}"
         self._partition_query = {"topic": topic, "part": "0"}
 
@@ -95,7 +106,7 @@
             except ValueError as exc:
                 raise StoreUnavailable(f"unreadable answer: {exc}") from exc
             end = page.end if end is None else end
-            entries.extend(map(_log_entry, page.items))
+            entries.extend(_log_entry(item, self._max_value_bytes) for item in page.items)
             if not page.more or not page.items:
                 return LogPage(tuple(entries), end)
             # The next page starts after this key; the store names the parameter depends-on.
@@ -113,7 +124,7 @@
         body = await self._get("log-read", query, wait_ms)
         if body is None:
             return LogPage((), start)
-        entries = _parse_records(body, start)
+        entries = _parse_records(body, start, self._max_value_bytes)
         end = _READ_HEADER.unpack_from(body)[0] if len(body) >= _READ_HEADER.size else -1
         return LogPage(entries, start + len(entries), end)
 
@@ -230,15 +241,18 @@
     return record
 
 
-def _log_entry(item: _NewestRecord) -> LogEntry:
+def _log_entry(item: _NewestRecord, max_value_bytes: int | None) -> LogEntry:
     try:
-        return LogEntry(item.offset, item.key, base64.b64decode(item.value))
+        value = base64.b64decode(item.value)[:max_value_bytes]
+        return LogEntry(item.offset, item.key, value)
     except (binascii.Error, ValueError):
         # 0xc1 is invalid in MessagePack and JSON: the entry is counted as unreadable and skipped.
         return LogEntry(item.offset, item.key, b"\xc1")
 
 
-def _parse_records(body: bytes, start: int) -> tuple[LogEntry, ...]:
+def _parse_records(
+    body: bytes, start: int, max_value_bytes: int | None = None
+) -> tuple[LogEntry, ...]:
     """Return the complete records of an answer; the next read returns a truncated last one."""
     entries: list[LogEntry] = []
     position = _READ_HEADER.size
@@ -250,5 +264,6 @@
         position += _RECORD_LENGTH.size + length
         key_end = 1 + content[0] if content else 1
         key = content[1:key_end].decode("utf-8", "replace")
-        entries.append(LogEntry(start + len(entries), key, content[key_end:]))
+        value = content[key_end:][:max_value_bytes]
+        entries.append(LogEntry(start + len(entries), key, value))
     return tuple(entries)
--- a/tests/cover/test_odd_entries.py
+++ b/tests/cover/test_odd_entries.py
@@ -55,7 +55,7 @@
     WorkerInfo,
 )
 from greengagewood.platform.advice import HttpAdvice
-from greengagewood.platform.directory import StoreDirectory, parse_worker
+from greengagewood.platform.directory import MAX_ENTRY_BYTES, StoreDirectory, parse_worker
 from greengagewood.platform.jobs import parse_job
 from greengagewood.platform.manifest import ManifestParser, ManifestSource
 from greengagewood.platform.store import KeyedLog, _parse_records
@@ -64,7 +64,7 @@
 from tests.common.desk import CellHarness, make_submission, make_worker_info, start_orders
 from tests.common.drive import CellSimulation, long_running_job, run_simulation, short_job
 from tests.common.plant import SimDirectory
-from tests.common.storestub import MANIFEST, ROUTE
+from tests.common.storestub import MANIFEST, ROUTE, StoreStub, running_store
 
 MAX_RECORD_BYTES = 262_144  # of the platform's store
 LEVELS = 100_000
@@ -643,6 +643,21 @@
             page = await self._load(b'{"items":[' + items + b'],"more":false,"end":3}')
             assert {"w0", "w1"} <= {entry.key for entry in page.entries if entry.value == b"v"}
 
+    async def test_the_newest_records_of_a_topic_with_a_limit_are_not_kept_whole(self) -> None:
+        stub = StoreStub()
+        stub.append("w0", _entry())
+        for number in range(20):
+            stub.append(f"odd-{number}", b'{"x":"' + b"x" * 100_000 + b'"}')
+        async with running_store(stub) as session:
+            log = KeyedLog(session, stub.address, "keyed.x", MAX_ENTRY_BYTES)
+            page = await log.load()
+            assert sum(len(entry.value) for entry in page.entries) <= 21 * MAX_ENTRY_BYTES
+            directory = StoreDirectory(log)
+            assert set(await directory.refresh()) == {"w0"}
+            stub.append("w0", _entry(padding="x" * MAX_ENTRY_BYTES))
+            assert set(await directory.refresh()) == set()
+            assert set(await StoreDirectory(log).refresh()) == set()
+
     @settings(max_examples=60)
     @given(
         odd_documents(
