--- a/src/greengagewood/platform/directory.py
+++ b/src/greengagewood/platform/directory.py
@@ -31,7 +31,7 @@
 MAX_REPORTED_LENGTH = 100
 
 _BROADCAST = ipaddress.IPv4Address("255.255.255.255")
-_Name = Annotated[str, Meta(max_length=255)]  # kept small, as they are stored for each worker
+_Name = Annotated[str, Meta(max_length=255)]  # services are stored for each worker
 _Amount = Annotated[int, Meta(ge=0, le=10**9)]
 _Remaining = Annotated[int, Meta(ge=0, le=86_400_000)]  # milliseconds; a day
 _PATH = re.compile(r"`\$(.*)`$")  # at the end of an error
--- a/src/greengagewood/platform/store.py
+++ b/src/greengagewood/platform/store.py
@@ -72,8 +72,8 @@
 class KeyedLog:
     """Read and append to partition 0 of one keyed topic.
 
-    Longer values than `max_value_bytes` are cut off, so that whoever else writes to the topic can't
-    make an instance hold more memory than it has.
+    Values longer than `max_value_bytes` are cut off: whoever else writes to the topic must not be
+    able to exhaust the memory of an instance.
     """
 
     def __init__(
--- a/src/greengagewood/platform/wire.py
+++ b/src/greengagewood/platform/wire.py
@@ -21,8 +21,7 @@
 
 T = TypeVar("T")
 
-# JSON numbers may have any number of digits. Sums and products of these are exact, or are floats,
-# and each can be stored in a record, which takes 64 bits.
+# JSON numbers may have any number of digits, but a record of the cell stores 64 bits.
 MAX_INTEGER = 2**53 - 1
 Integer = Annotated[int, Meta(ge=-MAX_INTEGER, le=MAX_INTEGER)]
 Number = Annotated[float, Meta(ge=-MAX_INTEGER, le=MAX_INTEGER)]
--- a/tests/cover/test_odd_entries.py
+++ b/tests/cover/test_odd_entries.py
@@ -42,6 +42,7 @@
     encode_record,
     key_of,
 )
+from greengagewood.internal.metrics import Metrics
 from greengagewood.internal.ports import (
     AdviceUnavailable,
     Configuration,
@@ -50,19 +51,21 @@
     LogPage,
     OrderReply,
     Outcome,
+    RouteRule,
     StoreUnavailable,
     WorkerCallFailed,
     WorkerInfo,
 )
 from greengagewood.platform.advice import HttpAdvice
 from greengagewood.platform.directory import MAX_ENTRY_BYTES, StoreDirectory, parse_worker
+from greengagewood.platform.frontend import Frontend
 from greengagewood.platform.jobs import parse_job
 from greengagewood.platform.manifest import ManifestParser, ManifestSource
 from greengagewood.platform.store import KeyedLog, _parse_records
 from greengagewood.platform.wire import decode, new_session
 from greengagewood.platform.workers import HttpWorkers
 from tests.common.desk import CellHarness, make_submission, make_worker_info, start_orders
-from tests.common.drive import CellSimulation, long_running_job, run_simulation, short_job
+from tests.common.drive import CONFIG, CellSimulation, long_running_job, run_simulation, short_job
 from tests.common.plant import SimDirectory
 from tests.common.storestub import MANIFEST, ROUTE, StoreStub, running_store
 
@@ -748,6 +751,47 @@
             assert ledger.unreadable_count or not value
 
 
+class _EncodingInstance:
+    """The part of an entry instance that handles a POST: it encodes the record."""
+
+    config = CONFIG
+    retry_after_s = 1
+
+    def find_route(self, host: str, path: str) -> RouteRule | None:
+        return next((rule for rule in CONFIG.routes if path.startswith(rule.path_prefix)), None)
+
+    async def find_refusal(self, job_id: str, queue: Queue, spec: JobSpec) -> None:
+        return None
+
+    async def submit(self, job_id: str, queue: Queue, spec: JobSpec, timeout_ms: int) -> Outcome:
+        encode_record(Submission(job_id, queue, spec, 1))
+        return Outcome.DONE
+
+
+class TestFrontend:
+    """Guard against bodies of callers that fail the request instead of being refused."""
+
+    @settings(max_examples=60)
+    @given(odd_documents(JOB))
+    @example(json.dumps({**JOB, "first-run-ms": 2**64}).encode())
+    @example(b'{"x":' + TOO_DEEP + b"}")
+    def test_a_drawn_body_is_stored_or_refused(self, body: bytes) -> None:
+        async def scenario() -> int:
+            frontend = Frontend(_EncodingInstance(), Metrics())  # type: ignore[arg-type]
+            runner = web.ServerRunner(web.Server(frontend.handle))
+            await runner.setup()
+            await web.TCPSite(runner, "127.0.0.1", 0).start()
+            host, port = runner.addresses[0][:2]
+            url = f"http://{host}:{port}/wide/{'a' * 16}"
+            try:
+                async with new_session(1) as session, session.post(url, data=body) as resp:
+                    return resp.status
+            finally:
+                await runner.cleanup()
+
+        assert asyncio.run(scenario()) in (200, 400, 413)
+
+
 class TestOperatorRecords:
     """Guard against operators' records that stop the instance from following later ones."""
 
