--- a/src/greengagewood/platform/directory.py
+++ b/src/greengagewood/platform/directory.py
@@ -21,16 +21,17 @@
 from greengagewood.platform.store import KeyedLog
 from greengagewood.platform.wire import decode
 
-__all__ = ["StoreDirectory", "parse_worker"]
+__all__ = ["MAX_ENTRY_BYTES", "StoreDirectory", "parse_worker"]
 
 KNOWN_STATES = frozenset({"ready", "draining"})
+MAX_ENTRY_BYTES = 16_384  # of which a worker writes a few hundred
 MAX_PORT = 65_535
 MAX_LABELS = 32  # a worker has two
 LAST_BOOT_MS = 4_102_444_800_000  # the year 2100; a later boot time would hide all true ones
 MAX_REPORTED_LENGTH = 100
 
 _BROADCAST = ipaddress.IPv4Address("255.255.255.255")
-_Name = Annotated[str, Meta(max_length=255)]  # kept small, as they are stored for each worker
+_Name = Annotated[str, Meta(max_length=255)]  # services are stored for each worker
 _Amount = Annotated[int, Meta(ge=0, le=10**9)]
 _Remaining = Annotated[int, Meta(ge=0, le=86_400_000)]  # milliseconds; a day
 _PATH = re.compile(r"`\$(.*)`$")  # at the end of an error
--- a/tests/cover/test_platform_border.py
+++ b/tests/cover/test_platform_border.py
@@ -314,7 +314,7 @@
         server = await asyncio.start_server(answer_late, "127.0.0.1", 0)
         address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
         info = WorkerInfo("w", address, "svc", "z", "r", frozenset(), 1, 1, 0, False, None, 1)
-        session = new_session(1)
+        session = Session(1)
         workers = HttpWorkers(session)
         task = TaskId("0" * 16, 0, 0, 0)
         held = asyncio.ensure_future(workers.extend_lease(info, None, 1, 0, 400))
