Write a bound of the stand-in's settings as the document does

typing caches Annotated types by equality, and 0 and 0.0 are equal, so the bound that is imported first is the one that the reference page shows. pytest with test_platform_standin.py before test_docs.py failed (TestReference, document.md: '0 to 1' for '0.0 to 1.0'), also on; the whole suite imports the document first. After: it passes in that order.

--- a/src/greengagewood/platform/standin/settings.py
+++ b/src/greengagewood/platform/standin/settings.py
@@ -11,7 +11,7 @@
 
 __all__ = ["Fault", "Rates", "StoreSettings", "WorkerSettings", "WorkersSettings"]
 
-Share = Annotated[float, Meta(ge=0, le=1)]
+Share = Annotated[float, Meta(ge=0.0, le=1.0)]
 
 
 class Rates(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
