Take a run for one of an earlier boot only if that boot has certainly accepted it

Cause: when a worker reboots, a run whose start was answered counted as lost with the earlier boot if that boot had answered any call after the start was sent. But a list may be requested before a start and processed after it. Then the earlier boot may have answered the list, and the later one the start: the run went on, its task was started again (two runs at once), and the run of a cancelled job was no longer known until the later boot listed it.

Ruled out: a start without an answer. It is waited for on the later boot already.

Change: a run is lost with a boot if that boot has listed it, or has answered a list that was requested after the acceptance. Otherwise the later boot is expected to have it, and is sent a stop, as for a start without an answer.

Evidence: a test in test_cell.py failed before and passes now. It needs a worker that boots again within the time-out of a start.

--- a/src/greengagewood/internal/cells/cell.py
+++ b/src/greengagewood/internal/cells/cell.py
@@ -332,14 +332,10 @@
         self.workers[info.worker_id] = rebooted
         self._hold_back_lost_tasks(worker, now_ms)
         for run in list(worker.runs.values()):
-            if (
-                run.accepted_ms is not None
-                and worker.last_answer_ms is not None
-                and run.started_ms < worker.last_answer_ms
-            ):
+            if worker.has_certainly_accepted(run):
                 continue
-            # The start may not have reached the old boot, so the new boot may receive it. It
-            # compares the deadline with its own clock, which has started anew.
+            # The start may not have reached the old boot, so the new boot may receive it, or may
+            # have accepted it. It compares the deadline with its own clock, which has started anew.
             worker.remove_run(run)
             if run.state == "running":
                 run.transition("worker_restarted")
@@ -501,6 +497,7 @@
                 self._registration_due = True
             self.on_event("worker_answers", {"worker": worker.name})
         worker.last_answer_ms = now_ms
+        worker.list_requested_ms = sent_ms
         worker.lease_call_failed = False
         worker.failing_since_ms = None
         self._crashes.handle_answer(worker, reply.boot_time_ms, now_ms)
@@ -590,7 +587,7 @@
         task = self.book.placeholder_task(listed_run.task_id)
         if task is not None:
             run = Run(task, listed_run.run_number, worker.name, worker.info.rack, "running", now_ms)
-            run.accepted_ms = now_ms
+            run.accepted_ms = run.listed_ms = now_ms
             worker.add_run(run)
         return task
 
--- a/src/greengagewood/internal/cells/fleet.py
+++ b/src/greengagewood/internal/cells/fleet.py
@@ -121,6 +121,7 @@
     closed_to_starts: bool = False  # whether the last record says which tasks it can run
     stored_empty: bool = False  # whether the last record says, or implies, that it runs none
     last_answer_ms: int | None = None
+    list_requested_ms: int = 0  # when the last list that it answered was requested
     unresponsive: bool = False  # whether it does not answer
     lease_call_failed: bool = False  # whether the last lease extension was not answered
     runs: dict[tuple[Task, int], Run] = field(default_factory=dict)  # by task and run number
@@ -184,6 +185,15 @@
             late in self.ruled_out and all(other is not task for other, _ in self.runs)
         )
 
+    def has_certainly_accepted(self, run: Run) -> bool:
+        """Return whether this boot, rather than a later one, has accepted the start of a run.
+
+        It has if it has listed the run, or has answered a call that was sent after the acceptance.
+        """
+        return run.accepted_ms is not None and (
+            run.listed_ms >= run.accepted_ms or run.accepted_ms < self.list_requested_ms
+        )
+
     def is_usable(self, now_ms: int) -> bool:
         """Return whether runs may be placed here now.
 
--- a/tests/cover/test_cell.py
+++ b/tests/cover/test_cell.py
@@ -142,6 +142,21 @@
         harness.answer_lease("w0", ends=(end,))
         assert cell.book.jobs["0" * 16].state == "completed"
 
+    def test_a_list_requested_before_a_start_does_not_show_which_boot_accepted_it(self) -> None:
+        """Guards against a second run beside one that the new boot has accepted."""
+        harness = CellHarness("w0", "w1")
+        harness.submit(StepSpec(1, cpu_millis=1_000))
+        requested_ms = harness.now_ms
+        (start,) = harness.start()
+        name = start.worker.name
+        reply = LeaseReply(harness.now_ms - 90_000, 1, (), ())
+        harness.cell.handle_lease_reply(start.worker, reply, requested_ms, harness.now_ms)
+        harness.worker_infos[name] = make_worker_info(name, boot_time_ms=2)
+        harness.cell.set_workers(harness.worker_infos, harness.now_ms)
+        orders = harness.plan()
+        assert start_orders(orders) == []
+        assert [order.run for order in orders if isinstance(order, StopRun)] == [start.run]
+
     def test_a_run_that_the_old_boot_had_listed_is_lost(self) -> None:
         harness = CellHarness("w0", "w1")
         harness.submit(StepSpec(1, cpu_millis=1_000))
