Play events at the ports of a cell's decisions in random order

A seed draws faults, jobs and what comes next: answers that are late, lost or out of order, reboots under the same or another ID, workers that drain, shrink or are missing from the directory, evacuations, cancellations, and changes of owner with the old one acting on. Simulated workers keep to the platform's rules; a calm phase follows. Checked: no exception, no ended run among those of a worker, no run of an unknown worker, allocations, no start that counts as ruled out and may still be carried out, no task twice, ends, attempts and dependencies, evacuations, due times, no start of a cancelled job, the end of its runs (4.2 s in calm), and the return of lasting tasks (9 s in calm).

Left out, as findings are open (World._is_left_out): a later boot carries out a late start of an earlier owner, or one that was ruled out and followed by another; an acknowledgement reaches a later boot under the same ID.

--- /dev/null
+++ b/tests/common/eventorder.py
@@ -0,0 +1,878 @@
+"""Events at the ports of a cell's decisions, in random order.
+
+A seed draws which event comes next: answers that are late, lost or out of order, reboots, workers
+that drain, shrink or are replaced, links that are cut, lagging reads, jobs, cancellations, and
+changes of owner. The workers keep to the platform's rules. `World.play` ends with a calm phase, in
+which the bounds in time hold. It raises `Violation` at the first broken rule.
+"""
+
+from __future__ import annotations
+
+import random
+from collections import Counter, deque
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+
+from greengagewood.internal.cells.cell import Cell
+from greengagewood.internal.cells.fleet import MAX_ORDER_DELAY_MS, Resources, Worker
+from greengagewood.internal.cells.orders import (
+    Changes,
+    Order,
+    RequestAdvice,
+    StartRun,
+    StopRun,
+    ThrottleRun,
+)
+from greengagewood.internal.evacuation import Evacuations
+from greengagewood.internal.jobs.model import JobSpec, Queue, StepSpec
+from greengagewood.internal.jobs.records import Progress, RegisteredWorkers, Submission, TaskId
+from greengagewood.internal.ports import LeaseReply, Permit, RunEnd, RunningTask, WorkerInfo
+from tests.common.desk import LIMITS
+
+__all__ = ["Violation", "World"]
+
+CALL_TIMEOUT_MS = 1_000
+LIST_WAIT_MS = 450  # how long a worker may wait for the end of a run before it lists its runs
+CANCEL_MS = 4_000  # by the platform's rules, nothing of a cancelled job is started after this
+STOP_MS = 200  # by the platform's rules, a stopped run ends within this
+# By the platform's rules, a lasting task runs again 3 s after it has been gone for 6 s.
+RESTART_MS = 9_000
+GANG_TIMEOUT_MS = 3_000
+CALM_MS = 15_000  # after the last fault: late orders are over, and workers and owner are in touch
+CHECKED_MS = 12_000  # length of the rest of the calm phase
+MAX_JOBS = 60
+QUEUES = (
+    Queue("plain", "svc", 0, 3, 2.0, 1_000),
+    Queue("advised", "svc", 1, 3, 2.0, 1_000, decision_ms=30),
+)
+FAULTS = (
+    "crash",
+    "reboot",
+    "replace",
+    "unsound",
+    "unlist",
+    "resize",
+    "cut",
+    "evacuate",
+    "change owner",
+)
+LASTING = StepSpec(2, 3_000, estimate_ms=600, long_running=True, image="serve", tail_target_ms=24)
+JOBS = (
+    JobSpec("p", (StepSpec(2, 3_000, estimate_ms=600),)),
+    JobSpec("p", (LASTING,)),
+    JobSpec("p", (StepSpec(1, 2_000, long_running=True, max_unavailable=1),)),
+    JobSpec("p", (StepSpec(4, 1_000, estimate_ms=300, speculative=True, image="short"),)),
+    JobSpec("p", (StepSpec(2, 5_000, 4_000, 0, 2_000, (), True, image="fill", best_effort=True),)),
+    JobSpec("p", (StepSpec(3, 3_000, estimate_ms=900, gang=True, checkpointing=True),)),
+    JobSpec("p", (StepSpec(2, 1_000, estimate_ms=300), StepSpec(1, 2_000, 0, 0, 400, (0,)))),
+)
+
+
+class Violation(AssertionError):
+    """Raised when a rule is broken; the message names the rule and what broke it."""
+
+
+@dataclass(eq=False)
+class BootRun:
+    """A run as its worker knows it; without `work_ms` it lasts until it is stopped."""
+
+    number: int
+    spec: StepSpec
+    started_ms: int
+    work_ms: float | None
+    result: str
+    worked_ms: float = 0.0
+    pace_percent: int = 100
+    stops_ms: int | None = None
+
+
+@dataclass(eq=False)
+class Boot:
+    """One boot of a worker."""
+
+    name: str
+    address: str
+    boot_time_ms: int
+    domain: str
+    cpu_millis: int
+    up: bool = True
+    listed: bool = True
+    draining: bool = False
+    unhealthy: bool = False
+    token: int = 0
+    lease_ms: int = 0
+    runs: dict[TaskId, BootRun] = field(default_factory=dict)
+    ends: list[RunEnd] = field(default_factory=list)
+    end_count: int = 0
+    highest_numbers: Counter[TaskId] = field(default_factory=Counter)
+
+    def clock_ms(self, now_ms: int) -> int:
+        """Return the time of the worker's clock, which runs 2 % slow."""
+        return int((now_ms - self.boot_time_ms) * 0.98)
+
+    def used_cpu_millis(self) -> int:
+        return sum(run.spec.cpu_millis for run in self.runs.values() if not run.spec.best_effort)
+
+    def info(self) -> WorkerInfo:
+        return WorkerInfo(
+            self.name,
+            self.address,
+            "svc",
+            self.domain,
+            "r0",
+            frozenset(("a", "r0")),
+            self.cpu_millis,
+            64_000,
+            0,
+            self.draining,
+            None,
+            self.boot_time_ms,
+        )
+
+    def extend_lease(self, deadline_ms: int | None, now_ms: int) -> None:
+        if deadline_ms is not None:
+            longest_ms = self.clock_ms(now_ms) + LIMITS.lease_ms
+            self.lease_ms = max(self.lease_ms, min(deadline_ms, longest_ms))
+
+    def reply(self, rng: random.Random, now_ms: int) -> LeaseReply:
+        """List the runs, and the ends that were not acknowledged."""
+        running = []
+        for task, run in self.runs.items():
+            percent = (
+                100 if run.work_ms is None else min(99, int(100 * run.worked_ms / run.work_ms))
+            )
+            reading = rng.randint(3, 40) if run.spec.tail_target_ms else run.spec.cpu_millis
+            running.append(RunningTask(task, run.number, "", percent, reading))
+        return LeaseReply(
+            self.clock_ms(now_ms), self.boot_time_ms, tuple(running), tuple(self.ends)
+        )
+
+
+@dataclass(eq=False)
+class Call:
+    """A call to a worker; `hold` is the deadline and the acknowledged end of a lease extension."""
+
+    owner: Owner
+    worker: Worker
+    info: WorkerInfo
+    sent_ms: int
+    arrives_ms: int
+    answer_ms: int  # how long the answer takes
+    answer_lost: bool
+    lost: bool = False  # so that it never arrives
+    order: StartRun | StopRun | ThrottleRun | None = None
+    hold: tuple[int | None, int] | None = None
+    arrived: bool = False
+    closed_ms: int | None = None  # when the owner got its answer or gave it up
+    reply: str | LeaseReply | None = None
+
+
+@dataclass(eq=False)
+class Owner:
+    """An owner of the cell; one that was replaced acts until its confirmation times out."""
+
+    cell: Cell
+    confirmed_ms: int
+    heartbeat_ms: int
+    connected: bool = True  # to the store
+    lease_calls: dict[Worker, Call] = field(default_factory=dict)
+    cancelled: set[str] = field(default_factory=set)  # jobs of whose cancellation it knows
+    evacuated: frozenset[str] = frozenset()
+    storing: tuple[Changes, int] | None = None  # and when that is answered
+
+    def may_send(self, now_ms: int) -> bool:
+        confirmed_ms = min(self.confirmed_ms, self.heartbeat_ms)
+        return now_ms - confirmed_ms <= LIMITS.confirmation_timeout_ms
+
+
+@dataclass
+class StoredJob:
+    """A job as it is stored."""
+
+    submission: Submission
+    offset: int
+    progress: Progress | None = None
+    cancelled_ms: int | None = None
+
+
+class World:
+    """Workers, a store and the owners of one cell."""
+
+    def __init__(self, seed: int, worker_count: int = 4) -> None:
+        self.rng = random.Random(seed)
+        self.now_ms = 100_000
+        self.steps = 0
+        self.events: deque[tuple[object, ...]] = deque(maxlen=300)  # the last ones, for a reader
+        self.calls: list[Call] = []
+        self.cut: set[tuple[Owner, str]] = set()  # links of owners to addresses
+        self.calm_since_ms: int | None = None
+        # Each seed has faults and jobs of its own: some states need many of one kind, or none.
+        self.fault_weights = self.rng.choices((0.01, 1, 4), k=len(FAULTS))
+        self.fault_share = self.rng.choice((0.005, 0.02, 0.06))
+        self.job_weights = self.rng.choices((1, 4), k=len(JOBS))
+        self.lost_share = self.rng.choice((0.02, 0.1, 0.3))
+        self.late_share = self.rng.choice((0.02, 0.1, 0.2))
+        self.slow_share = self.rng.choice((0.2, 0.7))
+        self.log_end = 0
+        self.settled_offset = 0
+        self.jobs: dict[str, StoredJob] = {}
+        self.registered = (RegisteredWorkers(()), self.now_ms)
+        self.evacuated: frozenset[str] = frozenset()
+        self.done: set[TaskId] = set()
+        self.acknowledged: set[TaskId] = set()
+        self.failures: Counter[TaskId] = Counter()
+        self.last_ran_ms: dict[TaskId, int] = {}  # of lasting tasks
+        self.free_cpu_millis: deque[int] = deque(maxlen=RESTART_MS // 500)  # each 500 ms
+        self.advanced_ms = self.now_ms
+        self.boots = {f"10.0.0.{n}:80": self._new_boot(f"w{n}", n) for n in range(worker_count)}
+        self.directory = self._listed()
+        self.owners = [Owner(Cell(LIMITS, 1, self.now_ms), self.now_ms, self.now_ms)]
+        self._begin_term()
+
+    @property
+    def owner(self) -> Owner:
+        """Return the owner whose token is the highest."""
+        return self.owners[-1]
+
+    def play(self, steps: int) -> None:
+        """Play random events, then a calm phase."""
+        for _ in range(steps):
+            self._advance(self.rng.choice((0, 1, 10, 20, 50)))
+            self._draw_event()
+            self._deliver()
+            self._check()
+        self._calm_down()
+        while self.now_ms < (self.calm_since_ms or 0) + CALM_MS + CHECKED_MS:
+            self._advance(20)
+            self._play_calm()
+            self._deliver()
+            self._check()
+
+    # Workers.
+
+    def _new_boot(self, name: str, number: int) -> Boot:
+        cpu_millis = self.rng.choice((16_000, 16_000, 8_000))
+        return Boot(name, f"10.0.0.{number}:80", self.now_ms, f"d{number % 3}", cpu_millis)
+
+    def _listed(self) -> dict[str, WorkerInfo]:
+        return {boot.name: boot.info() for boot in self.boots.values() if boot.up and boot.listed}
+
+    def _advance(self, elapsed_ms: int) -> None:
+        """Let time pass on all workers."""
+        self.steps += 1
+        self.now_ms += elapsed_ms
+        for boot in self.boots.values():
+            for task, run in list(boot.runs.items()):
+                if boot.runs.get(task) is run:
+                    self._advance_run(boot, task, run, elapsed_ms)
+
+    def _advance_run(self, boot: Boot, task: TaskId, run: BootRun, elapsed_ms: int) -> None:
+        complete = not run.spec.gang or len(list(self._gang(task, run))) == run.spec.task_count
+        if complete:
+            run.worked_ms += elapsed_ms * run.pace_percent / 100
+        if run.spec.long_running:
+            self.last_ran_ms[task] = self.now_ms
+        if boot.clock_ms(self.now_ms) > boot.lease_ms:
+            self._end_run(boot, task, "lapsed")
+        elif run.stops_ms is not None and self.now_ms >= run.stops_ms:
+            self._end_run(boot, task, "stopped")
+        elif run.work_ms is not None and run.worked_ms >= run.work_ms:
+            self._end_run(boot, task, run.result)
+        elif not complete and self.now_ms - run.started_ms > GANG_TIMEOUT_MS:
+            self._end_run(boot, task, "alone")
+
+    def _gang(self, task: TaskId, run: BootRun) -> Iterator[tuple[Boot, TaskId]]:
+        for boot in self.boots.values():
+            for other, other_run in boot.runs.items():
+                if other[:3] == task[:3] and other_run.number == run.number:
+                    yield boot, other
+
+    def _end_run(self, boot: Boot, task: TaskId, result: str) -> None:
+        """End a run, and the rest of its gang."""
+        run = boot.runs.pop(task)
+        boot.end_count += 1
+        boot.ends.append(RunEnd(boot.end_count, task, run.number, result, ""))
+        if result == "done":
+            self.done.add(task)
+        self._break_gang(task, run, "done" if result == "done" else "broken")
+
+    def _crash(self, boot: Boot) -> None:
+        runs, boot.runs = boot.runs, {}
+        boot.ends.clear()
+        boot.up = False
+        for task, run in runs.items():
+            self._break_gang(task, run, "broken")
+
+    def _break_gang(self, task: TaskId, run: BootRun, result: str) -> None:
+        """End the other runs of a gang of which a run has ended."""
+        if run.spec.gang:
+            for boot, other in list(self._gang(task, run)):
+                if other in boot.runs:
+                    self._end_run(boot, other, result)
+
+    def _reboot(self, boot: Boot, name: str) -> None:
+        """Boot a worker at the address of another boot, under its ID or another one."""
+        if boot.up:
+            self._crash(boot)
+        number = list(self.boots).index(boot.address)
+        self.boots[boot.address] = self._new_boot(name, number)
+
+    # Calls as the workers receive them.
+
+    def _carry_out(self, call: Call, boot: Boot) -> str | LeaseReply:
+        owner_token = call.owner.cell.token
+        if boot.name != call.info.worker_id:
+            return "wrong_boot"
+        if owner_token < boot.token:
+            return "fence"
+        boot.token = owner_token
+        if call.hold is not None:
+            deadline_ms, acknowledged = call.hold
+            self._acknowledge(boot, acknowledged)
+            boot.extend_lease(deadline_ms, self.now_ms)
+            return boot.reply(self.rng, self.now_ms)
+        order = call.order
+        if isinstance(order, StartRun):
+            return self._start(boot, order)
+        if isinstance(order, StopRun):
+            run = boot.runs.get(order.task_id)
+            boot.highest_numbers[order.task_id] = max(
+                order.run_number, boot.highest_numbers[order.task_id]
+            )
+            if run is not None and run.number == order.run_number and run.stops_ms is None:
+                run.stops_ms = self.now_ms + STOP_MS
+            return ""
+        assert order is not None
+        run = boot.runs.get(order.run.task.id)
+        if run is not None and run.number == order.run.number:
+            run.pace_percent = order.speed_percent
+        return ""
+
+    def _acknowledge(self, boot: Boot, sequence: int) -> None:
+        for end in boot.ends:
+            if end.sequence <= sequence and end.result == "done":
+                self.acknowledged.add(end.task_id)
+            elif end.sequence <= sequence and end.result == "failed":
+                self.failures[end.task_id] += 1
+        boot.ends = [end for end in boot.ends if end.sequence > sequence]
+
+    def _start(self, boot: Boot, order: StartRun) -> str:
+        task, number = order.run.task.id, order.run.number
+        spec = order.run.task.step.spec
+        if boot.unhealthy:
+            return "unhealthy"
+        if boot.clock_ms(self.now_ms) > order.deadline_ms:
+            return "late"
+        boot.extend_lease(order.deadline_ms, self.now_ms)
+        if number <= boot.highest_numbers[task]:
+            return "" if task in boot.runs and boot.runs[task].number == number else "old"
+        if not spec.best_effort and boot.used_cpu_millis() + spec.cpu_millis > boot.cpu_millis:
+            return "room"
+        self._check_start(task, spec, order.worker.name)
+        boot.highest_numbers[task] = number
+        straggles = spec.speculative and self.rng.random() < 0.1
+        work_ms = spec.estimate_ms * (self.rng.uniform(0.5, 1.8) + 6 * straggles)
+        boot.runs[task] = BootRun(
+            number,
+            spec,
+            self.now_ms,
+            None if spec.long_running else work_ms,
+            "failed" if self.rng.random() < 0.05 else "done",
+        )
+        self.events.append((self.now_ms, "started", task, number, boot.name, boot.boot_time_ms))
+        return ""
+
+    # Calls as the owners send them.
+
+    def _send(
+        self,
+        owner: Owner,
+        worker: Worker,
+        order: StartRun | StopRun | ThrottleRun | None = None,
+        hold: tuple[int | None, int] | None = None,
+    ) -> Call:
+        rng = self.rng
+        delay_ms = rng.randint(0, 20)
+        answer_ms = rng.randint(0, 20)
+        answer_lost = lost = False
+        if self.calm_since_ms is None:
+            if rng.random() < self.late_share:
+                delay_ms, answer_lost = rng.randint(1_001, MAX_ORDER_DELAY_MS - 1), True
+            elif rng.random() < self.slow_share:
+                delay_ms, answer_ms = rng.randint(0, 900), rng.randint(0, 800)
+            answer_lost = answer_lost or rng.random() < self.lost_share
+            lost = answer_lost and rng.random() < 0.5
+        call = Call(
+            owner,
+            worker,
+            worker.info,
+            self.now_ms,
+            self.now_ms + delay_ms,
+            answer_ms,
+            answer_lost,
+            lost,
+            order,
+            hold,
+        )
+        self.calls.append(call)
+        return call
+
+    def _issue(self, owner: Owner, orders: list[Order]) -> None:
+        for order in orders:
+            if isinstance(order, RequestAdvice):
+                self._advise(owner, order)
+                continue
+            if isinstance(order, StartRun):
+                self._check_order(owner, order)
+            elif isinstance(order, ThrottleRun):
+                order.run.speed_percent = order.speed_percent
+                order.worker.invalidate_slack()
+            self._send(owner, order.worker, order)
+            self._note("sent", owner, order.worker.info, order)
+
+    def _note(
+        self,
+        event: str,
+        owner: Owner,
+        info: WorkerInfo,
+        order: StartRun | StopRun | ThrottleRun | None,
+    ) -> None:
+        """Keep an event of a start or stop for the reader of a violation."""
+        if isinstance(order, StartRun | StopRun):
+            stop = isinstance(order, StopRun)
+            task, number = (
+                (order.task_id, order.run_number)
+                if isinstance(order, StopRun)
+                else (order.run.task.id, order.run.number)
+            )
+            boot = info.worker_id, info.boot_time_ms
+            token = owner.cell.token
+            self.events.append(
+                (self.now_ms, token, "stop" if stop else "start", event, task, number, boot)
+            )
+
+    def _advise(self, owner: Owner, order: RequestAdvice) -> None:
+        planner = owner.cell.planner
+        if self.calm_since_ms is None and self.rng.random() < 0.3:
+            planner.note_advice_failed(order.step, self.now_ms)
+            return
+        permit = Permit("t", self.now_ms + self.rng.choice((500, 3_000)))
+        planner.note_permits(order.step, dict.fromkeys(order.worker_ids, permit))
+
+    def _extend_leases(self, owner: Owner) -> None:
+        if not owner.may_send(self.now_ms):
+            return
+        current = list(owner.cell.workers.values())
+        for worker in [w for w in owner.lease_calls if w not in current]:
+            del owner.lease_calls[worker]
+        for worker in current:
+            last = owner.lease_calls.get(worker)
+            if last is not None:
+                pause_ms = 50 if isinstance(last.reply, LeaseReply) else 250
+                if last.closed_ms is None or self.now_ms - last.closed_ms < pause_ms:
+                    continue
+            hold = owner.cell.prepare_lease_extension(worker, self.now_ms)
+            owner.lease_calls[worker] = self._send(owner, worker, hold=hold)
+
+    def _deliver(self) -> None:
+        """Let calls arrive at workers, and answers and time-outs at owners."""
+        for call in list(self.calls):
+            boot = self.boots[call.info.address]
+            is_cut = (call.owner, call.info.address) in self.cut
+            if not call.arrived and self.now_ms >= call.arrives_ms:
+                call.arrived = True
+                if call.lost:
+                    pass
+                elif boot.up and not is_cut and not self._is_left_out(call, boot):
+                    call.reply = self._carry_out(call, boot)
+                    call.arrives_ms = self.now_ms
+                elif not boot.up and not call.answer_lost and self.rng.random() < 0.3:
+                    call.reply = "unreachable"
+            timeout_ms = CALL_TIMEOUT_MS + (LIST_WAIT_MS if call.hold is not None else 0)
+            if call.closed_ms is not None:
+                pass
+            elif self.now_ms - call.sent_ms > timeout_ms:
+                call.reply = None
+                self._answer(call)
+            elif (
+                call.arrived
+                and call.reply is not None
+                and not call.answer_lost
+                and not is_cut
+                and self.now_ms >= call.arrives_ms + call.answer_ms
+            ):
+                self._answer(call)
+        self.calls = [call for call in self.calls if not call.arrived or call.closed_ms is None]
+
+    def _is_left_out(self, call: Call, boot: Boot) -> bool:
+        """Return whether a call to an earlier boot is one of those for which a finding is open.
+
+        A later boot may carry out a start of an earlier owner, which its successor doesn't expect
+        there, or one that the owner has ruled out and followed by another. If it takes an
+        acknowledgement that was meant for an earlier boot, it loses ends that it has never listed.
+        """
+        if call.info.boot_time_ms in (0, boot.boot_time_ms):
+            return False
+        if call.hold is not None:
+            return call.hold[1] > 0
+        if not isinstance(call.order, StartRun):
+            return False
+        task = call.order.run.task.id
+        return call.owner is not self.owner or task in boot.runs or task in self.acknowledged
+
+    def _answer(self, call: Call) -> None:
+        """Pass an answer, or its absence, to the owner as `CellRunner` does."""
+        call.closed_ms = self.now_ms
+        owner, worker, order, reply = call.owner, call.worker, call.order, call.reply
+        cell, now_ms = owner.cell, self.now_ms
+        self._note(f"answered {reply!r}", owner, call.info, order)
+        if owner not in self.owners:
+            return
+        if call.hold is not None:
+            if owner.lease_calls.get(worker) is not call:
+                return
+            if reply == "wrong_boot":
+                cell.note_wrong_boot(worker, now_ms)
+            elif isinstance(reply, LeaseReply):
+                self._issue(owner, cell.handle_lease_reply(worker, reply, call.sent_ms, now_ms))
+            elif reply != "fence":
+                cell.note_lease_failure(worker, now_ms)
+        elif reply == "wrong_boot":
+            cell.note_wrong_boot(worker, now_ms)
+        elif isinstance(order, StartRun):
+            if reply is None:
+                cell.note_start_unanswered(order.run, now_ms)
+            else:
+                assert isinstance(reply, str)
+                self._issue(owner, cell.handle_start_reply(worker, order.run, reply, now_ms))
+        elif isinstance(order, StopRun) and reply == "":
+            cell.note_stop_accepted(worker, order.run, now_ms)
+
+    # The store and the owners.
+
+    def _begin_term(self) -> None:
+        owner, cell = self.owner, self.owner.cell
+        cell.on_event = lambda event, fields: self.events.append(
+            (self.now_ms, cell.token, event, fields)
+        )
+        for job_id in self.jobs:
+            self._take_up_job(owner, job_id)
+        cell.set_registered_workers(*self.registered, self.now_ms)
+        self._read_orders(owner)
+
+    def _take_up_job(self, owner: Owner, job_id: str) -> None:
+        """Add a stored job as `CellRunner` does."""
+        stored = self.jobs[job_id]
+        cell = owner.cell
+        if job_id not in cell.book.jobs:
+            claim_offset = cell.planner._claim_offset
+            unrecorded = stored.progress is None and stored.offset < self.settled_offset
+            never_started = unrecorded or stored.offset > claim_offset
+            cell.add_job(
+                stored.submission, stored.progress, never_started, self.now_ms, stored.offset
+            )
+        if stored.cancelled_ms is not None:
+            owner.cancelled.add(job_id)
+            cell.cancel(job_id, self.now_ms)
+
+    def _change_owner(self, released: bool) -> None:
+        """Let another instance claim the cell; without a release, the old owner acts on."""
+        old = self.owner
+        if old.storing is not None:
+            changes, _ = old.storing
+            old.storing = None
+            if self.rng.random() < 0.5:
+                self._write(old, changes)
+            old.cell.note_changes_unconfirmed(changes)
+        if released:
+            release = old.cell.collect_changes(self.now_ms, self.now_ms, releasing=True)
+            if release is not None:
+                self._write(old, release)
+            self.owners.clear()
+        old.connected = False
+        self.log_end += 1
+        cell = Cell(
+            LIMITS,
+            old.cell.token + 1,
+            self.now_ms,
+            self.settled_offset,
+            self.log_end,
+            self.now_ms,
+            old.heartbeat_ms,
+        )
+        self.log_end += 1
+        self.owners.append(Owner(cell, self.now_ms, self.now_ms))
+        self._begin_term()
+
+    def _write(self, owner: Owner, changes: Changes) -> None:
+        for record in changes.records:
+            self.log_end += 1
+            if isinstance(record, Progress):
+                self.jobs[record.job_id].progress = record
+            elif isinstance(record, RegisteredWorkers):
+                self.registered = record, self.now_ms
+        owner.heartbeat_ms = self.now_ms
+
+    def _store(self, owner: Owner) -> None:
+        """Store an owner's changes; the answer may take a while."""
+        if owner.storing is not None:
+            changes, answered_ms = owner.storing
+            if self.now_ms < answered_ms:
+                return
+            owner.storing = None
+            self._write(owner, changes)
+            owner.cell.note_changes_stored(changes)
+        changes_now = owner.cell.collect_changes(self.now_ms, self.now_ms)
+        if not owner.connected:
+            if changes_now is not None:
+                owner.cell.note_changes_unconfirmed(changes_now)
+            return
+        delay_ms = 0 if self.calm_since_ms or self.rng.random() < 0.7 else 800
+        if changes_now is not None:
+            owner.storing = changes_now, self.now_ms + self.rng.randint(0, delay_ms)
+        else:
+            owner.heartbeat_ms = self.now_ms
+            planner = owner.cell.planner
+            self.settled_offset = planner.advance_settled_offset(self.log_end, self.now_ms)
+
+    def _read_orders(self, owner: Owner) -> None:
+        """Read which failure domains are evacuated."""
+        if owner.connected:
+            owner.evacuated = self.evacuated
+            orders = Evacuations(self.evacuated, 0, self.now_ms)
+            owner.cell.set_evacuations(orders, self.now_ms)
+
+    def _confirm(self, owner: Owner) -> None:
+        if owner.connected:
+            owner.confirmed_ms = self.now_ms
+            owner.cell.note_confirmed(self.now_ms)
+
+    def _plan(self, owner: Owner) -> None:
+        if owner.may_send(self.now_ms):
+            self._issue(owner, owner.cell.plan(self.now_ms, self.now_ms))
+
+    def _submit(self) -> None:
+        job_id = f"{len(self.jobs):016x}"
+        spec = self.rng.choices(JOBS, self.job_weights)[0]
+        if self.rng.random() < 0.15:
+            due_ms = self.now_ms + self.rng.randint(0, 3_000)
+            spec = JobSpec("p", (StepSpec(1, 1_000, estimate_ms=200),), due_ms, 1_500, 3)
+        submission = Submission(job_id, self.rng.choice(QUEUES), spec, self.now_ms)
+        self.jobs[job_id] = StoredJob(submission, self.log_end)
+        self.log_end += 1
+        self._take_up_job(self.owner, job_id)
+
+    def _cancel(self) -> None:
+        stored = self.jobs[self.rng.choice(list(self.jobs)[-12:])]
+        if stored.cancelled_ms is None:
+            stored.cancelled_ms = self.now_ms
+            self.log_end += 1
+            self._take_up_job(self.owner, stored.submission.job_id)
+
+    # What happens next.
+
+    def _draw_event(self) -> None:
+        rng = self.rng
+        for owner in self.owners[:-1]:
+            if not owner.may_send(self.now_ms):
+                self.owners.remove(owner)
+        owner = rng.choice(self.owners) if rng.random() < 0.3 else self.owner
+        draw = rng.random()
+        if draw < 0.30:
+            self._plan(owner)
+        elif draw < 0.50:
+            self._extend_leases(owner)
+        elif draw < 0.56:
+            self.directory = self._listed()
+        elif draw < 0.60:
+            if owner.connected:
+                owner.cell.set_workers(self.directory, self.now_ms)
+        elif draw < 0.68:
+            self._confirm(owner)
+        elif draw < 0.72:
+            self._read_orders(owner)
+        elif draw < 0.78:
+            self._store(owner)
+        elif draw < 0.82:
+            if len(self.jobs) < MAX_JOBS:
+                self._submit()
+        elif draw < 0.85:
+            if self.jobs:
+                self._cancel()
+        elif draw < 0.85 + self.fault_share:
+            self._draw_fault()
+
+    def _draw_fault(self) -> None:
+        rng = self.rng
+        boot = rng.choice(list(self.boots.values()))
+        match rng.choices(FAULTS, self.fault_weights)[0]:
+            case "crash" if boot.up:
+                self._crash(boot)
+            case "crash" | "reboot":
+                self._reboot(boot, boot.name)
+            case "replace":
+                other_name = f"{boot.name}x" if rng.random() < 0.7 else boot.name.rstrip("x")
+                self._reboot(boot, other_name)
+            case "unsound":
+                boot.draining, boot.unhealthy = rng.random() < 0.5, rng.random() < 0.3
+            case "unlist":
+                boot.listed = rng.random() < 0.4
+            case "resize":
+                boot.cpu_millis = rng.choice((4_000, 8_000, 16_000))
+            case "cut":
+                self.cut ^= {(self.owner, boot.address)}
+            case "evacuate":
+                self.evacuated = frozenset({boot.domain} if rng.random() < 0.5 else ())
+            case "change owner" if rng.random() < 0.3:
+                self._change_owner(released=rng.random() < 0.4)
+
+    def _calm_down(self) -> None:
+        """End all faults."""
+        self.calm_since_ms = self.now_ms
+        self.cut.clear()
+        self.evacuated = frozenset()
+        for boot in list(self.boots.values()):
+            boot.unhealthy = boot.draining = False
+            boot.listed = True
+            if not boot.up:
+                self._reboot(boot, boot.name)
+
+    def _play_calm(self) -> None:
+        for owner in list(self.owners):
+            if owner is not self.owner and not owner.may_send(self.now_ms):
+                self.owners.remove(owner)
+                continue
+            self._confirm(owner)
+            self._plan(owner)
+            self._extend_leases(owner)
+            self._store(owner)
+            self._read_orders(owner)
+            if owner.connected and self.now_ms % 500 < 20:
+                owner.cell.set_workers(self._listed(), self.now_ms)
+        if self.jobs and self.rng.random() < 0.01:
+            self._cancel()
+        if self.rng.random() < 0.01:
+            self._submit()
+
+    # The rules.
+
+    @property
+    def _is_checked(self) -> bool:
+        """Return whether the bounds in time hold, as there has been no fault for long."""
+        return self.calm_since_ms is not None and self.now_ms >= self.calm_since_ms + CALM_MS
+
+    def _check_order(self, owner: Owner, order: StartRun) -> None:
+        """Check what an owner knows of a task that it starts."""
+        task = order.run.task
+        spec = task.step.job.submission.spec
+        if task.id.job_id in owner.cancelled:
+            raise Violation(f"start of a cancelled job is sent: {task.id}")
+        if order.worker.info.failure_domain in owner.evacuated:
+            raise Violation(f"start in an evacuated domain is sent: {task.id}")
+        if self.now_ms < spec.first_due_ms + task.id.occurrence * spec.interval_ms:
+            raise Violation(f"start before its time is sent: {task.id}")
+
+    def _check_start(self, task: TaskId, spec: StepSpec, name: str) -> None:
+        """Check a start that a worker carries out."""
+        running = [boot.name for boot in self.boots.values() if task in boot.runs]
+        if len(running) > spec.speculative:
+            raise Violation(f"two runs at once: {task} on {running} and {name}")
+        if not spec.long_running and task in self.acknowledged:
+            raise Violation(f"started after its end was acknowledged: {task}")
+        queue = self.jobs[task.job_id].submission.queue
+        if not spec.long_running and self.failures[task] >= queue.max_attempts:
+            raise Violation(f"too many attempts: {task}")
+        steps = self.jobs[task.job_id].submission.spec.steps
+        for earlier in spec.depends_on:
+            for number in range(steps[earlier].task_count):
+                if TaskId(task.job_id, task.occurrence, earlier, number) not in self.done:
+                    raise Violation(f"dependency not met: {task}")
+        cancelled_ms = self.jobs[task.job_id].cancelled_ms
+        if cancelled_ms is not None and self._is_checked:
+            cancelled_for_ms = self.now_ms - cancelled_ms
+            if cancelled_for_ms > CANCEL_MS:
+                raise Violation(f"started after the cancellation of its job: {task}")
+
+    def _check(self) -> None:
+        for owner in self.owners:
+            self._check_workers(owner.cell)
+            self._check_ruled_out(owner.cell)
+            if self.steps % 20 == 0:
+                self._check_tasks(owner.cell)
+        if self._is_checked:
+            self._check_cancelled()
+            if self.now_ms % 500 < 20:
+                self._check_lasting()
+
+    @staticmethod
+    def _check_workers(cell: Cell) -> None:
+        for worker in cell.workers.values():
+            allocated = Resources()
+            shared_cpu_millis = Counter[str]()
+            for run in worker.runs.values():
+                spec = run.task.step.spec
+                if run.state == "finished":
+                    raise Violation(f"a run that has ended is kept: {run.task.id} {run.number}")
+                if run.worker_id != worker.name:
+                    raise Violation(f"a run is kept for another worker: {run.task.id}")
+                allocated.add(spec)
+                shared_cpu_millis["best_effort"] += spec.best_effort * spec.cpu_millis
+                shared_cpu_millis["long_running"] += spec.long_running * spec.cpu_millis
+            if (allocated, shared_cpu_millis["best_effort"], shared_cpu_millis["long_running"]) != (
+                worker.allocated,
+                worker.best_effort_cpu_millis,
+                worker.long_running_cpu_millis,
+            ):
+                raise Violation(f"the allocation of {worker.name} is not that of its runs")
+
+    def _check_ruled_out(self, cell: Cell) -> None:
+        """Check that a boot which is said to have ruled a start out refuses it."""
+        for worker in cell.workers.values():
+            boot = self.boots[worker.info.address]
+            if (boot.name, boot.boot_time_ms) != (worker.name, worker.info.boot_time_ms):
+                continue
+            for run in worker.ruled_out:
+                if (
+                    run.number > boot.highest_numbers[run.task.id]
+                    and boot.clock_ms(self.now_ms) <= run.start_deadline_ms
+                    and boot.token <= cell.token
+                ):
+                    raise Violation(f"a start counts as ruled out: {run.task.id} {run.number}")
+
+    @staticmethod
+    def _check_tasks(cell: Cell) -> None:
+        for job in cell.book.jobs.values():
+            for task in job.opened_tasks():
+                for run in (task.run, task.copy):
+                    if run is None:
+                        continue
+                    worker = cell.workers.get(run.worker_id)
+                    if worker is None or worker.runs.get((task, run.number)) is not run:
+                        raise Violation(f"a run of no known worker: {task.id} {run.number}")
+
+    def _check_cancelled(self) -> None:
+        assert self.calm_since_ms is not None
+        for boot in self.boots.values():
+            for task, run in boot.runs.items():
+                cancelled_ms = self.jobs[task.job_id].cancelled_ms
+                if cancelled_ms is None:
+                    continue
+                since_ms = max(cancelled_ms, run.started_ms, self.calm_since_ms + CALM_MS)
+                if self.now_ms - since_ms > CANCEL_MS + STOP_MS:
+                    raise Violation(f"runs on after the cancellation of its job: {task}")
+
+    def _check_lasting(self) -> None:
+        """Check that lasting tasks which have run before run again if there is room for two."""
+        assert self.calm_since_ms is not None
+        self.free_cpu_millis.append(
+            max(boot.cpu_millis - boot.used_cpu_millis() for boot in self.boots.values())
+        )
+        if len(self.free_cpu_millis) < RESTART_MS // 500:
+            return
+        for task, ran_ms in self.last_ran_ms.items():
+            job = self.owner.cell.book.jobs[task.job_id]
+            spec = job.submission.spec.steps[task.step]
+            if job.is_final or min(self.free_cpu_millis) < 2 * spec.cpu_millis:
+                continue
+            if self.now_ms - max(ran_ms, self.calm_since_ms + CALM_MS) > RESTART_MS:
+                raise Violation(f"does not run again: {task}, last at {ran_ms}")
