Let the soak judge runs of cancelled jobs, and submit and disturb more kinds of work

What callers saw: tasks of cancelled jobs ran on (UNASKED), and the soak looked only for starts later than 21 s after an acknowledgement.

Whether a sender is in touch counts its own process and all links, workers and the store. The old bound of 21 s stays for starts by anybody. A drain does not count as a disruption any more. Callers submit timed jobs and jobs with options, and bursts that are submitted twice and cancelled at once. New faults: the log is truncated while the owner lags, workers reboot while their refusals are on the way. Failing runs hit all workers, so that attempts are used up.

Tests changed: a start long after a cancellation was expected to give CANCELLED first; the test now names both findings, and that a late order gives the first only.

--- a/devtools/soak/callers.py
+++ b/devtools/soak/callers.py
@@ -22,7 +22,9 @@
 REPEAT_SHARE = 0.15  # of the accepted jobs, submitted once more
 CANCEL_SHARE = 0.15
 RETRY_SHARE = 0.5  # of the refused jobs, submitted again; the others must never run
-PAUSE_S = 0.8  # mean time between two jobs of a caller
+PAUSE_S = 0.6  # mean time between two jobs of a caller
+BURST_SHARE, BURST_JOBS = 0.15, 6
+BURST_S = 0.4  # in which a job of a burst is submitted twice and cancelled, in any order
 MAX_STANDING = 6  # so that the workers have room for the other jobs
 
 
@@ -66,11 +68,46 @@
     async def _call(self) -> None:
         while not self._stopping:
             await asyncio.sleep(self._rng.expovariate(1 / PAUSE_S))
+            if self._rng.random() < BURST_SHARE:
+                await self.burst()
+                continue
             record = self._draw_record()
             self.jobs[record.job] = record
             if await self._submit(record):
                 await self._follow(record)
 
+    async def burst(self) -> None:
+        """Submit and cancel several jobs at nearly the same time."""
+        await asyncio.gather(*(self._cancel_promptly() for _ in range(BURST_JOBS)))
+
+    async def _cancel_promptly(self) -> None:
+        """Submit a job at two instances and cancel it at a third, in any order."""
+        shape = draw_job(self._rng)
+        while shape.kind == "short":  # it would end by itself
+            shape = draw_job(self._rng)
+        record = JobRecord(f"{self._rng.getrandbits(64):016x}", shape)
+        self.jobs[record.job] = record
+
+        async def send_later(method: str, body: object = None) -> None:
+            await asyncio.sleep(self._rng.uniform(0, BURST_S))
+            await self.send(record, method, self._pick(), body)
+
+        body = shape.body()
+        await asyncio.gather(
+            send_later("POST", body), send_later("POST", body), send_later("DELETE")
+        )
+        if not record.answers("DELETE", 200):  # a second cancellation would hide the loss of one
+            await self._cancel(record)
+
+    async def _cancel(self, record: JobRecord) -> None:
+        """Cancel a job until that is acknowledged after its submission, then read its state."""
+        for _ in range(MAX_ATTEMPTS):
+            req = await self.send(record, "DELETE", self._pick())
+            if req.status in (200, 202, 410):
+                break
+            await asyncio.sleep(self._rng.uniform(0.05, 1))
+        await self.send(record, "GET", self._pick())
+
     def _draw_record(self) -> JobRecord:
         shape = draw_job(self._rng)
         while shape.kind == "standing" and self._standing >= MAX_STANDING:
@@ -99,10 +136,7 @@
             await asyncio.sleep(self._rng.uniform(0.1, 2.5))
             await self.send(record, "GET", self._pick())
         if record.shape.kind != "short" and self._rng.random() < CANCEL_SHARE:
-            req = await self.send(record, "DELETE", self._pick())
-            if req.status is None:
-                await self.send(record, "DELETE", self._pick())
-            await self.send(record, "GET", self._pick())
+            await self._cancel(record)
 
     def _pick(self) -> int:
         up = [i for i in range(self._deployment.scale.instances) if self._is_up(i)]
--- a/devtools/soak/checker.py
+++ b/devtools/soak/checker.py
@@ -11,7 +11,7 @@
 
 import msgspec
 
-from devtools.soak.deployment import MAX_ATTEMPTS
+from devtools.soak.deployment import MAX_ATTEMPTS, STOP_MS
 from devtools.soak.records import Disruption, Event, JobRecord, Request, Run
 
 __all__ = [
@@ -27,6 +27,10 @@
 CONTACT_MS = 3_000
 VISIBLE_MS = 3_000
 CANCEL_MS = 3_000
+DRAIN_MS = 2_000
+EARLY_MS = 250
+NOTED_MS = 1_000  # from a noted end to the last start by an instance in touch
+RESTART_MS, IDLE_MS = 6_000, 3_000  # of a lasting task; the 4 s before have to be calm, too
 # An order may be carried out 12 s after it was sent, and what it starts has a lease of 6 s on a
 # clock that may be 2% slow.
 ORDER_DELAY_AND_LEASE_MS = 12_000 + 6_200
@@ -39,13 +43,19 @@
     runs: list[Run] = []
     open_runs: dict[str, dict[tuple[str, int], Run]] = defaultdict(dict)  # by worker
     ended: dict[tuple[str, str, int], Run] = {}
+    draining: dict[str, float] = {}  # since when a worker drains
     for event in sorted(events, key=lambda e: float(e["t"])):
         worker, what = event.get("worker", ""), event["what"]
-        if what == "boot":  # nothing of an earlier boot is left
+        if what == "drain":
+            draining[worker] = event["t"]
+        elif what == "boot":  # nothing of an earlier boot is left
             for run in open_runs.pop(worker, {}).values():
                 run.end_ms, run.how = event["t"], "boot"
+            draining.pop(worker, None)
         elif what == "start":
-            run = Run(event["task"], event["run"], worker, event["t"])
+            run = Run(event["task"], event["run"], worker, event["t"], spec=event.get("spec"))
+            run.sender, run.late = event.get("from", ""), event.get("late", False)
+            run.draining_ms = draining.get(worker, run.draining_ms)
             runs.append(run)
             open_runs[worker][(run.task, run.run)] = run
         elif what == "end":
@@ -67,36 +77,61 @@
     return grouped
 
 
-def check_two_places(runs: list[Run]) -> Iterator[str]:
-    """No task runs in two places at once."""
-    for task, found in _by_task(runs).items():
+def _calm_end(
+    from_ms: float,
+    length_ms: float,
+    disruptions: Iterable[Disruption],
+    before_ms: float = CONTACT_MS,
+) -> float:
+    """Return when there has been no disruption for this long, nor shortly before that."""
+    for found in sorted(disruptions, key=lambda d: d.from_ms):
+        if found.from_ms < from_ms + length_ms and found.to_ms + before_ms > from_ms:
+            from_ms = found.to_ms + before_ms
+    return from_ms + length_ms
+
+
+def _mark_in_touch(
+    runs: list[Run], disruptions: list[Disruption], senders: Mapping[str, int]
+) -> None:
+    """Mark the runs that were started in time by an instance in touch."""
+    for run in runs:
+        own = [d for d in disruptions if d.instance in (None, senders.get(run.sender))]
+        run.in_touch = not run.late and _calm_end(run.start_ms, 0, own) == run.start_ms
+
+
+def check_two_places(runs: list[Run], jobs: Mapping[str, JobRecord]) -> Iterator[str]:
+    """No task runs in two places at once, unless its step has copies."""
+    for found in _by_task(runs).values():
+        if _has_copies(found[0], jobs):
+            continue
         for index, first in enumerate(found):
             for second in found[index + 1 :]:
                 if first.start_ms <= second.start_ms < first.end_ms:
-                    yield (
-                        f"TWO PLACES: {task} run {second.run} started on {second.worker} at "
-                        f"{second.start_ms:.0f} while run {first.run} was open on {first.worker} "
-                        f"({first.start_ms:.0f} to {first.end_ms:.0f})"
-                    )
+                    yield f"TWO PLACES: {second} while {first} was open to {first.end_ms:.0f}"
+
 
+def _has_copies(run: Run, jobs: Mapping[str, JobRecord]) -> bool:
+    return run.job in jobs and jobs[run.job].shape.has_copies
 
-def check_restarts_after_done(runs: list[Run]) -> Iterator[str]:
-    """No task starts after an acknowledged end as done, nor after all permitted attempts."""
-    for task, found in _by_task(runs).items():
+
+def check_restarts_after_done(runs: list[Run], jobs: Mapping[str, JobRecord]) -> Iterator[str]:
+    """No task starts after an acknowledged end as done; copies not a second after it."""
+    for found in _by_task(runs).values():
         for run in found:
             done = [r for r in found if r.how == "done" and r.end_ms <= run.start_ms]
-            if any(r.acked_ms < float("inf") for r in done):
-                yield (
-                    f"AFTER DONE: {task} run {run.run} started on {run.worker} at "
-                    f"{run.start_ms:.0f} after its done of run {done[0].run} on {done[0].worker} "
-                    f"at {done[0].end_ms:.0f}, acknowledged at {done[0].acked_ms:.0f}"
-                )
+            acked_ms = min((r.acked_ms for r in done), default=float("inf"))
+            if _has_copies(run, jobs):
+                is_broken = run.start_ms > acked_ms + NOTED_MS and run.in_touch
+            else:
+                is_broken = acked_ms < float("inf")
+            if is_broken:
+                yield f"AFTER DONE: {run}, done at {done[0].end_ms:.0f}, noted {acked_ms:.0f}"
 
 
 def check_attempts(runs: list[Run], jobs: Mapping[str, JobRecord]) -> Iterator[str]:
     """No task starts after all permitted attempts have failed."""
-    for task, found in _by_task(runs).items():
-        record = jobs.get(task.partition(".")[0])
+    for found in _by_task(runs).values():
+        record = jobs.get(found[0].job)
         if record is None or record.shape.kind == "standing":
             continue
         for run in found:
@@ -105,25 +140,31 @@
                 for r in found
                 if r.how == "failed" and r.end_ms <= run.start_ms and r.acked_ms < float("inf")
             ]
+            if record.shape.has_copies:
+                last_ms = max((r.acked_ms for r in failed), default=0) + NOTED_MS
+                if run.start_ms <= last_ms or not run.in_touch:
+                    continue
             if len(failed) >= MAX_ATTEMPTS:
-                yield (
-                    f"ATTEMPTS: {task} run {run.run} started on {run.worker} at "
-                    f"{run.start_ms:.0f} after {len(failed)} failed runs"
-                )
+                yield f"ATTEMPTS: {run} after {len(failed)} failed runs"
 
 
 def check_order(runs: list[Run], jobs: Mapping[str, JobRecord]) -> Iterator[str]:
     """No task starts that was not submitted, or before all tasks of the step before it are done."""
     tasks = _by_task(runs)
     for task, found in tasks.items():
-        job, _, step, _ = task.split(".")
+        job, occurrence, step, _ = task.split(".")
         record = jobs.get(job)
-        if record is None or task not in record.task_names()[int(step)]:
+        if record is None or task not in record.all_tasks():
             yield f"UNASKED: {task} was started on {found[0].worker}, and nobody submitted it"
             continue
+        if any(run.spec not in (None, record.shape.body()["spec"]) for run in found):
+            yield f"UNASKED: {task} was started with another spec"
+        early_ms = record.shape.due_ms(int(occurrence)) - found[0].start_ms
+        if record.shape.kind == "timed" and early_ms > EARLY_MS:
+            yield f"ORDER: {task} started at {found[0].start_ms:.0f}, {early_ms:.0f} ms early"
         if step == "0":
             continue
-        for earlier in record.task_names()[int(step) - 1]:
+        for earlier in record.task_names(int(occurrence))[int(step) - 1]:
             ends = [r.end_ms for r in tasks.get(earlier, []) if r.how == "done"]
             if min(ends, default=float("inf")) > found[0].start_ms:
                 yield f"ORDER: {task} started at {found[0].start_ms:.0f} before {earlier} was done"
@@ -131,21 +172,77 @@
 
 def check_refusals(runs: list[Run], jobs: Mapping[str, JobRecord]) -> Iterator[str]:
     """A job of which every submission was refused never runs."""
-    started = {run.task.partition(".")[0]: run for run in runs}
+    started = {run.job: run for run in runs}
     for record in jobs.values():
         if record.is_refused and record.job in started:
             run = started[record.job]
             yield f"REFUSED: {record.job} was refused, and {run.task} started at {run.start_ms:.0f}"
 
 
-def check_cancelled(runs: list[Run], jobs: Mapping[str, JobRecord]) -> Iterator[str]:
-    """A cancelled job is not started any more once late orders are over."""
+def check_cancelled(
+    runs: list[Run], jobs: Mapping[str, JobRecord], disruptions: list[Disruption], until_ms: float
+) -> Iterator[str]:
+    """A cancelled job is not started, and its runs are gone after any calm stretch.
+
+    A worker may start a task late; the stretch then counts from shortly after that.
+    """
+    for run in runs:
+        acks = jobs[run.job].answers("DELETE", 200, 202) if run.job in jobs else []
+        acked_ms = min((r.ended_ms for r in acks), default=float("inf"))
+        if run.start_ms > acked_ms + CANCEL_MS + ORDER_DELAY_AND_LEASE_MS:
+            yield f"CANCELLED: {run}, acked {acked_ms:.0f}"
+        if run.start_ms > acked_ms + CANCEL_MS and run.in_touch:
+            yield f"UNASKED: {run}, its job was cancelled, acked {acked_ms:.0f}"
+        if acks:
+            from_ms = max(acked_ms, run.start_ms + CONTACT_MS * run.late)
+            gone_ms = _calm_end(from_ms, CANCEL_MS + STOP_MS, disruptions)
+            if gone_ms < min(run.end_ms, until_ms):
+                yield f"UNASKED: {run}: it runs on at {gone_ms:.0f}, acked {acked_ms:.0f}"
+
+
+def check_routes(
+    runs: list[Run], jobs: Mapping[str, JobRecord], racks: Mapping[str, str]
+) -> Iterator[str]:
+    """A task starts on a worker with its label, and below the limit of its step there."""
+    for run in runs:
+        shape = jobs[run.job].shape if run.job in jobs else None
+        if shape is None:
+            continue
+        if shape.label and racks.get(run.worker, shape.label) != shape.label:
+            yield f"ROUTE: {run.task} started on {run.worker}, which has no label {shape.label}"
+        if shape.max_per_worker:
+            step = run.task.rpartition(".")[0] + "."
+            same = [r for r in runs if r.worker == run.worker and r.task.startswith(step)]
+            count = sum(r.start_ms <= run.start_ms < r.end_ms for r in same)
+            if count > shape.max_per_worker:
+                yield f"ROUTE: {run.task} is one of {count} of its step on {run.worker}"
+
+
+def check_draining(runs: list[Run]) -> Iterator[str]:
+    """An instance in touch starts nothing on a worker that has long been draining."""
+    for run in runs:
+        if run.start_ms > run.draining_ms + DRAIN_MS and run.in_touch:
+            yield f"DRAIN: {run.task} started on {run.worker}, draining for {DRAIN_MS} ms"
+
+
+def check_lasting(
+    runs: list[Run], jobs: Mapping[str, JobRecord], disruptions: list[Disruption], until_ms: float
+) -> Iterator[str]:
+    """A lasting task is back 6 s after its last run, once it has been calm for 3 s and 4 s."""
+    tasks = _by_task(runs)
     for record in jobs.values():
-        acks = [r.ended_ms for r in record.answers("DELETE", 200, 202)]
-        bound_ms = min(acks, default=float("inf")) + CANCEL_MS + ORDER_DELAY_AND_LEASE_MS
-        for run in runs:
-            if run.task.startswith(record.job) and run.start_ms > bound_ms:
-                yield f"CANCELLED: {run.task} started at {run.start_ms:.0f}, acked {acks[0]:.0f}"
+        if record.shape.kind != "standing" or record.accepted_ms is None:
+            continue
+        cancels = [r.sent_ms for r in record.requests if r.method == "DELETE"]
+        for task in record.all_tasks():
+            found = tasks.get(task, [])
+            ends = [record.accepted_ms, *(r.end_ms for r in found if r.end_ms < float("inf"))]
+            for end_ms in ends:
+                bound_ms = _calm_end(end_ms + RESTART_MS, IDLE_MS, disruptions, 4_000)
+                if bound_ms < min([until_ms, *cancels]) and not any(
+                    r.end_ms > end_ms and r.start_ms <= bound_ms for r in found
+                ):
+                    yield f"LOST: {task} does not run at {bound_ms:.0f}, its turn from {end_ms:.0f}"
 
 
 def check_capacity(
@@ -154,10 +251,10 @@
     """No start brings a worker that does not guard its capacity over it."""
     per_worker: dict[str, list[tuple[float, int, Run]]] = defaultdict(list)
     for run in runs:
-        record = jobs.get(run.task.partition(".")[0])
+        record = jobs.get(run.job)
         if record is not None and run.worker in unguarded:
-            per_worker[run.worker].append((run.start_ms, record.shape.cpu, run))
-            per_worker[run.worker].append((run.end_ms, -record.shape.cpu, run))
+            per_worker[run.worker].append((run.start_ms, record.shape.counted_cpu, run))
+            per_worker[run.worker].append((run.end_ms, -record.shape.counted_cpu, run))
     for worker, changes in per_worker.items():
         used = 0
         for at_ms, change, run in sorted(changes, key=lambda c: (c[0], c[1])):
@@ -200,7 +297,7 @@
 
 
 def _check_completed(record: JobRecord, req: Request, done: Mapping[str, float]) -> Iterator[str]:
-    for task in (t for step in record.task_names() for t in step):
+    for task in record.all_tasks():
         if done.get(task, float("inf")) > req.ended_ms:
             yield f"MIXED: {record.job} was completed at {req.ended_ms:.0f}, {task} was not done"
             return
@@ -222,10 +319,9 @@
 
 
 def _has_cause_to_fail(record: JobRecord, tasks: Mapping[str, list[Run]]) -> bool:
-    names = (task for step in record.task_names() for task in step)
     return any(
         sum(run.how in ("failed", "crashed", "boot") for run in tasks.get(task, [])) >= MAX_ATTEMPTS
-        for task in names
+        for task in record.all_tasks()
     )
 
 
@@ -238,8 +334,7 @@
         if record.shape.kind == "standing"
         and record.accepted_ms is not None
         and not record.is_cancelling
-        for step in record.task_names()
-        for task in step
+        for task in record.all_tasks()
         if task not in at_work
     ]
 
@@ -306,17 +401,28 @@
     disruptions: list[Disruption],
     capacity: int,
     unguarded: set[str],
+    senders: Mapping[str, int] | None = None,
+    racks: Mapping[str, str] | None = None,
 ) -> list[str]:
-    """Run every check that needs the whole history."""
+    """Run every check that needs the whole history.
+
+    `senders` has the instances by their addresses, `racks` those of the workers.
+    """
+    events = list(events)
     runs = build_runs(events)
+    until_ms = max((event["t"] for event in events), default=0.0)
     requests = [req for record in jobs.values() for req in record.requests]
+    _mark_in_touch(runs, disruptions, senders or {})
     return [
-        *check_two_places(runs),
-        *check_restarts_after_done(runs),
+        *check_two_places(runs, jobs),
+        *check_restarts_after_done(runs, jobs),
         *check_attempts(runs, jobs),
         *check_order(runs, jobs),
         *check_refusals(runs, jobs),
-        *check_cancelled(runs, jobs),
+        *check_cancelled(runs, jobs, disruptions, until_ms),
+        *check_routes(runs, jobs, racks or {}),
+        *check_draining(runs),
+        *check_lasting(runs, jobs, disruptions, until_ms),
         *check_capacity(runs, jobs, capacity, unguarded),
         *check_states(runs, jobs, disruptions),
         *check_final_states(runs, jobs),
--- a/devtools/soak/deployment.py
+++ b/devtools/soak/deployment.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import random
-from dataclasses import dataclass
+import time
+from dataclasses import dataclass, field
 from typing import Any
 
 import msgspec
@@ -18,6 +19,7 @@
     "PREFIX",
     "READY_PATH",
     "SCALES",
+    "STOP_MS",
     "WORKER_CPU",
     "Deployment",
     "JobShape",
@@ -31,6 +33,8 @@
 SERVICE = "compute"
 QUEUE = "work"
 MAX_ATTEMPTS = 3
+WALL_OFFSET_MS = (time.time() - time.monotonic()) * 1000
+STOP_MS, DRAIN_STAY_MS = 300, 6_000
 BOUNDS = {"lease_ms": 6_000, "grace_s": 6, "status_s": 600}
 FRONTEND_PORT, READY_PORT, ADMIN_PORT = 17001, 17002, 17003
 STANDIN_ADMIN_PORT = 17101
@@ -61,10 +65,38 @@
 class JobShape:
     """A job as its caller describes it."""
 
-    kind: str  # short, long or standing
+    kind: str  # short, long, timed or standing
     counts: tuple[int, ...]  # of tasks, by step
     cpu: int
     estimate_ms: int
+    options: dict[str, Any] = field(default_factory=dict)  # of every step
+    repeats: int = 1
+    interval_ms: int = 0
+    first_ms: int = 0  # time of day of the first occurrence
+
+    def due_ms(self, occurrence: int) -> float:
+        """Return when an occurrence is due on the monotonic clock."""
+        return self.first_ms + occurrence * self.interval_ms - WALL_OFFSET_MS
+
+    @property
+    def has_copies(self) -> bool:
+        """Return whether several runs of a task may go on at once."""
+        return bool(self.options.get("speculative"))
+
+    @property
+    def label(self) -> str:
+        """Return the label that its workers must have, or an empty string."""
+        return str(self.options.get("requirements", ""))
+
+    @property
+    def max_per_worker(self) -> int:
+        """Return how many tasks of a step one worker may run; 0 for no limit."""
+        return int(self.options.get("anti-affinity", 0))
+
+    @property
+    def counted_cpu(self) -> int:
+        """Return what a run counts against a worker's capacity."""
+        return 0 if self.options.get("utilization") else self.cpu
 
     def body(self) -> dict[str, Any]:
         """Return the body of its submission; each step depends on the one before.
@@ -74,24 +106,45 @@
         steps = []
         for number, count in enumerate(self.counts):
             step: dict[str, Any] = {"count": count, "cpu": self.cpu, "mem-mb": 256}
-            step["estimate-ms"] = self.estimate_ms
+            step |= {"estimate-ms": self.estimate_ms, **self.options}
             if number:
                 step["depends-on"] = [number - 1]
             if self.kind == "standing":
                 step["long-running"] = True
             steps.append(step)
-        return {"spec": msgspec.json.encode(steps).decode(), "steps": steps}
+        body: dict[str, Any] = {"spec": msgspec.json.encode(steps).decode(), "steps": steps}
+        if self.kind == "timed":
+            times = {"first-run-ms": self.first_ms, "interval-ms": self.interval_ms}
+            body |= {"repeat-count": self.repeats, **times}
+        return body
 
 
 def draw_job(rng: random.Random) -> JobShape:
     """Draw a job: most are short, some outlast a change of the owner, some never end."""
     draw = rng.random()
-    if draw < 0.6:
+    options: dict[str, Any] = rng.choice(OPTIONS) if rng.random() < 0.5 else {}
+    if draw < 0.5:
         counts = tuple(rng.randint(1, 4) for _ in range(rng.randint(1, 2)))
-        return JobShape("short", counts, 1_000, rng.randint(200, 1_500))
+        return JobShape("short", counts, 1_000, rng.randint(200, 1_500), options)
+    if draw < 0.8:
+        return JobShape("long", (rng.randint(1, 3),), 1_000, rng.randint(5_000, 12_000), options)
     if draw < 0.9:
-        return JobShape("long", (rng.randint(1, 3),), 1_000, rng.randint(5_000, 12_000))
-    return JobShape("standing", (rng.randint(1, 3),), 500, 400)
+        first_ms = int(time.time() * 1000) + rng.randint(500, 4_000)
+        timing = (rng.randint(2, 3), rng.randint(1_000, 3_000), first_ms)
+        return JobShape("timed", (rng.randint(1, 2),), 1_000, 300, options, *timing)
+    return JobShape("standing", (rng.randint(1, 3),), 500, 400, {"max-unavailable": 1})
+
+
+# Each rack has two workers at least, at any scale.
+OPTIONS: list[dict[str, Any]] = [
+    {"requirements": "z0-r0"},
+    {"anti-affinity": 1},
+    {"speculative": True},
+    {"checkpointing": True},
+    {"affinity": "z1-r1"},
+    {"same-rack": True},
+    {"utilization": True},
+]
 
 
 class Deployment:
@@ -125,6 +178,10 @@
         """Return the ID of a worker."""
         return f"w{number:03}"
 
+    def rack(self, number: int) -> str:
+        """Return the rack of a worker."""
+        return f"z{self.domain(number)}-r{number % 2}"
+
     def worker_behind(self, number: int) -> str:
         """Return the address at which a worker listens behind the proxy."""
         ip, _, port = self.workers[number].partition(":")
@@ -175,7 +232,8 @@
             "seed": seed,
             "lease_ms": BOUNDS["lease_ms"],
             "heartbeat_ms": 1_500,
-            "stop_ms": 300,
+            "stop_ms": STOP_MS,
+            "drain_ms": DRAIN_STAY_MS,
             "max_order_delay_ms": MAX_ORDER_DELAY_MS,
             "workers": [
                 self._worker_settings(number)
@@ -191,7 +249,7 @@
             "advertised": self.workers[number],
             "service": SERVICE,
             "zone": f"z{self.domain(number)}",
-            "rack": f"z{self.domain(number)}-r{number % 2}",
+            "rack": self.rack(number),
             "cpu": WORKER_CPU,
             "mem_mb": WORKER_MEMORY_MB,
             "clock_rate": (1.0, 0.98)[number % 2],
--- a/devtools/soak/player.py
+++ b/devtools/soak/player.py
@@ -5,12 +5,13 @@
 import asyncio
 import signal
 from collections import Counter
-from collections.abc import AsyncIterator, Iterable
+from collections.abc import AsyncIterator, Callable, Coroutine, Iterable
 from contextlib import asynccontextmanager
 from typing import Any
 
 from devtools.soak.callers import now_ms
 from devtools.soak.checker import build_runs
+from devtools.soak.deployment import DRAIN_STAY_MS
 from devtools.soak.proxy import LinkFault
 from devtools.soak.records import Disruption
 from devtools.soak.script import OWNER, Step
@@ -25,8 +26,9 @@
 class Player:
     """Inject the faults of a script; `notes` says what each one hit."""
 
-    def __init__(self, system: System) -> None:
+    def __init__(self, system: System, burst: Callable[[], Coroutine[Any, Any, None]]) -> None:
         self._system = system
+        self._burst = burst  # of jobs that are cancelled at once
         self._dep = system.deployment
         self.played: Counter[str] = Counter()
         self.notes: list[str] = []
@@ -89,6 +91,9 @@
             if domain is None or (self._dep.domain(number) == domain) != others
         )
 
+    def _source(self, args: dict[str, Any]) -> frozenset[str]:
+        return frozenset({self._dep.instances[args["instance"]]})
+
     def _worker_addresses(self, domain: int, others: bool) -> frozenset[str]:
         return frozenset(
             address
@@ -141,18 +146,18 @@
     async def _cut_pair(self, args: dict[str, Any]) -> None:
         target = args["target"]
         address = self._dep.store if target == STORE else self._dep.workers[target]
-        source = frozenset({self._dep.instances[args["instance"]]})
+        source = self._source(args)
         fault = LinkFault(source, frozenset({address}), args["mode"], args["way"])
         await self._hold_faults([fault], args["for_ms"])
 
     async def _delay(self, args: dict[str, Any]) -> None:
-        source = frozenset({self._dep.instances[args["instance"]]})
+        source = self._source(args)
         targets = frozenset({self._dep.store, *self._dep.workers})
         fault = LinkFault(source, targets, "delay", "both", args["by_ms"])
         await self._hold_faults([fault], args["for_ms"])
 
     async def _reset(self, args: dict[str, Any]) -> None:
-        source = frozenset({self._dep.instances[args["instance"]]})
+        source = self._source(args)
         async with self._disruption("link", None):
             self._system.proxy.reset(source, frozenset({self._dep.store, *self._dep.workers}))
 
@@ -175,14 +180,42 @@
             truncation = {"topic": CELL_TOPIC, "keep": args["keep"]}
             await self._system.admin(self._dep.store_admin, "truncate", **truncation)
 
+    async def _truncate_behind(self, args: dict[str, Any]) -> None:
+        """Truncate the log while an instance has not read its end."""
+        fault = LinkFault(self._source(args), frozenset({self._dep.store}), "drop")
+        cut = asyncio.create_task(self._hold_faults([fault], args["for_ms"]))
+        burst = asyncio.create_task(self._burst())
+        await asyncio.sleep(args["for_ms"] / 1000 - 0.1)
+        await self._truncate({"keep": 0})
+        await asyncio.gather(cut, burst)
+
+    async def _reboot_behind(self, args: dict[str, Any]) -> None:
+        """Reboot workers that refuse some orders, while their answers are on the way."""
+        source = self._source(args)
+        addresses = frozenset(self._dep.workers[number] for number in args["workers"])
+        fault = LinkFault(source, addresses, "delay", "back", args["by_ms"])
+        refusals = {"fault": "busy", "share": 0.5, "for_ms": args["by_ms"]}
+        tasks = [
+            asyncio.create_task(self._hold_faults([fault], 3 * args["by_ms"])),
+            asyncio.create_task(self._orders({**refusals, "workers": args["workers"]})),
+            asyncio.create_task(self._burst()),
+        ]
+        await asyncio.sleep(args["by_ms"] / 2_000)
+        for number in args["workers"]:
+            await self._worker({"worker": number, "do": "boot"})
+        await asyncio.gather(*tasks)
+
     async def _worker(self, args: dict[str, Any]) -> None:
         number = args["worker"]
         worker = self._dep.worker_id(number)
         admin = self._dep.worker_admin(self._dep.worker_process(number))
+        if args["do"] == "drain":
+            # A graceful end excuses nothing; the worker has left when it is booted again.
+            await self._system.try_admin(admin, "worker", id=worker, do="drain")
+            await asyncio.sleep((DRAIN_STAY_MS + args["pause_ms"]) / 1000)
+            await self._system.try_admin(admin, "worker", id=worker, do="boot")
+            return
         async with self._disruption("worker", None):
-            if args["do"] == "drain":
-                await self._system.try_admin(admin, "worker", id=worker, do="drain")
-                await asyncio.sleep(3)
             await self._system.try_admin(admin, "worker", id=worker, do="crash")
             if args["do"] != "boot":
                 await asyncio.sleep(args["pause_ms"] / 1000)
--- a/devtools/soak/records.py
+++ b/devtools/soak/records.py
@@ -60,10 +60,16 @@
         """Return whether a cancellation was sent."""
         return any(r.method == "DELETE" and not r.unsent for r in self.requests)
 
-    def task_names(self) -> list[list[str]]:
-        """Return the names of its tasks by step."""
+    def task_names(self, occurrence: int = 0) -> list[list[str]]:
+        """Return the names of the tasks of an occurrence by step."""
         counts = enumerate(self.shape.counts)
-        return [[f"{self.job}.0.{step}.{i}" for i in range(count)] for step, count in counts]
+        prefix = f"{self.job}.{occurrence}"
+        return [[f"{prefix}.{step}.{i}" for i in range(count)] for step, count in counts]
+
+    def all_tasks(self) -> list[str]:
+        """Return the names of its tasks in all occurrences."""
+        steps = (step for k in range(self.shape.repeats) for step in self.task_names(k))
+        return [task for step in steps for task in step]
 
 
 @dataclass
@@ -87,3 +93,16 @@
     end_ms: float = float("inf")
     how: str = ""
     acked_ms: float = float("inf")
+    sender: str = ""  # address of the instance that sent the order
+    late: bool = False  # whether the worker carried the order out late
+    spec: str | None = None
+    draining_ms: float = float("inf")  # since when its worker drained at its start
+    in_touch: bool = True  # whether an instance in touch started it in time
+
+    def __str__(self) -> str:
+        return f"{self.task} run {self.run} started on {self.worker} at {self.start_ms:.0f}"
+
+    @property
+    def job(self) -> str:
+        """Return the ID of its job."""
+        return self.task.partition(".")[0]
--- a/devtools/soak/run.py
+++ b/devtools/soak/run.py
@@ -23,6 +23,7 @@
 # carried out 12 s after it was sent, with a lease of 6 s, and some jobs take 12 s times 1.8.
 CALM_LIMIT_S = 45.0
 CALM_POLL_S = 1.0
+MIN_CALM_S = 8.0  # so that runs of cancelled jobs can be judged
 
 
 @dataclass
@@ -61,7 +62,7 @@
     deployment = Deployment(scale, seed)
     system = System(deployment, folder, seed, mutant)
     callers = Callers(deployment, seed, system.is_up)
-    player = Player(system)
+    player = Player(system, callers.burst)
     try:
         await system.start()
         callers.start()
@@ -81,7 +82,18 @@
     findings = [
         *system.findings,
         *system.error_output(),
-        *check_all(system.events, jobs, system.disruptions, WORKER_CPU, unguarded),
+        *check_all(
+            system.events,
+            jobs,
+            system.disruptions,
+            WORKER_CPU,
+            unguarded,
+            {ip: number for number, ip in enumerate(deployment.instances)},
+            {
+                deployment.worker_id(number): deployment.rack(number)
+                for number in range(scale.workers)
+            },
+        ),
     ]
     requests = [req for record in jobs.values() for req in record.requests]
     _write_requests(folder, requests)
@@ -127,9 +139,12 @@
         accepted = [
             r for r in callers.jobs.values() if r.accepted_ms is not None and not r.is_cancelling
         ]
-        if not missing_standing_tasks(
-            build_runs(system.events), callers.jobs
-        ) and await _read_states(system, callers, accepted):
+        waited_s = (now_ms() - started_ms) / 1000
+        if (
+            waited_s >= MIN_CALM_S
+            and not missing_standing_tasks(build_runs(system.events), callers.jobs)
+            and await _read_states(system, callers, accepted)
+        ):
             return (now_ms() - started_ms) / 1000
         await asyncio.sleep(CALM_POLL_S)
     return CALM_LIMIT_S
--- a/devtools/soak/script.py
+++ b/devtools/soak/script.py
@@ -32,6 +32,8 @@
     "reset": 2,
     "store": 4,
     "truncate": 1,
+    "truncate_behind": 2,
+    "reboot_behind": 2,
     "worker": 4,
     "orders": 3,
     "configure": 2,
@@ -93,8 +95,15 @@
             return {"worker": worker, "do": do, "pause_ms": rng.randint(100, 4_000)}
         case "orders":
             workers = sorted(rng.sample(range(scale.workers), max(1, scale.workers // 4)))
-            args = {"fault": rng.choice(ORDER_FAULTS), "share": 0.3, "workers": workers}
-            return {**args, "for_ms": for_ms}
+            fault, share = rng.choice(ORDER_FAULTS), 0.3
+            if fault == "fail_runs":  # on all workers, so that some tasks use up their attempts
+                workers, share = list(range(scale.workers)), 0.8
+            return {"fault": fault, "share": share, "workers": workers, "for_ms": for_ms}
+        case "truncate_behind":
+            return {"instance": OWNER, "for_ms": rng.randint(400, 2_500)}
+        case "reboot_behind":
+            workers = sorted(rng.sample(range(scale.workers), max(1, scale.workers // 4)))
+            return {"instance": OWNER, "workers": workers, "by_ms": rng.randint(300, 1_200)}
         case "truncate":
             return {"keep": rng.choice((0, 20))}
         case _:  # hangup, reset, configure
--- a/tests/cover/test_soak.py
+++ b/tests/cover/test_soak.py
@@ -6,7 +6,7 @@
 from pathlib import Path
 
 import pytest
-from devtools.soak import checker
+from devtools.soak import checker, deployment
 from devtools.soak.deployment import SCALES, JobShape
 from devtools.soak.proxy import LinkFault, LinkProxy
 from devtools.soak.records import Disruption, JobRecord, Request
@@ -18,8 +18,8 @@
 REGRESSIONS = ROOT / "tests" / "soak" / "regressions"
 
 
-def _start(t, worker="w0", run=1, task=TASK):
-    return {"t": t, "what": "start", "worker": worker, "task": task, "run": run}
+def _start(t, worker="w0", run=1, task=TASK, **more):
+    return {"t": t, "what": "start", "worker": worker, "task": task, "run": run, **more}
 
 
 def _end(t, how="done", worker="w0", run=1, task=TASK):
@@ -30,8 +30,9 @@
     return {"t": t, "what": "ack", "worker": worker, "task": task, "run": run, "how": "done"}
 
 
-def _job(*requests, kind="short", counts=(1,)):
-    return {JOB: JobRecord(JOB, JobShape(kind, counts, 1_000, 500), list(requests))}
+def _job(*requests, kind="short", counts=(1,), options=None, **more):
+    shape = JobShape(kind, counts, 1_000, 500, options or {}, **more)
+    return {JOB: JobRecord(JOB, shape, list(requests))}
 
 
 def _request(method, status, sent=0, ended=10, **more):
@@ -39,11 +40,19 @@
 
 
 ACCEPTED = _request("POST", 200)
+CANCELLED = _request("DELETE", 200, 990, 1_000)
+LATER = {"t": 90_000, "what": "order", "worker": "w0"}  # the history goes on until then
+RACKS = {"w0": "r0", "w1": "r1"}
 
 
 def _found(events, jobs=None, disruptions=()):
     jobs = jobs if jobs is not None else _job(ACCEPTED)
-    return checker.check_all(events, jobs, list(disruptions), 16_000, {"w0"})
+    senders = {"127.0.0.1": 0, "127.0.0.2": 1}
+    return checker.check_all(events, jobs, list(disruptions), 16_000, {"w0"}, senders, RACKS)
+
+
+def _rules(*args):
+    return [finding.partition(":")[0] for finding in _found(*args)]
 
 
 class TestRuns:
@@ -89,6 +98,99 @@
         found = _found(events, _job(ACCEPTED, counts=(17,)))
         assert [f.partition(":")[0] for f in found] == ["CAPACITY"]
 
+    def test_a_task_with_another_spec_is_found(self):
+        assert _rules([_start(100, spec="other")]) == ["UNASKED"]
+
+    def test_an_occurrence_before_its_time_is_found(self):
+        first_ms = int(deployment.WALL_OFFSET_MS) + 5_000
+        jobs = _job(ACCEPTED, kind="timed", repeats=2, interval_ms=1_000, first_ms=first_ms)
+        second = f"{JOB}.1.0.0"
+        assert _rules([_start(4_900), _start(5_900, task=second)], jobs) == []
+        assert _rules([_start(4_900), _start(5_600, task=second)], jobs) == ["ORDER"]
+
+    def test_copies_may_run_at_once_but_not_start_long_after_a_done(self):
+        jobs = _job(ACCEPTED, options={"speculative": True})
+        events = [_start(100), _start(200, "w1", 2), _end(300), _ack(350)]
+        assert _rules([*events, _start(1_200, "w1", 3)], jobs) == []
+        assert _rules([*events, _start(1_400, "w1", 3)], jobs) == ["AFTER DONE"]
+
+    def test_a_start_without_the_label_is_found(self):
+        jobs = _job(ACCEPTED, options={"requirements": "r0"})
+        assert _rules([_start(100)], jobs) == []
+        assert _rules([_start(100, "w1")], jobs) == ["ROUTE"]
+
+    def test_too_many_tasks_of_a_step_on_one_worker_are_found(self):
+        jobs = _job(ACCEPTED, counts=(2,), options={"anti-affinity": 1})
+        first, second = _start(100), _start(300, task=f"{JOB}.0.0.1")
+        assert _rules([first, _end(200), second], jobs) == []
+        assert _rules([first, second], jobs) == ["ROUTE"]
+
+    def test_best_effort_tasks_take_no_processor_time_of_the_capacity(self):
+        events = [_start(100, task=f"{JOB}.0.0.{n}") for n in range(17)]
+        jobs = _job(ACCEPTED, counts=(17,), options={"utilization": True})
+        assert _found(events, jobs) == []
+
+    def test_a_start_on_a_worker_that_has_long_been_draining_is_found(self):
+        drain = {"t": 100, "what": "drain", "worker": "w0"}
+        boot = {"t": 2_500, "what": "boot", "worker": "w0"}
+        assert _rules([drain, _start(2_000)]) == []
+        assert _rules([drain, _start(2_200)]) == ["DRAIN"]
+        assert _rules([drain, boot, _start(2_600)]) == []
+        assert _rules([drain, _start(2_200, late=True)]) == []
+
+    def test_a_lasting_task_that_is_not_back_in_time_is_found(self):
+        jobs = _job(ACCEPTED, kind="standing")
+        events = [_start(100), _end(1_000, "failed"), LATER]
+        assert _rules([*events, _start(9_900, run=2)], jobs) == []
+        assert _rules([*events, _start(10_100, run=2)], jobs) == ["LOST"]
+        fault = Disruption("link", None, 8_000, 9_000)
+        assert _rules([*events, _start(15_900, run=2)], jobs, [fault]) == []
+        assert _rules([*events, _start(16_100, run=2)], jobs, [fault]) == ["LOST"]
+
+
+class TestCancellations:
+    """A task of a cancelled job is not started late, and does not run on."""
+
+    def test_a_run_that_goes_on_in_calm_is_found(self):
+        jobs = _job(ACCEPTED, CANCELLED)
+        assert _rules([_start(100), _end(4_200, "stopped"), LATER], jobs) == []
+        assert _rules([_start(100), _end(4_400, "stopped"), LATER], jobs) == ["UNASKED"]
+        assert _rules([_start(100), LATER], jobs) == ["UNASKED"]
+
+    def test_a_run_may_go_on_near_a_disruption_but_not_after_it(self):
+        jobs, fault = _job(ACCEPTED, CANCELLED), Disruption("link", None, 2_000, 5_000)
+        assert _rules([_start(100), _end(11_200, "stopped"), LATER], jobs, [fault]) == []
+        assert _rules([_start(100), _end(11_400, "stopped"), LATER], jobs, [fault]) == ["UNASKED"]
+
+    def test_a_draining_worker_excuses_nothing(self):
+        events = [_start(100), {"t": 900, "what": "drain", "worker": "w1"}, LATER]
+        assert _rules(events, _job(ACCEPTED, CANCELLED)) == ["UNASKED"]
+
+    def test_a_run_that_was_started_late_counts_from_shortly_after_its_start(self):
+        jobs, start = _job(ACCEPTED, CANCELLED), _start(9_000, late=True)
+        assert _rules([start, _end(15_200, "stopped"), LATER], jobs) == []
+        assert _rules([start, _end(15_400, "stopped"), LATER], jobs) == ["UNASKED"]
+
+    def test_the_end_of_the_history_is_not_taken_for_a_run_that_goes_on(self):
+        last = {"t": 4_000, "what": "order", "worker": "w0"}
+        assert _rules([_start(100), last], _job(ACCEPTED, CANCELLED)) == []
+
+    @pytest.mark.parametrize(
+        ("start", "fault", "count"),
+        [
+            (_start(3_900), None, 0),
+            (_start(4_100), None, 1),
+            (_start(4_100, late=True), None, 0),
+            (_start(4_100, **{"from": "127.0.0.1"}), Disruption("freeze", 0, 1_500, 2_000), 0),
+            (_start(4_100, **{"from": "127.0.0.2"}), Disruption("freeze", 0, 1_500, 2_000), 1),
+            (_start(4_100, **{"from": "127.0.0.1"}), Disruption("freeze", 0, 500, 1_000), 1),
+        ],
+    )
+    def test_a_start_after_the_bound_by_an_instance_in_touch_is_found(self, start, fault, count):
+        events = [start, _end(4_200, "stopped"), LATER]
+        faults = [fault] if fault else []
+        assert _rules(events, _job(ACCEPTED, CANCELLED), faults) == ["UNASKED"] * count
+
 
 class TestAnswers:
     """Each promise on answers is seen broken in what callers saw."""
@@ -152,7 +254,8 @@
 
     def test_a_start_long_after_a_cancellation_is_found(self):
         jobs = _job(ACCEPTED, _request("DELETE", 200))
-        assert _found([_start(60_000)], jobs)[0].startswith("CANCELLED")
+        assert _rules([_start(60_000, late=True)], jobs) == ["CANCELLED"]
+        assert _rules([_start(60_000)], jobs) == ["CANCELLED", "UNASKED"]
 
     def test_a_broken_connection_to_a_running_process_is_found(self):
         jobs = _job(ACCEPTED, _request("GET", None, 50_000, 51_000, error="reset"))
