--- a/tests/cover/test_event_order.py
+++ b/tests/cover/test_event_order.py
@@ -107,3 +107,7 @@
         """Guards against a check that no longer reaches the states in which rules break."""
         mutate(monkeypatch)
         assert any(_find_violation(seed) for seed in range(first, first + 60))
+
+    def test_no_order_of_events_of_an_open_finding_breaks_a_rule(self) -> None:
+        """Guards against a second run of a task, started after a boot was replaced by another."""
+        World(2514).play(1_500)
