Report the end of a second run of a task once

Cause: since the end of a run that is kept only for its resources is reported where the run is ended, and again where its task is known.

Change: the first report is left to the case in which no task is known. No decision depends on it.

Evidence: test_the_end_of_a_second_run_is_reported_once failed before (two run_ended) and passes now; test_cancelled_jobs, test_cell and test_copies pass (58 tests), and test_event_order but for its test that is known to fail.

--- a/src/greengagewood/internal/cells/cell.py
+++ b/src/greengagewood/internal/cells/cell.py
@@ -628,12 +628,18 @@
 
     def _handle_run_end(self, worker: Worker, end: RunEnd, now_ms: int) -> None:
         """Process the end of a run; queue its task again unless the task or its job has ended."""
-        for unexpected in [r for r in worker.runs.values() if r.task.end_state == "unexpected"]:
-            if (unexpected.task.id, unexpected.number) == (end.task_id, end.run_number):
-                self._end_run(worker, unexpected, "ended", now_ms)
-                self._report_run_end(worker, end)
+        unexpected = [
+            run
+            for run in worker.runs.values()
+            if run.task.end_state == "unexpected"
+            and (run.task.id, run.number) == (end.task_id, end.run_number)
+        ]
+        for placeholder in unexpected:
+            self._end_run(worker, placeholder, "ended", now_ms)
         task = self.book.find_listed_task(end.task_id, self._adopting)
         if task is None:
+            if unexpected:
+                self._report_run_end(worker, end)
             return
         self.book.note_started(task.step.job)
         run = worker.runs.get((task, end.run_number))
--- a/tests/cover/test_cancelled_jobs.py
+++ b/tests/cover/test_cancelled_jobs.py
@@ -95,6 +95,15 @@
         harness.answer_lease("w0", ends=(RunEnd(1, task_id, 7, "stopped", ""),))
         assert dict(events)["run_ended"]["how"] == "stopped"
 
+    def test_the_end_of_a_second_run_is_reported_once(self) -> None:
+        harness = CellHarness("w0", "w1")
+        first = _start_lasting(harness).run
+        other = next(name for name in harness.cell.workers if name != first.worker_id)
+        harness.answer_lease(other, RunningTask(first.task.id, 7, "", 10, 0))
+        events = _record_events(harness.cell)
+        harness.answer_lease(other, ends=(RunEnd(1, first.task.id, 7, "stopped", ""),))
+        assert [event for event, _ in events] == ["run_ended"]
+
     def test_a_cancellation_that_is_read_before_its_job_is_reported(self) -> None:
         harness = CellHarness("w0")
         events = _record_events(harness.cell)
