--- a/src/greengagewood/internal/cells/stops.py
+++ b/src/greengagewood/internal/cells/stops.py
@@ -83,9 +83,7 @@
                     continue
                 if run.unwanted_since_ms is None:
                     run.unwanted_since_ms = run.reported_ms = now_ms
-                elif (
-                    run.reported_ms is not None and now_ms - run.reported_ms >= REMAINING_REPORT_MS
-                ):
+                elif now_ms - run.reported_ms >= REMAINING_REPORT_MS:
                     run.reported_ms = now_ms
                     overdue.append((worker, run))
         return overdue
--- a/src/greengagewood/internal/cells/value.py
+++ b/src/greengagewood/internal/cells/value.py
@@ -48,11 +48,8 @@
         return 1 if age_ms < WORTHLESS_AGE_FACTOR * objective_ms else 2
 
     def density(self, job: Job, occurrence: int, step: int, queue: Queue, now_ms: int) -> float:
-        """Return the value of a job per CPU millisecond of its remaining work.
-
-        A run may be listed of a job that has ended, or of an occurrence that the job doesn't have.
-        """
-        if job.is_final or occurrence not in job.occurrences:
+        """Return the value of a job per CPU millisecond of its remaining work; 0 once it ended."""
+        if job.is_final:
             return 0.0
         value = (1.0, LATE_VALUE, WORTHLESS_VALUE)[self.lateness(job, step, queue, now_ms)]
         value *= full_value(job.total_cpu_ms, self.mean_cpu_ms(job.submission.queue.name))
--- a/src/greengagewood/internal/jobs/book.py
+++ b/src/greengagewood/internal/jobs/book.py
@@ -44,7 +44,7 @@
     stop_sent_ms: int | None = None
     stop_answered_ms: int | None = None
     unwanted_since_ms: int | None = None  # when the owner first saw it after the end of its job
-    reported_ms: int | None = None  # when it was last reported as going on after that end
+    reported_ms: int = 0  # when it was last reported as going on after that end
     speed_percent: int = 100  # the last speed limit sent, of its full speed
     slow_since_ms: int | None = None  # since when its limit has been low enough to move the run
     initial_speed_percent: int = 100  # the speed limit to send when the start is accepted
