--- a/tests/common/desk.py
+++ b/tests/common/desk.py
@@ -76,6 +76,11 @@
         assert run is not None
         self.cell.note_stop_accepted(self.cell.workers[run.worker_id], run, self.now_ms)
 
+    def reboot(self, name: str, boot_time_ms: int) -> None:
+        """Let the directory show another boot of a worker."""
+        self.worker_infos[name] = make_worker_info(name, boot_time_ms)
+        self.cell.set_workers(self.worker_infos, self.now_ms)
+
     def resize(self, name: str, cpu_millis: int, memory_mb: int = 256_000) -> None:
         """Let the directory show another capacity of a worker."""
         self.now_ms += 1
--- a/tests/common/storestub.py
+++ b/tests/common/storestub.py
@@ -34,6 +34,20 @@
 }
 MANIFEST = {"version": 7, "routes": [ROUTE], "services": [{"name": "svc"}], "limits": {}}
 
+# An entry as workers write them.
+WORKER_ENTRY = {
+    "service": "svc",
+    "address": "10.0.0.1:80",
+    "zone": "z",
+    "version": "v1",
+    "slots": 8,
+    "state": "ready",
+    "cold-remaining-ms": 0,
+    "capacity": {"cpu": 16_000, "mem-mb": 32_768, "gpu": 0},
+    "labels": ["a", "r1-3"],
+    "seq": 4,
+}
+
 CHUNK_BYTES = 8 * 1024
 PAGE_ITEMS = 500
 WAIT_STEP_S = 0.02
--- a/tests/cover/test_cancel_roads.py
+++ b/tests/cover/test_cancel_roads.py
@@ -68,8 +68,7 @@
 def _harness_booted_at(boot_time_ms: int) -> CellHarness:
     """Return a cell with one worker that was started at this time of day."""
     harness = CellHarness("w0")
-    harness.worker_infos["w0"] = make_worker_info("w0", boot_time_ms)
-    harness.cell.set_workers(harness.worker_infos, harness.now_ms)
+    harness.reboot("w0", boot_time_ms)
     harness.read_orders()
     harness.answer_lease("w0")
     harness.cell.note_confirmed(harness.now_ms + 1)
@@ -155,7 +154,7 @@
         (start,) = start_orders(harness.plan(500))
         harness.cell.note_start_unanswered(start.run, harness.now_ms)
         (stop,) = _cancel(harness)
-        harness.cell.note_stop_accepted(stop.worker, stop.run, harness.now_ms)
+        harness.accept_stop(stop.run)
         harness.now_ms += 10
         harness.answer_lease("w0")
         assert start.run.state == "finished"
@@ -343,7 +342,7 @@
         sent = 0
         for _ in range(10):
             if accepted:
-                harness.cell.note_stop_accepted(stop.worker, stop.run, harness.now_ms)
+                harness.accept_stop(stop.run)
             harness.answer_lease("w0", RunningTask(start.run.task.id, 1, "", 10, 0))
             sent += len(_stops(harness.plan(400)))
         assert sent >= 9
--- a/tests/cover/test_cancelled_jobs.py
+++ b/tests/cover/test_cancelled_jobs.py
@@ -29,7 +29,6 @@
     QUEUE,
     CellHarness,
     make_submission,
-    make_worker_info,
     start_orders,
 )
 from tests.common.drive import QUEUES, CellSimulation, long_running_job, run_simulation
@@ -157,8 +156,7 @@
         harness.submit(StepSpec(1, cpu_millis=10_000), job="1" * 16)
         (start,) = start_orders(harness.plan())
         name = start.worker.name
-        harness.worker_infos[name] = make_worker_info(name, boot_time_ms=2)
-        harness.cell.set_workers(harness.worker_infos, harness.now_ms)
+        harness.reboot(name, 2)
         harness.cell.handle_start_reply(start.worker, start.run, "room", harness.now_ms)
         return start
 
@@ -177,8 +175,7 @@
         harness = CellHarness("w0")
         harness.submit(StepSpec(1, cpu_millis=10_000))
         (start,) = start_orders(harness.plan())
-        harness.worker_infos["w0"] = make_worker_info("w0", boot_time_ms=2)
-        harness.cell.set_workers(harness.worker_infos, harness.now_ms)
+        harness.reboot("w0", 2)
 
         class Link:
             async def start(self, *args: object) -> None:
@@ -212,8 +209,7 @@
         name = start.worker.name
         harness.cell.note_start_unanswered(start.run, harness.now_ms)
         (stop,) = [order for order in harness.plan() if isinstance(order, StopRun)]
-        harness.worker_infos[name] = make_worker_info(name, boot_time_ms=2)
-        harness.cell.set_workers(harness.worker_infos, harness.now_ms)
+        harness.reboot(name, 2)
         harness.store_changes()
         harness.cell.note_stop_accepted(stop.worker, start.run, harness.now_ms)
         harness.now_ms += 10
@@ -221,7 +217,7 @@
         orders = harness.plan()
         assert start_orders(orders) == []
         assert [order.run for order in orders if isinstance(order, StopRun)] == [start.run]
-        harness.cell.note_stop_accepted(orders[0].worker, start.run, harness.now_ms)
+        harness.accept_stop(start.run)
         harness.now_ms += 10
         harness.answer_leases()
         assert [order.run.number for order in start_orders(harness.plan())] == [2]
--- a/tests/cover/test_cell.py
+++ b/tests/cover/test_cell.py
@@ -119,8 +119,7 @@
     def test_a_boot_with_an_earlier_time_replaces_the_one_before(self) -> None:
         """Guards against ends that are skipped, as an earlier boot has used their numbers."""
         harness = CellHarness("w0")
-        harness.worker_infos["w0"] = make_worker_info("w0", boot_time_ms=5)
-        harness.cell.set_workers(harness.worker_infos, harness.now_ms)
+        harness.reboot("w0", 5)
         harness.now_ms += 10
         harness.answer_lease("w0")
         harness.worker_infos["w0"] = make_worker_info("w0", boot_time_ms=3)
@@ -166,8 +165,7 @@
         name = start.worker.name
         reply = LeaseReply(harness.now_ms - 90_000, 1, (), ())
         harness.cell.handle_lease_reply(start.worker, reply, requested_ms, harness.now_ms)
-        harness.worker_infos[name] = make_worker_info(name, boot_time_ms=2)
-        harness.cell.set_workers(harness.worker_infos, harness.now_ms)
+        harness.reboot(name, 2)
         orders = harness.plan()
         assert start_orders(orders) == []
         assert [order.run for order in orders if isinstance(order, StopRun)] == [start.run]
--- a/tests/cover/test_odd_entries.py
+++ b/tests/cover/test_odd_entries.py
@@ -67,25 +67,13 @@
 from tests.common.desk import CellHarness, make_submission, make_worker_info, start_orders
 from tests.common.drive import CONFIG, CellSimulation, long_running_job, run_simulation, short_job
 from tests.common.plant import SimDirectory
-from tests.common.storestub import MANIFEST, ROUTE, StoreStub, running_store
+from tests.common.storestub import MANIFEST, ROUTE, WORKER_ENTRY, StoreStub, running_store
 
 MAX_RECORD_BYTES = 262_144  # of the platform's store
 LEVELS = 100_000
 TOO_DEEP = b'{"x":' + b"[" * LEVELS + b"]" * LEVELS + b"}"
 TASK = TaskId("0" * 16, 0, 0, 0)
-ENTRY = {
-    "service": "svc",
-    "address": "10.0.0.1:80",
-    "zone": "z",
-    "version": "v1",
-    "slots": 8,
-    "state": "ready",
-    "cold-remaining-ms": 0,
-    "capacity": {"cpu": 16_000, "mem-mb": 32_768, "gpu": 0},
-    "labels": ["a", "r1-3"],
-    "seq": 4,
-    "born": 1_700_000_000_000,
-}
+ENTRY = {**WORKER_ENTRY, "born": 1_700_000_000_000}
 JOB = {
     "spec": "text",
     "steps": [
--- a/tests/cover/test_owner_changes.py
+++ b/tests/cover/test_owner_changes.py
@@ -239,8 +239,7 @@
         harness.cell.note_lease_failure(harness.cell.workers["w0"], harness.now_ms)
         harness.cell.set_workers(harness.worker_infos, harness.now_ms)
         harness.store_changes()
-        harness.worker_infos["w0"] = make_worker_info("w0", boot_time_ms=2)
-        harness.cell.set_workers(harness.worker_infos, harness.now_ms)
+        harness.reboot("w0", 2)
         harness.answer_lease("w0")
         worker = harness.cell.workers["w0"]
         assert harness.cell.prepare_lease_extension(worker, harness.now_ms)[0] is None
@@ -446,8 +445,7 @@
         (second,) = start_orders(harness.plan())
         assert second.worker is first.worker
         harness.cell.note_start_unanswered(second.run, harness.now_ms)
-        harness.worker_infos[name] = make_worker_info(name, boot_time_ms=9_999)
-        harness.cell.set_workers(harness.worker_infos, harness.now_ms)
+        harness.reboot(name, 9_999)
         listed = RunningTask(first.run.task.id, first.run.number, "", 10, 0)
         harness.answer_lease(name, listed)
         harness.plan()
--- a/tests/cover/test_platform_border.py
+++ b/tests/cover/test_platform_border.py
@@ -33,25 +33,13 @@
 from greengagewood.platform.store import _frame_record, _parse_records
 from greengagewood.platform.wire import Session
 from greengagewood.platform.workers import HttpWorkers, format_task_name, parse_task_name
-from tests.common.storestub import MANIFEST, ROUTE
+from tests.common.storestub import MANIFEST, ROUTE, WORKER_ENTRY
 
 JSON_VALUES = st.recursive(
     st.none() | st.booleans() | st.integers() | st.floats(allow_nan=False) | st.text(max_size=8),
     lambda inner: st.lists(inner, max_size=4) | st.dictionaries(st.text(max_size=8), inner),
     max_leaves=12,
 )
-WORKER_ENTRY = {
-    "service": "svc",
-    "address": "10.0.0.1:80",
-    "zone": "z",
-    "version": "v1",
-    "slots": 8,
-    "state": "ready",
-    "cold-remaining-ms": 0,
-    "capacity": {"cpu": 16_000, "mem-mb": 32_768, "gpu": 0},
-    "labels": ["a", "r1-3"],
-    "seq": 4,
-}
 
 
 def _job(*steps: object) -> bytes:
--- a/tests/cover/test_silent_connections.py
+++ b/tests/cover/test_silent_connections.py
@@ -5,16 +5,17 @@
 import asyncio
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 import pytest
 
 from greengagewood.internal.jobs.records import TaskId
-from greengagewood.internal.ports import Outcome, StoreUnavailable, WorkerCallFailed, WorkerInfo
+from greengagewood.internal.ports import Outcome, StoreUnavailable, WorkerCallFailed
 from greengagewood.platform import store, workers
 from greengagewood.platform.store import KeyedLog
 from greengagewood.platform.wire import Session
 from greengagewood.platform.workers import HttpWorkers
+from tests.common.desk import make_worker_info
 
 CONNECTION_COUNT = 8
 CALL_TIMEOUT_S = 0.1
@@ -96,9 +97,7 @@
         monkeypatch.setattr(workers, "ORDER_TIMEOUT_S", CALL_TIMEOUT_S)
         async with _serving(b'{"clock-ms":1}') as server, Session(CONNECTION_COUNT) as session:
             link = HttpWorkers(session)
-            info = WorkerInfo(
-                "w", server.address, "svc", "z", "r", frozenset(), 1, 1, 0, False, None, 1
-            )
+            info = replace(make_worker_info("w"), address=server.address)
             failures = await _count_failures(
                 server, lambda: link.stop(info, TASK, 1, 1), WorkerCallFailed
             )
@@ -111,9 +110,7 @@
         monkeypatch.setattr(workers, "ORDER_TIMEOUT_S", CALL_TIMEOUT_S)
         async with _serving(b'{"clock-ms":1}') as server, Session(CONNECTION_COUNT) as session:
             link = HttpWorkers(session)
-            info = WorkerInfo(
-                "w", server.address, "svc", "z", "r", frozenset(), 1, 1, 0, False, None, 1
-            )
+            info = replace(make_worker_info("w"), address=server.address)
             failures = [
                 await _count_failures(server, lambda: link.stop(info, TASK, 1, 1), WorkerCallFailed)
                 for _ in range(3)
@@ -148,9 +145,7 @@
         monkeypatch.setattr(workers, "ORDER_TIMEOUT_S", CALL_TIMEOUT_S)
         async with _serving(b'{"clock-ms":1}') as server, Session(CONNECTION_COUNT) as session:
             link = HttpWorkers(session)
-            info = WorkerInfo(
-                "w", server.address, "svc", "z", "r", frozenset(), 1, 1, 0, False, None, 1
-            )
+            info = replace(make_worker_info("w"), address=server.address)
             await _count_failures(server, lambda: link.stop(info, TASK, 1, 1), WorkerCallFailed)
             opened = server.open - server.silent
             for _ in range(5):
--- a/tests/cover/test_stale_answers.py
+++ b/tests/cover/test_stale_answers.py
@@ -40,7 +40,6 @@
     QUEUE,
     CellHarness,
     make_submission,
-    make_worker_info,
     start_orders,
 )
 from tests.common.drive import QUEUES, CellSimulation, long_running_job, run_simulation
@@ -95,8 +94,7 @@
         runner.cell = harness.cell
         harness.submit(StepSpec(1, cpu_millis=1_000))
         (start,) = start_orders(harness.plan())
-        harness.worker_infos["w0"] = make_worker_info("w0", boot_time_ms=2)
-        harness.cell.set_workers(harness.worker_infos, harness.now_ms)
+        harness.reboot("w0", 2)
         asyncio.run(runner._carry_out(start))
         assert start.run.state == "finished"
         assert start.run.task.run is None
