Let the tests of the soak's proxy reserve a loopback network

Cause: they bind fixed addresses.

Change: they use reserve_network, as the stand-ins and clusters do. The assertions are the same.

--- a/tests/cover/test_soak.py
+++ b/tests/cover/test_soak.py
@@ -6,6 +6,7 @@
 from pathlib import Path
 
 import pytest
+from devtools.loopback import reserve_network
 from devtools.soak import checker, deployment
 from devtools.soak.deployment import SCALES, JobShape
 from devtools.soak.proxy import LinkFault, LinkProxy
@@ -310,7 +311,8 @@
 class _Echo:
     """An echo server behind a proxy; `call` sends through the proxy from an address."""
 
-    address, behind = "127.99.7.1:17960", "127.99.7.2:17960"
+    net = f"127.{reserve_network()}.7"
+    address, behind = f"{net}.1:17960", f"{net}.2:17960"
 
     def __init__(self):
         self.proxy = LinkProxy()
@@ -332,12 +334,12 @@
         self._server.close()
         await self.proxy.close()
 
-    async def connect(self, source="127.99.7.3"):
+    async def connect(self, host=3):
         ip, _, port = self.address.partition(":")
-        return await asyncio.open_connection(ip, int(port), local_addr=(source, 0))
+        return await asyncio.open_connection(ip, int(port), local_addr=(f"{self.net}.{host}", 0))
 
     def fault(self, mode, **more):
-        return LinkFault(frozenset({"127.99.7.3"}), frozenset({self.address}), mode, **more)
+        return LinkFault(frozenset({f"{self.net}.3"}), frozenset({self.address}), mode, **more)
 
 
 async def _ask(streams, timeout_s=0.3):
@@ -356,11 +358,11 @@
     async def test_the_target_sees_the_address_of_the_source(self):
         async with _Echo() as echo:
             assert await _ask(await echo.connect()) == b"hello"
-            assert echo.received == [("127.99.7.3", b"hello")]
+            assert echo.received == [(f"{echo.net}.3", b"hello")]
 
     async def test_a_cut_holds_for_the_named_source_only(self):
         async with _Echo() as echo:
-            cut, other = await echo.connect(), await echo.connect("127.99.7.4")
+            cut, other = await echo.connect(), await echo.connect(4)
             echo.proxy.add(echo.fault("drop"))
             assert await _ask(cut) is None
             assert await _ask(other) == b"hello"
