--- a/src/greengagewood/internal/cells/cell.py
+++ b/src/greengagewood/internal/cells/cell.py
@@ -593,8 +593,25 @@
             run = Run(task, listed_run.run_number, worker.name, worker.info.rack, "running", now_ms)
             run.accepted_ms = run.listed_ms = now_ms
             worker.add_run(run)
+            self._report_unexpected_run(worker, run, now_ms)
         return task
 
+    def _report_unexpected_run(self, worker: Worker, run: Run, now_ms: int) -> None:
+        """Report a listed run that this owner did not know, or took to be over."""
+        task = self.book.find_task(run.task.id)
+        ended_ms = task.last_run_ended_ms if task is not None else 0
+        self.on_event(
+            "unexpected_run",
+            {
+                "task": run.task.id,
+                "run": run.number,
+                "worker": worker.name,
+                "job_state": run.task.step.job.state,
+                "other_run": task.run.number if task is not None and task.run is not None else None,
+                "run_ended_ago_ms": now_ms - ended_ms if ended_ms else None,
+            },
+        )
+
     def _end_unlisted_runs(
         self,
         worker: Worker,
--- a/src/greengagewood/internal/cells/runner.py
+++ b/src/greengagewood/internal/cells/runner.py
@@ -326,6 +326,7 @@
             self._ownership.note_fenced()
 
     async def _stop_run(self, order: StopRun) -> None:
+        sent_ms = monotonic_ms()
         outcome = "unanswered"
         try:
             reply = await self._ports.workers.stop(
@@ -347,6 +348,7 @@
             run=order.run_number,
             worker=order.worker.name,
             reason=order.reason,
+            answered_ms=monotonic_ms() - sent_ms,
             outcome=outcome,
         )
 
--- a/tests/cover/test_cancelled_jobs.py
+++ b/tests/cover/test_cancelled_jobs.py
@@ -103,6 +103,22 @@
         harness.answer_lease(other, ends=(RunEnd(1, first.task.id, 7, "stopped", ""),))
         assert [event for event, _ in events] == ["run_ended"]
 
+    def test_a_listed_run_that_counted_as_over_is_reported_once(self) -> None:
+        harness = CellHarness("w0")
+        start = _start_lasting(harness)
+        task_id, number = start.run.task.id, start.run.number
+        harness.now_ms += 100
+        harness.answer_lease("w0")
+        harness.now_ms += 100
+        (restart,) = harness.start(500)
+        events = _record_events(harness.cell)
+        for _ in range(2):
+            harness.answer_lease("w0", RunningTask(task_id, number, "", 10, 0))
+        (fields,) = [fields for event, fields in events if event == "unexpected_run"]
+        assert (fields["task"], fields["run"]) == (task_id, number)
+        assert fields["other_run"] == restart.run.number
+        assert fields["run_ended_ago_ms"] is not None
+
     def test_a_cancellation_that_is_read_before_its_job_is_reported(self) -> None:
         harness = CellHarness("w0")
         events = _record_events(harness.cell)
