Leave it to the lists of a new boot which start it has accepted

Callers were shown a job as failed after a single crash (LOST): a start that a new boot had accepted, of which the owner didn't know yet, counted as a run that had crashed the boot before. The task of such a run was also stopped and started anew though it went on.

Cause: an accepted start was taken to be accepted by the boot that it was sent to. Which boot it was is certain only once a list that was requested after the acceptance, or one with the run, has come from it (Worker.has_certainly_accepted).

Now such a run is held by the new boot, undecided. A list of the new boot with the run, or its end, clears it. A list that was requested after the acceptance and lacks it shows that the boot that is gone had it: only then is it lost, and suspected. The list that shows a reboot is processed for the new boot at once.

--- a/src/greengagewood/internal/cells/cell.py
+++ b/src/greengagewood/internal/cells/cell.py
@@ -27,7 +27,7 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, replace
 
-from greengagewood.internal.cells.crashes import CrashTracker, outlives
+from greengagewood.internal.cells.crashes import CrashTracker, find_undecided, outlives
 from greengagewood.internal.cells.fleet import (
     MAX_ORDER_DELAY_MS,
     UNRESPONSIVE_AFTER_MS,
@@ -320,7 +320,8 @@
     def _replace_rebooted(self, worker: Worker, info: WorkerInfo, now_ms: int) -> None:
         """Replace a worker that has rebooted, and so has none of its earlier runs."""
         self.on_event("worker_reborn", {"worker": info.worker_id, "runs": len(worker.runs)})
-        self._crashes.handle_crash(worker, now_ms)
+        undecided = find_undecided(worker)
+        self._crashes.handle_crash(worker, now_ms, undecided)
         self.planner.run_times.forget_worker(worker.name)
         rebooted = Worker(
             info,
@@ -334,15 +335,17 @@
             rebooted.earlier_orders_expiry_ms = worker.earlier_orders_expiry_ms
         self.workers[info.worker_id] = rebooted
         self._hold_back_lost_tasks(worker, now_ms)
-        for run in list(worker.runs.values()):
-            if worker.has_certainly_accepted(run):
-                continue
-            # The start may not have reached the old boot, so the new boot may receive it, or may
-            # have accepted it. It compares the deadline with its own clock, which has started anew.
+        for run in undecided:
+            # The lists of the new boot show which of the two has accepted it.
+            worker.remove_run(run)
+            run.stop_sent_ms = run.stop_answered_ms = None
+            rebooted.add_run(run)
+            self._expect_lease(rebooted, run)
+        for run in [run for run in worker.runs.values() if run.accepted_ms is None]:
+            # The start may not have reached the old boot, so the new boot may receive it. It
+            # compares the deadline with its own clock, which has started anew.
             worker.remove_run(run)
-            if run.state == "running":
-                run.transition("worker_restarted")
-            run.accepted_ms = run.stop_sent_ms = run.stop_answered_ms = None
+            run.stop_sent_ms = run.stop_answered_ms = None
             self._expect_late_start(rebooted, run, now_ms)
         self._hold_back_inherited(worker, rebooted, now_ms)
         self._mark_runs_lost(worker, now_ms, "reborn")
@@ -369,6 +372,13 @@
         rebooted.inherited = (*rebooted.inherited, runs)
         rebooted.earlier_orders_expiry_ms = max(rebooted.earlier_orders_expiry_ms, runs.expiry_ms)
 
+    def _expect_lease(self, rebooted: Worker, run: Run) -> None:
+        """Count the lease of a run that a new boot may have accepted, whose clock is not known."""
+        assert run.accepted_ms is not None
+        rebooted.earlier_orders_expiry_ms = max(
+            rebooted.earlier_orders_expiry_ms, run.accepted_ms + longest_ms(self.limits.lease_ms)
+        )
+
     def _expect_late_start(self, rebooted: Worker, run: Run, now_ms: int) -> None:
         """Add a run that a new boot may still start, or has started."""
         rebooted.add_run(run)
@@ -449,6 +459,7 @@
     def _end_run(self, worker: Worker, run: Run, event: str, now_ms: int) -> None:
         run.transition(event)
         worker.remove_run(run)
+        self._crashes.forget_undecided(run)
         self.book.detach_run(run, now_ms)
 
     def _queue_again(self, task: Task) -> None:
@@ -489,9 +500,10 @@
                 return []  # that boot was gone when the directory was read
             if worker.info.boot_time_ms:  # a later boot; earlier if its time of day was set back
                 self._replace_rebooted(worker, listed_boot, now_ms)
+                rebooted = self.workers[worker.name]
                 # The new boot may have another capacity and labels, which its entry will show.
-                self.workers[worker.name].in_directory = False
-                return []
+                rebooted.in_directory = False
+                return self.handle_lease_reply(rebooted, reply, sent_ms, now_ms)
             # Without it, the ends of a later boot would be taken for those that this one lists.
             worker.info = listed_boot
         worker.note_clock(reply.clock_ms, now_ms)
@@ -565,6 +577,7 @@
         elif run.state in ("starting", "unconfirmed"):
             run.transition("accepted")
             run.note_accepted(now_ms)
+        self._crashes.forget_undecided(run)
         self.book.note_started(job)
         if listed_run.progress_percent != run.progress_percent:
             run.progress_percent = listed_run.progress_percent
@@ -635,6 +648,7 @@
                 self._late_starts.add(worker, run, now_ms)
                 self._queue_again(run.task)
             elif run.state in ("running", "stopping") and (vanished or stop_done or start_expired):
+                self._crashes.handle_unlisted(run, now_ms)
                 self._end_run(worker, run, "lost", now_ms)
                 self._late_starts.add(worker, run, now_ms)
                 self.on_event(
--- a/src/greengagewood/internal/cells/crashes.py
+++ b/src/greengagewood/internal/cells/crashes.py
@@ -11,14 +11,14 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 
 from greengagewood.internal.cells.fleet import Worker
 from greengagewood.internal.cells.planner import START_WINDOW_MS
 from greengagewood.internal.jobs.book import Job, JobBook, Run, Task
 from greengagewood.internal.jobs.records import PlacedRun, TaskId
 
-__all__ = ["CrashTracker", "find_suspects", "is_culprit", "outlives"]
+__all__ = ["CrashTracker", "find_suspects", "find_undecided", "is_culprit", "outlives"]
 
 OUTLIVED_AFTER_MS = 500  # a worker that lists a run this long after its start has outlived it
 # By the platform's rules, a task may be given up once two workers have crashed under it.
@@ -48,7 +48,7 @@
     """Return the runs that may have crashed a worker, if it has crashed.
 
     A start that was sent after the first call that failed, and not answered either, did not cause
-    that failure.
+    that failure. An accepted start may have been accepted by a later boot, see `find_undecided`.
     """
     if worker.info.draining:
         return []  # it has left as announced
@@ -66,6 +66,15 @@
     ]
 
 
+def find_undecided(worker: Worker) -> list[Run]:
+    """Return the runs of a boot that has rebooted which its new boot may have accepted instead."""
+    return [
+        run
+        for run in worker.runs.values()
+        if run.accepted_ms is not None and not worker.has_certainly_accepted(run)
+    ]
+
+
 def is_culprit(task: Task, alone: bool) -> bool:
     """Return whether to give up a task under which a worker has just crashed.
 
@@ -89,6 +98,8 @@
         self._on_event = on_event
         # Of workers that have been silent since and have no runs any more, by their address.
         self._unresolved: dict[str, list[Suspect]] = {}
+        # Suspects that may run on the new boot of a crashed worker, and whether they were alone.
+        self._undecided: dict[Run, tuple[Suspect, bool]] = {}
 
     def restore(self, job: Job) -> None:
         """Add the stored suspects of an earlier owner."""
@@ -111,8 +122,13 @@
         if suspects := find_suspects(worker):
             self._unresolved.setdefault(worker.info.address, []).extend(suspects)
 
-    def handle_crash(self, worker: Worker, now_ms: int) -> None:
-        """Process the crash of a worker, whose runs have not ended yet in the book."""
+    def handle_crash(
+        self, worker: Worker, now_ms: int, undecided: Collection[Run] = ()
+    ) -> None:
+        """Process the crash of a worker, whose runs have not ended yet in the book.
+
+        The `undecided` runs are suspects only if the new boot turns out not to have them.
+        """
         address = worker.info.address
         kept = self._unresolved.pop(address, [])
         if others := [suspect for suspect in kept if suspect[1].worker_id != worker.name]:
@@ -120,9 +136,24 @@
         own = [suspect for suspect in kept if suspect[1].worker_id == worker.name]
         suspects = find_suspects(worker)
         alone = len(suspects) == 1 and suspects[0][1].accepted
+        for run in undecided:
+            suspect = (run.task.id, worker.placed_run(run))
+            if suspect in suspects:
+                suspects.remove(suspect)
+                self._undecided[run] = suspect, alone
         self._note_suspects(suspects, alone, now_ms)
         self._note_suspects(own, False, now_ms)
 
+    def forget_undecided(self, run: Run) -> None:
+        """Clear a run that the new boot of a crashed worker has, or of which nothing is known."""
+        self._undecided.pop(run, None)
+
+    def handle_unlisted(self, run: Run, now_ms: int) -> None:
+        """Suspect an undecided run that the new boot does not have, so the crashed one had it."""
+        if run in self._undecided:
+            suspect, alone = self._undecided.pop(run)
+            self._note_suspects([suspect], alone, now_ms)
+
     def handle_answer(self, worker: Worker, boot_time_ms: int, now_ms: int) -> None:
         """Process the answer of a boot: earlier boots at its address have crashed."""
         suspects = self._unresolved.pop(worker.info.address, [])
