Wait for a start that a later boot may have accepted, beyond the lease of the earlier

Cause: the lease of an accepted run was counted by the boot that the start was sent to. Nothing but a later list showed which boot had answered.

The answer to a start has a reading of the worker's clock, which was not used. If it agrees with the readings of the known boot, that boot has accepted the start, and its lease decides as before, so no task waits longer because its worker is lost. A reading that does not agree proves no reboot, so nothing else follows from it.

--- a/src/greengagewood/internal/cells/cell.py
+++ b/src/greengagewood/internal/cells/cell.py
@@ -33,7 +33,7 @@
     UNRESPONSIVE_AFTER_MS,
     InheritedRuns,
     Worker,
-    late_start_expiry_ms,
+    later_boot_expiry_ms,
     longest_ms,
 )
 from greengagewood.internal.cells.forecast import LoadObserver
@@ -434,9 +434,9 @@
         lost = [
             run
             for run in worker.runs.values()
-            # A later boot may still carry out a start that was not answered.
+            # A later boot may have the run, or may still carry out its start.
             if reason != "lapsed"
-            or self._confirmed_ms > late_start_expiry_ms(run, self.limits.lease_ms)
+            or self._confirmed_ms > later_boot_expiry_ms(worker, run, self.limits.lease_ms)
         ]
         if lost and reason == "lapsed":
             self._crashes.keep_suspects(worker)
@@ -485,6 +485,7 @@
             deadline = worker.deadline_in(self.limits.lease_ms, now_ms)
         if deadline is not None:
             worker.latest_deadline_ms = max(worker.latest_deadline_ms, deadline)
+            worker.lease_sent_ms = now_ms
         return deadline, 0 if worker.lease_call_failed else worker.acknowledged_sequence
 
     def handle_lease_reply(
@@ -506,7 +507,7 @@
                 return self.handle_lease_reply(rebooted, reply, sent_ms, now_ms)
             # Without it, the ends of a later boot would be taken for those that this one lists.
             worker.info = listed_boot
-        worker.note_clock(reply.clock_ms, now_ms)
+        worker.note_clock(reply.clock_ms, sent_ms, now_ms)
         if worker.unresponsive:
             worker.unresponsive = False
             if not worker.registered:
@@ -759,8 +760,13 @@
             worker.inherited = ()
             worker.clock_read_ms = None
 
-    def handle_start_reply(self, worker: Worker, run: Run, reason: str, now_ms: int) -> list[Order]:
-        """Process the reply to a start; an empty reason means that it was accepted."""
+    def handle_start_reply(
+        self, worker: Worker, run: Run, reason: str, now_ms: int, clock_ms: int | None = None
+    ) -> list[Order]:
+        """Process the reply to a start; an empty reason means that it was accepted.
+
+        `clock_ms` is the reading of the worker's clock in the reply.
+        """
         if reason == "unreachable":
             self._crashes.note_failed_call(worker, now_ms)
         elif worker.failing_since_ms is not None and worker.failing_since_ms < run.started_ms:
@@ -772,6 +778,7 @@
             if run.state == "starting":
                 run.transition("accepted")
             run.note_accepted(now_ms)
+            run.accepted_by_clock = worker.shows_clock(clock_ms, run.started_ms, now_ms)
             worker.note_room_granted()
             self.book.note_started(run.task.step.job)
             if run.initial_speed_percent < run.speed_percent:
--- a/src/greengagewood/internal/cells/fleet.py
+++ b/src/greengagewood/internal/cells/fleet.py
@@ -26,6 +26,7 @@
     "Resources",
     "Worker",
     "late_start_expiry_ms",
+    "later_boot_expiry_ms",
     "longest_ms",
 ]
 
@@ -102,6 +103,18 @@
     return run.started_ms + MAX_ORDER_DELAY_MS + longest_ms(lease_ms)
 
 
+def later_boot_expiry_ms(worker: Worker, run: Run, lease_ms: int) -> int:
+    """Return when a run is over even if a later boot than the known one has it; 0 if none has.
+
+    A lease extension that was not answered may still reach that boot, and extend its lease.
+    """
+    if run.accepted_ms is None:
+        return late_start_expiry_ms(run, lease_ms)
+    if worker.has_certainly_accepted(run):
+        return 0
+    return worker.lease_sent_ms + MAX_ORDER_DELAY_MS + longest_ms(lease_ms)
+
+
 @dataclass(slots=True, eq=False)
 class Worker:
     """One boot of a worker; times are of the owner's monotonic clock unless stated otherwise."""
@@ -115,6 +128,8 @@
     in_directory: bool = True  # whether the directory lists this boot
     clock_ms: int = 0  # the last reading of its clock
     clock_read_ms: int | None = None  # when its clock was last read
+    clock_asked_ms: int = 0  # when the call was sent whose answer had that reading
+    lease_sent_ms: int = 0  # when this owner last sent a start or a lease extension
     latest_deadline_ms: int = 0  # the latest deadline that this owner gave it, on its own clock
     earlier_orders_expiry_ms: int = 0  # when orders of earlier owners have certainly expired
     inherited: tuple[InheritedRuns, ...] = ()  # empty once it has been adopted
@@ -189,10 +204,13 @@
     def has_certainly_accepted(self, run: Run) -> bool:
         """Return whether this boot, rather than a later one, has accepted the start of a run.
 
-        It has if it has listed the run, or has answered a call that was sent after the acceptance.
+        It has if the answer had a reading of its clock, if it has listed the run, or if it has
+        answered a call that was sent after the acceptance.
         """
         return run.accepted_ms is not None and (
-            run.listed_ms >= run.accepted_ms or run.accepted_ms < self.list_requested_ms
+            run.accepted_by_clock
+            or run.listed_ms >= run.accepted_ms
+            or run.accepted_ms < self.list_requested_ms
         )
 
     def is_usable(self, now_ms: int) -> bool:
@@ -341,11 +359,25 @@
 
     # Clock and lease.
 
-    def note_clock(self, clock_ms: int, now_ms: int) -> None:
-        """Record a reading of the worker's clock, made before `now_ms`."""
+    def note_clock(self, clock_ms: int, sent_ms: int, now_ms: int) -> None:
+        """Record a reading of the worker's clock, made after `sent_ms` and before `now_ms`."""
         self.clock_ms = clock_ms
+        self.clock_asked_ms = sent_ms
         self.clock_read_ms = now_ms
 
+    def shows_clock(self, clock_ms: int | None, sent_ms: int, now_ms: int) -> bool:
+        """Return whether a reading, made after `sent_ms` and before `now_ms`, is of this boot.
+
+        The clock of another boot, which begins at a value of its own, is not expected to agree
+        within the time that a call takes. A reading that does not agree proves nothing.
+        """
+        if clock_ms is None or self.clock_read_ms is None:
+            return False
+        earliest_ms = sent_ms - self.clock_read_ms
+        earliest_ms = int(earliest_ms * MIN_CLOCK_RATE) if earliest_ms > 0 else earliest_ms
+        latest_ms = now_ms - self.clock_asked_ms
+        return earliest_ms - 1 <= clock_ms - self.clock_ms <= latest_ms + 1
+
     def deadline_in(self, duration_ms: int, now_ms: int) -> int | None:
         """Return the time on the worker's clock after a duration, or None if it was never read."""
         if self.clock_read_ms is None:
--- a/src/greengagewood/internal/cells/planner.py
+++ b/src/greengagewood/internal/cells/planner.py
@@ -554,5 +554,6 @@
         if task.crashes and not task.step.spec.gang:
             worker.trial = run
         worker.latest_deadline_ms = max(worker.latest_deadline_ms, deadline)
+        worker.lease_sent_ms = now_ms
         payload = task.step.job.submission.spec.payload
         return StartRun(worker, run, payload, deadline, task.checkpoint)
--- a/src/greengagewood/internal/cells/registration.py
+++ b/src/greengagewood/internal/cells/registration.py
@@ -21,7 +21,7 @@
 from greengagewood.internal.cells.fleet import (
     InheritedRuns,
     Worker,
-    late_start_expiry_ms,
+    later_boot_expiry_ms,
     longest_ms,
 )
 from greengagewood.internal.jobs.book import JobBook, Run
@@ -103,14 +103,14 @@
     late = {
         run
         for run in (*worker.runs.values(), *worker.ruled_out)
-        if late_start_expiry_ms(run, lease_ms) > now_ms
+        if later_boot_expiry_ms(worker, run, lease_ms) > now_ms
     }
     listed = {run for run in worker.runs.values() if run not in late}
     groups: list[tuple[tuple[TaskId, ...] | None, int]] = []  # tasks, and the time left
     if listed:
         groups.append((_task_ids(listed), worker.remaining_order_ms(now_ms)))
     if late:
-        expiry_ms = max(late_start_expiry_ms(run, lease_ms) for run in late)
+        expiry_ms = max(later_boot_expiry_ms(worker, run, lease_ms) for run in late)
         groups.append((_task_ids(late), expiry_ms - now_ms))
     for inherited in worker.unlisted_runs(now_ms):
         groups.append((_listable_tasks(inherited, book), inherited.expiry_ms - now_ms))
--- a/src/greengagewood/internal/cells/runner.py
+++ b/src/greengagewood/internal/cells/runner.py
@@ -295,7 +295,9 @@
             outcome = reply.reason or "accepted"
             self._check_fencing(reply)
             self._carry_out_all(
-                self.cell.handle_start_reply(worker, run, reply.reason, monotonic_ms())
+                self.cell.handle_start_reply(
+                    worker, run, reply.reason, monotonic_ms(), reply.clock_ms
+                )
             )
         finally:  # after an unexpected error, too, the start may have been carried out
             answered = outcome not in ("unanswered", "unreachable")
--- a/src/greengagewood/internal/jobs/book.py
+++ b/src/greengagewood/internal/jobs/book.py
@@ -40,6 +40,7 @@
     started_ms: int
     start_deadline_ms: int = 0  # on the worker's clock; the worker refuses the start after it
     accepted_ms: int | None = None  # when this owner learned that the worker has the run
+    accepted_by_clock: bool = False  # whether the worker's clock showed which boot accepted it
     was_carried_out: bool = False  # whether the start was ever carried out, by any boot
     stop_sent_ms: int | None = None
     stop_answered_ms: int | None = None
--- a/tests/common/desk.py
+++ b/tests/common/desk.py
@@ -94,11 +94,15 @@
         self.cell.set_workers(self.worker_infos, self.now_ms)
         self.read_orders(*self.evacuated)  # both are read from the same store
 
-    def start(self, elapsed_ms: int = 10) -> list[StartRun]:
-        """Plan, let the workers accept every start, and return the starts."""
+    def start(self, elapsed_ms: int = 10, shows_clock: bool = True) -> list[StartRun]:
+        """Plan, let the workers accept every start, and return the starts.
+
+        Without `shows_clock`, the answers don't tell which boots gave them.
+        """
         starts = start_orders(self.plan(elapsed_ms))
         for order in starts:
-            self.cell.handle_start_reply(order.worker, order.run, "", self.now_ms)
+            clock_ms = self.now_ms - 90_000 if shows_clock else None
+            self.cell.handle_start_reply(order.worker, order.run, "", self.now_ms, clock_ms)
         self.now_ms += 1
         return starts
 
--- a/tests/common/eventorder.py
+++ b/tests/common/eventorder.py
@@ -165,6 +165,7 @@
     arrived: bool = False
     closed_ms: int | None = None  # when the owner got its answer or gave it up
     reply: str | LeaseReply | None = None
+    clock_ms: int = 0  # the worker's clock as it carried the call out
 
 
 @dataclass(eq=False)
@@ -485,6 +486,7 @@
                     pass
                 elif boot.up and not is_cut and not self._is_left_out(call, boot):
                     call.reply = self._carry_out(call, boot)
+                    call.clock_ms = boot.clock_ms(self.now_ms)
                     call.arrives_ms = self.now_ms
                 elif not boot.up and not call.answer_lost and self.rng.random() < 0.3:
                     call.reply = "unreachable"
@@ -544,7 +546,8 @@
                 cell.note_start_unanswered(order.run, now_ms)
             else:
                 assert isinstance(reply, str)
-                self._issue(owner, cell.handle_start_reply(worker, order.run, reply, now_ms))
+                orders = cell.handle_start_reply(worker, order.run, reply, now_ms, call.clock_ms)
+                self._issue(owner, orders)
         elif isinstance(order, StopRun) and reply == "":
             cell.note_stop_accepted(worker, order.run, now_ms)
 
--- a/tests/cover/test_boots.py
+++ b/tests/cover/test_boots.py
@@ -4,10 +4,12 @@
 
 from dataclasses import replace
 
+import pytest
+
 from greengagewood.internal.jobs.book import Task
 from greengagewood.internal.jobs.model import StepSpec
 from greengagewood.internal.ports import RunningTask
-from tests.common.desk import CellHarness, make_worker_info
+from tests.common.desk import CellHarness, make_worker_info, start_orders
 
 JOB = "0" * 16
 LASTING = StepSpec(1, cpu_millis=1_000, long_running=True)
@@ -30,8 +32,8 @@
 
 
 def _start(harness: CellHarness) -> Task:
-    """Start the waiting task, and let its worker accept it."""
-    (start,) = harness.start(500)
+    """Start the waiting task, and let its worker accept it in an answer of an unknown boot."""
+    (start,) = harness.start(500, shows_clock=False)
     return start.run.task
 
 
@@ -92,3 +94,40 @@
         orders += harness.plan()
         assert orders == []
         assert task.run is run
+
+
+class TestLeases:
+    """A worker that falls silent right after it has accepted a start."""
+
+    @staticmethod
+    def _fall_silent(clock_ms: int | None) -> tuple[CellHarness, Task]:
+        """Let a worker accept a start with a reading of its clock, and then not answer any more."""
+        harness = _make_harness("w0", "w1")
+        for name in harness.worker_infos:
+            harness.answer_lease(name)
+        harness.submit(LASTING)
+        (start,) = start_orders(harness.plan(500))
+        reading = None if clock_ms is None else harness.now_ms - 90_000 + clock_ms
+        harness.cell.handle_start_reply(start.worker, start.run, "", harness.now_ms, reading)
+        harness.now_ms += 2_000
+        harness.cell.note_lease_failure(start.worker, harness.now_ms)
+        for name in harness.worker_infos:
+            if name != start.worker.name:
+                harness.answer_lease(name)
+        return harness, start.run.task
+
+    def test_a_start_that_its_boot_has_accepted_is_over_with_the_lease(self) -> None:
+        """Guards against a lasting task that waits for a later boot that nothing points to."""
+        harness, task = self._fall_silent(clock_ms=0)
+        (restart,) = start_orders(harness.plan(50))
+        assert restart.run.task is task
+
+    @pytest.mark.parametrize("clock_ms", [None, -40_000, 40_000])
+    def test_a_start_that_a_later_boot_may_have_accepted_outlasts_the_lease_of_the_earlier(
+        self, clock_ms: int | None
+    ) -> None:
+        """Guards against a second run beside one of a boot that the owner has not seen yet."""
+        harness, task = self._fall_silent(clock_ms)
+        for _ in range(15):
+            assert start_orders(harness.plan(1_000)) == []
+        assert task.run is not None
--- a/tests/cover/test_cell.py
+++ b/tests/cover/test_cell.py
@@ -157,7 +157,7 @@
         harness = CellHarness("w0", "w1")
         harness.submit(StepSpec(1, cpu_millis=1_000))
         requested_ms = harness.now_ms
-        (start,) = harness.start()
+        (start,) = harness.start(shows_clock=False)
         name = start.worker.name
         reply = LeaseReply(harness.now_ms - 90_000, 1, (), ())
         harness.cell.handle_lease_reply(start.worker, reply, requested_ms, harness.now_ms)
@@ -249,7 +249,7 @@
         self, duration_ms: int, read_ms: int, elapsed_ms: int
     ) -> None:
         worker = Worker(make_worker_info("w0"), 0)
-        worker.note_clock(50_000, read_ms)
+        worker.note_clock(50_000, read_ms, read_ms)
         deadline_ms = worker.deadline_in(duration_ms, read_ms)
         assert deadline_ms is not None
         if worker.has_passed(deadline_ms, read_ms + elapsed_ms):
