--- a/devtools/soak/mutants.py
+++ b/devtools/soak/mutants.py
@@ -9,8 +9,10 @@
 
 import msgspec
 
+from greengagewood.internal.cells import cell as cell_module
 from greengagewood.internal.cells.cell import Cell
 from greengagewood.internal.cells.runner import CellRunner
+from greengagewood.internal.cells.term import Term
 from greengagewood.internal.clock import monotonic_ms
 from greengagewood.internal.entry.intake import BatchWriter
 from greengagewood.internal.jobs.book import JobBook
@@ -116,12 +118,12 @@
     "ignore_max_per_worker": _alter(jobs, "_step_spec", max_per_instance=0),
     "ignore_order": _alter(jobs, "_step_spec", depends_on=()),
     "leave_lasting": _wrap(JobBook, "mark_waiting", _leave_lasting),
-    "leave_some": _skip(Cell, "_queue_again", 2),
+    "leave_some": _skip(Term, "queue_again", 2),
     "more_attempts": _wrap(
         JobBook,
         "note_run_failed",
         lambda f, book, task, number, attempts, ms: f(book, task, number, attempts + 3, ms),
     ),
-    "refuse_on_old_boot": _wrap(Cell, "_holder", lambda f, cell, worker, run: worker),
+    "refuse_on_old_boot": _wrap(cell_module, "boot_of_answer", lambda f, sent_to, run: sent_to),
     "refuse_what_is_stored": _refuse_what_is_stored(),
 }
--- /dev/null
+++ b/src/greengagewood/internal/cells/adoption.py
@@ -0,0 +1,87 @@
+"""What a new owner knows of the runs that earlier owners started.
+
+A task that an earlier owner may have started is `maybe_running` until it is ruled out on every
+registered worker, see `registration`. This module does no I/O and reads no clock.
+"""
+
+from __future__ import annotations
+
+from greengagewood.internal.cells.boots import Boot, longest_ms
+from greengagewood.internal.cells.registration import tasks_held_back
+from greengagewood.internal.cells.term import Term
+
+__all__ = ["Adoption"]
+
+REPORT_DELAY_MS = 1_500  # an adoption that takes longer is reported, and again after this
+MAX_REPORTED_WORKERS = 10  # bounds the length of a log line
+
+
+class Adoption:
+    """The adoption of a cell's workers, and of the runs that they have, by a new owner."""
+
+    def __init__(self, term: Term, now_ms: int) -> None:
+        self._term = term
+        self._report_ms = now_ms + REPORT_DELAY_MS
+
+    def adopt(self, boot: Boot, run_count: int, now_ms: int) -> None:
+        """Record that a boot has accepted this owner's token and listed its runs."""
+        boot.adopted_ms = self._term.last_adoption_ms = now_ms
+        boot.inherited = ()
+        self._shorten_earlier_expiry(boot, now_ms)
+        self._term.emit("worker_adopted", {"worker": boot.name, "runs": run_count})
+
+    def _shorten_earlier_expiry(self, boot: Boot, now_ms: int) -> None:
+        """Bound the orders of earlier owners to a boot that has just accepted this one's token.
+
+        None of them arrives any more, so the longest lease that they can have given begins now.
+        """
+        if any(run.accepted_ms is None for run in boot.runs.values()):
+            return  # a start sent to an earlier boot may still reach this one
+        boot.earlier_orders_expiry_ms = min(
+            boot.earlier_orders_expiry_ms, now_ms + longest_ms(self._term.limits.lease_ms)
+        )
+
+    def finish(self, now_ms: int) -> None:
+        """Mark the tasks as not running that no run of an earlier owner can go on with unlisted.
+
+        A worker that accepts this owner's token may have rebooted since a later owner acknowledged
+        the ends of its runs, so a read that was sent afterwards must show no later owner.
+        """
+        term = self._term
+        if not term.adopting and not term.book.maybe_running_tasks:
+            return
+        confirmed_ms = term.confirmed_ms
+        unresolved = [b for b in term.boots.values() if b.unlisted_runs(confirmed_ms)]
+        if unresolved:
+            self._report(unresolved, now_ms)
+        held_back = tasks_held_back(unresolved, confirmed_ms)
+        if held_back is None or term.last_adoption_ms >= confirmed_ms:
+            return
+        if term.adopting and not unresolved:
+            term.adopting = False
+            term.emit(
+                "adopted",
+                {
+                    "unknown": len(term.book.maybe_running_tasks),
+                    "confirmed_ago_ms": now_ms - confirmed_ms,
+                },
+            )
+        for task in list(term.book.maybe_running_tasks):
+            if task.id not in held_back:
+                term.book.note_not_running(task, now_ms)
+
+    def _report(self, unresolved: list[Boot], now_ms: int) -> None:
+        """Report the workers that the adoption waits for, if it has taken long."""
+        if now_ms < self._report_ms:
+            return
+        self._report_ms = now_ms + REPORT_DELAY_MS
+        self._term.emit(
+            "adoption_waits",
+            {
+                "workers": [boot.name for boot in unresolved[:MAX_REPORTED_WORKERS]],
+                "worker_count": len(unresolved),
+                "unlisted": sum(not boot.worker.in_directory for boot in unresolved),
+                "unknown": len(self._term.book.maybe_running_tasks),
+                "for_ms": max(b.earlier_orders_expiry_ms for b in unresolved) - now_ms,
+            },
+        )
--- a/src/greengagewood/internal/cells/fleet.py
+++ b/src/greengagewood/internal/cells/boots.py
@@ -1,4 +1,10 @@
-"""Workers of one cell as the owner knows them: resources, clock, lease and runs.
+"""Boots of workers as the owner of a cell knows them: resources, clock, lease and runs.
+
+A worker is known by its ID, under which it may boot again. Then it knows nothing of what it ran
+before, and its clock and the numbers of its run ends begin anew. So what only one boot can have
+told, such as its runs, is kept with that boot, and what holds for whichever boot is up with the
+worker. There is one `Boot` for the present boot of each worker; `answers` says what follows from an
+answer whose boot is not known.
 
 Leases and start deadlines are times on the worker's clock, which may run slower than the owner's.
 Since the owner last read that clock, at most as much time has passed on it as on the owner's own
@@ -12,6 +18,7 @@
 from collections import deque
 from dataclasses import dataclass, field, replace
 
+from greengagewood.internal.chart import load_chart
 from greengagewood.internal.jobs.book import Run, Task
 from greengagewood.internal.jobs.model import StepSpec
 from greengagewood.internal.jobs.records import PlacedRun, TaskId
@@ -22,17 +29,18 @@
     "MIN_CLOCK_RATE",
     "UNRESPONSIVE_AFTER_MS",
     "Admission",
+    "Boot",
     "InheritedRuns",
     "Resources",
     "Worker",
-    "late_start_expiry_ms",
-    "later_boot_expiry_ms",
     "longest_ms",
 ]
 
 UNRESPONSIVE_AFTER_MS = 1_500  # no run is started on a worker that has not answered for longer
 MIN_CLOCK_RATE = 0.98  # by the platform's documentation, a worker's clock may run 2% slow
 MAX_ORDER_DELAY_MS = 12_000  # a worker carries out an order at most this long after it was sent
+BOOT_CHART = load_chart("boot")
+UNRESPONSIVE_STATES = frozenset({"silent", "lapsed", "replaced", "gone"})
 # Share of its CPU that a worker gives to tasks when it was just started; it rises until it is warm.
 INITIAL_WARM_SHARE = 0.5
 
@@ -92,53 +100,38 @@
     return math.ceil(duration_ms / MIN_CLOCK_RATE)
 
 
-def late_start_expiry_ms(run: Run, lease_ms: int) -> int:
-    """Return when a start that was not answered is over, even on a later boot of its worker.
-
-    The deadline of the start says nothing to a later boot, whose clock has started anew. Return 0
-    for a start that was answered.
-    """
-    if run.accepted_ms is not None:
-        return 0
-    return run.started_ms + MAX_ORDER_DELAY_MS + longest_ms(lease_ms)
-
-
-def later_boot_expiry_ms(worker: Worker, run: Run, lease_ms: int) -> int:
-    """Return when a run is over even if a later boot than the known one has it; 0 if none has.
+@dataclass(slots=True, eq=False)
+class Worker:
+    """What holds for a worker whichever of its boots is up; times are of the owner's clock."""
 
-    A lease extension that was not answered may still reach that boot, and extend its lease.
-    """
-    if run.accepted_ms is None:
-        return late_start_expiry_ms(run, lease_ms)
-    if worker.has_certainly_accepted(run):
-        return 0
-    return worker.lease_sent_ms + MAX_ORDER_DELAY_MS + longest_ms(lease_ms)
+    in_directory: bool = True  # whether the directory lists its present boot
+    registered: bool = False  # whether the stored RegisteredWorkers record names it
+    lease_limited: bool = False  # whether a stored record may say when its lease expires
+    closed_to_starts: bool = False  # whether the last record says which tasks it can run
+    stored_empty: bool = False  # whether the last record says, or implies, that it runs none
+    # When this owner last sent a start or a lease extension, which any later boot may receive.
+    lease_sent_ms: int = 0
 
 
 @dataclass(slots=True, eq=False)
-class Worker:
+class Boot:
     """One boot of a worker; times are of the owner's monotonic clock unless stated otherwise."""
 
     info: WorkerInfo
     added_ms: int
+    worker: Worker = field(default_factory=Worker)
+    state: str = "unknown"  # see charts/boot.yaml
     boot_known_ms: int = 0  # when its boot time was read, 0 if it was when it was added
-    adopted: bool = False  # whether it has accepted this owner's token and listed its runs
-    adopted_ms: int = 0  # when it was adopted
-    registered: bool = False  # whether the stored RegisteredWorkers record names it
-    in_directory: bool = True  # whether the directory lists this boot
+    # When it accepted this owner's token and listed its runs; None before, and after a lapse.
+    adopted_ms: int | None = None
     clock_ms: int = 0  # the last reading of its clock
     clock_read_ms: int | None = None  # when its clock was last read
     clock_asked_ms: int = 0  # when the call was sent whose answer had that reading
-    lease_sent_ms: int = 0  # when this owner last sent a start or a lease extension
     latest_deadline_ms: int = 0  # the latest deadline that this owner gave it, on its own clock
     earlier_orders_expiry_ms: int = 0  # when orders of earlier owners have certainly expired
     inherited: tuple[InheritedRuns, ...] = ()  # empty once it has been adopted
-    lease_limited: bool = False  # whether a stored record may say when its lease expires
-    closed_to_starts: bool = False  # whether the last record says which tasks it can run
-    stored_empty: bool = False  # whether the last record says, or implies, that it runs none
     last_answer_ms: int | None = None
     list_requested_ms: int = 0  # when the last list that it answered was requested
-    unresponsive: bool = False  # whether it does not answer
     lease_call_failed: bool = False  # whether the last lease extension was not answered
     runs: dict[tuple[Task, int], Run] = field(default_factory=dict)  # by task and run number
     allocated: Resources = field(default_factory=Resources)  # without the CPU of best-effort runs
@@ -184,9 +177,19 @@
         """Return the worker's ID."""
         return self.info.worker_id
 
-    def is_newer_than(self, info: WorkerInfo) -> bool:
-        """Return whether an entry of the directory describes an earlier boot of the worker."""
-        return 0 < info.boot_time_ms < self.info.boot_time_ms
+    def transition(self, event: str) -> None:
+        """Apply an event of the boot chart; raise IllegalTransition."""
+        self.state = BOOT_CHART.next(self.state, event)
+
+    @property
+    def adopted(self) -> bool:
+        """Return whether it has accepted this owner's token and listed its runs."""
+        return self.adopted_ms is not None
+
+    @property
+    def unresponsive(self) -> bool:
+        """Return whether it does not answer."""
+        return self.state in UNRESPONSIVE_STATES
 
     def placed_run(self, run: Run) -> PlacedRun:
         """Return a run with this boot, as it is stored."""
@@ -201,18 +204,6 @@
             late in self.ruled_out and all(other is not task for other, _ in self.runs)
         )
 
-    def has_certainly_accepted(self, run: Run) -> bool:
-        """Return whether this boot, rather than a later one, has accepted the start of a run.
-
-        It has if the answer had a reading of its clock, if it has listed the run, or if it has
-        answered a call that was sent after the acceptance.
-        """
-        return run.accepted_ms is not None and (
-            run.accepted_by_clock
-            or run.listed_ms >= run.accepted_ms
-            or run.accepted_ms < self.list_requested_ms
-        )
-
     def is_usable(self, now_ms: int) -> bool:
         """Return whether runs may be placed here now.
 
@@ -220,9 +211,9 @@
         """
         return (
             self.adopted
-            and self.registered
-            and self.in_directory
-            and not self.unresponsive
+            and self.state == "listed"
+            and self.worker.registered
+            and self.worker.in_directory
             and not self.info.draining
             and now_ms >= self.backoff_until_ms
             and self.last_answer_ms is not None
@@ -267,6 +258,7 @@
         if key in self.runs:
             return
         self.runs[key] = run
+        run.boot = self
         self._change_allocation(run.task.step.spec, 1)
 
     def remove_run(self, run: Run) -> None:
--- a/src/greengagewood/internal/cells/crashes.py
+++ b/src/greengagewood/internal/cells/crashes.py
@@ -13,7 +13,8 @@
 
 from collections.abc import Callable, Collection
 
-from greengagewood.internal.cells.fleet import Worker
+from greengagewood.internal.cells.answers import has_certainly_accepted
+from greengagewood.internal.cells.boots import Boot
 from greengagewood.internal.cells.planner import START_WINDOW_MS
 from greengagewood.internal.jobs.book import Job, JobBook, Run, Task
 from greengagewood.internal.jobs.records import PlacedRun, TaskId
@@ -44,18 +45,18 @@
     )
 
 
-def find_suspects(worker: Worker) -> list[Suspect]:
+def find_suspects(boot: Boot) -> list[Suspect]:
     """Return the runs that may have crashed a worker, if it has crashed.
 
     A start that was sent after the first call that failed, and not answered either, did not cause
     that failure. An accepted start may have been accepted by a later boot, see `find_undecided`.
     """
-    if worker.info.draining:
+    if boot.info.draining:
         return []  # it has left as announced
-    failing_since_ms = worker.failing_since_ms
+    failing_since_ms = boot.failing_since_ms
     return [
-        (run.task.id, worker.placed_run(run))
-        for run in worker.runs.values()
+        (run.task.id, boot.placed_run(run))
+        for run in boot.runs.values()
         if not run.outlived
         and not run.task.end_state
         and (
@@ -66,12 +67,12 @@
     ]
 
 
-def find_undecided(worker: Worker) -> list[Run]:
+def find_undecided(boot: Boot) -> list[Run]:
     """Return the runs of a boot that has rebooted which its new boot may have accepted instead."""
     return [
         run
-        for run in worker.runs.values()
-        if run.accepted_ms is not None and not worker.has_certainly_accepted(run)
+        for run in boot.runs.values()
+        if run.accepted_ms is not None and not has_certainly_accepted(boot, run)
     ]
 
 
@@ -107,35 +108,35 @@
             if task.trial is not None:
                 self._unresolved.setdefault(task.trial.address, []).append((task.id, task.trial))
 
-    def note_failed_call(self, worker: Worker, now_ms: int) -> None:
+    def note_failed_call(self, boot: Boot, now_ms: int) -> None:
         """Record a failed call to a worker; store the suspects of a crash for a later owner."""
-        if worker.failing_since_ms is not None:
+        if boot.failing_since_ms is not None:
             return
-        worker.failing_since_ms = now_ms
-        for task_id, run in find_suspects(worker):
+        boot.failing_since_ms = now_ms
+        for task_id, run in find_suspects(boot):
             task = self._book.find_task(task_id)
             if task is not None:
                 self._book.note_trial(task, run)
 
-    def keep_suspects(self, worker: Worker) -> None:
+    def keep_suspects(self, boot: Boot) -> None:
         """Keep the suspects of a silent worker whose runs have lapsed."""
-        if suspects := find_suspects(worker):
-            self._unresolved.setdefault(worker.info.address, []).extend(suspects)
+        if suspects := find_suspects(boot):
+            self._unresolved.setdefault(boot.info.address, []).extend(suspects)
 
-    def handle_crash(self, worker: Worker, now_ms: int, undecided: Collection[Run] = ()) -> None:
+    def handle_crash(self, boot: Boot, now_ms: int, undecided: Collection[Run] = ()) -> None:
         """Process the crash of a worker, whose runs have not ended yet in the book.
 
         The `undecided` runs are suspects only if the new boot turns out not to have them.
         """
-        address = worker.info.address
+        address = boot.info.address
         kept = self._unresolved.pop(address, [])
-        if others := [suspect for suspect in kept if suspect[1].worker_id != worker.name]:
+        if others := [suspect for suspect in kept if suspect[1].worker_id != boot.name]:
             self._unresolved[address] = others
-        own = [suspect for suspect in kept if suspect[1].worker_id == worker.name]
-        suspects = find_suspects(worker)
+        own = [suspect for suspect in kept if suspect[1].worker_id == boot.name]
+        suspects = find_suspects(boot)
         alone = len(suspects) == 1 and suspects[0][1].accepted
         for run in undecided:
-            suspect = (run.task.id, worker.placed_run(run))
+            suspect = (run.task.id, boot.placed_run(run))
             if suspect in suspects:
                 suspects.remove(suspect)
                 self._undecided[run] = suspect, alone
@@ -152,17 +153,17 @@
             suspect, alone = self._undecided.pop(run)
             self._note_suspects([suspect], alone, now_ms)
 
-    def handle_answer(self, worker: Worker, boot_time_ms: int, now_ms: int) -> None:
+    def handle_answer(self, boot: Boot, boot_time_ms: int, now_ms: int) -> None:
         """Process the answer of a boot: earlier boots at its address have crashed."""
-        suspects = self._unresolved.pop(worker.info.address, [])
+        suspects = self._unresolved.pop(boot.info.address, [])
         crashed = [s for s in suspects if s[1].boot_time_ms < boot_time_ms]
         self._note_suspects(crashed, False, now_ms)
 
-    def handle_outlived(self, worker: Worker, run: Run) -> None:
+    def handle_outlived(self, boot: Boot, run: Run) -> None:
         """Clear the task of a run whose worker has outlived its start."""
         run.outlived = True
-        if worker.trial is run:
-            worker.trial = None
+        if boot.trial is run:
+            boot.trial = None
         task = run.task
         if task.crashes:
             self._on_event("crash_cleared", {"task": task.id, "crashes": len(task.crashes)})
--- a/src/greengagewood/internal/cells/forecast.py
+++ b/src/greengagewood/internal/cells/forecast.py
@@ -17,7 +17,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
-from greengagewood.internal.cells.fleet import Worker
+from greengagewood.internal.cells.boots import Boot
 from greengagewood.internal.cells.placement import idle_cpu_millis
 from greengagewood.internal.cells.planner import Planner
 from greengagewood.internal.cells.value import LATE_VALUE, full_value, objective_of
@@ -189,7 +189,7 @@
 
     # Samples.
 
-    def sample(self, workers: Iterable[Worker], now_ms: int) -> None:
+    def sample(self, workers: Iterable[Boot], now_ms: int) -> None:
         """Observe the runs and the waiting tasks, if the last sample is old enough."""
         last_ms = self._sampled_ms
         if last_ms is not None and now_ms - last_ms < SAMPLE_INTERVAL_MS:
@@ -239,7 +239,7 @@
         load.cpu_millis += (cpu_now - load.cpu_millis) * weight
         load.observed_ms += now_ms - last_ms
 
-    def _are_mostly_idle(self, workers: Iterable[Worker], now_ms: int) -> bool:
+    def _are_mostly_idle(self, workers: Iterable[Boot], now_ms: int) -> bool:
         """Return whether half of the CPU of the workers that may be started on is idle."""
         usable = [worker for worker in workers if self.planner.may_start_on(worker, now_ms)]
         idle_millis = sum(max(0.0, idle_cpu_millis(worker)) for worker in usable)
--- a/src/greengagewood/internal/cells/latestarts.py
+++ b/src/greengagewood/internal/cells/latestarts.py
@@ -14,29 +14,30 @@
 
 from __future__ import annotations
 
-from greengagewood.internal.cells.fleet import MAX_ORDER_DELAY_MS, Worker, late_start_expiry_ms
+from greengagewood.internal.cells.answers import late_start_expiry_ms
+from greengagewood.internal.cells.boots import MAX_ORDER_DELAY_MS, Boot
 from greengagewood.internal.jobs.book import Run, Task
 
 __all__ = ["LateStarts"]
 
 
 class LateStarts:
-    """The ruled-out starts of one term of ownership, which `Worker.ruled_out` lists by boot."""
+    """The ruled-out starts of one term of ownership, which `Boot.ruled_out` lists by boot."""
 
     def __init__(self, lease_ms: int) -> None:
         self._lease_ms = lease_ms
-        self._runs: dict[Run, Worker] = {}
+        self._runs: dict[Run, Boot] = {}
 
-    def add(self, worker: Worker, run: Run, now_ms: int) -> None:
+    def add(self, boot: Boot, run: Run, now_ms: int) -> None:
         """Record that a boot has ruled out a start, unless it was carried out or has expired."""
         if not run.was_carried_out and now_ms <= late_start_expiry_ms(run, self._lease_ms):
-            self._runs[run] = worker
-            worker.ruled_out[run] = None
+            self._runs[run] = boot
+            boot.ruled_out[run] = None
             latest = run.task.late_start
             if latest is None or latest.started_ms < run.started_ms:
                 run.task.late_start = run
 
-    def note_list(self, worker: Worker, sent_ms: int) -> bool:
+    def note_list(self, boot: Boot, sent_ms: int) -> bool:
         """Forget the starts that can no longer arrive, as the same boot has listed its runs.
 
         The list was requested at `sent_ms`. Return whether a task may be started elsewhere again.
@@ -44,9 +45,9 @@
         return self._forget(
             [
                 run
-                for run in worker.ruled_out
+                for run in boot.ruled_out
                 if sent_ms > run.started_ms + MAX_ORDER_DELAY_MS
-                and not _has_superseded_run(worker, run.task)
+                and not _has_superseded_run(boot, run.task)
             ]
         )
 
@@ -55,30 +56,30 @@
         return self._forget(
             [
                 run
-                for run, worker in self._runs.items()
+                for run, boot in self._runs.items()
                 if now_ms > late_start_expiry_ms(run, self._lease_ms)
-                and not _has_superseded_run(worker, run.task)
+                and not _has_superseded_run(boot, run.task)
             ]
         )
 
-    def forget_worker(self, worker: Worker) -> list[Run]:
+    def forget_boot(self, boot: Boot) -> list[Run]:
         """Forget and return the starts that a boot has ruled out, as that boot is gone."""
-        runs = list(worker.ruled_out)
+        runs = list(boot.ruled_out)
         self._forget(runs)
         return runs
 
     def _forget(self, runs: list[Run]) -> bool:
         for run in runs:
-            worker = self._runs.pop(run)
-            del worker.ruled_out[run]
+            boot = self._runs.pop(run)
+            del boot.ruled_out[run]
             if run.task.late_start is run:
                 run.task.late_start = None
         return bool(runs)
 
 
-def _has_superseded_run(worker: Worker, task: Task) -> bool:
+def _has_superseded_run(boot: Boot, task: Task) -> bool:
     """Return whether an earlier run of the task, which is being stopped, still goes on there.
 
-    Until it has ended, the task stays bound to the boot, where `Worker.may_start` holds it back.
+    Until it has ended, the task stays bound to the boot, where `Boot.may_start` holds it back.
     """
-    return any(other is task and run is not task.run for (other, _), run in worker.runs.items())
+    return any(other is task and run is not task.run for (other, _), run in boot.runs.items())
--- a/src/greengagewood/internal/cells/orders.py
+++ b/src/greengagewood/internal/cells/orders.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass
 
-from greengagewood.internal.cells.fleet import Worker
+from greengagewood.internal.cells.boots import Boot
 from greengagewood.internal.jobs.book import Run, Step
 from greengagewood.internal.jobs.records import Record, TaskId
 
@@ -15,7 +15,7 @@
 class StartRun:
     """Start a run; `deadline_ms` is a time on the worker's clock."""
 
-    worker: Worker
+    boot: Boot
     run: Run
     payload: str
     deadline_ms: int
@@ -26,7 +26,7 @@
 class StopRun:
     """Stop a run; `run` is None if the task is not known."""
 
-    worker: Worker
+    boot: Boot
     task_id: TaskId
     run_number: int
     run: Run | None
@@ -37,7 +37,7 @@
 class ThrottleRun:
     """Limit a run to a share of its full speed."""
 
-    worker: Worker
+    boot: Boot
     run: Run
     speed_percent: int
 
@@ -55,13 +55,13 @@
 
 @dataclass(frozen=True, slots=True)
 class Changes:
-    """Records to store and, by worker, the sequence number of the last run end that they cover.
+    """Records to store and, by boot, the sequence number of the last run end that they cover.
 
-    `registered_workers` are the workers that a `RegisteredWorkers` record among them names. With
-    `urgent`, the records must be stored without delay.
+    `registered_boots` are those of the workers that a `RegisteredWorkers` record among them names.
+    With `urgent`, the records must be stored without delay.
     """
 
     records: tuple[Record, ...]
-    end_sequences: dict[Worker, int]
-    registered_workers: tuple[Worker, ...]
+    end_sequences: dict[Boot, int]
+    registered_boots: tuple[Boot, ...]
     urgent: bool
--- a/src/greengagewood/internal/cells/placement.py
+++ b/src/greengagewood/internal/cells/placement.py
@@ -16,7 +16,7 @@
 import heapq
 from collections.abc import Callable, Iterable, Sequence
 
-from greengagewood.internal.cells.fleet import Worker
+from greengagewood.internal.cells.boots import Boot
 from greengagewood.internal.cells.tails import TailLatencyModel
 from greengagewood.internal.jobs.book import Step, Task
 from greengagewood.internal.jobs.model import StepSpec
@@ -39,10 +39,10 @@
 MIN_WORKERS_PER_TRIAL = 4
 LONGEST_TRIAL_WAIT_MS = 1_000  # after which a suspected task need not be tried alone
 
-Scorer = Callable[[Worker], tuple[float, ...] | None]
+Scorer = Callable[[Boot], tuple[float, ...] | None]
 
 
-def meets_constraints(worker: Worker, step: Step) -> bool:
+def meets_constraints(worker: Boot, step: Step) -> bool:
     """Return whether the worker has the step's label and is below its limit of tasks per worker.
 
     A worker on which a suspected task is tried takes no other.
@@ -57,7 +57,7 @@
     )
 
 
-def idle_cpu_millis(worker: Worker) -> float:
+def idle_cpu_millis(worker: Boot) -> float:
     """Estimate how much CPU of the worker no task uses."""
     unused_millis = worker.long_running_cpu_millis * (1 - LONG_RUNNING_USE_SHARE)
     return (
@@ -69,8 +69,8 @@
 
 
 def choose_worker(
-    task: Task, workers: Iterable[Worker], model: TailLatencyModel, starving: bool
-) -> Worker | None:
+    task: Task, workers: Iterable[Boot], model: TailLatencyModel, starving: bool
+) -> Boot | None:
     """Return the best of the usable workers for a task, or None.
 
     Workers on which the task has failed come last. The limits on the idle CPU and the speed of a
@@ -78,7 +78,7 @@
     """
     step = task.step
     score = _scorer(step, model, starving)
-    best: Worker | None = None
+    best: Boot | None = None
     best_score: tuple[float, ...] = ()
     for worker in workers:
         worker_score = score(worker)
@@ -91,8 +91,8 @@
 
 
 def make_worker_chooser(
-    step: Step, workers: Sequence[Worker], model: TailLatencyModel, starving: bool
-) -> Callable[[Task], Worker | None]:
+    step: Step, workers: Sequence[Boot], model: TailLatencyModel, starving: bool
+) -> Callable[[Task], Boot | None]:
     """Return a function that chooses like `choose_worker` for one task of the step after another.
 
     Between two choices only the chosen worker may change, by the start of a run there. So each
@@ -102,14 +102,14 @@
     score = _scorer(step, model, starving)
     heap: list[tuple[tuple[float, ...], int]] = []  # lowest known scores and indices in `workers`
     indices = {worker: index for index, worker in enumerate(workers)}
-    chosen: Worker | None = None
+    chosen: Boot | None = None
 
-    def push(worker: Worker) -> None:
+    def push(worker: Boot) -> None:
         worker_score = score(worker)
         if worker_score is not None:
             heapq.heappush(heap, (worker_score, indices[worker]))
 
-    def best_worker() -> Worker | None:
+    def best_worker() -> Boot | None:
         while heap:
             last_score, index = heap[0]
             current = score(workers[index])
@@ -121,7 +121,7 @@
                 return workers[index]
         return None
 
-    def choose(task: Task) -> Worker | None:
+    def choose(task: Task) -> Boot | None:
         nonlocal chosen
         if chosen is not None:
             push(chosen)  # the run started there may also have lowered its score
@@ -142,7 +142,7 @@
     """Return a function that scores workers for a step: the lowest is best, None excludes."""
     score = _base_scorer(step, model, starving)
 
-    def score_if_eligible(worker: Worker) -> tuple[float, ...] | None:
+    def score_if_eligible(worker: Boot) -> tuple[float, ...] | None:
         return score(worker) if worker.fits(step.spec) and meets_constraints(worker, step) else None
 
     return score_if_eligible
@@ -157,7 +157,7 @@
         return lambda worker: _score_long_running(worker, spec)
     racks = _racks_in_use(step) if spec.same_rack else frozenset()
 
-    def score(worker: Worker) -> tuple[float, ...]:
+    def score(worker: Boot) -> tuple[float, ...]:
         cold = worker.cold
         rack = worker.info.rack
         off_data_rack = float(bool(spec.data_rack) and rack != spec.data_rack)
@@ -170,7 +170,7 @@
     return score
 
 
-def _score_long_running(worker: Worker, spec: StepSpec) -> tuple[float, ...]:
+def _score_long_running(worker: Boot, spec: StepSpec) -> tuple[float, ...]:
     """Prefer workers of the same image, then any with long-running tasks, then the tightest fit.
 
     A best-effort task must disturb none of the images that serve beside it. So workers are filled
@@ -188,7 +188,7 @@
 
 
 def _score_best_effort(
-    worker: Worker, step: Step, model: TailLatencyModel, starving: bool
+    worker: Boot, step: Step, model: TailLatencyModel, starving: bool
 ) -> tuple[float, ...] | None:
     spec = step.spec
     idle_millis = idle_cpu_millis(worker)
@@ -214,7 +214,7 @@
     )
 
 
-def workers_for_trial(task: Task, workers: Sequence[Worker], waited_ms: int) -> Sequence[Worker]:
+def workers_for_trial(task: Task, workers: Sequence[Boot], waited_ms: int) -> Sequence[Boot]:
     """Return the workers on which a suspected task may be tried, see `crashes`."""
     free = [worker for worker in workers if worker.trial is None]
     trial_count = len(workers) - len(free)
@@ -228,7 +228,7 @@
     return [w for w in quiet if w.info.address not in addresses] or quiet
 
 
-def leaves_headroom(task: Task, workers: Sequence[Worker]) -> bool:
+def leaves_headroom(task: Task, workers: Sequence[Boot]) -> bool:
     """Return whether a long-running task leaves enough CPU to short tasks.
 
     A task that has run before is started again even without headroom, as its users depend on it.
@@ -240,7 +240,7 @@
     return committed_millis <= total_millis * (1 - HEADROOM_SHARE)
 
 
-def is_mostly_uncommitted(workers: Sequence[Worker]) -> bool:
+def is_mostly_uncommitted(workers: Sequence[Boot]) -> bool:
     """Return whether less than half of the CPU is committed to tasks that are not best-effort."""
     total_millis = sum(worker.info.cpu_millis for worker in workers)
     return 2 * sum(worker.allocated.cpu_millis for worker in workers) < total_millis
@@ -250,7 +250,7 @@
     return frozenset(rack for rack in step.runs_by_rack if rack)
 
 
-def place_gang(step: Step, workers: Sequence[Worker]) -> list[tuple[Task, Worker]] | None:
+def place_gang(step: Step, workers: Sequence[Boot]) -> list[tuple[Task, Boot]] | None:
     """Return a worker for each unfinished task of a gang, or None if they do not all fit.
 
     With `same_rack`, a rack that holds the whole gang is preferred, but not required. Cold workers
@@ -263,10 +263,10 @@
     return placed
 
 
-def _place_gang(step: Step, workers: Sequence[Worker]) -> list[tuple[Task, Worker]] | None:
+def _place_gang(step: Step, workers: Sequence[Boot]) -> list[tuple[Task, Boot]] | None:
     if not step.spec.same_rack:
         return _place_all_tasks(step, workers)
-    workers_by_rack: dict[str, list[Worker]] = {}
+    workers_by_rack: dict[str, list[Boot]] = {}
     for worker in workers:
         workers_by_rack.setdefault(worker.info.rack, []).append(worker)
     data_rack = step.spec.data_rack
@@ -277,12 +277,12 @@
     return _place_all_tasks(step, workers)
 
 
-def _place_all_tasks(step: Step, workers: Sequence[Worker]) -> list[tuple[Task, Worker]] | None:
+def _place_all_tasks(step: Step, workers: Sequence[Boot]) -> list[tuple[Task, Boot]] | None:
     spec = step.spec
     unplaced = [task for task in step.tasks if not task.end_state]
     bound = [task for task in unplaced if task.late_start is not None]
     unplaced = [task for task in unplaced if task.late_start is None]
-    placed: list[tuple[Task, Worker]] = []
+    placed: list[tuple[Task, Boot]] = []
     for worker in sorted(workers, key=lambda w: (w.cold, spec.data_rack not in ("", w.info.rack))):
         if not meets_constraints(worker, step):
             continue
@@ -294,7 +294,7 @@
     return None if bound or unplaced else placed
 
 
-def _free_slots(worker: Worker, step: Step) -> int:
+def _free_slots(worker: Boot, step: Step) -> int:
     """Return how many tasks of the step still fit on a worker."""
     spec = step.spec
     if not worker.fits(spec):  # also if it lacks a resource that the tasks don't request
--- a/src/greengagewood/internal/cells/planner.py
+++ b/src/greengagewood/internal/cells/planner.py
@@ -8,8 +8,8 @@
 
 from __future__ import annotations
 
+from greengagewood.internal.cells.boots import Boot
 from greengagewood.internal.cells.copies import CopyPolicy, Straggler
-from greengagewood.internal.cells.fleet import Worker
 from greengagewood.internal.cells.orders import Order, RequestAdvice, StartRun
 from greengagewood.internal.cells.placement import (
     LONGEST_TRIAL_WAIT_MS,
@@ -107,7 +107,7 @@
     def __init__(
         self,
         book: JobBook,
-        workers: dict[str, Worker],
+        boots: dict[str, Boot],
         token: int,
         settled_offset: int,
         claim_offset: int,
@@ -121,7 +121,7 @@
         self.evacuations: Evacuations | None = None  # None until they are known
         self.confirmed_ms = 0  # when the last read that confirmed the ownership was sent
         self._book = book
-        self._workers = workers
+        self._boots = boots
         self._token = token
         self._settled_offset = settled_offset
         self._claim_offset = claim_offset
@@ -165,13 +165,11 @@
             and self.evacuations.lags_behind(self.directory_read_ms)
         )
 
-    def is_evacuated(self, worker: Worker) -> bool:
+    def is_evacuated(self, boot: Boot) -> bool:
         """Return whether nothing may be started on the worker by an evacuation order."""
-        return (
-            self.evacuations is not None and worker.info.failure_domain in self.evacuations.domains
-        )
+        return self.evacuations is not None and boot.info.failure_domain in self.evacuations.domains
 
-    def may_start_on(self, worker: Worker, now_ms: int) -> bool:
+    def may_start_on(self, boot: Boot, now_ms: int) -> bool:
         """Return whether runs may be started on the worker now.
 
         A boot that was adopted after the last confirmed read may have replaced one that had
@@ -179,34 +177,34 @@
         """
         return (
             self.evacuations_known
-            and worker.is_usable(now_ms)
-            and worker.adopted_ms < self.confirmed_ms
-            and not self.is_evacuated(worker)
+            and boot.is_usable(now_ms)
+            and (boot.adopted_ms or 0) < self.confirmed_ms
+            and not self.is_evacuated(boot)
         )
 
-    def can_run_faster_elsewhere(self, run: Run, current: Worker, now_ms: int) -> bool:
+    def can_run_faster_elsewhere(self, run: Run, current: Boot, now_ms: int) -> bool:
         """Return whether a best-effort run could run at full speed on another worker."""
         spec = run.task.step.spec
         service = self.queue_of(run.task.step.job).service
         return any(
-            worker is not current
-            and worker.info.service == service
-            and self.may_start_on(worker, now_ms)
-            and not worker.is_cold(now_ms)
-            and worker.fits(spec)
-            and idle_cpu_millis(worker) >= spec.cpu_millis
-            and self.tail_model.admission_for(worker, spec).speed_percent == 100
-            for worker in self._workers.values()
+            boot is not current
+            and boot.info.service == service
+            and self.may_start_on(boot, now_ms)
+            and not boot.is_cold(now_ms)
+            and boot.fits(spec)
+            and idle_cpu_millis(boot) >= spec.cpu_millis
+            and self.tail_model.admission_for(boot, spec).speed_percent == 100
+            for boot in self._boots.values()
         )
 
     def plan_copies(self, max_starts: int, now_ms: int) -> list[tuple[Straggler, StartRun]]:
         """Return the starts of copies of stragglers, the longest first, within their budget."""
         budgets: dict[str, int] = {}  # CPU left for copies, by service
         stragglers: list[Straggler] = []
-        for worker in self._workers.values():
-            service = worker.info.service
-            budgets[service] = budgets.get(service, 0) + worker.info.cpu_millis
-            for run in worker.runs.values():
+        for boot in self._boots.values():
+            service = boot.info.service
+            budgets[service] = budgets.get(service, 0) + boot.info.cpu_millis
+            for run in boot.runs.values():
                 if not run.task.step.spec.speculative or run.task.end_state:
                     continue
                 queue = self.queue_of(run.task.step.job)
@@ -216,10 +214,10 @@
         if not stragglers:
             return []
         budgets = {service: self.copies.budget_millis(cpu) for service, cpu in budgets.items()}
-        for worker in self._workers.values():
-            for run in worker.runs.values():
+        for boot in self._boots.values():
+            for run in boot.runs.values():
                 if run.task.copy is run:
-                    budgets[worker.info.service] -= run.task.step.spec.cpu_millis
+                    budgets[boot.info.service] -= run.task.step.spec.cpu_millis
         starts = []
         for straggler in sorted(stragglers, key=lambda s: -s.remaining_ms)[: max(0, max_starts)]:
             order = self._plan_copy(straggler, budgets, now_ms)
@@ -242,18 +240,18 @@
         ):
             return None
         candidates = [
-            worker
-            for worker in self._workers.values()
-            if worker.info.service == queue.service
-            and worker.name != run.worker_id
-            and not worker.slow
-            and self.may_start_on(worker, now_ms)
+            boot
+            for boot in self._boots.values()
+            if boot.info.service == queue.service
+            and boot.name != run.worker_id
+            and not boot.slow
+            and self.may_start_on(boot, now_ms)
         ]
-        worker = choose_worker(task, candidates, self.tail_model, False)
-        if worker is None:
+        boot = choose_worker(task, candidates, self.tail_model, False)
+        if boot is None:
             return None
         budgets[queue.service] -= spec.cpu_millis
-        return self._start(task, worker, now_ms, task.start_count + 1)
+        return self._start(task, boot, now_ms, task.start_count + 1)
 
     def note_permits(self, step: Step, permits: dict[str, Permit]) -> None:
         """Record the permits that the advice service gave for a step, by worker."""
@@ -267,17 +265,17 @@
         self._advice_retry_ms[step] = now_ms + ADVICE_RETRY_DELAY_MS
         self.request_replan()
 
-    def note_permit_refused(self, step: Step, worker: str) -> None:
+    def note_permit_refused(self, step: Step, worker_id: str) -> None:
         """Discard the permit that a worker has refused."""
-        self._permits.get(step, {}).pop(worker, None)
+        self._permits.get(step, {}).pop(worker_id, None)
 
     def _place(self, now_ms: int, max_starts: int) -> list[Order]:
         orders: list[Order] = []
-        by_service: dict[str, list[Worker]] = {}
-        for worker in self._workers.values():
-            worker.prepare_plan(now_ms)
-            if self.may_start_on(worker, now_ms):
-                by_service.setdefault(worker.info.service, []).append(worker)
+        by_service: dict[str, list[Boot]] = {}
+        for boot in self._boots.values():
+            boot.prepare_plan(now_ms)
+            if self.may_start_on(boot, now_ms):
+                by_service.setdefault(boot.info.service, []).append(boot)
         last_ms = self._best_effort_placed_ms
         place_best_effort = last_ms is None or now_ms - last_ms >= BEST_EFFORT_INTERVAL_MS
         if place_best_effort:
@@ -311,12 +309,12 @@
 
         for step in sorted(steps, key=rank):
             queue = self.queue_of(step.job)
-            workers = by_service.get(queue.service, [])
+            boots = by_service.get(queue.service, [])
             starving = step in starving_steps
             if not starving and unplaceable.rules_out(queue.service, step):
                 continue
             step_orders, unplaced = self._place_step(
-                step, workers, starving, now_ms, max_starts - len(orders)
+                step, boots, starving, now_ms, max_starts - len(orders)
             )
             orders.extend(step_orders)
             if unplaced and not starving:
@@ -326,11 +324,11 @@
                 break
         return orders
 
-    def _count_undisturbed(self, by_service: dict[str, list[Worker]], now_ms: int) -> None:
+    def _count_undisturbed(self, by_service: dict[str, list[Boot]], now_ms: int) -> None:
         if self._counted_ms is not None and now_ms - self._counted_ms < COUNT_INTERVAL_MS:
             return
         self._counted_ms = now_ms
-        self.tail_model.count_undisturbed(w for workers in by_service.values() for w in workers)
+        self.tail_model.count_undisturbed(w for boots in by_service.values() for w in boots)
 
     @staticmethod
     def _awaits_grouping(step: Step, now_ms: int) -> bool:
@@ -338,7 +336,7 @@
         return step.spec.long_running and now_ms - step.job.arrived_ms < GROUPING_DELAY_MS
 
     def _starving_steps(
-        self, steps: list[Step], by_service: dict[str, list[Worker]], now_ms: int
+        self, steps: list[Step], by_service: dict[str, list[Boot]], now_ms: int
     ) -> set[Step]:
         """Return the steps of starving jobs whose services have most CPUs uncommitted."""
         candidates: dict[str, list[Step]] = {}  # by service
@@ -394,7 +392,7 @@
         )
 
     def _place_step(
-        self, step: Step, workers: list[Worker], starving: bool, now_ms: int, max_starts: int
+        self, step: Step, boots: list[Boot], starving: bool, now_ms: int, max_starts: int
     ) -> tuple[list[Order], bool]:
         """Return the orders for a step, and whether one of its tasks could not be placed."""
         queue = self.queue_of(step.job)
@@ -402,36 +400,36 @@
         if self._start_window_ms(queue, now_ms) < MIN_START_WINDOW_MS:
             return orders, False
         if queue.decision_ms:
-            orders.extend(self._ask_advice(step, workers, now_ms))
+            orders.extend(self._ask_advice(step, boots, now_ms))
             permits = self._permits.get(step, {})
-            workers = [
+            boots = [
                 w
-                for w in workers
+                for w in boots
                 if w.name in permits and permits[w.name].expires_ms - PERMIT_MARGIN_MS > now_ms
             ]
         if step.spec.gang:
-            return [*orders, *self._place_gang(step, workers, now_ms)], False
-        choose = make_worker_chooser(step, workers, self.tail_model, starving)
+            return [*orders, *self._place_gang(step, boots, now_ms)], False
+        choose = make_worker_chooser(step, boots, self.tail_model, starving)
         for task in sorted(step.waiting_tasks, key=lambda task: -task.last_run_ended_ms):
             if task.not_before_ms > now_ms:
                 self.request_replan()
                 continue
             if task.crashes:
-                worker = self._choose_for_trial(task, workers, starving, now_ms)
-                if worker is None:
+                boot = self._choose_for_trial(task, boots, starving, now_ms)
+                if boot is None:
                     continue  # the others need not be tried alone
             elif task.late_start is not None:
-                bound_to = [w for w in workers if w.may_start(task)]
-                worker = choose_worker(task, bound_to, self.tail_model, starving)
-                if worker is None:
+                bound_to = [w for w in boots if w.may_start(task)]
+                boot = choose_worker(task, bound_to, self.tail_model, starving)
+                if boot is None:
                     continue  # the others may be started elsewhere
             else:
-                worker = choose(task)
-            if worker is None or (step.spec.long_running and not leaves_headroom(task, workers)):
+                boot = choose(task)
+            if boot is None or (step.spec.long_running and not leaves_headroom(task, boots)):
                 return orders, True
             if not self._may_start(step.job):
                 break
-            orders.append(self._start(task, worker, now_ms, task.start_count + 1))
+            orders.append(self._start(task, boot, now_ms, task.start_count + 1))
             if starving:  # one task is enough
                 break
             if len(orders) >= max_starts:
@@ -440,8 +438,8 @@
         return orders, False
 
     def _choose_for_trial(
-        self, task: Task, workers: list[Worker], starving: bool, now_ms: int
-    ) -> Worker | None:
+        self, task: Task, boots: list[Boot], starving: bool, now_ms: int
+    ) -> Boot | None:
         """Return a worker for a suspected task.
 
         Of a job of which none was cleared yet, one task is tried at a time, as all may crash.
@@ -452,10 +450,10 @@
         job = task.step.job
         if not job.had_cleared and any(other.run for other in job.suspects):
             return None
-        candidates = workers_for_trial(task, workers, waited_ms)
+        candidates = workers_for_trial(task, boots, waited_ms)
         return choose_worker(task, candidates, self.tail_model, starving)
 
-    def _place_gang(self, step: Step, workers: list[Worker], now_ms: int) -> list[Order]:
+    def _place_gang(self, step: Step, boots: list[Boot], now_ms: int) -> list[Order]:
         unfinished = [task for task in step.tasks if not task.end_state]
         if any(
             task.run or task.maybe_running or task.loss_unconfirmed or task.not_before_ms > now_ms
@@ -463,11 +461,11 @@
         ):
             self.request_replan()
             return []
-        placed = place_gang(step, workers)
+        placed = place_gang(step, boots)
         if placed is None or not self._may_start(step.job):
             return []
         start_count = 1 + max(task.start_count for task in step.tasks)
-        return [self._start(task, worker, now_ms, start_count) for task, worker in placed]
+        return [self._start(task, boot, now_ms, start_count) for task, boot in placed]
 
     def _may_start(self, job: Job) -> bool:
         """Return whether tasks of the job may be started now, and mark it to be stored as started.
@@ -498,7 +496,7 @@
         self._settled_offset = max(self._settled_offset, min([log_end, *unsettled_offsets]))
         return self._settled_offset
 
-    def _ask_advice(self, step: Step, workers: list[Worker], now_ms: int) -> list[Order]:
+    def _ask_advice(self, step: Step, boots: list[Boot], now_ms: int) -> list[Order]:
         if step in self._advice_pending:
             return []
         if now_ms < self._advice_retry_ms.get(step, now_ms):
@@ -511,8 +509,8 @@
         }
         if valid_permits:
             return []
-        fitting = sorted((w for w in workers if w.fits(step.spec)), key=lambda w: w.cold)
-        candidates = [worker.name for worker in fitting[:MAX_WORKERS_PER_ADVICE_REQUEST]]
+        fitting = sorted((w for w in boots if w.fits(step.spec)), key=lambda w: w.cold)
+        candidates = [boot.name for boot in fitting[:MAX_WORKERS_PER_ADVICE_REQUEST]]
         if not candidates:
             return []
         self._advice_pending.add(step)
@@ -531,29 +529,29 @@
         valid_until_ms = self.directory_read_ms + CAPACITY_VALIDITY_MS
         return min(START_WINDOW_MS, valid_until_ms - now_ms)
 
-    def _start(self, task: Task, worker: Worker, now_ms: int, start_count: int) -> StartRun:
+    def _start(self, task: Task, boot: Boot, now_ms: int, start_count: int) -> StartRun:
         task.start_count = start_count
         number = (self._token - 1) * RUN_NUMBERS_PER_TERM + start_count
         queue = self.queue_of(task.step.job)
-        deadline = worker.deadline_in(self._start_window_ms(queue, now_ms), now_ms)
+        deadline = boot.deadline_in(self._start_window_ms(queue, now_ms), now_ms)
         assert deadline is not None  # the clock of a usable worker was read when it was adopted
         run = self._book.attach_run(
-            task, number, worker.name, worker.info.rack, "starting", now_ms, deadline
+            task, number, boot.name, boot.info.rack, "starting", now_ms, deadline
         )
-        permit = self._permits.get(task.step, {}).get(worker.name)
+        permit = self._permits.get(task.step, {}).get(boot.name)
         run.ticket = permit.ticket if permit else ""
         run.resumed = bool(task.checkpoint)
         if task.step.spec.best_effort:
             run.initial_speed_percent = (
-                self.tail_model.admission_for(worker, task.step.spec).speed_percent
+                self.tail_model.admission_for(boot, task.step.spec).speed_percent
                 or MIN_SPEED_PERCENT
             )
-        worker.add_run(run)
+        boot.add_run(run)
         if task.crashes or task.trial:
-            self._book.note_trial(task, worker.placed_run(run))
+            self._book.note_trial(task, boot.placed_run(run))
         if task.crashes and not task.step.spec.gang:
-            worker.trial = run
-        worker.latest_deadline_ms = max(worker.latest_deadline_ms, deadline)
-        worker.lease_sent_ms = now_ms
+            boot.trial = run
+        boot.latest_deadline_ms = max(boot.latest_deadline_ms, deadline)
+        boot.worker.lease_sent_ms = now_ms
         payload = task.step.job.submission.spec.payload
-        return StartRun(worker, run, payload, deadline, task.checkpoint)
+        return StartRun(boot, run, payload, deadline, task.checkpoint)
--- a/src/greengagewood/internal/cells/registration.py
+++ b/src/greengagewood/internal/cells/registration.py
@@ -18,12 +18,8 @@
 
 from collections.abc import Iterable
 
-from greengagewood.internal.cells.fleet import (
-    InheritedRuns,
-    Worker,
-    later_boot_expiry_ms,
-    longest_ms,
-)
+from greengagewood.internal.cells.answers import later_boot_expiry_ms
+from greengagewood.internal.cells.boots import Boot, InheritedRuns, longest_ms
 from greengagewood.internal.jobs.book import JobBook, Run
 from greengagewood.internal.jobs.records import (
     PossibleRuns,
@@ -40,49 +36,49 @@
 MAX_STORED_TASKS = 5_000
 
 
-def _is_closed(worker: Worker, now_ms: int) -> bool:
+def _is_closed(boot: Boot, now_ms: int) -> bool:
     """Return whether the owner starts nothing on a worker until it has been stored anew."""
-    if worker.info.draining:
+    if boot.info.draining:
         return True
-    return worker.unresponsive and (
-        worker.last_answer_ms is None or now_ms - worker.last_answer_ms > CLOSED_AFTER_SILENCE_MS
+    return boot.unresponsive and (
+        boot.last_answer_ms is None or now_ms - boot.last_answer_ms > CLOSED_AFTER_SILENCE_MS
     )
 
 
-def is_record_outdated(worker: Worker, now_ms: int) -> bool:
+def is_record_outdated(boot: Boot, now_ms: int) -> bool:
     """Return whether to store anew what the record of registered workers says of a worker."""
-    closed = _is_closed(worker, now_ms)
-    if closed != worker.closed_to_starts or not (closed or worker.registered):
+    closed = _is_closed(boot, now_ms)
+    if closed != boot.worker.closed_to_starts or not (closed or boot.worker.registered):
         return True
-    is_empty = not (worker.runs or worker.ruled_out or worker.unlisted_runs(now_ms))
-    return closed and is_empty and not worker.stored_empty
+    is_empty = not (boot.runs or boot.ruled_out or boot.unlisted_runs(now_ms))
+    return closed and is_empty and not boot.worker.stored_empty
 
 
 def registration_record(
-    workers: Iterable[Worker],
+    boots: Iterable[Boot],
     book: JobBook,
     token: int,
     now_ms: int,
     lease_ms: int,
     releasing: bool,
-) -> tuple[RegisteredWorkers, tuple[Worker, ...]]:
+) -> tuple[RegisteredWorkers, tuple[Boot, ...]]:
     """Return the record to store, and the workers on which runs may be started once it is stored.
 
     With `releasing`, the owner sends no orders from now on.
     """
     entries = []
-    open_workers = []
+    open_boots = []
     remaining_entries = MAX_STORED_TASKS
     # Only workers that do not answer delay the next owner, so their tasks are listed first.
-    for worker in sorted(workers, key=lambda w: w.adopted and not w.unresponsive):
-        worker.closed_to_starts = _is_closed(worker, now_ms)
+    for boot in sorted(boots, key=lambda b: b.adopted and not b.unresponsive):
+        boot.worker.closed_to_starts = _is_closed(boot, now_ms)
         possible_runs = None
-        if worker.closed_to_starts or releasing:
-            worker.registered = False
-            worker.lease_limited = worker.unresponsive or releasing
-            possible_runs = _possible_runs(worker, book, now_ms, lease_ms)
-            worker.stored_empty = not possible_runs
-            if worker.closed_to_starts and not possible_runs:
+        if boot.worker.closed_to_starts or releasing:
+            boot.worker.registered = False
+            boot.worker.lease_limited = boot.unresponsive or releasing
+            possible_runs = _possible_runs(boot, book, now_ms, lease_ms)
+            boot.worker.stored_empty = not possible_runs
+            if boot.worker.closed_to_starts and not possible_runs:
                 continue
             remaining_entries -= sum(len(runs.tasks or ()) for runs in possible_runs)
             if remaining_entries < 0:
@@ -90,32 +86,32 @@
                     PossibleRuns(None, runs.expire_in_ms) for runs in possible_runs
                 )
         else:
-            open_workers.append(worker)
+            open_boots.append(boot)
         entries.append(
-            RegisteredWorker(worker.name, worker.info.address, worker.info.service, possible_runs)
+            RegisteredWorker(boot.name, boot.info.address, boot.info.service, possible_runs)
         )
-    return RegisteredWorkers(tuple(entries), token), tuple(open_workers)
+    return RegisteredWorkers(tuple(entries), token), tuple(open_boots)
 
 
 def _possible_runs(
-    worker: Worker, book: JobBook, now_ms: int, lease_ms: int
+    boot: Boot, book: JobBook, now_ms: int, lease_ms: int
 ) -> tuple[PossibleRuns, ...]:
     late = {
         run
-        for run in (*worker.runs.values(), *worker.ruled_out)
-        if later_boot_expiry_ms(worker, run, lease_ms) > now_ms
+        for run in (*boot.runs.values(), *boot.ruled_out)
+        if later_boot_expiry_ms(boot, run, lease_ms) > now_ms
     }
-    listed = {run for run in worker.runs.values() if run not in late}
+    listed = {run for run in boot.runs.values() if run not in late}
     groups: list[tuple[tuple[TaskId, ...] | None, int]] = []  # tasks, and the time left
     if listed:
-        groups.append((_task_ids(listed), worker.remaining_order_ms(now_ms)))
+        groups.append((_task_ids(listed), boot.remaining_order_ms(now_ms)))
     if late:
-        expiry_ms = max(later_boot_expiry_ms(worker, run, lease_ms) for run in late)
+        expiry_ms = max(later_boot_expiry_ms(boot, run, lease_ms) for run in late)
         groups.append((_task_ids(late), expiry_ms - now_ms))
-    for inherited in worker.unlisted_runs(now_ms):
+    for inherited in boot.unlisted_runs(now_ms):
         groups.append((_listable_tasks(inherited, book), inherited.expiry_ms - now_ms))
     return tuple(
-        PossibleRuns(tasks, remaining_ms if worker.lease_limited else None)
+        PossibleRuns(tasks, remaining_ms if boot.worker.lease_limited else None)
         for tasks, remaining_ms in groups
     )
 
@@ -134,7 +130,7 @@
 
 
 def inherit_runs(
-    worker: Worker,
+    boot: Boot,
     stored: RegisteredWorker,
     read_ms: int,
     latest_expiry_ms: int,
@@ -144,10 +140,10 @@
 
     Without `limits_apply`, it may be any until `latest_expiry_ms`.
     """
-    worker.registered = True
-    worker.inherited = (InheritedRuns(None, latest_expiry_ms),)
+    boot.worker.registered = True
+    boot.inherited = (InheritedRuns(None, latest_expiry_ms),)
     if limits_apply and stored.possible_runs is not None:
-        worker.inherited = tuple(
+        boot.inherited = tuple(
             InheritedRuns(
                 None if runs.tasks is None else frozenset(runs.tasks),
                 (
@@ -158,14 +154,14 @@
             )
             for runs in stored.possible_runs
         )
-    worker.earlier_orders_expiry_ms = max((runs.expiry_ms for runs in worker.inherited), default=0)
+    boot.earlier_orders_expiry_ms = max((runs.expiry_ms for runs in boot.inherited), default=0)
 
 
-def tasks_held_back(unresolved: Iterable[Worker], now_ms: int) -> set[TaskId] | None:
+def tasks_held_back(unresolved: Iterable[Boot], now_ms: int) -> set[TaskId] | None:
     """Return the tasks that may run on any of the workers without being listed; None for any."""
     held_back: set[TaskId] = set()
-    for worker in unresolved:
-        for runs in worker.unlisted_runs(now_ms):
+    for boot in unresolved:
+        for runs in boot.unlisted_runs(now_ms):
             if runs.tasks is None:
                 return None
             held_back |= runs.tasks
--- a/src/greengagewood/internal/cells/runner.py
+++ b/src/greengagewood/internal/cells/runner.py
@@ -13,8 +13,8 @@
 
 import msgspec
 
+from greengagewood.internal.cells.boots import Boot
 from greengagewood.internal.cells.cell import Cell, CellLimits
-from greengagewood.internal.cells.fleet import Worker
 from greengagewood.internal.cells.ledger import Ledger
 from greengagewood.internal.cells.orders import (
     Changes,
@@ -118,7 +118,7 @@
         self._urgent_changes = asyncio.Event()
         self._changes_stored = asyncio.Event()  # replaced each time that it is set
         self._tasks: set[asyncio.Task[None]] = set()
-        self._lease_tasks: dict[Worker, asyncio.Task[None]] = {}
+        self._lease_tasks: dict[Boot, asyncio.Task[None]] = {}
         self._stopping = False
         self._releasing = False
         self._retries_end_ms = math.inf
@@ -268,11 +268,11 @@
 
     async def _start_run(self, order: StartRun) -> None:
         run = order.run
-        worker = order.worker
+        boot = order.boot
         outcome = "unanswered"
         try:
             reply = await self._ports.workers.start(
-                worker.info,
+                boot.info,
                 run.task.id,
                 run.number,
                 order.payload,
@@ -283,20 +283,20 @@
             )
         except WorkerUnreachable:
             outcome = "unreachable"
-            self.cell.handle_start_reply(worker, run, outcome, monotonic_ms())
+            self.cell.handle_start_reply(boot, run, outcome, monotonic_ms())
         except WorkerCallFailed:
             pass  # the outcome stays as it is
         except WrongBoot:
             outcome = "wrong_boot"
-            self.cell.note_wrong_boot(worker, monotonic_ms())
+            self.cell.note_wrong_boot(boot, monotonic_ms())
             # The run is still there if the directory has shown a later boot meanwhile.
-            self.cell.handle_start_reply(worker, run, outcome, monotonic_ms())
+            self.cell.handle_start_reply(boot, run, outcome, monotonic_ms())
         else:
             outcome = reply.reason or "accepted"
             self._check_fencing(reply)
             self._carry_out_all(
                 self.cell.handle_start_reply(
-                    worker, run, reply.reason, monotonic_ms(), reply.clock_ms
+                    boot, run, reply.reason, monotonic_ms(), reply.clock_ms
                 )
             )
         finally:  # after an unexpected error, too, the start may have been carried out
@@ -310,13 +310,13 @@
             token=self.token,
             task=run.task.id,
             run=run.number,
-            worker=worker.name,
+            worker=boot.name,
             waited_ms=run.started_ms - run.task.step.job.arrived_ms,
             image=run.task.step.spec.image,
             cpu=run.task.step.spec.cpu_millis,
             percent=run.initial_speed_percent,
-            cold=worker.cold,
-            free_cpu=worker.info.cpu_millis - worker.allocated.cpu_millis,
+            cold=boot.cold,
+            free_cpu=boot.info.cpu_millis - boot.allocated.cpu_millis,
             answered_ms=monotonic_ms() - run.started_ms,
             window=int(self._start_window.limit),
             outcome=outcome,
@@ -332,23 +332,23 @@
         outcome = "unanswered"
         try:
             reply = await self._ports.workers.stop(
-                order.worker.info, order.task_id, order.run_number, self.token
+                order.boot.info, order.task_id, order.run_number, self.token
             )
             self._check_fencing(reply)
             outcome = reply.reason or "accepted"
             if not reply.reason:
-                self.cell.note_stop_accepted(order.worker, order.run, monotonic_ms())
+                self.cell.note_stop_accepted(order.boot, order.run, monotonic_ms())
         except WorkerCallFailed:
             pass  # the cell orders the stop again
         except WrongBoot:
-            self.cell.note_wrong_boot(order.worker, monotonic_ms())
+            self.cell.note_wrong_boot(order.boot, monotonic_ms())
         self._metrics.count("stops", reason=order.reason, outcome=outcome)
         _log.info(
             "stop",
             token=self.token,
             task=order.task_id,
             run=order.run_number,
-            worker=order.worker.name,
+            worker=order.boot.name,
             reason=order.reason,
             answered_ms=monotonic_ms() - sent_ms,
             outcome=outcome,
@@ -357,10 +357,10 @@
     async def _throttle_run(self, order: ThrottleRun) -> None:
         previous_percent = order.run.speed_percent
         order.run.speed_percent = order.speed_percent
-        order.worker.invalidate_slack()
+        order.boot.invalidate_slack()
         try:
             reply = await self._ports.workers.throttle(
-                order.worker.info,
+                order.boot.info,
                 order.run.task.id,
                 order.run.number,
                 order.speed_percent,
@@ -369,14 +369,14 @@
             self._check_fencing(reply)
         except (WorkerCallFailed, WrongBoot):
             order.run.speed_percent = previous_percent  # the next reading leads to a new order
-            order.worker.invalidate_slack()
+            order.boot.invalidate_slack()
         self._metrics.count("paces")
         _log.debug(
             "pace",
             task=order.run.task.id,
             run=order.run.number,
-            worker=order.worker.name,
-            least_slack=round(order.worker.min_slack, 2),
+            worker=order.boot.name,
+            least_slack=round(order.boot.min_slack, 2),
             percent=order.speed_percent,
         )
 
@@ -413,57 +413,57 @@
 
     def _update_lease_tasks(self) -> None:
         """Run one loop for each current worker, to extend its lease."""
-        current = dict.fromkeys(self.cell.workers.values())
-        for worker in [w for w in current if w not in self._lease_tasks]:
-            self._lease_tasks[worker] = asyncio.create_task(
-                self._loop("hold", lambda worker=worker: self._extend_lease(worker))  # type: ignore[misc]
+        current = dict.fromkeys(self.cell.boots.values())
+        for boot in [w for w in current if w not in self._lease_tasks]:
+            self._lease_tasks[boot] = asyncio.create_task(
+                self._loop("hold", lambda boot=boot: self._extend_lease(boot))  # type: ignore[misc]
             )
-        for worker in [w for w in self._lease_tasks if w not in current]:
-            self._lease_tasks.pop(worker).cancel()
+        for boot in [w for w in self._lease_tasks if w not in current]:
+            self._lease_tasks.pop(boot).cancel()
 
-    async def _extend_lease(self, worker: Worker) -> None:
+    async def _extend_lease(self, boot: Boot) -> None:
         if self._releasing or not self._may_send_orders():
             await asyncio.sleep(REPEATED_LEASE_PAUSE_S)
             return
         sent_ms = monotonic_ms()
-        deadline_ms, acknowledged = self.cell.prepare_lease_extension(worker, sent_ms)
-        previous_end = worker.last_end_sequence
+        deadline_ms, acknowledged = self.cell.prepare_lease_extension(boot, sent_ms)
+        previous_end = boot.last_end_sequence
         wait_ms = 0
-        if worker.adopted and worker.last_answer_ms is not None:
-            wait_ms = max(0, LEASE_WAIT_MS - (sent_ms - worker.last_answer_ms))
+        if boot.adopted and boot.last_answer_ms is not None:
+            wait_ms = max(0, LEASE_WAIT_MS - (sent_ms - boot.last_answer_ms))
         try:
             reply = await self._ports.workers.extend_lease(
-                worker.info, deadline_ms, self.token, acknowledged, wait_ms
+                boot.info, deadline_ms, self.token, acknowledged, wait_ms
             )
         except WorkerCallFailed:
             self._metrics.count("hold_failures")
-            self.cell.note_lease_failure(worker, monotonic_ms())
+            self.cell.note_lease_failure(boot, monotonic_ms())
             await asyncio.sleep(FAILED_LEASE_PAUSE_S)
             return
         except WrongBoot:
-            self.cell.note_wrong_boot(worker, monotonic_ms())
+            self.cell.note_wrong_boot(boot, monotonic_ms())
             await asyncio.sleep(FAILED_LEASE_PAUSE_S)
             return
         if not isinstance(reply, LeaseReply):
             self._check_fencing(reply)
-            self.cell.note_lease_refused(worker, monotonic_ms())
+            self.cell.note_lease_refused(boot, monotonic_ms())
             await asyncio.sleep(FAILED_LEASE_PAUSE_S)
             return
-        self._carry_out_all(self.cell.handle_lease_reply(worker, reply, sent_ms, monotonic_ms()))
-        if worker not in self.cell.workers.values():
+        self._carry_out_all(self.cell.handle_lease_reply(boot, reply, sent_ms, monotonic_ms()))
+        if boot not in self.cell.boots.values():
             self._update_lease_tasks()
-        if worker.last_end_sequence > previous_end:
+        if boot.last_end_sequence > previous_end:
             self._plan_wakeup.set()
-        if worker.last_end_sequence > worker.acknowledged_sequence:
-            await self._wait_until_stored(worker, worker.last_end_sequence)
+        if boot.last_end_sequence > boot.acknowledged_sequence:
+            await self._wait_until_stored(boot, boot.last_end_sequence)
         elif monotonic_ms() - sent_ms < wait_ms // 2:
             await asyncio.sleep(REPEATED_LEASE_PAUSE_S)
 
-    async def _wait_until_stored(self, worker: Worker, sequence: int) -> None:
+    async def _wait_until_stored(self, boot: Boot, sequence: int) -> None:
         """Wait until run ends of a worker may be acknowledged, or the next poll is due."""
         try:
             async with asyncio.timeout(MAX_STORE_WAIT_S):
-                while worker.acknowledged_sequence < sequence:
+                while boot.acknowledged_sequence < sequence:
                     await self._changes_stored.wait()
         except TimeoutError:
             pass
--- a/src/greengagewood/internal/cells/stops.py
+++ b/src/greengagewood/internal/cells/stops.py
@@ -20,7 +20,7 @@
 
 from __future__ import annotations
 
-from greengagewood.internal.cells.fleet import Worker
+from greengagewood.internal.cells.boots import Boot
 from greengagewood.internal.cells.orders import StopRun
 from greengagewood.internal.cells.planner import Planner
 from greengagewood.internal.jobs.book import Run
@@ -43,8 +43,8 @@
 class StopPlanner:
     """The stops of one term of ownership."""
 
-    def __init__(self, workers: dict[str, Worker], planner: Planner) -> None:
-        self._workers = workers
+    def __init__(self, boots: dict[str, Boot], planner: Planner) -> None:
+        self._boots = boots
         self._planner = planner
         self._last_scan_ms: int | None = None  # None requests a scan by the next plan
         self._next_move_ms = 0  # no run is moved before this time
@@ -63,45 +63,43 @@
         """Scan for runs to stop; return the stops to send now."""
         self._last_scan_ms = now_ms
         orders: list[StopRun] = []
-        for worker in self._workers.values():
-            if worker.unresponsive:
-                due = _due_on_silent(worker, now_ms)
-                orders.extend(_stop(worker, run, "job_over", now_ms) for run in due)
+        for boot in self._boots.values():
+            if boot.unresponsive:
+                due = _due_on_silent(boot, now_ms)
+                orders.extend(_stop(boot, run, "job_over", now_ms) for run in due)
                 continue
-            for run in worker.runs.values():
-                reason = self._stop_reason(worker, run, now_ms)
+            for run in boot.runs.values():
+                reason = self._stop_reason(boot, run, now_ms)
                 if reason and _may_send_stop(run, now_ms):
-                    orders.append(_stop(worker, run, reason, now_ms))
+                    orders.append(_stop(boot, run, reason, now_ms))
         return orders
 
-    def overdue_runs(self, now_ms: int) -> list[tuple[Worker, Run]]:
+    def overdue_runs(self, now_ms: int) -> list[tuple[Boot, Run]]:
         """Return the runs to report now, as they go on long after the end of their jobs."""
         overdue = []
-        for worker in self._workers.values():
-            for run in worker.runs.values():
+        for boot in self._boots.values():
+            for run in boot.runs.values():
                 if not run.task.step.job.is_final:
                     continue
                 if run.unwanted_since_ms is None:
                     run.unwanted_since_ms = run.reported_ms = now_ms
                 elif now_ms - run.reported_ms >= REMAINING_REPORT_MS:
                     run.reported_ms = now_ms
-                    overdue.append((worker, run))
+                    overdue.append((boot, run))
         return overdue
 
-    def stop_unknown_run(
-        self, worker: Worker, listed_run: RunningTask, now_ms: int
-    ) -> StopRun | None:
+    def stop_unknown_run(self, boot: Boot, listed_run: RunningTask, now_ms: int) -> StopRun | None:
         """Return a stop of a listed run of an unknown task, unless one was sent recently."""
-        key = (worker.name, listed_run.task_id, listed_run.run_number)
+        key = (boot.name, listed_run.task_id, listed_run.run_number)
         if (
             now_ms - self._unknown_run_stop_sent_ms.get(key, -REPEAT_INTERVAL_MS)
             < REPEAT_INTERVAL_MS
         ):
             return None
         self._unknown_run_stop_sent_ms[key] = now_ms
-        return StopRun(worker, listed_run.task_id, listed_run.run_number, None, "not_ours")
+        return StopRun(boot, listed_run.task_id, listed_run.run_number, None, "not_ours")
 
-    def _stop_reason(self, worker: Worker, run: Run, now_ms: int) -> str:
+    def _stop_reason(self, boot: Boot, run: Run, now_ms: int) -> str:
         """Return the reason to stop a run, or an empty string."""
         if run.state == "stopping":
             return "again"
@@ -114,13 +112,13 @@
         if run.state != "running":
             return ""
         if self._is_stuck(run):
-            run.task.failed_workers = (*run.task.failed_workers, worker.name)[-4:]
-            worker.note_outcome(False)
+            run.task.failed_workers = (*run.task.failed_workers, boot.name)[-4:]
+            boot.note_outcome(False)
             return "stands_still"
-        if self._should_move(worker, run, now_ms):
+        if self._should_move(boot, run, now_ms):
             return "moves"
         if (
-            worker.info.draining
+            boot.info.draining
             and run.task.step.spec.long_running
             and self._fits_elsewhere(run, now_ms)
         ):
@@ -149,7 +147,7 @@
         estimate_ms = max(spec.estimate_ms, expected_ms)
         return listed_without_progress_ms > max(STUCK_AFTER_MS, estimate_ms // 4)
 
-    def _should_move(self, worker: Worker, run: Run, now_ms: int) -> bool:
+    def _should_move(self, boot: Boot, run: Run, now_ms: int) -> bool:
         """Return whether to move a best-effort run that has been slow for long.
 
         The move frees memory that the slow run hardly uses. The task continues on another worker
@@ -163,7 +161,7 @@
             run.slow_since_ms = now_ms
         if now_ms - run.slow_since_ms < MOVE_DELAY_MS or now_ms < self._next_move_ms:
             return False
-        if not self._planner.can_run_faster_elsewhere(run, worker, now_ms):
+        if not self._planner.can_run_faster_elsewhere(run, boot, now_ms):
             return False
         self._next_move_ms = now_ms + MOVE_INTERVAL_MS
         return True
@@ -171,7 +169,7 @@
     def _fits_elsewhere(self, run: Run, now_ms: int) -> bool:
         return any(
             self._planner.may_start_on(other, now_ms) and other.fits(run.task.step.spec)
-            for other in self._workers.values()
+            for other in self._boots.values()
             if other.info.service == self._planner.queue_of(run.task.step.job).service
         )
 
@@ -180,11 +178,9 @@
     return run.task.step.job.is_final or bool(run.task.end_state)
 
 
-def _due_on_silent(worker: Worker, now_ms: int) -> list[Run]:
+def _due_on_silent(boot: Boot, now_ms: int) -> list[Run]:
     """Return the runs on a silent worker to stop now, those that have waited longest first."""
-    unwanted = [
-        run for run in worker.runs.values() if _is_unwanted(run) and run.state != "starting"
-    ]
+    unwanted = [run for run in boot.runs.values() if _is_unwanted(run) and run.state != "starting"]
     waiting = [
         run
         for run in unwanted
@@ -195,11 +191,11 @@
     return waiting[: max(0, MAX_STOPS_TO_SILENT - pending_count)]
 
 
-def _stop(worker: Worker, run: Run, reason: str, now_ms: int) -> StopRun:
+def _stop(boot: Boot, run: Run, reason: str, now_ms: int) -> StopRun:
     if run.state != "unconfirmed":
         run.transition("stop")
     run.stop_sent_ms = now_ms
-    return StopRun(worker, run.task.id, run.number, run, reason)
+    return StopRun(boot, run.task.id, run.number, run, reason)
 
 
 def _may_send_stop(run: Run, now_ms: int) -> bool:
--- a/src/greengagewood/internal/cells/tails.py
+++ b/src/greengagewood/internal/cells/tails.py
@@ -20,7 +20,7 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
-from greengagewood.internal.cells.fleet import Admission, Worker
+from greengagewood.internal.cells.boots import Admission, Boot
 from greengagewood.internal.cells.orders import ThrottleRun
 from greengagewood.internal.cells.regression import Regression
 from greengagewood.internal.jobs.book import Run
@@ -79,7 +79,7 @@
 
     # Learning.
 
-    def learn(self, worker: Worker, now_ms: int) -> None:
+    def learn(self, worker: Boot, now_ms: int) -> None:
         """Learn from the readings that a worker has just listed with its runs."""
         if now_ms - worker.last_learned_ms < MIN_READING_INTERVAL_MS:
             return
@@ -174,7 +174,7 @@
 
     # Decisions.
 
-    def count_undisturbed(self, workers: Iterable[Worker]) -> None:
+    def count_undisturbed(self, workers: Iterable[Boot]) -> None:
         """Count for each best-effort image the workers on which it disturbs no service."""
         images = {image for known in self.regressions.values() for image in known.sample_counts}
         groups = Counter(
@@ -198,7 +198,7 @@
         """Return whether a best-effort image avoids the services that it is known to disturb."""
         return self.undisturbed_counts.get(image, 0) >= MIN_UNDISTURBED_WORKERS
 
-    def admission_for(self, worker: Worker, spec: StepSpec) -> Admission:
+    def admission_for(self, worker: Boot, spec: StepSpec) -> Admission:
         """Return how fast one more best-effort task may run beside the worker's serving tasks."""
         key = (spec.image, spec.cpu_millis, self.avoids_disturbed(spec.image))
         admission = worker.admissions.get(key)
@@ -206,7 +206,7 @@
             admission = worker.admissions[key] = self._compute_admission(worker, spec)
         return admission
 
-    def _compute_admission(self, worker: Worker, spec: StepSpec) -> Admission:
+    def _compute_admission(self, worker: Boot, spec: StepSpec) -> Admission:
         if worker.remaining_slack is None:
             worker.remaining_slack = _forecast_slack(worker)
             self._subtract_planned_use(worker, worker.remaining_slack)
@@ -218,14 +218,14 @@
         )
         return Admission(percent, max(costs, default=0.0))
 
-    def _subtract_planned_use(self, worker: Worker, slack_by_image: dict[str, float]) -> None:
+    def _subtract_planned_use(self, worker: Boot, slack_by_image: dict[str, float]) -> None:
         """Subtract the slack that best-effort runs use up at their present speed limits."""
         for name, share in _planned_cpu_shares(worker).items():
             for serving in slack_by_image:
                 slack_by_image[serving] -= self.conservative_effect(serving, name) * share
 
     def plan_speed_limits(
-        self, worker: Worker, now_ms: int, value_of: Callable[[Run], float]
+        self, worker: Boot, now_ms: int, value_of: Callable[[Run], float]
     ) -> list[ThrottleRun]:
         """Return orders to change the speed limits of best-effort runs until the next reading.
 
@@ -266,7 +266,7 @@
 
     def _max_speed_percent(
         self,
-        worker: Worker,
+        worker: Boot,
         spec: StepSpec,
         slack_by_image: dict[str, float],
         *,
@@ -293,7 +293,7 @@
         return MIN_SLACK_TO_PLACE
 
 
-def _forecast_slack(worker: Worker) -> dict[str, float]:
+def _forecast_slack(worker: Boot) -> dict[str, float]:
     """Return the undisturbed slack that is expected some readings ahead, by serving image.
 
     A slack that falls is expected to go on falling. The lowest of an image's runs counts.
@@ -308,7 +308,7 @@
     return forecasts
 
 
-def _cpu_share(worker: Worker, spec: StepSpec, percent: int) -> float:
+def _cpu_share(worker: Boot, spec: StepSpec, percent: int) -> float:
     """Return the share of the worker's CPUs that a task uses at a percentage of full speed."""
     if worker.info.cpu_millis <= 0:  # the capacity is not known, or the worker has none left
         return percent / 100
@@ -326,7 +326,7 @@
             yield run
 
 
-def _measured_cpu_shares(worker: Worker) -> dict[str, float]:
+def _measured_cpu_shares(worker: Boot) -> dict[str, float]:
     """Return the share of the worker's CPUs that each best-effort image used, as last listed."""
     shares: dict[str, float] = {}
     if worker.info.cpu_millis <= 0:
@@ -340,7 +340,7 @@
     return shares
 
 
-def _planned_cpu_shares(worker: Worker) -> dict[str, float]:
+def _planned_cpu_shares(worker: Boot) -> dict[str, float]:
     """Return the share of the worker's CPUs that each best-effort image may use at its limits."""
     shares: dict[str, float] = {}
     for run in worker.runs.values():
--- a/src/greengagewood/internal/jobs/book.py
+++ b/src/greengagewood/internal/jobs/book.py
@@ -11,6 +11,7 @@
 from collections import Counter
 from collections.abc import Iterator
 from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
 
 from greengagewood.internal.chart import load_chart
 from greengagewood.internal.jobs.model import StepSpec
@@ -22,6 +23,9 @@
     TaskProgress,
 )
 
+if TYPE_CHECKING:
+    from greengagewood.internal.cells.boots import Boot
+
 __all__ = ["FINAL_STATES", "Job", "JobBook", "Run", "Step", "Task"]
 
 RUN_CHART = load_chart("run")
@@ -39,6 +43,7 @@
     state: str
     started_ms: int
     start_deadline_ms: int = 0  # on the worker's clock; the worker refuses the start after it
+    boot: Boot | None = None  # the boot that holds its resources
     accepted_ms: int | None = None  # when this owner learned that the worker has the run
     accepted_by_clock: bool = False  # whether the worker's clock showed which boot accepted it
     was_carried_out: bool = False  # whether the start was ever carried out, by any boot
--- a/tests/common/backlog.py
+++ b/tests/common/backlog.py
@@ -93,23 +93,23 @@
     def _step(self) -> None:
         harness = self.harness
         for start in start_orders(harness.plan(TICK_MS)):
-            harness.cell.handle_start_reply(start.worker, start.run, "", harness.now_ms)
+            harness.cell.handle_start_reply(start.boot, start.run, "", harness.now_ms)
             task = start.run.task
             end = RunEnd(0, task.id, start.run.number, "done", "")
             self._finish_ms.append(
-                (harness.now_ms + task.step.spec.estimate_ms, start.worker.name, end)
+                (harness.now_ms + task.step.spec.estimate_ms, start.boot.name, end)
             )
         finished = [entry for entry in self._finish_ms if entry[0] <= harness.now_ms]
         self._finish_ms = [entry for entry in self._finish_ms if entry[0] > harness.now_ms]
         for _, name, end in finished:
-            sequence = harness.cell.workers[name].last_end_sequence + 1
+            sequence = harness.cell.boots[name].last_end_sequence + 1
             job = harness.cell.book.jobs[end.task_id.job_id]
             was_final = job.is_final
             harness.answer_lease(name, ends=(replace(end, sequence=sequence),))
             if job.is_final and not was_final:
                 self._note_ended(job)
         for name in harness.worker_infos:
-            harness.cell.workers[name].last_answer_ms = harness.now_ms
+            harness.cell.boots[name].last_answer_ms = harness.now_ms
 
     def _note_ended(self, job: Job) -> None:
         age_ms = self.harness.now_ms - job.arrived_ms
@@ -190,13 +190,13 @@
     def _step(self) -> None:
         harness = self.harness
         for start in start_orders(harness.plan(TICK_MS)):
-            harness.cell.handle_start_reply(start.worker, start.run, "", harness.now_ms)
+            harness.cell.handle_start_reply(start.boot, start.run, "", harness.now_ms)
             if start.run.task.step.spec.best_effort:
                 self._left_ms[start.run] = start.run.task.step.spec.estimate_ms
         elapsed_ms = harness.now_ms - self._stepped_ms if self._stepped_ms else TICK_MS
         self._stepped_ms = harness.now_ms
         ended: list[tuple[str, Run]] = []
-        for name, worker in harness.cell.workers.items():
+        for name, worker in harness.cell.boots.items():
             speed = self._speed(name)
             for run in [run for run in worker.runs.values() if run in self._left_ms]:
                 self._left_ms[run] -= speed * elapsed_ms
@@ -204,7 +204,7 @@
                     del self._left_ms[run]
                     ended.append((name, run))
         for name, run in ended:
-            worker = harness.cell.workers[name]
+            worker = harness.cell.boots[name]
             job = run.task.step.job
             was_final = job.is_final
             end = RunEnd(worker.last_end_sequence + 1, run.task.id, run.number, "done", "")
@@ -212,11 +212,11 @@
             if job.is_final and not was_final:
                 self._note_ended(job)
         for name in harness.worker_infos:
-            harness.cell.workers[name].last_answer_ms = harness.now_ms
+            harness.cell.boots[name].last_answer_ms = harness.now_ms
 
     def _speed(self, name: str) -> float:
         """Return the share of their full speed at which a worker's runs share its CPUs."""
-        worker = self.harness.cell.workers[name]
+        worker = self.harness.cell.boots[name]
         runs = [run for run in worker.runs.values() if run in self._left_ms]
         needed = sum(run.task.step.spec.cpu_millis for run in runs)
         return min(1.0, self.worker_cpu_millis / max(1, needed))
@@ -225,7 +225,7 @@
         """Return the runs of a worker as it lists them."""
         listed = []
         speed = self._speed(name)
-        for run in self.harness.cell.workers[name].runs.values():
+        for run in self.harness.cell.boots[name].runs.values():
             spec = run.task.step.spec
             if spec.long_running:
                 listed.append(RunningTask(run.task.id, run.number, "", 100, 0))
--- a/tests/common/desk.py
+++ b/tests/common/desk.py
@@ -59,14 +59,14 @@
 
     def answer_lease(self, name: str, *runs: RunningTask, ends: tuple[RunEnd, ...] = ()) -> list:
         """Let a worker answer a lease extension with its runs and their ends; return the orders."""
-        worker = self.cell.workers[name]
+        worker = self.cell.boots[name]
         boot_time_ms = self.worker_infos[name].boot_time_ms
         reply = LeaseReply(self.now_ms - 90_000, boot_time_ms, runs, ends)
         return self.cell.handle_lease_reply(worker, reply, self.now_ms - 1, self.now_ms)
 
     def answer_leases(self) -> None:
         """Let every worker list the runs that its present boot has accepted."""
-        for name, worker in self.cell.workers.items():
+        for name, worker in self.cell.boots.items():
             runs = [
                 run
                 for run in worker.runs.values()
@@ -78,7 +78,7 @@
     def accept_stop(self, run: Run | None) -> None:
         """Let the present boot of a run's worker accept a stop of the run."""
         assert run is not None
-        self.cell.note_stop_accepted(self.cell.workers[run.worker_id], run, self.now_ms)
+        self.cell.note_stop_accepted(self.cell.boots[run.worker_id], run, self.now_ms)
 
     def reboot(self, name: str, boot_time_ms: int) -> None:
         """Let the directory show another boot of a worker."""
@@ -102,7 +102,7 @@
         starts = start_orders(self.plan(elapsed_ms))
         for order in starts:
             clock_ms = self.now_ms - 90_000 if shows_clock else None
-            self.cell.handle_start_reply(order.worker, order.run, "", self.now_ms, clock_ms)
+            self.cell.handle_start_reply(order.boot, order.run, "", self.now_ms, clock_ms)
         self.now_ms += 1
         return starts
 
--- a/tests/common/eventorder.py
+++ b/tests/common/eventorder.py
@@ -13,8 +13,9 @@
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 
+from greengagewood.internal.cells.boots import MAX_ORDER_DELAY_MS, Resources
+from greengagewood.internal.cells.boots import Boot as KnownBoot
 from greengagewood.internal.cells.cell import Cell
-from greengagewood.internal.cells.fleet import MAX_ORDER_DELAY_MS, Resources, Worker
 from greengagewood.internal.cells.orders import (
     Changes,
     Order,
@@ -153,7 +154,7 @@
     """A call to a worker; `hold` is the deadline and the acknowledged end of a lease extension."""
 
     owner: Owner
-    worker: Worker
+    worker: KnownBoot
     info: WorkerInfo
     sent_ms: int
     arrives_ms: int
@@ -176,7 +177,7 @@
     confirmed_ms: int
     heartbeat_ms: int
     connected: bool = True  # to the store
-    lease_calls: dict[Worker, Call] = field(default_factory=dict)
+    lease_calls: dict[KnownBoot, Call] = field(default_factory=dict)
     cancelled: set[str] = field(default_factory=set)  # jobs of whose cancellation it knows
     evacuated: frozenset[str] = frozenset()
     storing: tuple[Changes, int] | None = None  # and when that is answered
@@ -369,7 +370,7 @@
             return "" if task in boot.runs and boot.runs[task].number == number else "old"
         if not spec.best_effort and boot.used_cpu_millis() + spec.cpu_millis > boot.cpu_millis:
             return "room"
-        self._check_start(task, spec, order.worker.name)
+        self._check_start(task, spec, order.boot.name)
         boot.highest_numbers[task] = number
         straggles = spec.speculative and self.rng.random() < 0.1
         work_ms = spec.estimate_ms * (self.rng.uniform(0.5, 1.8) + 6 * straggles)
@@ -388,7 +389,7 @@
     def _send(
         self,
         owner: Owner,
-        worker: Worker,
+        worker: KnownBoot,
         order: StartRun | StopRun | ThrottleRun | None = None,
         hold: tuple[int | None, int] | None = None,
     ) -> Call:
@@ -427,9 +428,9 @@
                 self._check_order(owner, order)
             elif isinstance(order, ThrottleRun):
                 order.run.speed_percent = order.speed_percent
-                order.worker.invalidate_slack()
-            self._send(owner, order.worker, order)
-            self._note("sent", owner, order.worker.info, order)
+                order.boot.invalidate_slack()
+            self._send(owner, order.boot, order)
+            self._note("sent", owner, order.boot.info, order)
 
     def _note(
         self,
@@ -463,7 +464,7 @@
     def _extend_leases(self, owner: Owner) -> None:
         if not owner.may_send(self.now_ms):
             return
-        current = list(owner.cell.workers.values())
+        current = list(owner.cell.boots.values())
         for worker in [w for w in owner.lease_calls if w not in current]:
             del owner.lease_calls[worker]
         for worker in current:
@@ -770,7 +771,7 @@
         spec = task.step.job.submission.spec
         if task.id.job_id in owner.cancelled:
             raise Violation(f"start of a cancelled job is sent: {task.id}")
-        if order.worker.info.failure_domain in owner.evacuated:
+        if order.boot.info.failure_domain in owner.evacuated:
             raise Violation(f"start in an evacuated domain is sent: {task.id}")
         if self.now_ms < spec.first_due_ms + task.id.occurrence * spec.interval_ms:
             raise Violation(f"start before its time is sent: {task.id}")
@@ -809,7 +810,7 @@
 
     @staticmethod
     def _check_workers(cell: Cell) -> None:
-        for worker in cell.workers.values():
+        for worker in cell.boots.values():
             allocated = Resources()
             shared_cpu_millis = Counter[str]()
             for run in worker.runs.values():
@@ -830,7 +831,7 @@
 
     def _check_ruled_out(self, cell: Cell) -> None:
         """Check that a boot which is said to have ruled a start out refuses it."""
-        for worker in cell.workers.values():
+        for worker in cell.boots.values():
             boot = self.boots[worker.info.address]
             if (boot.name, boot.boot_time_ms) != (worker.name, worker.info.boot_time_ms):
                 continue
@@ -849,7 +850,7 @@
                 for run in (task.run, task.copy):
                     if run is None:
                         continue
-                    worker = cell.workers.get(run.worker_id)
+                    worker = cell.boots.get(run.worker_id)
                     if worker is None or worker.runs.get((task, run.number)) is not run:
                         raise Violation(f"a run of no known worker: {task.id} {run.number}")
 
--- a/tests/common/sharing.py
+++ b/tests/common/sharing.py
@@ -11,7 +11,7 @@
 import random
 from dataclasses import dataclass, field
 
-from greengagewood.internal.cells.fleet import Worker
+from greengagewood.internal.cells.boots import Boot, Worker
 from greengagewood.internal.cells.placement import choose_worker
 from greengagewood.internal.cells.tails import TailLatencyModel
 from greengagewood.internal.jobs.book import JobBook, Run, Task
@@ -66,11 +66,11 @@
         }
         self.workers = [self._worker(number) for number in range(self.worker_count)]
 
-    def _worker(self, number: int) -> Worker:
+    def _worker(self, number: int) -> Boot:
         info = WorkerInfo(
             f"w{number}", "", "svc", "z", "r", frozenset(), 64_000, 256_000, 0, False, None, 1
         )
-        worker = Worker(info, 0, adopted=True, registered=True)
+        worker = Boot(info, 0, Worker(registered=True), "listed", adopted_ms=0)
         image = f"s{number % SERVING_IMAGE_COUNT}"
         spec = StepSpec(
             3,
@@ -119,7 +119,7 @@
                     worker.invalidate_slack()
         self._place()
 
-    def _run_best_effort(self, worker: Worker) -> None:
+    def _run_best_effort(self, worker: Boot) -> None:
         for run in list(worker.runs.values()):
             if not run.task.step.spec.best_effort:
                 continue
@@ -134,7 +134,7 @@
                 if all(t.last_run_ended_ms and not t.run for t in job.opened_tasks()):
                     self.job_times_ms.append(self.now_ms - job.arrived_ms)
 
-    def _update_tails(self, worker: Worker) -> None:
+    def _update_tails(self, worker: Boot) -> None:
         cpu_shares: dict[str, float] = {}
         for run in worker.runs.values():
             if run.task.step.spec.best_effort:
@@ -175,7 +175,7 @@
             self.remaining_ms[run] = BEST_EFFORT_WORK_MS
             self.waiting_tasks.remove(task)
 
-    def _choose(self, task: Task) -> Worker | None:
+    def _choose(self, task: Task) -> Boot | None:
         if self.use_model:
             return choose_worker(task, self.workers, self.model, False)
         free = [
--- a/tests/cover/test_boots.py
+++ b/tests/cover/test_boots.py
@@ -8,7 +8,8 @@
 
 from greengagewood.internal.jobs.book import Task
 from greengagewood.internal.jobs.model import StepSpec
-from greengagewood.internal.ports import RunningTask
+from greengagewood.internal.jobs.records import TaskId
+from greengagewood.internal.ports import LeaseReply, RunEnd, RunningTask
 from tests.common.desk import CellHarness, make_worker_info, start_orders
 
 JOB = "0" * 16
@@ -108,11 +109,11 @@
         harness.submit(LASTING)
         (start,) = start_orders(harness.plan(500))
         reading = None if clock_ms is None else harness.now_ms - 90_000 + clock_ms
-        harness.cell.handle_start_reply(start.worker, start.run, "", harness.now_ms, reading)
+        harness.cell.handle_start_reply(start.boot, start.run, "", harness.now_ms, reading)
         harness.now_ms += 2_000
-        harness.cell.note_lease_failure(start.worker, harness.now_ms)
+        harness.cell.note_lease_failure(start.boot, harness.now_ms)
         for name in harness.worker_infos:
-            if name != start.worker.name:
+            if name != start.boot.name:
                 harness.answer_lease(name)
         return harness, start.run.task
 
@@ -131,3 +132,41 @@
         for _ in range(15):
             assert start_orders(harness.plan(1_000)) == []
         assert task.run is not None
+
+
+class TestLists:
+    """What the answers to lease extensions, and their absence, say of a boot."""
+
+    def test_no_end_is_acknowledged_after_a_call_without_an_answer(self) -> None:
+        """Guards against ends of a later boot that are acknowledged before it has listed them."""
+        harness = _make_harness("w0")
+        harness.answer_lease("w0", ends=(RunEnd(3, TaskId(JOB, 0, 0, 0), 1, "done", ""),))
+        harness.store_changes()
+        boot = harness.cell.boots["w0"]
+        assert harness.cell.prepare_lease_extension(boot, harness.now_ms)[1] == 3
+        harness.cell.note_lease_failure(boot, harness.now_ms + 1)
+        assert harness.cell.prepare_lease_extension(boot, harness.now_ms + 2)[1] == 0
+
+    def test_the_directory_may_lag_behind_what_a_boot_says(self) -> None:
+        """Guards against runs that are lost because the entry of an earlier boot is read again."""
+        harness = _make_harness("w0")
+        earlier = dict(harness.worker_infos)
+        _change_entry(harness, "w0", boot_time_ms=2)
+        harness.submit(LASTING)
+        harness.answer_leases()
+        task = _start(harness)
+        harness.answer_leases()
+        harness.cell.set_workers(earlier, harness.now_ms)
+        assert harness.cell.boots["w0"].info.boot_time_ms == 2
+        assert not harness.cell.boots["w0"].worker.in_directory
+        assert task.run is not None and task.run.state == "running"
+
+    def test_an_answer_to_an_earlier_boot_does_not_revive_it(self) -> None:
+        """Guards against a list of a boot that is gone which arrives after the reboot was seen."""
+        harness = _make_harness("w0")
+        gone = harness.cell.boots["w0"]
+        _change_entry(harness, "w0", boot_time_ms=2)
+        assert gone.state == "gone"
+        reply = LeaseReply(harness.now_ms - 90_000, 1, (), ())
+        assert harness.cell.handle_lease_reply(gone, reply, harness.now_ms, harness.now_ms) == []
+        assert harness.cell.boots["w0"].state == "unknown"
--- a/tests/cover/test_cancel_roads.py
+++ b/tests/cover/test_cancel_roads.py
@@ -12,7 +12,7 @@
 import msgspec
 import pytest
 
-from greengagewood.internal.cells.fleet import Worker
+from greengagewood.internal.cells.boots import Boot
 from greengagewood.internal.cells.orders import StartRun, StopRun
 from greengagewood.internal.cells.stops import StopPlanner
 from greengagewood.internal.jobs.model import JobSpec, StepSpec
@@ -83,7 +83,7 @@
     return start
 
 
-def _silence(harness: CellHarness, worker: Worker) -> None:
+def _silence(harness: CellHarness, worker: Boot) -> None:
     """Let a worker answer no lease extension for as long as makes it count as silent."""
     harness.cell.prepare_lease_extension(worker, harness.now_ms)
     harness.now_ms += 2_000
@@ -182,7 +182,7 @@
         harness.submit(LASTING)
         (start,) = start_orders(harness.plan(500))
         harness.cell.cancel(JOB, harness.now_ms)
-        harness.cell.handle_start_reply(start.worker, start.run, "room", harness.now_ms)
+        harness.cell.handle_start_reply(start.boot, start.run, "room", harness.now_ms)
         for _ in range(5):
             assert harness.plan(500) == []
             harness.answer_leases()
@@ -301,7 +301,7 @@
         """Guards against calls that pile up at a worker that does not answer."""
         harness = CellHarness("w0")
         _start(harness)
-        _silence(harness, harness.cell.workers["w0"])
+        _silence(harness, harness.cell.boots["w0"])
         harness.cell.cancel(JOB, harness.now_ms)
         sent = sum(len(_stops(harness.plan(50))) for _ in range(60))
         assert 2 <= sent <= 4
@@ -312,7 +312,7 @@
         harness.submit(msgspec.structs.replace(LASTING, task_count=10))
         starts = harness.start(500)
         harness.answer_leases()
-        _silence(harness, harness.cell.workers["w0"])
+        _silence(harness, harness.cell.boots["w0"])
         harness.cell.cancel(JOB, harness.now_ms)
         stopped: set[int] = set()
         for second in range(3):
@@ -326,10 +326,10 @@
         """Guards against runs that a later owner would go on with, but that are stopped."""
         harness = CellHarness("w0", "w1")
         start = _start(harness)
-        name = start.worker.name
+        name = start.boot.name
         harness.worker_infos[name] = replace(harness.worker_infos[name], draining=True)
         harness.cell.set_workers(harness.worker_infos, harness.now_ms)
-        _silence(harness, start.worker)
+        _silence(harness, start.boot)
         harness.answer_lease("w1" if name == "w0" else "w0")
         assert _stops(harness.plan(500)) == []
 
@@ -379,7 +379,7 @@
         start = _start(
             harness, msgspec.structs.replace(LASTING, speculative=True, long_running=False)
         )
-        other = harness.cell.workers["w1" if start.worker.name == "w0" else "w0"]
+        other = harness.cell.boots["w1" if start.boot.name == "w0" else "w0"]
         copy = harness.cell.book.attach_run(
             start.run.task, 2, other.name, "r0", "running", harness.now_ms
         )
@@ -531,12 +531,12 @@
         harness.cell.add_job(Submission(JOB, QUEUE, spec, 0), cancelled, False, harness.now_ms)
         record = RegisteredWorkers((RegisteredWorker("w9", "10.0.0.9:80", "svc"),))
         harness.cell.set_registered_workers(record, harness.now_ms, harness.now_ms)
-        worker = harness.cell.workers["w9"]
+        worker = harness.cell.boots["w9"]
         listed = RunningTask(TaskId(JOB, 0, 0, 0), 7, "", 10, 0)
         harness.now_ms += 100
         reply = LeaseReply(1_000, 1, (listed,), ())
         orders = harness.cell.handle_lease_reply(worker, reply, harness.now_ms - 1, harness.now_ms)
-        assert [s.worker for s in _stops(orders + harness.plan())] == [worker]
+        assert [s.boot for s in _stops(orders + harness.plan())] == [worker]
 
 
 async def _cancel_amid_faults(sim: CellSimulation) -> None:
--- a/tests/cover/test_cancelled_jobs.py
+++ b/tests/cover/test_cancelled_jobs.py
@@ -71,9 +71,9 @@
     def test_a_run_on_an_unresponsive_worker_is_reported_too(self) -> None:
         harness = CellHarness("w0")
         _start_lasting(harness)
-        harness.cell.prepare_lease_extension(harness.cell.workers["w0"], harness.now_ms)
+        harness.cell.prepare_lease_extension(harness.cell.boots["w0"], harness.now_ms)
         harness.now_ms += 2_000
-        harness.cell.note_lease_failure(harness.cell.workers["w0"], harness.now_ms)
+        harness.cell.note_lease_failure(harness.cell.boots["w0"], harness.now_ms)
         events = _record_events(harness.cell)
         harness.cell.cancel(JOB, harness.now_ms)
         harness.plan()
@@ -97,7 +97,7 @@
     def test_the_end_of_a_second_run_is_reported_once(self) -> None:
         harness = CellHarness("w0", "w1")
         first = _start_lasting(harness).run
-        other = next(name for name in harness.cell.workers if name != first.worker_id)
+        other = next(name for name in harness.cell.boots if name != first.worker_id)
         harness.answer_lease(other, RunningTask(first.task.id, 7, "", 10, 0))
         events = _record_events(harness.cell)
         harness.answer_lease(other, ends=(RunEnd(1, first.task.id, 7, "stopped", ""),))
@@ -171,9 +171,9 @@
         """Send a start, let the directory show a later boot of its worker, and refuse the start."""
         harness.submit(StepSpec(1, cpu_millis=10_000), job="1" * 16)
         (start,) = start_orders(harness.plan())
-        name = start.worker.name
+        name = start.boot.name
         harness.reboot(name, 2)
-        harness.cell.handle_start_reply(start.worker, start.run, "room", harness.now_ms)
+        harness.cell.handle_start_reply(start.boot, start.run, "room", harness.now_ms)
         return start
 
     def test_a_refusal_after_a_reboot_does_not_keep_other_runs_from_being_stopped(self) -> None:
@@ -181,7 +181,7 @@
         harness = CellHarness("w0", "w1")
         lasting = _start_lasting(harness, replace_spec(LASTING, cpu_millis=60_000))
         refused = self._reboot_before_the_answer(harness)
-        assert refused.worker.name != lasting.worker.name
+        assert refused.boot.name != lasting.boot.name
         harness.cell.cancel(JOB, harness.now_ms)
         stops = [order.run for order in harness.plan() if isinstance(order, StopRun)]
         assert lasting.run in stops
@@ -204,14 +204,14 @@
         runner.cell = harness.cell
         await runner._start_run(start)
         assert start.run.state == "finished"
-        assert harness.cell.workers["w0"].runs == {}
+        assert harness.cell.boots["w0"].runs == {}
 
     def test_a_start_refused_after_a_reboot_frees_its_resources(self) -> None:
         harness = CellHarness("w0")
         start = self._reboot_before_the_answer(harness)
         assert start.run.state == "finished"
-        assert harness.cell.workers["w0"].runs == {}
-        assert harness.cell.workers["w0"].allocated.cpu_millis == 0
+        assert harness.cell.boots["w0"].runs == {}
+        assert harness.cell.boots["w0"].allocated.cpu_millis == 0
 
 
 class TestStopsBeforeAReboot:
@@ -222,12 +222,12 @@
         harness = CellHarness("w0", "w1")
         harness.submit(StepSpec(1, cpu_millis=1_000, estimate_ms=60_000))
         (start,) = start_orders(harness.plan())
-        name = start.worker.name
+        name = start.boot.name
         harness.cell.note_start_unanswered(start.run, harness.now_ms)
         (stop,) = [order for order in harness.plan() if isinstance(order, StopRun)]
         harness.reboot(name, 2)
         harness.store_changes()
-        harness.cell.note_stop_accepted(stop.worker, start.run, harness.now_ms)
+        harness.cell.note_stop_accepted(stop.boot, start.run, harness.now_ms)
         harness.now_ms += 10
         harness.answer_leases()
         orders = harness.plan()
--- a/tests/cover/test_capacity.py
+++ b/tests/cover/test_capacity.py
@@ -88,14 +88,14 @@
         for _ in range(4):
             harness.answer_leases()
             assert harness.plan(500) == []
-        assert sum(len(w.runs) for w in harness.cell.workers.values()) == 5
+        assert sum(len(w.runs) for w in harness.cell.boots.values()) == 5
 
     def test_a_task_goes_to_the_worker_that_has_not_shrunk(self) -> None:
         harness = CellHarness("w0", "w1")
         harness.resize("w0", 8_000)
         harness.submit(StepSpec(2, cpu_millis=16_000, gang=True))
         harness.submit(StepSpec(1, cpu_millis=16_000), job=JOB_IDS[1])
-        assert {start.worker.name for start in harness.start()} == {"w1"}
+        assert {start.boot.name for start in harness.start()} == {"w1"}
 
     def test_the_limits_of_best_effort_tasks_follow_the_capacity_at_once(self) -> None:
         harness = CellHarness("w0")
@@ -103,7 +103,7 @@
             StepSpec(1, cpu_millis=1_000, long_running=True, image="s", tail_target_ms=24)
         )
         harness.start(500)
-        worker = harness.cell.workers["w0"]
+        worker = harness.cell.boots["w0"]
         model = harness.cell.planner.tail_model
         spec = msgspec.structs.replace(BEST_EFFORT, cpu_millis=4_000)
         before = model.admission_for(worker, spec).slack_cost
@@ -325,13 +325,13 @@
         harness.submit(StepSpec(1, cpu_millis=1_000), job=JOB_IDS[3])
         for _ in range(10):  # beyond the time after which a job counts as starving
             harness.now_ms += 450
-            for name, worker in harness.cell.workers.items():
+            for name, worker in harness.cell.boots.items():
                 runs = (
                     RunningTask(r.task.id, r.number, "", 100, 500) for r in worker.runs.values()
                 )
                 harness.answer_lease(name, *runs)
             assert start_orders(harness.plan()) == []
-        assert sum(len(w.runs) for w in harness.cell.workers.values()) == 2
+        assert sum(len(w.runs) for w in harness.cell.boots.values()) == 2
 
     def test_a_worker_that_the_directory_does_not_list_is_adopted_with_its_runs(self) -> None:
         cell = Cell(LIMITS, 2, 100_000)
@@ -341,7 +341,7 @@
         registered = RegisteredWorker("w0", "10.0.0.1:80", "svc")
         cell.set_registered_workers(RegisteredWorkers((registered,)), 100_000, 100_000)
         cell.set_workers({}, 100_001)
-        worker = cell.workers["w0"]
+        worker = cell.boots["w0"]
         listed = RunningTask(TaskId("0" * 16, 0, 0, 0), 1, "", 10, 500)
         cell.handle_lease_reply(worker, LeaseReply(5, 1, (listed,), ()), 100_001, 100_002)
         assert worker.adopted
@@ -385,7 +385,7 @@
     def test_a_new_boot_gets_no_task_before_the_directory_describes_it(self) -> None:
         harness = CellHarness("w0")
         for _ in range(2):  # the first reply shows the new boot, the second lists its runs
-            worker = harness.cell.workers["w0"]
+            worker = harness.cell.boots["w0"]
             harness.now_ms += 1
             reply = LeaseReply(5, 2, (), ())
             harness.cell.handle_lease_reply(worker, reply, harness.now_ms - 1, harness.now_ms)
@@ -407,13 +407,13 @@
     def _refuse_above(self, harness: CellHarness, cpu_millis: int) -> int:
         """Plan for 10 s while the worker has less room than listed; return the refusals."""
         refusals = 0
-        worker = harness.cell.workers["w0"]
+        worker = harness.cell.boots["w0"]
         used = sum(r.task.step.spec.cpu_millis for r in worker.runs.values())
         for _ in range(200):
             for order in start_orders(harness.plan(49)):
                 cpu = order.run.task.step.spec.cpu_millis
                 reason = "room" if used + cpu > cpu_millis else ""
-                harness.cell.handle_start_reply(order.worker, order.run, reason, harness.now_ms)
+                harness.cell.handle_start_reply(order.boot, order.run, reason, harness.now_ms)
                 used += 0 if reason else cpu
                 refusals += bool(reason)
             harness.answer_leases()
@@ -429,16 +429,16 @@
         harness.submit(StepSpec(4, cpu_millis=32_000))
         harness.submit(StepSpec(3, cpu_millis=4_000), job=JOB_IDS[1])
         self._refuse_above(harness, 16_000)
-        running = [r.task.step.spec.cpu_millis for r in harness.cell.workers["w0"].runs.values()]
+        running = [r.task.step.spec.cpu_millis for r in harness.cell.boots["w0"].runs.values()]
         assert running == [4_000] * 3
 
     def test_the_task_starts_on_another_worker_at_once(self) -> None:
         harness = CellHarness("w0", "w1")
         harness.submit(StepSpec(1, cpu_millis=32_000))
         (start,) = start_orders(harness.plan())
-        harness.cell.handle_start_reply(start.worker, start.run, "room", harness.now_ms)
+        harness.cell.handle_start_reply(start.boot, start.run, "room", harness.now_ms)
         (again,) = start_orders(harness.plan(200))
-        assert again.worker is not start.worker
+        assert again.boot is not start.boot
 
     def test_a_gang_is_placed_with_no_more_tasks_there_than_were_accepted(self) -> None:
         harness = CellHarness("w0", "w1")
@@ -446,13 +446,13 @@
         orders = start_orders(harness.plan())
         for number, order in enumerate(orders):
             reason = "" if number < 2 else "room"
-            harness.cell.handle_start_reply(order.worker, order.run, reason, harness.now_ms)
+            harness.cell.handle_start_reply(order.boot, order.run, reason, harness.now_ms)
         ends = tuple(
             RunEnd(n, o.run.task.id, o.run.number, "alone", "") for n, o in enumerate(orders[:2], 1)
         )
         harness.now_ms += 1
-        harness.answer_lease(orders[0].worker.name, ends=ends)
-        placed = Counter(order.worker.name for order in start_orders(harness.plan(200)))
+        harness.answer_lease(orders[0].boot.name, ends=ends)
+        placed = Counter(order.boot.name for order in start_orders(harness.plan(200)))
         assert placed == {"w0": 2, "w1": 2}
 
     def test_a_refused_task_starts_soon_after_the_room_is_back(self) -> None:
@@ -481,7 +481,7 @@
         assert self._refuse_above(harness, 16_000) <= 10
         harness.cell.cancel("0" * 16, harness.now_ms)
         harness.plan()
-        worker = harness.cell.workers["w0"]
+        worker = harness.cell.boots["w0"]
         for run in list(worker.runs.values()):
             harness.accept_stop(run)
         harness.now_ms += 1
--- a/tests/cover/test_cell.py
+++ b/tests/cover/test_cell.py
@@ -8,7 +8,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from greengagewood.internal.cells.fleet import Worker, longest_ms
+from greengagewood.internal.cells.boots import Boot, longest_ms
 from greengagewood.internal.cells.orders import StartRun, StopRun
 from greengagewood.internal.jobs.model import StepSpec
 from greengagewood.internal.jobs.records import RegisteredWorker, RegisteredWorkers, TaskId
@@ -26,7 +26,7 @@
         harness = CellHarness("w0")
         harness.submit(StepSpec(1, cpu_millis=1_000))
         (start,) = start_orders(harness.plan())
-        worker = start.worker
+        worker = start.boot
         harness.cell.note_start_unanswered(start.run, harness.now_ms)
         for _ in range(4):  # a list takes longer than the interval between two stops
             sent_ms = harness.now_ms
@@ -79,10 +79,10 @@
         (start,) = start_orders(harness.plan())
         job = harness.cell.book.jobs["0" * 16]
         assert job.maybe_started and harness.cell.book.progress_record(job, 0).state == "queued"
-        harness.cell.handle_start_reply(start.worker, start.run, "room", harness.now_ms)
+        harness.cell.handle_start_reply(start.boot, start.run, "room", harness.now_ms)
         assert harness.cell.book.progress_record(job, 0).state == "queued"
         (second_start,) = start_orders(harness.plan(1_000))
-        harness.cell.handle_start_reply(second_start.worker, second_start.run, "", harness.now_ms)
+        harness.cell.handle_start_reply(second_start.boot, second_start.run, "", harness.now_ms)
         assert harness.cell.book.progress_record(job, 0).state == "running"
 
     def test_a_run_that_the_worker_lists_has_started(self) -> None:
@@ -102,8 +102,8 @@
         harness = CellHarness("w0", "w1")
         harness.submit(StepSpec(1, cpu_millis=1_000))
         (start,) = start_orders(harness.plan())
-        name = start.worker.name
-        harness.cell.handle_start_reply(start.worker, start.run, "", harness.now_ms + 1)
+        name = start.boot.name
+        harness.cell.handle_start_reply(start.boot, start.run, "", harness.now_ms + 1)
         harness.worker_infos[name] = replace(harness.worker_infos[name], boot_time_ms=2)
         harness.cell.set_workers(harness.worker_infos, harness.now_ms + 2)
         harness.now_ms += 5
@@ -121,10 +121,10 @@
         harness.worker_infos["w0"] = make_worker_info("w0", boot_time_ms=3)
         harness.now_ms += 10
         harness.answer_lease("w0")
-        assert harness.cell.workers["w0"].info.boot_time_ms == 3
-        assert harness.cell.workers["w0"].last_end_sequence == 0
+        assert harness.cell.boots["w0"].info.boot_time_ms == 3
+        assert harness.cell.boots["w0"].last_end_sequence == 0
         harness.cell.set_workers(harness.worker_infos, harness.now_ms)
-        assert harness.cell.workers["w0"].in_directory
+        assert harness.cell.boots["w0"].worker.in_directory
 
     @pytest.mark.parametrize("listed_first", [False, True])
     def test_ends_of_a_boot_that_was_never_in_the_directory_hide_none_of_the_next(
@@ -135,7 +135,7 @@
         cell = harness.cell
         entry = RegisteredWorker("w0", "10.0.0.1:80", "svc")
         cell.set_registered_workers(RegisteredWorkers((entry,)), harness.now_ms, harness.now_ms)
-        worker = cell.workers["w0"]
+        worker = cell.boots["w0"]
         ends = (RunEnd(3, TaskId("f" * 16, 0, 0, 0), 1, "done", ""),)
         reply = LeaseReply(harness.now_ms - 90_000, 1, (), ends)
         harness.worker_infos["w0"] = make_worker_info("w0", boot_time_ms=2)
@@ -158,13 +158,13 @@
         harness.submit(StepSpec(1, cpu_millis=1_000))
         requested_ms = harness.now_ms
         (start,) = harness.start(shows_clock=False)
-        name = start.worker.name
+        name = start.boot.name
         reply = LeaseReply(harness.now_ms - 90_000, 1, (), ())
-        harness.cell.handle_lease_reply(start.worker, reply, requested_ms, harness.now_ms)
+        harness.cell.handle_lease_reply(start.boot, reply, requested_ms, harness.now_ms)
         harness.reboot(name, 2)
         assert harness.plan() == []
         reply = LeaseReply(harness.now_ms - 90_000, 2, (), ())
-        worker = harness.cell.workers[name]
+        worker = harness.cell.boots[name]
         harness.cell.handle_lease_reply(worker, reply, requested_ms, harness.now_ms)
         assert harness.plan() == []
         harness.answer_lease(name)
@@ -174,8 +174,8 @@
         harness = CellHarness("w0", "w1")
         harness.submit(StepSpec(1, cpu_millis=1_000))
         (start,) = start_orders(harness.plan())
-        name = start.worker.name
-        harness.cell.handle_start_reply(start.worker, start.run, "", harness.now_ms + 1)
+        name = start.boot.name
+        harness.cell.handle_start_reply(start.boot, start.run, "", harness.now_ms + 1)
         harness.now_ms += 10
         harness.answer_lease(name, RunningTask(start.run.task.id, start.run.number, "", 10, 0))
         harness.worker_infos[name] = replace(harness.worker_infos[name], boot_time_ms=2)
@@ -213,13 +213,13 @@
             )
         )
         (start,) = start_orders(harness.plan(100))
-        harness.cell.handle_start_reply(start.worker, start.run, "", harness.now_ms)
+        harness.cell.handle_start_reply(start.boot, start.run, "", harness.now_ms)
         start.run.speed_percent = 10
         for _ in range(4):
             harness.now_ms += 400
             for name in workers:
                 runs = ()
-                if name == start.worker.name:
+                if name == start.boot.name:
                     runs = (RunningTask(start.run.task.id, start.run.number, "c", 5, 600),)
                 harness.answer_lease(name, *runs)
             harness.orders = harness.plan()
@@ -248,7 +248,7 @@
     def test_a_deadline_has_not_passed_before_it_has_on_a_clock_that_is_2_percent_slow(
         self, duration_ms: int, read_ms: int, elapsed_ms: int
     ) -> None:
-        worker = Worker(make_worker_info("w0"), 0)
+        worker = Boot(make_worker_info("w0"), 0)
         worker.note_clock(50_000, read_ms, read_ms)
         deadline_ms = worker.deadline_in(duration_ms, read_ms)
         assert deadline_ms is not None
--- a/tests/cover/test_cell_mutants.py
+++ b/tests/cover/test_cell_mutants.py
@@ -12,8 +12,8 @@
 
 import pytest
 
+from greengagewood.internal.cells.boots import Boot
 from greengagewood.internal.cells.cell import Cell
-from greengagewood.internal.cells.fleet import Worker
 from greengagewood.internal.jobs.book import JobBook
 from greengagewood.internal.ports import AppendResult, Outcome
 from tests.common.drive import CellSimulation, run_simulation
@@ -35,14 +35,14 @@
 
 def _assume_expired(patch: pytest.MonkeyPatch) -> None:
     """The runs of an unresponsive worker count as over at once."""
-    patch.setattr(Worker, "orders_expired", lambda self, now_ms: True)
+    patch.setattr(Boot, "orders_expired", lambda self, now_ms: True)
 
 
 def _acknowledge_unstored_ends(patch: pytest.MonkeyPatch) -> None:
     """Ends of runs are acknowledged to the worker before they are stored."""
     prepare = Cell.prepare_lease_extension
 
-    def acknowledge_all(self: Cell, worker: Worker, now_ms: int) -> tuple[int | None, int]:
+    def acknowledge_all(self: Cell, worker: Boot, now_ms: int) -> tuple[int | None, int]:
         deadline, _ = prepare(self, worker, now_ms)
         return deadline, worker.last_end_sequence
 
@@ -75,17 +75,17 @@
 
     def init_freeing(self: Cell, *args: Any, **kwargs: Any) -> None:
         init(self, *args, **kwargs)
-        plan_stops = self._stops.plan
+        plan_stops = self.term.stops.plan
 
         def free_resources(now_ms: int) -> list[Any]:
             orders = plan_stops(now_ms)
             for order in orders:
                 if order.run is not None and order.run.state == "stopping":
-                    self._end_run(order.worker, order.run, "lost", now_ms)
-                    self._queue_again(order.run.task)
+                    self.term.end_run(order.boot, order.run, "lost", now_ms)
+                    self.term.queue_again(order.run.task)
             return orders
 
-        patch.setattr(self._stops, "plan", free_resources)
+        patch.setattr(self.term.stops, "plan", free_resources)
 
     patch.setattr(Cell, "__init__", init_freeing)
 
--- a/tests/cover/test_copies.py
+++ b/tests/cover/test_copies.py
@@ -47,7 +47,7 @@
         orders = []
         for _ in range(duration_ms // 250):
             self.now_ms += 250
-            for name, worker in self.cell.workers.items():
+            for name, worker in self.cell.boots.items():
                 listed = []
                 for run in worker.runs.values():
                     age_ms = self.now_ms - run.started_ms
@@ -57,7 +57,7 @@
             for order in self.plan():
                 orders.append(order)
                 if isinstance(order, StartRun):
-                    self.cell.handle_start_reply(order.worker, order.run, "", self.now_ms)
+                    self.cell.handle_start_reply(order.boot, order.run, "", self.now_ms)
         return orders
 
     def copy_after(self, duration_ms: int = 2_500, percent_per_s: float = 14) -> StartRun | None:
@@ -67,7 +67,7 @@
 
     def end(self, run: Run, result: str) -> list:
         """Let a worker list the end of a run; return the next orders."""
-        worker = self.cell.workers[run.worker_id]
+        worker = self.cell.boots[run.worker_id]
         sequence = worker.last_end_sequence + 1
         ended = RunEnd(sequence, run.task.id, run.number, result, "")
         self.answer_lease(run.worker_id, ends=(ended,))
@@ -82,7 +82,7 @@
         copy = desk.copy_after()
         assert copy is not None
         assert copy.run.task is desk.run.task
-        assert copy.worker.name != desk.run.worker_id
+        assert copy.boot.name != desk.run.worker_id
         assert desk.copy_after() is None
 
     def test_an_ordinary_run_gets_none(self) -> None:
@@ -110,12 +110,12 @@
     def test_copies_keep_to_their_budget(self) -> None:
         desk = Desk(_spec(task_count=30))
         starts = start_orders(desk.list_for(2_500, 14))
-        total = sum(worker.info.cpu_millis for worker in desk.cell.workers.values())
+        total = sum(worker.info.cpu_millis for worker in desk.cell.boots.values())
         assert 0 < len(starts) * 4_000 <= CopyPolicy.budget_millis(total)
 
     def test_no_copy_is_started_in_an_evacuated_domain(self) -> None:
         desk = Desk()
-        desk.read_orders(desk.cell.workers[desk.run.worker_id].info.failure_domain)
+        desk.read_orders(desk.cell.boots[desk.run.worker_id].info.failure_domain)
         assert desk.copy_after() is None
         desk.read_orders()
         assert desk.copy_after() is not None
@@ -123,9 +123,9 @@
     def test_no_copy_goes_to_a_slow_worker(self) -> None:
         desk = Desk()
         for name in WORKERS[1:]:
-            desk.cell.workers[name].slow = name != "w7"
+            desk.cell.boots[name].slow = name != "w7"
         copy = desk.copy_after()
-        assert copy is not None and copy.worker.name == "w7"
+        assert copy is not None and copy.boot.name == "w7"
 
     def test_copies_that_never_end_first_are_not_repeated_for_long(self) -> None:
         desk = Desk()
@@ -154,7 +154,7 @@
         assert isinstance(order, StopRun) and order.run is loser
         assert desk.cell.book.jobs[first.task.id.job_id].state == "completed"
         assert desk.end(loser, "stopped") == []
-        assert not any(worker.runs for worker in desk.cell.workers.values())
+        assert not any(worker.runs for worker in desk.cell.boots.values())
         assert desk.cell.book.jobs[first.task.id.job_id].active_run_count == 0
 
     @pytest.mark.parametrize("copy_fails", [False, True])
@@ -174,14 +174,14 @@
         for name in WORKERS[1:]:
             desk.answer_lease(name)
         (order,) = start_orders(desk.plan())
-        desk.cell.handle_start_reply(order.worker, order.run, "room", desk.now_ms)
+        desk.cell.handle_start_reply(order.boot, order.run, "room", desk.now_ms)
         assert desk.run.task.run is desk.run
         desk.now_ms += 200
         desk.answer_lease(desk.run.worker_id, listed)
         for name in WORKERS[1:]:
             desk.answer_lease(name)
         (again,) = start_orders(desk.plan())
-        assert again.worker is not order.worker
+        assert again.boot is not order.boot
 
     def test_the_task_is_started_again_only_after_both_runs(self) -> None:
         desk, first, copy = self._both()
--- a/tests/cover/test_crashes.py
+++ b/tests/cover/test_crashes.py
@@ -288,7 +288,7 @@
 
 
 def _accept(harness: CellHarness, start: StartRun) -> None:
-    harness.cell.handle_start_reply(start.worker, start.run, "", harness.now_ms)
+    harness.cell.handle_start_reply(start.boot, start.run, "", harness.now_ms)
 
 
 def _reboot(harness: CellHarness, name: str) -> None:
@@ -322,9 +322,9 @@
         harness.submit(StepSpec(1, cpu_millis=1_000))
         (start,) = start_orders(harness.plan())
         _accept(harness, start)
-        harness.cell.note_wrong_boot(start.worker, harness.now_ms)
+        harness.cell.note_wrong_boot(start.boot, harness.now_ms)
         assert [run.number for run in start.run.task.crashes] == [start.run.number]
-        harness.cell.note_wrong_boot(start.worker, harness.now_ms)
+        harness.cell.note_wrong_boot(start.boot, harness.now_ms)
         assert len(start.run.task.crashes) == 1
 
     def test_a_start_without_an_answer_is_suspected(self) -> None:
@@ -332,7 +332,7 @@
         harness.submit(StepSpec(1, cpu_millis=1_000))
         (start,) = start_orders(harness.plan())
         harness.cell.note_start_unanswered(start.run, harness.now_ms)
-        _reboot(harness, start.worker.name)
+        _reboot(harness, start.boot.name)
         assert len(start.run.task.crashes) == 1
 
     def test_a_start_that_was_sent_after_the_crash_is_not_suspected(self) -> None:
@@ -340,12 +340,12 @@
         harness.submit(StepSpec(1, cpu_millis=1_000), job="1" * 16)
         (first,) = start_orders(harness.plan())
         _accept(harness, first)
-        harness.cell.note_lease_failure(first.worker, harness.now_ms + 20)
+        harness.cell.note_lease_failure(first.boot, harness.now_ms + 20)
         harness.now_ms += 100
         harness.submit(StepSpec(1, cpu_millis=1_000), job="2" * 16)
         (second,) = start_orders(harness.plan())
         harness.cell.note_start_unanswered(second.run, harness.now_ms)
-        harness.cell.note_wrong_boot(first.worker, harness.now_ms)
+        harness.cell.note_wrong_boot(first.boot, harness.now_ms)
         assert first.run.task.crashes and not second.run.task.crashes
 
     def test_a_start_that_was_not_answered_does_not_convict_alone(self) -> None:
@@ -355,7 +355,7 @@
         (start,) = start_orders(harness.plan())
         harness.cell.book.note_crash(start.run.task, _crash(7, "a"))
         harness.cell.note_start_unanswered(start.run, harness.now_ms)
-        harness.cell.note_wrong_boot(start.worker, harness.now_ms)
+        harness.cell.note_wrong_boot(start.boot, harness.now_ms)
         assert len(start.run.task.crashes) == 2
         assert start.run.task.step.job.state != "failed"
 
@@ -377,7 +377,7 @@
         listed_at_ms = harness.now_ms + 10 - 90_000  # by the worker's clock
         harness.now_ms += 600
         reply = LeaseReply(listed_at_ms, 1, (_run_of(start),), ())
-        harness.cell.handle_lease_reply(start.worker, reply, harness.now_ms - 1, harness.now_ms)
+        harness.cell.handle_lease_reply(start.boot, reply, harness.now_ms - 1, harness.now_ms)
         _reboot(harness, "w0")
         assert len(start.run.task.crashes) == 1
 
@@ -386,10 +386,10 @@
         harness.submit(StepSpec(1, cpu_millis=1_000))
         (start,) = start_orders(harness.plan())
         _accept(harness, start)
-        name = start.worker.name
+        name = start.boot.name
         harness.worker_infos[name] = replace(harness.worker_infos[name], draining=True)
         harness.cell.set_workers(harness.worker_infos, harness.now_ms)
-        harness.cell.note_wrong_boot(start.worker, harness.now_ms)
+        harness.cell.note_wrong_boot(start.boot, harness.now_ms)
         assert not start.run.task.crashes
 
     @pytest.mark.parametrize("rebooted", [False, True])
@@ -401,7 +401,7 @@
         task = start.run.task
         for _ in range(20):
             harness.now_ms += 1_000
-            harness.cell.note_lease_failure(start.worker, harness.now_ms)
+            harness.cell.note_lease_failure(start.boot, harness.now_ms)
             harness.plan()
         assert task.run is None and not task.crashes
         if rebooted:
@@ -425,11 +425,11 @@
         harness.submit(StepSpec(1, cpu_millis=1_000))
         (start,) = start_orders(harness.plan())
         _accept(harness, start)
-        harness.cell.note_lease_failure(start.worker, harness.now_ms)
+        harness.cell.note_lease_failure(start.boot, harness.now_ms)
         later = _harness("w0", "w1")
         job = start.run.task.step.job
         later.cell.add_job(job.submission, self._stored(harness, start), False, later.now_ms)
-        _reboot(later, start.worker.name)
+        _reboot(later, start.boot.name)
         (task,) = later.cell.book.jobs[job.id].suspects
         assert [(run.number, run.accepted) for run in task.crashes] == [(start.run.number, True)]
 
@@ -438,10 +438,10 @@
         harness.submit(StepSpec(1, cpu_millis=1_000, estimate_ms=60_000))
         (start,) = start_orders(harness.plan())
         _accept(harness, start)
-        harness.cell.note_lease_failure(start.worker, harness.now_ms)
+        harness.cell.note_lease_failure(start.boot, harness.now_ms)
         assert self._stored(harness, start).tasks[0].trial is not None
         harness.now_ms += 600
-        harness.answer_lease(start.worker.name, _run_of(start))
+        harness.answer_lease(start.boot.name, _run_of(start))
         assert self._stored(harness, start).tasks == ()
 
 
@@ -453,26 +453,26 @@
         harness.submit(StepSpec(1, cpu_millis=1_000, estimate_ms=60_000))
         (start,) = start_orders(harness.plan())
         _accept(harness, start)
-        _reboot(harness, start.worker.name)
+        _reboot(harness, start.boot.name)
         harness.plan()
         harness.now_ms += 10
         _answer_all(harness)  # which rules out that the new boot got the start
         (trial,) = start_orders(harness.plan())
-        assert trial.run.task is start.run.task and trial.worker is not start.worker
+        assert trial.run.task is start.run.task and trial.boot is not start.boot
         _accept(harness, trial)
         harness.submit(StepSpec(8, cpu_millis=1_000), job="1" * 16)
         others = start_orders(harness.plan())
-        assert len(others) == 8 and trial.worker not in {order.worker for order in others}
+        assert len(others) == 8 and trial.boot not in {order.boot for order in others}
         harness.now_ms += 600
         _answer_all(harness)
-        assert not trial.run.task.crashes and trial.worker.trial is None
+        assert not trial.run.task.crashes and trial.boot.trial is None
 
     def test_a_suspected_task_bound_to_a_boot_is_started_alone(self) -> None:
         """Guards against a trial beside a run that is suspected as well if the worker crashes."""
         harness = _harness("w0", "w1")
         harness.submit(StepSpec(1, cpu_millis=1_000))
         (start,) = start_orders(harness.plan())
-        name = start.worker.name
+        name = start.boot.name
         harness.cell.book.note_crash(start.run.task, _crash(7, "a"))
         harness.cell.note_start_unanswered(start.run, harness.now_ms)
         harness.plan()
@@ -482,7 +482,7 @@
         others = start_orders(harness.plan())
         for other in others:
             _accept(harness, other)
-        assert name in {other.worker.name for other in others}
+        assert name in {other.boot.name for other in others}
         harness.now_ms += 10
         _answer_all(harness)  # which rules out that this boot carries out the start
         assert start.run.task.late_start is start.run
@@ -490,8 +490,8 @@
         harness.now_ms += 600
         _answer_all(harness)
         (trial,) = start_orders(harness.plan())
-        assert trial.run.task is start.run.task and trial.worker is start.worker
-        assert trial.worker.trial is trial.run
+        assert trial.run.task is start.run.task and trial.boot is start.boot
+        assert trial.boot.trial is trial.run
 
     def test_a_cleared_task_is_stored_as_cleared(self) -> None:
         harness = _harness("w0", "w1")
@@ -508,7 +508,7 @@
         assert list(restored.jobs[job.id].suspects) == [task]
         _accept(harness, start)
         end = RunEnd(1, start.run.task.id, start.run.number, "failed", "")
-        harness.answer_lease(start.worker.name, ends=(end,))
+        harness.answer_lease(start.boot.name, ends=(end,))
         assert start.run.task.id.job_id in book.changed_jobs
         assert not book.progress_record(job, 0).tasks[0].crashes
 
@@ -519,11 +519,11 @@
         task = start.run.task
         harness.cell.book.note_crash(task, _crash(7, "a"))
         harness.cell.book.note_crash(task, _crash(8, "b"))
-        harness.cell.book.note_trial(task, start.worker.placed_run(start.run))
+        harness.cell.book.note_trial(task, start.boot.placed_run(start.run))
         progress = harness.cell.book.progress_record(task.step.job, 0)
         later = _harness("w0", "w1")
         later.cell.add_job(task.step.job.submission, progress, False, later.now_ms)
-        _reboot(later, start.worker.name)
+        _reboot(later, start.boot.name)
         assert later.cell.book.jobs[task.id.job_id].state == "failed"
 
 
--- a/tests/cover/test_evacuation.py
+++ b/tests/cover/test_evacuation.py
@@ -295,9 +295,9 @@
     """Submit jobs of one step each; return the workers on which tasks were started."""
     for spec in specs:
         harness.submit(spec, job=f"{len(harness.cell.book.jobs):016x}")
-    started = [start.worker.name for start in harness.start()]
+    started = [start.boot.name for start in harness.start()]
     harness.answer_leases()
-    return [*started, *(start.worker.name for start in harness.start(GROUPING_DELAY_MS + 10))]
+    return [*started, *(start.boot.name for start in harness.start(GROUPING_DELAY_MS + 10))]
 
 
 SHORT = StepSpec(1, cpu_millis=1_000, memory_mb=100, estimate_ms=40_000)
@@ -344,7 +344,7 @@
         harness = _harness(w0="a", w1="b")
         harness.read_orders("b")
         assert set(_start(harness, spec)) == {"w0"}
-        worker = harness.cell.workers["w0"]
+        worker = harness.cell.boots["w0"]
         runs = list(worker.runs.values())
         harness.read_orders("a")
         for _ in range(10):
@@ -456,7 +456,7 @@
         harness.read_orders("b")
         assert _start(harness, BEST_EFFORT) == ["w0"]
         harness.read_orders(evacuated)
-        (run,) = harness.cell.workers["w0"].runs.values()
+        (run,) = harness.cell.boots["w0"].runs.values()
         run.speed_percent = 30
         assert self._stopped(harness)[:1] == stops
 
@@ -479,7 +479,7 @@
         harness.read_orders("b")
         harness.submit(SHORT)
         (start,) = harness.start()
-        assert start.worker.name == "w0"
+        assert start.boot.name == "w0"
         harness.answer_leases()
         harness.worker_infos["w0"] = replace(harness.worker_infos["w0"], boot_time_ms=2)
         harness.cell.set_workers(harness.worker_infos, harness.now_ms)
--- a/tests/cover/test_event_order.py
+++ b/tests/cover/test_event_order.py
@@ -12,9 +12,9 @@
 
 import pytest
 
-from greengagewood.internal.cells import stops
+from greengagewood.internal.cells import cell, stops
+from greengagewood.internal.cells.boots import Boot
 from greengagewood.internal.cells.cell import Cell
-from greengagewood.internal.cells.fleet import Worker
 from greengagewood.internal.cells.stops import StopPlanner
 from greengagewood.internal.jobs.book import Run
 from greengagewood.internal.ports import LeaseReply
@@ -25,7 +25,7 @@
 
 
 def _apply_refusals_to_the_boot_that_was_sent_the_start(patch: pytest.MonkeyPatch) -> None:
-    patch.setattr(Cell, "_holder", lambda self, worker, run: worker)
+    patch.setattr(cell, "boot_of_answer", lambda sent_to, run: sent_to)
 
 
 def _never_repeat_stops_of_ended_jobs(patch: pytest.MonkeyPatch) -> None:
@@ -37,7 +37,7 @@
 
     due_on_silent = stops._due_on_silent
 
-    def due_once_on_silent(worker: Worker, now_ms: int) -> list[Run]:
+    def due_once_on_silent(worker: Boot, now_ms: int) -> list[Run]:
         return [run for run in due_on_silent(worker, now_ms) if run.stop_sent_ms is None]
 
     patch.setattr(stops, "_may_send_stop", may_send_once)
@@ -45,15 +45,15 @@
 
 
 def _never_stop_runs_of_workers_that_were_silent(patch: pytest.MonkeyPatch) -> None:
-    silent: set[Worker] = set()
+    silent: set[Boot] = set()
     note_failure, stop_reason = Cell.note_lease_failure, StopPlanner._stop_reason
 
-    def remember_silent(self: Cell, worker: Worker, now_ms: int) -> None:
+    def remember_silent(self: Cell, worker: Boot, now_ms: int) -> None:
         note_failure(self, worker, now_ms)
         if worker.unresponsive:
             silent.add(worker)
 
-    def reason_unless_silent(self: StopPlanner, worker: Worker, run: Run, now_ms: int) -> str:
+    def reason_unless_silent(self: StopPlanner, worker: Boot, run: Run, now_ms: int) -> str:
         return "" if worker in silent else stop_reason(self, worker, run, now_ms)
 
     patch.setattr(Cell, "note_lease_failure", remember_silent)
@@ -63,7 +63,7 @@
 def _ignore_the_boot_of_unlisted_workers(patch: pytest.MonkeyPatch) -> None:
     handle = Cell.handle_lease_reply
 
-    def handle_unknown_boot(self: Cell, worker: Worker, reply: LeaseReply, *times: int) -> Any:
+    def handle_unknown_boot(self: Cell, worker: Boot, reply: LeaseReply, *times: int) -> Any:
         if not worker.info.boot_time_ms:
             reply = replace(reply, boot_time_ms=0)
         return handle(self, worker, reply, *times)
--- a/tests/cover/test_odd_entries.py
+++ b/tests/cover/test_odd_entries.py
@@ -397,17 +397,17 @@
         harness = CellHarness("w0", "w1")
         harness.submit(StepSpec(40, cpu_millis=1_000, estimate_ms=100_000))
         first, *_ = harness.start()
-        running = {name: len(w.runs) for name, w in harness.cell.workers.items()}
-        assert first.worker.runs
+        running = {name: len(w.runs) for name, w in harness.cell.boots.items()}
+        assert first.boot.runs
         for _ in range(30):
             harness.now_ms += 300
-            self._list(harness, **{first.worker.name: later})
+            self._list(harness, **{first.boot.name: later})
             harness.answer_leases()
             assert harness.plan() == []
-        assert {name: len(w.runs) for name, w in harness.cell.workers.items()} == running
+        assert {name: len(w.runs) for name, w in harness.cell.boots.items()} == running
         harness.submit(StepSpec(1), job="1" * 16)
-        assert [o.worker.name for o in start_orders(harness.plan())] not in (
-            [first.worker.name],
+        assert [o.boot.name for o in start_orders(harness.plan())] not in (
+            [first.boot.name],
             [],
         )
 
@@ -467,7 +467,7 @@
         while (successor := sim.owner()) is None:
             await asyncio.sleep(0.05)
         since_s = loop.time()
-        while (runner := sim.instances[successor]._runner) is None or runner.cell._adopting:
+        while (runner := sim.instances[successor]._runner) is None or runner.cell.term.adopting:
             await asyncio.sleep(0.05)
     return loop.time() - since_s
 
@@ -486,7 +486,7 @@
             assert await _change_owner(sim) < 1.0
             assert await sim.wait_until_ended(jobs, 30.0) == set()
             runner = sim.instances[sim.owner() or ""]._runner
-            assert runner is not None and set(runner.cell.workers) == set(sim.platform.workers)
+            assert runner is not None and set(runner.cell.boots) == set(sim.platform.workers)
             assert sim.platform.violations == []
             records = (value for key, value in sim.platform.store.records if key == "w")
             assert max(map(len, records)) < 1_000
@@ -707,7 +707,7 @@
         largest = 2**53 - 1
         step = StepSpec(10_000, cpu_millis=largest, estimate_ms=largest, best_effort=True)
         harness = CellHarness("w0")
-        harness.cell._load.sample(harness.cell.workers.values(), harness.now_ms)
+        harness.cell._load.sample(harness.cell.boots.values(), harness.now_ms)
         for job in ("1" * 16, "2" * 16):
             harness.submit(step, step, job=job)
         load = harness.cell._load
--- a/tests/cover/test_operator_reports.py
+++ b/tests/cover/test_operator_reports.py
@@ -51,14 +51,14 @@
         harness = CellHarness("w0", "w1")
         harness.submit(StepSpec(1, cpu_millis=1_000, estimate_ms=600))
         (start,) = start_orders(harness.plan())
-        harness.cell.handle_start_reply(start.worker, start.run, "", harness.now_ms)
+        harness.cell.handle_start_reply(start.boot, start.run, "", harness.now_ms)
         listed = RunningTask(start.run.task.id, start.run.number, "", 10, 0)
-        harness.answer_lease(start.worker.name, listed)
-        return harness, listed, start.worker.name
+        harness.answer_lease(start.boot.name, listed)
+        return harness, listed, start.boot.name
 
     def test_a_run_is_not_stopped_as_stuck_while_its_worker_is_silent(self) -> None:
         harness, _, name = self._running()
-        worker = harness.cell.workers[name]
+        worker = harness.cell.boots[name]
         for _ in range(8):
             assert harness.plan(450) == []
         harness.cell.note_lease_failure(worker, harness.now_ms)
@@ -212,7 +212,7 @@
         assert start_orders(harness.plan()) == []
         harness.cell.set_workers(harness.worker_infos, harness.now_ms)
         (start,) = start_orders(harness.plan())
-        harness.cell.handle_start_reply(start.worker, start.run, "", harness.now_ms)
+        harness.cell.handle_start_reply(start.boot, start.run, "", harness.now_ms)
         listed = RunningTask(start.run.task.id, start.run.number, "", 10, 0)
         for _ in range(2):
             harness.now_ms += 10
@@ -225,11 +225,11 @@
         harness = CellHarness("w0", "w1")
         harness.submit(StepSpec(1, cpu_millis=1_000))
         (start,) = start_orders(harness.plan())
-        name = start.worker.name
+        name = start.boot.name
         harness.cell.note_start_unanswered(start.run, harness.now_ms + 1)
         harness.worker_infos[name] = replace(harness.worker_infos[name], boot_time_ms=2)
         harness.cell.set_workers(harness.worker_infos, harness.now_ms + 2)
-        harness.cell.note_lease_failure(harness.cell.workers[name], harness.now_ms + 3)
+        harness.cell.note_lease_failure(harness.cell.boots[name], harness.now_ms + 3)
         assert start_orders(harness.plan()) == []
         other = next(other for other in harness.worker_infos if other != name)
         harness.now_ms += 30_000
@@ -238,7 +238,7 @@
 
     def test_a_new_boot_is_not_sent_the_acknowledgement_of_the_earlier_one(self) -> None:
         harness = CellHarness("w0")
-        worker = harness.cell.workers["w0"]
+        worker = harness.cell.boots["w0"]
         harness.answer_lease("w0", ends=(RunEnd(7, TaskId(JOB, 0, 0, 0), 1, "done", ""),))
         harness.store_changes()
         assert harness.cell.prepare_lease_extension(worker, harness.now_ms)[1] == 7
@@ -265,7 +265,7 @@
         harness = CellHarness("w0")
         spec = JobSpec("p", (StepSpec(1, cpu_millis=1_000),), 0, 1_000, 3)
         assert spec.occurrences == 3
-        harness.cell._adopting = True
+        harness.cell.term.adopting = True
         harness.cell.add_job(Submission(JOB, QUEUE, spec, 0), progress, False, harness.now_ms)
         return harness
 
--- a/tests/cover/test_owner_changes.py
+++ b/tests/cover/test_owner_changes.py
@@ -9,8 +9,8 @@
 import pytest
 
 from greengagewood.internal.cells import registration
+from greengagewood.internal.cells.boots import Boot
 from greengagewood.internal.cells.cell import Cell
-from greengagewood.internal.cells.fleet import Worker
 from greengagewood.internal.cells.runner import CellRunner
 from greengagewood.internal.clock import monotonic_ms
 from greengagewood.internal.evacuation import Evacuations
@@ -207,7 +207,7 @@
         successor.set_workers({"w0": make_worker_info("w0")}, now_ms)
         now_ms += wait_ms
         reply = LeaseReply(5_000, 1, (), ())
-        successor.handle_lease_reply(successor.workers["w0"], reply, now_ms, now_ms)
+        successor.handle_lease_reply(successor.boots["w0"], reply, now_ms, now_ms)
         now_ms += 1  # a read sent in the same millisecond may precede the reply
         successor.note_confirmed(now_ms)
         return [order.run.task.id.number for order in start_orders(successor.plan(now_ms, 0))]
@@ -224,7 +224,7 @@
         successor = Cell(LIMITS, 5, now_ms)
         record = RegisteredWorkers((RegisteredWorker("w0", "10.0.0.1:80", "svc"),), 4)
         successor.set_registered_workers(record, now_ms, now_ms)
-        worker = successor.workers["w0"]
+        worker = successor.boots["w0"]
         successor.handle_lease_reply(worker, LeaseReply(5_000, 1, (), ()), now_ms, now_ms)
         now_ms += 7_000
         successor.note_lease_failure(worker, now_ms)
@@ -236,12 +236,12 @@
     def test_a_new_boot_gets_no_lease_while_a_record_limits_it(self) -> None:
         harness = CellHarness("w0")
         harness.now_ms += 4_000
-        harness.cell.note_lease_failure(harness.cell.workers["w0"], harness.now_ms)
+        harness.cell.note_lease_failure(harness.cell.boots["w0"], harness.now_ms)
         harness.cell.set_workers(harness.worker_infos, harness.now_ms)
         harness.store_changes()
         harness.reboot("w0", 2)
         harness.answer_lease("w0")
-        worker = harness.cell.workers["w0"]
+        worker = harness.cell.boots["w0"]
         assert harness.cell.prepare_lease_extension(worker, harness.now_ms)[0] is None
         harness.store_changes()
         assert harness.cell.prepare_lease_extension(worker, harness.now_ms)[0] is not None
@@ -250,7 +250,7 @@
         now_ms = 100_000
         successor = Cell(LIMITS, 5, now_ms)
         successor.set_registered_workers(RegisteredWorkers((self.SILENT,), 4), now_ms, now_ms)
-        worker = successor.workers["silent"]
+        worker = successor.boots["silent"]
         assert worker.unlisted_runs(now_ms)
         successor.note_wrong_boot(worker, now_ms)
         assert not worker.unlisted_runs(now_ms)
@@ -351,7 +351,7 @@
     ) -> None:
         async def script(sim: CellSimulation) -> None:
             start = await _lose_first_start(sim, monkeypatch, crashes=False, wait_s=0.5)
-            sim.platform.drain(start.worker)
+            sim.platform.drain(start.boot)
             await start.boot(4.0)
             await start.arrive(6.0)
             await asyncio.sleep(1)
@@ -367,7 +367,7 @@
         async def script(sim: CellSimulation) -> None:
             start = await _lose_first_start(sim, monkeypatch, crashes=False, wait_s=2.5)
             if drains:
-                sim.platform.drain(start.worker)
+                sim.platform.drain(start.boot)
             assert len(sim.platform.running_tasks()) == 3
             for boot_s in boots_s:
                 await start.boot(boot_s)
@@ -383,7 +383,7 @@
     ) -> None:
         async def script(sim: CellSimulation) -> None:
             start = await _lose_first_start(sim, monkeypatch, crashes=False, wait_s=0.5)
-            sim.platform.drain(start.worker)
+            sim.platform.drain(start.boot)
             await asyncio.sleep(11)
             assert len(sim.platform.running_tasks()) == 2
             await asyncio.sleep(2)
@@ -436,14 +436,14 @@
         harness = CellHarness("w0", "w1")
         harness.submit(StepSpec(1, cpu_millis=1_000, estimate_ms=60_000))
         (first,) = start_orders(harness.plan())
-        name = first.worker.name
+        name = first.boot.name
         harness.cell.note_start_unanswered(first.run, harness.now_ms)
         harness.plan()
         harness.accept_stop(first.run)
         harness.now_ms += 500
         harness.answer_leases()
         (second,) = start_orders(harness.plan())
-        assert second.worker is first.worker
+        assert second.boot is first.boot
         harness.cell.note_start_unanswered(second.run, harness.now_ms)
         harness.reboot(name, 9_999)
         listed = RunningTask(first.run.task.id, first.run.number, "", 10, 0)
@@ -463,7 +463,7 @@
         harness = CellHarness("w0", "w1")
         harness.submit(StepSpec(2, cpu_millis=40_000, gang=True))
         lost, kept = start_orders(harness.plan())
-        harness.cell.handle_start_reply(kept.worker, kept.run, "room", harness.now_ms)
+        harness.cell.handle_start_reply(kept.boot, kept.run, "room", harness.now_ms)
         harness.cell.note_start_unanswered(lost.run, harness.now_ms)
         harness.plan()
         harness.accept_stop(lost.run)
@@ -473,9 +473,9 @@
         harness.store_changes()
         for name in ("w0", "w1", "w2"):
             harness.answer_lease(name)
-        places = {order.run.task: order.worker for order in start_orders(harness.plan())}
+        places = {order.run.task: order.boot for order in start_orders(harness.plan())}
         assert len(places) == 2
-        assert places[lost.run.task] is lost.worker
+        assert places[lost.run.task] is lost.boot
 
     def test_a_list_without_the_run_does_not_rule_out_the_start(
         self, monkeypatch: pytest.MonkeyPatch
@@ -505,7 +505,7 @@
         harness.worker_infos["w9"] = make_worker_info("w9", boot_time_ms=7)
         end = RunEnd(5, TaskId("0" * 16, 0, 0, 0), 1, "done", "")
         harness.answer_lease("w9", ends=(end,))
-        earlier_boot = harness.cell.workers["w9"]
+        earlier_boot = harness.cell.boots["w9"]
         assert earlier_boot.last_end_sequence == 5
         harness.worker_infos["w9"] = make_worker_info("w9", boot_time_ms=9)
         harness.now_ms += 100
@@ -513,8 +513,8 @@
             harness.cell.set_workers(harness.worker_infos, harness.now_ms)
         else:
             harness.answer_lease("w9")
-        assert harness.cell.workers["w9"] is not earlier_boot
-        assert harness.cell.workers["w9"].last_end_sequence == 0
+        assert harness.cell.boots["w9"] is not earlier_boot
+        assert harness.cell.boots["w9"].last_end_sequence == 0
 
 
 class TestLostWorkers:
@@ -591,7 +591,7 @@
     """The stored record leaves out the runs whose starts were not answered."""
     possible_runs = registration._possible_runs
 
-    def without_unanswered(worker: Worker, *rest: object) -> object:
+    def without_unanswered(worker: Boot, *rest: object) -> object:
         runs = worker.runs
         worker.runs = {key: run for key, run in runs.items() if run.accepted_ms is not None}
         try:
@@ -604,12 +604,12 @@
 
 def _forget_remaining_leases(patch: pytest.MonkeyPatch) -> None:
     """A planned stop says that every order has expired."""
-    patch.setattr(Worker, "remaining_order_ms", lambda self, now_ms: 0)
+    patch.setattr(Boot, "remaining_order_ms", lambda self, now_ms: 0)
 
 
 def _forget_inherited_tasks(patch: pytest.MonkeyPatch) -> None:
     """The stored record leaves out what earlier owners may have started."""
-    patch.setattr(Worker, "unlisted_runs", lambda self, now_ms: ())
+    patch.setattr(Boot, "unlisted_runs", lambda self, now_ms: ())
 
 
 SEEDS = range(40)
--- a/tests/cover/test_owner_cut_off.py
+++ b/tests/cover/test_owner_cut_off.py
@@ -40,7 +40,7 @@
     """Plan after a time in which no read has confirmed the owner."""
     harness.now_ms += elapsed_ms
     harness.read_orders()
-    for name, worker in harness.cell.workers.items():
+    for name, worker in harness.cell.boots.items():
         if not worker.unresponsive and not worker.runs:
             harness.answer_lease(name)
     return start_orders(harness.cell.plan(harness.now_ms, harness.now_ms))
@@ -57,7 +57,7 @@
     (start,) = harness.start()
     harness.now_ms += 10
     harness.answer_leases()
-    return start.worker.name
+    return start.boot.name
 
 
 class TestExpiredLeases:
@@ -93,10 +93,10 @@
     def test_the_tasks_of_a_silent_worker_wait_for_a_read_sent_after_its_lease(self) -> None:
         harness = CellHarness("w0", "w1")
         lost = _start_one(harness)
-        harness.cell.prepare_lease_extension(harness.cell.workers[lost], harness.now_ms)
+        harness.cell.prepare_lease_extension(harness.cell.boots[lost], harness.now_ms)
         harness.cell.note_confirmed(harness.now_ms)
         harness.now_ms += 3_000
-        harness.cell.note_lease_failure(harness.cell.workers[lost], harness.now_ms)
+        harness.cell.note_lease_failure(harness.cell.boots[lost], harness.now_ms)
         assert _plan_unconfirmed(harness, 3_000) == []
         assert not harness.cell.awaits_confirmation(harness.now_ms)
         harness.cell.note_confirmed(harness.now_ms)
@@ -111,7 +111,7 @@
         (start,) = start_orders(harness.plan())
         harness.cell.note_start_unanswered(start.run, harness.now_ms)
         harness.now_ms += 3_000
-        harness.cell.note_lease_failure(start.worker, harness.now_ms)
+        harness.cell.note_lease_failure(start.boot, harness.now_ms)
         harness.cell.note_confirmed(harness.now_ms)
         assert _plan_unconfirmed(harness, 20_000) == []
         assert len(_plan_confirmed(harness)) == 1
@@ -128,7 +128,7 @@
         owner.set_workers({"w0": make_worker_info("w0")}, now_ms)
         now_ms += 12_000
         reply = LeaseReply(5_000, 1, (), ())
-        owner.handle_lease_reply(owner.workers["w0"], reply, now_ms, now_ms)
+        owner.handle_lease_reply(owner.boots["w0"], reply, now_ms, now_ms)
         assert start_orders(owner.plan(now_ms, 0)) == []
         now_ms += 1
         owner.note_confirmed(now_ms)
@@ -149,7 +149,7 @@
             sent_ms = instance._ownership.confirmed_ms
             instance._start_term()
             assert instance._runner is not None
-            assert instance._runner.cell._confirmed_ms == sent_ms < monotonic_ms()
+            assert instance._runner.cell.term.confirmed_ms == sent_ms < monotonic_ms()
 
         run_simulation(CellSimulation(1), script)
 
@@ -172,7 +172,7 @@
         owner.note_changes_stored(changes)
         reply = LeaseReply(5_000, 1, (), ())
         adopted_ms = 98_999  # before either read
-        owner.handle_lease_reply(owner.workers["w0"], reply, adopted_ms, adopted_ms)
+        owner.handle_lease_reply(owner.boots["w0"], reply, adopted_ms, adopted_ms)
         assert len(start_orders(owner.plan(now_ms, 0))) == starts
 
 
@@ -275,7 +275,7 @@
     def _lose(self, harness: CellHarness, name: str, replaced: bool) -> None:
         harness.now_ms += 10
         if replaced:
-            harness.cell.note_wrong_boot(harness.cell.workers[name], harness.now_ms)
+            harness.cell.note_wrong_boot(harness.cell.boots[name], harness.now_ms)
             return
         infos = harness.worker_infos
         infos[name] = replace(infos[name], boot_time_ms=2)
@@ -305,18 +305,18 @@
         assert len(starts) == 2
         harness.now_ms += 10
         harness.answer_leases()
-        lost, other = starts[0].worker.name, starts[1].run
+        lost, other = starts[0].boot.name, starts[1].run
         harness.cell.note_confirmed(harness.now_ms)
         self._lose(harness, lost, replaced)
-        harness.cell._end_run(starts[1].worker, other, "ended", harness.now_ms)
-        harness.cell._queue_again(other.task)
+        harness.cell.term.end_run(starts[1].boot, other, "ended", harness.now_ms)
+        harness.cell.term.queue_again(other.task)
         assert _plan_unconfirmed(harness, 10) == []
 
     def test_a_start_that_the_new_boot_rules_out_waits_too(self) -> None:
         harness = CellHarness("w0", "w1")
         harness.submit(StepSpec(1, cpu_millis=1_000))
         (start,) = start_orders(harness.plan())
-        name = start.worker.name
+        name = start.boot.name
         harness.cell.note_confirmed(harness.now_ms)
         harness.cell.note_start_unanswered(start.run, harness.now_ms)
         self._lose(harness, name, False)
@@ -335,7 +335,7 @@
         (task,) = harness.cell.book.jobs[JOB].opened_tasks()
         late = Run(task, 7, "w0", "r0", "starting", harness.now_ms)
         late.transition("unanswered")
-        harness.cell.workers["w0"].add_run(late)
+        harness.cell.boots["w0"].add_run(late)
         harness.cell.note_confirmed(harness.now_ms)
         self._lose(harness, "w0", True)
         assert _plan_unconfirmed(harness, 10) == []
@@ -374,7 +374,7 @@
             now_ms += 10
             for name, boot in (("w0", 1), ("w1", boot_time_ms)):
                 reply = LeaseReply(5_000, boot, (), ())
-                owner.handle_lease_reply(owner.workers[name], reply, now_ms - 1, now_ms)
+                owner.handle_lease_reply(owner.boots[name], reply, now_ms - 1, now_ms)
         now_ms += 10
         assert start_orders(owner.plan(now_ms, 0)) == []
         assert owner.awaits_confirmation(now_ms)
@@ -486,7 +486,7 @@
             instance = sim.instances[owner]
             assert instance._runner is not None
             cell, log = instance._runner.cell, instance._ports.store
-            lost = next(worker for worker in cell.workers.values() if worker.runs)
+            lost = next(worker for worker in cell.boots.values() if worker.runs)
             cell.note_wrong_boot(lost, monotonic_ms())
             assert cell.awaits_confirmation(monotonic_ms())
             sent: list[int] = []
--- a/tests/cover/test_placement.py
+++ b/tests/cover/test_placement.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from greengagewood.internal.cells.fleet import Worker
+from greengagewood.internal.cells.boots import Boot
 from greengagewood.internal.cells.placement import (
     choose_worker,
     make_worker_chooser,
@@ -22,7 +22,7 @@
 RACKS = ("r0", "r1", "r2")
 
 
-def _fleet(rng: random.Random) -> list[Worker]:
+def _fleet(rng: random.Random) -> list[Boot]:
     """Return workers with different amounts of free CPU, some of which run services."""
     fleet = []
     book = JobBook()
@@ -32,7 +32,7 @@
         info = WorkerInfo(
             f"w{number}", "", "svc", "z", rack, frozenset(), cpu, 128_000, 0, False, None, 1
         )
-        worker = Worker(info, 0)
+        worker = Boot(info, 0)
         worker.allocated.cpu_millis = rng.randrange(0, 30_000, 1_000)
         worker.cold = rng.random() < 0.3
         worker.warm_share = rng.choice((0.5, 0.8)) if worker.cold else 1.0
@@ -108,11 +108,11 @@
         assert _choices(seed, scoring_all=False) == _choices(seed, scoring_all=True)
 
 
-def _worker(name: str, cold: bool, cpu_millis: int = 64_000, rack: str = "r0") -> Worker:
+def _worker(name: str, cold: bool, cpu_millis: int = 64_000, rack: str = "r0") -> Boot:
     info = WorkerInfo(
         name, "", "svc", "z", rack, frozenset(), cpu_millis, 128_000, 0, False, None, 1
     )
-    worker = Worker(info, 0)
+    worker = Boot(info, 0)
     worker.cold = cold
     worker.warm_share = 0.5 if cold else 1.0
     return worker
--- a/tests/cover/test_planner.py
+++ b/tests/cover/test_planner.py
@@ -8,7 +8,7 @@
 import pytest
 from msgspec.structs import replace as replace_spec
 
-from greengagewood.internal.cells.fleet import Worker
+from greengagewood.internal.cells.boots import Boot
 from greengagewood.internal.cells.orders import StartRun
 from greengagewood.internal.cells.placement import choose_worker
 from greengagewood.internal.cells.planner import (
@@ -40,7 +40,7 @@
     """Return the images that each worker runs."""
     return [
         {run.task.step.spec.image for run in worker.runs.values()}
-        for worker in harness.cell.workers.values()
+        for worker in harness.cell.boots.values()
     ]
 
 
@@ -118,7 +118,7 @@
         harness.submit(spec, job=job)
         starts = start_orders(harness.plan(BEST_EFFORT_INTERVAL_MS))
         for start in starts:
-            harness.cell.handle_start_reply(start.worker, start.run, "", harness.now_ms)
+            harness.cell.handle_start_reply(start.boot, start.run, "", harness.now_ms)
         return starts
 
     def test_the_last_task_of_a_late_job_comes_before_a_large_job_that_is_in_time(self) -> None:
@@ -134,8 +134,8 @@
             "w0", RunningTask(starts[8].run.task.id, starts[8].run.number, "", 5, 7_000),
             ends=tuple(ends),
         )  # fmt: skip
-        harness.cell.workers["w0"].info = replace(
-            harness.cell.workers["w0"].info, cpu_millis=7_000
+        harness.cell.boots["w0"].info = replace(
+            harness.cell.boots["w0"].info, cpu_millis=7_000
         )  # there is room for a single task from now on
         failed = RunEnd(9, starts[8].run.task.id, starts[8].run.number, "failed", "")
         harness.submit(self._spec(60), job="1" * 16)
@@ -159,7 +159,7 @@
     """Which runs of a worker keep their speed when its services leave little slack."""
 
     def test_the_run_of_the_most_valuable_job_is_slowed_last(self) -> None:
-        worker = Worker(make_worker_info("w0"), 0, adopted=True)
+        worker = Boot(make_worker_info("w0"), 0, state="listed", adopted_ms=0)
         book = JobBook()
         runs = {}
         for image, tasks, cpu_millis in (("s", 1, 10_000), ("old", 1, 6_000), ("new", 1, 6_000)):
@@ -205,7 +205,7 @@
     @staticmethod
     def _cold_cpu_shares(harness: CellHarness) -> list[float]:
         """Return the share of the CPU that tasks use, for each cold worker."""
-        workers = [w for w in harness.cell.workers.values() if w.info.cold_ms]
+        workers = [w for w in harness.cell.boots.values() if w.info.cold_ms]
         return [w.best_effort_cpu_millis / w.info.cpu_millis for w in workers]
 
     def test_the_warm_workers_are_filled_first(self) -> None:
@@ -228,7 +228,7 @@
 
     def test_an_entry_that_is_read_again_does_not_make_a_worker_cold_again(self) -> None:
         harness = self._harness(warm=0, cold=1)
-        worker = harness.cell.workers["w0"]
+        worker = harness.cell.boots["w0"]
         for _ in range(4):
             harness.now_ms += self.COLD_MS // 4
             harness.cell.set_workers(harness.worker_infos, harness.now_ms)
@@ -238,13 +238,13 @@
         harness = self._harness(warm=1, cold=1)
         harness.submit(replace_spec(TestBestEffortOrder._spec(1), checkpointing=True))
         (start,) = harness.start(BEST_EFFORT_INTERVAL_MS)
-        assert start.worker.name == "w0"
+        assert start.boot.name == "w0"
         planner = harness.cell.planner
         warm_ms = harness.now_ms + self.COLD_MS
-        assert not planner.can_run_faster_elsewhere(start.run, start.worker, harness.now_ms)
+        assert not planner.can_run_faster_elsewhere(start.run, start.boot, harness.now_ms)
         harness.now_ms = warm_ms
         harness.answer_leases()
-        assert planner.can_run_faster_elsewhere(start.run, start.worker, warm_ms)
+        assert planner.can_run_faster_elsewhere(start.run, start.boot, warm_ms)
 
     @pytest.mark.parametrize("seed", range(40))
     def test_no_job_waits_that_would_be_started_on_a_warm_worker(self, seed: int) -> None:
@@ -264,7 +264,7 @@
         for _ in range(3):
             harness.start(BEST_EFFORT_INTERVAL_MS)
             harness.answer_leases()
-        workers = list(harness.cell.workers.values())
+        workers = list(harness.cell.boots.values())
         for worker in workers:
             worker.cold = False
         for job in harness.cell.book.jobs.values():
--- a/tests/cover/test_runtimes.py
+++ b/tests/cover/test_runtimes.py
@@ -386,9 +386,9 @@
             StepSpec(1, cpu_millis=1_000, estimate_ms=1_000, image="i"), job=f"{number:016x}"
         )
         (order,) = harness.start()
-        name = order.worker.name
+        name = order.boot.name
         harness.now_ms += 2 * work_ms if name == slow_worker else work_ms
-        sequence = order.worker.last_end_sequence + 1
+        sequence = order.boot.last_end_sequence + 1
         end = RunEnd(sequence, order.run.task.id, order.run.number, "done", "")
         for other in self.WORKERS:
             harness.answer_lease(other, ends=(end,) if other == name else ())
@@ -414,15 +414,15 @@
 
     def test_a_slow_worker_is_used_if_no_other_fits(self) -> None:
         harness = CellHarness("w0", "w1", "w2", "w3")
-        harness.cell.workers["w0"].slow = True
+        harness.cell.boots["w0"].slow = True
         harness.submit(StepSpec(4, cpu_millis=40_000))
-        assert {order.worker.name for order in harness.start()} == {"w0", "w1", "w2", "w3"}
+        assert {order.boot.name for order in harness.start()} == {"w0", "w1", "w2", "w3"}
 
     def test_best_effort_tasks_do_not_avoid_a_slow_worker(self) -> None:
         harness = CellHarness("w0", "w1", "w2", "w3")
-        harness.cell.workers["w0"].slow = True
+        harness.cell.boots["w0"].slow = True
         harness.submit(StepSpec(4, cpu_millis=40_000, best_effort=True, image="i"))
-        assert "w0" in {order.worker.name for order in harness.start(100)}
+        assert "w0" in {order.boot.name for order in harness.start(100)}
 
     def test_a_new_owner_counts_an_adopted_run_from_its_first_list(self) -> None:
         now_ms, job = 100_000, "0" * 16
@@ -437,7 +437,7 @@
         for percent in (40, 50, 60):
             harness.answer_lease("w0", RunningTask(task_id, 1, "", percent, 1_000))
             harness.now_ms += 1_000
-        run = cell.workers["w0"].runs[(cell.book.jobs[job].occurrences[0][0].tasks[0], 1)]
+        run = cell.boots["w0"].runs[(cell.book.jobs[job].occurrences[0][0].tasks[0], 1)]
         left_ms = cell.planner.run_times.remaining_ms(run, harness.now_ms)
         assert left_ms == pytest.approx(3_000, rel=0.15)
         harness.now_ms += 3_000
--- a/tests/cover/test_stale_answers.py
+++ b/tests/cover/test_stale_answers.py
@@ -98,7 +98,7 @@
         asyncio.run(runner._carry_out(start))
         assert start.run.state == "finished"
         assert start.run.task.run is None
-        assert harness.cell.workers["w0"].runs == {}
+        assert harness.cell.boots["w0"].runs == {}
 
 
 class TestEndedJobs:
@@ -262,7 +262,7 @@
         harness.submit(huge)
         backlog = StepSpec(100, cpu_millis=20_000, estimate_ms=2_000, best_effort=True)
         harness.submit(backlog, job=OTHER_JOB)
-        worker = harness.cell.workers["w0"]
+        worker = harness.cell.boots["w0"]
         for _ in range(20):
             harness.read_orders()
             harness.start(500)
