Count no deadline of an earlier boot's clock on that of a later one

Now such a start is bounded by the owner's own clock: it arrives at most 12 s after it was sent, and its lease begins then. Failed before: test_runs_of_a_lost_boot_end_though_an_earlier_boot_had_a_higher_clock.

--- a/src/greengagewood/internal/cells/bootlife.py
+++ b/src/greengagewood/internal/cells/bootlife.py
@@ -10,7 +10,11 @@
 
 from __future__ import annotations
 
-from greengagewood.internal.cells.answers import compare_boots, later_boot_expiry_ms
+from greengagewood.internal.cells.answers import (
+    compare_boots,
+    late_start_expiry_ms,
+    later_boot_expiry_ms,
+)
 from greengagewood.internal.cells.boots import (
     MAX_ORDER_DELAY_MS,
     UNRESPONSIVE_AFTER_MS,
@@ -162,11 +166,11 @@
             # compares the deadline with its own clock, which has started anew.
             boot.remove_run(run)
             run.stop_sent_ms = run.stop_answered_ms = None
-            self._expect_late_start(rebooted, run, now_ms)
+            self._expect_late_start(rebooted, run)
         self._hold_back_inherited(boot, rebooted, now_ms)
         self._mark_runs_lost(boot, now_ms, "reborn")
         for ruled_out in term.late_starts.forget_boot(boot):
-            self._expect_late_start(rebooted, self._reopen_start(ruled_out), now_ms)
+            self._expect_late_start(rebooted, self._reopen_start(ruled_out))
         term.stops.request_scan()
         return rebooted
 
@@ -197,14 +201,13 @@
             run.accepted_ms + longest_ms(self._term.limits.lease_ms),
         )
 
-    def _expect_late_start(self, rebooted: Boot, run: Run, now_ms: int) -> None:
+    def _expect_late_start(self, rebooted: Boot, run: Run) -> None:
         """Add a run that a new boot may still start, or has started."""
         rebooted.add_run(run)
-        deadline_ms = run.start_deadline_ms
-        rebooted.latest_deadline_ms = max(rebooted.latest_deadline_ms, deadline_ms)
-        order_ms = min(deadline_ms, MAX_ORDER_DELAY_MS) + self._term.limits.lease_ms
+        # The deadline of the start is on the clock of the boot before.
         rebooted.earlier_orders_expiry_ms = max(
-            rebooted.earlier_orders_expiry_ms, now_ms + longest_ms(order_ms)
+            rebooted.earlier_orders_expiry_ms,
+            late_start_expiry_ms(run, self._term.limits.lease_ms),
         )
 
     def _reopen_start(self, ruled_out: Run) -> Run:
