Tell by the owner's clock whether a handed over run has outlived its start

Now a run that was handed over to a later boot has outlived its start if that boot answers a list requested half a second after the acceptance.

--- a/src/greengagewood/internal/cells/bootlife.py
+++ b/src/greengagewood/internal/cells/bootlife.py
@@ -159,7 +159,7 @@
             # The lists of the new boot show which of the two has accepted it.
             boot.remove_run(run)
             run.stop_sent_ms = run.stop_answered_ms = None
-            rebooted.add_run(run)
+            self._hand_over(rebooted, run)
             self._expect_lease(rebooted, run)
         for run in [run for run in boot.runs.values() if run.accepted_ms is None]:
             # The start may not have reached the old boot, so the new boot may receive it. It
@@ -193,6 +193,11 @@
         rebooted.inherited = (*rebooted.inherited, runs)
         rebooted.earlier_orders_expiry_ms = max(rebooted.earlier_orders_expiry_ms, runs.expiry_ms)
 
+    @staticmethod
+    def _hand_over(rebooted: Boot, run: Run) -> None:
+        rebooted.add_run(run)
+        run.was_handed_over = True
+
     def _expect_lease(self, rebooted: Boot, run: Run) -> None:
         """Count the lease of a run that a new boot may have accepted, whose clock is not known."""
         assert run.accepted_ms is not None
@@ -203,7 +208,7 @@
 
     def _expect_late_start(self, rebooted: Boot, run: Run) -> None:
         """Add a run that a new boot may still start, or has started."""
-        rebooted.add_run(run)
+        self._hand_over(rebooted, run)
         # The deadline of the start is on the clock of the boot before.
         rebooted.earlier_orders_expiry_ms = max(
             rebooted.earlier_orders_expiry_ms,
--- a/src/greengagewood/internal/cells/crashes.py
+++ b/src/greengagewood/internal/cells/crashes.py
@@ -32,17 +32,18 @@
 Suspect = tuple[TaskId, PlacedRun]
 
 
-def outlives(run: Run, worker_clock_ms: int, now_ms: int) -> bool:
-    """Return whether a worker that lists a run has outlived its start.
+def outlives(run: Run, boot: Boot, now_ms: int) -> bool:
+    """Return whether a boot that has just listed a run has outlived its start.
 
-    The list may be processed late, so it must also be late enough by the worker's own clock.
+    The list may be processed late, so it must also be late enough by the boot's own clock, or, if
+    the deadline of the start is on the clock of an earlier boot, have been requested late enough.
     """
+    if run.accepted_ms is None or now_ms - run.accepted_ms < OUTLIVED_AFTER_MS:
+        return False
+    if run.was_handed_over:
+        return boot.list_requested_ms - run.accepted_ms >= OUTLIVED_AFTER_MS
     earliest_start_ms = run.start_deadline_ms - START_WINDOW_MS
-    return (
-        run.accepted_ms is not None
-        and now_ms - run.accepted_ms >= OUTLIVED_AFTER_MS
-        and worker_clock_ms - earliest_start_ms >= OUTLIVED_AFTER_MS
-    )
+    return boot.clock_ms - earliest_start_ms >= OUTLIVED_AFTER_MS
 
 
 def find_suspects(boot: Boot) -> list[Suspect]:
--- a/src/greengagewood/internal/cells/lists.py
+++ b/src/greengagewood/internal/cells/lists.py
@@ -123,7 +123,7 @@
             run.progress_percent = listed_run.progress_percent
             run.progress_changed_ms = now_ms
         run.listed_ms = now_ms
-        if not run.outlived and outlives(run, boot.clock_ms, now_ms):
+        if not run.outlived and outlives(run, boot, now_ms):
             term.crashes.handle_outlived(boot, run)
         run.tail_ms_or_cpu_millis = listed_run.tail_ms_or_cpu_millis
         term.planner.run_times.note_listed(run, now_ms)
--- a/src/greengagewood/internal/jobs/book.py
+++ b/src/greengagewood/internal/jobs/book.py
@@ -44,6 +44,7 @@
     started_ms: int
     start_deadline_ms: int = 0  # on the worker's clock; the worker refuses the start after it
     boot: Boot | None = None  # the boot that holds its resources
+    was_handed_over: bool = False  # whether its start was sent to an earlier boot than that
     accepted_ms: int | None = None  # when this owner learned that the worker has the run
     accepted_by_clock: bool = False  # whether the worker's clock showed which boot accepted it
     was_carried_out: bool = False  # whether the start was ever carried out, by any boot
--- a/tests/cover/test_boot_findings.py
+++ b/tests/cover/test_boot_findings.py
@@ -62,3 +62,24 @@
             if "w0" not in harness.cell.boots:
                 break
         assert second.run.state == "finished"
+
+    def test_a_run_that_a_later_boot_with_a_lower_clock_carries_out_clears_its_task(self) -> None:
+        """Guards against a suspected job of which the other tasks are never tried again."""
+        harness = BootHarness("w0")
+        harness.submit(StepSpec(2, cpu_millis=1_000, long_running=True))
+        start, other = start_orders(harness.plan(500))
+        harness.cell.handle_start_reply(other.boot, other.run, "", harness.now_ms)
+        harness.now_ms += 1_000
+        harness.cell.note_start_unanswered(start.run, harness.now_ms)
+        harness.answer_lease("w0", RunningTask(other.run.task.id, 1, "", 100, 0))
+        harness.reboot("w0", boot_time_ms=2)
+        running = [RunningTask(start.run.task.id, 1, "", 100, 0)]
+        for _ in range(40):
+            harness.now_ms += 250
+            harness.answer_lease("w0", *running)
+            harness.read_orders()
+            for order in start_orders(harness.plan()):
+                harness.cell.handle_start_reply(order.boot, order.run, "", harness.now_ms)
+                running.append(RunningTask(order.run.task.id, order.run.number, "", 100, 0))
+        assert len(start.run.task.crashes) == 0
+        assert other.run.task.run is not None
