Wait for lease extensions that a later boot may still receive

A task could run twice: a lease extension without an answer may arrive up to 12 s late, at a later boot of its worker, whose lease it then extends, since the deadline in it is on the clock of the boot before. If the later boot then fell silent, its runs counted as over with the lease that it was known to have.

Now a new boot knows until when orders that were meant for earlier boots may have an effect, apart from those of earlier owners, which it no longer accepts once it has been adopted. Starts and accepted runs that are handed over to it count there, too. Failed before: test_a_lease_extension_that_a_later_boot_may_receive_holds_its_runs_back.

--- a/src/greengagewood/internal/cells/adoption.py
+++ b/src/greengagewood/internal/cells/adoption.py
@@ -27,19 +27,12 @@
         """Record that a boot has accepted this owner's token and listed its runs."""
         boot.adopted_ms = self._term.last_adoption_ms = now_ms
         boot.inherited = ()
-        self._shorten_earlier_expiry(boot, now_ms)
-        self._term.emit("worker_adopted", {"worker": boot.name, "runs": run_count})
-
-    def _shorten_earlier_expiry(self, boot: Boot, now_ms: int) -> None:
-        """Bound the orders of earlier owners to a boot that has just accepted this one's token.
-
-        None of them arrives any more, so the longest lease that they can have given begins now.
-        """
-        if any(run.accepted_ms is None for run in boot.runs.values()):
-            return  # a start sent to an earlier boot may still reach this one
+        # No order of earlier owners arrives there any more, so the longest lease that they can have
+        # given begins now.
         boot.earlier_orders_expiry_ms = min(
             boot.earlier_orders_expiry_ms, now_ms + longest_ms(self._term.limits.lease_ms)
         )
+        self._term.emit("worker_adopted", {"worker": boot.name, "runs": run_count})
 
     def finish(self, now_ms: int) -> None:
         """Mark the tasks as not running that no run of an earlier owner can go on with unlisted.
--- a/src/greengagewood/internal/cells/answers.py
+++ b/src/greengagewood/internal/cells/answers.py
@@ -19,6 +19,7 @@
     "has_certainly_accepted",
     "late_start_expiry_ms",
     "later_boot_expiry_ms",
+    "latest_order_expiry_ms",
     "outcome_if_unlisted",
 ]
 
@@ -57,6 +58,11 @@
     return run.boot if run.boot is not None else sent_to
 
 
+def latest_order_expiry_ms(sent_ms: int, lease_ms: int) -> int:
+    """Return when a lease is over that an order without an answer may give to any boot."""
+    return sent_ms + MAX_ORDER_DELAY_MS + longest_ms(lease_ms)
+
+
 def late_start_expiry_ms(run: Run, lease_ms: int) -> int:
     """Return when a start that was not answered is over, even on a later boot of its worker.
 
@@ -65,7 +71,7 @@
     """
     if run.accepted_ms is not None:
         return 0
-    return run.started_ms + MAX_ORDER_DELAY_MS + longest_ms(lease_ms)
+    return latest_order_expiry_ms(run.started_ms, lease_ms)
 
 
 def later_boot_expiry_ms(boot: Boot, run: Run, lease_ms: int) -> int:
@@ -77,7 +83,7 @@
         return late_start_expiry_ms(run, lease_ms)
     if has_certainly_accepted(boot, run):
         return 0
-    return boot.worker.lease_sent_ms + MAX_ORDER_DELAY_MS + longest_ms(lease_ms)
+    return latest_order_expiry_ms(boot.worker.lease_sent_ms, lease_ms)
 
 
 def outcome_if_unlisted(run: Run, reply: LeaseReply, sent_ms: int) -> str:
--- a/src/greengagewood/internal/cells/bootlife.py
+++ b/src/greengagewood/internal/cells/bootlife.py
@@ -14,6 +14,7 @@
     compare_boots,
     late_start_expiry_ms,
     later_boot_expiry_ms,
+    latest_order_expiry_ms,
 )
 from greengagewood.internal.cells.boots import (
     MAX_ORDER_DELAY_MS,
@@ -153,6 +154,11 @@
         if boot.unlisted_runs(term.confirmed_ms):  # a late start may still reach the new boot
             rebooted.inherited = boot.inherited
             rebooted.earlier_orders_expiry_ms = boot.earlier_orders_expiry_ms
+        if boot.worker.lease_unanswered_ms:
+            self._expect_orders(
+                rebooted,
+                latest_order_expiry_ms(boot.worker.lease_unanswered_ms, term.limits.lease_ms),
+            )
         term.boots[info.worker_id] = rebooted
         self._hold_back_lost_tasks(boot, now_ms)
         for run in undecided:
@@ -160,7 +166,9 @@
             boot.remove_run(run)
             run.stop_sent_ms = run.stop_answered_ms = None
             self._hand_over(rebooted, run)
-            self._expect_lease(rebooted, run)
+            assert run.accepted_ms is not None
+            lease_ms = longest_ms(term.limits.lease_ms)
+            self._expect_orders(rebooted, run.accepted_ms + lease_ms)
         for run in [run for run in boot.runs.values() if run.accepted_ms is None]:
             # The start may not have reached the old boot, so the new boot may receive it. It
             # compares the deadline with its own clock, which has started anew.
@@ -198,22 +206,15 @@
         rebooted.add_run(run)
         run.was_handed_over = True
 
-    def _expect_lease(self, rebooted: Boot, run: Run) -> None:
-        """Count the lease of a run that a new boot may have accepted, whose clock is not known."""
-        assert run.accepted_ms is not None
-        rebooted.earlier_orders_expiry_ms = max(
-            rebooted.earlier_orders_expiry_ms,
-            run.accepted_ms + longest_ms(self._term.limits.lease_ms),
-        )
+    @staticmethod
+    def _expect_orders(rebooted: Boot, expiry_ms: int) -> None:
+        """Count orders that were meant for an earlier boot, as their deadlines are on its clock."""
+        rebooted.late_orders_expiry_ms = max(rebooted.late_orders_expiry_ms, expiry_ms)
 
     def _expect_late_start(self, rebooted: Boot, run: Run) -> None:
         """Add a run that a new boot may still start, or has started."""
         self._hand_over(rebooted, run)
-        # The deadline of the start is on the clock of the boot before.
-        rebooted.earlier_orders_expiry_ms = max(
-            rebooted.earlier_orders_expiry_ms,
-            late_start_expiry_ms(run, self._term.limits.lease_ms),
-        )
+        self._expect_orders(rebooted, late_start_expiry_ms(run, self._term.limits.lease_ms))
 
     def _reopen_start(self, ruled_out: Run) -> Run:
         """Return an unconfirmed run for a start that an earlier boot had ruled out.
@@ -237,6 +238,7 @@
     def note_lease_failure(self, boot: Boot, now_ms: int) -> None:
         """Record that a boot did not answer a lease extension."""
         boot.lease_call_failed = True
+        boot.worker.lease_unanswered_ms = boot.worker.lease_sent_ms
         self._term.crashes.note_failed_call(boot, now_ms)
         self.note_lease_refused(boot, now_ms)
 
@@ -262,7 +264,7 @@
         boot.transition("displaced")
         boot.adopted_ms = None
         boot.latest_deadline_ms = 0
-        boot.earlier_orders_expiry_ms = 0
+        boot.earlier_orders_expiry_ms = boot.late_orders_expiry_ms = 0
         boot.inherited = ()
         boot.clock_read_ms = None
 
--- a/src/greengagewood/internal/cells/boots.py
+++ b/src/greengagewood/internal/cells/boots.py
@@ -111,6 +111,7 @@
     stored_empty: bool = False  # whether the last record says, or implies, that it runs none
     # When this owner last sent a start or a lease extension, which any later boot may receive.
     lease_sent_ms: int = 0
+    lease_unanswered_ms: int = 0  # the same, of the last lease extension without an answer
 
 
 @dataclass(slots=True, eq=False)
@@ -129,6 +130,8 @@
     clock_asked_ms: int = 0  # when the call was sent whose answer had that reading
     latest_deadline_ms: int = 0  # the latest deadline that this owner gave it, on its own clock
     earlier_orders_expiry_ms: int = 0  # when orders of earlier owners have certainly expired
+    # When orders of this owner have certainly expired that were meant for earlier boots.
+    late_orders_expiry_ms: int = 0
     inherited: tuple[InheritedRuns, ...] = ()  # empty once it has been adopted
     last_answer_ms: int | None = None
     list_requested_ms: int = 0  # when the last list that it answered was requested
@@ -385,15 +388,14 @@
 
     def orders_expired(self, now_ms: int) -> bool:
         """Return whether the leases and starts that any owner sent have certainly expired."""
-        if self.clock_read_ms is None:
-            return now_ms > self.earlier_orders_expiry_ms
-        return now_ms > self.earlier_orders_expiry_ms and self.has_passed(
-            self.latest_deadline_ms, now_ms
-        )
+        if now_ms <= max(self.earlier_orders_expiry_ms, self.late_orders_expiry_ms):
+            return False
+        return self.clock_read_ms is None or self.has_passed(self.latest_deadline_ms, now_ms)
 
     def remaining_order_ms(self, now_ms: int) -> int:
         """Return an upper bound of the time until the orders that any owner sent have expired."""
-        remaining_ms = max(0, self.earlier_orders_expiry_ms - now_ms)
+        expiry_ms = max(self.earlier_orders_expiry_ms, self.late_orders_expiry_ms)
+        remaining_ms = max(0, expiry_ms - now_ms)
         if self.clock_read_ms is not None:
             own_ms = longest_ms(self.latest_deadline_ms - self.clock_ms) + 1
             remaining_ms = max(remaining_ms, own_ms - (now_ms - self.clock_read_ms))
--- a/tests/cover/test_boots.py
+++ b/tests/cover/test_boots.py
@@ -170,3 +170,26 @@
         reply = LeaseReply(harness.now_ms - 90_000, 1, (), ())
         assert harness.cell.handle_lease_reply(gone, reply, harness.now_ms, harness.now_ms) == []
         assert harness.cell.boots["w0"].state == "unknown"
+
+    def test_a_lease_extension_that_a_later_boot_may_receive_holds_its_runs_back(self) -> None:
+        """Guards against a second run beside one whose lease a late call has extended."""
+        harness = _make_harness("w0", "w1")
+        harness.answer_leases()
+        for name in harness.worker_infos:
+            harness.cell.prepare_lease_extension(harness.cell.boots[name], harness.now_ms)
+            harness.cell.note_lease_failure(harness.cell.boots[name], harness.now_ms)
+            _change_entry(harness, name, boot_time_ms=2)
+            harness.answer_lease(name)
+        harness.submit(LASTING)
+        (start,) = harness.start(500)
+        harness.now_ms += 2_000
+        harness.cell.note_lease_failure(start.boot, harness.now_ms)
+        (other,) = set(harness.worker_infos) - {start.boot.name}
+        for _ in range(14):
+            harness.answer_lease(other)
+            harness.read_orders()
+            assert start_orders(harness.plan(1_000)) == []
+        harness.plan(3_000)
+        harness.answer_lease(other)
+        harness.read_orders()
+        assert len(start_orders(harness.plan())) == 1
