Conclude nothing of the runs that an incomplete list lacks

A worker's list may lack runs that go on, and ends, as a row of it can't be read. LeaseReply says so with complete=False, RunningTask with measured=False that a run's progress and load are not known, and RunEnd has an unknown result. All three have defaults, so nothing sets them yet.

From an incomplete list no run ends that it lacks, but for one whose stop was accepted 2 s before. A run that such lists lack for 5 s is stopped, and so started again, as it may have ended unseen. A new owner doesn't adopt a worker by such a list, nor extend its lease, until earlier orders are over.

--- a/src/greengagewood/internal/cells/cell.py
+++ b/src/greengagewood/internal/cells/cell.py
@@ -66,6 +66,7 @@
 
 __all__ = ["Cell", "CellLimits"]
 
+MAX_STOP_MS = 2_000  # a run ends well within this time after its worker has accepted a stop
 MAX_STARTS_PER_PLAN = 200  # so that no plan delays the replies of workers for long
 REFUSAL_DELAY_MS = 150  # before a refused task, or a worker that lacked resources, is tried again
 FIRST_REFUSAL_BACKOFF_MS = 400  # by then, the run ends that the worker lists next are known
@@ -481,7 +482,8 @@
         sequence numbers, so none is acknowledged.
         """
         deadline = None
-        if not worker.unresponsive and not worker.lease_limited:
+        # What an earlier owner has started may go on unlisted until the worker is adopted.
+        if worker.adopted and not worker.unresponsive and not worker.lease_limited:
             deadline = worker.deadline_in(self.limits.lease_ms, now_ms)
         if deadline is not None:
             worker.latest_deadline_ms = max(worker.latest_deadline_ms, deadline)
@@ -534,7 +536,7 @@
         self._end_unlisted_runs(worker, reply, listed_keys, sent_ms, now_ms)
         self._late_starts.note_list(worker, sent_ms)
         self.planner.tail_model.learn(worker, now_ms)
-        if not worker.adopted:
+        if not worker.adopted and (reply.complete or not worker.unlisted_runs(self._confirmed_ms)):
             worker.adopted = True
             worker.adopted_ms = self._last_adoption_ms = now_ms
             worker.inherited = ()
@@ -579,10 +581,14 @@
             run.note_accepted(now_ms)
         self._crashes.forget_undecided(run)
         self.book.note_started(job)
+        run.listed_ms = now_ms
+        if not listed_run.measured:
+            run.progress_changed_ms = now_ms  # nothing shows that it is stuck
+            self.book.note_checkpoint(task, listed_run.checkpoint)
+            return True
         if listed_run.progress_percent != run.progress_percent:
             run.progress_percent = listed_run.progress_percent
             run.progress_changed_ms = now_ms
-        run.listed_ms = now_ms
         if not run.outlived and outlives(run, worker.clock_ms, now_ms):
             self._crashes.handle_outlived(worker, run)
         run.tail_ms_or_cpu_millis = listed_run.tail_ms_or_cpu_millis
@@ -643,6 +649,9 @@
             stop_done = run.stop_answered_ms is not None and run.stop_answered_ms < sent_ms
             # The worker had the run before the list was requested, and has it no longer.
             vanished = run.accepted_ms is not None and run.accepted_ms < sent_ms
+            if not reply.complete:  # only a stop shows that the run is not one of those missing
+                start_expired = vanished = False
+                stop_done = stop_done and sent_ms - (run.stop_answered_ms or 0) > MAX_STOP_MS
             if run.state == "unconfirmed" and (start_expired or stop_done):
                 self._end_run(worker, run, "ruled_out", now_ms)
                 self._late_starts.add(worker, run, now_ms)
--- a/src/greengagewood/internal/cells/runner.py
+++ b/src/greengagewood/internal/cells/runner.py
@@ -454,6 +454,8 @@
             self._plan_wakeup.set()
         if worker.last_end_sequence > worker.acknowledged_sequence:
             await self._wait_until_stored(worker, worker.last_end_sequence)
+        elif not worker.adopted:  # its list can't be read in full
+            await asyncio.sleep(FAILED_LEASE_PAUSE_S)
         elif monotonic_ms() - sent_ms < wait_ms // 2:
             await asyncio.sleep(REPEATED_LEASE_PAUSE_S)
 
--- a/src/greengagewood/internal/cells/stops.py
+++ b/src/greengagewood/internal/cells/stops.py
@@ -5,6 +5,8 @@
 resources with little or no progress, or will end with their worker. Such a run is stopped, and its
 task is started again once the run is over.
 
+So is a run that may have ended unseen, as its worker's lists can't be read in full and lack it.
+
 Runs that nothing waits for are stopped too: those of jobs that have ended, of starts that were not
 answered, of tasks that have another run, and of tasks that are not known.
 
@@ -37,6 +39,7 @@
 MOVE_DELAY_MS = 450  # how long a run must have been slow before it is moved: about one reading
 MOVE_INTERVAL_MS = 150  # between two moves, each of which costs a stop and a start
 REMAINING_REPORT_MS = 2_000  # a run that goes on for this long after its job's end is reported
+MISSING_AFTER_MS = 5_000  # time without being listed after which a run is stopped
 STUCK_AFTER_MS = 2_500  # minimum time without any progress after which a run is stopped as stuck
 
 
@@ -113,6 +116,8 @@
             return "superseded"
         if run.state != "running":
             return ""
+        if _is_missing(worker, run):
+            return "not_listed"
         if self._is_stuck(run):
             run.task.failed_workers = (*run.task.failed_workers, worker.name)[-4:]
             worker.note_outcome(False)
@@ -180,6 +185,12 @@
     return run.task.step.job.is_final or bool(run.task.end_state)
 
 
+def _is_missing(worker: Worker, run: Run) -> bool:
+    """Return whether lists that can't be read in full have long lacked a run."""
+    last_shown_ms = max(run.listed_ms, run.accepted_ms or 0)
+    return worker.list_requested_ms - last_shown_ms > MISSING_AFTER_MS
+
+
 def _due_on_silent(worker: Worker, now_ms: int) -> list[Run]:
     """Return the runs on a silent worker to stop now, those that have waited longest first."""
     unwanted = [
--- a/src/greengagewood/internal/ports.py
+++ b/src/greengagewood/internal/ports.py
@@ -16,6 +16,7 @@
 from greengagewood.internal.jobs.records import TaskId
 
 __all__ = [
+    "UNKNOWN_RESULT",
     "AdviceService",
     "AdviceUnavailable",
     "AppendResult",
@@ -39,6 +40,9 @@
 ]
 
 
+UNKNOWN_RESULT = "unknown"  # of a run whose end could not be read
+
+
 class Outcome(enum.Enum):
     """Whether a call was carried out."""
 
@@ -180,7 +184,7 @@
 
     `tail_ms_or_cpu_millis` is the tail latency in milliseconds of a task that serves callers of its
     own, and the CPU use in thousandths of a CPU of any other task. Both are rough, and cover the
-    last half second.
+    last half second. Without `measured`, it and the progress are not known.
     """
 
     task_id: TaskId
@@ -188,14 +192,15 @@
     checkpoint: str
     progress_percent: int
     tail_ms_or_cpu_millis: int
+    measured: bool = True
 
 
 @dataclass(frozen=True, slots=True)
 class RunEnd:
     """End of a run, which its worker lists until it is acknowledged.
 
-    `sequence` numbers the ends of one worker. `result` is done, failed, stopped, lapsed, broken or
-    alone.
+    `sequence` numbers the ends of one worker. `result` is done, failed, stopped, lapsed, broken,
+    alone or `UNKNOWN_RESULT`.
     """
 
     sequence: int
@@ -207,12 +212,16 @@
 
 @dataclass(frozen=True, slots=True)
 class LeaseReply:
-    """A worker's clock, its runs, and the ends of runs that were not acknowledged yet."""
+    """A worker's clock, its runs, and the ends of runs that were not acknowledged yet.
+
+    Without `complete`, the worker may have runs and ends that are not listed.
+    """
 
     clock_ms: int
     boot_time_ms: int
     running: tuple[RunningTask, ...]
     ended: tuple[RunEnd, ...]
+    complete: bool = True
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/common/desk.py
+++ b/tests/common/desk.py
@@ -57,11 +57,13 @@
             forecasts = (r for r in changes.records if isinstance(r, Forecast))
             self.forecasts.extend((self.now_ms, record) for record in forecasts)
 
-    def answer_lease(self, name: str, *runs: RunningTask, ends: tuple[RunEnd, ...] = ()) -> list:
+    def answer_lease(
+        self, name: str, *runs: RunningTask, ends: tuple[RunEnd, ...] = (), complete: bool = True
+    ) -> list:
         """Let a worker answer a lease extension with its runs and their ends; return the orders."""
         worker = self.cell.workers[name]
         boot_time_ms = self.worker_infos[name].boot_time_ms
-        reply = LeaseReply(self.now_ms - 90_000, boot_time_ms, runs, ends)
+        reply = LeaseReply(self.now_ms - 90_000, boot_time_ms, runs, ends, complete)
         return self.cell.handle_lease_reply(worker, reply, self.now_ms - 1, self.now_ms)
 
     def answer_leases(self) -> None:
