Let an unreadable row of a worker's list cost that row alone

An answer with one odd row was refused as a whole: its worker counted as silent and its sound runs lapsed. Answers are now decoded as before, and row by row if that fails. An answer without clock, boot time or any list is still a failed call.

--- a/src/greengagewood/platform/workers.py
+++ b/src/greengagewood/platform/workers.py
@@ -9,13 +9,12 @@
 from greengagewood.internal.ports import (
     LeaseReply,
     OrderReply,
-    RunEnd,
-    RunningTask,
     WorkerCallFailed,
     WorkerInfo,
     WorkerUnreachable,
     WrongBoot,
 )
+from greengagewood.platform.runlists import RunListReader, format_task_name, parse_task_name
 from greengagewood.platform.wire import CALL_PATH, Integer, Session, call_timeout, decode, encode
 
 __all__ = ["HttpWorkers", "format_task_name", "parse_task_name"]
@@ -32,32 +31,12 @@
     refusal_reason: str = msgspec.field(name="reason", default="")
 
 
-class _LeaseAnswer(msgspec.Struct):
-    clock_ms: Integer = msgspec.field(name="clock-ms")
-    # Task name, run number, checkpoint, progress in percent, and the tail latency in milliseconds
-    # or the CPU use in thousandths of a CPU.
-    running: list[tuple[str, Integer, str, float, float]]
-    # Sequence number, task name, run number, result, checkpoint.
-    finished: list[tuple[Integer, str, Integer, str, str]]
-    born: Integer = 0  # boot time of the worker in milliseconds, 0 if unknown
-
-
-def format_task_name(task: TaskId) -> str:
-    """Return the name by which workers identify a task."""
-    return f"{task.job_id}.{task.occurrence}.{task.step}.{task.number}"
-
-
-def parse_task_name(name: str) -> TaskId:
-    """Parse a name written by `format_task_name`; raise ValueError."""
-    job_id, occurrence, step, task_number = name.split(".")
-    return TaskId(job_id, int(occurrence), int(step), int(task_number))
-
-
 class HttpWorkers:
     """Send orders to workers."""
 
     def __init__(self, session: Session) -> None:
         self._session = session
+        self._run_lists = RunListReader()
 
     async def start(
         self,
@@ -125,8 +104,8 @@
         if status != 200:
             return _order_reply("hold", status, body)
         try:
-            return _lease_reply(decode(body, _LeaseAnswer))
-        except (ValueError, OverflowError) as exc:
+            return self._run_lists.read(worker.worker_id, body)
+        except ValueError as exc:
             raise WorkerCallFailed(f"hold: unreadable answer: {exc}") from exc
 
     async def _order(self, worker: WorkerInfo, call: str, order: dict[str, object]) -> OrderReply:
@@ -166,21 +145,3 @@
     if status == 409:
         return OrderReply(answer.refusal_reason or "conflict", answer.clock_ms)
     return OrderReply(REASON_BY_STATUS.get(status, f"status_{status}"), answer.clock_ms)
-
-
-def _lease_reply(answer: _LeaseAnswer) -> LeaseReply:
-    running = tuple(
-        RunningTask(
-            parse_task_name(name),
-            run,
-            checkpoint,
-            int(progress_percent),
-            int(tail_ms_or_cpu_millis),
-        )
-        for name, run, checkpoint, progress_percent, tail_ms_or_cpu_millis in answer.running
-    )
-    ended = tuple(
-        RunEnd(sequence, parse_task_name(name), run, result, checkpoint)
-        for sequence, name, run, result, checkpoint in answer.finished
-    )
-    return LeaseReply(answer.clock_ms, answer.born, running, ended)
