--- a/src/greengagewood/internal/cells/answers.py
+++ b/src/greengagewood/internal/cells/answers.py
@@ -13,6 +13,8 @@
 from greengagewood.internal.jobs.book import Run
 from greengagewood.internal.ports import LeaseReply, WorkerInfo
 
+MAX_STOP_MS = 2_000  # a run ends well within this time after its worker has accepted a stop
+
 __all__ = [
     "boot_of_answer",
     "compare_boots",
@@ -99,6 +101,9 @@
     stop_done = run.stop_answered_ms is not None and run.stop_answered_ms < sent_ms
     # The same holds for an accepted start.
     vanished = run.accepted_ms is not None and run.accepted_ms < sent_ms
+    if not reply.complete:  # only a stop shows that the run is not one of those missing
+        start_expired = vanished = False
+        stop_done = stop_done and sent_ms - (run.stop_answered_ms or 0) > MAX_STOP_MS
     if run.state == "unconfirmed" and (start_expired or stop_done):
         return "ruled_out"
     if run.state in ("running", "stopping") and (vanished or stop_done or start_expired):
--- a/src/greengagewood/internal/cells/cell.py
+++ b/src/greengagewood/internal/cells/cell.py
@@ -223,7 +223,8 @@
         sequence numbers, so none is acknowledged.
         """
         deadline = None
-        if not boot.unresponsive and not boot.worker.lease_limited:
+        # What an earlier owner has started may go on unlisted until the boot is adopted.
+        if boot.adopted and not boot.unresponsive and not boot.worker.lease_limited:
             deadline = boot.deadline_in(self.term.limits.lease_ms, now_ms)
         if deadline is not None:
             boot.latest_deadline_ms = max(boot.latest_deadline_ms, deadline)
--- a/src/greengagewood/internal/cells/lists.py
+++ b/src/greengagewood/internal/cells/lists.py
@@ -58,7 +58,7 @@
         term = self._term
         term.late_starts.note_list(boot, sent_ms)
         term.planner.tail_model.learn(boot, now_ms)
-        if not boot.adopted:
+        if not boot.adopted and (reply.complete or not boot.unlisted_runs(term.confirmed_ms)):
             self._adoption.adopt(boot, len(listed_keys), now_ms)
         orders.extend(
             term.planner.tail_model.plan_speed_limits(
@@ -119,10 +119,14 @@
             run.note_accepted(now_ms)
         term.crashes.forget_undecided(run)
         term.book.note_started(job)
+        run.listed_ms = now_ms
+        if not listed_run.measured:
+            run.progress_changed_ms = now_ms  # nothing shows that it is stuck
+            term.book.note_checkpoint(task, listed_run.checkpoint)
+            return True
         if listed_run.progress_percent != run.progress_percent:
             run.progress_percent = listed_run.progress_percent
             run.progress_changed_ms = now_ms
-        run.listed_ms = now_ms
         if not run.outlived and outlives(run, boot, now_ms):
             term.crashes.handle_outlived(boot, run)
         run.tail_ms_or_cpu_millis = listed_run.tail_ms_or_cpu_millis
--- a/src/greengagewood/internal/cells/runner.py
+++ b/src/greengagewood/internal/cells/runner.py
@@ -456,6 +456,8 @@
             self._plan_wakeup.set()
         if boot.last_end_sequence > boot.acknowledged_sequence:
             await self._wait_until_stored(boot, boot.last_end_sequence)
+        elif not boot.adopted:  # its list can't be read in full
+            await asyncio.sleep(FAILED_LEASE_PAUSE_S)
         elif monotonic_ms() - sent_ms < wait_ms // 2:
             await asyncio.sleep(REPEATED_LEASE_PAUSE_S)
 
