--- a/tests/cover/test_owner_changes.py
+++ b/tests/cover/test_owner_changes.py
@@ -351,7 +351,7 @@
     ) -> None:
         async def script(sim: CellSimulation) -> None:
             start = await _lose_first_start(sim, monkeypatch, crashes=False, wait_s=0.5)
-            sim.platform.drain(start.boot)
+            sim.platform.drain(start.worker)
             await start.boot(4.0)
             await start.arrive(6.0)
             await asyncio.sleep(1)
@@ -367,7 +367,7 @@
         async def script(sim: CellSimulation) -> None:
             start = await _lose_first_start(sim, monkeypatch, crashes=False, wait_s=2.5)
             if drains:
-                sim.platform.drain(start.boot)
+                sim.platform.drain(start.worker)
             assert len(sim.platform.running_tasks()) == 3
             for boot_s in boots_s:
                 await start.boot(boot_s)
@@ -383,7 +383,7 @@
     ) -> None:
         async def script(sim: CellSimulation) -> None:
             start = await _lose_first_start(sim, monkeypatch, crashes=False, wait_s=0.5)
-            sim.platform.drain(start.boot)
+            sim.platform.drain(start.worker)
             await asyncio.sleep(11)
             assert len(sim.platform.running_tasks()) == 2
             await asyncio.sleep(2)
