Suspect no task whose next run has outlived its start by then

The next run of one of them had outlived its start by then, which is looked at only once, so its task stayed suspected for as long as that run lasted, and no other suspected task of the job was tried.

--- a/src/greengagewood/internal/cells/crashes.py
+++ b/src/greengagewood/internal/cells/crashes.py
@@ -180,6 +180,8 @@
             task = self._book.find_task(task_id)
             if task is None or task.end_state or task.step.job.is_final:
                 continue
+            if any(later is not None and later.outlived for later in (task.run, task.copy)):
+                continue  # it has started since without a crash
             self._book.note_crash(task, run)
             fields: dict[str, object] = {
                 "task": task_id,
--- a/tests/cover/test_boots.py
+++ b/tests/cover/test_boots.py
@@ -96,6 +96,28 @@
         assert orders == []
         assert task.run is run
 
+    def test_a_crash_that_shows_late_leaves_a_task_cleared_whose_next_run_is_sound(self) -> None:
+        """Guards against a job whose other tasks are never tried, as one stays suspected."""
+        harness = _make_harness("w0", "w1")
+        harness.submit(LASTING)
+        task = _start(harness)
+        assert task.run is not None
+        lost = task.run.worker_id
+        (other,) = set(harness.worker_infos) - {lost}
+        for _ in range(22):
+            harness.now_ms += 1_000
+            harness.cell.note_lease_failure(harness.cell.boots[lost], harness.now_ms)
+            run = task.run
+            has_run = run is not None and run.worker_id == other and run.accepted_ms is not None
+            listed = [RunningTask(task.id, run.number, "", 100, 0)] if run and has_run else []
+            harness.answer_lease(other, *listed)
+            harness.read_orders()
+            harness.start()
+        assert task.run is not None and task.run.outlived
+        harness.worker_infos[lost] = replace(harness.worker_infos[lost], boot_time_ms=2)
+        harness.answer_lease(lost)
+        assert task.crashes == () and not task.step.job.suspects
+
 
 class TestLeases:
     """A worker that falls silent right after it has accepted a start."""
