--- a/tests/cover/test_boots.py
+++ b/tests/cover/test_boots.py
@@ -6,11 +6,13 @@
 
 import pytest
 
+from greengagewood.internal.cells.boots import longest_ms
+from greengagewood.internal.cells.orders import StartRun
 from greengagewood.internal.jobs.book import Task
 from greengagewood.internal.jobs.model import StepSpec
 from greengagewood.internal.jobs.records import TaskId
 from greengagewood.internal.ports import LeaseReply, RunEnd, RunningTask
-from tests.common.desk import CellHarness, make_worker_info, start_orders
+from tests.common.desk import LIMITS, CellHarness, make_worker_info, start_orders
 
 JOB = "0" * 16
 LASTING = StepSpec(1, cpu_millis=1_000, long_running=True)
@@ -215,3 +217,30 @@
         harness.answer_lease(other)
         harness.read_orders()
         assert len(start_orders(harness.plan())) == 1
+
+    def test_a_lease_that_the_new_boot_was_given_later_is_waited_for(self) -> None:
+        """Guards against a second run beside one on a new boot that can't be reached."""
+        harness = _make_harness("w0", "w1")
+        harness.submit(LASTING)
+        (start,) = harness.start(500, shows_clock=False)
+        name = start.boot.name
+        other = "w1" if name == "w0" else "w0"
+        # The boot that has accepted the start, which the owner doesn't know, extends its lease.
+        harness.now_ms += 900
+        harness.answer_lease(other)
+        deadline_ms, _ = harness.cell.prepare_lease_extension(start.boot, harness.now_ms)
+        assert deadline_ms is not None
+        lease_end_ms = harness.now_ms + longest_ms(LIMITS.lease_ms)
+        harness.now_ms += 50
+        harness.worker_infos[name] = replace(harness.worker_infos[name], boot_time_ms=2)
+        harness.cell.set_workers(harness.worker_infos, harness.now_ms)
+        rebooted = harness.cell.boots[name]
+        restarts: list[StartRun] = []
+        while not restarts and harness.now_ms <= lease_end_ms:  # the new boot can't be reached
+            harness.now_ms += 50
+            harness.answer_lease(other)
+            harness.cell.prepare_lease_extension(rebooted, harness.now_ms)
+            harness.cell.note_lease_failure(rebooted, harness.now_ms)
+            harness.read_orders()
+            restarts = start_orders(harness.plan(50))
+        assert restarts == []
