Send no more stops at a time than an owner with little processor time can send

Callers saw tasks run on after the cancellation of their jobs, in calm: all stops of many runs were ordered at once. On an owner with little processor time most calls timed out before they were sent, each was ordered again after 400 ms though its last call was still under way, and each attempt cost as much as one that is carried out. Class: work that is repeated when it is late makes itself late (the start window, window.py, answers the same for starts).

Now at most 64 stops are under way to workers that answer, and 128 to silent ones; runs that were never sent a stop go first. Stops are handed to the event loop before starts are planned.

--- a/src/greengagewood/internal/cells/cell.py
+++ b/src/greengagewood/internal/cells/cell.py
@@ -316,6 +316,11 @@
         if run.stop_answered_ms is None:
             run.stop_answered_ms = now_ms
 
+    def note_stop_ended(self, run: Run | None) -> None:
+        """Record that a call to stop a run has ended, with or without an answer."""
+        if run is not None:
+            self.term.stops.note_stop_ended(run)
+
     # Orders.
 
     def plan_stops(self, now_ms: int) -> list[Order]:
--- a/src/greengagewood/internal/cells/runner.py
+++ b/src/greengagewood/internal/cells/runner.py
@@ -237,7 +237,11 @@
     async def _plan_once(self) -> None:
         await asyncio.sleep(MIN_PLAN_INTERVAL_S)
         if self._may_send_orders() and not self._releasing:
-            self._carry_out_all(self.cell.plan_stops(monotonic_ms()))
+            stops = self.cell.plan_stops(monotonic_ms())
+            self._carry_out_all(stops)
+            if stops:  # a plan may take long, so they are sent before it
+                await asyncio.sleep(0)
+        if self._may_send_orders() and not self._releasing:
             self._carry_out_all(self.cell.plan(monotonic_ms(), wall_ms(), self._start_window.room))
         if self.cell.has_urgent_changes:
             self._urgent_changes.set()
@@ -342,6 +346,8 @@
             pass  # the cell orders the stop again
         except WrongBoot:
             self.cell.note_wrong_boot(order.boot, monotonic_ms())
+        finally:
+            self.cell.note_stop_ended(order.run)
         self._metrics.count("stops", reason=order.reason, outcome=outcome)
         _log.info(
             "stop",
--- a/src/greengagewood/internal/cells/stops.py
+++ b/src/greengagewood/internal/cells/stops.py
@@ -13,6 +13,10 @@
 A stop may be lost, so it is repeated until the run is over. Until then the resources of the run
 stay allocated, see `Cell`.
 
+Each call needs processor time of the owner, and one that times out as much as any other. So no more
+stops are under way than an owner with little processor time can send in time: if many runs lose
+their jobs at once, those that were never sent a stop go first, and the others wait for a place.
+
 A worker that does not answer lease extensions may still carry out a stop. So the runs that nothing
 waits for are stopped there too, a few at a time: calls without an answer hold connections that the
 lease extensions need, which show that the worker answers again.
@@ -31,15 +35,22 @@
 
 __all__ = ["StopPlanner"]
 
+_DueStop = tuple[Boot, Run, str]  # the run, the boot that holds it, and the reason
+
 REPEAT_INTERVAL_MS = 400
 SILENT_REPEAT_INTERVAL_MS = 1_000  # by then a call without an answer has ended
+MAX_OPEN_STOPS = 64  # at a time to all workers that answer
+MAX_OPEN_STOPS_TO_SILENT = 128  # at a time to all workers that don't; most of them time out
 MAX_STOPS_TO_SILENT = 4  # at a time to one worker; an owner opens 12 connections to each
+CALL_TIMEOUT_MS = 1_000  # a call has ended by then
 SCAN_INTERVAL_MS = 100  # between two scans for runs to stop, unless an event requests one
 SLOW_SPEED_PERCENT = 60  # a run limited to this or less may be moved to run at full speed
 MOVE_DELAY_MS = 450  # how long a run must have been slow before it is moved: about one reading
 MOVE_INTERVAL_MS = 150  # between two moves, each of which costs a stop and a start
 REMAINING_REPORT_MS = 2_000  # a run that goes on for this long after its job's end is reported
 MISSING_AFTER_MS = 5_000  # time without being listed after which a run is stopped
+# Many runs may have one of these reasons at once.
+BULK_REASONS = frozenset({"again", "job_over"})
 STUCK_AFTER_MS = 2_500  # minimum time without any progress after which a run is stopped as stuck
 
 
@@ -51,6 +62,7 @@
         self._planner = planner
         self._last_scan_ms: int | None = None  # None requests a scan by the next plan
         self._next_move_ms = 0  # no run is moved before this time
+        self._held_back = False  # whether stops wait for others to end
         # When a run of an unknown task was last sent a stop, by worker, task and run number.
         self._unknown_run_stop_sent_ms: dict[tuple[str, TaskId, int], int] = {}
 
@@ -62,21 +74,48 @@
         """Return whether to scan for runs to stop."""
         return self._last_scan_ms is None or now_ms - self._last_scan_ms >= SCAN_INTERVAL_MS
 
+    def note_stop_ended(self, run: Run) -> None:
+        """Record that a call to stop a run has ended, which may leave its place to another."""
+        run.open_stops = max(0, run.open_stops - 1)
+        if self._held_back:
+            self.request_scan()
+
     def plan(self, now_ms: int) -> list[StopRun]:
         """Scan for runs to stop; return the stops to send now."""
         self._last_scan_ms = now_ms
         orders: list[StopRun] = []
+        due: list[_DueStop] = []
+        due_on_silent: list[_DueStop] = []
+        open_stops = open_to_silent = 0
         for boot in self._boots.values():
             if boot.unresponsive:
-                due = _due_on_silent(boot, now_ms)
-                orders.extend(_stop(boot, run, "job_over", now_ms) for run in due)
+                open_to_silent += sum(_open_stops(run, now_ms) for run in boot.runs.values())
+                due_on_silent.extend(
+                    (boot, run, "job_over") for run in _due_on_silent(boot, now_ms)
+                )
                 continue
             for run in boot.runs.values():
+                open_stops += _open_stops(run, now_ms)
                 reason = self._stop_reason(boot, run, now_ms)
-                if reason and _may_send_stop(run, now_ms):
+                if not reason or not _may_send_stop(run, now_ms):
+                    continue
+                if reason in BULK_REASONS:
+                    due.append((boot, run, reason))
+                else:
                     orders.append(_stop(boot, run, reason, now_ms))
+        self._held_back = False
+        orders.extend(self._fill_places(due, MAX_OPEN_STOPS - open_stops, now_ms))
+        silent_places = MAX_OPEN_STOPS_TO_SILENT - open_to_silent
+        orders.extend(self._fill_places(due_on_silent, silent_places, now_ms))
         return orders
 
+    def _fill_places(self, due: list[_DueStop], places: int, now_ms: int) -> list[StopRun]:
+        """Return the stops for which there are places, those that have waited longest first."""
+        if len(due) > places:
+            self._held_back = True
+            due = sorted(due, key=lambda stop: stop[1].stop_sent_ms or 0)[: max(0, places)]
+        return [_stop(boot, run, reason, now_ms) for boot, run, reason in due]
+
     def overdue_runs(self, now_ms: int) -> list[tuple[Boot, Run]]:
         """Return the runs to report now, as they go on long after the end of their jobs."""
         overdue = []
@@ -179,6 +218,12 @@
         )
 
 
+def _open_stops(run: Run, now_ms: int) -> int:
+    """Return how many calls to stop a run have not ended."""
+    sent_ms = run.stop_sent_ms
+    return run.open_stops if sent_ms is not None and now_ms - sent_ms <= CALL_TIMEOUT_MS else 0
+
+
 def _is_unwanted(run: Run) -> bool:
     return run.task.step.job.is_final or bool(run.task.end_state)
 
@@ -205,6 +250,7 @@
 def _stop(boot: Boot, run: Run, reason: str, now_ms: int) -> StopRun:
     if run.state != "unconfirmed":
         run.transition("stop")
+    run.open_stops = _open_stops(run, now_ms) + 1
     run.stop_sent_ms = now_ms
     return StopRun(boot, run.task.id, run.number, run, reason)
 
--- a/src/greengagewood/internal/jobs/book.py
+++ b/src/greengagewood/internal/jobs/book.py
@@ -50,6 +50,7 @@
     was_carried_out: bool = False  # whether the start was ever carried out, by any boot
     stop_sent_ms: int | None = None
     stop_answered_ms: int | None = None
+    open_stops: int = 0  # calls to stop it that have not ended yet
     unwanted_since_ms: int | None = None  # when the owner first saw it after the end of its job
     reported_ms: int = 0  # when it was last reported as going on after that end
     speed_percent: int = 100  # the last speed limit sent, of its full speed
