--- a/tests/cover/test_boots.py
+++ b/tests/cover/test_boots.py
@@ -218,6 +218,24 @@
         harness.read_orders()
         assert len(start_orders(harness.plan())) == 1
 
+    def test_a_lease_extension_under_way_as_the_reboot_shows_holds_runs_back(self) -> None:
+        """Guards against a second run beside one whose lease a late call has extended."""
+        harness = _make_harness("w0", "w1")
+        harness.answer_leases()
+        for name in harness.worker_infos:
+            harness.cell.prepare_lease_extension(harness.cell.boots[name], harness.now_ms)
+            _change_entry(harness, name, boot_time_ms=2)
+            harness.answer_lease(name)
+        harness.submit(LASTING)
+        (start,) = harness.start(500)
+        harness.now_ms += 2_000
+        harness.cell.note_lease_failure(start.boot, harness.now_ms)
+        (other,) = set(harness.worker_infos) - {start.boot.name}
+        for _ in range(14):
+            harness.answer_lease(other)
+            harness.read_orders()
+            assert start_orders(harness.plan(1_000)) == []
+
     def test_a_lease_that_the_new_boot_was_given_later_is_waited_for(self) -> None:
         """Guards against a second run beside one on a new boot that can't be reached."""
         harness = _make_harness("w0", "w1")
