Look once a scan for a faster worker for slow runs of one size

The review measured that each scan for stops, every 100 ms in the event loop, tried every slow best-effort run against every worker while none had room.

--- a/src/greengagewood/internal/cells/planner.py
+++ b/src/greengagewood/internal/cells/planner.py
@@ -8,6 +8,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator
+
 from greengagewood.internal.cells.boots import Boot
 from greengagewood.internal.cells.copies import CopyPolicy, Straggler
 from greengagewood.internal.cells.orders import Order, RequestAdvice, StartRun
@@ -25,7 +27,7 @@
 from greengagewood.internal.cells.tails import MIN_SPEED_PERCENT, TailLatencyModel
 from greengagewood.internal.cells.value import JobValues
 from greengagewood.internal.evacuation import Evacuations
-from greengagewood.internal.jobs.book import Job, JobBook, Run, Step, Task
+from greengagewood.internal.jobs.book import Job, JobBook, Step, Task
 from greengagewood.internal.jobs.model import Queue, StepSpec
 from greengagewood.internal.ports import Permit
 
@@ -182,20 +184,18 @@
             and not self.is_evacuated(boot)
         )
 
-    def can_run_faster_elsewhere(self, run: Run, current: Boot, now_ms: int) -> bool:
-        """Return whether a best-effort run could run at full speed on another worker."""
-        spec = run.task.step.spec
-        service = self.queue_of(run.task.step.job).service
-        return any(
-            boot is not current
-            and boot.info.service == service
-            and self.may_start_on(boot, now_ms)
-            and not boot.is_cold(now_ms)
-            and boot.fits(spec)
-            and idle_cpu_millis(boot) >= spec.cpu_millis
-            and self.tail_model.admission_for(boot, spec).speed_percent == 100
-            for boot in self._boots.values()
-        )
+    def boots_at_full_speed(self, spec: StepSpec, service: str, now_ms: int) -> Iterator[Boot]:
+        """Yield the boots on which one more best-effort task could run at full speed."""
+        for boot in self._boots.values():
+            if (
+                boot.info.service == service
+                and self.may_start_on(boot, now_ms)
+                and not boot.is_cold(now_ms)
+                and boot.fits(spec)
+                and idle_cpu_millis(boot) >= spec.cpu_millis
+                and self.tail_model.admission_for(boot, spec).speed_percent == 100
+            ):
+                yield boot
 
     def plan_copies(self, max_starts: int, now_ms: int) -> list[tuple[Straggler, StartRun]]:
         """Return the starts of copies of stragglers, the longest first, within their budget."""
--- a/src/greengagewood/internal/cells/stops.py
+++ b/src/greengagewood/internal/cells/stops.py
@@ -26,6 +26,8 @@
 
 from __future__ import annotations
 
+from itertools import islice
+
 from greengagewood.internal.cells.boots import Boot
 from greengagewood.internal.cells.orders import StopRun
 from greengagewood.internal.cells.planner import Planner
@@ -63,6 +65,8 @@
         self._last_scan_ms: int | None = None  # None requests a scan by the next plan
         self._next_move_ms = 0  # no run is moved before this time
         self._held_back = False  # whether stops wait for others to end
+        # By service, image and size of a best-effort task, during one scan.
+        self._full_speed: dict[tuple[str, str, int, int, int], tuple[Boot, ...]] = {}
         # When a run of an unknown task was last sent a stop, by worker, task and run number.
         self._unknown_run_stop_sent_ms: dict[tuple[str, TaskId, int], int] = {}
 
@@ -83,6 +87,7 @@
     def plan(self, now_ms: int) -> list[StopRun]:
         """Scan for runs to stop; return the stops to send now."""
         self._last_scan_ms = now_ms
+        self._full_speed.clear()
         orders: list[StopRun] = []
         due: list[_DueStop] = []
         due_on_silent: list[_DueStop] = []
@@ -205,11 +210,24 @@
             run.slow_since_ms = now_ms
         if now_ms - run.slow_since_ms < MOVE_DELAY_MS or now_ms < self._next_move_ms:
             return False
-        if not self._planner.can_run_faster_elsewhere(run, boot, now_ms):
+        if all(other is boot for other in self._boots_at_full_speed(run, now_ms)):
             return False
         self._next_move_ms = now_ms + MOVE_INTERVAL_MS
         return True
 
+    def _boots_at_full_speed(self, run: Run, now_ms: int) -> tuple[Boot, ...]:
+        """Return up to two boots on which the task of a run could run at full speed.
+
+        One scan asks for the same size and image again and again while there is no room.
+        """
+        spec = run.task.step.spec
+        service = self._planner.queue_of(run.task.step.job).service
+        key = (service, spec.image, spec.cpu_millis, spec.memory_mb, spec.accelerators)
+        if key not in self._full_speed:
+            found = self._planner.boots_at_full_speed(spec, service, now_ms)
+            self._full_speed[key] = tuple(islice(found, 2))
+        return self._full_speed[key]
+
     def _fits_elsewhere(self, run: Run, now_ms: int) -> bool:
         return any(
             self._planner.may_start_on(other, now_ms) and other.fits(run.task.step.spec)
--- a/tests/cover/test_cell.py
+++ b/tests/cover/test_cell.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import replace
+from typing import Any
 
 import pytest
 from hypothesis import given
@@ -10,6 +11,7 @@
 
 from greengagewood.internal.cells.boots import Boot, longest_ms
 from greengagewood.internal.cells.orders import StartRun, StopRun
+from greengagewood.internal.cells.planner import Planner
 from greengagewood.internal.jobs.model import StepSpec
 from greengagewood.internal.jobs.records import RegisteredWorker, RegisteredWorkers, TaskId
 from greengagewood.internal.ports import LeaseReply, RunEnd, RunningTask
@@ -236,6 +238,33 @@
         _, start = self._slow_run("w0")
         assert start.run.state == "running"
 
+    def test_a_scan_looks_once_for_a_faster_worker_for_runs_of_one_size(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Guards against scans that keep stops and lease extensions waiting for half a second."""
+        harness = CellHarness("w0", "w1")
+        spec = StepSpec(18, cpu_millis=7_000, checkpointing=True, image="f", best_effort=True)
+        harness.submit(spec)
+        for _ in range(4):
+            harness.start(100)
+            harness.answer_leases()
+        runs = [run for boot in harness.cell.boots.values() for run in boot.runs.values()]
+        assert len(runs) == 18
+        looked = []
+        look = Planner.boots_at_full_speed
+
+        def count(planner: Planner, *args: Any) -> Any:
+            looked.append(args)
+            return look(planner, *args)
+
+        monkeypatch.setattr(Planner, "boots_at_full_speed", count)
+        for elapsed_ms in (100, 600):
+            harness.now_ms += elapsed_ms
+            for run in runs:
+                run.speed_percent = 10
+            harness.cell.plan_stops(harness.now_ms)
+        assert len(looked) == 1
+
 
 class TestSlowClocks:
     """Workers whose clocks run as slow as the platform allows."""
--- a/tests/cover/test_planner.py
+++ b/tests/cover/test_planner.py
@@ -239,12 +239,16 @@
         harness.submit(replace_spec(TestBestEffortOrder._spec(1), checkpointing=True))
         (start,) = harness.start(BEST_EFFORT_INTERVAL_MS)
         assert start.boot.name == "w0"
-        planner = harness.cell.planner
-        warm_ms = harness.now_ms + self.COLD_MS
-        assert not planner.can_run_faster_elsewhere(start.run, start.boot, harness.now_ms)
-        harness.now_ms = warm_ms
+        spec = start.run.task.step.spec
+
+        def faster() -> list[str]:
+            found = harness.cell.planner.boots_at_full_speed(spec, "svc", harness.now_ms)
+            return [boot.name for boot in found if boot is not start.boot]
+
+        assert faster() == []
+        harness.now_ms += self.COLD_MS
         harness.answer_leases()
-        assert planner.can_run_faster_elsewhere(start.run, start.boot, warm_ms)
+        assert faster() == ["w1"]
 
     @pytest.mark.parametrize("seed", range(40))
     def test_no_job_waits_that_would_be_started_on_a_warm_worker(self, seed: int) -> None:
