Let the clock of each boot of the random orders begin at a random value

The clocks of all boots began at 0 beside boot times of the same time scale, so that no deadline of an earlier boot lay far ahead of the clock of the next. The range is the one that the users' platform was seen to draw from.

--- a/tests/common/eventorder.py
+++ b/tests/common/eventorder.py
@@ -40,6 +40,8 @@
 GANG_TIMEOUT_MS = 3_000
 CALM_MS = 15_000  # after the last fault: late orders are over, and workers and owner are in touch
 CHECKED_MS = 12_000  # length of the rest of the calm phase
+# The range in which the users' platform was seen to begin the clocks of boots.
+FIRST_CLOCK_MS = (411_702, 8_856_766)
 MAX_JOBS = 60
 QUEUES = (
     Queue("plain", "svc", 0, 3, 2.0, 1_000),
@@ -97,6 +99,7 @@
     boot_time_ms: int
     domain: str
     cpu_millis: int
+    first_clock_ms: int  # the time of its clock as it started
     up: bool = True
     listed: bool = True
     draining: bool = False
@@ -110,7 +113,7 @@
 
     def clock_ms(self, now_ms: int) -> int:
         """Return the time of the worker's clock, which runs 2 % slow."""
-        return int((now_ms - self.boot_time_ms) * 0.98)
+        return self.first_clock_ms + int((now_ms - self.boot_time_ms) * 0.98)
 
     def used_cpu_millis(self) -> int:
         return sum(run.spec.cpu_millis for run in self.runs.values() if not run.spec.best_effort)
@@ -261,7 +264,9 @@
 
     def _new_boot(self, name: str, number: int) -> Boot:
         cpu_millis = self.rng.choice((16_000, 16_000, 8_000))
-        return Boot(name, f"10.0.0.{number}:80", self.now_ms, f"d{number % 3}", cpu_millis)
+        first_clock_ms = self.rng.randint(*FIRST_CLOCK_MS)
+        address = f"10.0.0.{number}:80"
+        return Boot(name, address, self.now_ms, f"d{number % 3}", cpu_millis, first_clock_ms)
 
     def _listed(self) -> dict[str, WorkerInfo]:
         return {boot.name: boot.info() for boot in self.boots.values() if boot.up and boot.listed}
