--- a/tests/common/eventorder.py
+++ b/tests/common/eventorder.py
@@ -57,6 +57,7 @@
     "cut",
     "evacuate",
     "change owner",
+    "reboot during calls",
 )
 LASTING = StepSpec(2, 3_000, estimate_ms=600, long_running=True, image="serve", tail_target_ms=24)
 JOBS = (
@@ -328,11 +329,25 @@
 
     def _reboot(self, boot: Boot, name: str) -> None:
         """Boot a worker at the address of another boot, under its ID or another one."""
+        if boot.boot_time_ms == self.now_ms:
+            return  # a boot takes a millisecond at least, so that its boot time is its own
         if boot.up:
             self._crash(boot)
         number = list(self.boots).index(boot.address)
         self.boots[boot.address] = self._new_boot(name, number)
 
+    def _reboot_during_calls(self) -> None:
+        """Reboot a worker between a call and its answer, and so often between two answers."""
+        pending = {
+            call.info.address: None
+            for call in self.calls
+            if call.closed_ms is None and not call.answer_lost
+        }
+        if pending:
+            boot = self.boots[self.rng.choice(list(pending))]
+            if boot.up:
+                self._reboot(boot, boot.name)
+
     def _replace(self, boot: Boot) -> None:
         """Boot a worker of another ID at the address of a boot."""
         name = self._new_id()
@@ -754,6 +769,8 @@
                 self.cut ^= {(self.owner, boot.address)}
             case "evacuate":
                 self.evacuated = frozenset({boot.domain} if rng.random() < 0.5 else ())
+            case "reboot during calls":
+                self._reboot_during_calls()
             case "change owner" if rng.random() < 0.3:
                 self._change_owner(released=rng.random() < 0.4)
 
