--- a/tests/common/eventorder.py
+++ b/tests/common/eventorder.py
@@ -58,6 +58,7 @@
     "evacuate",
     "change owner",
     "reboot during calls",
+    "move",
 )
 LASTING = StepSpec(2, 3_000, estimate_ms=600, long_running=True, image="serve", tail_target_ms=24)
 JOBS = (
@@ -102,6 +103,7 @@
     cpu_millis: int
     first_clock_ms: int  # the time of its clock as it started
     up: bool = True
+    moved: bool = False  # whether its ID has moved to another address
     listed: bool = True
     draining: bool = False
     unhealthy: bool = False
@@ -238,6 +240,7 @@
         self.free_cpu_millis: deque[int] = deque(maxlen=RESTART_MS // 500)  # each 500 ms
         self.advanced_ms = self.now_ms
         self.boots = {f"10.0.0.{n}:80": self._new_boot(f"w{n}", n) for n in range(worker_count)}
+        self.places = {(boot.name, boot.address) for boot in self.boots.values()}  # ever taken
         self.directory = self._listed()
         self.owners = [Owner(Cell(LIMITS, 1, self.now_ms), self.now_ms, self.now_ms)]
         self._begin_term()
@@ -333,8 +336,26 @@
             return  # a boot takes a millisecond at least, so that its boot time is its own
         if boot.up:
             self._crash(boot)
+        if boot.moved and name == boot.name:
+            name = self._new_id()
         number = list(self.boots).index(boot.address)
         self.boots[boot.address] = self._new_boot(name, number)
+        self.places.add((name, boot.address))
+
+    def _move(self, boot: Boot) -> None:
+        """Boot a worker under its ID at the address of one that is gone."""
+        gone = [
+            other
+            for other in self.boots.values()
+            if not other.up
+            and max(other.boot_time_ms, boot.boot_time_ms) < self.now_ms
+            and (boot.name, other.address) not in self.places
+        ]
+        if gone and not boot.moved:
+            if boot.up:
+                self._crash(boot)
+            boot.moved = True
+            self._reboot(self.rng.choice(gone), boot.name)
 
     def _reboot_during_calls(self) -> None:
         """Reboot a worker between a call and its answer, and so often between two answers."""
@@ -769,6 +790,8 @@
                 self.cut ^= {(self.owner, boot.address)}
             case "evacuate":
                 self.evacuated = frozenset({boot.domain} if rng.random() < 0.5 else ())
+            case "move":
+                self._move(boot)
             case "reboot during calls":
                 self._reboot_during_calls()
             case "change owner" if rng.random() < 0.3:
@@ -782,7 +805,7 @@
         for boot in list(self.boots.values()):
             boot.unhealthy = boot.draining = False
             boot.listed = True
-            if not boot.up:
+            if not boot.up and self.rng.random() < 0.7:
                 self._reboot(boot, boot.name)
 
     def _play_calm(self) -> None:
@@ -918,7 +941,10 @@
         """Check that lasting tasks which have run before run again if there is room for two."""
         assert self.calm_since_ms is not None
         self.free_cpu_millis.append(
-            max(boot.cpu_millis - boot.used_cpu_millis() for boot in self.boots.values())
+            max(
+                boot.cpu_millis - boot.used_cpu_millis() if boot.up else 0
+                for boot in self.boots.values()
+            )
         )
         if len(self.free_cpu_millis) < RESTART_MS // 500:
             return
