--- /dev/null
+++ b/tests/cover/test_boot_findings.py
@@ -0,0 +1,85 @@
+"""What an owner wrongly concludes of the boots of a worker; found by random orders of events."""
+
+from __future__ import annotations
+
+from greengagewood.internal.cells.orders import StartRun
+from greengagewood.internal.jobs.model import StepSpec
+from greengagewood.internal.ports import LeaseReply, RunEnd, RunningTask
+from tests.common.desk import CellHarness, start_orders
+
+LASTING = StepSpec(1, cpu_millis=1_000, long_running=True)
+EARLIER_CLOCK_MS = 8_000_000  # of the first boots; the clocks of later boots begin below it
+LATER_CLOCK_MS = 400_000
+
+
+class BootHarness(CellHarness):
+    """A cell whose workers' clocks begin anew with each boot."""
+
+    def __init__(self, *workers: str) -> None:
+        self.first_clocks_ms = dict.fromkeys(workers, EARLIER_CLOCK_MS)
+        super().__init__(*workers)
+
+    def answer_lease(self, name: str, *runs: RunningTask, ends: tuple[RunEnd, ...] = ()) -> list:
+        """Let a worker list its runs and their ends; return the orders."""
+        clock_ms = self.first_clocks_ms[name] + self.now_ms - 100_000
+        reply = LeaseReply(clock_ms, self.worker_infos[name].boot_time_ms, runs, ends)
+        worker = self.cell.workers[name]
+        return self.cell.handle_lease_reply(worker, reply, self.now_ms - 1, self.now_ms)
+
+    def reboot(self, name: str, boot_time_ms: int) -> None:
+        """Let the directory show another boot of a worker, whose clock has begun anew."""
+        self.first_clocks_ms[name] = LATER_CLOCK_MS
+        super().reboot(name, boot_time_ms)
+
+    def start_unanswered(self, elapsed_ms: int = 500) -> StartRun:
+        """Plan the only start, which gets no answer."""
+        (start,) = start_orders(self.plan(elapsed_ms))
+        self.now_ms += 1_000
+        self.cell.note_start_unanswered(start.run, self.now_ms)
+        return start
+
+
+class TestClocksOfBoots:
+    """Deadlines of a start on the clock of the boot to which it was sent."""
+
+    def test_runs_of_a_lost_boot_end_though_an_earlier_boot_had_a_higher_clock(self) -> None:
+        """Guards against tasks that stay down for hours after their worker is lost."""
+        harness = BootHarness("w0")
+        harness.submit(LASTING)
+        start = harness.start_unanswered()
+        harness.reboot("w0", boot_time_ms=2)
+        harness.accept_stop(start.run)
+        harness.now_ms += 10
+        harness.answer_lease("w0")
+        (second,) = harness.start()
+        harness.answer_leases()
+        harness.worker_infos.clear()
+        for _ in range(60):
+            harness.now_ms += 500
+            harness.cell.note_lease_failure(harness.cell.workers["w0"], harness.now_ms)
+            harness.cell.set_workers({}, harness.now_ms)
+            harness.plan()
+            if "w0" not in harness.cell.workers:
+                break
+        assert second.run.state == "finished"
+
+    def test_a_run_that_a_later_boot_with_a_lower_clock_carries_out_clears_its_task(self) -> None:
+        """Guards against a suspected job of which the other tasks are never tried again."""
+        harness = BootHarness("w0")
+        harness.submit(StepSpec(2, cpu_millis=1_000, long_running=True))
+        start, other = start_orders(harness.plan(500))
+        harness.cell.handle_start_reply(other.worker, other.run, "", harness.now_ms)
+        harness.now_ms += 1_000
+        harness.cell.note_start_unanswered(start.run, harness.now_ms)
+        harness.answer_lease("w0", RunningTask(other.run.task.id, 1, "", 100, 0))
+        harness.reboot("w0", boot_time_ms=2)
+        running = [RunningTask(start.run.task.id, 1, "", 100, 0)]
+        for _ in range(40):
+            harness.now_ms += 250
+            harness.answer_lease("w0", *running)
+            harness.read_orders()
+            for order in start_orders(harness.plan()):
+                harness.cell.handle_start_reply(order.worker, order.run, "", harness.now_ms)
+                running.append(RunningTask(order.run.task.id, order.run.number, "", 100, 0))
+        assert len(start.run.task.crashes) == 0
+        assert other.run.task.run is not None
