--- a/tests/common/eventorder.py
+++ b/tests/common/eventorder.py
@@ -358,11 +358,15 @@
             self._reboot(self.rng.choice(gone), boot.name)
 
     def _reboot_during_calls(self) -> None:
-        """Reboot a worker between a call and its answer, and so often between two answers."""
+        """Reboot a worker before a call arrives, or before its answer does.
+
+        So the reboot often comes between two answers, and calls reach a later boot.
+        """
+        late = self.rng.random() < 0.5
         pending = {
             call.info.address: None
             for call in self.calls
-            if call.closed_ms is None and not call.answer_lost
+            if (call.arrived, call.answer_lost) == (not late, late)
         }
         if pending:
             boot = self.boots[self.rng.choice(list(pending))]
@@ -579,14 +583,7 @@
             return False
         if call.hold is not None:
             return call.hold[1] > 0
-        if not isinstance(call.order, StartRun):
-            return False
-        task = call.order.run.task.id
-        return (
-            call.owner is not self.owner
-            or any(task == running for running, _ in boot.runs)
-            or task in self.acknowledged
-        )
+        return isinstance(call.order, StartRun) and call.owner is not self.owner
 
     def _answer(self, call: Call) -> None:
         """Pass an answer, or its absence, to the owner as `CellRunner` does."""
