--- a/tests/cover/test_boot_findings.py
+++ b/tests/cover/test_boot_findings.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
+from greengagewood.internal.cells.fleet import longest_ms
 from greengagewood.internal.cells.orders import StartRun
 from greengagewood.internal.jobs.model import StepSpec
 from greengagewood.internal.ports import LeaseReply, RunEnd, RunningTask
-from tests.common.desk import CellHarness, start_orders
+from tests.common.desk import LIMITS, CellHarness, start_orders
 
 LASTING = StepSpec(1, cpu_millis=1_000, long_running=True)
 EARLIER_CLOCK_MS = 8_000_000  # of the first boots; the clocks of later boots begin below it
@@ -83,3 +84,27 @@
                 running.append(RunningTask(order.run.task.id, order.run.number, "", 100, 0))
         assert len(start.run.task.crashes) == 0
         assert other.run.task.run is not None
+
+
+class TestStartsOfUnknownBoots:
+    """Starts that a later boot has accepted, which the owner takes for the earlier one."""
+
+    def test_a_start_that_a_later_boot_accepted_holds_its_task_for_a_whole_lease(self) -> None:
+        """Guards against a second run beside one on a worker that has rebooted and is cut off."""
+        harness = BootHarness("w0", "w1")
+        for worker in harness.cell.workers.values():
+            harness.cell.prepare_lease_extension(worker, harness.now_ms)
+        harness.submit(LASTING)
+        (start,) = harness.start(1_000)
+        accepted_ms = harness.now_ms
+        silent = start.worker
+        (other,) = set(harness.cell.workers) - {silent.name}
+        starts: list[StartRun] = []
+        while not starts and harness.now_ms < accepted_ms + 20_000:
+            harness.now_ms += 100
+            harness.cell.note_lease_failure(silent, harness.now_ms)
+            harness.answer_lease(other)
+            harness.read_orders()
+            starts = start_orders(harness.plan())
+        # The deadline lies hours ahead on the clock of the later boot, which cuts it to a lease.
+        assert harness.now_ms >= accepted_ms + longest_ms(LIMITS.lease_ms)
