Show that another worker at a former address ends the runs of a worker that has moved

Both cases fail: a new owner asks a recorded worker at the address in the record, where another one answers, and forgets what may run on the worker at its new address, whether the directory has shown that before or shows it afterwards. Without the answer no second run is started. Found by reading.

--- a/tests/cover/test_boot_findings.py
+++ b/tests/cover/test_boot_findings.py
@@ -2,11 +2,21 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
+import pytest
+
+from greengagewood.internal.cells.cell import Cell
 from greengagewood.internal.cells.fleet import longest_ms
 from greengagewood.internal.cells.orders import StartRun
-from greengagewood.internal.jobs.model import StepSpec
+from greengagewood.internal.jobs.model import JobSpec, StepSpec
+from greengagewood.internal.jobs.records import (
+    RegisteredWorker,
+    RegisteredWorkers,
+    Submission,
+)
 from greengagewood.internal.ports import LeaseReply, RunEnd, RunningTask
-from tests.common.desk import LIMITS, CellHarness, start_orders
+from tests.common.desk import LIMITS, QUEUE, CellHarness, make_worker_info, start_orders
 
 LASTING = StepSpec(1, cpu_millis=1_000, long_running=True)
 EARLIER_CLOCK_MS = 8_000_000  # of the first boots; the clocks of later boots begin below it
@@ -108,3 +118,33 @@
             starts = start_orders(harness.plan())
         # The deadline lies hours ahead on the clock of the later boot, which cuts it to a lease.
         assert harness.now_ms >= accepted_ms + longest_ms(LIMITS.lease_ms)
+
+
+class TestAddresses:
+    """Answers from the address at which a worker was before."""
+
+    @pytest.mark.parametrize("directory_first", [True, False])
+    def test_another_worker_at_a_former_address_does_not_end_runs_of_one_that_moved(
+        self, directory_first: bool
+    ) -> None:
+        """Guards against a second run beside one of an earlier owner on the moved worker."""
+        harness = BootHarness("w1")
+        successor = Cell(LIMITS, 2, harness.now_ms)
+        harness.cell = successor
+        submission = Submission("0" * 16, QUEUE, JobSpec("p", (LASTING,)), 0)
+        successor.add_job(submission, None, False, harness.now_ms)
+        record = RegisteredWorkers((RegisteredWorker("w0", "10.0.0.1:80", "svc"),), 1)
+        successor.set_registered_workers(record, harness.now_ms, harness.now_ms)
+        moved = replace(make_worker_info("w0", boot_time_ms=2), address="10.0.0.2:80")
+        harness.worker_infos["w0"] = moved
+        if directory_first:  # while a call to the recorded address is under way
+            successor.set_workers(harness.worker_infos, harness.now_ms)
+        successor.note_wrong_boot(successor.workers["w0"], harness.now_ms)
+        successor.set_workers(harness.worker_infos, harness.now_ms)
+        starts: list[StartRun] = []
+        for _ in range(10):
+            harness.now_ms += 100
+            harness.answer_lease("w1")
+            harness.read_orders()
+            starts += start_orders(harness.plan())
+        assert [start.worker.name for start in starts] == []
