--- a/tests/cover/test_boot_findings.py
+++ b/tests/cover/test_boot_findings.py
@@ -148,3 +148,35 @@
             harness.read_orders()
             starts += start_orders(harness.plan())
         assert [start.worker.name for start in starts] == []
+
+
+class TestCrashes:
+    """Runs that are no sign that their task crashes its worker."""
+
+    def test_a_start_that_another_boot_refuses_is_no_crash_of_its_task(self) -> None:
+        """Guards against a job that is given up after starts that reached no worker of theirs."""
+        harness = BootHarness("w0")
+        harness.submit(LASTING)
+        (start,) = start_orders(harness.plan(500))
+        harness.now_ms += 10
+        harness.cell.note_wrong_boot(start.worker, harness.now_ms)  # as the runner does
+        harness.cell.handle_start_reply(start.worker, start.run, "wrong_boot", harness.now_ms)
+        assert len(start.run.task.crashes) == 0
+
+    def test_a_boot_that_is_lost_under_several_starts_of_a_task_is_one_crash(self) -> None:
+        """Guards against a job that is given up after a single crash."""
+        harness = BootHarness("w0")
+        harness.submit(LASTING)
+        for _ in range(4):
+            start = harness.start_unanswered()
+            harness.accept_stop(start.run)
+            harness.now_ms += 10
+            harness.answer_lease("w0")
+            harness.cell.note_confirmed(harness.now_ms)
+            harness.read_orders()
+        task = start.run.task
+        for boot_time_ms in (2, 3):  # the starts may reach the first of them, which is then lost
+            harness.now_ms += 10
+            harness.reboot("w0", boot_time_ms)
+        assert len(task.crashes) <= 1
+        assert task.step.job.state != "failed"
