--- a/tests/cover/test_boot_findings.py
+++ b/tests/cover/test_boot_findings.py
@@ -2,10 +2,21 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
+import pytest
+
+from greengagewood.internal.cells.boots import longest_ms
+from greengagewood.internal.cells.cell import Cell
 from greengagewood.internal.cells.orders import StartRun
-from greengagewood.internal.jobs.model import StepSpec
+from greengagewood.internal.jobs.model import JobSpec, StepSpec
+from greengagewood.internal.jobs.records import (
+    RegisteredWorker,
+    RegisteredWorkers,
+    Submission,
+)
 from greengagewood.internal.ports import LeaseReply, RunEnd, RunningTask
-from tests.common.desk import CellHarness, start_orders
+from tests.common.desk import LIMITS, QUEUE, CellHarness, make_worker_info, start_orders
 
 LASTING = StepSpec(1, cpu_millis=1_000, long_running=True)
 EARLIER_CLOCK_MS = 8_000_000  # of the first boots; the clocks of later boots begin below it
@@ -83,3 +94,89 @@
                 running.append(RunningTask(order.run.task.id, order.run.number, "", 100, 0))
         assert len(start.run.task.crashes) == 0
         assert other.run.task.run is not None
+
+
+class TestStartsOfUnknownBoots:
+    """Starts that a later boot has accepted, which the owner takes for the earlier one."""
+
+    def test_a_start_that_a_later_boot_accepted_holds_its_task_for_a_whole_lease(self) -> None:
+        """Guards against a second run beside one on a worker that has rebooted and is cut off."""
+        harness = BootHarness("w0", "w1")
+        for worker in harness.cell.boots.values():
+            harness.cell.prepare_lease_extension(worker, harness.now_ms)
+        harness.submit(LASTING)
+        (start,) = harness.start(1_000)
+        accepted_ms = harness.now_ms
+        silent = start.boot
+        (other,) = set(harness.cell.boots) - {silent.name}
+        starts: list[StartRun] = []
+        while not starts and harness.now_ms < accepted_ms + 20_000:
+            harness.now_ms += 100
+            harness.cell.note_lease_failure(silent, harness.now_ms)
+            harness.answer_lease(other)
+            harness.read_orders()
+            starts = start_orders(harness.plan())
+        # The deadline lies hours ahead on the clock of the later boot, which cuts it to a lease.
+        assert harness.now_ms >= accepted_ms + longest_ms(LIMITS.lease_ms)
+
+
+class TestAddresses:
+    """Answers from the address at which a worker was before."""
+
+    @pytest.mark.parametrize("directory_first", [True, False])
+    def test_another_worker_at_a_former_address_does_not_end_runs_of_one_that_moved(
+        self, directory_first: bool
+    ) -> None:
+        """Guards against a second run beside one of an earlier owner on the moved worker."""
+        harness = BootHarness("w1")
+        successor = Cell(LIMITS, 2, harness.now_ms)
+        harness.cell = successor
+        submission = Submission("0" * 16, QUEUE, JobSpec("p", (LASTING,)), 0)
+        successor.add_job(submission, None, False, harness.now_ms)
+        record = RegisteredWorkers((RegisteredWorker("w0", "10.0.0.1:80", "svc"),), 1)
+        successor.set_registered_workers(record, harness.now_ms, harness.now_ms)
+        moved = replace(make_worker_info("w0", boot_time_ms=2), address="10.0.0.2:80")
+        harness.worker_infos["w0"] = moved
+        if directory_first:  # while a call to the recorded address is under way
+            successor.set_workers(harness.worker_infos, harness.now_ms)
+        successor.note_wrong_boot(successor.boots["w0"], harness.now_ms)
+        successor.set_workers(harness.worker_infos, harness.now_ms)
+        starts: list[StartRun] = []
+        for _ in range(10):
+            harness.now_ms += 100
+            harness.answer_lease("w1")
+            harness.read_orders()
+            starts += start_orders(harness.plan())
+        assert [start.boot.name for start in starts] == []
+
+
+class TestCrashes:
+    """Runs that are no sign that their task crashes its worker."""
+
+    def test_a_start_that_another_boot_refuses_is_no_crash_of_its_task(self) -> None:
+        """Guards against a job that is given up after starts that reached no worker of theirs."""
+        harness = BootHarness("w0")
+        harness.submit(LASTING)
+        (start,) = start_orders(harness.plan(500))
+        harness.now_ms += 10
+        harness.cell.note_wrong_boot(start.boot, harness.now_ms)  # as the runner does
+        harness.cell.handle_start_reply(start.boot, start.run, "wrong_boot", harness.now_ms)
+        assert len(start.run.task.crashes) == 0
+
+    def test_a_boot_that_is_lost_under_several_starts_of_a_task_is_one_crash(self) -> None:
+        """Guards against a job that is given up after a single crash."""
+        harness = BootHarness("w0")
+        harness.submit(LASTING)
+        for _ in range(4):
+            start = harness.start_unanswered()
+            harness.accept_stop(start.run)
+            harness.now_ms += 10
+            harness.answer_lease("w0")
+            harness.cell.note_confirmed(harness.now_ms)
+            harness.read_orders()
+        task = start.run.task
+        for boot_time_ms in (2, 3):  # the starts may reach the first of them, which is then lost
+            harness.now_ms += 10
+            harness.reboot("w0", boot_time_ms)
+        assert len(task.crashes) <= 1
+        assert task.step.job.state != "failed"
