Count no crash for a start that a worker with another ID has refused

A start that is answered by another ID was counted as a run that may have crashed its worker, though it was never started; four of them gave up their job. The answer is now processed before the end of the boot, and takes back a crash that another answer has counted.

--- a/src/greengagewood/internal/cells/cell.py
+++ b/src/greengagewood/internal/cells/cell.py
@@ -258,6 +258,8 @@
 
         `clock_ms` is the reading of the worker's clock in the reply.
         """
+        if reason == "wrong_boot":
+            self.book.note_not_crashed(run.task, run.number)
         if reason == "unreachable":
             self.term.crashes.note_failed_call(boot, now_ms)
         elif boot.failing_since_ms is not None and boot.failing_since_ms < run.started_ms:
--- a/src/greengagewood/internal/cells/runner.py
+++ b/src/greengagewood/internal/cells/runner.py
@@ -292,9 +292,8 @@
             pass  # the outcome stays as it is
         except WrongBoot:
             outcome = "wrong_boot"
-            self.cell.note_wrong_boot(boot, monotonic_ms())
-            # The run is still there if the directory has shown a later boot meanwhile.
             self.cell.handle_start_reply(boot, run, outcome, monotonic_ms())
+            self.cell.note_wrong_boot(boot, monotonic_ms())
         else:
             outcome = reply.reason or "accepted"
             self._check_fencing(reply)
--- a/src/greengagewood/internal/jobs/book.py
+++ b/src/greengagewood/internal/jobs/book.py
@@ -480,6 +480,15 @@
         task.step.job.suspects[task] = None
         self.changed_jobs[task.step.job.id] = None
 
+    def note_not_crashed(self, task: Task, run_number: int) -> None:
+        """Record that a run has certainly not crashed its worker, as it was never started."""
+        if not any(crash.number == run_number for crash in task.crashes):
+            return
+        task.crashes = tuple(crash for crash in task.crashes if crash.number != run_number)
+        if not task.crashes:
+            task.step.job.suspects.pop(task, None)
+        self.changed_jobs[task.step.job.id] = None
+
     def note_trial(self, task: Task, trial: PlacedRun) -> None:
         """Record a run of which a later owner must know that it may have crashed its worker."""
         task.trial = trial
