Count one crash for a boot that is lost under several starts of a task

Starts without an answer that one boot has ruled out are expected at the next; if that boot is lost in turn, each of them counted as a crash, so that four gave up the job after a single crash. Failed before: test_a_boot_that_is_lost_under_several_starts_of_a_task_is_one_crash.

--- a/src/greengagewood/internal/jobs/book.py
+++ b/src/greengagewood/internal/jobs/book.py
@@ -473,9 +473,15 @@
             self.give_up(task, now_ms)
 
     def note_crash(self, task: Task, run: PlacedRun) -> None:
-        """Record that a run of the task may have crashed its worker."""
-        if any(crash.number == run.number for crash in task.crashes):
-            return
+        """Record that a run of the task may have crashed its worker; a boot crashes once."""
+        boot = (run.worker_id, run.address, run.boot_time_ms)
+        for crash in task.crashes:
+            if crash.number == run.number:
+                return
+            if boot == (crash.worker_id, crash.address, crash.boot_time_ms) and run.boot_time_ms:
+                if crash.accepted or not run.accepted:
+                    return
+                task.crashes = tuple(other for other in task.crashes if other is not crash)
         task.crashes = (*task.crashes, run)
         task.step.job.suspects[task] = None
         self.changed_jobs[task.step.job.id] = None
