Hold back the runs of a worker that has moved from its recorded address

A second run could be started beside one of an earlier owner: the record of registered workers has the address at which a worker was stored. If it boots again under its ID at another address, another worker may answer at the former one, and a new owner took that for the end of the worker and of all its runs.

Now such an answer says nothing of a worker that the directory shows elsewhere; what may run on a worker that is known by the record alone is kept aside until the directory shows where it is. A worker that has moved is stored anew before the next start.

--- a/src/greengagewood/internal/cells/bootlife.py
+++ b/src/greengagewood/internal/cells/bootlife.py
@@ -110,6 +110,9 @@
             self._term.emit("worker_draining", {"worker": info.worker_id})
         if info.boot_time_ms != boot.info.boot_time_ms:
             boot.boot_known_ms = now_ms
+        if info.address != boot.info.address:
+            boot.restore_aside()
+            boot.worker.registered = False  # the record has the former address
         boot.update_info(info, now_ms)
 
     def set_registered(self, registered: RegisteredWorkers, read_ms: int, now_ms: int) -> None:
@@ -151,6 +154,8 @@
         term.crashes.handle_crash(boot, now_ms, undecided)
         term.planner.run_times.forget_worker(boot.name)
         boot.worker.closed_to_starts = boot.worker.stored_empty = False
+        if info.address != boot.info.address:
+            boot.worker.registered = False  # the record has the former address
         rebooted = Boot(info, now_ms, boot.worker)
         if boot.unlisted_runs(term.confirmed_ms):  # a late start may still reach the new boot
             rebooted.inherited = boot.inherited
@@ -251,9 +256,12 @@
             boot.transition("unanswered")
             self._term.emit("worker_silent", {"worker": boot.name, "runs": len(boot.runs)})
 
-    def note_wrong_boot(self, boot: Boot, now_ms: int) -> None:
-        """Record that a worker with another ID answers at a boot's address, so it is gone."""
-        if not self.is_present(boot):
+    def note_wrong_boot(self, boot: Boot, address: str, now_ms: int) -> None:
+        """Record that a worker with another ID answers at a boot's address, so it is gone.
+
+        Nothing follows if the worker has moved from that address since the call.
+        """
+        if not self.is_present(boot) or address != boot.info.address:
             return
         term = self._term
         term.emit("worker_replaced", {"worker": boot.name, "runs": len(boot.runs)})
@@ -264,8 +272,11 @@
         boot.transition("displaced")
         boot.adopted_ms = None
         boot.latest_deadline_ms = 0
-        boot.earlier_orders_expiry_ms = boot.late_orders_expiry_ms = 0
-        boot.inherited = ()
+        if boot.info.boot_time_ms:
+            boot.earlier_orders_expiry_ms = boot.late_orders_expiry_ms = 0
+            boot.inherited = ()
+        else:  # known by the record alone, which may have a former address
+            boot.set_aside()
         boot.clock_read_ms = None
 
     def end_expired(self, now_ms: int) -> None:
--- a/src/greengagewood/internal/cells/boots.py
+++ b/src/greengagewood/internal/cells/boots.py
@@ -133,6 +133,8 @@
     # When orders of this owner have certainly expired that were meant for earlier boots.
     late_orders_expiry_ms: int = 0
     inherited: tuple[InheritedRuns, ...] = ()  # empty once it has been adopted
+    # The same and the time before it, while another worker answers at the recorded address.
+    inherited_aside: tuple[tuple[InheritedRuns, ...], int] | None = None
     last_answer_ms: int | None = None
     list_requested_ms: int = 0  # when the last list that it answered was requested
     lease_call_failed: bool = False  # whether the last lease extension was not answered
@@ -405,6 +407,18 @@
         """Return the runs of earlier owners that may go on, or start, without being listed."""
         return tuple(runs for runs in self.inherited if now_ms <= runs.expiry_ms)
 
+    def set_aside(self) -> None:
+        """Wait for no runs of earlier owners any more, unless the worker has only moved."""
+        self.inherited_aside = (self.inherited, self.earlier_orders_expiry_ms)
+        self.inherited = ()
+        self.earlier_orders_expiry_ms = 0
+
+    def restore_aside(self) -> None:
+        """Wait again for the runs of earlier owners, as the worker has moved."""
+        if self.inherited_aside is not None:
+            self.inherited, self.earlier_orders_expiry_ms = self.inherited_aside
+            self.inherited_aside = None
+
     # Failures.
 
     def note_outcome(self, succeeded: bool) -> None:
--- a/src/greengagewood/internal/cells/cell.py
+++ b/src/greengagewood/internal/cells/cell.py
@@ -245,9 +245,12 @@
         """Record that a worker did not extend the lease; after some time it counts as silent."""
         self._lives.note_lease_refused(boot, now_ms)
 
-    def note_wrong_boot(self, boot: Boot, now_ms: int) -> None:
-        """Record that a worker with another ID answers at the address, so this boot is gone."""
-        self._lives.note_wrong_boot(boot, now_ms)
+    def note_wrong_boot(self, boot: Boot, now_ms: int, address: str | None = None) -> None:
+        """Record that a worker with another ID answers at an address, by default the present one.
+
+        So this boot is gone.
+        """
+        self._lives.note_wrong_boot(boot, address or boot.info.address, now_ms)
 
     # Answers to orders.
 
--- a/src/greengagewood/internal/cells/runner.py
+++ b/src/greengagewood/internal/cells/runner.py
@@ -273,10 +273,11 @@
     async def _start_run(self, order: StartRun) -> None:
         run = order.run
         boot = order.boot
+        info = boot.info
         outcome = "unanswered"
         try:
             reply = await self._ports.workers.start(
-                boot.info,
+                info,
                 run.task.id,
                 run.number,
                 order.payload,
@@ -293,7 +294,7 @@
         except WrongBoot:
             outcome = "wrong_boot"
             self.cell.handle_start_reply(boot, run, outcome, monotonic_ms())
-            self.cell.note_wrong_boot(boot, monotonic_ms())
+            self.cell.note_wrong_boot(boot, monotonic_ms(), info.address)
         else:
             outcome = reply.reason or "accepted"
             self._check_fencing(reply)
@@ -332,10 +333,11 @@
 
     async def _stop_run(self, order: StopRun) -> None:
         sent_ms = monotonic_ms()
+        info = order.boot.info
         outcome = "unanswered"
         try:
             reply = await self._ports.workers.stop(
-                order.boot.info, order.task_id, order.run_number, self.token
+                info, order.task_id, order.run_number, self.token
             )
             self._check_fencing(reply)
             outcome = reply.reason or "accepted"
@@ -344,7 +346,7 @@
         except WorkerCallFailed:
             pass  # the cell orders the stop again
         except WrongBoot:
-            self.cell.note_wrong_boot(order.boot, monotonic_ms())
+            self.cell.note_wrong_boot(order.boot, monotonic_ms(), info.address)
         finally:
             self.cell.note_stop_ended(order.run)
         self._metrics.count("stops", reason=order.reason, outcome=outcome)
@@ -433,12 +435,13 @@
         sent_ms = monotonic_ms()
         deadline_ms, acknowledged = self.cell.prepare_lease_extension(boot, sent_ms)
         previous_end = boot.last_end_sequence
+        info = boot.info
         wait_ms = 0
         if boot.adopted and boot.last_answer_ms is not None:
             wait_ms = max(0, LEASE_WAIT_MS - (sent_ms - boot.last_answer_ms))
         try:
             reply = await self._ports.workers.extend_lease(
-                boot.info, deadline_ms, self.token, acknowledged, wait_ms
+                info, deadline_ms, self.token, acknowledged, wait_ms
             )
         except WorkerCallFailed:
             self._metrics.count("hold_failures")
@@ -446,7 +449,7 @@
             await asyncio.sleep(FAILED_LEASE_PAUSE_S)
             return
         except WrongBoot:
-            self.cell.note_wrong_boot(boot, monotonic_ms())
+            self.cell.note_wrong_boot(boot, monotonic_ms(), info.address)
             await asyncio.sleep(FAILED_LEASE_PAUSE_S)
             return
         if not isinstance(reply, LeaseReply):
--- a/tests/common/eventorder.py
+++ b/tests/common/eventorder.py
@@ -624,13 +624,13 @@
             if owner.lease_calls.get(worker) is not call:
                 return
             if reply == "wrong_boot":
-                cell.note_wrong_boot(worker, now_ms)
+                cell.note_wrong_boot(worker, now_ms, call.info.address)
             elif isinstance(reply, LeaseReply):
                 self._issue(owner, cell.handle_lease_reply(worker, reply, call.sent_ms, now_ms))
             elif reply != "fence":
                 cell.note_lease_failure(worker, now_ms)
         elif reply == "wrong_boot":
-            cell.note_wrong_boot(worker, now_ms)
+            cell.note_wrong_boot(worker, now_ms, call.info.address)
             if isinstance(order, StartRun):
                 self._issue(owner, cell.handle_start_reply(worker, order.run, reply, now_ms))
         elif isinstance(order, StartRun):
--- a/tests/cover/test_boot_findings.py
+++ b/tests/cover/test_boot_findings.py
@@ -139,7 +139,7 @@
         harness.worker_infos["w0"] = moved
         if directory_first:  # while a call to the recorded address is under way
             successor.set_workers(harness.worker_infos, harness.now_ms)
-        successor.note_wrong_boot(successor.boots["w0"], harness.now_ms)
+        successor.note_wrong_boot(successor.boots["w0"], harness.now_ms, "10.0.0.1:80")
         successor.set_workers(harness.worker_infos, harness.now_ms)
         starts: list[StartRun] = []
         for _ in range(10):
