Count the lease extension that is pending, not the last that was sent

As the directory showed a reboot, any extension counted as under way, also one that had been answered, and after a failure the send time of a later start counted.

--- a/src/greengagewood/internal/cells/bootlife.py
+++ b/src/greengagewood/internal/cells/bootlife.py
@@ -57,8 +57,6 @@
                 continue
             relation = compare_boots(boot.info, info)
             if relation == "later":
-                # A lease extension may be under way, which the new boot receives.
-                boot.worker.lease_unanswered_ms = boot.worker.lease_sent_ms
                 self.reboot(boot, info, now_ms)
             elif relation == "same":  # else the directory lags behind what the boot has said
                 self._update(boot, info, now_ms)
@@ -160,6 +158,8 @@
         if boot.unlisted_runs(term.confirmed_ms):  # a late start may still reach the new boot
             rebooted.inherited = boot.inherited
             rebooted.earlier_orders_expiry_ms = boot.earlier_orders_expiry_ms
+        if boot.lease_pending_ms:  # the new boot may receive it
+            boot.worker.lease_unanswered_ms = boot.lease_pending_ms
         if boot.worker.lease_unanswered_ms:
             self._expect_orders(
                 rebooted,
@@ -243,7 +243,8 @@
     def note_lease_failure(self, boot: Boot, now_ms: int) -> None:
         """Record that a boot did not answer a lease extension."""
         boot.lease_call_failed = True
-        boot.worker.lease_unanswered_ms = boot.worker.lease_sent_ms
+        if boot.lease_pending_ms:
+            boot.worker.lease_unanswered_ms, boot.lease_pending_ms = boot.lease_pending_ms, 0
         self._term.crashes.note_failed_call(boot, now_ms)
         self.note_lease_refused(boot, now_ms)
 
--- a/src/greengagewood/internal/cells/cell.py
+++ b/src/greengagewood/internal/cells/cell.py
@@ -228,7 +228,7 @@
             deadline = boot.deadline_in(self.term.limits.lease_ms, now_ms)
         if deadline is not None:
             boot.latest_deadline_ms = max(boot.latest_deadline_ms, deadline)
-            boot.worker.lease_sent_ms = now_ms
+            boot.worker.lease_sent_ms = boot.lease_pending_ms = now_ms
         return deadline, 0 if boot.lease_call_failed else boot.acknowledged_sequence
 
     def handle_lease_reply(
--- a/src/greengagewood/internal/cells/lists.py
+++ b/src/greengagewood/internal/cells/lists.py
@@ -36,6 +36,7 @@
         """Process a list that was requested at `sent_ms`; return orders to send at once."""
         if not self._lives.is_present(boot):
             return []
+        boot.lease_pending_ms = 0
         if reply.boot_time_ms and reply.boot_time_ms != boot.info.boot_time_ms:
             listed_boot = replace(boot.info, boot_time_ms=reply.boot_time_ms)
             is_earlier = reply.boot_time_ms < boot.info.boot_time_ms
