Keep a worker in mind while a lease extension may reach its next boot

A silent worker that the directory did not list was forgotten with its unanswered lease extensions, so that a next boot under its ID counted none of them. Failed before: test_a_call_without_answer_before_the_worker_was_forgotten.

--- a/src/greengagewood/internal/cells/bootlife.py
+++ b/src/greengagewood/internal/cells/bootlife.py
@@ -68,6 +68,7 @@
                 and boot.unresponsive
                 and not boot.runs
                 and boot.orders_expired(term.confirmed_ms)
+                and boot.worker.may_be_forgotten(now_ms)
             ):
                 self._remove(boot)
         # The first record of a term replaces that of the earlier owner, which no longer applies.
@@ -288,7 +289,8 @@
             self._mark_runs_lost(boot, now_ms, "lapsed")
             boot.transition("expired")
             boot.adopted_ms = None
-            if not boot.worker.in_directory and not boot.runs:
+            worker = boot.worker
+            if not worker.in_directory and not boot.runs and worker.may_be_forgotten(now_ms):
                 self._remove(boot)
 
     def _remove(self, boot: Boot) -> None:
--- a/src/greengagewood/internal/cells/boots.py
+++ b/src/greengagewood/internal/cells/boots.py
@@ -113,6 +113,11 @@
     lease_sent_ms: int = 0
     lease_unanswered_ms: int = 0  # the same, of the last lease extension without an answer
 
+    def may_be_forgotten(self, now_ms: int) -> bool:
+        """Return whether no lease extension can reach a boot that has not started yet."""
+        sent_ms = self.lease_unanswered_ms
+        return not sent_ms or now_ms > sent_ms + MAX_ORDER_DELAY_MS
+
 
 @dataclass(slots=True, eq=False)
 class Boot:
