Store for late starts the time that this owner waits for, too

The record of a planned stop gave runs that a later boot may have less time than the owner that wrote it would have waited itself. Failed before: test_the_record_for_the_next_owner_counts_what_this_owner_counts (118,623 stored, 119,624 needed).

--- a/src/greengagewood/internal/cells/registration.py
+++ b/src/greengagewood/internal/cells/registration.py
@@ -107,7 +107,8 @@
         groups.append((_task_ids(listed), boot.remaining_order_ms(now_ms)))
     if late:
         expiry_ms = max(later_boot_expiry_ms(boot, run, lease_ms) for run in late)
-        groups.append((_task_ids(late), expiry_ms - now_ms))
+        remaining_ms = max(expiry_ms - now_ms, boot.remaining_order_ms(now_ms))
+        groups.append((_task_ids(late), remaining_ms))
     for inherited in boot.unlisted_runs(now_ms):
         groups.append((_listable_tasks(inherited, book), inherited.expiry_ms - now_ms))
     return tuple(
