Keep a known boot time when an entry of the directory lacks it

An entry without its boot time erased the known one. The list of the next boot was then taken for one of the same boot: its ends counted as seen, and the deadlines of the former clock as its own, so that jobs never ended and runs of a lost worker never lapsed.

--- a/src/greengagewood/internal/cells/bootlife.py
+++ b/src/greengagewood/internal/cells/bootlife.py
@@ -10,6 +10,8 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 from greengagewood.internal.cells.answers import (
     compare_boots,
     late_start_expiry_ms,
@@ -107,6 +109,8 @@
     def _update(self, boot: Boot, info: WorkerInfo, now_ms: int) -> None:
         if info.draining and not boot.info.draining:
             self._term.emit("worker_draining", {"worker": info.worker_id})
+        if not info.boot_time_ms:
+            info = replace(info, boot_time_ms=boot.info.boot_time_ms)
         if info.boot_time_ms != boot.info.boot_time_ms:
             boot.boot_known_ms = now_ms
         if info.address != boot.info.address:
