Let a reboot be processed again after an error in the middle

A boot counted as gone before it was replaced. An error between the two would have left it present, and each later read of the directory would have failed. Failed before: test_a_reboot_can_be_processed_again_after_an_error.

--- a/src/greengagewood/internal/cells/bootlife.py
+++ b/src/greengagewood/internal/cells/bootlife.py
@@ -152,7 +152,6 @@
         """Replace a boot by a later one of its worker, which has none of its runs; return that."""
         term = self._term
         term.emit("worker_reborn", {"worker": info.worker_id, "runs": len(boot.runs)})
-        boot.transition("rebooted")
         undecided = find_undecided(boot)
         term.crashes.handle_crash(boot, now_ms, undecided)
         term.planner.run_times.forget_worker(boot.name)
@@ -170,6 +169,7 @@
                 rebooted,
                 latest_order_expiry_ms(boot.worker.lease_unanswered_ms, term.limits.lease_ms),
             )
+        boot.transition("rebooted")
         term.boots[info.worker_id] = rebooted
         self._hold_back_lost_tasks(boot, now_ms)
         for run in undecided:
