Treat a run that is listed without its progress as listed in all else

Such a row never cleared a suspected task, so that nothing else was started on its worker, and let a copy set back the checkpoint of the first run.

--- a/src/greengagewood/internal/cells/lists.py
+++ b/src/greengagewood/internal/cells/lists.py
@@ -121,19 +121,18 @@
         term.crashes.forget_undecided(run)
         term.book.note_started(job)
         run.listed_ms = now_ms
+        if not run.outlived and outlives(run, boot, now_ms):
+            term.crashes.handle_outlived(boot, run)
+        if run is not task.copy:  # a copy may be behind the first run
+            term.book.note_checkpoint(task, listed_run.checkpoint)
         if not listed_run.measured:
             run.progress_changed_ms = now_ms  # nothing shows that it is stuck
-            term.book.note_checkpoint(task, listed_run.checkpoint)
             return True
         if listed_run.progress_percent != run.progress_percent:
             run.progress_percent = listed_run.progress_percent
             run.progress_changed_ms = now_ms
-        if not run.outlived and outlives(run, boot, now_ms):
-            term.crashes.handle_outlived(boot, run)
         run.tail_ms_or_cpu_millis = listed_run.tail_ms_or_cpu_millis
         term.planner.run_times.note_listed(run, now_ms)
-        if run is not task.copy:  # a copy may be behind the first run
-            term.book.note_checkpoint(task, listed_run.checkpoint)
         return True
 
     def _track_unexpected(self, boot: Boot, listed_run: RunningTask, now_ms: int) -> Task | None:
