Wait for late orders only where a new boot can carry them out

A boot whose clock is past their deadlines ignores them, and a call that found no connection was never sent; both cost no wait any more.

--- a/src/greengagewood/internal/cells/bootlife.py
+++ b/src/greengagewood/internal/cells/bootlife.py
@@ -159,6 +159,7 @@
         if info.address != boot.info.address:
             boot.worker.registered = False  # the record has the former address
         rebooted = Boot(info, now_ms, boot.worker)
+        rebooted.late_deadline_ms = max(boot.latest_deadline_ms, boot.late_deadline_ms)
         if boot.unlisted_runs(term.confirmed_ms):  # a late start may still reach the new boot
             rebooted.inherited = boot.inherited
             rebooted.earlier_orders_expiry_ms = boot.earlier_orders_expiry_ms
@@ -245,11 +246,12 @@
 
     # Silence, lapse, replacement and removal.
 
-    def note_lease_failure(self, boot: Boot, now_ms: int) -> None:
-        """Record that a boot did not answer a lease extension."""
+    def note_lease_failure(self, boot: Boot, now_ms: int, was_sent: bool) -> None:
+        """Record that a boot did not answer a lease extension, which may not have been sent."""
         boot.lease_call_failed = True
-        if boot.lease_pending_ms:
-            boot.worker.lease_unanswered_ms, boot.lease_pending_ms = boot.lease_pending_ms, 0
+        if boot.lease_pending_ms and was_sent:
+            boot.worker.lease_unanswered_ms = boot.lease_pending_ms
+        boot.lease_pending_ms = 0
         self._term.crashes.note_failed_call(boot, now_ms)
         self.note_lease_refused(boot, now_ms)
 
--- a/src/greengagewood/internal/cells/boots.py
+++ b/src/greengagewood/internal/cells/boots.py
@@ -137,6 +137,7 @@
     earlier_orders_expiry_ms: int = 0  # when orders of earlier owners have certainly expired
     # When orders of this owner have certainly expired that were meant for earlier boots.
     late_orders_expiry_ms: int = 0
+    late_deadline_ms: int = 0  # the latest deadline of those orders, whichever clock it is on
     inherited: tuple[InheritedRuns, ...] = ()  # empty once it has been adopted
     # The same and the time before it, while another worker answers at the recorded address.
     inherited_aside: tuple[tuple[InheritedRuns, ...], int] | None = None
@@ -367,6 +368,8 @@
         self.clock_ms = clock_ms
         self.clock_asked_ms = sent_ms
         self.clock_read_ms = now_ms
+        if clock_ms > self.late_deadline_ms:  # it refuses them, and its lease is longer
+            self.late_orders_expiry_ms = 0
 
     def shows_clock(self, clock_ms: int | None, sent_ms: int, now_ms: int) -> bool:
         """Return whether a reading, made after `sent_ms` and before `now_ms`, is of this boot.
--- a/src/greengagewood/internal/cells/cell.py
+++ b/src/greengagewood/internal/cells/cell.py
@@ -237,9 +237,9 @@
         """Process a worker's list of its runs and ends; return orders to send at once."""
         return self._lists.handle(boot, reply, sent_ms, now_ms)
 
-    def note_lease_failure(self, boot: Boot, now_ms: int) -> None:
-        """Record that a worker did not answer a lease extension."""
-        self._lives.note_lease_failure(boot, now_ms)
+    def note_lease_failure(self, boot: Boot, now_ms: int, was_sent: bool = True) -> None:
+        """Record that a worker did not answer a lease extension, which may not have been sent."""
+        self._lives.note_lease_failure(boot, now_ms, was_sent)
 
     def note_lease_refused(self, boot: Boot, now_ms: int) -> None:
         """Record that a worker did not extend the lease; after some time it counts as silent."""
--- a/src/greengagewood/internal/cells/runner.py
+++ b/src/greengagewood/internal/cells/runner.py
@@ -443,9 +443,10 @@
             reply = await self._ports.workers.extend_lease(
                 info, deadline_ms, self.token, acknowledged, wait_ms
             )
-        except WorkerCallFailed:
+        except WorkerCallFailed as exc:
             self._metrics.count("hold_failures")
-            self.cell.note_lease_failure(boot, monotonic_ms())
+            was_sent = not isinstance(exc, WorkerUnreachable)
+            self.cell.note_lease_failure(boot, monotonic_ms(), was_sent)
             await asyncio.sleep(FAILED_LEASE_PAUSE_S)
             return
         except WrongBoot:
