Soak: play the kinds of trouble that it lacked

Instances that are replaced at another address or starved of processor time, connections that go silent for good or hang while they are opened, entries that lapse, faults of one topic of the store, workers that are replaced, reclaimed, removed, or booted with a time of day that was set back, odd rows in their lists, and drawn odd entries in every topic. Faults of one kind no longer end each other, as the stand-in keeps them by id.

--- a/devtools/soak/deployment.py
+++ b/devtools/soak/deployment.py
@@ -164,20 +164,32 @@
         self.instances = [
             f"{self._net}.{10 + i // 200}.{i % 200 + 1}" for i in range(scale.instances)
         ]
+        self.numbers = {ip: number for number, ip in enumerate(self.instances)}  # also of earlier
         self.workers = [
             f"{self._net}.{40 + i // 200}.{i % 200 + 1}:{FIRST_BACKEND_PORT}"
             for i in range(scale.workers)
         ]
+        self.current_ids = [self.worker_id(number) for number in range(scale.workers)]
         self.version = 0
 
+    def replace_instance(self, number: int) -> None:
+        """Give an instance another address, as another machine takes its place."""
+        count = len(self.numbers)
+        self.instances[number] = f"{self._net}.{20 + count // 200}.{count % 200 + 1}"
+        self.numbers[self.instances[number]] = number
+
     def domain(self, number: int) -> int:
         """Return the failure domain of the instance or worker with this number."""
         return number % self.scale.domains
 
     def worker_id(self, number: int) -> str:
-        """Return the ID of a worker."""
+        """Return the first ID of a worker, by which its process knows it."""
         return f"w{number:03}"
 
+    def worker_number(self, worker_id: str) -> int:
+        """Return the number of a worker, also of one that has taken its place."""
+        return int(worker_id[1:4])
+
     def rack(self, number: int) -> str:
         """Return the rack of a worker."""
         return f"z{self.domain(number)}-r{number % 2}"
@@ -204,7 +216,7 @@
     def instance_settings(self, number: int) -> dict[str, Any]:
         """Return the settings of an entry instance."""
         return {
-            "instance": f"entry-{number}",
+            "instance": f"entry-{self.instances[number]}",
             "failure_domain": f"z{self.domain(number)}",
             "listen": self.frontend(number),
             "ready": self.ready(number),
--- a/devtools/soak/player.py
+++ b/devtools/soak/player.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
+import random
 import signal
 from collections import Counter
 from collections.abc import AsyncIterator, Callable, Coroutine, Iterable
@@ -20,6 +22,7 @@
 __all__ = ["Player"]
 
 STORE = -1
+STARVE_PERIOD_S = 0.1
 CELL_TOPIC = "keyed.cell0"
 _ENTRY = {
     "service": SERVICE,
@@ -30,21 +33,21 @@
     "labels": ["a", "r"],
     "born": 1,
 }
-# Entries of other writers, as they are stored or as text.
-ODD_ENTRIES: tuple[Any, ...] = (
-    '{"x":' + "[" * 100_000,
-    {**_ENTRY, "address": "127.0.0.1:99999"},
-    {**_ENTRY, "address": "a..b:80"},
-    {**_ENTRY, "address": "a" * 70_000 + ":80"},
-    {**_ENTRY, "service": "s" * 70_000},
-    {**_ENTRY, "capacity": {"cpu": 2**64 - 1, "mem-mb": 2**64 - 1}},
-    {**_ENTRY, "born": 2**63},
-    {**_ENTRY, "cold-remaining-ms": -1},
-    '{"service":1e999}',
-    "\0",
+ODD_PREFIXES = ("servers/", "servers/", "op/", "op/wave/", "status/", "cell0/")
+ODD_TEXTS = ('{"x":' + "[" * 100_000, '{"service":1e999}', '"\\ud800"', "{", "[]", "\0")
+ODD_VALUES: tuple[Any, ...] = (
+    *(None, True, -1, 2**63, 2**64 - 1, 1e300, "", "a" * 70_000, "a..b:80", "127.0.0.1:99999"),
+    *([[]], {}, {"cpu": 2**64 - 1, "mem-mb": 2**64 - 1}),
 )
 
 
+def _draw_odd_entry(rng: random.Random) -> Any:
+    """Return an entry of another writer, as it is stored or as text."""
+    if rng.random() < 0.3:
+        return rng.choice(ODD_TEXTS)
+    return {**_ENTRY, rng.choice(list(_ENTRY)): rng.choice(ODD_VALUES)}
+
+
 class Player:
     """Inject the faults of a script; `notes` says what each one hit."""
 
@@ -52,6 +55,7 @@
         self._system = system
         self._burst = burst  # of jobs that are cancelled at once
         self._dep = system.deployment
+        self._ids = itertools.count(1)
         self.played: Counter[str] = Counter()
         self.notes: list[str] = []
 
@@ -100,6 +104,20 @@
             await asyncio.sleep(args["for_ms"] / 1000)
             self._system.signal_instance(args["instance"], signal.SIGCONT)
 
+    async def _replace(self, args: dict[str, Any]) -> None:
+        number, pause_s = args["instance"], args["pause_ms"] / 1000
+        await self._system.replace_instance(number, args["how"], pause_s)
+
+    async def _starve(self, args: dict[str, Any]) -> None:
+        """Let an instance run for a share of each tenth of a second."""
+        until_ms = now_ms() + args["for_ms"]
+        async with self._disruption("starve", args["instance"]):
+            while now_ms() < until_ms:
+                self._system.signal_instance(args["instance"], signal.SIGSTOP)
+                await asyncio.sleep(STARVE_PERIOD_S * (1 - args["share"]))
+                self._system.signal_instance(args["instance"], signal.SIGCONT)
+                await asyncio.sleep(STARVE_PERIOD_S * args["share"])
+
     async def _hangup(self, args: dict[str, Any]) -> None:
         self._system.signal_instance(args["instance"], signal.SIGHUP)
 
@@ -144,7 +162,7 @@
             LinkFault(self._ips(domain), outside, mode, way),
             LinkFault(self._ips(domain, others=True), inside, mode, opposite),
         ]
-        await self._hold_faults(faults, args["for_ms"])
+        await asyncio.gather(self._hold_faults(faults, args["for_ms"]), self._lapse(args))
 
     async def _cut_off_owner(self, args: dict[str, Any]) -> None:
         """Cut the owner off from one worker, then its failure domain from the rest."""
@@ -161,9 +179,10 @@
         await first_cut
 
     def _busiest_worker_outside(self, domain: int) -> int:
-        counts = Counter(run.worker for run in build_runs(self._system.events) if not run.how)
+        runs = build_runs(self._system.events)
+        counts = Counter(self._dep.worker_number(run.worker) for run in runs if not run.how)
         candidates = [n for n in range(len(self._dep.workers)) if self._dep.domain(n) != domain]
-        return max(candidates, key=lambda n: (counts[self._dep.worker_id(n)], -n))
+        return max(candidates, key=lambda n: (counts[n], -n))
 
     async def _cut_pair(self, args: dict[str, Any]) -> None:
         target = args["target"]
@@ -183,19 +202,49 @@
         async with self._disruption("link", None):
             self._system.proxy.reset(source, frozenset({self._dep.store, *self._dep.workers}))
 
+    async def _silence(self, args: dict[str, Any]) -> None:
+        """Let all open connections go silent for good; new ones work."""
+        async with self._disruption("link", None):
+            targets = frozenset({self._dep.store, *self._dep.workers})
+            self._system.proxy.silence(self._ips(), targets)
+
+    async def _hang(self, args: dict[str, Any]) -> None:
+        """Let an address fall silent, and connections to it hang while they are opened."""
+        target = args["target"]
+        address = self._dep.store if target == STORE else self._dep.workers[target]
+        fault = LinkFault(self._ips(), frozenset({address}), "drop")
+        hanging = self._system.proxy.hang(address, args["for_ms"] / 1000)
+        await asyncio.gather(self._hold_faults([fault], args["for_ms"]), hanging)
+
     # The stand-in.
 
+    async def _hold_standin_fault(
+        self, kind: str, admins: list[str], fault: dict[str, Any], for_ms: int
+    ) -> None:
+        fault_id = str(next(self._ids))
+        async with self._disruption(kind, None):
+            for admin in admins:
+                await self._system.admin(admin, "fault", id=fault_id, **fault)
+            await asyncio.sleep(for_ms / 1000)
+            for admin in admins:
+                await self._system.admin(admin, "fault", kind="clear", id=fault_id)
+
+    async def _lapse(self, args: dict[str, Any]) -> None:
+        """Let the store get no heartbeats of the workers in a domain, or of any worker."""
+        numbers = range(len(self._dep.workers))
+        hit = [n for n in numbers if args["domain"] in (None, self._dep.domain(n))]
+        fault = {"kind": "lapse", "workers": [self._dep.current_ids[n] for n in hit]}
+        await self._hold_standin_fault("link", [self._dep.store_admin], fault, args["for_ms"])
+
     async def _store(self, args: dict[str, Any]) -> None:
-        fault = {"kind": args["fault"], "ms": args["ms"]}
+        fault: dict[str, Any] = {"kind": args["fault"], "ms": args["ms"]}
         if args["fault"] in ("lose_answers", "apply_late"):
             fault["share"] = args["share"]
         if args["instance"] is not None:
             fault["for"] = [self._dep.instances[args["instance"]]]
-        async with self._disruption("store", None):
-            await self._system.admin(self._dep.store_admin, "fault", **fault)
-            await asyncio.sleep(args["for_ms"] / 1000)
-            clear = {"kind": "clear", "only": args["fault"]}
-            await self._system.admin(self._dep.store_admin, "fault", **clear)
+        if args.get("topic"):
+            fault["topics"] = [args["topic"]]
+        await self._hold_standin_fault("store", [self._dep.store_admin], fault, args["for_ms"])
 
     async def _truncate(self, args: dict[str, Any]) -> None:
         async with self._disruption("store", None):
@@ -231,39 +280,38 @@
         number = args["worker"]
         worker = self._dep.worker_id(number)
         admin = self._dep.worker_admin(self._dep.worker_process(number))
-        if args["do"] == "drain":
+        boot = {"id": worker, "do": "boot", "ms": args.get("shift_ms")}
+        if args["do"] in ("replace", "reclaim"):
+            self._dep.current_ids[number] = boot["new_id"] = f"{worker}-{next(self._ids)}"
+        if args["do"] in ("drain", "reclaim"):
             # A graceful end excuses nothing; the worker has left when it is booted again.
-            await self._system.try_admin(admin, "worker", id=worker, do="drain")
-            await asyncio.sleep((DRAIN_STAY_MS + args["pause_ms"]) / 1000)
-            await self._system.try_admin(admin, "worker", id=worker, do="boot")
+            stay_ms = args.get("stay_ms", DRAIN_STAY_MS)
+            await self._system.try_admin(admin, "worker", id=worker, do="drain", ms=stay_ms)
+            await asyncio.sleep((stay_ms + args["pause_ms"]) / 1000)
+            await self._system.try_admin(admin, "worker", **boot)
             return
         async with self._disruption("worker", None):
-            await self._system.try_admin(admin, "worker", id=worker, do="crash")
-            if args["do"] != "boot":
+            end = "gone" if args["do"] == "gone" else "crash"
+            await self._system.try_admin(admin, "worker", id=worker, do=end)
+            if args["do"] not in ("boot", "boot_shifted"):
                 await asyncio.sleep(args["pause_ms"] / 1000)
-            await self._system.try_admin(admin, "worker", id=worker, do="boot")
+            await self._system.try_admin(admin, "worker", **boot)
 
     async def _orders(self, args: dict[str, Any]) -> None:
         workers = [self._dep.worker_id(number) for number in args["workers"]]
         fault = {"kind": args["fault"], "share": args["share"], "workers": workers}
         processes = range(self._dep.scale.worker_processes)
         admins = [self._dep.worker_admin(number) for number in processes]
-        async with self._disruption("worker", None):
-            for admin in admins:
-                await self._system.admin(admin, "fault", **fault)
-            await asyncio.sleep(args["for_ms"] / 1000)
-            for admin in admins:
-                await self._system.admin(admin, "fault", kind="clear", only=args["fault"])
+        await self._hold_standin_fault("worker", admins, fault, args["for_ms"])
 
     async def _odd_entries(self, args: dict[str, Any]) -> None:
         """Write odd entries: new ones, which stay, and some that the next heartbeats replace."""
-        keys = [f"odd-{number}" for number in range(args["new"])]
-        keys += [self._dep.worker_id(number) for number in args["workers"]]
-        for number, key in enumerate(keys):
-            value = ODD_ENTRIES[number % len(ODD_ENTRIES)]
-            await self._system.admin(
-                self._dep.store_admin, "entry", key=f"servers/{key}", value=value
-            )
+        rng = random.Random(args.get("seed", 0))
+        keys = [f"{rng.choice(ODD_PREFIXES)}odd-{number}" for number in range(args["new"])]
+        keys += [f"servers/{self._dep.current_ids[number]}" for number in args["workers"]]
+        for key in keys:
+            value = _draw_odd_entry(rng)
+            await self._system.admin(self._dep.store_admin, "entry", key=key, value=value)
 
     async def _configure(self, args: dict[str, Any]) -> None:
         manifest = self._dep.next_manifest()
--- a/devtools/soak/proxy.py
+++ b/devtools/soak/proxy.py
@@ -6,11 +6,15 @@
 import contextlib
 import socket
 import struct
+from collections.abc import Coroutine
 from dataclasses import dataclass
+from typing import Any
 
 __all__ = ["LinkFault", "LinkProxy"]
 
 CHUNK_BYTES = 65_536
+BACKLOG = 1_024
+QUEUE_FILLERS, FILLER_PAUSE_S = 2, 0.02
 # Bytes held for longer are lost. Together with the longest delay of an order in the stand-in, this
 # stays below the longest delay that the platform allows.
 MAX_HOLD_S = 3.0
@@ -39,6 +43,7 @@
         self.source, self.target = source, target
         self.writers: list[asyncio.StreamWriter] = []
         self.lost_bytes = False
+        self.silent = False  # for good
 
     def reset(self) -> None:
         """Reset both sides."""
@@ -58,16 +63,59 @@
         self.connection_count = 0
         self._changed = asyncio.Event()
         self._connections: set[_Connection] = set()
-        self._servers: list[asyncio.Server] = []
+        self._sockets: dict[str, socket.socket] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._hanging: set[str] = set()
 
-    async def listen(self, address: str, behind: str) -> None:
+    def listen(self, address: str, behind: str) -> None:
         """Forward what connects to one address to another; raise OSError."""
+        ip, _, port = address.rpartition(":")
+        sock = self._sockets[address] = socket.create_server((ip, int(port)), backlog=BACKLOG)
+        sock.setblocking(False)
+        self._spawn(self._accept(address, behind))
 
-        async def handle(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-            await self._serve(reader, writer, address, behind)
+    def _spawn(self, coroutine: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
 
-        ip, _, port = address.rpartition(":")
-        self._servers.append(await asyncio.start_server(handle, ip, int(port), backlog=1024))
+    async def _accept(self, address: str, behind: str) -> None:
+        while True:
+            sock, peer = await asyncio.get_running_loop().sock_accept(self._sockets[address])
+            while address in self._hanging:
+                await self._changed.wait()
+            self._spawn(self._serve(sock, _Connection(peer[0], address), behind))
+
+    async def hang(self, address: str, for_s: float) -> None:
+        """Leave new connections to an address without an answer, not even to be opened.
+
+        The system drops what opens a connection while the queue of those to be accepted is full.
+        """
+        listener = self._sockets[address]
+        self._hanging.add(address)
+        listener.listen(0)
+        fillers = [socket.socket() for _ in range(QUEUE_FILLERS)]
+        try:
+            for filler in fillers:
+                filler.setblocking(False)
+                filler.connect_ex(listener.getsockname())
+                await asyncio.sleep(FILLER_PAUSE_S)  # the first one is accepted, the next waits
+            await asyncio.sleep(for_s)
+        finally:
+            for filler in fillers:
+                filler.close()
+            self._hanging.discard(address)
+            listener.listen(BACKLOG)
+            self._note_change()
+
+    def silence(self, sources: frozenset[str], targets: frozenset[str]) -> None:
+        """Deliver nothing more on the open connections from some sources to some targets."""
+        for conn in self._connections:
+            conn.silent |= conn.source in sources and conn.target in targets
+
+    def _note_change(self) -> None:
+        changed, self._changed = self._changed, asyncio.Event()
+        changed.set()
 
     def add(self, fault: LinkFault) -> None:
         """Put a fault in force."""
@@ -78,8 +126,7 @@
     def remove(self, fault: LinkFault) -> None:
         """End a fault; connections that lost bytes are reset."""
         self.faults.discard(fault)
-        changed, self._changed = self._changed, asyncio.Event()
-        changed.set()
+        self._note_change()
         for conn in list(self._connections):
             if conn.lost_bytes and not self._find(conn, "out") and not self._find(conn, "back"):
                 conn.reset()
@@ -92,11 +139,13 @@
 
     async def close(self) -> None:
         """Stop listening and reset every connection."""
-        for server in self._servers:
-            server.close()
         for conn in list(self._connections):
             conn.reset()
-        await asyncio.sleep(0)
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        for sock in self._sockets.values():
+            sock.close()
 
     def _find(self, conn: _Connection, way: str, modes: str = "drop hold refuse") -> str:
         """Return the mode of a fault in force on one way of a connection, or an empty string."""
@@ -121,18 +170,12 @@
         ]
         return max(delays, default=0) / 1000
 
-    async def _serve(
-        self,
-        reader: asyncio.StreamReader,
-        writer: asyncio.StreamWriter,
-        address: str,
-        behind: str,
-    ) -> None:
-        conn = _Connection(writer.get_extra_info("peername")[0], address)
-        conn.writers.append(writer)
+    async def _serve(self, sock: socket.socket, conn: _Connection, behind: str) -> None:
         self._connections.add(conn)
         self.connection_count += 1
         try:
+            reader, writer = await asyncio.open_connection(sock=sock)
+            conn.writers.append(writer)
             if self._find(conn, "out", "refuse") or self._find(conn, "back", "refuse"):
                 conn.reset()
                 return
@@ -170,6 +213,8 @@
         """Forward one way of a connection until it ends; an error ends the other way as well."""
         while True:
             data = await reader.read(CHUNK_BYTES)
+            while conn.silent and data:
+                data = await reader.read(CHUNK_BYTES)
             delay_s = self._delay_s(conn, way)
             if delay_s:
                 await asyncio.sleep(delay_s)
--- a/devtools/soak/run.py
+++ b/devtools/soak/run.py
@@ -76,8 +76,8 @@
         await system.stop()
         (folder / "faults.txt").write_text("\n".join(player.notes) + "\n", encoding="utf-8")
     system.read_new_lines()
-    workers = {deployment.worker_id(number) for number in range(scale.workers)}
-    unguarded = set() if deployment.admission_check else workers
+    numbers = {e["worker"]: deployment.worker_number(e["worker"]) for e in system.events}
+    unguarded = set() if deployment.admission_check else set(numbers)
     jobs = callers.jobs
     findings = [
         *system.findings,
@@ -88,11 +88,8 @@
             system.disruptions,
             WORKER_CPU,
             unguarded,
-            {ip: number for number, ip in enumerate(deployment.instances)},
-            {
-                deployment.worker_id(number): deployment.rack(number)
-                for number in range(scale.workers)
-            },
+            deployment.numbers,
+            {worker: deployment.rack(number) for worker, number in numbers.items()},
         ),
     ]
     requests = [req for record in jobs.values() for req in record.requests]
--- a/devtools/soak/script.py
+++ b/devtools/soak/script.py
@@ -17,19 +17,25 @@
 OWNER = -1  # stands for the instance, or the failure domain, that owns the cell at that time
 FIRST_STEP_MS = 6_000  # jobs run by then
 STORE_FAULTS = ("silent", "busy", "reset", "slow", "lose_answers", "apply_late")
-WORKER_FAULTS = ("crash", "boot", "drain")
-ORDER_FAULTS = ("late_orders", "lost_answers", "fail_runs")
+TOPICS = (None, None, "keyed.cell0", "keyed.servers", "keyed.op")  # None is all
+WORKER_FAULTS = ("crash", "boot", "drain", "replace", "reclaim", "gone", "boot_shifted")
+ORDER_FAULTS = ("late_orders", "lost_answers", "fail_runs", "odd_rows")
 # How often each kind is drawn, relative to the others.
 WEIGHTS = {
     "terminate": 3,
     "kill": 4,
     "freeze": 3,
     "hangup": 1,
+    "replace": 2,
+    "starve": 2,
     "cut_domain": 4,
     "cut_off_owner": 3,
     "cut_pair": 3,
     "delay": 2,
     "reset": 2,
+    "silence": 2,
+    "hang": 2,
+    "lapse": 2,
     "store": 4,
     "truncate": 1,
     "truncate_behind": 2,
@@ -61,7 +67,7 @@
     # Drawn apart, so that a seed keeps the other faults that it had before this kind.
     odd_rng = random.Random(f"odd entries {seed}")
     odd_at_ms = odd_rng.randint(1_000, max(1_000, duration_ms // 2))
-    odd_args = {"new": 20, "workers": [odd_rng.randrange(scale.workers)]}
+    odd_args = {"new": 20, "workers": [odd_rng.randrange(scale.workers)], "seed": seed}
     steps.append(Step(odd_at_ms, "odd_entries", odd_args))
     return sorted(steps, key=lambda step: step.at_ms)
 
@@ -73,6 +79,16 @@
     match kind:
         case "terminate" | "kill":
             return {"instance": instance, "pause_ms": rng.choice((50, 500, 3_000))}
+        case "replace":
+            how = rng.choice(("terminate", "kill"))
+            return {"instance": instance, "how": how, "pause_ms": rng.choice((50, 3_000, 12_000))}
+        case "starve":
+            return {"instance": instance, "share": rng.choice((0.1, 0.3, 0.6)), "for_ms": for_ms}
+        case "hang":
+            return {"target": -1 if rng.random() < 0.3 else worker, "for_ms": for_ms}
+        case "lapse":
+            domain = rng.choice((None, rng.randrange(scale.domains)))
+            return {"domain": domain, "for_ms": rng.randint(3_000, 9_000)}
         case "freeze":
             return {"instance": instance, "for_ms": for_ms}
         case "cut_domain":
@@ -94,10 +110,16 @@
             fault = rng.choice(STORE_FAULTS)
             some = rng.random() < 0.3  # whether only one instance is affected
             args = {"fault": fault, "share": rng.choice((0.1, 0.5)), "ms": rng.randint(50, 1_500)}
-            return {**args, "instance": instance if some else None, "for_ms": for_ms}
+            args |= {"topic": rng.choice(TOPICS), "instance": instance if some else None}
+            return {**args, "for_ms": for_ms}
         case "worker":
             do = rng.choice(WORKER_FAULTS)
-            return {"worker": worker, "do": do, "pause_ms": rng.randint(100, 4_000)}
+            args = {"worker": worker, "do": do, "pause_ms": rng.randint(100, 4_000)}
+            if do == "reclaim":
+                args["stay_ms"] = rng.randint(1_000, 4_500)
+            if do == "boot_shifted":
+                args["shift_ms"] = rng.choice((-60_000, -3_000, 3_000))
+            return args
         case "orders":
             workers = sorted(rng.sample(range(scale.workers), max(1, scale.workers // 4)))
             fault, share = rng.choice(ORDER_FAULTS), 0.3
@@ -105,13 +127,13 @@
                 workers, share = list(range(scale.workers)), 0.8
             return {"fault": fault, "share": share, "workers": workers, "for_ms": for_ms}
         case "truncate_behind":
-            return {"instance": OWNER, "for_ms": rng.randint(400, 2_500)}
+            return {"instance": instance, "for_ms": rng.randint(400, 2_500)}
         case "reboot_behind":
             workers = sorted(rng.sample(range(scale.workers), max(1, scale.workers // 4)))
             return {"instance": OWNER, "workers": workers, "by_ms": rng.randint(300, 1_200)}
         case "truncate":
             return {"keep": rng.choice((0, 20))}
-        case _:  # hangup, reset, configure
+        case _:  # hangup, reset, silence, configure
             return {"instance": instance}
 
 
--- a/devtools/soak/system.py
+++ b/devtools/soak/system.py
@@ -104,7 +104,7 @@
             settings = dep.workers_settings(number, self._seed, str(record))
             self._add(f"workers-{number}", [sys.executable, "-m", STANDIN, "workers"], settings)
             self._tails[f"history-{number}"] = Tail(record)
-        await self._listen()
+        self._listen()
         for name in list(self._processes):
             self._spawn(self._processes[name])
             admin = dep.store_admin if name == "store" else dep.worker_admin(int(name[8:]))
@@ -122,20 +122,24 @@
             self._watchers.add(asyncio.create_task(self._watch(process)))
         self._watchers.add(asyncio.create_task(self._poll()))
 
-    async def _listen(self) -> None:
+    def _listen(self) -> None:
         dep = self.deployment
         links = {dep.store: dep.store_behind}
         links |= {dep.workers[n]: dep.worker_behind(n) for n in range(dep.scale.workers)}
         for address, behind in links.items():
             try:
-                await self.proxy.listen(address, behind)
+                self.proxy.listen(address, behind)
             except OSError as exc:
                 raise StartError(f"the proxy can not listen at {address}: {exc}") from exc
 
     def _add(self, name: str, args: list[str], settings: dict[str, Any]) -> None:
+        path = self._write_settings(name, settings)
+        self._processes[name] = _Process(name, [*args, f"--settings={path}"])
+
+    def _write_settings(self, name: str, settings: dict[str, Any]) -> Path:
         path = self.folder / f"{name}.yaml"
         path.write_text(yaml.safe_dump(settings, sort_keys=False), encoding="utf-8")
-        self._processes[name] = _Process(name, [*args, f"--settings={path}"])
+        return path
 
     def _spawn(self, process: _Process) -> None:
         with (
@@ -283,9 +287,17 @@
                 popen.kill()
             await asyncio.sleep(0.05)
 
+    async def replace_instance(self, number: int, kind: str, pause_s: float) -> None:
+        """End an instance for good; after a pause, one at another address takes its place."""
+        dep, name = self.deployment, f"entry-{number}"
+        dep.replace_instance(number)
+        self._write_settings(name, dep.instance_settings(number))
+        self._processes[name].args[3] = dep.instances[number]
+        await self.end_instance(number, kind, pause_s)
+
     def _was_frozen(self, number: int, since_ms: float) -> bool:
         return any(
-            d.kind == "freeze" and d.instance == number and d.to_ms > since_ms
+            d.kind in ("freeze", "starve") and d.instance == number and d.to_ms > since_ms
             for d in self.disruptions
         )
 
--- a/src/greengagewood/platform/runlists.py
+++ b/src/greengagewood/platform/runlists.py
@@ -141,9 +141,7 @@
                 end = _read_end(_convert(row, _EndRow))
             except ValueError as exc:
                 end = _read_numbered_end(row)
-                key = f"{born} {row!a}"[
-                    :MAX_ROW_KEY_LENGTH
-                ]  # a later boot numbers its ends anew
+                key = f"{born} {row!a}"[:MAX_ROW_KEY_LENGTH]  # a later boot numbers its ends anew
                 first_ms = self._note(worker_id, "finished", key, row, str(exc))
                 if end is None or end.result == UNKNOWN_RESULT:
                     withheld = withheld or monotonic_ms() - first_ms < END_RETRY_MS
--- a/src/greengagewood/platform/standin/common.py
+++ b/src/greengagewood/platform/standin/common.py
@@ -60,26 +60,31 @@
     def __init__(self, kinds: frozenset[str], rng: random.Random) -> None:
         self._kinds = kinds
         self._rng = rng
-        self._active: dict[str, Fault] = {}
+        self._active: dict[tuple[str, str], Fault] = {}  # by kind and id
 
     def change(self, fault: Fault) -> None:
         """Switch a fault on, or faults off; raise ValueError."""
         if fault.kind == "clear":
-            for kind in [fault.only] if fault.only else list(self._active):
-                self._active.pop(kind, None)
+            for kind, fault_id in list(self._active):
+                if fault.only in ("", kind) and fault.id in ("", fault_id):
+                    del self._active[kind, fault_id]
         elif fault.kind in self._kinds:
-            self._active[fault.kind] = fault
+            self._active[fault.kind, fault.id] = fault
         else:
             raise ValueError(f"unknown fault {fault.kind!r}; use clear or {sorted(self._kinds)}")
 
-    def draw(self, kind: str, client: str = "", worker: str = "") -> Fault | None:
-        """Return the fault if it hits this call."""
-        fault = self._active.get(kind)
-        if fault is None or (fault.clients and client not in fault.clients):
-            return None
-        if fault.workers and worker not in fault.workers:
-            return None
-        return fault if fault.share >= 1 or self._rng.random() < fault.share else None
+    def draw(self, kind: str, client: str = "", worker: str = "", topic: str = "") -> Fault | None:
+        """Return a fault of a kind that hits this call."""
+        for (active_kind, _), fault in self._active.items():
+            if (
+                active_kind == kind
+                and (not fault.clients or client in fault.clients)
+                and (not fault.workers or worker in fault.workers)
+                and (not fault.topics or topic in fault.topics)
+                and (fault.share >= 1 or self._rng.random() < fault.share)
+            ):
+                return fault
+        return None
 
 
 class _Runner(web.ServerRunner):
--- a/src/greengagewood/platform/standin/fleet.py
+++ b/src/greengagewood/platform/standin/fleet.py
@@ -29,20 +29,33 @@
 __all__ = ["WorkersStandin"]
 
 KIND_BY_CALL = {"run-start": "start", "run-stop": "stop", "hold": "hold", "pace": "pace"}
-FAULT_KINDS = frozenset({"late_orders", "lost_answers", "fail_runs", "busy"})
+FAULT_KINDS = frozenset({"late_orders", "lost_answers", "fail_runs", "busy", "odd_rows"})
+HIDDEN_SHARE = 0.3  # of the lists with odd rows, the share in which one stands for a run
 IMMEDIATE_SHARE = 0.4  # of the orders left unanswered, the share that is carried out at once
 HEARTBEATS_KEPT = 3  # intervals without a heartbeat after which the store deletes an entry
 HEARTBEAT_RETRY_S = 0.3
 HEARTBEAT_TIMEOUT_S = 2.0
 SLOTS = 8
 VERSION = "v1"
+_LEVELS = 100_000
+_NAME = "0000000000000000.0.0.0"
+ODD_ROWS = (
+    "null",
+    "{}",
+    '["hello",1]',
+    f'["{_NAME}",18446744073709551616,"",1,1]',
+    f'["{_NAME}",0,"",1,1]',
+    '["\\ud800.0.0.0",1,"",1,1]',
+    '["0000000000000000.0.0.-1",1,"",1,1]',
+    "[" * _LEVELS + "]" * _LEVELS,
+)
 
 
 class _Change(msgspec.Struct, forbid_unknown_fields=True):
     id: str
     do: Literal["crash", "boot", "drain", "resize", "gone"]
     new_id: str = ""
-    ms: int | None = None
+    ms: int | None = None  # stay of a drain; how far the time of day is off at a boot
     cpu: int | None = None
     mem_mb: int | None = None
 
@@ -71,12 +84,13 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    async def start(self, new_id: str = "") -> None:
-        """Boot, unless the worker is up."""
+    async def start(self, new_id: str = "", clock_shift_ms: int = 0) -> None:
+        """Boot, unless the worker is up; its time of day is off by the shift."""
         if self.boot is not None:
             raise ValueError(f"worker {self._id} is up already; crash it first")
         self._id = new_id or self._id
-        self._last_born = max(self._last_born + 1, time.time_ns() // 1_000_000)
+        born = time.time_ns() // 1_000_000 + clock_shift_ms
+        self._last_born = born if clock_shift_ms < 0 else max(self._last_born + 1, born)
         self._seq, self._draining, self._leaves_at = 0, False, None
         cfg = self._fleet.cfg
         boot = Boot(
@@ -191,7 +205,7 @@
     # The platform's wire.
 
     def _draw(self, kind: str) -> Fault | None:
-        return self._fleet.faults.draw(kind, worker=self._id)
+        return self._fleet.faults.draw(kind, worker=self.cfg.id)
 
     async def _handle(self, req: web.BaseRequest) -> web.StreamResponse:
         body = await req.read()
@@ -224,8 +238,19 @@
         if kind == "hold" and status == 200:
             await boot.wait_for_end(order.wait_ms)
             answer = boot.lists()
+            if self._draw("odd_rows"):
+                self._add_odd_rows(answer)
         return json_answer(answer, status)
 
+    def _add_odd_rows(self, answer: dict[str, Any]) -> None:
+        """Add an odd row to each list; sometimes the one of a run takes its place."""
+        for name in ("running", "finished"):
+            rows = answer[name] = list(answer[name])
+            index = self._rng.randint(0, len(rows))
+            hides = name == "running" and self._rng.random() < HIDDEN_SHARE
+            odd = msgspec.Raw(self._rng.choice(ODD_ROWS).encode())
+            rows[index : index + hides] = [odd]
+
     def _leave_for_later(
         self, boot: Boot, kind: str, order: Order, client: str, delay_ms: int
     ) -> None:
@@ -319,7 +344,7 @@
             case "crash":
                 await worker.shut_down("crashed")
             case "boot":
-                await worker.start(change.new_id)
+                await worker.start(change.new_id, change.ms or 0)
             case "gone":
                 await worker.leave()
             case "drain":
--- a/src/greengagewood/platform/standin/settings.py
+++ b/src/greengagewood/platform/standin/settings.py
@@ -64,11 +64,16 @@
 
 
 class Fault(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """Switch a fault on; an empty list of clients or workers means all."""
+    """Switch a fault on; an empty list of clients, workers or topics means all.
+
+    Faults of one kind with different ids are in force side by side.
+    """
 
     kind: str
     share: Share = 1.0
     ms: Millis = 0
     clients: tuple[str, ...] = msgspec.field(name="for", default=())
     workers: tuple[str, ...] = ()
-    only: str = ""  # the kind that `clear` ends; all if it is empty
+    topics: tuple[str, ...] = ()
+    id: str = ""
+    only: str = ""  # the kind that `clear` ends, with the same id if one is given; empty for all
--- a/src/greengagewood/platform/standin/store.py
+++ b/src/greengagewood/platform/standin/store.py
@@ -139,13 +139,14 @@
         body = await req.read()
         client = req.remote or ""
         call = req.path.removeprefix(CALL_PATH)
-        if self.faults.draw("silent", client):
+        topic = req.query.get("topic", "")
+        if self.faults.draw("silent", client, topic=topic):
             return await leave_unanswered(req)
-        if self.faults.draw("reset", client):
+        if self.faults.draw("reset", client, topic=topic):
             return reset_connection(req)
-        if self.faults.draw("busy", client):
+        if self.faults.draw("busy", client, topic=topic):
             return web.Response(status=503)
-        slow = self.faults.draw("slow", client)
+        slow = self.faults.draw("slow", client, topic=topic)
         if slow is not None:
             await asyncio.sleep(slow.ms / 1000)
         if not self._budgets[call in WRITE_CALLS].take():
@@ -154,9 +155,9 @@
             resp = await self._serve(req, call, body, client)
         except (ValueError, KeyError) as exc:
             return json_answer({"error": f"{call}: {exc!r}"}, 400)
-        if resp is None or self.faults.draw("silent", client):
+        if resp is None or self.faults.draw("silent", client, topic=topic):
             return await leave_unanswered(req)
-        if self.faults.draw("lose_answers", client):
+        if self.faults.draw("lose_answers", client, topic=topic):
             return await leave_unanswered(req)
         return resp
 
@@ -198,7 +199,7 @@
         producer = query.get("producer", "")
         epoch, seq = int(query.get("epoch", 0)), int(query.get("seq", 0))
         append = AppendCall(contents, client, at, producer, epoch, seq)
-        late = self.faults.draw("apply_late", client)
+        late = self.faults.draw("apply_late", client, topic=topic)
         if late is not None:
             delay_s = late.ms / 1000 * self._rng.uniform(0.5, 1.0)
             task = asyncio.create_task(self._append_late(delay_s, topic, number, append))
@@ -284,7 +285,7 @@
         topic = KEYED_PREFIX + prefix
         part = self._partition(topic, 0)
         if entry.ttl_ms:
-            if self.faults.draw("lapse"):
+            if self.faults.draw("lapse", worker=key):
                 raise ConnectionRefusedError("heartbeats are not taken")
             self._entry_deadlines_ms[topic, key] = monotonic_ms() + entry.ttl_ms
             previous = part.newest.get(key)
--- a/tests/cover/test_platform_standin.py
+++ b/tests/cover/test_platform_standin.py
@@ -326,6 +326,24 @@
             await platform.fault(7002, "clear")
             assert (await other.read(0, 0)).next_offset == 1
 
+    async def test_faults_side_by_side_hit_only_the_topics_that_they_name(
+        self, tmp_path: Path
+    ) -> None:
+        async with _platform(tmp_path) as platform:
+            logs = {name: platform.log(f"keyed.{name}") for name in "abc"}
+            for log in logs.values():
+                await log.append([("k", b"1")])
+            for name in "ab":
+                await platform.fault(7002, "busy", topics=[f"keyed.{name}"], id=name)
+
+            async def busy() -> str:
+                results = {n: await log.append([("k", b"2")]) for n, log in logs.items()}
+                return "".join(n for n, r in results.items() if r.outcome is Outcome.REFUSED)
+
+            assert await busy() == "ab"
+            await platform.fault(7002, "clear", id="a")
+            assert await busy() == "b"
+
     async def test_a_slow_store_delays_its_answers(self, tmp_path: Path) -> None:
         async with _platform(tmp_path) as platform:
             await platform.fault(7002, "slow", ms=150)
@@ -444,6 +462,27 @@
             await platform.fault(7002, "clear")
             await _eventually(platform.listed)
 
+    async def test_the_entries_of_some_workers_lapse(self, tmp_path: Path) -> None:
+        async with _platform(tmp_path, 2) as platform:
+            await platform.fault(7002, "lapse", workers=["w1"])
+
+            async def one_listed() -> bool:
+                return sorted(await platform.listed()) == ["w0"]
+
+            await _eventually(one_listed)
+
+    async def test_the_boot_time_follows_a_time_of_day_that_was_set_back(
+        self, tmp_path: Path
+    ) -> None:
+        async with _platform(tmp_path, 1) as platform:
+            before = platform.known["w0"].boot_time_ms
+            await platform.change("w0", "crash")
+            await platform.change("w0", "boot", ms=-60_000)
+            assert 50_000 < before - (await platform.hold("w0")).boot_time_ms < 60_000
+            await platform.change("w0", "crash")
+            await platform.change("w0", "boot")
+            assert (await platform.hold("w0")).boot_time_ms > before
+
     async def test_a_drained_worker_reports_it_and_leaves(self, tmp_path: Path) -> None:
         async with _platform(tmp_path, 1) as platform:
             await platform.start("w0", LASTING)
@@ -690,6 +729,20 @@
             assert after.progress_percent == before.progress_percent
             assert after.tail_ms_or_cpu_millis == 0
 
+    async def test_odd_rows_hide_no_end_and_sometimes_a_run(self, tmp_path: Path) -> None:
+        async with _platform(tmp_path, 1) as platform:
+            await platform.start("w0", LASTING)
+            await platform.fault(7003, "odd_rows")
+            replies = [await platform.hold("w0") for _ in range(40)]
+            assert {len(reply.running) for reply in replies} == {0, 1}
+            assert not any(reply.complete for reply in replies if not reply.running)
+            await platform.workers().stop(platform.known["w0"], TASK, 1, 9)
+
+            async def is_listed() -> bool:
+                return await platform.ends("w0") == [("stopped", 1)]
+
+            await _eventually(is_listed)
+
     async def test_failing_and_busy_workers(self, tmp_path: Path) -> None:
         async with _platform(tmp_path, 2) as platform:
             await platform.fault(7003, "fail_runs", workers=["w0"])
--- a/tests/cover/test_soak.py
+++ b/tests/cover/test_soak.py
@@ -8,10 +8,11 @@
 import pytest
 from devtools.loopback import reserve_network
 from devtools.soak import checker, deployment
-from devtools.soak.deployment import SCALES, JobShape
+from devtools.soak.deployment import SCALES, Deployment, JobShape
+from devtools.soak.player import Player
 from devtools.soak.proxy import LinkFault, LinkProxy
 from devtools.soak.records import Disruption, JobRecord, Request
-from devtools.soak.script import Step, draw_script, load_script, save_script, shrink_script
+from devtools.soak.script import WEIGHTS, Step, draw_script, load_script, save_script, shrink_script
 
 JOB = "00000000000000aa"
 TASK = f"{JOB}.0.0.0"
@@ -315,6 +316,22 @@
         assert first == second
         assert first != draw_script(8, SCALES["small"], 60_000)
 
+    def test_every_kind_is_drawn_and_can_be_played(self):
+        scripts = [draw_script(seed, SCALES["small"], 600_000) for seed in range(3)]
+        kinds = {step.kind for script in scripts for step in script}
+        assert kinds == {*WEIGHTS, "odd_entries"}
+        assert [kind for kind in sorted(kinds) if not hasattr(Player, f"_{kind}")] == []
+
+    def test_another_machine_has_an_address_of_its_own(self):
+        """Guards against starts by an instance that are counted as another's."""
+        dep = Deployment(SCALES["small"], 1)
+        earlier = dep.instances[2]
+        dep.replace_instance(2)
+        assert dep.instances[2] not in (earlier, *dep.workers, dep.store)
+        assert [dep.numbers[ip] for ip in (earlier, dep.instances[2])] == [2, 2]
+        assert dep.instance_settings(2)["listen"].startswith(dep.instances[2] + ":")
+        assert len({dep.instance_settings(n)["instance"] for n in range(4)}) == 4
+
     def test_a_saved_script_is_read_as_it_was(self, tmp_path):
         steps = draw_script(7, SCALES["small"], 60_000)
         save_script(tmp_path / "script", 7, "small", steps)
@@ -348,7 +365,7 @@
 
         ip, _, port = self.behind.partition(":")
         self._server = await asyncio.start_server(echo, ip, int(port))
-        await self.proxy.listen(self.address, self.behind)
+        self.proxy.listen(self.address, self.behind)
         return self
 
     async def __aexit__(self, *exc_info):
@@ -422,6 +439,27 @@
             with pytest.raises(ConnectionResetError):
                 await _ask(await echo.connect())
 
+    async def test_a_silent_connection_stays_silent_and_new_ones_work(self):
+        async with _Echo() as echo:
+            silent, other = await echo.connect(), await echo.connect(4)
+            assert await _ask(silent) == await _ask(other) == b"hello"
+            echo.proxy.silence(frozenset({f"{echo.net}.3"}), frozenset({echo.address}))
+            assert await _ask(silent) is None
+            assert await _ask(silent) is None
+            assert not silent[0].at_eof()
+            assert await _ask(other) == b"hello"
+            assert await _ask(await echo.connect()) == b"hello"
+
+    async def test_connections_hang_while_they_are_opened_and_work_later(self):
+        async with _Echo() as echo:
+            hanging = asyncio.create_task(echo.proxy.hang(echo.address, 1.5))
+            await asyncio.sleep(0.1)
+            for _ in range(3):
+                with pytest.raises(TimeoutError):
+                    await asyncio.wait_for(echo.connect(), 0.3)
+            await hanging
+            assert await _ask(await echo.connect()) == b"hello"
+
     async def test_a_delayed_answer_arrives_later(self):
         async with _Echo() as echo:
             echo.proxy.add(echo.fault("delay", delay_ms=250))
