--- a/tests/cover/test_platform_standin.py
+++ b/tests/cover/test_platform_standin.py
@@ -577,6 +577,23 @@
             assert (await platform.hold("w0", acknowledged=1)).ended == ()
             assert [line["how"] for line in platform.history("workers", "ack")] == ["done"]
 
+    async def test_an_end_since_which_the_lease_has_lapsed_is_not_noted(
+        self, tmp_path: Path
+    ) -> None:
+        """Guards against a start that counts as one after a done that nobody could learn of."""
+        async with _platform(tmp_path, 1, lease_ms=300) as platform:
+            await platform.start("w0", SHORT)
+
+            async def is_listed() -> bool:
+                return await platform.ends("w0") == [("done", 1)]
+
+            await _eventually(is_listed)
+            await asyncio.sleep(0.4)
+            await platform.hold("w0", 9, acknowledged=1)
+            assert await platform.ends("w0") == []
+            assert platform.history("workers", "ack") == []
+            assert len(platform.history("workers", "ack_after_lapse")) == 1
+
     async def test_a_stopping_run_takes_its_room_until_it_has_ended(self, tmp_path: Path) -> None:
         async with _platform(tmp_path, 2, stop_ms=1_000) as platform:
             other = TaskId("5ab1", 0, 0, 1)
