--- a/tests/common/virtualsoak.py
+++ b/tests/common/virtualsoak.py
@@ -260,7 +260,8 @@
         await asyncio.sleep(pause_s)
         self.apply_faults()
         self.start_instance(number)
-        while not self.instances[number].ready:
+        started = self.instances[number]
+        while self.instances.get(number) is started and not started.ready:
             await asyncio.sleep(0.1)
         disruption.to_ms = now_ms()
 
@@ -434,8 +435,12 @@
         try:
             async with asyncio.timeout(CALLER_TIMEOUT_S):
                 req.status = await self._answer(target, record, req, body)
-        except (TimeoutError, asyncio.CancelledError) as exc:  # it was killed meanwhile
+        except TimeoutError as exc:
             req.error = repr(exc)
+        except asyncio.CancelledError:
+            if self._system.instances.get(instance) is target:
+                raise
+            # The instance has stopped, and with it a read that this request waited for.
         if self._system.instances.get(instance) is not target:
             req.status, req.state, req.error = None, "", "broken"
         req.ended_ms = now_ms()
