Find the mutants of the random orders by their present seeds, and two more

New: accepted runs of a rebooted worker that count as lost, and the number of the last end carried over to a new boot.

--- a/tests/cover/test_event_order.py
+++ b/tests/cover/test_event_order.py
@@ -12,12 +12,12 @@
 
 import pytest
 
-from greengagewood.internal.cells import stops
+from greengagewood.internal.cells import cell, stops
 from greengagewood.internal.cells.cell import Cell
 from greengagewood.internal.cells.fleet import Worker
 from greengagewood.internal.cells.stops import StopPlanner
 from greengagewood.internal.jobs.book import Run
-from greengagewood.internal.ports import LeaseReply
+from greengagewood.internal.ports import LeaseReply, WorkerInfo
 from tests.common.eventorder import World
 
 STEPS = 1_200
@@ -71,6 +71,20 @@
     patch.setattr(Cell, "handle_lease_reply", handle_unknown_boot)
 
 
+def _take_accepted_runs_of_a_rebooted_worker_for_lost(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(cell, "find_undecided", lambda worker: [])
+
+
+def _carry_over_the_end_sequence_to_a_new_boot(patch: pytest.MonkeyPatch) -> None:
+    replace_rebooted = Cell._replace_rebooted
+
+    def keep_sequence(self: Cell, worker: Worker, info: WorkerInfo, now_ms: int) -> None:
+        replace_rebooted(self, worker, info, now_ms)
+        self.workers[worker.name].last_end_sequence = worker.last_end_sequence
+
+    patch.setattr(Cell, "_replace_rebooted", keep_sequence)
+
+
 def _find_violation(seed: int) -> str | None:
     """Return what broke first; an exception of the cell counts, too."""
     try:
@@ -93,9 +107,11 @@
         ("mutate", "first"),  # a seed that finds it now; later ones are tried after it
         [
             (_apply_refusals_to_the_boot_that_was_sent_the_start, 0),
-            (_never_repeat_stops_of_ended_jobs, 1),
-            (_never_stop_runs_of_workers_that_were_silent, 0),
-            (_ignore_the_boot_of_unlisted_workers, 2),
+            (_never_repeat_stops_of_ended_jobs, 20),
+            (_never_stop_runs_of_workers_that_were_silent, 1),
+            (_ignore_the_boot_of_unlisted_workers, 70),
+            (_take_accepted_runs_of_a_rebooted_worker_for_lost, 3),
+            (_carry_over_the_end_sequence_to_a_new_boot, 1),
         ],
     )
     def test_a_broken_rule_is_found(
