Judge runs of cancelled jobs in calm, and evacuations, gangs and more in the soak

Cause: no run of a cancelled job was judged while workers drained or a domain was evacuated, as the faults came too densely; seven rules had no check.

Each script now ends with a calm phase (cancel_in_calm): jobs that last are cancelled in a short trouble and in the calm after it, while workers drain for 12 s and a domain is evacuated. New checks: checkpoints, GANG, EVAC, AVAIL, pending jobs, acknowledgements of ends and of cancellations. The stand-in has gangs, stragglers, tails that depend on what fills, and checkpoints that name their task. Mutants replace one attribute, so that tests can apply them, too; a mutant for each row of cancellation.md that can be switched off.

--- a/devtools/soak/callers.py
+++ b/devtools/soak/callers.py
@@ -10,7 +10,7 @@
 import aiohttp
 import msgspec
 
-from devtools.soak.deployment import HOST, PREFIX, Deployment, draw_job
+from devtools.soak.deployment import HOST, PREFIX, Deployment, JobShape, draw_job
 from devtools.soak.records import JobRecord, Request
 
 __all__ = ["Callers", "now_ms"]
@@ -23,6 +23,7 @@
 CANCEL_SHARE = 0.15
 RETRY_SHARE = 0.5  # of the refused jobs, submitted again; the others must never run
 PAUSE_S = 0.6  # mean time between two jobs of a caller
+COUNT_SHARE = 0.3
 BURST_SHARE, BURST_JOBS = 0.15, 6
 BURST_S = 0.4  # in which a job of a burst is submitted twice and cancelled, in any order
 MAX_STANDING = 6  # so that the workers have room for the other jobs
@@ -43,7 +44,9 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._standing = 0
         self._stopping = False
-        self.jobs: dict[str, JobRecord] = {}
+        # Requests for the number of pending jobs belong to the empty job.
+        self._counts = JobRecord("", JobShape("short", (0,), 0, 0))
+        self.jobs: dict[str, JobRecord] = {"": self._counts}
         self.session = aiohttp.ClientSession(
             connector=aiohttp.TCPConnector(limit=0, keepalive_timeout=3_600)
         )
@@ -68,14 +71,22 @@
     async def _call(self) -> None:
         while not self._stopping:
             await asyncio.sleep(self._rng.expovariate(1 / PAUSE_S))
+            if self._rng.random() < COUNT_SHARE:
+                await self.send(self._counts, "GET", self._pick())
             if self._rng.random() < BURST_SHARE:
                 await self.burst()
                 continue
-            record = self._draw_record()
-            self.jobs[record.job] = record
-            if await self._submit(record):
+            record = await self.submit(self._draw_shape())
+            if record.accepted_ms is not None:
                 await self._follow(record)
 
+    async def submit(self, shape: JobShape) -> JobRecord:
+        """Submit a job of this shape, which may fail."""
+        record = JobRecord(f"{self._rng.getrandbits(64):016x}", shape)
+        self.jobs[record.job] = record
+        await self._submit(record)
+        return record
+
     async def burst(self) -> None:
         """Submit and cancel several jobs at nearly the same time."""
         await asyncio.gather(*(self._cancel_promptly() for _ in range(BURST_JOBS)))
@@ -97,9 +108,9 @@
             send_later("POST", body), send_later("POST", body), send_later("DELETE")
         )
         if not record.answers("DELETE", 200):  # a second cancellation would hide the loss of one
-            await self._cancel(record)
+            await self.cancel(record)
 
-    async def _cancel(self, record: JobRecord) -> None:
+    async def cancel(self, record: JobRecord) -> None:
         """Cancel a job until that is acknowledged after its submission, then read its state."""
         for _ in range(MAX_ATTEMPTS):
             req = await self.send(record, "DELETE", self._pick())
@@ -108,15 +119,15 @@
             await asyncio.sleep(self._rng.uniform(0.05, 1))
         await self.send(record, "GET", self._pick())
 
-    def _draw_record(self) -> JobRecord:
+    def _draw_shape(self) -> JobShape:
         shape = draw_job(self._rng)
         while shape.kind == "standing" and self._standing >= MAX_STANDING:
             shape = draw_job(self._rng)
         self._standing += shape.kind == "standing"
-        return JobRecord(f"{self._rng.getrandbits(64):016x}", shape)
+        return shape
 
-    async def _submit(self, record: JobRecord) -> bool:
-        """Submit a job until an answer says what became of it; return whether it is accepted."""
+    async def _submit(self, record: JobRecord) -> None:
+        """Submit a job until an answer says what became of it."""
         body = record.shape.body()
         for _ in range(MAX_ATTEMPTS):
             req = await self.send(record, "POST", self._pick(), body)
@@ -124,11 +135,10 @@
                 if self._rng.random() < REPEAT_SHARE:
                     await asyncio.sleep(self._rng.uniform(0, 3))
                     await self.send(record, "POST", self._pick(), body)
-                return True
+                return
             if req.status in (429, 503) and self._rng.random() > RETRY_SHARE:
-                return False
+                return
             await asyncio.sleep(self._rng.uniform(0.05, 1))
-        return record.accepted_ms is not None
 
     async def _follow(self, record: JobRecord) -> None:
         """Read a job's state a few times; cancel some jobs, then read their state as well."""
@@ -136,7 +146,7 @@
             await asyncio.sleep(self._rng.uniform(0.1, 2.5))
             await self.send(record, "GET", self._pick())
         if record.shape.kind != "short" and self._rng.random() < CANCEL_SHARE:
-            await self._cancel(record)
+            await self.cancel(record)
 
     def _pick(self) -> int:
         up = [i for i in range(self._deployment.scale.instances) if self._is_up(i)]
@@ -159,7 +169,8 @@
                 content = await resp.read()
                 req.status = resp.status
             if method == "GET" and req.status == 200:
-                req.state = str(msgspec.json.decode(content)["state"])
+                answer = msgspec.json.decode(content)
+                req.state = str(answer["state" if record.job else "pending"])
         except aiohttp.ClientConnectorError as exc:
             req.unsent, req.error = True, repr(exc)
         except (aiohttp.ClientError, TimeoutError, OSError, ValueError, KeyError) as exc:
--- a/devtools/soak/checker.py
+++ b/devtools/soak/checker.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import zlib
 from collections import defaultdict
 from collections.abc import Iterable, Iterator, Mapping
 from typing import Any
@@ -30,6 +31,10 @@
 DRAIN_MS = 2_000
 MIN_CRASHED_WORKERS = 2  # under a task that may be given up
 EARLY_MS = 250
+EVACUATE_MS = 5_000
+NOTICE_MS = 5_500  # for which a task is away before it counts as unavailable for any cause
+ACK_MS = 6_000
+STARTUP_MS = 300  # of a lasting task, after which it is at work
 NOTED_MS = 1_000  # from a noted end to the last start by an instance in touch
 RESTART_MS, IDLE_MS = 6_000, 3_000  # of a lasting task; the 4 s before have to be calm, too
 # An order may be carried out 12 s after it was sent, and what it starts has a lease of 6 s on a
@@ -49,6 +54,8 @@
         worker, what = event.get("worker", ""), event["what"]
         if what == "drain":
             draining[worker] = event["t"]
+            for run in open_runs[worker].values():
+                run.draining_ms = event["t"]
         elif what == "boot":  # nothing of an earlier boot is left
             for run in open_runs.pop(worker, {}).values():
                 run.end_ms, run.how = event["t"], "boot"
@@ -56,9 +63,14 @@
         elif what == "start":
             run = Run(event["task"], event["run"], worker, event["t"], spec=event.get("spec"))
             run.sender, run.late = event.get("from", ""), event.get("late", False)
+            run.checkpoint = event.get("checkpoint", "")
             run.draining_ms = draining.get(worker, run.draining_ms)
             runs.append(run)
             open_runs[worker][(run.task, run.run)] = run
+        elif what == "order" and event.get("order") == "stop" and event["late"]:
+            found = open_runs[worker].get((event["task"], event["run"]))
+            if found is not None:
+                found.stopped_late = True
         elif what == "end":
             found = open_runs[worker].pop((event["task"], event["run"]), None)
             if found is not None:
@@ -71,6 +83,22 @@
     return runs
 
 
+def _group(task: str, jobs: Mapping[str, JobRecord]) -> str:
+    """Return the step of a task of a gang, whose ends and checkpoints are those of all members."""
+    job = task.partition(".")[0]
+    return task.rpartition(".")[0] if job in jobs and jobs[job].shape.is_gang else task
+
+
+def _done_ms(runs: Iterable[Run], jobs: Mapping[str, JobRecord]) -> dict[str, float]:
+    """Return when each task, or gang, was done first."""
+    done: dict[str, float] = {}
+    for run in runs:
+        if run.how == "done":
+            group = _group(run.task, jobs)
+            done[group] = min(run.end_ms, done.get(group, run.end_ms))
+    return done
+
+
 def _by_task(runs: Iterable[Run]) -> dict[str, list[Run]]:
     grouped: dict[str, list[Run]] = defaultdict(list)
     for run in runs:
@@ -130,8 +158,11 @@
 
 
 def check_attempts(runs: list[Run], jobs: Mapping[str, JobRecord]) -> Iterator[str]:
-    """No task starts after all permitted attempts have failed."""
-    for found in _by_task(runs).values():
+    """No task, or gang, starts after all permitted attempts have failed."""
+    groups: dict[str, list[Run]] = defaultdict(list)
+    for run in runs:
+        groups[_group(run.task, jobs)].append(run)
+    for found in groups.values():
         record = jobs.get(found[0].job)
         if record is None or record.shape.kind == "standing":
             continue
@@ -141,6 +172,8 @@
                 for r in found
                 if r.how == "failed" and r.end_ms <= run.start_ms and r.acked_ms < float("inf")
             ]
+            if record.shape.is_gang:  # one failed member is a failed attempt
+                failed = list({r.run: r for r in failed if r.run != run.run}.values())
             if record.shape.has_copies:
                 last_ms = max((r.acked_ms for r in failed), default=0) + NOTED_MS
                 if run.start_ms <= last_ms or not run.in_touch:
@@ -151,7 +184,7 @@
 
 def check_order(runs: list[Run], jobs: Mapping[str, JobRecord]) -> Iterator[str]:
     """No task starts that was not submitted, or before all tasks of the step before it are done."""
-    tasks = _by_task(runs)
+    tasks, done_ms = _by_task(runs), _done_ms(runs, jobs)
     for task, found in tasks.items():
         job, occurrence, step, _ = task.split(".")
         record = jobs.get(job)
@@ -160,14 +193,16 @@
             continue
         if any(run.spec not in (None, record.shape.body()["spec"]) for run in found):
             yield f"UNASKED: {task} was started with another spec"
+        own = f"{zlib.crc32(_group(task, jobs).encode()):08x}"
+        if any(run.checkpoint and run.checkpoint[8:] != own for run in found):
+            yield f"UNASKED: {task} was started with the checkpoint of another task"
         early_ms = record.shape.due_ms(int(occurrence)) - found[0].start_ms
         if record.shape.kind == "timed" and early_ms > EARLY_MS:
             yield f"ORDER: {task} started at {found[0].start_ms:.0f}, {early_ms:.0f} ms early"
         if step == "0":
             continue
         for earlier in record.task_names(int(occurrence))[int(step) - 1]:
-            ends = [r.end_ms for r in tasks.get(earlier, []) if r.how == "done"]
-            if min(ends, default=float("inf")) > found[0].start_ms:
+            if done_ms.get(_group(earlier, jobs), float("inf")) > found[0].start_ms:
                 yield f"ORDER: {task} started at {found[0].start_ms:.0f} before {earlier} was done"
 
 
@@ -226,6 +261,154 @@
             yield f"DRAIN: {run.task} started on {run.worker}, draining for {DRAIN_MS} ms"
 
 
+def check_evacuations(
+    runs: list[Run], events: list[Event], racks: Mapping[str, str]
+) -> Iterator[str]:
+    """An instance in touch starts nothing in a domain that has long been evacuated."""
+    since: dict[str, float] = {}
+    starts = {run.start_ms: run for run in runs if run.in_touch}
+    for event in sorted(events, key=lambda e: float(e["t"])):
+        if event["what"] == "evacuate":
+            since[event["zone"]] = event["t"]
+        elif event["what"] == "take_back":
+            since.pop(event["zone"], None)
+        elif event["what"] == "start" and event["t"] in starts:
+            zone = racks.get(event["worker"], "").partition("-")[0]
+            if zone in since and event["t"] > since[zone] + EVACUATE_MS:
+                yield f"EVAC: {starts[event['t']]}, evacuated at {since[zone]:.0f}"
+
+
+def check_gangs(
+    runs: list[Run], jobs: Mapping[str, JobRecord], disruptions: list[Disruption]
+) -> Iterator[str]:
+    """No run waits for the rest of its gang in vain."""
+    for run in runs:
+        if run.how != "alone" or not run.in_touch or run.draining_ms < run.end_ms:
+            continue
+        record = jobs.get(run.job)
+        cancels = [r.sent_ms for r in record.requests if r.method == "DELETE"] if record else []
+        calm = _calm_end(run.start_ms, run.end_ms - run.start_ms, disruptions) == run.end_ms
+        if calm and run.end_ms < min(cancels, default=float("inf")):
+            yield f"GANG: {run} ended alone at {run.end_ms:.0f}"
+
+
+def check_available(
+    runs: list[Run], jobs: Mapping[str, JobRecord], disruptions: list[Disruption]
+) -> Iterator[str]:
+    """No order ends a lasting task at work while too many others of its step are away."""
+    tasks = _by_task(runs)
+    for record in jobs.values():
+        most = record.shape.options.get("max-unavailable")
+        if not most or record.accepted_ms is None:
+            continue
+        cancels = [r.sent_ms for r in record.requests if r.method == "DELETE"]
+        ordered = [
+            run
+            for task in record.all_tasks()
+            for run in tasks.get(task, [])
+            if _was_ended_by_order(run, disruptions)
+            and run.end_ms < min(cancels, default=float("inf"))
+            and not any(_is_at_work(r, run.end_ms) for r in tasks[task] if r is not run)
+        ]
+        for run in ordered:
+            others = [task for task in record.all_tasks() if task != run.task]
+            away = [t for t in others if _is_away(tasks.get(t, []), run.end_ms, record, ordered)]
+            if len(away) >= most:
+                yield f"AVAIL: {run} was ended at {run.end_ms:.0f} while {away} were away"
+
+
+def _was_ended_by_order(run: Run, disruptions: list[Disruption]) -> bool:
+    """Return whether an order has ended a run at work on a worker that did not drain."""
+    if run.end_ms - run.start_ms < STARTUP_MS or run.draining_ms <= run.end_ms:
+        return False
+    lapsed = run.how == "lapsed" and _calm_end(run.end_ms - CONTACT_MS, CONTACT_MS, disruptions)
+    return lapsed == run.end_ms or (run.how == "stopped" and not run.stopped_late)
+
+
+def _is_at_work(run: Run, at_ms: float) -> bool:
+    return run.start_ms + STARTUP_MS <= at_ms < run.end_ms
+
+
+def _is_away(found: list[Run], at_ms: float, record: JobRecord, ordered: list[Run]) -> bool:
+    """Return whether a task is away by an order, or for long for any cause."""
+    if any(_is_at_work(run, at_ms) for run in found):
+        return False
+    ended = [run for run in found if run.end_ms < at_ms]
+    last = max(ended, key=lambda run: run.end_ms, default=None)
+    since_ms = last.end_ms if last is not None else (record.accepted_ms or at_ms)
+    return last in ordered or at_ms - since_ms >= NOTICE_MS
+
+
+def check_pending(
+    runs: list[Run], jobs: Mapping[str, JobRecord], disruptions: list[Disruption]
+) -> Iterator[str]:
+    """The number of pending jobs has at least half of those that have long not begun."""
+    begun: dict[str, float] = {}
+    for run in runs:
+        begun.setdefault(run.job, run.start_ms)
+    for req in jobs[""].answers("GET", 200) if "" in jobs else []:
+        own = [d for d in disruptions if d.instance in (None, req.instance)]
+        waiting = [
+            job
+            for job, record in jobs.items()
+            if record.accepted_ms is not None
+            and req.sent_ms - record.accepted_ms > VISIBLE_MS + 2_000
+            and record.shape.kind != "timed"
+            and not record.is_cancelling
+            and begun.get(job, float("inf")) > req.ended_ms
+        ]
+        if int(req.state) < len(waiting) / 2 and _calm_end(req.sent_ms, 0, own) == req.sent_ms:
+            told = f"{req.state} pending of {len(waiting)} that wait: {waiting[:5]}"
+            yield f"MIXED: entry-{req.instance} told {told} at {req.ended_ms:.0f}"
+
+
+def check_acknowledgements(
+    runs: list[Run],
+    events: list[Event],
+    jobs: Mapping[str, JobRecord],
+    disruptions: list[Disruption],
+    until_ms: float,
+) -> Iterator[str]:
+    """In calm, most ends are acknowledged to workers, and most cancellations to callers."""
+    gone: dict[str, list[float]] = defaultdict(list)
+    for event in events:
+        if event["what"] in ("boot", "leave"):
+            gone[event["worker"]].append(event["t"])
+    spans = [  # until an acknowledgement, and how long it was possible
+        (
+            run.end_ms,
+            run.acked_ms,
+            min([until_ms, *(t for t in gone[run.worker] if t > run.end_ms)]),
+        )
+        for run in runs
+        if run.how in ("done", "failed", "stopped", "lapsed", "broken", "alone")
+    ]
+    yield from _check_share("ends", spans, disruptions, 1 / 5)
+    spans = []
+    for record in jobs.values():
+        sent = [r.sent_ms for r in record.requests if r.method == "DELETE"]
+        if sent and record.accepted_ms is not None:
+            answers = [r.ended_ms for r in record.answers("DELETE", 200, 202, 410)]
+            spans.append((min(sent), min(answers, default=float("inf")), until_ms))
+    yield from _check_share("cancellations", spans, disruptions, 1 / 10)
+
+
+def _check_share(
+    what: str,
+    spans: list[tuple[float, float, float]],
+    disruptions: list[Disruption],
+    limit: float,
+) -> Iterator[str]:
+    judged = [
+        (acked_ms, bound_ms)
+        for from_ms, acked_ms, to_ms in spans
+        if (bound_ms := _calm_end(from_ms, ACK_MS, disruptions)) < to_ms
+    ]
+    missed = sum(acked_ms > bound_ms for acked_ms, bound_ms in judged)
+    if len(judged) >= 3 and missed > limit * len(judged):
+        yield f"ACKS: {missed} of {len(judged)} {what} were not acknowledged in calm"
+
+
 def check_lasting(
     runs: list[Run], jobs: Mapping[str, JobRecord], disruptions: list[Disruption], until_ms: float
 ) -> Iterator[str]:
@@ -272,7 +455,7 @@
     An instance may lag behind others, for `VISIBLE_MS` or while it may not reach the store, but
     never shows an earlier state than it has shown itself.
     """
-    done = {run.task: run.end_ms for run in reversed(runs) if run.how == "done"}
+    done = _done_ms(runs, jobs)
     for record in jobs.values():
         accepted_ms = record.accepted_ms
         final: Request | None = None  # the first that showed the job as ended
@@ -282,7 +465,7 @@
             if req.status == 410 and known:
                 yield f"LOST: {record.job} is unknown at entry-{req.instance}, {req.ended_ms:.0f}"
             if req.state == "completed":
-                yield from _check_completed(record, req, done)
+                yield from _check_completed(record, req, done, jobs)
             if req.state == "cancelled" and not record.is_cancelling:
                 yield f"LOST: {record.job} was shown as cancelled, and nobody cancelled it"
             if final is not None and req.state and req.state != final.state:
@@ -297,9 +480,11 @@
                 ended_at.add(req.instance)
 
 
-def _check_completed(record: JobRecord, req: Request, done: Mapping[str, float]) -> Iterator[str]:
+def _check_completed(
+    record: JobRecord, req: Request, done: Mapping[str, float], jobs: Mapping[str, JobRecord]
+) -> Iterator[str]:
     for task in record.all_tasks():
-        if done.get(task, float("inf")) > req.ended_ms:
+        if done.get(_group(task, jobs), float("inf")) > req.ended_ms:
             yield f"MIXED: {record.job} was completed at {req.ended_ms:.0f}, {task} was not done"
             return
 
@@ -321,10 +506,12 @@
 
 def _has_cause_to_fail(record: JobRecord, tasks: Mapping[str, list[Run]]) -> bool:
     """Return whether a task has failed often enough, or two workers have crashed under it."""
+    groups: dict[str, list[Run]] = defaultdict(list)
     for task in record.all_tasks():
-        runs = tasks.get(task, [])
+        groups[_group(task, {record.job: record})] += tasks.get(task, [])
+    for runs in groups.values():
         crashed_workers = {run.worker for run in runs if run.how in ("crashed", "boot")}
-        if sum(run.how == "failed" for run in runs) >= MAX_ATTEMPTS:
+        if len({run.run for run in runs if run.how == "failed"}) >= MAX_ATTEMPTS:
             return True
         if len(crashed_workers) >= MIN_CRASHED_WORKERS:
             return True
@@ -428,6 +615,11 @@
         *check_cancelled(runs, jobs, disruptions, until_ms),
         *check_routes(runs, jobs, racks or {}),
         *check_draining(runs),
+        *check_evacuations(runs, events, racks or {}),
+        *check_gangs(runs, jobs, disruptions),
+        *check_available(runs, jobs, disruptions),
+        *check_pending(runs, jobs, disruptions),
+        *check_acknowledgements(runs, events, jobs, disruptions, until_ms),
         *check_lasting(runs, jobs, disruptions, until_ms),
         *check_capacity(runs, jobs, capacity, unguarded),
         *check_states(runs, jobs, disruptions),
--- a/devtools/soak/deployment.py
+++ b/devtools/soak/deployment.py
@@ -14,6 +14,7 @@
 
 __all__ = [
     "BOUNDS",
+    "CALM_SHAPES",
     "HOST",
     "MAX_ATTEMPTS",
     "PREFIX",
@@ -57,7 +58,7 @@
 SCALES = {
     "small": Scale(3, 4, 12, 6, 1),
     "usual": Scale(4, 24, 48, 16, 4),
-    "full": Scale(6, 96, 300, 32, 8),
+    "full": Scale(6, 96, 300, 32, 6),
 }
 
 
@@ -83,6 +84,11 @@
         """Return whether several runs of a task may go on at once."""
         return bool(self.options.get("speculative"))
 
+    @property
+    def is_gang(self) -> bool:
+        """Return whether the tasks of a step work only together."""
+        return bool(self.options.get("gang"))
+
     @property
     def label(self) -> str:
         """Return the label that its workers must have, or an empty string."""
@@ -132,10 +138,12 @@
         first_ms = int(time.time() * 1000) + rng.randint(500, 4_000)
         timing = (rng.randint(2, 3), rng.randint(1_000, 3_000), first_ms)
         return JobShape("timed", (rng.randint(1, 2),), 1_000, 300, options, *timing)
-    return JobShape("standing", (rng.randint(1, 3),), 500, 400, {"max-unavailable": 1})
+    return JobShape("standing", (rng.randint(1, 3),), 500, 400, LASTING)
 
 
-# Each rack has two workers at least, at any scale.
+LASTING = {"max-unavailable": 1, "image": "serve", "target-ms": 20}
+# Each rack has two workers at least, at any scale, and one process has all workers of a domain: the
+# stand-in knows the members of a gang only within a process.
 OPTIONS: list[dict[str, Any]] = [
     {"requirements": "z0-r0"},
     {"anti-affinity": 1},
@@ -143,7 +151,17 @@
     {"checkpointing": True},
     {"affinity": "z1-r1"},
     {"same-rack": True},
-    {"utilization": True},
+    {"utilization": True, "checkpointing": True, "image": "fill"},
+    {"gang": True, "requirements": "z1-r0"},
+    {"gang": True, "requirements": "z2-r1", "checkpointing": True},
+]
+# What is cancelled in a calm phase: tasks that last, that are long, have copies, or occur often.
+CALM_SHAPES = [
+    JobShape("standing", (2,), 300, 400, LASTING),
+    JobShape("long", (2,), 300, 25_000, {"checkpointing": True}),
+    JobShape("long", (2,), 300, 20_000, {"utilization": True, "image": "fill"}),
+    JobShape("long", (2,), 300, 20_000, {"gang": True, "requirements": "z1-r0"}),
+    JobShape("timed", (1,), 300, 400, {}, 12, 1_500),
 ]
 
 
@@ -221,7 +239,7 @@
 
     def worker_process(self, number: int) -> int:
         """Return the process in which a worker runs."""
-        return number % self.scale.worker_processes
+        return self.domain(number) % self.scale.worker_processes
 
     def workers_settings(self, process: int, seed: int, record: str) -> dict[str, Any]:
         """Return the settings of one process of workers."""
--- a/devtools/soak/launch.py
+++ b/devtools/soak/launch.py
@@ -25,7 +25,7 @@
     del sys.argv[1:3]
     connector = functools.partial(aiohttp.TCPConnector, local_addr=(address, 0))
     aiohttp.TCPConnector = connector  # type: ignore[assignment, misc]
-    MUTANTS[mutant]()
+    setattr(*MUTANTS[mutant])
     program.main()
 
 
--- a/devtools/soak/mutants.py
+++ b/devtools/soak/mutants.py
@@ -1,4 +1,8 @@
-"""Mutants of the program, each of which breaks one promise that the checker must see broken."""
+"""Mutants of the program, each of which breaks one promise that the checker must see broken.
+
+Each replaces one attribute. The launcher applies it to a process, and tests in virtual time to
+themselves.
+"""
 
 from __future__ import annotations
 
@@ -9,18 +13,23 @@
 
 import msgspec
 
+from greengagewood.internal.cells import planner, stops
 from greengagewood.internal.cells.cell import Cell
+from greengagewood.internal.cells.copies import CopyPolicy
+from greengagewood.internal.cells.fleet import Worker
+from greengagewood.internal.cells.ownership import OwnershipView
 from greengagewood.internal.cells.runner import CellRunner
+from greengagewood.internal.cells.stops import StopPlanner
 from greengagewood.internal.clock import monotonic_ms
 from greengagewood.internal.entry.intake import BatchWriter
-from greengagewood.internal.jobs.book import JobBook
+from greengagewood.internal.jobs.book import JobBook, Run
 from greengagewood.internal.jobs.records import Cancellation, Submission
 from greengagewood.internal.ports import Outcome
 from greengagewood.platform import directory, jobs
 
 __all__ = ["MUTANTS"]
 
-Mutant = Callable[[], None]
+Mutant = tuple[Any, str, Any]  # the arguments of setattr
 
 
 def _wrap(owner: Any, name: str, call: Callable[..., Any]) -> Mutant:
@@ -30,7 +39,7 @@
     def wrapped(*args: Any) -> Any:
         return call(original, *args)
 
-    return lambda: setattr(owner, name, wrapped)
+    return owner, name, wrapped
 
 
 def _alter(owner: Any, name: str, **changes: Any) -> Mutant:
@@ -101,8 +110,96 @@
         mark_waiting(book, task)
 
 
+def _never_stop(applies: Callable[[StopPlanner, Worker, Run], bool]) -> Mutant:
+    """Return a mutant that sends no stop to the runs of ended jobs to which this applies."""
+
+    def reason(f: Any, stop_planner: StopPlanner, worker: Worker, run: Run, now_ms: int) -> Any:
+        spared = run.task.step.job.is_final and applies(stop_planner, worker, run)
+        return "" if spared else f(stop_planner, worker, run, now_ms)
+
+    return _wrap(StopPlanner, "_stop_reason", reason)
+
+
+def _copy_for_ended_job(find: Any, policy: CopyPolicy, run: Run, *args: Any) -> Any:
+    """Find stragglers of jobs that have ended, too."""
+    job = run.task.step.job
+    state, job.state = job.state, "running"
+    try:
+        return find(policy, run, *args)
+    finally:
+        job.state = state
+
+
+def _keep_timed(end_job: Any, book: JobBook, job: Any, *args: Any) -> None:
+    """Keep a job that has ended among the timed ones, whose occurrences are opened."""
+    timed = job.id in book.timed_jobs
+    end_job(book, job, *args)
+    if timed:
+        book.timed_jobs[job.id] = job
+
+
+def _forget_cancellation(apply: Any, runner: CellRunner, job_id: str, now_ms: int) -> None:
+    """Take up a stored job without its cancellation, as a new owner."""
+    stored = runner._ledger.jobs.get(job_id)
+    if stored is None or job_id in runner.cell.book.jobs:
+        apply(runner, job_id, now_ms)
+        return
+    kept = stored.cancelled, stored.progress
+    stored.cancelled = False
+    if stored.progress is not None and stored.progress.state == "cancelled":
+        stored.progress = None
+    try:
+        apply(runner, job_id, now_ms)
+    finally:
+        stored.cancelled, stored.progress = kept
+
+
+# Each switches one row of docs/design/cancellation.md off.
+_CANCEL_MUTANTS: dict[str, Mutant] = {
+    "cancel_forgotten_by_successor": _wrap(CellRunner, "_apply_stored_job", _forget_cancellation),
+    "cancel_then_copy": _wrap(CopyPolicy, "find_straggler", _copy_for_ended_job),
+    "cancel_then_occur": _wrap(JobBook, "end_job", _keep_timed),
+    "cancel_then_queue_again": _wrap(
+        Cell, "_queue_again", lambda f, cell, task: task.end_state or cell.book.mark_waiting(task)
+    ),
+    "cancel_then_start_waiting": _wrap(
+        JobBook,
+        "unmark_waiting",
+        lambda f, book, task: None if task.step.job.is_final else f(book, task),
+    ),
+    "keep_without_confirmation": _wrap(OwnershipView, "_is_confirmed", lambda f, *args: True),
+    "keep_without_reads": _wrap(OwnershipView, "is_read_recent", lambda f, *args: True),
+    "no_start_deadline": (planner, "START_WINDOW_MS", 30_000),
+    "no_stop": _never_stop(lambda _, worker, run: True),
+    "no_stop_draining": _never_stop(lambda _, worker, run: worker.info.draining),
+    "no_stop_evacuated": _never_stop(lambda plan, worker, run: plan._planner.is_evacuated(worker)),
+    "no_stop_failed": _never_stop(lambda _, worker, run: run.task.step.job.state == "failed"),
+    "no_stop_of_copy": _never_stop(lambda _, worker, run: run.task.copy is run),
+    "no_stop_of_lasting": _never_stop(lambda _, worker, run: run.task.step.spec.long_running),
+    "no_stop_paused": _never_stop(lambda _, worker, run: run.speed_percent == 0),
+    "no_stop_silent": _wrap(stops, "_due_on_silent", lambda f, worker, now_ms: []),
+    "no_stop_unanswered": _never_stop(lambda _, worker, run: run.accepted_ms is None),
+    "no_stop_unexpected": _wrap(
+        Cell,
+        "_track_unexpected_run",
+        lambda f, cell, worker, run, ms: cell.book.placeholder_task(run.task_id),
+    ),
+    "no_stop_unknown": _wrap(StopPlanner, "stop_unknown_run", lambda f, *args: None),
+    "no_stop_unlisted": _never_stop(lambda _, worker, run: not worker.in_directory),
+    "registered_ignored": _wrap(Cell, "set_registered_workers", lambda f, *args: None),
+    "stop_once": _wrap(
+        stops, "_may_send_stop", lambda f, run, ms: run.stop_sent_ms is None and f(run, ms)
+    ),
+    "stop_silent_once": _wrap(
+        stops,
+        "_due_on_silent",
+        lambda f, *args: [run for run in f(*args) if run.stop_sent_ms is None],
+    ),
+}
+
 MUTANTS: dict[str, Mutant] = {
-    "none": lambda: None,
+    **_CANCEL_MUTANTS,
+    "none": (Cell, "none", None),
     "accept_without_storing": _accept_without_storing(),
     "alter_spec": _alter(jobs, "JobSpec", payload="[]"),
     "apply_as_read": _wrap(CellRunner, "apply_record", _apply_as_read),
--- a/devtools/soak/player.py
+++ b/devtools/soak/player.py
@@ -4,14 +4,16 @@
 
 import asyncio
 import signal
+import time
 from collections import Counter
-from collections.abc import AsyncIterator, Callable, Coroutine, Iterable
+from collections.abc import AsyncIterator, Iterable
 from contextlib import asynccontextmanager
+from dataclasses import replace
 from typing import Any
 
-from devtools.soak.callers import now_ms
+from devtools.soak.callers import Callers, now_ms
 from devtools.soak.checker import build_runs
-from devtools.soak.deployment import DRAIN_STAY_MS, SERVICE
+from devtools.soak.deployment import CALM_SHAPES, DRAIN_STAY_MS, SERVICE
 from devtools.soak.proxy import LinkFault
 from devtools.soak.records import Disruption
 from devtools.soak.script import OWNER, Step
@@ -20,6 +22,8 @@
 __all__ = ["Player"]
 
 STORE = -1
+CALM_START_S = 2.5  # until the tasks that are to be cancelled run
+CALM_STAY_MS = 12_000
 CELL_TOPIC = "keyed.cell0"
 _ENTRY = {
     "service": SERVICE,
@@ -48,9 +52,9 @@
 class Player:
     """Inject the faults of a script; `notes` says what each one hit."""
 
-    def __init__(self, system: System, burst: Callable[[], Coroutine[Any, Any, None]]) -> None:
+    def __init__(self, system: System, callers: Callers) -> None:
         self._system = system
-        self._burst = burst  # of jobs that are cancelled at once
+        self._callers = callers
         self._dep = system.deployment
         self.played: Counter[str] = Counter()
         self.notes: list[str] = []
@@ -206,7 +210,7 @@
         """Truncate the log while an instance has not read its end."""
         fault = LinkFault(self._source(args), frozenset({self._dep.store}), "drop")
         cut = asyncio.create_task(self._hold_faults([fault], args["for_ms"]))
-        burst = asyncio.create_task(self._burst())
+        burst = asyncio.create_task(self._callers.burst())
         await asyncio.sleep(args["for_ms"] / 1000 - 0.1)
         await self._truncate({"keep": 0})
         await asyncio.gather(cut, burst)
@@ -220,7 +224,7 @@
         tasks = [
             asyncio.create_task(self._hold_faults([fault], 3 * args["by_ms"])),
             asyncio.create_task(self._orders({**refusals, "workers": args["workers"]})),
-            asyncio.create_task(self._burst()),
+            asyncio.create_task(self._callers.burst()),
         ]
         await asyncio.sleep(args["by_ms"] / 2_000)
         for number in args["workers"]:
@@ -233,8 +237,9 @@
         admin = self._dep.worker_admin(self._dep.worker_process(number))
         if args["do"] == "drain":
             # A graceful end excuses nothing; the worker has left when it is booted again.
-            await self._system.try_admin(admin, "worker", id=worker, do="drain")
-            await asyncio.sleep((DRAIN_STAY_MS + args["pause_ms"]) / 1000)
+            stay_ms = args.get("stay_ms", DRAIN_STAY_MS)
+            await self._system.try_admin(admin, "worker", id=worker, do="drain", ms=stay_ms)
+            await asyncio.sleep((stay_ms + args["pause_ms"]) / 1000)
             await self._system.try_admin(admin, "worker", id=worker, do="boot")
             return
         async with self._disruption("worker", None):
@@ -265,6 +270,60 @@
                 self._dep.store_admin, "entry", key=f"servers/{key}", value=value
             )
 
+    async def _evacuate(self, args: dict[str, Any]) -> None:
+        """Let the operator evacuate a failure domain, which excuses nothing."""
+        zone = f"z{args['domain']}"
+        entry = {"key": f"op/evacuate/{zone}"}
+        await self._system.admin(self._dep.store_admin, "entry", **entry, value={})
+        self._system.events.append({"t": now_ms(), "what": "evacuate", "zone": zone})
+        await asyncio.sleep(args["for_ms"] / 1000)
+        self._system.events.append({"t": now_ms(), "what": "take_back", "zone": zone})
+        await self._system.admin(self._dep.store_admin, "entry", **entry, value=None)
+
+    async def _cancel_in_calm(self, args: dict[str, Any]) -> None:
+        """Cancel jobs in a short trouble, and in the calm after it while workers drain.
+
+        The workers stay for longer than a run of a cancelled job may go on.
+        """
+        while any(d.to_ms > now_ms() for d in self._system.disruptions):
+            await asyncio.sleep(0.1)
+        due_ms = int(time.time() * 1000) + 500  # of those that are timed
+        shapes = [replace(shape, first_ms=due_ms) for shape in 3 * CALM_SHAPES]
+        records = await asyncio.gather(*(self._callers.submit(shape) for shape in shapes))
+        await asyncio.sleep(CALM_START_S)
+
+        async def cancel(first: int, last: int) -> None:
+            await asyncio.gather(*(self._callers.cancel(r) for r in records[first:last]))
+
+        await asyncio.gather(self._play_short(args["trouble"]), cancel(0, len(CALM_SHAPES)))
+        drain = {"do": "drain", "pause_ms": 500, "stay_ms": CALM_STAY_MS}
+        planned = [
+            asyncio.create_task(self._worker({**drain, "worker": number}))
+            for number in args["workers"]
+        ]
+        evacuation = {"domain": args["domain"], "for_ms": CALM_STAY_MS - 3_000}
+        planned.append(asyncio.create_task(self._evacuate(evacuation)))
+        await asyncio.sleep(1)
+        await cancel(len(CALM_SHAPES), 2 * len(CALM_SHAPES))
+        await asyncio.sleep(2.5)
+        await cancel(2 * len(CALM_SHAPES), len(records))
+        await asyncio.gather(*planned)
+
+    async def _play_short(self, trouble: str) -> None:
+        """Play a short trouble of a kind; one of links hits all those to the workers."""
+        everything = {"workers": range(self._dep.scale.workers), "for_ms": 700}
+        match trouble:
+            case "links":
+                cut = LinkFault(self._ips(), frozenset(self._dep.workers), "drop")
+                await self._hold_faults([cut], 700)
+            case "kill" | "terminate":
+                owner = self._system.owner_number
+                await self._system.end_instance(owner, trouble, 0.5)
+            case "busy":
+                await self._orders({**everything, "fault": "busy", "share": 0.7})
+            case "crash":
+                await self._worker({"worker": 0, "do": "crash", "pause_ms": 700})
+
     async def _configure(self, args: dict[str, Any]) -> None:
         manifest = self._dep.next_manifest()
         await self._system.admin(self._dep.store_admin, "entry", key="op/config", value=manifest)
--- a/devtools/soak/records.py
+++ b/devtools/soak/records.py
@@ -96,7 +96,9 @@
     sender: str = ""  # address of the instance that sent the order
     late: bool = False  # whether the worker carried the order out late
     spec: str | None = None
-    draining_ms: float = float("inf")  # since when its worker drained at its start
+    checkpoint: str = ""  # that its start carried
+    draining_ms: float = float("inf")  # since when its worker drains
+    stopped_late: bool = False  # whether an order that was held up stopped it
     in_touch: bool = True  # whether an instance in touch started it in time
 
     def __str__(self) -> str:
--- a/devtools/soak/run.py
+++ b/devtools/soak/run.py
@@ -62,7 +62,7 @@
     deployment = Deployment(scale, seed)
     system = System(deployment, folder, seed, mutant)
     callers = Callers(deployment, seed, system.is_up)
-    player = Player(system, callers.burst)
+    player = Player(system, callers)
     try:
         await system.start()
         callers.start()
--- a/devtools/soak/script.py
+++ b/devtools/soak/script.py
@@ -19,6 +19,7 @@
 STORE_FAULTS = ("silent", "busy", "reset", "slow", "lose_answers", "apply_late")
 WORKER_FAULTS = ("crash", "boot", "drain")
 ORDER_FAULTS = ("late_orders", "lost_answers", "fail_runs")
+CALM_TROUBLES = ("links", "kill", "terminate", "busy", "crash", "none")  # before a calm phase
 # How often each kind is drawn, relative to the others.
 WEIGHTS = {
     "terminate": 3,
@@ -63,6 +64,13 @@
     odd_at_ms = odd_rng.randint(1_000, max(1_000, duration_ms // 2))
     odd_args = {"new": 20, "workers": [odd_rng.randrange(scale.workers)]}
     steps.append(Step(odd_at_ms, "odd_entries", odd_args))
+    calm_rng = random.Random(f"calm {seed}")
+    for domain in calm_rng.sample(range(scale.domains), 1):
+        away = {"domain": domain, "for_ms": calm_rng.randint(6_000, 12_000)}
+        steps.append(Step(calm_rng.randint(1_000, duration_ms), "evacuate", away))
+        drained = sorted(calm_rng.sample(range(scale.workers), scale.workers // 4))
+        calm_args = {"trouble": calm_rng.choice(CALM_TROUBLES), "workers": drained}
+        steps.append(Step(duration_ms, "cancel_in_calm", {**calm_args, "domain": domain}))
     return sorted(steps, key=lambda step: step.at_ms)
 
 
--- a/src/greengagewood/platform/standin/boot.py
+++ b/src/greengagewood/platform/standin/boot.py
@@ -6,6 +6,8 @@
 import functools
 import random
 import time
+import zlib
+from collections import defaultdict
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Annotated, Any
@@ -15,7 +17,7 @@
 
 from greengagewood.internal.placement import Resources
 
-__all__ = ["Boot", "Order", "StepWork"]
+__all__ = ["Boot", "Gangs", "Order", "StepWork"]
 
 MAX_LISTED_ENDS = 500
 MAX_HOLD_WAIT_MS = 2_000
@@ -26,6 +28,9 @@
 FAILURE_AFTER_MS = (20.0, 400.0)  # work of a run that fails
 STOP_SHARES = (0.3, 1.0)  # of the longest time that a stop may take
 TAIL_MS = 5
+TAIL_MS_PER_CPU = 0.03  # more for each thousandth of a core that best-effort tasks use beside it
+STRAGGLER_SHARE, STRAGGLER_FACTOR = 0.15, 6  # of the runs of speculative steps
+GANG_TIMEOUT_S = 4.0  # from which on a run whose gang is incomplete ends
 
 Record = Callable[[str, dict[str, Any]], None]
 
@@ -47,6 +52,7 @@
 class StepWork(msgspec.Struct, rename="kebab"):
     """What a task needs, as its step in the spec says."""
 
+    count: int = 1
     cpu: int = 0
     mem_mb: int = 0
     gpu: int = 0
@@ -55,6 +61,8 @@
     long_running: bool = False
     target_ms: float = 0
     utilization: bool = False
+    gang: bool = False
+    speculative: bool = False
 
     @property
     def room(self) -> Resources:
@@ -91,19 +99,47 @@
     stopping: bool = False
     timer: asyncio.TimerHandle | None = None
 
+    @property
+    def group(self) -> str:
+        """Return whose checkpoints and work it shares: its step, or only its own task."""
+        return self.task.rpartition(".")[0] if self.work.gang else self.task
+
     def progress(self, now: float) -> float:
         """Return the work that is done, in milliseconds."""
         return min(self.total_ms, self.done_ms + (now - self.since) * 10 * self.percent)
 
     def save(self, now: float, at_stop: bool = False) -> str:
-        """Return the newest checkpoint: the work that it holds as a hexadecimal number."""
+        """Return the newest checkpoint: the work that it holds, and whose it is, in hexadecimal."""
         if self.work.checkpointing:
             done_ms = self.progress(now)
             saved_ms = done_ms if at_stop else done_ms - done_ms % CHECKPOINT_MS
-            self.saved = max(self.saved, f"{int(saved_ms):016x}" if saved_ms >= 1 else "")
+            self.saved = max(self.saved, _checkpoint(self.group, saved_ms) if saved_ms >= 1 else "")
         return self.saved
 
 
+def _checkpoint(group: str, saved_ms: float) -> str:
+    return f"{int(saved_ms):08x}{zlib.crc32(group.encode()):08x}"
+
+
+class Gangs:
+    """The runs of gangs on the workers of one process, by step and number of the run."""
+
+    def __init__(self) -> None:
+        self._members: dict[tuple[str, int], dict[_Run, Boot]] = defaultdict(dict)
+
+    def join(self, run: _Run, boot: Boot) -> dict[_Run, Boot]:
+        """Add a run; return all of its gang once that is complete."""
+        members = self._members[run.group, run.number]
+        members[run] = boot
+        return members if len(members) == run.work.count else {}
+
+    def break_up(self, run: _Run) -> dict[_Run, Boot]:
+        """Remove a gang of which a run has ended; return the other runs."""
+        members = self._members.pop((run.group, run.number), {})
+        members.pop(run, None)
+        return members
+
+
 class Boot:
     """Carry out orders as one boot of a worker."""
 
@@ -119,6 +155,7 @@
         cold_ms: int,
         seed: int,
         rng: random.Random,
+        gangs: Gangs,
         draw_failure: Callable[[], bool],
         record: Record,
     ) -> None:
@@ -132,6 +169,7 @@
         self._cold_ms = cold_ms
         self._seed = seed
         self._rng = rng
+        self._gangs = gangs
         self._draw_failure = draw_failure
         self._record_line = record
         self._booted = time.monotonic()
@@ -219,8 +257,11 @@
 
     def _begin(self, order: Order, work: StepWork, origin: dict[str, Any]) -> None:
         # The same task has the same work in each of its runs, wherever they go on.
-        factor = random.Random(f"{self._seed}:{order.task}").uniform(*WORK_FACTORS)
-        saved_ms = int(order.checkpoint, 16) if order.checkpoint else 0
+        group = order.task.rpartition(".")[0] if work.gang else order.task
+        factor = random.Random(f"{self._seed}:{group}").uniform(*WORK_FACTORS)
+        if work.speculative and self._rng.random() < STRAGGLER_SHARE:
+            factor *= STRAGGLER_FACTOR
+        saved_ms = int(order.checkpoint[:8], 16) if order.checkpoint else 0
         total_ms = STARTUP_MS if work.long_running else max(1.0, work.estimate_ms * factor)
         total_ms += self.cold_remaining_ms / 2  # half of the speed while it is cold
         fails = self._draw_failure()
@@ -232,16 +273,32 @@
             min(float(saved_ms), total_ms),
             time.monotonic(),
             fails,
+            percent=0 if work.gang else 100,
             saved=order.checkpoint,
         )
         self._runs[order.task, order.run] = run
         details = {"task": order.task, "run": order.run, "token": order.fencing_token}
         room = {"cpu": work.room.cpus, "mem_mb": work.mem_mb}
-        self._record("start", {**details, "spec": order.spec, **origin, **room})
-        if fails:
+        content = {"spec": order.spec, "checkpoint": order.checkpoint}
+        self._record("start", {**details, **content, **origin, **room})
+        if not work.gang:
+            self._work(run)
+            return
+        self._call_later(GANG_TIMEOUT_S, self._end_alone, run)
+        for member, boot in self._gangs.join(run, self).items():
+            member.since, member.percent = time.monotonic(), 100
+            boot._work(member)
+
+    def _work(self, run: _Run) -> None:
+        if run.fails:
             self._call_later(self._rng.uniform(*FAILURE_AFTER_MS) / 1000, self._fail, run)
         self._schedule_completion(run)
 
+    def _end_alone(self, run: _Run) -> None:
+        self._expire_lease()
+        if not run.percent and not run.stopping:
+            self._end(run, "alone")
+
     def _schedule_completion(self, run: _Run) -> None:
         if run.timer is not None:
             run.timer.cancel()
@@ -262,6 +319,8 @@
             self._end(run, "failed")
 
     def _set_pace(self, run: _Run, percent: int) -> None:
+        if run.work.gang:
+            return
         now = time.monotonic()
         run.done_ms, run.since, run.percent = run.progress(now), now, percent
         if self._runs.get((run.task, run.number)) is run and not run.stopping:
@@ -290,6 +349,13 @@
         self._record("end", {"task": run.task, "run": run.number, "how": how})
         self._ended.set()
         self._ended = asyncio.Event()
+        self._end_gang(run, how)
+
+    def _end_gang(self, run: _Run, how: str) -> None:
+        """End the other runs of the gang of a run that has ended."""
+        if run.work.gang:
+            for member, boot in self._gangs.break_up(run).items():
+                boot._end(member, "done" if how == "done" else "broken")
 
     def _acknowledge(self, cursor: int) -> None:
         for number, task, run, how, _ in self._ends:
@@ -342,7 +408,10 @@
         now = time.monotonic()
         share = run.progress(now) / run.total_ms
         percent = int(100 * share) if run.work.long_running else min(99, int(100 * share))
-        use = TAIL_MS if run.work.target_ms else run.work.cpu * run.percent // 100
+        use = run.work.cpu * run.percent // 100
+        if run.work.target_ms:
+            fill = sum(r.work.cpu * r.percent for r in self._runs.values() if r.work.utilization)
+            use = TAIL_MS + int(fill / 100 * TAIL_MS_PER_CPU)
         return (run.task, run.number, run.save(now), percent, use)
 
     def shut_down(self, how: str) -> None:
@@ -350,11 +419,13 @@
         self._expire_lease()
         for timer in (*self._timers, *([self._lease_timer] if self._lease_timer else [])):
             timer.cancel()
-        for run in self._runs.values():
+        runs, self._runs = list(self._runs.values()), {}
+        for run in runs:
             if run.timer is not None:
                 run.timer.cancel()
             self._record("end", {"task": run.task, "run": run.number, "how": how})
-        self._runs.clear()
+        for run in runs:
+            self._end_gang(run, how)
         self._ends.clear()
 
     def _call_later(self, delay_s: float, callback: Callable[..., None], *args: object) -> None:
--- a/src/greengagewood/platform/standin/fleet.py
+++ b/src/greengagewood/platform/standin/fleet.py
@@ -13,7 +13,7 @@
 from aiohttp import web
 
 from greengagewood.internal.placement import Resources
-from greengagewood.platform.standin.boot import Boot, Order
+from greengagewood.platform.standin.boot import Boot, Gangs, Order
 from greengagewood.platform.standin.common import (
     Faults,
     History,
@@ -90,6 +90,7 @@
             cfg.cold_ms,
             cfg.seed,
             self._rng,
+            self._fleet.gangs,
             lambda: self._draw("fail_runs") is not None,
             self._fleet.history.write,
         )
@@ -263,6 +264,7 @@
         rng = random.Random(cfg.seed)
         self.faults = Faults(FAULT_KINDS, rng)
         self.history = History(cfg.record)
+        self.gangs = Gangs()
         self.workers = {w.id: _Worker(w, self, random.Random(rng.random())) for w in cfg.workers}
         self._runner: web.ServerRunner | None = None
         self._session: aiohttp.ClientSession | None = None
--- a/tests/cover/test_soak.py
+++ b/tests/cover/test_soak.py
@@ -3,6 +3,7 @@
 import asyncio
 import subprocess
 import sys
+import zlib
 from pathlib import Path
 
 import pytest
@@ -170,6 +171,122 @@
         assert _rules([*events, _start(16_100, run=2)], jobs, [fault]) == ["LOST"]
 
 
+class TestGangs:
+    """The tasks of a gang end, fail and save as one."""
+
+    GANG = {"gang": True}  # noqa: RUF012
+
+    def test_the_end_of_one_member_is_that_of_all(self):
+        jobs = _job(ACCEPTED, counts=(2, 1), options=self.GANG)
+        events = [_start(100), _start(110, "w1", task=f"{JOB}.0.0.1"), _end(300)]
+        assert _rules([*events, _start(400, task=f"{JOB}.0.1.0")], jobs) == []
+        assert set(_rules([*events[:2], _start(400, task=f"{JOB}.0.1.0")], jobs)) == {"ORDER"}
+
+    def test_failures_of_different_members_count_together(self):
+        jobs, events = _job(ACCEPTED, counts=(2,), options=self.GANG), []
+        for run, task in enumerate((TASK, f"{JOB}.0.0.1", TASK), 1):
+            events += [_start(run * 100, run=run, task=task)]
+            events += [_end(run * 100 + 50, "failed", run=run, task=task)]
+            events += [_ack(run * 100 + 60, run=run, task=task)]
+        assert _rules(events, jobs) == []
+        assert _rules([*events, _start(900, run=4)], jobs) == ["ATTEMPTS"]
+
+    def test_a_run_that_waits_for_its_gang_in_vain_is_found(self):
+        jobs, events = _job(ACCEPTED, options=self.GANG), [_start(100), _end(4_100, "alone")]
+        assert _rules(events, jobs) == ["GANG"]
+        assert _rules(events, jobs, [Disruption("link", None, 3_000, 3_100)]) == []
+        assert _rules([*events, {"t": 2_000, "what": "drain", "worker": "w0"}], jobs) == []
+        cancelled = _job(ACCEPTED, _request("DELETE", 200, 3_000, 3_010), options=self.GANG)
+        assert _rules(events, cancelled) == []
+
+
+class TestCheckpoints:
+    def test_the_checkpoint_of_another_task_is_found(self):
+        own, other = (f"000003e8{zlib.crc32(task.encode()):08x}" for task in (TASK, "x"))
+        assert _rules([_start(100, checkpoint=own)]) == []
+        assert _rules([_start(100, checkpoint=other)]) == ["UNASKED"]
+
+
+class TestEvacuations:
+    def test_a_start_in_a_domain_that_has_long_been_evacuated_is_found(self):
+        away = {"t": 100, "what": "evacuate", "zone": "r0"}  # the stubs name a zone like a rack
+        back = {"t": 5_500, "what": "take_back", "zone": "r0"}
+        assert _rules([away, _start(5_000)]) == []
+        assert _rules([away, _start(5_200)]) == ["EVAC"]
+        assert _rules([away, _start(5_200, "w1")]) == []
+        assert _rules([away, _start(5_200, late=True)]) == []
+        assert _rules([away, back, _start(5_600)]) == []
+
+
+class TestAvailability:
+    """No order ends a lasting task while too many others of its step are away."""
+
+    OTHER = f"{JOB}.0.0.1"
+
+    def _rules(self, *events, faults=(), requests=()):
+        options = {"max-unavailable": 1}
+        jobs = _job(ACCEPTED, *requests, kind="standing", counts=(2,), options=options)
+        first = [_start(0), _start(0, "w1", task=self.OTHER)]
+        found = _found([*first, *events], jobs, faults)
+        return [f.partition(":")[0] for f in found if not f.startswith("LOST")]
+
+    def test_two_stops_at_once_are_found(self):
+        stops = [_end(5_000, "stopped"), _end(5_100, "stopped", "w1", task=self.OTHER)]
+        back = _start(5_050, run=2)
+        assert self._rules(*stops) == ["AVAIL"]
+        assert self._rules(stops[0], back, {**stops[1], "t": 5_400}) == []
+        cancel = _request("DELETE", 200, 4_000, 4_010)
+        assert self._rules(*stops, requests=[cancel]) == []
+
+    def test_a_stop_while_another_has_long_been_away_is_found(self):
+        failed, stop = _end(1_000, "failed", "w1", task=self.OTHER), _end(6_600, "stopped")
+        assert self._rules(failed, stop) == ["AVAIL"]
+        assert self._rules(failed, {**stop, "t": 6_400}) == []
+
+    def test_a_draining_worker_and_a_stop_that_was_held_up_are_allowed(self):
+        stops = [_end(5_000, "stopped"), _end(5_100, "stopped", "w1", task=self.OTHER)]
+        assert self._rules({"t": 900, "what": "drain", "worker": "w1"}, *stops) == []
+        order = {"t": 4_900, "what": "order", "order": "stop", "late": True, "worker": "w1"}
+        assert self._rules({**order, "task": self.OTHER, "run": 1}, *stops) == []
+
+    def test_a_lease_that_lapses_counts_unless_a_fault_is_near(self):
+        ends = [_end(5_000, "stopped"), _end(5_100, "lapsed", "w1", task=self.OTHER)]
+        assert self._rules(*ends) == ["AVAIL"]
+        assert self._rules(*ends, faults=[Disruption("link", None, 3_000, 3_500)]) == []
+
+
+class TestCounts:
+    @pytest.mark.parametrize(
+        ("sent", "pending", "count"), [(4_900, "0", 0), (6_000, "0", 1), (6_000, "1", 0)]
+    )
+    def test_too_few_pending_jobs_are_found(self, sent, pending, count):
+        req = Request(0, "GET", "", sent, sent + 10, 200, state=pending)
+        counts = JobRecord("", JobShape("short", (0,), 0, 0), [req])
+        assert _rules([_start(7_000)], {**_job(ACCEPTED), "": counts}) == ["MIXED"] * count
+
+
+class TestAcknowledgements:
+    def test_ends_that_stay_unacknowledged_in_calm_are_found(self):
+        events = []
+        for run in range(1, 7):
+            events += [_start(run * 100, run=run, task=f"{JOB}.0.0.{run}")]
+            events += [_end(run * 100 + 50, run=run, task=f"{JOB}.0.0.{run}")]
+        acks = [_ack(run * 100 + 80, run=run, task=f"{JOB}.0.0.{run}") for run in range(1, 7)]
+        jobs = _job(ACCEPTED, counts=(7,))
+        assert _rules([*events, *acks[:5], LATER], jobs) == []
+        assert _rules([*events, *acks[:4], LATER], jobs) == ["ACKS"]
+        faults = [Disruption("link", None, t, t + 10) for t in range(0, 90_000, 5_000)]
+        assert _rules([*events, LATER], jobs, faults) == []
+
+    def test_cancellations_that_are_not_acknowledged_in_calm_are_found(self):
+        jobs = {}
+        for number in range(3):
+            record = JobRecord(f"{number:016x}", JobShape("long", (1,), 1_000, 500))
+            record.requests = [_request("POST", 200), _request("DELETE", 503, 100, 110)]
+            jobs[record.job] = record
+        assert _rules([LATER], jobs) == ["ACKS"]
+
+
 class TestCancellations:
     """A task of a cancelled job is not started late, and does not run on."""
 
