Bind the connections of the soak's instances to their addresses again

Cause: since the program makes its connections with a subclass of aiohttp.TCPConnector, which the launcher's replacement of the class did not reach.

The launcher now replaces the method. Orders from an address of no instance are a finding (SENDER).

--- a/devtools/soak/checker.py
+++ b/devtools/soak/checker.py
@@ -128,6 +128,13 @@
         run.in_touch = not run.late and _calm_end(run.start_ms, 0, own) == run.start_ms
 
 
+def check_senders(events: list[Event], senders: Mapping[str, int]) -> Iterator[str]:
+    """Orders come from the addresses of instances, by which the proxy tells links apart."""
+    unknown = {event.get("from", "") for event in events if event["what"] == "order"}
+    for address in sorted(unknown - {"", *senders}):
+        yield f"SENDER: orders came from {address}, so that faults of links hit nothing"
+
+
 def check_two_places(runs: list[Run], jobs: Mapping[str, JobRecord]) -> Iterator[str]:
     """No task runs in two places at once, unless its step has copies."""
     for found in _by_task(runs).values():
@@ -607,6 +614,7 @@
     requests = [req for record in jobs.values() for req in record.requests]
     _mark_in_touch(runs, disruptions, senders or {})
     return [
+        *check_senders(events, senders or {}),
         *check_two_places(runs, jobs),
         *check_restarts_after_done(runs, jobs),
         *check_attempts(runs, jobs),
--- a/devtools/soak/launch.py
+++ b/devtools/soak/launch.py
@@ -23,8 +23,9 @@
     """Bind outgoing connections to the address, apply the mutant and run the program."""
     address, mutant = sys.argv[1:3]
     del sys.argv[1:3]
-    connector = functools.partial(aiohttp.TCPConnector, local_addr=(address, 0))
-    aiohttp.TCPConnector = connector  # type: ignore[assignment, misc]
+    # The method is replaced, not the class: the program has a subclass of it.
+    init = functools.partialmethod(aiohttp.TCPConnector.__init__, local_addr=(address, 0))
+    aiohttp.TCPConnector.__init__ = init  # type: ignore[assignment, method-assign]
     setattr(*MUTANTS[mutant])
     program.main()
 
--- a/tests/cover/test_soak.py
+++ b/tests/cover/test_soak.py
@@ -171,6 +171,14 @@
         assert _rules([*events, _start(16_100, run=2)], jobs, [fault]) == ["LOST"]
 
 
+class TestSenders:
+    def test_orders_from_an_address_of_no_instance_are_found(self):
+        """Guards against a launcher that no longer binds connections, so that no link is cut."""
+        order = {"t": 100, "what": "order", "worker": "w0", "order": "hold"}
+        assert _rules([{**order, "from": "127.0.0.2"}]) == []
+        assert _rules([{**order, "from": "127.0.0.9"}]) == ["SENDER"]
+
+
 class TestGangs:
     """The tasks of a gang end, fail and save as one."""
 
