--- a/devtools/soak/checker.py
+++ b/devtools/soak/checker.py
@@ -25,11 +25,13 @@
 
 ANSWER_LIMIT_MS = 6_000  # the callers' own deadline of 3 s, and a margin for a busy machine
 CUT_SLACK_MS = 200  # a request sent so shortly before its connection closed may be unanswered
+INF = float("inf")
 CONTACT_MS = 3_000
 VISIBLE_MS = 3_000
 CANCEL_MS = 3_000
 DRAIN_MS = 2_000
 MIN_CRASHED_WORKERS = 2  # under a task that may be given up
+MAX_CRASHES, STARTS_AFTER_CRASHES = 3, 2  # of one task that crashes the workers that start it
 EARLY_MS = 250
 EVACUATE_MS = 5_000
 NOTICE_MS = 5_500  # for which a task is away before it counts as unavailable for any cause
@@ -155,11 +157,11 @@
     for found in _by_task(runs).values():
         for run in found:
             done = [r for r in found if r.how == "done" and r.end_ms <= run.start_ms]
-            acked_ms = min((r.acked_ms for r in done), default=float("inf"))
+            acked_ms = min((r.acked_ms for r in done), default=INF)
             if _has_copies(run, jobs):
                 is_broken = run.start_ms > acked_ms + NOTED_MS and run.in_touch
             else:
-                is_broken = acked_ms < float("inf")
+                is_broken = acked_ms < INF
             if is_broken:
                 yield f"AFTER DONE: {run}, done at {done[0].end_ms:.0f}, noted {acked_ms:.0f}"
 
@@ -177,7 +179,7 @@
             failed = [
                 r
                 for r in found
-                if r.how == "failed" and r.end_ms <= run.start_ms and r.acked_ms < float("inf")
+                if r.how == "failed" and r.end_ms <= run.start_ms and r.acked_ms < INF
             ]
             if record.shape.is_gang:  # one failed member is a failed attempt
                 failed = list({r.run: r for r in failed if r.run != run.run}.values())
@@ -185,6 +187,10 @@
                 last_ms = max((r.acked_ms for r in failed), default=0) + NOTED_MS
                 if run.start_ms <= last_ms or not run.in_touch:
                     continue
+            crashes = sorted(r.end_ms for r in found if r.how == "crashed" and record.shape.crashes)
+            later = [r for r in found if r.start_ms > [*crashes, *[INF] * 3][MAX_CRASHES - 1]]
+            if run in later[STARTS_AFTER_CRASHES:]:
+                yield f"ATTEMPTS: {run} after {len(crashes)} crashes of its workers"
             if len(failed) >= MAX_ATTEMPTS:
                 yield f"ATTEMPTS: {run} after {len(failed)} failed runs"
 
@@ -209,7 +215,7 @@
         if step == "0":
             continue
         for earlier in record.task_names(int(occurrence))[int(step) - 1]:
-            if done_ms.get(_group(earlier, jobs), float("inf")) > found[0].start_ms:
+            if done_ms.get(_group(earlier, jobs), INF) > found[0].start_ms:
                 yield f"ORDER: {task} started at {found[0].start_ms:.0f} before {earlier} was done"
 
 
@@ -231,7 +237,7 @@
     """
     for run in runs:
         acks = jobs[run.job].answers("DELETE", 200, 202) if run.job in jobs else []
-        acked_ms = min((r.ended_ms for r in acks), default=float("inf"))
+        acked_ms = min((r.ended_ms for r in acks), default=INF)
         if run.start_ms > acked_ms + CANCEL_MS + ORDER_DELAY_AND_LEASE_MS:
             yield f"CANCELLED: {run}, acked {acked_ms:.0f}"
         if run.start_ms > acked_ms + CANCEL_MS and run.in_touch:
@@ -295,7 +301,7 @@
         record = jobs.get(run.job)
         cancels = [r.sent_ms for r in record.requests if r.method == "DELETE"] if record else []
         calm = _calm_end(run.start_ms, run.end_ms - run.start_ms, disruptions) == run.end_ms
-        if calm and run.end_ms < min(cancels, default=float("inf")):
+        if calm and run.end_ms < min(cancels, default=INF):
             yield f"GANG: {run} ended alone at {run.end_ms:.0f}"
 
 
@@ -314,7 +320,7 @@
             for task in record.all_tasks()
             for run in tasks.get(task, [])
             if _was_ended_by_order(run, disruptions)
-            and run.end_ms < min(cancels, default=float("inf"))
+            and run.end_ms < min(cancels, default=INF)
             and not any(_is_at_work(r, run.end_ms) for r in tasks[task] if r is not run)
         ]
         for run in ordered:
@@ -362,13 +368,24 @@
             and req.sent_ms - record.accepted_ms > VISIBLE_MS + 2_000
             and record.shape.kind != "timed"
             and not record.is_cancelling
-            and begun.get(job, float("inf")) > req.ended_ms
+            and begun.get(job, INF) > req.ended_ms
         ]
         if int(req.state) < len(waiting) / 2 and _calm_end(req.sent_ms, 0, own) == req.sent_ms:
             told = f"{req.state} pending of {len(waiting)} that wait: {waiting[:5]}"
             yield f"MIXED: entry-{req.instance} told {told} at {req.ended_ms:.0f}"
 
 
+def crashes_of_workers(events: list[Event]) -> Iterator[Disruption]:
+    """Return the time that workers were down after a crash, also of those that a task caused."""
+    down: dict[str, Disruption] = {}
+    for event in events:
+        if event["what"] == "leave" and event["how"] == "crashed":
+            down[event["worker"]] = Disruption("crash", None, event["t"])
+            yield down[event["worker"]]
+        elif event["what"] == "boot" and event["worker"] in down:
+            down.pop(event["worker"]).to_ms = event["t"]
+
+
 def check_acknowledgements(
     runs: list[Run],
     events: list[Event],
@@ -396,7 +413,7 @@
         sent = [r.sent_ms for r in record.requests if r.method == "DELETE"]
         if sent and record.accepted_ms is not None:
             answers = [r.ended_ms for r in record.answers("DELETE", 200, 202, 410)]
-            spans.append((min(sent), min(answers, default=float("inf")), until_ms))
+            spans.append((min(sent), min(answers, default=INF), until_ms))
     yield from _check_share("cancellations", spans, disruptions, 1 / 10)
 
 
@@ -427,7 +444,7 @@
         cancels = [r.sent_ms for r in record.requests if r.method == "DELETE"]
         for task in record.all_tasks():
             found = tasks.get(task, [])
-            ends = [record.accepted_ms, *(r.end_ms for r in found if r.end_ms < float("inf"))]
+            ends = [record.accepted_ms, *(r.end_ms for r in found if r.end_ms < INF)]
             for end_ms in ends:
                 bound_ms = _calm_end(end_ms + RESTART_MS, IDLE_MS, disruptions, 4_000)
                 if bound_ms < min([until_ms, *cancels]) and not any(
@@ -491,7 +508,7 @@
     record: JobRecord, req: Request, done: Mapping[str, float], jobs: Mapping[str, JobRecord]
 ) -> Iterator[str]:
     for task in record.all_tasks():
-        if done.get(_group(task, jobs), float("inf")) > req.ended_ms:
+        if done.get(_group(task, jobs), INF) > req.ended_ms:
             yield f"MIXED: {record.job} was completed at {req.ended_ms:.0f}, {task} was not done"
             return
 
@@ -527,7 +544,7 @@
 
 def missing_standing_tasks(runs: list[Run], jobs: Mapping[str, JobRecord]) -> list[str]:
     """Return the tasks of standing jobs that are accepted and not cancelled, but do not run."""
-    at_work = {run.task for run in runs if run.end_ms == float("inf")}
+    at_work = {run.task for run in runs if run.end_ms == INF}
     return [
         task
         for record in jobs.values()
@@ -610,6 +627,7 @@
     """
     events = list(events)
     runs = build_runs(events)
+    disruptions = [*disruptions, *list(crashes_of_workers(events))]
     until_ms = max((event["t"] for event in events), default=0.0)
     requests = [req for record in jobs.values() for req in record.requests]
     _mark_in_touch(runs, disruptions, senders or {})
--- a/devtools/soak/deployment.py
+++ b/devtools/soak/deployment.py
@@ -74,6 +74,7 @@
     repeats: int = 1
     interval_ms: int = 0
     first_ms: int = 0  # time of day of the first occurrence
+    crashes: bool = False  # whether each task crashes the worker that starts it
 
     def due_ms(self, occurrence: int) -> float:
         """Return when an occurrence is due on the monotonic clock."""
@@ -118,7 +119,9 @@
             if self.kind == "standing":
                 step["long-running"] = True
             steps.append(step)
-        body: dict[str, Any] = {"spec": msgspec.json.encode(steps).decode(), "steps": steps}
+        # Only the spec says that a task crashes its worker.
+        spec = msgspec.json.encode([{**step, "crashes": self.crashes} for step in steps]).decode()
+        body: dict[str, Any] = {"spec": spec, "steps": steps}
         if self.kind == "timed":
             times = {"first-run-ms": self.first_ms, "interval-ms": self.interval_ms}
             body |= {"repeat-count": self.repeats, **times}
--- a/devtools/soak/mutants.py
+++ b/devtools/soak/mutants.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import dataclasses
 import itertools
 from collections.abc import Callable
@@ -13,26 +14,28 @@
 
 import msgspec
 
-from greengagewood.internal.cells import planner, stops
+from greengagewood.internal.cells import crashes, planner, stops
 from greengagewood.internal.cells.cell import Cell
-from greengagewood.internal.cells.copies import CopyPolicy
 from greengagewood.internal.cells.fleet import Worker
+from greengagewood.internal.cells.ledger import Ledger
 from greengagewood.internal.cells.ownership import OwnershipView
 from greengagewood.internal.cells.runner import CellRunner
 from greengagewood.internal.cells.stops import StopPlanner
 from greengagewood.internal.clock import monotonic_ms
+from greengagewood.internal.entry import EntryInstance
 from greengagewood.internal.entry.intake import BatchWriter
 from greengagewood.internal.jobs.book import JobBook, Run
 from greengagewood.internal.jobs.records import Cancellation, Submission
 from greengagewood.internal.ports import Outcome
-from greengagewood.platform import directory, jobs
+from greengagewood.platform import directory, jobs, program
+from greengagewood.platform.frontend import Frontend
 
-__all__ = ["MUTANTS"]
+__all__ = ["MUTANTS", "Mutant", "never_stop", "wrap"]
 
 Mutant = tuple[Any, str, Any]  # the arguments of setattr
 
 
-def _wrap(owner: Any, name: str, call: Callable[..., Any]) -> Mutant:
+def wrap(owner: Any, name: str, call: Callable[..., Any]) -> Mutant:
     """Return a mutant that calls this with a function and its arguments in place of it."""
     original = getattr(owner, name)
 
@@ -51,13 +54,13 @@
         replace: Any = msgspec.structs.replace if is_struct else dataclasses.replace
         return found and replace(found, **changes)
 
-    return _wrap(owner, name, alter)
+    return wrap(owner, name, alter)
 
 
 def _skip(owner: Any, name: str, every: int) -> Mutant:
     """Return a mutant that skips some calls of a method."""
     count = itertools.count(1)
-    return _wrap(owner, name, lambda f, *args: None if next(count) % every == 0 else f(*args))
+    return wrap(owner, name, lambda f, *args: None if next(count) % every == 0 else f(*args))
 
 
 def _conclude_without_reads(plan: Any, cell: Cell, now_ms: int, *rest: Any) -> Any:
@@ -66,25 +69,23 @@
     return plan(cell, now_ms, *rest)
 
 
-def _refuse_what_is_stored() -> Mutant:
-    """Return a mutant that answers every tenth stored record as if it had been refused."""
-    count = itertools.count(1)
-
-    async def refuse_some(store_record: Any, *args: Any) -> Outcome:
-        outcome: Outcome = await store_record(*args)
-        return Outcome.REFUSED if next(count) % 10 == 0 else outcome
-
-    return _wrap(BatchWriter, "store_record", refuse_some)
-
+def _sometimes(
+    owner: Any, name: str, every: int, outcome: Any, call: bool = False, delay_s: float = 0
+) -> Mutant:
+    """Return a mutant that returns this outcome of some calls of a coroutine.
 
-def _accept_without_storing() -> Mutant:
-    """Return a mutant that acknowledges every tenth record without storing it."""
+    With `call`, the call is made all the same. An outcome of None returns the true one.
+    """
     count = itertools.count(1)
 
-    async def skip_some(store_record: Any, *args: Any) -> Any:
-        return Outcome.DONE if next(count) % 10 == 0 else await store_record(*args)
+    async def wrapped(f: Any, *args: Any) -> Any:
+        if next(count) % every:
+            return await f(*args)
+        await asyncio.sleep(delay_s)
+        found = await f(*args) if call else None
+        return found if outcome is None else outcome
 
-    return _wrap(BatchWriter, "store_record", skip_some)
+    return wrap(owner, name, wrapped)
 
 
 def _apply_as_read(_: Any, runner: Any, record: Any) -> None:
@@ -110,115 +111,93 @@
         mark_waiting(book, task)
 
 
-def _never_stop(applies: Callable[[StopPlanner, Worker, Run], bool]) -> Mutant:
+def never_stop(applies: Callable[[StopPlanner, Worker, Run], bool]) -> Mutant:
     """Return a mutant that sends no stop to the runs of ended jobs to which this applies."""
 
     def reason(f: Any, stop_planner: StopPlanner, worker: Worker, run: Run, now_ms: int) -> Any:
         spared = run.task.step.job.is_final and applies(stop_planner, worker, run)
         return "" if spared else f(stop_planner, worker, run, now_ms)
 
-    return _wrap(StopPlanner, "_stop_reason", reason)
-
-
-def _copy_for_ended_job(find: Any, policy: CopyPolicy, run: Run, *args: Any) -> Any:
-    """Find stragglers of jobs that have ended, too."""
-    job = run.task.step.job
-    state, job.state = job.state, "running"
-    try:
-        return find(policy, run, *args)
-    finally:
-        job.state = state
-
-
-def _keep_timed(end_job: Any, book: JobBook, job: Any, *args: Any) -> None:
-    """Keep a job that has ended among the timed ones, whose occurrences are opened."""
-    timed = job.id in book.timed_jobs
-    end_job(book, job, *args)
-    if timed:
-        book.timed_jobs[job.id] = job
-
-
-def _forget_cancellation(apply: Any, runner: CellRunner, job_id: str, now_ms: int) -> None:
-    """Take up a stored job without its cancellation, as a new owner."""
-    stored = runner._ledger.jobs.get(job_id)
-    if stored is None or job_id in runner.cell.book.jobs:
-        apply(runner, job_id, now_ms)
-        return
-    kept = stored.cancelled, stored.progress
-    stored.cancelled = False
-    if stored.progress is not None and stored.progress.state == "cancelled":
-        stored.progress = None
-    try:
-        apply(runner, job_id, now_ms)
-    finally:
-        stored.cancelled, stored.progress = kept
-
-
-# Each switches one row of docs/design/cancellation.md off.
-_CANCEL_MUTANTS: dict[str, Mutant] = {
-    "cancel_forgotten_by_successor": _wrap(CellRunner, "_apply_stored_job", _forget_cancellation),
-    "cancel_then_copy": _wrap(CopyPolicy, "find_straggler", _copy_for_ended_job),
-    "cancel_then_occur": _wrap(JobBook, "end_job", _keep_timed),
-    "cancel_then_queue_again": _wrap(
-        Cell, "_queue_again", lambda f, cell, task: task.end_state or cell.book.mark_waiting(task)
-    ),
-    "cancel_then_start_waiting": _wrap(
-        JobBook,
-        "unmark_waiting",
-        lambda f, book, task: None if task.step.job.is_final else f(book, task),
-    ),
-    "keep_without_confirmation": _wrap(OwnershipView, "_is_confirmed", lambda f, *args: True),
-    "keep_without_reads": _wrap(OwnershipView, "is_read_recent", lambda f, *args: True),
-    "no_start_deadline": (planner, "START_WINDOW_MS", 30_000),
-    "no_stop": _never_stop(lambda _, worker, run: True),
-    "no_stop_draining": _never_stop(lambda _, worker, run: worker.info.draining),
-    "no_stop_evacuated": _never_stop(lambda plan, worker, run: plan._planner.is_evacuated(worker)),
-    "no_stop_failed": _never_stop(lambda _, worker, run: run.task.step.job.state == "failed"),
-    "no_stop_of_copy": _never_stop(lambda _, worker, run: run.task.copy is run),
-    "no_stop_of_lasting": _never_stop(lambda _, worker, run: run.task.step.spec.long_running),
-    "no_stop_paused": _never_stop(lambda _, worker, run: run.speed_percent == 0),
-    "no_stop_silent": _wrap(stops, "_due_on_silent", lambda f, worker, now_ms: []),
-    "no_stop_unanswered": _never_stop(lambda _, worker, run: run.accepted_ms is None),
-    "no_stop_unexpected": _wrap(
-        Cell,
-        "_track_unexpected_run",
-        lambda f, cell, worker, run, ms: cell.book.placeholder_task(run.task_id),
-    ),
-    "no_stop_unknown": _wrap(StopPlanner, "stop_unknown_run", lambda f, *args: None),
-    "no_stop_unlisted": _never_stop(lambda _, worker, run: not worker.in_directory),
-    "registered_ignored": _wrap(Cell, "set_registered_workers", lambda f, *args: None),
-    "stop_once": _wrap(
-        stops, "_may_send_stop", lambda f, run, ms: run.stop_sent_ms is None and f(run, ms)
-    ),
-    "stop_silent_once": _wrap(
-        stops,
-        "_due_on_silent",
-        lambda f, *args: [run for run in f(*args) if run.stop_sent_ms is None],
-    ),
-}
+    return wrap(StopPlanner, "_stop_reason", reason)
+
+
+def _configure_backwards(apply: Any, instance: EntryInstance, config: Any) -> None:
+    """Apply the version before each version after it."""
+    apply(instance, config)
+    instance.config = None
+    apply(instance, dataclasses.replace(config, version=config.version - 1))
+
+
+def _count_from_claim(note: Any, view: OwnershipView, *args: Any) -> None:
+    """Count the orders of earlier owners from the claim, as before b2fc69f."""
+    note(view, *args)
+    view.earlier_heartbeat_ms = args[-1]
+
+
+async def _hold_as_it_stops(respond: Any, frontend: Frontend, req: Any) -> Any:
+    """Don't answer before the process ends once it was told to stop."""
+    await asyncio.sleep(0.3)
+    return await (asyncio.sleep(30) if frontend.draining else respond(frontend, req))
+
 
 MUTANTS: dict[str, Mutant] = {
-    **_CANCEL_MUTANTS,
+    "keep_without_confirmation": wrap(OwnershipView, "_is_confirmed", lambda f, *args: True),
+    "no_stop": never_stop(lambda self, worker, run: True),
+    "no_stop_draining": never_stop(lambda self, worker, run: worker.info.draining),
+    "no_stop_evacuated": never_stop(lambda self, worker, run: self._planner.is_evacuated(worker)),
+    "no_stop_silent": wrap(stops, "_due_on_silent", lambda f, *args: []),
+    "no_stop_unlisted": never_stop(lambda self, worker, run: not worker.in_directory),
+    "stop_once": wrap(
+        stops, "_may_send_stop", lambda f, run, ms: run.stop_sent_ms is None and f(run, ms)
+    ),
     "none": (Cell, "none", None),
-    "accept_without_storing": _accept_without_storing(),
+    "accept_without_storing": _sometimes(BatchWriter, "store_record", 10, Outcome.DONE),
+    "alter_checkpoint": wrap(
+        JobBook,
+        "note_checkpoint",
+        lambda f, book, task, saved: f(book, task, saved and saved[:8] + "0" * 8),
+    ),
     "alter_spec": _alter(jobs, "JobSpec", payload="[]"),
-    "apply_as_read": _wrap(CellRunner, "apply_record", _apply_as_read),
-    "complete_early": _wrap(JobBook, "note_task_done", _complete_early),
-    "conclude_without_reads": _wrap(Cell, "plan", _conclude_without_reads),
-    "due_early": _wrap(Cell, "_open_due_occurrences", lambda f, cell, ms: f(cell, ms + 1_500)),
+    "answer_late": _sometimes(Frontend, "handle", 40, None, call=True, delay_s=7),
+    "apply_as_read": wrap(CellRunner, "apply_record", _apply_as_read),
+    "complete_early": wrap(JobBook, "note_task_done", _complete_early),
+    "configure_backwards": wrap(EntryInstance, "_apply_config", _configure_backwards),
+    "count_from_claim": wrap(OwnershipView, "_note_claim_won", _count_from_claim),
+    "count_none_pending": wrap(Ledger, "queued_count", lambda f, *args: 0),
+    "cut_as_it_stops": wrap(Frontend, "_respond", _hold_as_it_stops),
+    "conclude_without_reads": wrap(Cell, "plan", _conclude_without_reads),
+    "due_early": wrap(Cell, "_open_due_occurrences", lambda f, cell, ms: f(cell, ms + 1_500)),
+    "forget_crashes": (crashes, "is_culprit", lambda task, alone: False),
     "ignore_cancel": _skip(Cell, "cancel", 3),
     "ignore_cpu": _alter(jobs, "_step_spec", cpu_millis=0),
     "ignore_draining": _alter(directory, "parse_worker", draining=False),
+    "ignore_evacuations": wrap(planner.Planner, "is_evacuated", lambda f, *args: False),
     "ignore_label": _alter(jobs, "_step_spec", required_label=""),
     "ignore_max_per_worker": _alter(jobs, "_step_spec", max_per_instance=0),
     "ignore_order": _alter(jobs, "_step_spec", depends_on=()),
-    "leave_lasting": _wrap(JobBook, "mark_waiting", _leave_lasting),
+    "leave_lasting": wrap(JobBook, "mark_waiting", _leave_lasting),
     "leave_some": _skip(Cell, "_queue_again", 2),
-    "more_attempts": _wrap(
+    "move_lasting": wrap(
+        StopPlanner,
+        "_stop_reason",
+        lambda f, self, worker, run, ms: (
+            "moves"
+            if run.state == "running" and run.task.step.spec.long_running and ms % 4_000 < 200
+            else f(self, worker, run, ms)
+        ),
+    ),
+    "never_acknowledge": wrap(Cell, "prepare_lease_extension", lambda f, *args: (f(*args)[0], 0)),
+    "more_attempts": wrap(
         JobBook,
         "note_run_failed",
         lambda f, book, task, number, attempts, ms: f(book, task, number, attempts + 3, ms),
     ),
-    "refuse_on_old_boot": _wrap(Cell, "_holder", lambda f, cell, worker, run: worker),
-    "refuse_what_is_stored": _refuse_what_is_stored(),
+    "refuse_cancellations": _sometimes(EntryInstance, "cancel", 1, Outcome.REFUSED),
+    "refuse_on_old_boot": wrap(Cell, "_holder", lambda f, cell, worker, run: worker),
+    "refuse_what_is_stored": _sometimes(
+        BatchWriter, "store_record", 10, Outcome.REFUSED, call=True
+    ),
+    "show_older_state": _sometimes(EntryInstance, "state_of", 7, "queued", call=True),
+    "split_gangs": _alter(jobs, "_step_spec", gang=False),
+    "stay_when_told_to_stop": _sometimes(program, "_drain", 1, None, delay_s=30),
 }
--- a/devtools/soak/player.py
+++ b/devtools/soak/player.py
@@ -13,7 +13,7 @@
 
 from devtools.soak.callers import Callers, now_ms
 from devtools.soak.checker import build_runs
-from devtools.soak.deployment import CALM_SHAPES, DRAIN_STAY_MS, SERVICE
+from devtools.soak.deployment import CALM_SHAPES, DRAIN_STAY_MS, SERVICE, JobShape
 from devtools.soak.proxy import LinkFault
 from devtools.soak.records import Disruption
 from devtools.soak.script import OWNER, Step
@@ -270,6 +270,11 @@
                 self._dep.store_admin, "entry", key=f"servers/{key}", value=value
             )
 
+    async def _deadly(self, args: dict[str, Any]) -> None:
+        """Submit a job whose tasks crash the workers that start them."""
+        shape = JobShape("short", (args["tasks"],), 300, 2_000, crashes=True)
+        await self._callers.submit(shape)
+
     async def _evacuate(self, args: dict[str, Any]) -> None:
         """Let the operator evacuate a failure domain, which excuses nothing."""
         zone = f"z{args['domain']}"
--- a/devtools/soak/script.py
+++ b/devtools/soak/script.py
@@ -38,6 +38,7 @@
     "worker": 4,
     "orders": 3,
     "configure": 2,
+    "deadly": 1,
 }
 
 
@@ -119,6 +120,8 @@
             return {"instance": OWNER, "workers": workers, "by_ms": rng.randint(300, 1_200)}
         case "truncate":
             return {"keep": rng.choice((0, 20))}
+        case "deadly":
+            return {"tasks": 1}
         case _:  # hangup, reset, configure
             return {"instance": instance}
 
--- a/src/greengagewood/platform/standin/boot.py
+++ b/src/greengagewood/platform/standin/boot.py
@@ -30,6 +30,7 @@
 TAIL_MS = 5
 TAIL_MS_PER_CPU = 0.03  # more for each thousandth of a core that best-effort tasks use beside it
 STRAGGLER_SHARE, STRAGGLER_FACTOR = 0.15, 6  # of the runs of speculative steps
+CRASH_DELAY_S = 0.03  # from the start of a task that crashes its worker to the crash
 GANG_TIMEOUT_S = 4.0  # from which on a run whose gang is incomplete ends
 
 Record = Callable[[str, dict[str, Any]], None]
@@ -62,6 +63,7 @@
     target_ms: float = 0
     utilization: bool = False
     gang: bool = False
+    crashes: bool = False  # its worker, as it starts
     speculative: bool = False
 
     @property
@@ -157,6 +159,7 @@
         rng: random.Random,
         gangs: Gangs,
         draw_failure: Callable[[], bool],
+        crash: Callable[[], None],
         record: Record,
     ) -> None:
         self.id = worker_id
@@ -171,6 +174,7 @@
         self._rng = rng
         self._gangs = gangs
         self._draw_failure = draw_failure
+        self._crash = crash
         self._record_line = record
         self._booted = time.monotonic()
         self._token = 0
@@ -281,6 +285,8 @@
         room = {"cpu": work.room.cpus, "mem_mb": work.mem_mb}
         content = {"spec": order.spec, "checkpoint": order.checkpoint}
         self._record("start", {**details, **content, **origin, **room})
+        if work.crashes:
+            self._call_later(CRASH_DELAY_S, self._crash)
         if not work.gang:
             self._work(run)
             return
--- a/src/greengagewood/platform/standin/fleet.py
+++ b/src/greengagewood/platform/standin/fleet.py
@@ -34,6 +34,7 @@
 HEARTBEATS_KEPT = 3  # intervals without a heartbeat after which the store deletes an entry
 HEARTBEAT_RETRY_S = 0.3
 HEARTBEAT_TIMEOUT_S = 2.0
+CRASHED_S = 3.0  # from a crash that a task caused to the next boot
 SLOTS = 8
 VERSION = "v1"
 
@@ -92,6 +93,7 @@
             self._rng,
             self._fleet.gangs,
             lambda: self._draw("fail_runs") is not None,
+            lambda: self._spawn(self._crash_for_a_while()),
             self._fleet.history.write,
         )
         self._runner = await listen(self._handle, self.address)
@@ -112,6 +114,12 @@
         self._fleet.history.write("leave", {"worker": boot.id, "born": boot.born, "how": how})
         await runner.cleanup()
 
+    async def _crash_for_a_while(self) -> None:
+        await self.shut_down("crashed")
+        await asyncio.sleep(CRASHED_S)
+        if self.boot is None:
+            await self.start()
+
     async def leave(self) -> None:
         """Leave for good: end everything and remove the entry."""
         entry_id = self._id
