--- a/devtools/soak/__main__.py
+++ b/devtools/soak/__main__.py
@@ -14,7 +14,6 @@
 from absl import app, flags
 
 from devtools.soak.deployment import SCALES
-from devtools.soak.mutants import MUTANTS
 from devtools.soak.run import RunResult, run_script
 from devtools.soak.script import Step, draw_script, load_script, save_script, shrink_script
 
@@ -25,7 +24,9 @@
 flags.DEFINE_string("replay", None, "script to play instead of drawing one")
 flags.DEFINE_bool("shrink", False, "drop faults from a failing script while it still fails")
 flags.DEFINE_string("keep", None, "folder that keeps the script and the logs of every run")
-flags.DEFINE_enum("mutant", "none", sorted(MUTANTS), "break the entry instances on purpose")
+flags.DEFINE_string(
+    "mutant", "none", "break the entry instances as in tests/common/entrymutants.py"
+)
 
 FLAGS = flags.FLAGS
 
--- a/devtools/soak/launch.py
+++ b/devtools/soak/launch.py
@@ -9,15 +9,17 @@
 from __future__ import annotations
 
 import functools
+import importlib
 import sys
 
 import aiohttp
 
-from devtools.soak.mutants import MUTANTS
 from greengagewood.platform import program
 
 __all__ = ["main"]
 
+MUTANTS_MODULE = "tests.common.entrymutants"
+
 
 def main() -> None:
     """Bind outgoing connections to the address, apply the mutant and run the program."""
@@ -26,7 +28,8 @@
     # The method is replaced, not the class: the program has a subclass of it.
     init = functools.partialmethod(aiohttp.TCPConnector.__init__, local_addr=(address, 0))
     aiohttp.TCPConnector.__init__ = init  # type: ignore[assignment, method-assign]
-    setattr(*MUTANTS[mutant])
+    if mutant != "none":
+        setattr(*importlib.import_module(MUTANTS_MODULE).MUTANTS[mutant])
     program.main()
 
 
--- a/devtools/soak/mutants.py
+++ b/tests/common/entrymutants.py
@@ -150,7 +150,6 @@
     "stop_once": wrap(
         stops, "_may_send_stop", lambda f, run, ms: run.stop_sent_ms is None and f(run, ms)
     ),
-    "none": (Cell, "none", None),
     "accept_without_storing": _sometimes(BatchWriter, "store_record", 10, Outcome.DONE),
     "alter_checkpoint": wrap(
         JobBook,
--- a/tests/cover/test_cancel_mutants.py
+++ b/tests/cover/test_cancel_mutants.py
@@ -1,7 +1,7 @@
 """A mutant for each row of docs/design/cancellation.md that can be switched off.
 
 Each makes the test of its row fail, so that the test looks at what the row says. Those of which a
-real process shows the harm are in `devtools/soak/mutants.py`, too.
+real process shows the harm are in `tests/common/entrymutants.py`, too.
 """
 
 from __future__ import annotations
@@ -9,13 +9,13 @@
 from typing import Any
 
 import pytest
-from devtools.soak.mutants import MUTANTS, Mutant, never_stop, wrap
 
 from greengagewood.internal.cells import stops
 from greengagewood.internal.cells.cell import Cell
 from greengagewood.internal.cells.runner import CellRunner
 from greengagewood.internal.cells.stops import StopPlanner
 from greengagewood.internal.jobs.book import JobBook
+from tests.common.entrymutants import MUTANTS, Mutant, never_stop, wrap
 from tests.cover import test_cancel_roads, test_cancelled_jobs
 
 
