--- a/devtools/soak/deployment.py
+++ b/devtools/soak/deployment.py
@@ -140,6 +140,7 @@
         estimate_ms = rng.randint(200, 1_500)
         return JobShape("short", counts, 1_000, estimate_ms, options, prefix=prefix)
     if draw < 0.8:
+        options = options or {"checkpointing": True}
         return JobShape("long", (rng.randint(1, 3),), 1_000, rng.randint(5_000, 12_000), options)
     if draw < 0.9:
         first_ms = int(time.time() * 1000) + rng.randint(500, 4_000)
