--- a/devtools/soak/checker.py
+++ b/devtools/soak/checker.py
@@ -370,6 +370,7 @@
             if record.accepted_ms is not None
             and req.sent_ms - record.accepted_ms > VISIBLE_MS + 2_000
             and record.shape.kind != "timed"
+            and record.shape.prefix == jobs[""].shape.prefix
             and not record.is_cancelling
             and begun.get(job, INF) > req.ended_ms
         ]
--- a/tests/cover/test_soak.py
+++ b/tests/cover/test_soak.py
@@ -279,6 +279,8 @@
         req = Request(0, "GET", "", sent, sent + 10, 200, state=pending)
         counts = JobRecord("", JobShape("short", (0,), 0, 0), [req])
         assert _rules([_start(7_000)], {**_job(ACCEPTED), "": counts}) == ["MIXED"] * count
+        other_queue = _job(ACCEPTED, prefix=deployment.ADVISED_PREFIX)
+        assert _rules([_start(7_000)], {**other_queue, "": counts}) == []
 
 
 class TestAcknowledgements:
