--- a/devtools/soak/run.py
+++ b/devtools/soak/run.py
@@ -40,6 +40,7 @@
     calm_s: float
     usage: dict[str, tuple[float, float]] = field(default_factory=dict)
     findings: list[str] = field(default_factory=list)
+    stalls: int = 0
 
     def summary(self) -> str:
         """Return a few lines on the run."""
@@ -50,7 +51,7 @@
             f"{self.jobs} jobs, {self.requests} requests {dict(self.statuses.most_common())}, "
             f"{self.runs} task runs, calm after {self.calm_s:.0f} s\n"
             f"processor time and memory of those still running: {usage}\n"
-            f"{len(self.findings)} findings"
+            f"{self.stalls} stalls of the soak itself, {len(self.findings)} findings"
         )
 
 
@@ -74,7 +75,9 @@
     finally:
         await callers.session.close()
         await system.stop()
-        (folder / "faults.txt").write_text("\n".join(player.notes) + "\n", encoding="utf-8")
+        (folder / "faults.txt").write_text(
+            "\n".join(player.notes + system.stalls) + "\n", encoding="utf-8"
+        )
     system.read_new_lines()
     workers = {deployment.worker_id(number) for number in range(scale.workers)}
     unguarded = set() if deployment.admission_check else workers
@@ -112,6 +115,7 @@
         calm_s,
         usage,
         findings,
+        len(system.stalls),
     )
 
 
--- a/devtools/soak/system.py
+++ b/devtools/soak/system.py
@@ -28,6 +28,7 @@
 STANDIN = "greengagewood.platform.standin"
 WATCH_INTERVAL_S = 0.1
 POLL_S = 0.2
+STALL_MS = 1_000
 
 
 class StartError(RuntimeError):
@@ -78,6 +79,7 @@
         self.calm_events: list[Event] = []  # up to the last look at whether it was calm
         self.findings: list[str] = []
         self.disruptions: list[Disruption] = []
+        self.stalls: list[str] = []  # as the machine was too busy, or asleep
         self.owner_number = 0
         self._seed = seed
         self._mutant = mutant
@@ -218,7 +220,10 @@
     async def _poll(self) -> None:
         while True:
             self.read_new_lines()
+            due_ms = now_ms() + POLL_S * 1000
             await asyncio.sleep(POLL_S)
+            if now_ms() > due_ms + STALL_MS:
+                self.stalls.append(f"{due_ms:.0f} the soak itself did not run until {now_ms():.0f}")
 
     def read_new_lines(self) -> None:
         """Read what the processes have written since the last time."""
--- a/tests/cover/test_cancel_mutants.py
+++ b/tests/cover/test_cancel_mutants.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import Any
 
 import pytest
@@ -15,6 +16,7 @@
 from greengagewood.internal.cells.runner import CellRunner
 from greengagewood.internal.cells.stops import StopPlanner
 from greengagewood.internal.jobs.book import JobBook
+from tests.common.drive import CellSimulation, long_running_job, run_simulation
 from tests.common.entrymutants import MUTANTS, Mutant, never_stop, wrap
 from tests.cover import test_cancel_roads, test_cancelled_jobs
 
@@ -152,3 +154,76 @@
         monkeypatch.setattr(*mutant)
         with pytest.raises((AssertionError, ValueError)):
             _find_test(test)(*args)
+
+
+TROUBLES = ("links", "kill", "refuse leases", "none")
+
+
+async def _cancel_in_calm(sim: CellSimulation) -> None:
+    """Cancel jobs in a short trouble, and in the calm after it, amid planned work.
+
+    As in the step `cancel_in_calm` of the soak: workers drain and a failure domain is evacuated,
+    and neither excuses a run that goes on.
+    """
+    rng, faults = sim.rng, sim.platform.faults
+    workers = sorted(sim.platform.workers)
+    jobs = [f"{number:016x}" for number in range(6)]
+    for job in jobs:
+        await sim.submit(job, "serve", long_running_job())
+    await asyncio.sleep(2.5)
+    links = {(instance, worker) for instance in sim.instances for worker in workers}
+    trouble = rng.choice(TROUBLES)
+    owner = sim.owner()
+    if trouble == "kill" and owner is not None:
+        await sim.kill_instance(owner)
+    faults.cut_links |= links if trouble == "links" else set()
+    faults.refused_lease_links |= links if trouble == "refuse leases" else set()
+    await asyncio.gather(*(sim.cancel(job) for job in jobs[:2]))
+    await asyncio.sleep(0.7)
+    faults.cut_links.clear()
+    faults.refused_lease_links.clear()
+    for missing in sorted({"n0", "n1", "n2"} - set(sim.instances)):
+        sim.start_instance(missing)
+    for worker in rng.sample(workers, 2):
+        sim.platform.drain(worker)
+    evacuated = sim.platform.workers[rng.choice(workers)].info.failure_domain
+    sim.platform.evacuate(evacuated)
+    for pair, pause_s in ((jobs[2:4], 1.0), (jobs[4:], 2.5)):
+        await asyncio.sleep(pause_s)
+        await asyncio.gather(*(sim.cancel(job) for job in pair))
+    await asyncio.sleep(8)
+
+
+def _breaks_a_bound(seed: int) -> bool:
+    sim = run_simulation(CellSimulation(seed), _cancel_in_calm)
+    return bool(sim.platform.violations or sim.platform.running_tasks())
+
+
+class TestRandomCalm:
+    """Cancellations amid planned work, by seeds."""
+
+    SEEDS = range(300, 320)
+
+    @pytest.mark.parametrize("seed", SEEDS)
+    def test_no_run_of_a_cancelled_job_goes_on(self, seed: int) -> None:
+        sim = run_simulation(CellSimulation(seed), _cancel_in_calm)
+        assert sim.platform.violations == []
+        assert sim.platform.running_tasks() == set()
+
+    @pytest.mark.parametrize(
+        "name",
+        [
+            "cancel_forgotten_by_successor",
+            "no_stop",
+            "no_stop_draining",
+            "no_stop_evacuated",
+            "no_stop_unexpected",
+            "stop_once",
+        ],
+    )
+    def test_a_mutant_is_found_within_20_seeds(
+        self, name: str, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Guards against scripts that no longer reach the states in which the rows matter."""
+        monkeypatch.setattr(*ROWS[name][0])
+        assert any(_breaks_a_bound(seed) for seed in self.SEEDS)
