--- a/tests/common/entrymutants.py
+++ b/tests/common/entrymutants.py
@@ -197,6 +197,6 @@
         BatchWriter, "store_record", 10, Outcome.REFUSED, call=True
     ),
     "show_older_state": _sometimes(EntryInstance, "state_of", 7, "queued", call=True),
-    "split_gangs": _alter(jobs, "_step_spec", gang=False),
+    "start_part_of_gang": wrap(planner.Planner, "_place_gang", lambda f, *args: f(*args)[:1]),
     "stay_when_told_to_stop": _sometimes(program, "_drain", 1, None, delay_s=30),
 }
