Submit no job with a label to the soak's queue with tickets

Cause: the advice may deny both workers of a rack for good; two such gangs stayed queued (4 LOST beside the MIXED of count_none_pending, planned-work.jsonl). The denied workers of both steps hold the two of their rack, w004 and w010.

--- a/devtools/soak/deployment.py
+++ b/devtools/soak/deployment.py
@@ -136,7 +136,9 @@
     options: dict[str, Any] = rng.choice(OPTIONS) if rng.random() < 0.5 else {}
     if draw < 0.5:
         counts = tuple(rng.randint(1, 4) for _ in range(rng.randint(1, 2)))
-        prefix = ADVISED_PREFIX if rng.random() < 0.2 else PREFIX
+        # The advice may deny both workers with a label.
+        advised = rng.random() < 0.2 and "requirements" not in options
+        prefix = ADVISED_PREFIX if advised else PREFIX
         estimate_ms = rng.randint(200, 1_500)
         return JobShape("short", counts, 1_000, estimate_ms, options, prefix=prefix)
     if draw < 0.8:
