--- a/tests/common/plant.py
+++ b/tests/common/plant.py
@@ -589,7 +589,7 @@
             return OrderReply("unhealthy", worker.clock_ms())
 
         def order(worker: SimWorker) -> OrderReply:
-            return self._start(worker, task, run, payload, deadline_ms, token, checkpoint)
+            return self._start(worker, task, run, deadline_ms, token, checkpoint, payload)
 
         if await self._is_late(worker_info):
             self._carry_out_unanswered(worker_info, order)
@@ -605,10 +605,10 @@
         worker: SimWorker,
         task: TaskId,
         number: int,
-        payload: str,
         deadline_ms: int,
         token: int,
         checkpoint: str,
+        payload: str = "",
     ) -> OrderReply:
         worker_now_ms = worker.clock_ms()
         if token < worker.token:
