--- a/tests/common/virtualsoak.py
+++ b/tests/common/virtualsoak.py
@@ -80,6 +80,9 @@
     "hangup": "the ports have no settings file",
     "reset": "the ports have no connections; test_silent_connections.py has those of the adapter",
     "silence": "the same",
+    "evacuate": "the simulated operator writes no orders",
+    "cancel_in_calm": "it evacuates, and its jobs need what only the stand-in's workers have",
+    "deadly": "the simulated workers crash under tasks that a test names, see test_crashes.py",
     "odd_entries": "the adapter decodes them; see test_odd_entries.py",
 }
 ENTRY_LIFETIME_S = 3 * HEARTBEAT_INTERVAL_S  # of an entry without heartbeats
