--- a/src/greengagewood/platform/standin/fleet.py
+++ b/src/greengagewood/platform/standin/fleet.py
@@ -116,6 +116,8 @@
         await runner.cleanup()
 
     async def _crash_for_a_while(self) -> None:
+        if self.boot is None:
+            return  # another task has crashed it already
         await self.shut_down("crashed")
         await asyncio.sleep(CRASHED_S)
         if self.boot is None:
