--- a/src/greengagewood/internal/cells/bootlife.py
+++ b/src/greengagewood/internal/cells/bootlife.py
@@ -113,7 +113,7 @@
             info = replace(info, boot_time_ms=boot.info.boot_time_ms)
         if info.boot_time_ms != boot.info.boot_time_ms:
             boot.boot_known_ms = now_ms
-        if info.address != boot.info.address:
+        if boot.info.address not in ("", info.address):
             boot.restore_aside()
             boot.worker.registered = False  # the record has the former address
         boot.update_info(info, now_ms)
