--- a/src/greengagewood/internal/cells/stops.py
+++ b/src/greengagewood/internal/cells/stops.py
@@ -116,9 +116,10 @@
 
     def _fill_places(self, due: list[_DueStop], places: int, now_ms: int) -> list[StopRun]:
         """Return the stops for which there are places, those that have waited longest first."""
+        places = max(0, places)
         if len(due) > places:
             self._held_back = True
-            due = sorted(due, key=lambda stop: stop[1].stop_sent_ms or 0)[: max(0, places)]
+            due = sorted(due, key=lambda stop: stop[1].stop_sent_ms or 0)[:places]
         return [_stop(boot, run, reason, now_ms) for boot, run, reason in due]
 
     def overdue_runs(self, now_ms: int) -> list[tuple[Boot, Run]]:
