--- a/devtools/soak/system.py
+++ b/devtools/soak/system.py
@@ -215,8 +215,8 @@
             self._watchers.add(asyncio.create_task(self._end_when_ready(number, lasting)))
 
     async def _end_when_ready(self, number: int, disruptions: list[Disruption]) -> None:
-        url = f"http://{self.deployment.ready(number)}{READY_PATH}"
-        while not await self._answers(url):
+        # Another instance at another address may take its place meanwhile.
+        while not await self._answers(f"http://{self.deployment.ready(number)}{READY_PATH}"):
             await asyncio.sleep(0.1)
         for disruption in disruptions:
             disruption.to_ms = now_ms()
