Hand runs over to a rebooted worker in one way

Cause: two loops and a method of BootLives moved runs to a new boot with the same steps, and differed only in the bound of late orders. For a start without an answer later_boot_expiry_ms returns what late_start_expiry_ms does, so one loop serves both.

--- a/src/greengagewood/internal/cells/bootlife.py
+++ b/src/greengagewood/internal/cells/bootlife.py
@@ -14,7 +14,6 @@
 
 from greengagewood.internal.cells.answers import (
     compare_boots,
-    late_start_expiry_ms,
     later_boot_expiry_ms,
     latest_order_expiry_ms,
 )
@@ -173,23 +172,18 @@
         boot.transition("rebooted")
         term.boots[info.worker_id] = rebooted
         self._hold_back_lost_tasks(boot, now_ms)
-        for run in undecided:
-            # The lists of the new boot show which of the two has accepted it.
+        # The lists of the new boot show which of the two has accepted the undecided ones. The other
+        # starts may not have reached the old boot, so the new boot may receive them. It compares
+        # their deadlines with its own clock, which has started anew.
+        unanswered = [run for run in boot.runs.values() if run.accepted_ms is None]
+        for run in [*undecided, *unanswered]:
             boot.remove_run(run)
             run.stop_sent_ms = run.stop_answered_ms = None
-            expiry_ms = later_boot_expiry_ms(boot, run, term.limits.lease_ms)
-            self._hand_over(rebooted, run)
-            self._expect_orders(rebooted, expiry_ms)
-        for run in [run for run in boot.runs.values() if run.accepted_ms is None]:
-            # The start may not have reached the old boot, so the new boot may receive it. It
-            # compares the deadline with its own clock, which has started anew.
-            boot.remove_run(run)
-            run.stop_sent_ms = run.stop_answered_ms = None
-            self._expect_late_start(rebooted, run)
+            self._hand_over(boot, rebooted, run)
         self._hold_back_inherited(boot, rebooted, now_ms)
         self._mark_runs_lost(boot, now_ms, "reborn")
         for ruled_out in term.late_starts.forget_boot(boot):
-            self._expect_late_start(rebooted, self._reopen_start(ruled_out))
+            self._hand_over(boot, rebooted, self._reopen_start(ruled_out))
         term.stops.request_scan()
         return rebooted
 
@@ -212,21 +206,17 @@
         rebooted.inherited = (*rebooted.inherited, runs)
         rebooted.earlier_orders_expiry_ms = max(rebooted.earlier_orders_expiry_ms, runs.expiry_ms)
 
-    @staticmethod
-    def _hand_over(rebooted: Boot, run: Run) -> None:
+    def _hand_over(self, boot: Boot, rebooted: Boot, run: Run) -> None:
+        """Add a run to a new boot that may still start it, or may have accepted it already."""
         rebooted.add_run(run)
         run.was_handed_over = True
+        self._expect_orders(rebooted, later_boot_expiry_ms(boot, run, self._term.limits.lease_ms))
 
     @staticmethod
     def _expect_orders(rebooted: Boot, expiry_ms: int) -> None:
         """Count orders that were meant for an earlier boot, as their deadlines are on its clock."""
         rebooted.late_orders_expiry_ms = max(rebooted.late_orders_expiry_ms, expiry_ms)
 
-    def _expect_late_start(self, rebooted: Boot, run: Run) -> None:
-        """Add a run that a new boot may still start, or has started."""
-        self._hand_over(rebooted, run)
-        self._expect_orders(rebooted, late_start_expiry_ms(run, self._term.limits.lease_ms))
-
     def _reopen_start(self, ruled_out: Run) -> Run:
         """Return an unconfirmed run for a start that an earlier boot had ruled out.
 
