Share the steps that the tests of boots repeat

CellHarness.start_unanswered replaces three copies, and _lose_new_boot the end of two tests of late lease extensions.

--- a/tests/common/desk.py
+++ b/tests/common/desk.py
@@ -108,6 +108,13 @@
         self.now_ms += 1
         return starts
 
+    def start_unanswered(self, elapsed_ms: int = 500) -> StartRun:
+        """Plan the only start, which gets no answer."""
+        (start,) = start_orders(self.plan(elapsed_ms))
+        self.now_ms += 1_000
+        self.cell.note_start_unanswered(start.run, self.now_ms)
+        return start
+
     def submit(self, *steps: StepSpec, job: str = "0" * 16, queue: Queue = QUEUE) -> None:
         submission = Submission(job, queue, JobSpec("p", steps), 0)
         self.cell.add_job(submission, None, True, self.now_ms)
--- a/tests/cover/test_boot_findings.py
+++ b/tests/cover/test_boot_findings.py
@@ -42,13 +42,6 @@
         self.first_clocks_ms[name] = LATER_CLOCK_MS
         super().reboot(name, boot_time_ms)
 
-    def start_unanswered(self, elapsed_ms: int = 500) -> StartRun:
-        """Plan the only start, which gets no answer."""
-        (start,) = start_orders(self.plan(elapsed_ms))
-        self.now_ms += 1_000
-        self.cell.note_start_unanswered(start.run, self.now_ms)
-        return start
-
 
 class TestClocksOfBoots:
     """Deadlines of a start on the clock of the boot to which it was sent."""
--- a/tests/cover/test_boots.py
+++ b/tests/cover/test_boots.py
@@ -55,6 +55,20 @@
     return harness, task
 
 
+def _lose_new_boot(harness: CellHarness) -> str:
+    """Lose the worker of a lasting task, which waits; return the other worker."""
+    harness.submit(LASTING)
+    (start,) = harness.start(500)
+    harness.now_ms += 2_000
+    harness.cell.note_lease_failure(start.boot, harness.now_ms)
+    (other,) = set(harness.worker_infos) - {start.boot.name}
+    for _ in range(14):
+        harness.answer_lease(other)
+        harness.read_orders()
+        assert start_orders(harness.plan(1_000)) == []
+    return other
+
+
 class TestCrashes:
     """Reboots that show only after a start was accepted."""
 
@@ -204,15 +218,7 @@
             harness.cell.note_lease_failure(harness.cell.boots[name], harness.now_ms)
             _change_entry(harness, name, boot_time_ms=2)
             harness.answer_lease(name)
-        harness.submit(LASTING)
-        (start,) = harness.start(500)
-        harness.now_ms += 2_000
-        harness.cell.note_lease_failure(start.boot, harness.now_ms)
-        (other,) = set(harness.worker_infos) - {start.boot.name}
-        for _ in range(14):
-            harness.answer_lease(other)
-            harness.read_orders()
-            assert start_orders(harness.plan(1_000)) == []
+        other = _lose_new_boot(harness)
         harness.plan(3_000)
         harness.answer_lease(other)
         harness.read_orders()
@@ -226,15 +232,7 @@
             harness.cell.prepare_lease_extension(harness.cell.boots[name], harness.now_ms)
             _change_entry(harness, name, boot_time_ms=2)
             harness.answer_lease(name)
-        harness.submit(LASTING)
-        (start,) = harness.start(500)
-        harness.now_ms += 2_000
-        harness.cell.note_lease_failure(start.boot, harness.now_ms)
-        (other,) = set(harness.worker_infos) - {start.boot.name}
-        for _ in range(14):
-            harness.answer_lease(other)
-            harness.read_orders()
-            assert start_orders(harness.plan(1_000)) == []
+        _lose_new_boot(harness)
 
     def test_a_lease_that_the_new_boot_was_given_later_is_waited_for(self) -> None:
         """Guards against a second run beside one on a new boot that can't be reached."""
--- a/tests/cover/test_late_calls.py
+++ b/tests/cover/test_late_calls.py
@@ -144,9 +144,7 @@
         harness.submit(LASTING)
         harness.now_ms += 500
         harness.read_orders()
-        (start,) = start_orders(harness.plan(0))
-        harness.now_ms += 1_000
-        harness.cell.note_start_unanswered(start.run, harness.now_ms)
+        start = harness.start_unanswered(0)
         harness.extend("w0")
         sent_ms = harness.now_ms
         harness.now_ms += 10
@@ -411,9 +409,7 @@
     harness.submit(LASTING)
     harness.now_ms += 500
     harness.read_orders()
-    (start,) = start_orders(harness.plan(0))
-    harness.now_ms += 1_000
-    harness.cell.note_start_unanswered(start.run, harness.now_ms)
+    start = harness.start_unanswered(0)
     harness.boot_again("w0", 2)
     task: Task = start.run.task
     for _ in range(8):
