--- a/devtools/soak/callers.py
+++ b/devtools/soak/callers.py
@@ -10,7 +10,7 @@
 import aiohttp
 import msgspec
 
-from devtools.soak.deployment import HOST, PREFIX, Deployment, JobShape, draw_job
+from devtools.soak.deployment import HOST, Deployment, JobShape, draw_job
 from devtools.soak.records import JobRecord, Request
 
 __all__ = ["Callers", "now_ms"]
@@ -158,7 +158,7 @@
         """Send a request, record it and return it."""
         req = Request(instance, method, record.job, now_ms())
         record.requests.append(req)
-        url = f"http://{self._deployment.frontend(instance)}{PREFIX}{record.job}"
+        url = f"http://{self._deployment.frontend(instance)}{record.shape.prefix}{record.job}"
         headers = {"Host": HOST, "X-Deadline-Ms": str(DEADLINE_MS)}
         data = None if body is None else msgspec.json.encode(body)
         timeout = aiohttp.ClientTimeout(total=GIVE_UP_S)
--- a/devtools/soak/checker.py
+++ b/devtools/soak/checker.py
@@ -78,6 +78,9 @@
             if found is not None:
                 found.end_ms, found.how = event["t"], event["how"]
                 ended[(worker, found.task, found.run)] = found
+        elif what == "lapse":
+            for key, run in ended.items():
+                run.lapsed |= key[0] == worker and run.acked_ms == INF
         elif what == "ack":
             found = ended.get((worker, event["task"], event["run"]))
             if found is not None:
@@ -157,7 +160,7 @@
     for found in _by_task(runs).values():
         for run in found:
             done = [r for r in found if r.how == "done" and r.end_ms <= run.start_ms]
-            acked_ms = min((r.acked_ms for r in done), default=INF)
+            acked_ms = min((r.noted_ms for r in done), default=INF)
             if _has_copies(run, jobs):
                 is_broken = run.start_ms > acked_ms + NOTED_MS and run.in_touch
             else:
@@ -179,12 +182,12 @@
             failed = [
                 r
                 for r in found
-                if r.how == "failed" and r.end_ms <= run.start_ms and r.acked_ms < INF
+                if r.how == "failed" and r.end_ms <= run.start_ms and r.noted_ms < INF
             ]
             if record.shape.is_gang:  # one failed member is a failed attempt
                 failed = list({r.run: r for r in failed if r.run != run.run}.values())
             if record.shape.has_copies:
-                last_ms = max((r.acked_ms for r in failed), default=0) + NOTED_MS
+                last_ms = max((r.noted_ms for r in failed), default=0) + NOTED_MS
                 if run.start_ms <= last_ms or not run.in_touch:
                     continue
             crashes = sorted(r.end_ms for r in found if r.how == "crashed" and record.shape.crashes)
--- a/devtools/soak/deployment.py
+++ b/devtools/soak/deployment.py
@@ -29,7 +29,7 @@
 ]
 
 HOST = "queue.example"
-PREFIX = "/work/"
+PREFIX, ADVISED_PREFIX = "/work/", "/advised/"
 READY_PATH = "/greengagewood/ready"
 SERVICE = "compute"
 QUEUE = "work"
@@ -75,6 +75,7 @@
     interval_ms: int = 0
     first_ms: int = 0  # time of day of the first occurrence
     crashes: bool = False  # whether each task crashes the worker that starts it
+    prefix: str = PREFIX  # of its queue
 
     def due_ms(self, occurrence: int) -> float:
         """Return when an occurrence is due on the monotonic clock."""
@@ -119,8 +120,9 @@
             if self.kind == "standing":
                 step["long-running"] = True
             steps.append(step)
-        # Only the spec says that a task crashes its worker.
-        spec = msgspec.json.encode([{**step, "crashes": self.crashes} for step in steps]).decode()
+        # Only the spec says that a task crashes its worker, or that its start needs a ticket.
+        flags = {"crashes": self.crashes, "advised": self.prefix == ADVISED_PREFIX}
+        spec = msgspec.json.encode([{**step, **flags} for step in steps]).decode()
         body: dict[str, Any] = {"spec": spec, "steps": steps}
         if self.kind == "timed":
             times = {"first-run-ms": self.first_ms, "interval-ms": self.interval_ms}
@@ -134,7 +136,9 @@
     options: dict[str, Any] = rng.choice(OPTIONS) if rng.random() < 0.5 else {}
     if draw < 0.5:
         counts = tuple(rng.randint(1, 4) for _ in range(rng.randint(1, 2)))
-        return JobShape("short", counts, 1_000, rng.randint(200, 1_500), options)
+        prefix = ADVISED_PREFIX if rng.random() < 0.2 else PREFIX
+        estimate_ms = rng.randint(200, 1_500)
+        return JobShape("short", counts, 1_000, estimate_ms, options, prefix=prefix)
     if draw < 0.8:
         return JobShape("long", (rng.randint(1, 3),), 1_000, rng.randint(5_000, 12_000), options)
     if draw < 0.9:
@@ -182,6 +186,8 @@
         self.store = f"{self._net}.0.1:{PLATFORM_PORT}"
         self.store_behind = f"{self._net}.0.2:{PLATFORM_PORT}"
         self.store_admin = f"{self._net}.0.2:{STANDIN_ADMIN_PORT}"
+        self.advice = f"{self._net}.0.3:{PLATFORM_PORT}"
+        self.advice_behind = f"{self._net}.0.4:{PLATFORM_PORT}"
         self.instances = [
             f"{self._net}.{10 + i // 200}.{i % 200 + 1}" for i in range(scale.instances)
         ]
@@ -231,6 +237,7 @@
             "ready": self.ready(number),
             "admin": f"{self.instances[number]}:{ADMIN_PORT}",
             "store": self.store,
+            "advice": self.advice,
             "bounds": BOUNDS,
         }
 
@@ -249,6 +256,7 @@
         return {
             "admin": self.worker_admin(process),
             "store_admin": self.store_admin,
+            **({} if process else {"advice": self.advice_behind}),
             "record": record,
             "seed": seed,
             "lease_ms": BOUNDS["lease_ms"],
@@ -290,5 +298,12 @@
             "max-attempts": MAX_ATTEMPTS,
             "slack-factor": 2.0,
         }
+        advice = {"decision-ms": 40, "per-worker-ms": 2, "validity-ms": 4_000}
+        advised = {**route, "name": "advised", "path-prefix": ADVISED_PREFIX, "advice": advice}
         services = [{"name": SERVICE, "admission-check": self.admission_check}]
-        return {"version": self.version, "routes": [route], "services": services, "limits": {}}
+        return {
+            "version": self.version,
+            "routes": [route, advised],
+            "services": services,
+            "limits": {},
+        }
--- a/devtools/soak/records.py
+++ b/devtools/soak/records.py
@@ -93,6 +93,7 @@
     end_ms: float = float("inf")
     how: str = ""
     acked_ms: float = float("inf")
+    lapsed: bool = False  # whether the lease of its worker has expired from its end to that
     sender: str = ""  # address of the instance that sent the order
     late: bool = False  # whether the worker carried the order out late
     spec: str | None = None
@@ -104,6 +105,11 @@
     def __str__(self) -> str:
         return f"{self.task} run {self.run} started on {self.worker} at {self.start_ms:.0f}"
 
+    @property
+    def noted_ms(self) -> float:
+        """Return when its end was taken note of: acknowledged in time."""
+        return float("inf") if self.lapsed else self.acked_ms
+
     @property
     def job(self) -> str:
         """Return the ID of its job."""
--- a/devtools/soak/system.py
+++ b/devtools/soak/system.py
@@ -124,7 +124,7 @@
 
     async def _listen(self) -> None:
         dep = self.deployment
-        links = {dep.store: dep.store_behind}
+        links = {dep.store: dep.store_behind, dep.advice: dep.advice_behind}
         links |= {dep.workers[n]: dep.worker_behind(n) for n in range(dep.scale.workers)}
         for address, behind in links.items():
             try:
--- a/src/greengagewood/platform/standin/fleet.py
+++ b/src/greengagewood/platform/standin/fleet.py
@@ -13,6 +13,7 @@
 from aiohttp import web
 
 from greengagewood.internal.placement import Resources
+from greengagewood.platform.standin.advice import AdviceStandin
 from greengagewood.platform.standin.boot import Boot, Gangs, Order
 from greengagewood.platform.standin.common import (
     Faults,
@@ -274,6 +275,7 @@
         self.history = History(cfg.record)
         self.gangs = Gangs()
         self.workers = {w.id: _Worker(w, self, random.Random(rng.random())) for w in cfg.workers}
+        self._advice: web.ServerRunner | None = None
         self._runner: web.ServerRunner | None = None
         self._session: aiohttp.ClientSession | None = None
 
@@ -282,6 +284,8 @@
         self._session = aiohttp.ClientSession(
             timeout=aiohttp.ClientTimeout(total=HEARTBEAT_TIMEOUT_S)
         )
+        if self.cfg.advice is not None:
+            self._advice = await listen(AdviceStandin().handle, self.cfg.advice)
         for worker in self.workers.values():
             await worker.start()
         admin = admin_handler(
@@ -297,8 +301,9 @@
         """Stop the workers and close the addresses and the history."""
         for worker in self.workers.values():
             await worker.close()
-        if self._runner is not None:
-            await self._runner.cleanup()
+        for runner in (self._runner, self._advice):
+            if runner is not None:
+                await runner.cleanup()
         if self._session is not None:
             await self._session.close()
         self.history.close()
--- a/src/greengagewood/platform/standin/settings.py
+++ b/src/greengagewood/platform/standin/settings.py
@@ -52,6 +52,7 @@
 
     admin: HostPort
     store_admin: HostPort
+    advice: HostPort | None = None  # where this process is the advice service, too
     record: str
     workers: tuple[WorkerSettings, ...]
     seed: int = 1
--- a/tests/cover/test_soak.py
+++ b/tests/cover/test_soak.py
@@ -80,6 +80,14 @@
     def test_a_start_after_a_done_that_was_never_acknowledged_is_allowed(self):
         assert _found([_start(100), _end(200), _start(300, "w1", 2)]) == []
 
+    def test_an_end_acknowledged_after_the_lease_has_lapsed_is_not_noted(self):
+        lapse = {"t": 220, "what": "lapse", "worker": "w0"}
+        events = [_start(100), _end(200), _ack(350), _start(300, "w1", 2)]
+        assert _rules(events) == ["AFTER DONE"]
+        assert _rules([*events, lapse]) == []
+        assert _rules([*events, {**lapse, "worker": "w1"}]) == ["AFTER DONE"]
+        assert _rules([*events, {**lapse, "t": 400}]) == ["AFTER DONE"]
+
     def test_a_start_after_all_permitted_attempts_is_found(self):
         events = []
         for run in (1, 2, 3):
