--- a/devtools/soak/deployment.py
+++ b/devtools/soak/deployment.py
@@ -14,6 +14,7 @@
 
 __all__ = [
     "BOUNDS",
+    "CALM_SHAPES",
     "HOST",
     "MAX_ATTEMPTS",
     "PREFIX",
@@ -28,7 +29,7 @@
 ]
 
 HOST = "queue.example"
-PREFIX = "/work/"
+PREFIX, ADVISED_PREFIX = "/work/", "/advised/"
 READY_PATH = "/greengagewood/ready"
 SERVICE = "compute"
 QUEUE = "work"
@@ -57,7 +58,7 @@
 SCALES = {
     "small": Scale(3, 4, 12, 6, 1),
     "usual": Scale(4, 24, 48, 16, 4),
-    "full": Scale(6, 96, 300, 32, 8),
+    "full": Scale(6, 96, 300, 32, 6),
 }
 
 
@@ -73,6 +74,8 @@
     repeats: int = 1
     interval_ms: int = 0
     first_ms: int = 0  # time of day of the first occurrence
+    crashes: bool = False  # whether each task crashes the worker that starts it
+    prefix: str = PREFIX  # of its queue
 
     def due_ms(self, occurrence: int) -> float:
         """Return when an occurrence is due on the monotonic clock."""
@@ -83,6 +86,11 @@
         """Return whether several runs of a task may go on at once."""
         return bool(self.options.get("speculative"))
 
+    @property
+    def is_gang(self) -> bool:
+        """Return whether the tasks of a step work only together."""
+        return bool(self.options.get("gang"))
+
     @property
     def label(self) -> str:
         """Return the label that its workers must have, or an empty string."""
@@ -112,7 +120,10 @@
             if self.kind == "standing":
                 step["long-running"] = True
             steps.append(step)
-        body: dict[str, Any] = {"spec": msgspec.json.encode(steps).decode(), "steps": steps}
+        # Only the spec says that a task crashes its worker, or that its start needs a ticket.
+        flags = {"crashes": self.crashes, "advised": self.prefix == ADVISED_PREFIX}
+        spec = msgspec.json.encode([{**step, **flags} for step in steps]).decode()
+        body: dict[str, Any] = {"spec": spec, "steps": steps}
         if self.kind == "timed":
             times = {"first-run-ms": self.first_ms, "interval-ms": self.interval_ms}
             body |= {"repeat-count": self.repeats, **times}
@@ -125,17 +136,26 @@
     options: dict[str, Any] = rng.choice(OPTIONS) if rng.random() < 0.5 else {}
     if draw < 0.5:
         counts = tuple(rng.randint(1, 4) for _ in range(rng.randint(1, 2)))
-        return JobShape("short", counts, 1_000, rng.randint(200, 1_500), options)
+        # The advice may deny both workers with a label.
+        advised = rng.random() < 0.2 and "requirements" not in options
+        prefix = ADVISED_PREFIX if advised else PREFIX
+        estimate_ms = rng.randint(200, 1_500)
+        return JobShape("short", counts, 1_000, estimate_ms, options, prefix=prefix)
     if draw < 0.8:
-        return JobShape("long", (rng.randint(1, 3),), 1_000, rng.randint(5_000, 12_000), options)
+        options = options or {"checkpointing": True}
+        # A straggler takes six times as long, and has to end in the calm phase, too.
+        estimate_ms = rng.randint(5_000, 12_000) // (4 if options.get("speculative") else 1)
+        return JobShape("long", (rng.randint(1, 3),), 1_000, estimate_ms, options)
     if draw < 0.9:
         first_ms = int(time.time() * 1000) + rng.randint(500, 4_000)
         timing = (rng.randint(2, 3), rng.randint(1_000, 3_000), first_ms)
         return JobShape("timed", (rng.randint(1, 2),), 1_000, 300, options, *timing)
-    return JobShape("standing", (rng.randint(1, 3),), 500, 400, {"max-unavailable": 1})
+    return JobShape("standing", (rng.randint(1, 3),), 500, 400, LASTING)
 
 
-# Each rack has two workers at least, at any scale.
+LASTING = {"max-unavailable": 1, "image": "serve", "target-ms": 20}
+# Each rack has two workers at least, at any scale, and one process has all workers of a domain: the
+# stand-in knows the members of a gang only within a process.
 OPTIONS: list[dict[str, Any]] = [
     {"requirements": "z0-r0"},
     {"anti-affinity": 1},
@@ -143,7 +163,17 @@
     {"checkpointing": True},
     {"affinity": "z1-r1"},
     {"same-rack": True},
-    {"utilization": True},
+    {"utilization": True, "checkpointing": True, "image": "fill"},
+    {"gang": True, "requirements": "z1-r0"},
+    {"gang": True, "requirements": "z2-r1", "checkpointing": True},
+]
+# What is cancelled in a calm phase: tasks that last, that are long, have copies, or occur often.
+CALM_SHAPES = [
+    JobShape("standing", (2,), 300, 400, LASTING),
+    JobShape("long", (2,), 300, 25_000, {"checkpointing": True}),
+    JobShape("long", (2,), 300, 20_000, {"utilization": True, "image": "fill"}),
+    JobShape("long", (2,), 300, 20_000, {"gang": True, "requirements": "z1-r0"}),
+    JobShape("timed", (1,), 300, 400, {}, 12, 1_500),
 ]
 
 
@@ -161,6 +191,8 @@
         self.store = f"{self._net}.0.1:{PLATFORM_PORT}"
         self.store_behind = f"{self._net}.0.2:{PLATFORM_PORT}"
         self.store_admin = f"{self._net}.0.2:{STANDIN_ADMIN_PORT}"
+        self.advice = f"{self._net}.0.3:{PLATFORM_PORT}"
+        self.advice_behind = f"{self._net}.0.4:{PLATFORM_PORT}"
         self.instances = [
             f"{self._net}.{10 + i // 200}.{i % 200 + 1}" for i in range(scale.instances)
         ]
@@ -222,6 +254,7 @@
             "ready": self.ready(number),
             "admin": f"{self.instances[number]}:{ADMIN_PORT}",
             "store": self.store,
+            "advice": self.advice,
             "bounds": BOUNDS,
         }
 
@@ -233,13 +266,14 @@
 
     def worker_process(self, number: int) -> int:
         """Return the process in which a worker runs."""
-        return number % self.scale.worker_processes
+        return self.domain(number) % self.scale.worker_processes
 
     def workers_settings(self, process: int, seed: int, record: str) -> dict[str, Any]:
         """Return the settings of one process of workers."""
         return {
             "admin": self.worker_admin(process),
             "store_admin": self.store_admin,
+            **({} if process else {"advice": self.advice_behind}),
             "record": record,
             "seed": seed,
             "lease_ms": BOUNDS["lease_ms"],
@@ -281,5 +315,12 @@
             "max-attempts": MAX_ATTEMPTS,
             "slack-factor": 2.0,
         }
+        advice = {"decision-ms": 40, "per-worker-ms": 2, "validity-ms": 4_000}
+        advised = {**route, "name": "advised", "path-prefix": ADVISED_PREFIX, "advice": advice}
         services = [{"name": SERVICE, "admission-check": self.admission_check}]
-        return {"version": self.version, "routes": [route], "services": services, "limits": {}}
+        return {
+            "version": self.version,
+            "routes": [route, advised],
+            "services": services,
+            "limits": {},
+        }
--- a/devtools/soak/records.py
+++ b/devtools/soak/records.py
@@ -93,15 +93,23 @@
     end_ms: float = float("inf")
     how: str = ""
     acked_ms: float = float("inf")
+    lapsed: bool = False  # whether the lease of its worker has expired from its end to that
     sender: str = ""  # address of the instance that sent the order
     late: bool = False  # whether the worker carried the order out late
     spec: str | None = None
-    draining_ms: float = float("inf")  # since when its worker drained at its start
+    checkpoint: str = ""  # that its start carried
+    draining_ms: float = float("inf")  # since when its worker drains
+    stopped_late: bool = False  # whether an order that was held up stopped it
     in_touch: bool = True  # whether an instance in touch started it in time
 
     def __str__(self) -> str:
         return f"{self.task} run {self.run} started on {self.worker} at {self.start_ms:.0f}"
 
+    @property
+    def noted_ms(self) -> float:
+        """Return when its end was taken note of: acknowledged in time."""
+        return float("inf") if self.lapsed else self.acked_ms
+
     @property
     def job(self) -> str:
         """Return the ID of its job."""
--- a/devtools/soak/script.py
+++ b/devtools/soak/script.py
@@ -20,6 +20,7 @@
 TOPICS = (None, None, "keyed.cell0", "keyed.servers", "keyed.op")  # None is all
 WORKER_FAULTS = ("crash", "boot", "drain", "replace", "reclaim", "gone", "boot_shifted")
 ORDER_FAULTS = ("late_orders", "lost_answers", "fail_runs", "odd_rows")
+CALM_TROUBLES = ("links", "kill", "terminate", "busy", "crash", "none")  # before a calm phase
 # How often each kind is drawn, relative to the others.
 WEIGHTS = {
     "terminate": 3,
@@ -43,6 +44,7 @@
     "worker": 4,
     "orders": 3,
     "configure": 2,
+    "deadly": 1,
 }
 
 
@@ -69,6 +71,13 @@
     odd_at_ms = odd_rng.randint(1_000, max(1_000, duration_ms // 2))
     odd_args = {"new": 20, "workers": [odd_rng.randrange(scale.workers)], "seed": seed}
     steps.append(Step(odd_at_ms, "odd_entries", odd_args))
+    calm_rng = random.Random(f"calm {seed}")
+    for domain in calm_rng.sample(range(scale.domains), 1):
+        away = {"domain": domain, "for_ms": calm_rng.randint(6_000, 12_000)}
+        steps.append(Step(calm_rng.randint(1_000, duration_ms), "evacuate", away))
+        drained = sorted(calm_rng.sample(range(scale.workers), scale.workers // 4))
+        calm_args = {"trouble": calm_rng.choice(CALM_TROUBLES), "workers": drained}
+        steps.append(Step(duration_ms, "cancel_in_calm", {**calm_args, "domain": domain}))
     return sorted(steps, key=lambda step: step.at_ms)
 
 
@@ -133,6 +142,8 @@
             return {"instance": OWNER, "workers": workers, "by_ms": rng.randint(300, 1_200)}
         case "truncate":
             return {"keep": rng.choice((0, 20))}
+        case "deadly":
+            return {"tasks": 1}
         case _:  # hangup, reset, silence, configure
             return {"instance": instance}
 
--- a/src/greengagewood/platform/standin/fleet.py
+++ b/src/greengagewood/platform/standin/fleet.py
@@ -13,7 +13,8 @@
 from aiohttp import web
 
 from greengagewood.internal.placement import Resources
-from greengagewood.platform.standin.boot import Boot, Order
+from greengagewood.platform.standin.advice import AdviceStandin
+from greengagewood.platform.standin.boot import Boot, Gangs, Order
 from greengagewood.platform.standin.common import (
     Faults,
     History,
@@ -35,6 +36,7 @@
 HEARTBEATS_KEPT = 3  # intervals without a heartbeat after which the store deletes an entry
 HEARTBEAT_RETRY_S = 0.3
 HEARTBEAT_TIMEOUT_S = 2.0
+CRASHED_S = 3.0  # from a crash that a task caused to the next boot
 SLOTS = 8
 VERSION = "v1"
 _LEVELS = 100_000
@@ -104,7 +106,9 @@
             cfg.cold_ms,
             cfg.seed,
             self._rng,
+            self._fleet.gangs,
             lambda: self._draw("fail_runs") is not None,
+            lambda: self._spawn(self._crash_for_a_while()),
             self._fleet.history.write,
         )
         self._runner = await listen(self._handle, self.address)
@@ -125,6 +129,12 @@
         self._fleet.history.write("leave", {"worker": boot.id, "born": boot.born, "how": how})
         await runner.cleanup()
 
+    async def _crash_for_a_while(self) -> None:
+        await self.shut_down("crashed")
+        await asyncio.sleep(CRASHED_S)
+        if self.boot is None:
+            await self.start()
+
     async def leave(self) -> None:
         """Leave for good: end everything and remove the entry."""
         entry_id = self._id
@@ -288,7 +298,9 @@
         rng = random.Random(cfg.seed)
         self.faults = Faults(FAULT_KINDS, rng)
         self.history = History(cfg.record)
+        self.gangs = Gangs()
         self.workers = {w.id: _Worker(w, self, random.Random(rng.random())) for w in cfg.workers}
+        self._advice: web.ServerRunner | None = None
         self._runner: web.ServerRunner | None = None
         self._session: aiohttp.ClientSession | None = None
 
@@ -297,6 +309,8 @@
         self._session = aiohttp.ClientSession(
             timeout=aiohttp.ClientTimeout(total=HEARTBEAT_TIMEOUT_S)
         )
+        if self.cfg.advice is not None:
+            self._advice = await listen(AdviceStandin().handle, self.cfg.advice)
         for worker in self.workers.values():
             await worker.start()
         admin = admin_handler(
@@ -312,8 +326,9 @@
         """Stop the workers and close the addresses and the history."""
         for worker in self.workers.values():
             await worker.close()
-        if self._runner is not None:
-            await self._runner.cleanup()
+        for runner in (self._runner, self._advice):
+            if runner is not None:
+                await runner.cleanup()
         if self._session is not None:
             await self._session.close()
         self.history.close()
