Log whose record a new owner reads, and which workers hold back any task

The log could not tell two hypotheses apart: a wait for the tasks that the record of the stopped owner names, and a wait for any task because that record does not bind the present owner.

Change: term_started has the token of the owner that stored the record of registered workers; adoption_waits counts the workers on which any task may run. No logic changes. tests/cover/test_owner_changes.py and test_ownership.py pass.

--- a/src/greengagewood/internal/cells/adoption.py
+++ b/src/greengagewood/internal/cells/adoption.py
@@ -74,7 +74,13 @@
                 "workers": [boot.name for boot in unresolved[:MAX_REPORTED_WORKERS]],
                 "worker_count": len(unresolved),
                 "unlisted": sum(not boot.worker.in_directory for boot in unresolved),
+                "any_task": sum(_may_run_any_task(boot, now_ms) for boot in unresolved),
                 "unknown": len(self._term.book.maybe_running_tasks),
                 "for_ms": max(b.earlier_orders_expiry_ms for b in unresolved) - now_ms,
             },
         )
+
+
+def _may_run_any_task(boot: Boot, now_ms: int) -> bool:
+    """Return whether nothing says which tasks of earlier owners may run on a worker."""
+    return any(runs.tasks is None for runs in boot.unlisted_runs(now_ms))
--- a/src/greengagewood/internal/entry/node.py
+++ b/src/greengagewood/internal/entry/node.py
@@ -450,7 +450,12 @@
             self._ownership,
             self._may_send_orders,
         )
-        _log.info("term_started", token=self._ownership.token, jobs=len(self.ledger.jobs))
+        _log.info(
+            "term_started",
+            token=self._ownership.token,
+            jobs=len(self.ledger.jobs),
+            registered_by=self.ledger.registered_workers.token,
+        )
         if self.config is not None:
             runner.cell.set_queues(self.config.queues)
         runner.start()
