Show that a claim which its owner never uses makes tasks wait for 11.8 s

Callers saw a long-running task without a run for 11.82 s after two planned changes of owner. Ruled out: a single planned change, which the neighbouring test plays eight times in a row (passes).

--- a/tests/cover/test_owner_changes.py
+++ b/tests/cover/test_owner_changes.py
@@ -101,6 +101,38 @@
 
         run_simulation(CellSimulation(seed, worker_count=8), script)
 
+    @pytest.mark.parametrize("releases", [False, True])
+    @pytest.mark.parametrize("seed", range(3))
+    def test_a_claim_that_its_owner_never_uses_does_not_prolong_the_wait(
+        self, seed: int, releases: bool
+    ) -> None:
+        async def script(sim: CellSimulation) -> None:
+            for number in range(4):
+                await sim.submit(f"{number:016x}", "serve", long_running_job())
+            await asyncio.sleep(2)
+            gaps = asyncio.ensure_future(_longest_gaps_ms(sim, asyncio.create_task(wait())))
+            first = sim.owner()
+            assert first is not None
+            leaving = next(n for n, worker in sim.platform.workers.items() if worker.runs)
+            sim.platform.drain(leaving)
+            await sim.instances[first].release_cell()
+            await sim.kill_instance(first)
+            sim.platform.crash(leaving)
+            while (second := sim.owner()) is None:
+                await asyncio.sleep(0.002)
+            assert sim.instances[second]._runner is None
+            if releases:
+                await sim.instances[second].release_cell()
+                await asyncio.sleep(1)
+            await sim.kill_instance(second)
+            assert sim.platform.violations == []
+            assert {task: gap for task, gap in (await gaps).items() if gap > MAX_GAP_MS} == {}
+
+        async def wait() -> None:
+            await asyncio.sleep(20)
+
+        run_simulation(CellSimulation(seed), script)
+
 
 class TestOutages:
     """Owners that are replaced after an outage of the store."""
