Keep the record of the last owner in force while later owners send no orders

Callers saw a long-running task stand still for 11.82 s across planned changes of owner.

Cause: the record of a planned stop says which tasks may run where, and for how long. It counted only if its token was one below that of the reader. An owner that claimed and stopped before its first record made its successor assume that any task may run on any registered worker until 11.12 s after the last heartbeat, and the heartbeat of that unused claim began the wait anew. Class: a conclusion from what another party might have done, where the party's own protocol could have ruled it out.

Ruled out: the other tests of planned changes (passed before).

Change: an owner starts no run and extends no lease before it has stored its own record of registered workers. So an owner without one has sent no orders. Each claim names the last earlier owner that may have sent any; what that owner's record says binds, and waits count from that owner's last heartbeat. A claim of an older version names nobody, so it is taken to have sent orders, as before. The tests whose owners started runs without storing a record now store one first; two tests show that nothing is started or extended before it.

--- a/src/greengagewood/internal/cells/bootlife.py
+++ b/src/greengagewood/internal/cells/bootlife.py
@@ -123,7 +123,7 @@
         A worker that the directory does not list is added as draining and without resources.
         """
         term = self._term
-        limits_apply = registered.token == term.token - 1
+        limits_apply = registered.token == term.last_ordering_token
         for stored in registered.workers:
             boot = term.boots.get(stored.worker_id)
             if boot is None:
--- a/src/greengagewood/internal/cells/cell.py
+++ b/src/greengagewood/internal/cells/cell.py
@@ -69,11 +69,13 @@
         claim_offset: int = 0,
         confirmed_ms: int | None = None,
         earlier_heartbeat_ms: int | None = None,
+        last_ordering_token: int | None = None,
     ) -> None:
         """Begin a term.
 
         The read that confirmed the ownership was sent at `confirmed_ms`, and the last heartbeat of
-        earlier owners was read at `earlier_heartbeat_ms`; both are now by default.
+        earlier owners with orders was read at `earlier_heartbeat_ms`; both are now by default. The
+        last of these owners is by default the one directly before.
         """
         self.token = token
         self.book = JobBook()
@@ -97,6 +99,7 @@
             CrashTracker(self.book, lambda event, fields: self.term.emit(event, fields)),
             LateStarts(limits.lease_ms),
             earlier_orders_expiry_ms,
+            token - 1 if last_ordering_token is None else last_ordering_token,
         )
         self._lives = BootLives(self.term)
         self._adoption = Adoption(self.term, now_ms)
@@ -217,14 +220,15 @@
 
         The deadline is None if the worker's clock was never read. It is also None while the worker
         does not answer, so that its lease expires and its tasks can be started elsewhere, and until
-        a stored record no longer says when its lease expires.
+        this owner has stored a record that does not say when its lease expires.
 
         After a call without an answer another boot may receive the next one, whose ends have other
         sequence numbers, so none is acknowledged.
         """
         deadline = None
         # What an earlier owner has started may go on unlisted until the boot is adopted.
-        if boot.adopted and not boot.unresponsive and not boot.worker.lease_limited:
+        may_extend = self.term.registration_stored and not boot.worker.lease_limited
+        if boot.adopted and not boot.unresponsive and may_extend:
             deadline = boot.deadline_in(self.term.limits.lease_ms, now_ms)
         if deadline is not None:
             boot.latest_deadline_ms = max(boot.latest_deadline_ms, deadline)
--- a/src/greengagewood/internal/cells/changes.py
+++ b/src/greengagewood/internal/cells/changes.py
@@ -89,6 +89,8 @@
             job = term.book.jobs.get(record.job_id) if isinstance(record, Progress) else None
             if job is not None:
                 job.maybe_started_stored = True
+            if isinstance(record, RegisteredWorkers):
+                term.registration_stored = True
         for boot, sequence in changes.end_sequences.items():
             boot.acknowledged_sequence = max(boot.acknowledged_sequence, sequence)
         for boot in changes.registered_boots:
--- a/src/greengagewood/internal/cells/ownership.py
+++ b/src/greengagewood/internal/cells/ownership.py
@@ -16,6 +16,10 @@
 this for workers that it cannot reach itself: it has read every heartbeat before it claims, so it
 counts that time from when it read the last one. The time of an outage of the store before the claim
 is not waited for again.
+
+An owner starts no run and extends no lease before it has stored its record of registered workers.
+So an owner that stored none, as it stopped or was replaced at once, has changed nothing: its
+heartbeats prolong no wait, and the record of the owner before it still binds.
 """
 
 from __future__ import annotations
@@ -56,11 +60,15 @@
         self._confirmation_timeout_ms = confirmation_timeout_ms
         self._claim_delay_ms = claim_delay_ms
         self._heartbeat_ms: int | None = None  # when a heartbeat was last seen
+        # The same of the last owner that may have started runs or extended leases; None if that
+        # owner's heartbeats don't limit its orders.
+        self._ordering_heartbeat_ms: int | None = None
+        self._registered_token = 0  # of the owner that stored the newest RegisteredWorkers record
         self._owner_since_ms = 0  # when the newest token was first seen
         self._read_sent_ms: int | None = None  # when the last answered read was sent
         # When the last heartbeat of this term that is known to be stored was first sent.
         self._stored_sent_ms: int | None = None
-        # When the last heartbeat of earlier owners was read, as of the last claim that was won.
+        # When the last heartbeat of earlier owners with orders was read, as of the last claim won.
         self.earlier_heartbeat_ms = 0
         self._claim_sent_ms = 0
         self._claimed_token = 0  # of the last claim that was sent
@@ -78,16 +86,18 @@
 
     def note_record(self, record: Record, now_ms: int) -> None:
         """Process a record read from the log."""
-        previous_heartbeat_ms = self._heartbeat_ms
+        previous_heartbeat_ms = self._ordering_heartbeat_ms
+        if isinstance(record, RegisteredWorkers):
+            self._registered_token = record.token
         # Only an owner writes these.
         if isinstance(record, Progress | RegisteredWorkers | Forecast):
-            self._heartbeat_ms = now_ms
+            self._note_heartbeat(now_ms)
         if not isinstance(record, Ownership) or record.token < self.current.token:
             return
-        self._heartbeat_ms = now_ms
         if record.token > self.current.token:
             self._owner_since_ms = now_ms
-        previous, self.current = self.current, record
+        self.current = record
+        self._note_heartbeat(now_ms)
         own_claim = (
             record.owner == self.owner_id
             and not record.released
@@ -102,19 +112,33 @@
                 self._transition("claim_sent")
             self._transition("claim_won")
             self.token = record.token
-            self._note_claim_won(previous, previous_heartbeat_ms, now_ms)
+            self._note_claim_won(previous_heartbeat_ms, now_ms)
         elif self.state == "claiming":
             self._transition("claim_lost")
 
-    def _note_claim_won(
-        self, previous: Ownership, previous_heartbeat_ms: int | None, now_ms: int
-    ) -> None:
+    def _note_heartbeat(self, now_ms: int) -> None:
+        self._heartbeat_ms = now_ms
+        if self._may_have_ordered:
+            limited = self.current.heartbeats_limit_orders
+            self._ordering_heartbeat_ms = now_ms if limited else None
+
+    @property
+    def _may_have_ordered(self) -> bool:
+        """Return whether the present owner may have started runs or extended leases."""
+        return not self.current.last_ordering_token or self.current.token <= self._registered_token
+
+    @property
+    def last_ordering_token(self) -> int:
+        """Return the token of the last owner that may have started runs or extended leases."""
+        return self.current.token if self._may_have_ordered else self.current.last_ordering_token
+
+    def _note_claim_won(self, previous_heartbeat_ms: int | None, now_ms: int) -> None:
         # An earlier claim with the same token may be the one that was stored.
         is_last_claim = self.token == self._claimed_token
         self._stored_sent_ms = self._first_claim_sent_ms if is_last_claim else None
         self.earlier_heartbeat_ms = now_ms
         # The claim was appended where the log ended, so no heartbeat before it was missed.
-        if previous.heartbeats_limit_orders and previous_heartbeat_ms is not None:
+        if previous_heartbeat_ms is not None:
             self.earlier_heartbeat_ms = previous_heartbeat_ms
 
     def note_stored(self, token: int, sent_ms: int, now_ms: int) -> None:
@@ -219,6 +243,7 @@
             settled_offset=self.current.settled_offset,
             cpu_millis=self.cpu_millis,
             heartbeats_limit_orders=True,
+            last_ordering_token=self.last_ordering_token,
         )
 
     def note_claim_failed(self) -> None:
--- a/src/greengagewood/internal/cells/registration.py
+++ b/src/greengagewood/internal/cells/registration.py
@@ -7,7 +7,8 @@
 on while owners change.
 
 A record binds the owner that wrote it, not a later one. So what it says of possible runs counts
-only in the term that follows directly; otherwise any task may run on any registered worker.
+only if no later owner may have started runs or extended leases; otherwise any task may run on any
+registered worker. Each owner stores a record of its own before it does either.
 
 A task that an earlier owner may have started is ruled out on a worker if the worker has accepted
 the new token and listed its runs, if the task is not among the worker's possible runs, or if these
@@ -141,7 +142,6 @@
 
     Without `limits_apply`, it may be any until `latest_expiry_ms`.
     """
-    boot.worker.registered = True
     boot.inherited = (InheritedRuns(None, latest_expiry_ms),)
     if limits_apply and stored.possible_runs is not None:
         boot.inherited = tuple(
--- a/src/greengagewood/internal/cells/runner.py
+++ b/src/greengagewood/internal/cells/runner.py
@@ -131,6 +131,7 @@
             ledger.claim_offset,
             ownership.confirmed_ms,
             ownership.earlier_heartbeat_ms,
+            ledger.ownership.last_ordering_token,
         )
         self.cell.on_event = self._record_event
 
--- a/src/greengagewood/internal/cells/term.py
+++ b/src/greengagewood/internal/cells/term.py
@@ -44,10 +44,12 @@
     late_starts: LateStarts
     # When every lease and order of earlier owners has certainly expired.
     earlier_orders_expiry_ms: int
+    last_ordering_token: int  # of the last earlier owner with orders, see `Ownership`
     on_event: EventSink = lambda event, fields: None
     adopting: bool = True  # until every worker is known to have no other runs of the cell
     last_adoption_ms: int = 0  # when a boot was last adopted
     registration_due: bool = False  # whether to store the registered workers anew
+    registration_stored: bool = False  # whether this owner has stored a record of them
     # Tasks whose runs were lost with a boot, and when; they wait for a confirmed read.
     unconfirmed_losses: dict[Task, int] = field(default_factory=dict)
 
--- a/src/greengagewood/internal/jobs/records.py
+++ b/src/greengagewood/internal/jobs/records.py
@@ -138,8 +138,8 @@
     The record is stored before the first order to any of them, so that a later owner knows which
     workers may have runs of the cell. A worker that can run no task of the cell may be left out.
 
-    What it says of a worker's possible runs binds only the owner with the fencing token `token`,
-    until that owner stores a newer record.
+    What it says of a worker's possible runs binds the owner with the fencing token `token`, until
+    that owner stores a newer record. It holds on while later owners send no orders.
     """
 
     workers: tuple[RegisteredWorker, ...]
@@ -154,6 +154,10 @@
     is the CPU capacity of the owner's instance. `heartbeats_limit_orders` says that the owner sends
     orders only for a limited time after a heartbeat that is stored; instances of older versions
     count that time from their reads alone.
+
+    `last_ordering_token` is that of the last earlier owner that may have started runs or extended
+    leases. An owner that names it does neither before it has stored a `RegisteredWorkers` record.
+    It is 0 for the first owner, and for instances of older versions.
     """
 
     token: int
@@ -162,6 +166,7 @@
     settled_offset: int = 0
     cpu_millis: int = 0
     heartbeats_limit_orders: bool = False
+    last_ordering_token: int = 0
 
 
 class QueueBacklog(msgspec.Struct, frozen=True, array_like=True):
--- a/tests/common/desk.py
+++ b/tests/common/desk.py
@@ -5,7 +5,7 @@
 from dataclasses import replace
 
 from greengagewood.internal.cells.cell import Cell, CellLimits
-from greengagewood.internal.cells.orders import StartRun
+from greengagewood.internal.cells.orders import Changes, StartRun
 from greengagewood.internal.evacuation import Evacuations
 from greengagewood.internal.jobs.book import Run
 from greengagewood.internal.jobs.model import JobSpec, Queue, StepSpec
@@ -27,6 +27,14 @@
     return Submission(job_id, QUEUE, JobSpec("p", (StepSpec(1, cpu_millis=1_000),)), 0)
 
 
+def store_changes(cell: Cell, now_ms: int) -> Changes | None:
+    """Collect the changes of a cell and report them as stored; return them."""
+    changes = cell.collect_changes(now_ms, now_ms)
+    if changes is not None:
+        cell.note_changes_stored(changes)
+    return changes
+
+
 class CellHarness:
     """A cell whose workers have answered, and the clock of its owner."""
 
@@ -51,9 +59,8 @@
 
     def store_changes(self) -> None:
         """Collect the changes of the cell and report them as stored."""
-        changes = self.cell.collect_changes(self.now_ms, self.now_ms)
+        changes = store_changes(self.cell, self.now_ms)
         if changes is not None:
-            self.cell.note_changes_stored(changes)
             forecasts = (r for r in changes.records if isinstance(r, Forecast))
             self.forecasts.extend((self.now_ms, record) for record in forecasts)
 
--- a/tests/common/eventorder.py
+++ b/tests/common/eventorder.py
@@ -241,6 +241,8 @@
         self.settled_offset = 0
         self.jobs: dict[str, StoredJob] = {}
         self.registered = (RegisteredWorkers(()), self.now_ms)
+        # Token of the last owner that may have sent orders, and when it stored its last heartbeat.
+        self.last_ordering = 0, self.now_ms
         self.evacuated: frozenset[str] = frozenset()
         self.done: set[TaskId] = set()
         self.acknowledged: set[TaskId] = set()
@@ -700,6 +702,10 @@
             self.owners.clear()
         old.connected = False
         self.log_end += 1
+        # An owner that has stored no record of the workers has sent no orders.
+        if self.registered[0].token == old.cell.token:
+            self.last_ordering = old.cell.token, old.heartbeat_ms
+        last_ordering_token, ordering_heartbeat_ms = self.last_ordering
         cell = Cell(
             LIMITS,
             old.cell.token + 1,
@@ -707,7 +713,8 @@
             self.settled_offset,
             self.log_end,
             self.now_ms,
-            old.heartbeat_ms,
+            ordering_heartbeat_ms,
+            last_ordering_token,
         )
         self.log_end += 1
         self.owners.append(Owner(cell, self.now_ms, self.now_ms))
--- a/tests/cover/test_owner_changes.py
+++ b/tests/cover/test_owner_changes.py
@@ -11,11 +11,13 @@
 from greengagewood.internal.cells import registration
 from greengagewood.internal.cells.boots import Boot
 from greengagewood.internal.cells.cell import Cell
+from greengagewood.internal.cells.ownership import OwnershipView
 from greengagewood.internal.cells.runner import CellRunner
 from greengagewood.internal.clock import monotonic_ms
 from greengagewood.internal.evacuation import Evacuations
 from greengagewood.internal.jobs.model import JobSpec, StepSpec
 from greengagewood.internal.jobs.records import (
+    Ownership,
     PossibleRuns,
     Progress,
     RegisteredWorker,
@@ -33,7 +35,14 @@
     WorkerCallFailed,
     WorkerInfo,
 )
-from tests.common.desk import LIMITS, QUEUE, CellHarness, make_worker_info, start_orders
+from tests.common.desk import (
+    LIMITS,
+    QUEUE,
+    CellHarness,
+    make_worker_info,
+    start_orders,
+    store_changes,
+)
 from tests.common.drive import CellSimulation, long_running_job, run_simulation, short_job
 from tests.common.plant import SimStoreClient, SimWorker, SimWorkerLink
 
@@ -226,10 +235,16 @@
         "silent", "10.0.0.9:80", "svc", (PossibleRuns((TaskId(JOB, 0, 0, 0),), 4_000),)
     )
 
-    def _started_numbers(self, record_token: int, wait_ms: int) -> list[int]:
+    def _started_numbers(
+        self,
+        record_token: int,
+        wait_ms: int,
+        last_ordering_token: int = 4,
+        stores_record: bool = True,
+    ) -> list[int]:
         """Return the tasks that an owner with token 5 has started after a wait."""
         now_ms = 100_000
-        successor = Cell(LIMITS, 5, now_ms)
+        successor = Cell(LIMITS, 5, now_ms, last_ordering_token=last_ordering_token)
         successor.set_evacuations(Evacuations(frozenset(), 0, now_ms), now_ms)
         submission = Submission(self.JOB, QUEUE, JobSpec("p", (StepSpec(2, cpu_millis=1),)), 0)
         successor.add_job(submission, Progress(self.JOB, "running"), False, now_ms)
@@ -237,6 +252,8 @@
         record = RegisteredWorkers(workers, record_token)
         successor.set_registered_workers(record, now_ms - 1_000, now_ms)
         successor.set_workers({"w0": make_worker_info("w0")}, now_ms)
+        if stores_record:
+            store_changes(successor, now_ms)
         now_ms += wait_ms
         reply = LeaseReply(5_000, 1, (), ())
         successor.handle_lease_reply(successor.boots["w0"], reply, now_ms, now_ms)
@@ -291,6 +308,73 @@
         assert self._started_numbers(record_token=3, wait_ms=11_000) == []
         assert self._started_numbers(record_token=3, wait_ms=11_200) == [0, 1]
 
+    def test_the_limits_hold_on_while_later_owners_send_no_orders(self) -> None:
+        assert self._started_numbers(3, wait_ms=10, last_ordering_token=3) == [1]
+        assert self._started_numbers(3, wait_ms=3_100, last_ordering_token=3) == [0, 1]
+
+    def test_nothing_is_started_before_the_owner_has_stored_its_record(self) -> None:
+        """Guards against runs that the limits of an earlier owner's record don't know."""
+        assert self._started_numbers(4, wait_ms=20_000, stores_record=False) == []
+
+    def test_no_lease_is_extended_before_the_owner_has_stored_its_record(self) -> None:
+        """Guards against leases that last longer than an earlier owner's record says."""
+        now_ms = 100_000
+        successor = Cell(LIMITS, 5, now_ms)
+        record = RegisteredWorkers((RegisteredWorker("w0", "10.0.0.1:80", "svc"),), 4)
+        successor.set_registered_workers(record, now_ms, now_ms)
+        worker = successor.boots["w0"]
+        successor.handle_lease_reply(worker, LeaseReply(5_000, 1, (), ()), now_ms, now_ms)
+        assert worker.adopted
+        assert successor.prepare_lease_extension(worker, now_ms)[0] is None
+        successor.set_workers({"w0": make_worker_info("w0")}, now_ms)
+        store_changes(successor, now_ms)
+        assert successor.prepare_lease_extension(worker, now_ms)[0] is not None
+
+
+class TestOwnersWithoutOrders:
+    """What a claim says of the owners before it."""
+
+    @staticmethod
+    def _view(*records: Ownership | RegisteredWorkers) -> OwnershipView:
+        """Return what an instance has concluded from records that it read a second apart."""
+        view = OwnershipView("me", LIMITS.confirmation_timeout_ms, 0)
+        for number, record in enumerate(records):
+            view.note_record(record, 1_000 * (number + 1))
+            view.note_read(1_000 * (number + 1), 1_000 * (number + 1))
+        return view
+
+    @staticmethod
+    def _owner(token: int, last_ordering_token: int, released: bool = False) -> Ownership:
+        return Ownership(
+            token,
+            f"owner-{token}",
+            released,
+            heartbeats_limit_orders=True,
+            last_ordering_token=last_ordering_token,
+        )
+
+    def test_owners_that_stored_no_record_are_passed_over(self) -> None:
+        records = (self._owner(3, 2), RegisteredWorkers((), 3), self._owner(4, 3))
+        view = self._view(*records, self._owner(5, 3, released=True))
+        assert view.make_claim(4_000).last_ordering_token == 3
+        view = self._view(*records, RegisteredWorkers((), 4), self._owner(5, 4))
+        assert view.make_claim(5_000).last_ordering_token == 4
+
+    def test_an_owner_of_an_older_version_may_have_sent_orders(self) -> None:
+        view = self._view(self._owner(3, 2), RegisteredWorkers((), 3), self._owner(4, 0))
+        assert view.make_claim(3_000).last_ordering_token == 4
+
+    def test_an_instance_that_loads_the_newest_records_passes_over_the_same_owners(self) -> None:
+        view = self._view(RegisteredWorkers((), 3), self._owner(6, 3))
+        assert view.make_claim(2_000).last_ordering_token == 3
+
+    def test_heartbeats_of_owners_without_orders_prolong_no_wait(self) -> None:
+        view = self._view(self._owner(3, 2), RegisteredWorkers((), 3), self._owner(4, 3))
+        claim = view.make_claim(3_500)
+        view.note_record(claim, 3_600)
+        assert view.owning
+        assert view.earlier_heartbeat_ms == 2_000
+
 
 class _DelayedStart:
     """Loses the first start of a job with its worker; `arrive` delivers it to a later boot."""
--- a/tests/cover/test_owner_cut_off.py
+++ b/tests/cover/test_owner_cut_off.py
@@ -24,7 +24,14 @@
     TaskId,
 )
 from greengagewood.internal.ports import LeaseReply, LogPage
-from tests.common.desk import LIMITS, QUEUE, CellHarness, make_worker_info, start_orders
+from tests.common.desk import (
+    LIMITS,
+    QUEUE,
+    CellHarness,
+    make_worker_info,
+    start_orders,
+    store_changes,
+)
 from tests.common.drive import (
     CellSimulation,
     long_running_job,
@@ -126,6 +133,7 @@
         workers = (RegisteredWorker("w0", "", "svc"), RegisteredWorker("silent", "", "svc"))
         owner.set_registered_workers(RegisteredWorkers(workers, 4), now_ms, now_ms)
         owner.set_workers({"w0": make_worker_info("w0")}, now_ms)
+        store_changes(owner, now_ms)
         now_ms += 12_000
         reply = LeaseReply(5_000, 1, (), ())
         owner.handle_lease_reply(owner.boots["w0"], reply, now_ms, now_ms)
@@ -360,6 +368,7 @@
         workers = (RegisteredWorker("w0", "", "svc"), RegisteredWorker("w1", "", "svc"))
         owner.set_registered_workers(RegisteredWorkers(workers, 4), now_ms, now_ms)
         owner.set_workers({name: make_worker_info(name) for name in ("w0", "w1")}, now_ms)
+        store_changes(owner, now_ms)
         return owner
 
     @pytest.mark.parametrize("boot_time_ms", [1, 2])
