Release a claim of which no term has begun when the instance stops

Callers saw tasks stand still through a series of owners.

Cause: an instance that got SIGTERM between its claim and the start of its term (up to 50 ms), or while its claim was under way, released nothing, as it had no runner. The cell had no owner until the heartbeat of that claim timed out, 1.4 s and the next claimant's delay later. Class: a resource that is acquired by one task and released by another, which knows only a later stage of it.

Change: a stop, and the loop that sees the claim won while the instance stops, append the claim as released. Nothing else is stored, so the settled offset and the record of registered workers stay as they were.

Evidence: test_an_instance_that_stops_before_its_term_begins_releases_the_cell failed before in both cases (no owner after 0.9 s).

--- a/src/greengagewood/internal/cells/runner.py
+++ b/src/greengagewood/internal/cells/runner.py
@@ -55,7 +55,7 @@
 )
 from greengagewood.internal.process import raise_location, supervised_loop
 
-__all__ = ["CellRunner", "Ports"]
+__all__ = ["RELEASE_TIMEOUT_S", "CellRunner", "Ports"]
 
 # From one reply of a worker to the next; less than the half second after which workers list new
 # tail latencies.
--- a/src/greengagewood/internal/entry/node.py
+++ b/src/greengagewood/internal/entry/node.py
@@ -14,10 +14,12 @@
 from dataclasses import asdict
 from typing import Protocol
 
+import msgspec
+
 from greengagewood.internal.cells.cell import CellLimits
 from greengagewood.internal.cells.ledger import Ledger
 from greengagewood.internal.cells.ownership import OwnershipView
-from greengagewood.internal.cells.runner import CellRunner, Ports
+from greengagewood.internal.cells.runner import RELEASE_TIMEOUT_S, CellRunner, Ports
 from greengagewood.internal.clock import monotonic_ms, wall_ms
 from greengagewood.internal.entry.intake import MAX_READ_AGE_MS, BatchWriter
 from greengagewood.internal.entry.overload import Refusal, decide_refusal
@@ -103,6 +105,7 @@
         # The last jobs that were sent to the store and not refused by it.
         self._maybe_stored: dict[str, None] = {}
         self._runner: CellRunner | None = None
+        self._last_term_token = 0  # of the last term that has begun here, or was released unused
         self._loaded = False
         # When the store was last read up to its end; before the first time, too long ago.
         self._last_read_ms = monotonic_ms() - MAX_READ_AGE_MS
@@ -134,6 +137,8 @@
         if runner is not None:
             await runner.release()
             await self._end_term("stopping")
+        else:
+            await self._release_unused_claim()
 
     async def stop(self) -> None:
         """End the term of ownership and cancel all tasks."""
@@ -394,9 +399,11 @@
             and (self._refresh is None or self._refresh.done())
         ):
             self._start_refresh()  # sooner than the read that waits for records
-        # While an instance stops, its term may still be the current one, but has no runner.
-        if self._ownership.owning and self._runner is None and not self._ownership.shutting_down:
-            self._start_term()
+        if self._ownership.owning and self._runner is None:
+            if self._ownership.shutting_down:
+                await self._release_unused_claim()
+            else:
+                self._start_term()
         if self._ownership.should_claim(now_ms) and self.config is not None:
             await self._claim(now_ms)
 
@@ -437,7 +444,32 @@
                     _log.info("claim_unconfirmed", token=claim.token, error=str(exc))
         self._read_wakeup.set()
 
+    async def _release_unused_claim(self) -> None:
+        """Release a cell that was claimed but of which no term has begun here."""
+        token = self._ownership.token
+        if not self._ownership.owning or token <= self._last_term_token:
+            return
+        self._last_term_token = token
+        released = msgspec.structs.replace(self.ledger.ownership, released=True)
+        entry = (key_of(released), encode_record(released))
+        stored = False
+        try:
+            async with asyncio.timeout(RELEASE_TIMEOUT_S):
+                while not stored and self._ownership.token == token:
+                    result = await self._ports.store.append_fenced([entry], token, 2)
+                    stored = result.outcome is Outcome.DONE
+                    if result.fenced:
+                        self._ownership.note_fenced()
+                    elif not stored:
+                        await asyncio.sleep(RETRY_DELAY_S)
+        except TimeoutError:
+            pass
+        _log.info("unused_claim_released", token=token, stored=stored)
+        if self._ownership.token == token:
+            self._ownership.note_released()
+
     def _start_term(self) -> None:
+        self._last_term_token = self._ownership.token
         bounds = self._cfg.bounds
         limits = CellLimits(bounds.lease_ms, CONFIRMATION_TIMEOUT_MS)
         runner = CellRunner(
--- a/tests/cover/test_owner_changes.py
+++ b/tests/cover/test_owner_changes.py
@@ -199,6 +199,31 @@
         monkeypatch.setattr(CellRunner, "stop", stop_slowly)
         run_simulation(CellSimulation(1), script)
 
+    @pytest.mark.parametrize("claims_while_stopping", [False, True])
+    def test_an_instance_that_stops_before_its_term_begins_releases_the_cell(
+        self, claims_while_stopping: bool
+    ) -> None:
+        """Guards against a cell without an owner until the heartbeat of the claim times out."""
+
+        async def script(sim: CellSimulation) -> None:
+            first = sim.owner()
+            assert first is not None
+            await sim.instances[first].release_cell()
+            await sim.kill_instance(first)
+            wanted = ("claiming",) if claims_while_stopping else ("owning",)
+            while not (
+                found := [i for i in sim.instances.values() if i._ownership.state in wanted]
+            ):
+                await asyncio.sleep(0.001)
+            assert found[0]._runner is None
+            await found[0].release_cell()
+            await asyncio.sleep(0.9)
+            owner = sim.owner()
+            assert owner is not None and sim.instances[owner] not in found
+            assert sim.platform.violations == []
+
+        run_simulation(CellSimulation(3), script)
+
     def test_a_stop_does_not_wait_for_a_store_whose_time_outs_absorb_its_own(
         self, monkeypatch: pytest.MonkeyPatch
     ) -> None:
