Store the first record of a term without the directory if that can't be read

Callers would see tasks that run end on workers in reach.

Change: a failed read of the directory makes the first record due.

--- a/src/greengagewood/internal/cells/cell.py
+++ b/src/greengagewood/internal/cells/cell.py
@@ -209,6 +209,11 @@
         self._lives.set_listed(listed, now_ms)
         self.planner.request_replan()
 
+    def note_directory_unavailable(self) -> None:
+        """Record that the directory can't be read, so the first record is stored without it."""
+        if not self.term.registration_stored:
+            self.term.registration_due = True
+
     def set_registered_workers(
         self, registered: RegisteredWorkers, read_ms: int, now_ms: int
     ) -> None:
--- a/src/greengagewood/internal/cells/runner.py
+++ b/src/greengagewood/internal/cells/runner.py
@@ -412,6 +412,7 @@
             listed = await self._ports.directory.refresh()
         except StoreUnavailable:
             self._metrics.count("directory_failures")
+            self.cell.note_directory_unavailable()
         else:
             self.cell.set_workers(listed, monotonic_ms(), sent_ms)
             self._metrics.gauge("evacuated_workers", self.cell.evacuated_worker_count)
--- a/tests/cover/test_owner_changes.py
+++ b/tests/cover/test_owner_changes.py
@@ -632,6 +632,30 @@
         run_simulation(CellSimulation(1), script)
 
 
+class TestUnreadableDirectory:
+    """New owners that can't read the directory of workers."""
+
+    def test_a_new_owner_without_the_directory_extends_leases(self) -> None:
+        """Guards against runs that lapse while only the directory is away."""
+
+        async def script(sim: CellSimulation) -> None:
+            for number in range(3):
+                await sim.submit(f"{number:016x}", "serve", long_running_job())
+            await asyncio.sleep(2)
+            first = sim.owner()
+            assert first is not None
+            running = sim.platform.running_tasks()
+            assert running
+            sim.platform.faults.directory_unreadable_to |= set(sim.instances)
+            await sim.instances[first].release_cell()
+            await sim.kill_instance(first)
+            await asyncio.sleep(12)
+            assert sim.platform.running_tasks() == running
+            assert sim.platform.violations == []
+
+        run_simulation(CellSimulation(5), script)
+
+
 class TestRecordedWorkers:
     """Workers that a new owner knows only by the record of the earlier one, without their boot."""
 
