Wait for stops and starts under way before a planned release

Cause: the owner that stopped stored its release at once. Stops that it had sent to workers that drain were still being carried out, so its record named runs whose ends were a moment away. Nobody heard the ends, the workers left, and the next owner waited for their recorded leases.

Ruled out: a shorter recorded lease, as the worker may keep the runs for all of it; and stops by the next owner, which hears nothing from a worker that has left.

Change: an owner that stops starts nothing, but polls its workers on, without extending leases, for at most 600 ms, until its starts and its stops on draining workers are answered and no run that such a worker was told to stop is listed any more. Draining workers that it has not adopted yet are also asked for their first list. Then it cancels its calls and collects and stores one record, as before. The wait counts to RELEASE_TIMEOUT_S, so no release takes longer than before, and as no lease is extended meanwhile, a wait in vain doesn't hold a task back for longer. With nothing under way the release is stored at once. The log line handed_over tells what was waited for.

--- a/src/greengagewood/internal/cells/cell.py
+++ b/src/greengagewood/internal/cells/cell.py
@@ -215,10 +215,13 @@
         """Add the workers to which earlier owners may have sent orders, by a stored record."""
         self._lives.set_registered(registered, read_ms, now_ms)
 
-    def prepare_lease_extension(self, boot: Boot, now_ms: int) -> tuple[int | None, int]:
+    def prepare_lease_extension(
+        self, boot: Boot, now_ms: int, extend: bool = True
+    ) -> tuple[int | None, int]:
         """Return the deadline of a boot's new lease, and the number of its last stored run end.
 
-        The deadline is None if the worker's clock was never read. It is also None while the worker
+        The deadline is None without `extend`, when the worker is only asked for its list, and if
+        the worker's clock was never read. It is also None while the worker
         does not answer, so that its lease expires and its tasks can be started elsewhere, and until
         this owner has stored a record that does not say when its lease expires.
 
@@ -227,7 +230,7 @@
         """
         deadline = None
         # What an earlier owner has started may go on unlisted until the boot is adopted.
-        may_extend = self.term.registration_stored and not boot.worker.lease_limited
+        may_extend = extend and self.term.registration_stored and not boot.worker.lease_limited
         if boot.adopted and not boot.unresponsive and may_extend:
             deadline = boot.deadline_in(self.term.limits.lease_ms, now_ms)
         if deadline is not None:
--- a/src/greengagewood/internal/cells/orders.py
+++ b/src/greengagewood/internal/cells/orders.py
@@ -8,7 +8,15 @@
 from greengagewood.internal.jobs.book import Run, Step
 from greengagewood.internal.jobs.records import Record, TaskId
 
-__all__ = ["Changes", "Order", "RequestAdvice", "StartRun", "StopRun", "ThrottleRun"]
+__all__ = [
+    "Changes",
+    "Order",
+    "RequestAdvice",
+    "StartRun",
+    "StopRun",
+    "ThrottleRun",
+    "start_fields",
+]
 
 
 @dataclass(frozen=True, slots=True)
@@ -65,3 +73,21 @@
     end_sequences: dict[Boot, int]
     registered_boots: tuple[Boot, ...]
     urgent: bool
+
+
+def start_fields(order: StartRun, now_ms: int) -> dict[str, object]:
+    """Return what the log says of a start that has ended."""
+    boot, run = order.boot, order.run
+    spec = run.task.step.spec
+    return {
+        "task": run.task.id,
+        "run": run.number,
+        "worker": boot.name,
+        "waited_ms": run.started_ms - run.task.step.job.arrived_ms,
+        "image": spec.image,
+        "cpu": spec.cpu_millis,
+        "percent": run.initial_speed_percent,
+        "cold": boot.cold,
+        "free_cpu": boot.info.cpu_millis - boot.allocated.cpu_millis,
+        "answered_ms": now_ms - run.started_ms,
+    }
--- a/src/greengagewood/internal/cells/runner.py
+++ b/src/greengagewood/internal/cells/runner.py
@@ -8,13 +8,15 @@
 import asyncio
 import math
 from collections.abc import Awaitable, Callable, Coroutine
-from dataclasses import dataclass
+from contextlib import suppress
+from dataclasses import asdict, dataclass
 from typing import Any
 
 import msgspec
 
 from greengagewood.internal.cells.boots import Boot
 from greengagewood.internal.cells.cell import Cell, CellLimits
+from greengagewood.internal.cells.handover import await_ends, cancel_all
 from greengagewood.internal.cells.ledger import Ledger
 from greengagewood.internal.cells.orders import (
     Changes,
@@ -23,6 +25,7 @@
     StartRun,
     StopRun,
     ThrottleRun,
+    start_fields,
 )
 from greengagewood.internal.cells.ownership import HEARTBEAT_INTERVAL_MS, OwnershipView
 from greengagewood.internal.cells.window import StartWindow
@@ -118,9 +121,11 @@
         self._urgent_changes = asyncio.Event()
         self._changes_stored = asyncio.Event()  # replaced each time that it is set
         self._tasks: set[asyncio.Task[None]] = set()
+        self._calls: dict[asyncio.Task[None], Order] = {}  # the orders that are being carried out
         self._lease_tasks: dict[Boot, asyncio.Task[None]] = {}
         self._stopping = False
-        self._releasing = False
+        self._releasing = False  # whether nothing may be started any more
+        self._released = False  # whether nothing may be sent or stored any more but the release
         self._retries_end_ms = math.inf
         self._start_window = StartWindow()
         self.cell = Cell(
@@ -218,13 +223,15 @@
         self._metrics.count("cell_events", event=event)
         _log.info(event, token=self.token, **fields)
 
-    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
         task = asyncio.create_task(work)
         self._tasks.add(task)
         task.add_done_callback(self._on_task_done)
+        return task
 
     def _on_task_done(self, task: asyncio.Task[None]) -> None:
         self._tasks.discard(task)
+        self._calls.pop(task, None)
         if not task.cancelled() and (exc := task.exception()) is not None:
             self._report_failure("order", exc)
 
@@ -246,18 +253,16 @@
             self._carry_out_all(self.cell.plan(monotonic_ms(), wall_ms(), self._start_window.room))
         if self.cell.has_urgent_changes:
             self._urgent_changes.set()
-        try:
+        with suppress(TimeoutError):
             async with asyncio.timeout(MAX_PLAN_INTERVAL_S):
                 await self._plan_wakeup.wait()
-        except TimeoutError:
-            pass
         self._plan_wakeup.clear()
 
     def _carry_out_all(self, orders: list[Order]) -> None:
-        for order in orders:
+        for order in orders if not self._released else ():
             if isinstance(order, StartRun):
                 self._start_window.note_sent()
-            self._spawn(self._carry_out(order))
+            self._calls[self._spawn(self._carry_out(order))] = order
 
     async def _carry_out(self, order: Order) -> None:
         match order:
@@ -313,16 +318,7 @@
         _log.info(
             "start",
             token=self.token,
-            task=run.task.id,
-            run=run.number,
-            worker=boot.name,
-            waited_ms=run.started_ms - run.task.step.job.arrived_ms,
-            image=run.task.step.spec.image,
-            cpu=run.task.step.spec.cpu_millis,
-            percent=run.initial_speed_percent,
-            cold=boot.cold,
-            free_cpu=boot.info.cpu_millis - boot.allocated.cpu_millis,
-            answered_ms=monotonic_ms() - run.started_ms,
+            **start_fields(order, monotonic_ms()),
             window=int(self._start_window.limit),
             outcome=outcome,
         )
@@ -430,11 +426,13 @@
             self._lease_tasks.pop(boot).cancel()
 
     async def _extend_lease(self, boot: Boot) -> None:
-        if self._releasing or not self._may_send_orders():
+        if self._released or not self._may_send_orders():
             await asyncio.sleep(REPEATED_LEASE_PAUSE_S)
             return
         sent_ms = monotonic_ms()
-        deadline_ms, acknowledged = self.cell.prepare_lease_extension(boot, sent_ms)
+        deadline_ms, acknowledged = self.cell.prepare_lease_extension(
+            boot, sent_ms, not self._releasing
+        )
         previous_end = boot.last_end_sequence
         info = boot.info
         wait_ms = 0
@@ -473,12 +471,11 @@
 
     async def _wait_until_stored(self, boot: Boot, sequence: int) -> None:
         """Wait until run ends of a worker may be acknowledged, or the next poll is due."""
-        try:
-            async with asyncio.timeout(MAX_STORE_WAIT_S):
+        with suppress(TimeoutError):
+            limit_s = REPEATED_LEASE_PAUSE_S if self._releasing else MAX_STORE_WAIT_S
+            async with asyncio.timeout(limit_s):
                 while boot.acknowledged_sequence < sequence:
                     await self._changes_stored.wait()
-        except TimeoutError:
-            pass
 
     # The store.
 
@@ -486,7 +483,7 @@
         if not self.cell.has_urgent_changes:
             await self._wait_for_urgent_changes()
         # A record after the release record would supersede that.
-        if self._releasing or not self._ownership.is_read_recent(monotonic_ms()):
+        if self._released or not self._ownership.is_read_recent(monotonic_ms()):
             await asyncio.sleep(COMMIT_INTERVAL_S)
             return
         changes = self.cell.collect_changes(wall_ms(), monotonic_ms())
@@ -500,11 +497,9 @@
     async def _wait_for_urgent_changes(self) -> None:
         """Wait for the commit interval, or until a change must be stored without delay."""
         self._urgent_changes.clear()
-        try:
+        with suppress(TimeoutError):
             async with asyncio.timeout(COMMIT_INTERVAL_S):
                 await self._urgent_changes.wait()
-        except TimeoutError:
-            pass
 
     def _ownership_record(self, released: bool) -> Ownership:
         settled_offset = self.cell.planner.advance_settled_offset(
@@ -570,20 +565,25 @@
     async def release(self) -> None:
         """Store the last changes and release the cell, so that another instance can claim it.
 
-        Nothing is started or stopped from now on: the next owner may act as soon as it reads this.
+        Nothing is started from now on, and nothing is sent once the changes are collected: the next
+        owner may act as soon as it reads them.
         """
         self._releasing = True
         # A call of the store that times out as it is cancelled may return instead, so the time-out
         # below does not always end the retries.
         self._retries_end_ms = monotonic_ms() + RELEASE_TIMEOUT_S * 1000
         stored = False
-        try:
+        with suppress(TimeoutError):
             async with asyncio.timeout(RELEASE_TIMEOUT_S):
+                handover = await await_ends(
+                    self._calls.values, self.cell.boots.values, self._may_send_orders
+                )
+                _log.info("handed_over", token=self.token, **asdict(handover))
+                self._released = True
+                await cancel_all([*self._calls, *self._lease_tasks.values()])
                 changes = self.cell.collect_changes(wall_ms(), monotonic_ms(), releasing=True)
                 records = list(changes.records) if changes else []
                 stored = await self._append([*records, self._ownership_record(True)])
-        except TimeoutError:
-            pass
         if not stored:
             _log.warning("not_released", token=self.token)
 
--- a/tests/cover/test_handover.py
+++ b/tests/cover/test_handover.py
@@ -38,11 +38,11 @@
     return name
 
 
-async def _leave_when_empty(sim: CellSimulation, name: str) -> None:
+async def _leave_when_empty(sim: CellSimulation, name: str, after_s: float = 0.02) -> None:
     """Let a worker leave soon after the last of its runs has ended."""
     while sim.platform.workers[name].runs:
         await asyncio.sleep(0.005)
-    await asyncio.sleep(0.02)
+    await asyncio.sleep(after_s)
     sim.platform.crash(name)
 
 
@@ -109,7 +109,9 @@
             for name in sim.platform.workers:
                 sim.platform.faults.delays_s[owner, name] = 0.06
             name = await _stop_first_runs(sim)
-            leaving = asyncio.ensure_future(_leave_when_empty(sim, name))
+            # The next owner must not be in time to read the worker's list itself.
+            sim.platform.faults.cut_links.update((n, name) for n in sim.instances if n != owner)
+            leaving = asyncio.ensure_future(_leave_when_empty(sim, name, 0.13))
             await _release(sim, owner)
             await asyncio.sleep(MAX_GAP_MS / 1000)
             await leaving
