Clear a task of a crash if its start was refused or went to a later boot

Cause, first part: a start without an answer counts as a crash once its worker has rebooted, as the boot that is gone may have had it. What came to be known of that start afterwards was not applied. Only one boot receives a start. So if it is refused, for whatever reason, no boot carried it out; and if a later boot lists the run, the boot that is gone never had it. Only the answer of a worker with another ID was taken for that. In the second case, a crash of the later boot was not counted either, as the run number was counted already.

--- a/src/greengagewood/internal/cells/cell.py
+++ b/src/greengagewood/internal/cells/cell.py
@@ -265,7 +265,7 @@
 
         `clock_ms` is the reading of the worker's clock in the reply.
         """
-        if reason == "wrong_boot":
+        if reason:  # only one boot receives the start, and that one did not carry it out
             self.book.note_not_crashed(run.task, run.number)
         if reason == "unreachable":
             self.term.crashes.note_failed_call(boot, now_ms)
--- a/src/greengagewood/internal/cells/lists.py
+++ b/src/greengagewood/internal/cells/lists.py
@@ -119,6 +119,7 @@
             run.transition("accepted")
             run.note_accepted(now_ms)
         term.crashes.forget_undecided(run)
+        term.book.note_not_crashed(task, run.number)  # a later boot than the suspected one has it
         term.book.note_started(job)
         run.listed_ms = now_ms
         if not run.outlived and outlives(run, boot, now_ms):
--- a/tests/cover/test_crashes.py
+++ b/tests/cover/test_crashes.py
@@ -359,6 +359,30 @@
         assert len(start.run.task.crashes) == 2
         assert start.run.task.step.job.state != "failed"
 
+    @pytest.mark.parametrize("reason", ["fence", "late", "old", "room", "ticket", "unhealthy"])
+    def test_a_start_that_is_refused_after_the_crash_is_not_suspected(self, reason: str) -> None:
+        """Guards against a job that is given up for a start that no worker carried out."""
+        harness = _harness("w0")
+        harness.submit(StepSpec(1, cpu_millis=1_000))
+        (start,) = start_orders(harness.plan())
+        _reboot(harness, "w0")
+        assert [run.accepted for run in start.run.task.crashes] == [False]
+        harness.cell.handle_start_reply(start.boot, start.run, reason, harness.now_ms)
+        assert start.run.task.crashes == ()
+
+    def test_a_run_that_a_later_boot_has_is_not_suspected_of_the_earlier_crash(self) -> None:
+        """Guards against a job that is given up for a crash before its start was carried out."""
+        harness = _harness("w0")
+        harness.submit(StepSpec(1, cpu_millis=1_000))
+        (start,) = start_orders(harness.plan())
+        harness.cell.note_start_unanswered(start.run, harness.now_ms)
+        _reboot(harness, "w0")
+        assert [run.accepted for run in start.run.task.crashes] == [False]
+        harness.answer_lease("w0", _run_of(start))
+        assert start.run.task.crashes == ()
+        _reboot(harness, "w0")  # which crashes the boot that has the run
+        assert [run.accepted for run in start.run.task.crashes] == [True]
+
     def test_a_run_that_the_worker_has_listed_for_long_is_not_suspected(self) -> None:
         harness = _harness("w0")
         harness.submit(StepSpec(1, cpu_millis=1_000, estimate_ms=60_000))
