Give a task up after five crashes in any case, not four, if it has one owner

Cause: a start without an answer may have crashed its worker, or may never have reached it; the owner can't tell. So such starts convict a task only by their number, four with the crashes. The platform allows two starts after three crashes, five in all. One was left for a crash that an owner did not live to store, also where there was no other owner.

Change: the limit is five for a job of which no earlier owner may have started any task, and stays four for the others. A new owner that reads four stored crashes under a task gives it up at once, as the last owner may have left out a fifth. So BUDGET holds for every number of lost answers.

Ruled out: to leave starts without an answer out of the count, as a task that crashes its workers would then be started without limit.

--- a/src/greengagewood/internal/cells/cell.py
+++ b/src/greengagewood/internal/cells/cell.py
@@ -155,7 +155,7 @@
         if job is not None:
             self.planner.values.note_job(job)
             self._load.note_arrival(job)
-            self.term.crashes.restore(job)
+            self.term.crashes.restore(job, now_ms)
 
     def cancel(self, job_id: str, now_ms: int) -> None:
         """Cancel a job; the next plan stops its runs."""
--- a/src/greengagewood/internal/cells/crashes.py
+++ b/src/greengagewood/internal/cells/crashes.py
@@ -25,9 +25,10 @@
 # By the platform's rules, a task may be given up once two workers have crashed under it.
 MIN_CRASHES = 2
 MIN_CRASHES_WITH_OTHERS = 3
-# The most, counting runs that may never have reached the worker. The platform allows two more
-# starts after three crashes; the second is left for a crash that an owner did not live to store.
-MAX_CRASHES = 4
+# The most, counting runs that may never have reached the worker, as the platform allows two more
+# starts after three crashes. One start is left for a crash that an owner did not live to store.
+MAX_CRASHES = 5
+MAX_CRASHES_IF_INHERITED = 4
 
 Suspect = tuple[TaskId, PlacedRun]
 
@@ -84,7 +85,8 @@
     suspect, the crash may be due to another one. If all accepted runs crashed at one address, that
     may be due to the machine, and a start without an answer elsewhere does not show otherwise.
     """
-    if len(task.crashes) >= MAX_CRASHES:
+    inherited = task.step.job.maybe_inherited
+    if len(task.crashes) >= (MAX_CRASHES_IF_INHERITED if inherited else MAX_CRASHES):
         return True
     accepted = [run for run in task.crashes if run.accepted]
     if len({run.address for run in accepted}) < MIN_CRASHES:
@@ -103,11 +105,13 @@
         # Suspects that may run on the new boot of a crashed worker, and whether they were alone.
         self._undecided: dict[Run, tuple[Suspect, bool]] = {}
 
-    def restore(self, job: Job) -> None:
-        """Add the stored suspects of an earlier owner."""
+    def restore(self, job: Job, now_ms: int) -> None:
+        """Add the stored suspects of an earlier owner, which may not have stored a last crash."""
         for task in job.opened_tasks():
             if task.trial is not None:
                 self._unresolved.setdefault(task.trial.address, []).append((task.id, task.trial))
+            if task.crashes and is_culprit(task, False):
+                self._give_up(task, task.crashes[-1], False, now_ms)
 
     def note_failed_call(self, boot: Boot, now_ms: int) -> None:
         """Record a failed call to a worker; store the suspects of a crash for a later owner."""
@@ -183,16 +187,24 @@
             if any(later is not None and later.outlived for later in (task.run, task.copy)):
                 continue  # it has started since without a crash
             self._book.note_crash(task, run)
-            fields: dict[str, object] = {
-                "task": task_id,
-                "run": run.number,
-                "worker": run.worker_id,
-                "alone": alone,
-                "crashes": [
-                    (crash.number, crash.address, crash.accepted) for crash in task.crashes
-                ],
-            }
-            self._on_event("crash_suspected", fields)
+            self._on_event("crash_suspected", _crash_fields(task, run, alone))
             if is_culprit(task, alone):
-                self._book.give_up(task, now_ms)
-                self._on_event("job_failed", {"job": task_id.job_id, **fields})
+                self._give_up(task, run, alone, now_ms)
+
+    def _give_up(self, task: Task, run: PlacedRun, alone: bool, now_ms: int) -> None:
+        if task.end_state or task.step.job.is_final:
+            return
+        self._book.give_up(task, now_ms)
+        fields = _crash_fields(task, run, alone)
+        self._on_event("job_failed", {"job": task.id.job_id, **fields})
+
+
+def _crash_fields(task: Task, run: PlacedRun, alone: bool) -> dict[str, object]:
+    """Return what an event says of the crashes of a task, the last of them under `run`."""
+    return {
+        "task": task.id,
+        "run": run.number,
+        "worker": run.worker_id,
+        "alone": alone,
+        "crashes": [(crash.number, crash.address, crash.accepted) for crash in task.crashes],
+    }
