--- a/src/greengagewood/internal/cells/cell.py
+++ b/src/greengagewood/internal/cells/cell.py
@@ -155,7 +155,7 @@
         if job is not None:
             self.planner.values.note_job(job)
             self._load.note_arrival(job)
-            self.term.crashes.restore(job)
+            self.term.crashes.restore(job, now_ms)
 
     def cancel(self, job_id: str, now_ms: int) -> None:
         """Cancel a job; the next plan stops its runs."""
@@ -273,7 +273,7 @@
 
         `clock_ms` is the reading of the worker's clock in the reply.
         """
-        if reason == "wrong_boot":
+        if reason:  # only one boot receives the start, and that one did not carry it out
             self.book.note_not_crashed(run.task, run.number)
         if reason == "unreachable":
             self.term.crashes.note_failed_call(boot, now_ms)
