--- a/tests/cover/test_owner_changes.py
+++ b/tests/cover/test_owner_changes.py
@@ -487,6 +487,30 @@
 
         run_simulation(CellSimulation(1), script)
 
+    @pytest.mark.parametrize("releases", [False, True])
+    @pytest.mark.parametrize("boot_s", [7.0, 8.0, 9.0, 10.0])
+    def test_the_owner_after_an_unused_claim_waits_for_the_start(
+        self, boot_s: float, releases: bool, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        async def script(sim: CellSimulation) -> None:
+            start = await _lose_first_start(sim, monkeypatch, crashes=True, wait_s=0.8)
+            first = sim.owner()
+            assert first is not None
+            await sim.instances[first].release_cell()
+            await sim.kill_instance(first)
+            while (second := sim.owner()) is None:
+                await asyncio.sleep(0.002)
+            assert sim.instances[second]._runner is None
+            if releases:
+                await sim.instances[second].release_cell()
+            await sim.kill_instance(second)
+            await start.boot(boot_s)
+            await start.arrive(boot_s)
+            await asyncio.sleep(5)
+            assert sim.platform.violations == []
+
+        run_simulation(CellSimulation(1), script)
+
     def test_a_stop_accepted_by_an_earlier_boot_does_not_rule_out_the_start(
         self, monkeypatch: pytest.MonkeyPatch
     ) -> None:
