Show that runs lapse while a new owner waits to store its first record

Callers would see every running task of a cell lost at once: since a new owner extends no lease before its record of registered workers is stored, and that record is only due once the directory was read. If the directory can't be read (a store that is down in part), all 12 runs lapse 6 s after the last extension, at a planned change as at a kill. If the store takes 0.9 s or 1.2 s a call, a planned change ends all 12 runs, since two more calls come before the first extension; at 0.3 s and 0.6 s, and at a kill, none.

--- a/tests/cover/test_carried_limits.py
+++ b/tests/cover/test_carried_limits.py
@@ -8,6 +8,8 @@
 import asyncio
 import os
 import random
+from collections.abc import Iterator
+from typing import Any
 
 import pytest
 
@@ -58,6 +60,13 @@
     await sim.kill_instance(name)
 
 
+def _runs(sim: CellSimulation) -> Iterator[tuple[str, TaskId, Any]]:
+    """Yield each run with its worker and its task."""
+    for name, worker in sim.platform.workers.items():
+        for task, run in worker.runs.items():
+            yield name, task, run
+
+
 async def _owner_with_a_record(sim: CellSimulation) -> str:
     """Wait until an owner has stored its first record of registered workers; return its name."""
     while True:
@@ -321,6 +330,48 @@
         assert len(start_orders(orders)) == 1
 
 
+class TestLeasesAtTheStart:
+    """Runs whose leases a new owner must extend within 6 s, though it has not stored its record."""
+
+    def _lost_runs(self, planned: bool, store_delay_s: float, reads_directory: bool) -> int:
+        """Return how many of 12 runs a change of owner has ended."""
+        lost: list[int] = []
+
+        async def script(sim: CellSimulation) -> None:
+            for number in range(4):
+                await sim.submit(f"{number:016x}", "serve", long_running_job())
+            await asyncio.sleep(2)
+            assert len(sim.platform.running_tasks()) == 12
+            runs = {(w, t, r.number) for w, t, r in _runs(sim)}
+            faults = sim.platform.faults
+            faults.store_delays_s.update(dict.fromkeys(sim.instances, store_delay_s))
+            if not reads_directory:
+                faults.directory_unreadable_to.update(sim.instances)
+            await asyncio.sleep(1)
+            first = sim.owner()
+            assert first is not None
+            if planned:
+                await sim.instances[first].release_cell()
+            await sim.kill_instance(first)
+            await asyncio.sleep(15)
+            assert sim.owner() is not None
+            assert sim.platform.violations == []
+            lost.append(len(runs - {(w, t, r.number) for w, t, r in _runs(sim)}))
+
+        run_simulation(CellSimulation(0), script)
+        return lost[0]
+
+    @pytest.mark.parametrize("planned", [False, True])
+    def test_runs_go_on_though_the_directory_cannot_be_read(self, planned: bool) -> None:
+        """Guards against leases that wait for a record, which waits for the directory."""
+        assert self._lost_runs(planned, 0.0, reads_directory=False) == 0
+
+    @pytest.mark.parametrize("store_delay_s", [0.3, 0.6, 0.9, 1.2])
+    @pytest.mark.parametrize("planned", [False, True])
+    def test_runs_go_on_beside_a_slow_store(self, planned: bool, store_delay_s: float) -> None:
+        assert self._lost_runs(planned, store_delay_s, reads_directory=True) == 0
+
+
 class TestRecordsOfOwnersWithoutOrders:
     """A record that an owner stores but after which it sends nothing."""
 
