--- a/tests/cover/test_owner_changes.py
+++ b/tests/cover/test_owner_changes.py
@@ -224,8 +224,9 @@
 
         run_simulation(CellSimulation(3), script)
 
+    @pytest.mark.parametrize("has_begun", [True, False])
     def test_a_stop_does_not_wait_for_a_store_whose_time_outs_absorb_its_own(
-        self, monkeypatch: pytest.MonkeyPatch
+        self, has_begun: bool, monkeypatch: pytest.MonkeyPatch
     ) -> None:
         """Guards against an instance that is killed at the end of its grace time."""
 
@@ -243,6 +244,12 @@
         async def script(sim: CellSimulation) -> None:
             owner = sim.owner()
             assert owner is not None
+            if not has_begun:
+                await sim.instances[owner].release_cell()
+                await sim.kill_instance(owner)
+                while (owner := sim.owner()) is None:
+                    await asyncio.sleep(0.002)
+            assert (sim.instances[owner]._runner is not None) == has_begun
             sim.platform.faults.store_silent_to.add(owner)
             monkeypatch.setattr(SimStoreClient, "append_fenced", absorb_first_cancellation)
             stop = asyncio.ensure_future(sim.instances[owner].release_cell())
@@ -487,6 +494,30 @@
 
         run_simulation(CellSimulation(1), script)
 
+    @pytest.mark.parametrize("releases", [False, True])
+    @pytest.mark.parametrize("boot_s", [7.0, 8.0, 9.0, 10.0])
+    def test_the_owner_after_an_unused_claim_waits_for_the_start(
+        self, boot_s: float, releases: bool, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        async def script(sim: CellSimulation) -> None:
+            start = await _lose_first_start(sim, monkeypatch, crashes=True, wait_s=0.8)
+            first = sim.owner()
+            assert first is not None
+            await sim.instances[first].release_cell()
+            await sim.kill_instance(first)
+            while (second := sim.owner()) is None:
+                await asyncio.sleep(0.002)
+            assert sim.instances[second]._runner is None
+            if releases:
+                await sim.instances[second].release_cell()
+            await sim.kill_instance(second)
+            await start.boot(boot_s)
+            await start.arrive(boot_s)
+            await asyncio.sleep(5)
+            assert sim.platform.violations == []
+
+        run_simulation(CellSimulation(1), script)
+
     def test_a_stop_accepted_by_an_earlier_boot_does_not_rule_out_the_start(
         self, monkeypatch: pytest.MonkeyPatch
     ) -> None:
