End the release of an unused claim at its time-out

Callers would see connections cut off at the end of the grace time.

Cause: a call of the store that times out as it is cancelled may return instead, so asyncio.timeout alone does not end the retries; CellRunner.release has a time after which it tries no more, _release_unused_claim had none.

--- a/src/greengagewood/internal/entry/node.py
+++ b/src/greengagewood/internal/entry/node.py
@@ -453,9 +453,11 @@
         released = msgspec.structs.replace(self.ledger.ownership, released=True)
         entry = (key_of(released), encode_record(released))
         stored = False
+        # A call that times out as it is cancelled may return instead, see `CellRunner.release`.
+        end_ms = monotonic_ms() + RELEASE_TIMEOUT_S * 1000
         try:
             async with asyncio.timeout(RELEASE_TIMEOUT_S):
-                while not stored and self._ownership.token == token:
+                while not stored and self._ownership.token == token and monotonic_ms() < end_ms:
                     result = await self._ports.store.append_fenced([entry], token, 2)
                     stored = result.outcome is Outcome.DONE
                     if result.fenced:
