Count the wait for earlier orders from a load of the log, not from before its gap

Cause: an instance that misses records because they were deleted loads the newest ones. If the newest claim is unused, none of them counts as a heartbeat of the last owner with orders, and the time of one that was read before the gap was kept. That owner may have gone on with heartbeats all the while. Class: a bound that rests on an unbroken record, kept across a gap in it.

Change: a load counts as the last heartbeat of that owner, which was stored before the load was answered. A first load knows no such time and counts from its claim, as before.

--- a/src/greengagewood/internal/cells/ownership.py
+++ b/src/greengagewood/internal/cells/ownership.py
@@ -141,6 +141,11 @@
         if previous_heartbeat_ms is not None:
             self.earlier_heartbeat_ms = previous_heartbeat_ms
 
+    def note_load(self, now_ms: int) -> None:
+        """Record that the newest records are about to be processed, after others were missed."""
+        if self._ordering_heartbeat_ms is not None:
+            self._ordering_heartbeat_ms = now_ms
+
     def note_stored(self, token: int, sent_ms: int, now_ms: int) -> None:
         """Record that a heartbeat of the term with this token, first sent at `sent_ms`, is stored.
 
--- a/src/greengagewood/internal/entry/node.py
+++ b/src/greengagewood/internal/entry/node.py
@@ -308,6 +308,7 @@
         now_ms = monotonic_ms()
         if not self._loaded:
             self.ledger.retain({entry.key for entry in page.entries}, page.next_offset)
+            self._ownership.note_load(now_ms)
         self._apply_page(page, self._last_read_ms if self._loaded else None)
         self._loaded = True
         if not page.reaches_end:
