Take an owner whose record of workers is unreadable to have sent orders

Cause: an owner counted as one without orders if no record of registered workers of its term was read. A record that can't be decoded, such as one of a later version, was not read either, so limits that it had replaced would have counted. Change: after an unreadable record the present owner counts as having sent orders, until a record is read.

--- a/src/greengagewood/internal/cells/ownership.py
+++ b/src/greengagewood/internal/cells/ownership.py
@@ -63,7 +63,8 @@
         # The same of the last owner that may have started runs or extended leases; None if that
         # owner's heartbeats don't limit its orders.
         self._ordering_heartbeat_ms: int | None = None
-        self._registered_token = 0  # of the owner that stored the newest RegisteredWorkers record
+        # Of the owner that stored the newest RegisteredWorkers record; None if it is unreadable.
+        self._registered_token: int | None = 0
         self._owner_since_ms = 0  # when the newest token was first seen
         self._read_sent_ms: int | None = None  # when the last answered read was sent
         # When the last heartbeat of this term that is known to be stored was first sent.
@@ -125,7 +126,12 @@
     @property
     def _may_have_ordered(self) -> bool:
         """Return whether the present owner may have started runs or extended leases."""
-        return not self.current.last_ordering_token or self.current.token <= self._registered_token
+        registered_token = self._registered_token
+        return (
+            not self.current.last_ordering_token
+            or registered_token is None
+            or self.current.token <= registered_token
+        )
 
     @property
     def last_ordering_token(self) -> int:
@@ -146,6 +152,10 @@
         if self._ordering_heartbeat_ms is not None:
             self._ordering_heartbeat_ms = now_ms
 
+    def note_unreadable_registration(self) -> None:
+        """Record that the newest RegisteredWorkers record can't be decoded, whoever stored it."""
+        self._registered_token = None
+
     def note_stored(self, token: int, sent_ms: int, now_ms: int) -> None:
         """Record that a heartbeat of the term with this token, first sent at `sent_ms`, is stored.
 
--- a/src/greengagewood/internal/entry/node.py
+++ b/src/greengagewood/internal/entry/node.py
@@ -35,6 +35,7 @@
 from greengagewood.internal.jobs.book import FINAL_STATES
 from greengagewood.internal.jobs.model import JobSpec, Queue
 from greengagewood.internal.jobs.records import (
+    REGISTERED_WORKERS_KEY,
     Cancellation,
     Record,
     Submission,
@@ -371,6 +372,8 @@
         if self.ledger.unreadable_count > unreadable_before:
             self._metrics.count("unreadable_records")
             _log.warning("record_unreadable", key=entry.key, offset=entry.offset)
+            if entry.key == REGISTERED_WORKERS_KEY:
+                self._ownership.note_unreadable_registration()
         return record
 
     def _note_record(self, record: Record) -> None:
--- a/src/greengagewood/internal/jobs/records.py
+++ b/src/greengagewood/internal/jobs/records.py
@@ -14,6 +14,7 @@
 from greengagewood.internal.jobs.model import JobSpec, Queue
 
 __all__ = [
+    "REGISTERED_WORKERS_KEY",
     "Cancellation",
     "DensityBand",
     "Forecast",
