Show that a lease of an earlier owner may outlast the start of a run

Cause: the record of a planned stop says that an idle worker has no possible runs, so its earlier orders count as over, and its adoption keeps that (Adoption.adopt takes the lesser time). But its lease may last 6 s more. A run that is started there counts as over with the deadline of its start, 1.5 s later, if the worker is cut off before the new owner has sent it a lease extension, and its task starts elsewhere.

--- a/tests/cover/test_carried_limits.py
+++ b/tests/cover/test_carried_limits.py
@@ -372,6 +372,45 @@
         assert self._lost_runs(planned, store_delay_s, reads_directory=True) == 0
 
 
+class TestLeasesOfIdleWorkers:
+    """Leases that an earlier owner gave to a worker on which it knew of no run."""
+
+    @pytest.mark.parametrize("extends_before_start", [True, False])
+    def test_a_run_may_outlast_its_start_by_the_lease_of_an_earlier_owner(
+        self, extends_before_start: bool
+    ) -> None:
+        """Guards against a second run of a task whose worker is cut off soon after the start."""
+        now_ms = 100_000
+        cell = Cell(LIMITS, 5, now_ms)
+        cell.set_evacuations(Evacuations(frozenset(), 0, now_ms), now_ms)
+        spec = JobSpec("p", (StepSpec(1, cpu_millis=1_000),))
+        cell.add_job(Submission(JOB, QUEUE, spec, 0), None, True, now_ms)
+        names = ("w0", "w1")
+        workers = tuple(RegisteredWorker(name, "10.0.0.1:80", "svc", ()) for name in names)
+        cell.set_registered_workers(RegisteredWorkers(workers, 4), now_ms, now_ms)
+        cell.set_workers({name: make_worker_info(name) for name in names}, now_ms)
+        for name in names:
+            reply = LeaseReply(5_000, 1, (), ())
+            cell.handle_lease_reply(cell.boots[name], reply, now_ms, now_ms + 1)
+        # The lease that the earlier owner gave may last for as long from here.
+        lease_end_ms = now_ms + LIMITS.lease_ms
+        if extends_before_start:  # by a call that waits for an end of a run
+            for boot in cell.boots.values():
+                cell.prepare_lease_extension(boot, now_ms + 2)
+        store_changes(cell, now_ms + 10)
+        cell.note_confirmed(now_ms + 11)
+        (start,) = start_orders(cell.plan(now_ms + 12, now_ms + 12))
+        cell.handle_start_reply(start.boot, start.run, "", now_ms + 13, 5_013)
+        (other,) = [name for name in names if name != start.boot.name]
+        for at_ms in range(now_ms + 250, lease_end_ms, 250):
+            cell.note_lease_failure(start.boot, at_ms)
+            clock_ms = 5_000 + at_ms - now_ms
+            reply = LeaseReply(clock_ms, 1, (), ())
+            cell.handle_lease_reply(cell.boots[other], reply, at_ms - 1, at_ms)
+            cell.note_confirmed(at_ms)
+            assert start_orders(cell.plan(at_ms + 1, at_ms + 1)) == []
+
+
 class TestRecordsOfOwnersWithoutOrders:
     """A record that an owner stores but after which it sends nothing."""
 
