Count the lease of an earlier owner for runs on workers that had none

Cause: the record of a planned stop names no runs on an idle worker, so the next owner took no earlier order to be in force there. Class: a lease that is counted for the runs that it was given for, though the worker applies it to all.

Change: from its adoption on, each worker counts as leased by an earlier owner for the longest lease, or until every earlier order has expired. The first owner of a cell has no earlier one.

--- a/src/greengagewood/internal/cells/adoption.py
+++ b/src/greengagewood/internal/cells/adoption.py
@@ -25,14 +25,17 @@
 
     def adopt(self, boot: Boot, run_count: int, now_ms: int) -> None:
         """Record that a boot has accepted this owner's token and listed its runs."""
-        boot.adopted_ms = self._term.last_adoption_ms = now_ms
+        term = self._term
+        boot.adopted_ms = term.last_adoption_ms = now_ms
         boot.inherited = ()
         # No order of earlier owners arrives there any more, so the longest lease that they can have
-        # given begins now.
-        boot.earlier_orders_expiry_ms = min(
-            boot.earlier_orders_expiry_ms, now_ms + longest_ms(self._term.limits.lease_ms)
+        # given begins now. It also holds for the runs that this owner starts there.
+        lease_expiry_ms = now_ms + longest_ms(term.limits.lease_ms)
+        has_earlier_owner = term.token > 1
+        boot.earlier_orders_expiry_ms = (
+            min(term.earlier_orders_expiry_ms, lease_expiry_ms) if has_earlier_owner else 0
         )
-        self._term.emit("worker_adopted", {"worker": boot.name, "runs": run_count})
+        term.emit("worker_adopted", {"worker": boot.name, "runs": run_count})
 
     def finish(self, now_ms: int) -> None:
         """Mark the tasks as not running that no run of an earlier owner can go on with unlisted.
