Log what a long-running task that has lost its run waits for

After the loss of a worker in a full service, the log tells neither why a long-running task is not started again nor what takes the room that it needs. `task_waits` tells both: the first condition that does not hold, the widest free room of its service, and the last start there. It decides nothing.

A report each 2 s, at most 20 tasks at a time.

--- a/src/greengagewood/internal/cells/cell.py
+++ b/src/greengagewood/internal/cells/cell.py
@@ -43,6 +43,7 @@
 from greengagewood.internal.cells.planner import Planner
 from greengagewood.internal.cells.stops import StopPlanner
 from greengagewood.internal.cells.term import CellLimits, EventSink, Term
+from greengagewood.internal.cells.waits import WaitReports
 from greengagewood.internal.evacuation import Evacuations
 from greengagewood.internal.jobs.book import JobBook, Run
 from greengagewood.internal.jobs.model import Queue
@@ -106,6 +107,7 @@
         self._lists = RunLists(self.term, self._lives, self._adoption)
         self._load = LoadObserver(self.book, self.planner, token)
         self._changes = ChangeLog(self.term, self._load)
+        self._waits = WaitReports(self.book, self.boots, self.planner)
         self._copies_due = False  # whether runs were scanned since copies were last planned
         self._starts_suspended = False  # whether the evacuation orders are not known
 
@@ -363,6 +365,8 @@
             self._load.note_short_plan(now_ms)
         orders.extend(starts)
         self._load.sample(self.boots.values(), now_ms)
+        for fields in self._waits.due(now_ms):
+            self.term.emit("task_waits", fields)
         return orders
 
     def _report_overdue_runs(self, now_ms: int) -> None:
--- a/src/greengagewood/internal/cells/placement.py
+++ b/src/greengagewood/internal/cells/placement.py
@@ -28,6 +28,7 @@
     "is_mostly_uncommitted",
     "leaves_headroom",
     "make_worker_chooser",
+    "meets_constraints",
     "place_gang",
     "workers_for_trial",
 ]
--- /dev/null
+++ b/src/greengagewood/internal/cells/waits.py
@@ -0,0 +1,111 @@
+"""Tell what long-running tasks that have lost their runs wait for.
+
+The load: workers leave a full service, and their long-running tasks have to be started elsewhere
+within seconds. This module does no I/O and reads no clock, and decides nothing.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator, Sequence
+
+from greengagewood.internal.cells.boots import Boot
+from greengagewood.internal.cells.placement import leaves_headroom, meets_constraints
+from greengagewood.internal.cells.planner import Planner
+from greengagewood.internal.jobs.book import JobBook, Task
+
+__all__ = ["REPORT_INTERVAL_MS", "WaitReports"]
+
+REPORT_INTERVAL_MS = 2_000  # from the loss of a run to the first report, and between reports
+MAX_REPORTS = 20  # at a time; the others are only counted
+
+
+class WaitReports:
+    """Reports of the waits of one term of ownership."""
+
+    def __init__(self, book: JobBook, boots: dict[str, Boot], planner: Planner) -> None:
+        self._book = book
+        self._boots = boots
+        self._planner = planner
+        self._reported_ms: int | None = None
+
+    def due(self, now_ms: int) -> Iterator[dict[str, object]]:
+        """Yield the fields of the reports that are due, those of the longest waits first."""
+        if self._reported_ms is None:
+            self._reported_ms = now_ms
+        if now_ms - self._reported_ms < REPORT_INTERVAL_MS:
+            return
+        self._reported_ms = now_ms
+        waiting = [
+            task
+            for step in self._book.waiting_steps
+            if step.spec.long_running
+            for task in step.waiting_tasks
+            if task.last_run_ended_ms and now_ms - task.last_run_ended_ms >= REPORT_INTERVAL_MS
+        ]
+        held = [
+            task
+            for task in self._book.maybe_running_tasks
+            if task.step.spec.long_running
+            and task.step.ready
+            and now_ms - task.step.job.arrived_ms >= REPORT_INTERVAL_MS
+        ]
+        waiting.sort(key=lambda task: task.last_run_ended_ms)
+        unreported = max(0, len(waiting) - MAX_REPORTS)
+        for task in waiting[:MAX_REPORTS]:
+            yield self._describe(task, now_ms) | {"unreported": unreported}
+        if held:
+            yield {"task": held[0].id, "reason": "adoption", "unreported": len(held) - 1}
+
+    def _describe(self, task: Task, now_ms: int) -> dict[str, object]:
+        spec = task.step.spec
+        service = self._planner.queue_of(task.step.job).service
+        boots = [
+            boot
+            for boot in self._boots.values()
+            if boot.info.service == service and self._planner.may_start_on(boot, now_ms)
+        ]
+        widest = max(boots, key=_free_cpu_millis, default=None)
+        last = max(
+            widest.runs.values() if widest is not None else (),
+            key=lambda run: run.started_ms,
+            default=None,
+        )
+        return {
+            "task": task.id,
+            "reason": _reason(task, boots, now_ms),
+            "for_ms": now_ms - task.last_run_ended_ms,
+            "cpu": spec.cpu_millis,
+            "memory_mb": spec.memory_mb,
+            "usable_workers": len(boots),
+            "widest": widest.name if widest is not None else None,
+            "widest_cpu": _free_cpu_millis(widest) if widest is not None else None,
+            "widest_memory_mb": _free_memory_mb(widest) if widest is not None else None,
+            "last_start": last.task.id if last is not None else None,
+            "last_start_ago_ms": now_ms - last.started_ms if last is not None else None,
+        }
+
+
+def _free_cpu_millis(boot: Boot) -> int:
+    return boot.info.cpu_millis - boot.allocated.cpu_millis
+
+
+def _free_memory_mb(boot: Boot) -> int:
+    return boot.info.memory_mb - boot.allocated.memory_mb
+
+
+def _reason(task: Task, boots: Sequence[Boot], now_ms: int) -> str:
+    """Return the first condition for a start that does not hold."""
+    if task.not_before_ms > now_ms:
+        return "backoff"
+    if task.late_start is not None:
+        return "late_start"
+    if task.crashes:
+        return "trial"
+    if not boots:
+        return "no_worker"
+    fitting = [boot for boot in boots if boot.fits(task.step.spec)]
+    if not fitting:
+        return "room"
+    if not any(meets_constraints(boot, task.step) for boot in fitting):
+        return "constraint"
+    return "rank" if leaves_headroom(task, boots) else "headroom"
