Show that a long-running task gets no room while narrow tasks arrive

A full service, narrow short tasks that arrive all the time, and a long-running task whose worker has left: it has no run for over 9 s with run times of 0.6, 3 and 20 s of the narrow tasks, with one such task and with four. Three long-running tasks of a leaving worker are stopped for the room of one.

Progress is listed, so the stops for want of progress are not the reason.

--- /dev/null
+++ b/tests/cover/test_room.py
@@ -0,0 +1,187 @@
+"""Room for long-running tasks in a full service."""
+
+from __future__ import annotations
+
+import heapq
+from dataclasses import replace
+
+import pytest
+
+from greengagewood.internal.cells.orders import StartRun, StopRun
+from greengagewood.internal.jobs.book import Run, Task
+from greengagewood.internal.jobs.model import StepSpec
+from greengagewood.internal.ports import RunEnd, RunningTask
+from tests.common.desk import CellHarness
+
+TICK_MS = 50
+LONGEST_WAIT_MS = 9_000  # what the platform allows from the end of a run to the next start
+LASTING = StepSpec(1, cpu_millis=16_000, memory_mb=8_000, long_running=True, image="watch")
+
+
+class _FullService:
+    """Workers filled with narrow short tasks, of which more arrive all the time."""
+
+    def __init__(
+        self, workers: int, run_ms: int, *, cpu_millis: int = 4_000, waiting: int = 40
+    ) -> None:
+        self.harness = CellHarness(*(f"w{number}" for number in range(workers)))
+        self.run_ms = run_ms
+        self.narrow = StepSpec(1, cpu_millis=cpu_millis, memory_mb=4_000, estimate_ms=run_ms)
+        self.waiting = waiting
+        self.events: list[tuple[str, dict[str, object]]] = []
+        self.stopped: list[StopRun] = []
+        self.harness.cell.on_event = lambda name, fields: self.events.append((name, fields))
+        self._job_count = 0
+        self._ends: list[tuple[int, int, Run]] = []
+        self._sequences: dict[str, int] = {}
+
+    def submit(self, *steps: StepSpec) -> Task:
+        self._job_count += 1
+        job = f"{self._job_count:016x}"
+        self.harness.submit(*steps, job=job)
+        return self.harness.cell.book.jobs[job].occurrences[0][0].tasks[0]
+
+    def _accept(self, order: StartRun) -> None:
+        harness = self.harness
+        harness.cell.handle_start_reply(order.boot, order.run, "", harness.now_ms)
+        if not order.run.task.step.spec.long_running:
+            # Ends are spread, so that room comes free in narrow pieces.
+            end_ms = harness.now_ms + self.run_ms + (37 * len(self._ends)) % self.run_ms
+            heapq.heappush(self._ends, (end_ms, id(order.run), order.run))
+
+    def tick(self) -> None:
+        """Let tasks arrive and end, answer the leases, plan, and carry the orders out."""
+        harness = self.harness
+        while len(harness.cell.book.waiting_steps) < self.waiting:
+            self.submit(self.narrow)
+        ends: dict[str, list[RunEnd]] = {}
+        while self._ends and self._ends[0][0] <= harness.now_ms:
+            _, _, run = heapq.heappop(self._ends)
+            if run.state == "running":
+                self._note_end(ends, run, "done")
+        for order in self.stopped:
+            if order.run is not None and order.run.state == "stopping":
+                self._note_end(ends, order.run, "stopped")
+        for name, boot in harness.cell.boots.items():
+            over = {end.task_id for end in ends.get(name, ())}
+            listed = [
+                RunningTask(run.task.id, run.number, "", self._progress_percent(run), 0)
+                for run in boot.runs.values()
+                if run.accepted_ms is not None and run.task.id not in over
+            ]
+            harness.answer_lease(name, *listed, ends=tuple(ends.get(name, ())))
+        self.stopped.clear()
+        for order in harness.plan(TICK_MS):
+            if isinstance(order, StartRun):
+                self._accept(order)
+            elif isinstance(order, StopRun):
+                self.stopped.append(order)
+
+    def _progress_percent(self, run: Run) -> int:
+        if run.task.step.spec.long_running or run.accepted_ms is None:
+            return 100
+        return min(99, 100 * (self.harness.now_ms - run.accepted_ms) // (2 * self.run_ms))
+
+    def _note_end(self, ends: dict[str, list[RunEnd]], run: Run, how: str) -> None:
+        sequence = self._sequences[run.worker_id] = self._sequences.get(run.worker_id, 0) + 1
+        ends.setdefault(run.worker_id, []).append(
+            RunEnd(sequence, run.task.id, run.number, how, "")
+        )
+
+    def drain(self, name: str) -> None:
+        """Let a worker say that it leaves; its long-running tasks end a moment later."""
+        infos = self.harness.worker_infos
+        infos[name] = replace(infos[name], draining=True)
+        self.harness.cell.set_workers(infos, self.harness.now_ms)
+
+    def end_on(self, name: str) -> None:
+        """Let a worker end all its runs, and leave."""
+        ends: dict[str, list[RunEnd]] = {}
+        for run in list(self.harness.cell.boots[name].runs.values()):
+            self._note_end(ends, run, "stopped")
+        self.harness.answer_lease(name, ends=tuple(ends.get(name, ())))
+
+    def wait_of(self, task: Task) -> int:
+        """Return how long the task has no run, up to the longest wait that is allowed."""
+        since_ms = self.harness.now_ms
+        while task.run is None or task.run.accepted_ms is None:
+            if self.harness.now_ms - since_ms > LONGEST_WAIT_MS:
+                break
+            self.tick()
+        return self.harness.now_ms - since_ms
+
+
+def _run_lasting_tasks(service: _FullService, count: int) -> list[Task]:
+    """Start long-running tasks on the first workers, then fill all workers with narrow tasks."""
+    tasks = [service.submit(LASTING) for _ in range(count)]
+    service.waiting = 0
+    for _ in range(12):
+        service.tick()
+    assert all(task.run is not None for task in tasks)
+    service.waiting = 40
+    for _ in range(60):
+        service.tick()
+    return tasks
+
+
+class TestLostRuns:
+    """Guard against a long-running task waiting as long as narrow tasks fill each gap."""
+
+    @pytest.mark.parametrize("run_ms", [600, 3_000, 20_000])
+    def test_a_task_whose_worker_left_runs_again_while_narrow_tasks_arrive(
+        self, run_ms: int
+    ) -> None:
+        service = _FullService(5, run_ms)
+        (task,) = _run_lasting_tasks(service, 1)
+        assert task.run is not None
+        left = task.run.worker_id
+        service.drain(left)
+        service.end_on(left)
+        assert task.run is None
+        assert service.wait_of(task) < LONGEST_WAIT_MS
+
+    def test_all_tasks_of_a_worker_that_left_run_again_while_narrow_tasks_arrive(self) -> None:
+        service = _FullService(6, 2_000)
+        tasks = _run_lasting_tasks(service, 4)
+        left = {task.run.worker_id for task in tasks if task.run is not None}
+        assert len(left) == 1
+        for name in left:
+            service.drain(name)
+            service.end_on(name)
+        waits = [service.wait_of(task) for task in tasks]
+        assert sum(waits) < LONGEST_WAIT_MS
+
+    def test_a_leaving_worker_loses_one_long_running_task_for_each_place_elsewhere(self) -> None:
+        service = _FullService(3, 60_000, cpu_millis=LASTING.cpu_millis, waiting=0)
+        tasks = [service.submit(LASTING) for _ in range(3)]
+        for _ in range(12):
+            service.tick()
+        (left,) = {task.run.worker_id for task in tasks if task.run is not None}
+        for _ in range(9):
+            service.submit(service.narrow)
+        for _ in range(4):
+            service.tick()
+        room = next(name for name in service.harness.worker_infos if name != left)
+        service.harness.resize(room, 64_000 + LASTING.cpu_millis)
+        service.drain(left)
+        for _ in range(8):
+            service.tick()
+        workers = [task.run.worker_id for task in tasks if task.run is not None]
+        assert sorted(workers) == sorted([left, left, room])
+
+
+class TestWaitReports:
+    """Guard against a wait of a long-running task of which the log does not tell the reason."""
+
+    def test_a_task_that_fits_no_worker_is_reported_each_two_seconds(self) -> None:
+        service = _FullService(2, 60_000)
+        (task,) = _run_lasting_tasks(service, 1)
+        assert task.run is not None
+        for name in list(service.harness.cell.boots):
+            service.drain(name)
+        service.end_on(task.run.worker_id)
+        for _ in range(100):
+            service.tick()
+        reports = [fields for name, fields in service.events if name == "task_waits"]
+        assert [fields["reason"] for fields in reports] == ["no_worker"] * len(reports)
+        assert len(reports) == 2
