Name the tasks of timed jobs that may run on a worker

What callers see: while an owner knows nothing of which runs of earlier owners a lost worker may have, its record said 'any task' as soon as the cell had a timed job, so the next owner held back every task that an earlier owner may have started, those of later jobs included.

Cause: a task of an occurrence that this owner has not opened is not among the tasks it knows. An earlier owner may have opened it, as its time of day may have been ahead.

Ruled out: naming occurrences that are due up to now and a margin.

Change: of a timed job of which earlier owners may have started tasks, the record names the tasks of every occurrence that has not finished, opened or not, so no clock plays a part. More than MAX_STORED_TASKS are still 'any task'. Jobs that were submitted after the owner's claim are not named, as no earlier owner can have started them.

--- a/src/greengagewood/internal/cells/registration.py
+++ b/src/greengagewood/internal/cells/registration.py
@@ -17,11 +17,11 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 
 from greengagewood.internal.cells.answers import later_boot_expiry_ms
 from greengagewood.internal.cells.boots import Boot, InheritedRuns, longest_ms
-from greengagewood.internal.jobs.book import JobBook, Run
+from greengagewood.internal.jobs.book import Job, JobBook, Run
 from greengagewood.internal.jobs.records import (
     PossibleRuns,
     RegisteredWorker,
@@ -123,12 +123,28 @@
 
 
 def _listable_tasks(inherited: InheritedRuns, book: JobBook) -> tuple[TaskId, ...] | None:
-    """Return the tasks of inherited runs that are not ruled out, or None if it may be any."""
+    """Return the tasks of inherited runs that are not ruled out, or None if they are too many."""
     if inherited.tasks is not None:
         return tuple(sorted(inherited.tasks))
-    if book.timed_jobs or len(book.maybe_running_tasks) > MAX_STORED_TASKS:
-        return None  # occurrences that were not opened yet are not among the tasks
-    return tuple(sorted(task.id for task in book.maybe_running_tasks))
+    tasks = {task.id for task in book.maybe_running_tasks}
+    for job in book.timed_jobs.values():
+        if job.maybe_inherited:
+            # An earlier owner, whose time of day may have been ahead, may have opened any of them.
+            count = max(1, job.submission.spec.occurrences) - len(job.finished_occurrences)
+            steps = job.submission.spec.steps
+            if len(tasks) + count * sum(step.task_count for step in steps) > MAX_STORED_TASKS:
+                return None
+            tasks.update(_unfinished_tasks(job))
+    return tuple(sorted(tasks)) if len(tasks) <= MAX_STORED_TASKS else None
+
+
+def _unfinished_tasks(job: Job) -> Iterator[TaskId]:
+    """Yield the tasks of all occurrences of a job that have not ended, opened or not."""
+    for occurrence in range(max(1, job.submission.spec.occurrences)):
+        if occurrence not in job.finished_occurrences:
+            for step, spec in enumerate(job.submission.spec.steps):
+                for number in range(spec.task_count):
+                    yield TaskId(job.id, occurrence, step, number)
 
 
 def inherit_runs(
--- a/tests/cover/test_owner_changes.py
+++ b/tests/cover/test_owner_changes.py
@@ -320,6 +320,34 @@
         harness.store_changes()
         assert harness.cell.prepare_lease_extension(worker, harness.now_ms)[0] is not None
 
+    @pytest.mark.parametrize("occurrences", [3, 3_000])
+    def test_a_timed_job_of_earlier_owners_does_not_hold_back_later_jobs(
+        self, occurrences: int
+    ) -> None:
+        """Guards against a record that says that a lost worker may run any task."""
+        now_ms = 100_000
+        cell = Cell(LIMITS, 5, now_ms)
+        record = RegisteredWorkers((RegisteredWorker("w0", "10.0.0.1:80", "svc"),), 4)
+        cell.set_registered_workers(record, now_ms, now_ms)
+        spec = JobSpec("p", (StepSpec(2), StepSpec(1)), 1_000, 1_000, occurrences)
+        done = ((0, 0, b"\x03"), (0, 1, b"\x01"))  # the first occurrence has ended
+        cell.add_job(
+            Submission(self.JOB, QUEUE, spec, 0), Progress(self.JOB, "running", done), False, now_ms
+        )
+        cell.add_job(Submission("1" * 16, QUEUE, spec, 0), None, True, now_ms)
+        cell.plan(now_ms, 2_000)  # opens the second occurrence, but not the third
+        changes = cell.collect_changes(0, now_ms, releasing=True)
+        assert changes is not None
+        (stored,) = [r for r in changes.records if isinstance(r, RegisteredWorkers)]
+        assert stored.workers[0].possible_runs is not None
+        expected = tuple(
+            TaskId(self.JOB, occurrence, step, number)
+            for occurrence in (1, 2)
+            for step, number in ((0, 0), (0, 1), (1, 0))
+        )
+        tasks = stored.workers[0].possible_runs[0].tasks
+        assert tasks == (expected if occurrences == 3 else None)
+
     def test_a_worker_replaced_by_another_holds_nothing_back(self) -> None:
         now_ms = 100_000
         successor = Cell(LIMITS, 5, now_ms)
