Extend the leases of workers that stay while an owner hands over

Cause: for up to 600 ms before the release no lease was extended. A worker that has just got its first runs holds only the short lease of their starts. Its first extension was due 0.07 s after the stop of its owner, and the next owner was later by the time of the wait.

Change: while the owner waits, only workers that drain get no extension. So a wait in vain still does not prolong what the next owner waits for.

Remains: an owner with nothing to wait for releases at once, as before, and such a worker then has only the lease of its starts until the next owner extends it.

test_only_workers_that_drain_get_no_lease_while_the_owner_waits fails without the change. The tests of owner changes, owners cut off, event order, late calls, cells, docs, hand-over, links, cell mutants and control cost pass.

--- a/src/greengagewood/internal/cells/handover.py
+++ b/src/greengagewood/internal/cells/handover.py
@@ -5,8 +5,10 @@
 starts, and for the ends of the runs that it has told such workers to stop. A worker that does not
 answer has no part in this, as nothing would be learned.
 
-The lists that show the ends are those that the owner asks for anyway, without extending leases. So
-a wait in vain delays the release, but not the time when the leases have expired.
+The lists that show the ends are those that the owner asks for anyway. It goes on to extend the
+leases of other workers, as one that has just got its first runs holds only the short lease of their
+starts. Workers that drain get no more, so a wait in vain delays the release, but not the time when
+their leases have expired.
 """
 
 from __future__ import annotations
--- a/src/greengagewood/internal/cells/runner.py
+++ b/src/greengagewood/internal/cells/runner.py
@@ -431,7 +431,7 @@
             return
         sent_ms = monotonic_ms()
         deadline_ms, acknowledged = self.cell.prepare_lease_extension(
-            boot, sent_ms, not self._releasing
+            boot, sent_ms, not (self._releasing and boot.info.draining)
         )
         previous_end = boot.last_end_sequence
         info = boot.info
--- a/tests/cover/test_handover.py
+++ b/tests/cover/test_handover.py
@@ -11,7 +11,7 @@
 from greengagewood.internal.cells.cell import Cell
 from greengagewood.internal.cells.runner import RELEASE_TIMEOUT_S
 from greengagewood.internal.clock import monotonic_ms
-from greengagewood.internal.ports import OrderReply
+from greengagewood.internal.ports import OrderReply, WorkerInfo
 from tests.common.drive import CellSimulation, long_running_job, run_simulation, short_job
 from tests.common.plant import SimWorkerLink
 
@@ -176,6 +176,34 @@
         monkeypatch.setattr(Cell, "collect_changes", collect_changes)
         run_simulation(CellSimulation(1), script)
 
+    def test_only_workers_that_drain_get_no_lease_while_the_owner_waits(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Guards against runs that lapse on a worker that has had no lease but that of a start."""
+        extended: dict[str, list[bool]] = {}
+        extend_lease = SimWorkerLink.extend_lease
+
+        async def record(
+            link: SimWorkerLink, info: WorkerInfo, deadline_ms: int | None, *args: Any
+        ) -> object:
+            if link.instance in stopping:
+                extended.setdefault(info.worker_id, []).append(deadline_ms is not None)
+            return await extend_lease(link, info, deadline_ms, *args)
+
+        async def script(sim: CellSimulation) -> None:
+            name = await _stop_first_runs(sim)
+            owner = _owner(sim)
+            sim.platform.faults.cut_links.add((owner, name))  # so that it waits for its bound
+            stopping.add(owner)
+            await sim.instances[owner].release_cell()
+            assert not any(extended.pop(name, []))
+            assert extended.keys() == sim.platform.workers.keys() - {name}
+            assert all(all(leases) for leases in extended.values())
+
+        stopping: set[str] = set()
+        monkeypatch.setattr(SimWorkerLink, "extend_lease", record)
+        run_simulation(CellSimulation(1), script)
+
     @pytest.mark.parametrize("store", ["answers", "silent"])
     @pytest.mark.parametrize("worker", ["answers", "silent", "refuses"])
     def test_the_release_ends_in_time(self, worker: str, store: str) -> None:
