--- a/src/greengagewood/internal/cells/runner.py
+++ b/src/greengagewood/internal/cells/runner.py
@@ -9,7 +9,7 @@
 import math
 from collections.abc import Awaitable, Callable, Coroutine
 from contextlib import suppress
-from dataclasses import asdict, dataclass
+from dataclasses import asdict
 from typing import Any
 
 import msgspec
@@ -43,16 +43,13 @@
 from greengagewood.internal.logs import Log
 from greengagewood.internal.metrics import Metrics
 from greengagewood.internal.ports import (
-    AdviceService,
     AdviceUnavailable,
-    JobStore,
     LeaseReply,
     OrderReply,
     Outcome,
+    Ports,
     StoreUnavailable,
     WorkerCallFailed,
-    WorkerDirectory,
-    WorkerLink,
     WorkerUnreachable,
     WrongBoot,
 )
@@ -82,16 +79,6 @@
 _log = Log("cell")
 
 
-@dataclass(frozen=True)
-class Ports:
-    """Interfaces to the systems that an instance depends on."""
-
-    store: JobStore
-    directory: WorkerDirectory
-    workers: WorkerLink
-    advice: AdviceService | None
-
-
 class CellRunner:
     """Run a cell during one term of ownership."""
 
--- a/src/greengagewood/internal/ports.py
+++ b/src/greengagewood/internal/ports.py
@@ -27,6 +27,7 @@
     "LogPage",
     "LogTruncated",
     "Outcome",
+    "Ports",
     "RouteRule",
     "RunEnd",
     "RunningTask",
@@ -299,6 +300,16 @@
         """
 
 
+@dataclass(frozen=True)
+class Ports:
+    """Interfaces to the systems that an instance depends on."""
+
+    store: JobStore
+    directory: WorkerDirectory
+    workers: WorkerLink
+    advice: AdviceService | None
+
+
 @dataclass(frozen=True, slots=True)
 class RouteRule:
     """Route requests for a host and a path prefix to a queue."""
