Collect the tasks that may run anywhere once for a record, not once a worker

Since timed jobs no longer turn the tasks of an unknown worker into "any task", an owner that stops before it has adopted its workers would collect and sort up to 5,000 tasks for each of them, in the time of its release. The time of a record was not measured.

--- a/src/greengagewood/internal/cells/registration.py
+++ b/src/greengagewood/internal/cells/registration.py
@@ -17,7 +17,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator
+from functools import cache
 
 from greengagewood.internal.cells.answers import later_boot_expiry_ms
 from greengagewood.internal.cells.boots import Boot, InheritedRuns, longest_ms
@@ -69,6 +70,7 @@
     """
     entries = []
     open_boots = []
+    maybe_running = cache(lambda: _maybe_running_ids(book))  # the same for every worker
     remaining_entries = MAX_STORED_TASKS
     # Only workers that do not answer delay the next owner, so their tasks are listed first.
     for boot in sorted(boots, key=lambda b: b.adopted and not b.unresponsive):
@@ -77,7 +79,7 @@
         if boot.worker.closed_to_starts or releasing:
             boot.worker.registered = False
             boot.worker.lease_limited = boot.unresponsive or releasing
-            possible_runs = _possible_runs(boot, book, now_ms, lease_ms)
+            possible_runs = _possible_runs(boot, maybe_running, now_ms, lease_ms)
             boot.worker.stored_empty = not possible_runs
             if boot.worker.closed_to_starts and not possible_runs:
                 continue
@@ -95,7 +97,10 @@
 
 
 def _possible_runs(
-    boot: Boot, book: JobBook, now_ms: int, lease_ms: int
+    boot: Boot,
+    maybe_running: Callable[[], tuple[TaskId, ...] | None],
+    now_ms: int,
+    lease_ms: int,
 ) -> tuple[PossibleRuns, ...]:
     late = {
         run
@@ -111,7 +116,9 @@
         remaining_ms = max(expiry_ms - now_ms, boot.remaining_order_ms(now_ms))
         groups.append((_task_ids(late), remaining_ms))
     for inherited in boot.unlisted_runs(now_ms):
-        groups.append((_listable_tasks(inherited, book), inherited.expiry_ms - now_ms))
+        known = inherited.tasks
+        tasks = maybe_running() if known is None else tuple(sorted(known))
+        groups.append((tasks, inherited.expiry_ms - now_ms))
     return tuple(
         PossibleRuns(tasks, remaining_ms if boot.worker.lease_limited else None)
         for tasks, remaining_ms in groups
@@ -122,10 +129,8 @@
     return tuple(sorted({run.task.id for run in runs}))
 
 
-def _listable_tasks(inherited: InheritedRuns, book: JobBook) -> tuple[TaskId, ...] | None:
-    """Return the tasks of inherited runs that are not ruled out, or None if they are too many."""
-    if inherited.tasks is not None:
-        return tuple(sorted(inherited.tasks))
+def _maybe_running_ids(book: JobBook) -> tuple[TaskId, ...] | None:
+    """Return the tasks that earlier owners may have started, or None if they are too many."""
     tasks = {task.id for task in book.maybe_running_tasks}
     for job in book.timed_jobs.values():
         if job.maybe_inherited:
