Store the record of a new owner in the tests of incomplete lists

Both tests of TestAdoptionByIncompleteLists have failed since: their owner stored no record of registered workers, without which it now extends no lease. The owner stores it at the start of its term; one test had stored it only before its last check.

--- a/tests/cover/test_incomplete_lists.py
+++ b/tests/cover/test_incomplete_lists.py
@@ -18,7 +18,14 @@
     TaskId,
 )
 from greengagewood.internal.ports import UNKNOWN_RESULT, LeaseReply, RunEnd, RunningTask
-from tests.common.desk import LIMITS, QUEUE, CellHarness, make_worker_info, start_orders
+from tests.common.desk import (
+    LIMITS,
+    QUEUE,
+    CellHarness,
+    make_worker_info,
+    start_orders,
+    store_changes,
+)
 
 
 def _listed(run: Run, percent: int = 10, measured: bool = True) -> RunningTask:
@@ -107,6 +114,7 @@
         record = RegisteredWorkers((RegisteredWorker("w0", "10.0.0.1:80", "svc"),), 4)
         cell.set_registered_workers(record, now_ms - 1_000, now_ms)
         cell.set_workers({"w0": make_worker_info("w0")}, now_ms)
+        store_changes(cell, now_ms)
         return cell, cell.boots["w0"]
 
     def test_no_task_starts_and_no_lease_is_extended_before_a_complete_list(self) -> None:
@@ -123,9 +131,6 @@
         cell.handle_lease_reply(worker, LeaseReply(5_000, 1, (listed,), ()), now_ms, now_ms)
         assert cell.prepare_lease_extension(worker, now_ms)[0] is not None
         cell.note_confirmed(now_ms + 1)
-        changes = cell.collect_changes(now_ms, now_ms)
-        assert changes is not None
-        cell.note_changes_stored(changes)
         assert [o.run.task.id.number for o in start_orders(cell.plan(now_ms, 0))] == [1]
 
     def test_a_worker_that_never_lists_in_full_is_adopted_once_its_leases_are_over(self) -> None:
