Find the usable workers once for all reports of waiting tasks

Found by reading the change again. Each of up to 20 reports of task_waits, every 2 s, asked of every worker anew whether runs may be started there, though the answer is the same within one service. They are found once a report now. Events and their fields stay as they are. The doc comment of prepare_lease_extension is wrapped anew.

The time saved was not measured.

--- a/src/greengagewood/internal/cells/cell.py
+++ b/src/greengagewood/internal/cells/cell.py
@@ -228,9 +228,9 @@
         """Return the deadline of a boot's new lease, and the number of its last stored run end.
 
         The deadline is None without `extend`, when the worker is only asked for its list, and if
-        the worker's clock was never read. It is also None while the worker
-        does not answer, so that its lease expires and its tasks can be started elsewhere, and until
-        this owner has stored a record that does not say when its lease expires.
+        the worker's clock was never read. It is also None while the worker does not answer, so that
+        its lease expires and its tasks can be started elsewhere, and until this owner has stored a
+        record that does not say when its lease expires.
 
         After a call without an answer another boot may receive the next one, whose ends have other
         sequence numbers, so none is acknowledged.
--- a/src/greengagewood/internal/cells/waits.py
+++ b/src/greengagewood/internal/cells/waits.py
@@ -51,38 +51,43 @@
         ]
         waiting.sort(key=lambda task: task.last_run_ended_ms)
         unreported = max(0, len(waiting) - MAX_REPORTS)
+        usable = self._usable_boots(now_ms) if waiting else {}
         for task in waiting[:MAX_REPORTS]:
-            yield self._describe(task, now_ms) | {"unreported": unreported}
+            boots = usable.get(self._planner.queue_of(task.step.job).service, [])
+            yield _describe(task, boots, now_ms) | {"unreported": unreported}
         if held:
             yield {"task": held[0].id, "reason": "adoption", "unreported": len(held) - 1}
 
-    def _describe(self, task: Task, now_ms: int) -> dict[str, object]:
-        spec = task.step.spec
-        service = self._planner.queue_of(task.step.job).service
-        boots = [
-            boot
-            for boot in self._boots.values()
-            if boot.info.service == service and self._planner.may_start_on(boot, now_ms)
-        ]
-        widest = max(boots, key=_free_cpu_millis, default=None)
-        last = max(
-            widest.runs.values() if widest is not None else (),
-            key=lambda run: run.started_ms,
-            default=None,
-        )
-        return {
-            "task": task.id,
-            "reason": _reason(task, boots, now_ms),
-            "for_ms": now_ms - task.last_run_ended_ms,
-            "cpu": spec.cpu_millis,
-            "memory_mb": spec.memory_mb,
-            "usable_workers": len(boots),
-            "widest": widest.name if widest is not None else None,
-            "widest_cpu": _free_cpu_millis(widest) if widest is not None else None,
-            "widest_memory_mb": _free_memory_mb(widest) if widest is not None else None,
-            "last_start": last.task.id if last is not None else None,
-            "last_start_ago_ms": now_ms - last.started_ms if last is not None else None,
-        }
+    def _usable_boots(self, now_ms: int) -> dict[str, list[Boot]]:
+        """Return the boots on which runs may be started now, by service."""
+        usable: dict[str, list[Boot]] = {}
+        for boot in self._boots.values():
+            if self._planner.may_start_on(boot, now_ms):
+                usable.setdefault(boot.info.service, []).append(boot)
+        return usable
+
+
+def _describe(task: Task, boots: Sequence[Boot], now_ms: int) -> dict[str, object]:
+    spec = task.step.spec
+    widest = max(boots, key=_free_cpu_millis, default=None)
+    last = max(
+        widest.runs.values() if widest is not None else (),
+        key=lambda run: run.started_ms,
+        default=None,
+    )
+    return {
+        "task": task.id,
+        "reason": _reason(task, boots, now_ms),
+        "for_ms": now_ms - task.last_run_ended_ms,
+        "cpu": spec.cpu_millis,
+        "memory_mb": spec.memory_mb,
+        "usable_workers": len(boots),
+        "widest": widest.name if widest is not None else None,
+        "widest_cpu": _free_cpu_millis(widest) if widest is not None else None,
+        "widest_memory_mb": _free_memory_mb(widest) if widest is not None else None,
+        "last_start": last.task.id if last is not None else None,
+        "last_start_ago_ms": now_ms - last.started_ms if last is not None else None,
+    }
 
 
 def _free_cpu_millis(boot: Boot) -> int:
