End the scripts' processes for certain, and exit with 2 on any error

Cause: the thread that restarts processes could start one while the others were being ended, and an unexpected error would have left exit code 1, which says that the rule was broken.

Added: the thread is joined before the processes are ended; every error is exit code 2.

--- a/review/kit.py
+++ b/review/kit.py
@@ -131,6 +131,7 @@
         self._commands: dict[str, tuple[list[str], dict[str, str]]] = {}
         self._ended_by_us: set[int] = set()
         self._stopping = threading.Event()
+        self._restarter: threading.Thread | None = None
         self._lock = threading.Lock()
         self._version = 0
 
@@ -169,7 +170,8 @@
             self._add(f"entry-{number}", role["run"].split(" "), env)
         for number in range(len(self.instances)):
             self._wait(f"entry-{number}", lambda n=number: self._is_ready(n))
-        threading.Thread(target=self._restart_ended, daemon=True).start()
+        self._restarter = threading.Thread(target=self._restart_ended, daemon=True)
+        self._restarter.start()
 
     def _group_name(self, number: int) -> str:
         return f"worker-{number}" if number in self._alone else "workers"
@@ -304,6 +306,8 @@
     def stop(self) -> None:
         """End all processes."""
         self._stopping.set()
+        if self._restarter is not None:
+            self._restarter.join()  # it starts no process any more
         for popen in self._popens.values():
             if popen.poll() is None:
                 popen.send_signal(signal.SIGCONT)
@@ -600,7 +604,7 @@
         with deployment(**options) as site:
             findings = play(site)
             site.write_record(folder / "record.txt", findings)
-    except (CaseError, OSError) as exc:
+    except Exception as exc:  # exit code 1 is only for a rule that was broken
         print(f"could not run: {exc!r}")
         sys.exit(2)
     for finding in findings[:10]:
