review: tasks that ended done run again when a worker lists over 500 ends

Cause: a list of run ends holds 500 at a time, and the owner takes it for complete. Runs that ended after these count as lost and are started again.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,48 +1,41 @@
-"""The store is down for a short time while many short tasks end on a worker."""
+"""The store does not answer for 4 s while more than 500 runs end on each worker."""
 
 from __future__ import annotations
 
+import asyncio
 import sys
 import time
-from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 
-sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
+sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
+from harness import CannotRun, Fleet, find_twice, main
 
-from kit import CaseError, Site, check_twice, job_body, run_case, trouble
+JOB = "5c0e7a21d94b36f8"
+TASKS = 2_400
+OUTAGE_S = 4.0
 
-JOBS = 60
-# No wider than the widest step of the sheets, with tasks like those in the example of PROTOCOL.md.
-STEP = {"count": 36, "cpu": 250, "mem-mb": 256, "estimate-ms": 900}
-STARTED_BEFORE = 400  # tasks, when the store goes away
-STORE_DOWN_S = 4.0
-PLAY_S = 45.0
 
+def count_ends(fleet: Fleet) -> int:
+    """Return how many runs have ended so far."""
+    return sum(event["what"] == "end" for event in fleet.worker_events())
 
-def play(site: Site) -> list[str]:
-    """Submit many jobs at once, and take the store away while their tasks run."""
-    with ThreadPoolExecutor(12) as pool:
-        jobs = list(pool.map(site.submit, [job_body([STEP])] * JOBS))
-    end = time.monotonic() + PLAY_S
-    while count_started(site) < STARTED_BEFORE:
-        if time.monotonic() > end:
-            raise CaseError(f"only {count_started(site)} tasks were started")
-        time.sleep(0.05)
-    if trouble():
-        site.store_fault("busy")
-        time.sleep(STORE_DOWN_S)
-        site.store_fault("clear")
-    for job in jobs:
-        while site.state(job) not in ("completed", "failed") and time.monotonic() < end:
-            time.sleep(0.5)
-    time.sleep(2.0)
-    return check_twice(site.history())
 
-
-def count_started(site: Site) -> int:
-    """Return how many runs have been started."""
-    return sum(event["what"] == "start" for event in site.history())
+async def play(fleet: Fleet) -> list[str]:
+    """Hand in one wide job, and take the store away while its tasks end."""
+    await fleet.submit(JOB, [{"count": TASKS, "cpu": 50, "mem-mb": 20, "estimate-ms": 2500}])
+    deadline = time.monotonic() + 20
+    while count_ends(fleet) < 50:
+        if time.monotonic() > deadline:
+            raise CannotRun("the job does not get going")
+        await asyncio.sleep(0.1)
+    if fleet.trouble:
+        await fleet.store_fault("silent")
+        await asyncio.sleep(OUTAGE_S)
+        await fleet.store_fault("clear")
+    fleet.note("state", state=await fleet.wait_state(JOB, "completed", 40))
+    await asyncio.sleep(1)
+    return find_twice(fleet.worker_events())
 
 
 if __name__ == "__main__":
-    run_case(play, Path(__file__).resolve().parent, instances=3, workers=4)
+    sys.exit(main(play, Fleet(Path(__file__).resolve().parent, workers=2, worker_processes=2)))
--- a/review/build.sh
+++ b/review/build.sh
@@ -1,7 +1,7 @@
-#!/usr/bin/env bash
-# Builds the stand-ins of the scripts: the project's own, which are Python modules, and kit.py.
-# They need no more packages than the build of the deploy file has put under target/deps.
-set -eu
+#!/bin/bash
+# Build the stand-ins that the cases start: the project's own, which are Python, and the harness.
+# They need nothing but what the build of the deploy file has put into target/deps.
+set -euo pipefail
 cd "$(dirname "$0")/.."
-PYTHONPATH=src:target/deps python3 -m compileall -q src/greengagewood review/kit.py
-PYTHONPATH=src:target/deps python3 -c "import greengagewood.platform.standin.__main__"
+PYTHONPATH=target/deps:src python3 -c 'import greengagewood.platform.standin.__main__'
+python3 -m compileall -q review/harness.py review/[1-5] src/greengagewood
