review: cancelled runs of a large job go on beyond the bound

Cause: at most 64 stops are under way, so the time to stop a job grows with its tasks, and the leases of its runs are extended meanwhile.

--- /dev/null
+++ b/review/5/run.sh
@@ -0,0 +1,3 @@
+#!/bin/bash
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+cd "$(dirname "$0")" && exec python3 case.py
