review: exit with 2 on any error, and end all processes on SIGTERM

Cause: an error of the harness itself, or a missing build, ended with 1, which says that the rule was broken.

Ended by SIGTERM, and without target/deps, a case exits with 2 and leaves no process.

--- a/review/harness.py
+++ b/review/harness.py
@@ -323,6 +323,12 @@
                 await asyncio.sleep(RESTART_S)
                 self._popens[name] = self._launch[name]()
 
+    def check_standins(self) -> None:
+        """Raise CannotRun if a stand-in has ended by itself."""
+        for name, popen in self._popens.items():
+            if name not in self._keep_up and popen.poll() is not None:
+                raise CannotRun(f"{name} has ended with {popen.returncode}")
+
     async def stop(self) -> None:
         """End every process that was started."""
         if self._watcher is not None:
@@ -541,15 +547,21 @@
     async def play() -> list[str]:
         try:
             await fleet.start()
-            return await case(fleet)
+            found = await case(fleet)
+            fleet.check_standins()
+            return found
         finally:
             await fleet.stop()
 
+    def end(number: int, frame: object) -> None:
+        raise KeyboardInterrupt
+
+    signal.signal(signal.SIGTERM, end)
     try:
         findings = asyncio.run(play())
-    except CannotRun as exc:
-        fleet.note("verdict", status=NOT_RUN, why=str(exc))
-        print(f"could not run: {exc}")
+    except (Exception, KeyboardInterrupt) as exc:  # whatever it is, nothing was shown
+        fleet.note("verdict", status=NOT_RUN, why=repr(exc))
+        print(f"could not run: {exc!r}")
         fleet.close()
         return NOT_RUN
     status = BROKEN if findings else HELD
