--- a/review/kit.py
+++ b/review/kit.py
@@ -9,6 +9,7 @@
 
 import contextlib
 import http.client
+import http.server
 import json
 import os
 import random
@@ -26,9 +27,11 @@
 from typing import Any
 
 ROOT = Path(__file__).resolve().parent.parent
-HOST, PREFIX, SERVICE = "queue.example", "/work/", "compute"
+HOST, SERVICE = "queue.example", "compute"
+PREFIX, ADVISED_PREFIX = "/work/", "/advised/"  # of the queues without and with advice
 MAX_ATTEMPTS = 4
 DEADLINE_MS = 3_000
+ADVICE = {"decision_ms": 40, "per_worker_ms": 2, "validity_ms": 3_000}
 RESTART_S = 1.0  # from the end of a process to its next start by the platform
 BOUNDS = {"max-hold-ms": 6_000, "grace-s": 6, "status_s": 120}
 STOP_MS = 400
@@ -94,8 +97,16 @@
         cpu: int = 64_000,
         mem_mb: int = 250_000,
         seed: int = 1,
+        zones: int = 3,
+        absent: tuple[int, ...] = (),
+        advise: Callable[[str, str], bool] | None = None,
         **worker_options: Any,
     ) -> None:
+        """Describe a deployment.
+
+        The workers numbered in `absent` are not up at first. `advise` says whether a worker, given
+        by its ID, may run a step of the advised queue.
+        """
         self.folder = folder
         self.net = free_network()
         self.instances = [f"{self.net}.1.{n + 1}" for n in range(instances)]
@@ -104,6 +115,8 @@
         self.workers_admin = f"{self.net}.0.3:{ADMIN_PORT}"
         self.worker_addresses = [f"{self.net}.2.{n + 1}:{WORKER_PORT}" for n in range(workers)]
         self.worker_ids = [f"w{n:02}" for n in range(workers)]
+        self.advice = f"{self.net}.0.4:{PLATFORM_PORT}" if advise else ""
+        self.zones, self._absent, self._advise = zones, absent, advise
         self.cpu, self.mem_mb, self.seed = cpu, mem_mb, seed
         self.worker_options = worker_options
         self.requests: list[dict[str, Any]] = []
@@ -143,8 +156,8 @@
                     "listen": address,
                     "advertised": address,
                     "service": SERVICE,
-                    "zone": f"z{number % 3}",
-                    "rack": f"z{number % 3}-r0",
+                    "zone": f"z{number % self.zones}",
+                    "rack": f"z{number % self.zones}-r0",
                     "cpu": self.cpu,
                     "mem_mb": self.mem_mb,
                 }
@@ -155,6 +168,10 @@
         }
         self._add("workers", [*standin, "workers", self._settings_flag("workers", workers)], env)
         self._wait("workers", lambda: self._admin(self.workers_admin, "state", {}))
+        for number in self._absent:
+            self.change_worker(self.worker_ids[number], "gone")
+        if self._advise is not None:
+            self._serve_advice(self._advise)
         self.publish_manifest()
         role = tomllib.loads((ROOT / "deploy/system.toml").read_text())["roles"]["entry"]
         template = (ROOT / role["template"]).read_text()
@@ -176,8 +193,9 @@
         listen = {name: f"{ip}:{PORTS[name]}" for name in ("frontend", "readiness", "control")}
         return {
             "node-name": f"entry-{number}",
-            "zone": f"z{number % 3}",
+            "zone": f"z{number % self.zones}",
             "ip": ip,
+            "advice": self.advice,
             "listen": listen,
             "platform": {"address": self.store},
             "limits": {"cores": 1, "cpu-share": 0.5},
@@ -290,14 +308,50 @@
         }
         limits = {"max-header-bytes": 16_384, "max-body-bytes": 262_144, "idle-timeout-ms": 15_000}
         services = [{"name": SERVICE, "admission-check": True, "standby": False}]
+        routes = [route]
+        if self.advice:
+            advice = {k.replace("_", "-"): v for k, v in ADVICE.items()}
+            names = {"name": "advised", "path-prefix": ADVISED_PREFIX}
+            routes.append({**route, **names, "advice": advice})
         manifest = {
             "version": self._version,
-            "routes": [route],
+            "routes": routes,
             "services": services,
             "limits": limits,
         }
         self._admin(self.store_admin, "entry", {"key": "op/config", "value": manifest})
 
+    def _serve_advice(self, advise: Callable[[str, str], bool]) -> None:
+        """Answer as the advice service does: the tickets are for the allowed workers."""
+        lock, note = threading.Lock(), self.note
+
+        class Handler(http.server.BaseHTTPRequestHandler):
+            protocol_version = "HTTP/1.1"
+
+            def do_POST(self) -> None:
+                question = json.loads(self.rfile.read(int(self.headers["Content-Length"])))
+                step, workers = question["step"], question["workers"][:100]
+                with lock:
+                    delay_ms = ADVICE["decision_ms"] + ADVICE["per_worker_ms"] * len(workers)
+                    time.sleep(delay_ms / 1000)
+                allowed = [[name, f"{step}-{name}"] for name in workers if advise(step, name)]
+                note("advice", step=step, asked=workers, allowed=[row[0] for row in allowed])
+                answer = {"allowed": allowed, "validity-ms": ADVICE["validity_ms"]}
+                body = json.dumps(answer).encode()
+                self.send_response(200)
+                self.send_header("Content-Type", "application/json")
+                self.send_header("Content-Length", str(len(body)))
+                self.end_headers()
+                self.wfile.write(body)
+
+            def log_message(self, *args: Any) -> None:
+                pass
+
+        ip, _, port = self.advice.partition(":")
+        server = http.server.ThreadingHTTPServer((ip, int(port)), Handler)
+        server.daemon_threads = True
+        threading.Thread(target=server.serve_forever, daemon=True).start()
+
     def _admin(self, address: str, call: str, body: dict[str, Any]) -> Any:
         status, answer = _call(address, "POST", f"/{call}", json.dumps(body).encode(), 5.0)
         if status != 200:
@@ -322,7 +376,12 @@
     # Consumers.
 
     def request(
-        self, number: int, method: str, job: str, body: dict[str, Any] | None = None
+        self,
+        number: int,
+        method: str,
+        job: str,
+        body: dict[str, Any] | None = None,
+        prefix: str = PREFIX,
     ) -> tuple[int | None, dict[str, Any]]:
         """Send a request of a consumer to an instance; return the status, or None, and the body."""
         data = json.dumps(body).encode() if body is not None else b""
@@ -337,29 +396,34 @@
         try:
             address = f"{self.instances[number]}:{PORTS['frontend']}"
             timeout_s = DEADLINE_MS / 1000 + 1
-            status, content = _call(address, method, PREFIX + job, data, timeout_s, headers)
+            status, content = _call(address, method, prefix + job, data, timeout_s, headers)
             answer = json.loads(content) if content else {}
         except (OSError, http.client.HTTPException, ValueError) as exc:
             answer = {"error": repr(exc)}
-        line = {"t": sent, "answered": now_ms(), "what": f"{method} {job}", "instance": number}
+        line = {
+            "t": sent,
+            "answered": now_ms(),
+            "what": f"{method} {prefix}{job}",
+            "instance": number,
+        }
         with self._lock:
             self.requests.append({**line, "status": status, "body": answer})
         return status, answer
 
-    def submit(self, body: dict[str, Any], job: str = "", tries: int = 6) -> str:
+    def submit(self, body: dict[str, Any], prefix: str = PREFIX, tries: int = 6) -> str:
         """Submit a job until it is accepted, at one instance after another; return its ID."""
-        job = job or f"{random.getrandbits(64):016x}"
+        job = f"{random.getrandbits(64):016x}"
         for number in range(tries):
-            status, _ = self.request(number % len(self.instances), "POST", job, body)
+            status, _ = self.request(number % len(self.instances), "POST", job, body, prefix)
             if status == 200:
                 return job
             time.sleep(1.0)
         raise CaseError(f"job {job} was not accepted")
 
-    def state(self, job: str) -> str:
+    def state(self, job: str, prefix: str = PREFIX) -> str:
         """Ask the instances for the state of a job until one of them answers."""
         for number in range(3 * len(self.instances)):
-            status, answer = self.request(number % len(self.instances), "GET", job)
+            status, answer = self.request(number % len(self.instances), "GET", job, None, prefix)
             if status == 200:
                 return str(answer["state"])
             if status == 410:
