--- a/review/kit.py
+++ b/review/kit.py
@@ -12,6 +12,7 @@
 import http.server
 import json
 import os
+import queue
 import random
 import re
 import signal
@@ -31,7 +32,8 @@
 PREFIX, ADVISED_PREFIX = "/work/", "/advised/"  # of the queues without and with advice
 MAX_ATTEMPTS = 4
 DEADLINE_MS = 3_000
-ADVICE = {"decision_ms": 40, "per_worker_ms": 2, "validity_ms": 3_000}
+ADVICE_VALIDITY_MS = 3_000
+MAX_ADVICE_WORKERS, MAX_ADVICE_WAITING = 100, 32
 RESTART_S = 1.0  # from the end of a process to its next start by the platform
 BOUNDS = {"max-hold-ms": 6_000, "grace-s": 6, "status_s": 120}
 STOP_MS = 400
@@ -99,24 +101,28 @@
         seed: int = 1,
         zones: int = 3,
         absent: tuple[int, ...] = (),
+        alone: tuple[int, ...] = (),
         advise: Callable[[str, str], bool] | None = None,
+        advice_ms: tuple[int, int] = (40, 2),
         **worker_options: Any,
     ) -> None:
         """Describe a deployment.
 
-        The workers numbered in `absent` are not up at first. `advise` says whether a worker, given
-        by its ID, may run a step of the advised queue.
+        The workers numbered in `absent` are not up at first, those in `alone` have a process of
+        their own each. `advise` says whether a worker, given
+        by its ID, may run a step of the advised queue; `advice_ms` are the milliseconds that an
+        answer takes, and more for each worker that it names.
         """
         self.folder = folder
         self.net = free_network()
         self.instances = [f"{self.net}.1.{n + 1}" for n in range(instances)]
         self.store = f"{self.net}.0.1:{PLATFORM_PORT}"
         self.store_admin = f"{self.net}.0.2:{ADMIN_PORT}"
-        self.workers_admin = f"{self.net}.0.3:{ADMIN_PORT}"
         self.worker_addresses = [f"{self.net}.2.{n + 1}:{WORKER_PORT}" for n in range(workers)]
         self.worker_ids = [f"w{n:02}" for n in range(workers)]
         self.advice = f"{self.net}.0.4:{PLATFORM_PORT}" if advise else ""
-        self.zones, self._absent, self._advise = zones, absent, advise
+        self.zones, self._absent, self._alone, self._advise = zones, absent, alone, advise
+        self.decision_ms, self.per_worker_ms = advice_ms
         self.cpu, self.mem_mb, self.seed = cpu, mem_mb, seed
         self.worker_options = worker_options
         self.requests: list[dict[str, Any]] = []
@@ -142,32 +148,12 @@
         }
         self._add("store", [*standin, "store", self._settings_flag("store", store)], env)
         self._wait("store", lambda: self._admin(self.store_admin, "state", {}))
-        workers = {
-            "admin": self.workers_admin,
-            "store_admin": self.store_admin,
-            "record": str(self.folder / "workers.jsonl"),
-            "lease_ms": BOUNDS["max-hold-ms"],
-            "stop_ms": STOP_MS,
-            "seed": self.seed,
-            **self.worker_options,
-            "workers": [
-                {
-                    "id": worker_id,
-                    "listen": address,
-                    "advertised": address,
-                    "service": SERVICE,
-                    "zone": f"z{number % self.zones}",
-                    "rack": f"z{number % self.zones}-r0",
-                    "cpu": self.cpu,
-                    "mem_mb": self.mem_mb,
-                }
-                for number, (worker_id, address) in enumerate(
-                    zip(self.worker_ids, self.worker_addresses, strict=True)
-                )
-            ],
-        }
-        self._add("workers", [*standin, "workers", self._settings_flag("workers", workers)], env)
-        self._wait("workers", lambda: self._admin(self.workers_admin, "state", {}))
+        together = [n for n in range(len(self.worker_ids)) if n not in self._alone]
+        for group in ([together] if together else []) + [[n] for n in self._alone]:
+            name = self._group_name(group[0])
+            settings = self._workers_settings(group, str(self.folder / f"{name}.jsonl"))
+            self._add(name, [*standin, "workers", self._settings_flag(name, settings)], env)
+            self._wait(name, lambda n=group[0]: self._admin(self._worker_admin(n), "state", {}))
         for number in self._absent:
             self.change_worker(self.worker_ids[number], "gone")
         if self._advise is not None:
@@ -185,6 +171,37 @@
             self._wait(f"entry-{number}", lambda n=number: self._is_ready(n))
         threading.Thread(target=self._restart_ended, daemon=True).start()
 
+    def _group_name(self, number: int) -> str:
+        return f"worker-{number}" if number in self._alone else "workers"
+
+    def _worker_admin(self, number: int) -> str:
+        alone = self._alone.index(number) + 1 if number in self._alone else 0
+        return f"{self.net}.3.{alone + 1}:{ADMIN_PORT}"
+
+    def _workers_settings(self, numbers: list[int], record: str) -> dict[str, Any]:
+        return {
+            "admin": self._worker_admin(numbers[0]),
+            "store_admin": self.store_admin,
+            "record": record,
+            "lease_ms": BOUNDS["max-hold-ms"],
+            "stop_ms": STOP_MS,
+            "seed": self.seed,
+            **self.worker_options,
+            "workers": [
+                {
+                    "id": self.worker_ids[number],
+                    "listen": self.worker_addresses[number],
+                    "advertised": self.worker_addresses[number],
+                    "service": SERVICE,
+                    "zone": f"z{number % self.zones}",
+                    "rack": f"z{number % self.zones}-r0",
+                    "cpu": self.cpu,
+                    "mem_mb": self.mem_mb,
+                }
+                for number in numbers
+            ],
+        }
+
     def _environment(self, python_path: str) -> dict[str, str]:
         kept = {name: os.environ[name] for name in ("PATH", "HOME", "LANG") if name in os.environ}
         return {**kept, "PYTHONPATH": python_path, "PYTHONDONTWRITEBYTECODE": "1"}
@@ -259,6 +276,11 @@
         self.note("signal", instance=number, signal=signal.Signals(signal_number).name)
         popen.send_signal(signal_number)
 
+    def stop_worker(self, number: int) -> None:
+        """Stop the process of a worker that has one of its own, so that it answers nothing."""
+        self.note("worker goes silent", worker=self.worker_ids[number])
+        self._popens[self._group_name(number)].send_signal(signal.SIGSTOP)
+
     def owner(self) -> int:
         """Return the instance whose term of ownership is the newest, by the logs."""
         found: list[tuple[int, int]] = []
@@ -310,7 +332,11 @@
         services = [{"name": SERVICE, "admission-check": True, "standby": False}]
         routes = [route]
         if self.advice:
-            advice = {k.replace("_", "-"): v for k, v in ADVICE.items()}
+            advice = {
+                "decision-ms": self.decision_ms,
+                "per-worker-ms": self.per_worker_ms,
+                "validity-ms": ADVICE_VALIDITY_MS,
+            }
             names = {"name": "advised", "path-prefix": ADVISED_PREFIX}
             routes.append({**route, **names, "advice": advice})
         manifest = {
@@ -322,34 +348,54 @@
         self._admin(self.store_admin, "entry", {"key": "op/config", "value": manifest})
 
     def _serve_advice(self, advise: Callable[[str, str], bool]) -> None:
-        """Answer as the advice service does: the tickets are for the allowed workers."""
-        lock, note = threading.Lock(), self.note
+        """Answer as the advice service does: one call after the other, all from one machine."""
+        site = self
+        calls: queue.SimpleQueue[tuple[int, threading.Event]] = queue.SimpleQueue()
+
+        def take_turns() -> None:
+            while True:
+                worker_count, is_answered = calls.get()
+                time.sleep((site.decision_ms + site.per_worker_ms * worker_count) / 1000)
+                is_answered.set()
+
+        threading.Thread(target=take_turns, daemon=True).start()
 
         class Handler(http.server.BaseHTTPRequestHandler):
             protocol_version = "HTTP/1.1"
 
             def do_POST(self) -> None:
                 question = json.loads(self.rfile.read(int(self.headers["Content-Length"])))
-                step, workers = question["step"], question["workers"][:100]
-                with lock:
-                    delay_ms = ADVICE["decision_ms"] + ADVICE["per_worker_ms"] * len(workers)
-                    time.sleep(delay_ms / 1000)
+                step, workers = question["step"], question["workers"][:MAX_ADVICE_WORKERS]
+                if calls.qsize() >= MAX_ADVICE_WAITING:
+                    self._answer(429, {})
+                    return
+                is_answered = threading.Event()
+                calls.put((len(workers), is_answered))
+                is_answered.wait()
                 allowed = [[name, f"{step}-{name}"] for name in workers if advise(step, name)]
-                note("advice", step=step, asked=workers, allowed=[row[0] for row in allowed])
-                answer = {"allowed": allowed, "validity-ms": ADVICE["validity_ms"]}
+                site.note("advice", step=step, asked=workers, allowed=[row[0] for row in allowed])
+                self._answer(200, {"allowed": allowed, "validity-ms": ADVICE_VALIDITY_MS})
+
+            def _answer(self, status: int, answer: dict[str, Any]) -> None:
                 body = json.dumps(answer).encode()
-                self.send_response(200)
-                self.send_header("Content-Type", "application/json")
-                self.send_header("Content-Length", str(len(body)))
-                self.end_headers()
-                self.wfile.write(body)
+                with contextlib.suppress(OSError):  # the caller may have given up
+                    self.send_response(status)
+                    self.send_header("Content-Type", "application/json")
+                    self.send_header("Content-Length", str(len(body)))
+                    self.end_headers()
+                    self.wfile.write(body)
 
             def log_message(self, *args: Any) -> None:
                 pass
 
+        class Server(http.server.ThreadingHTTPServer):
+            daemon_threads = True
+
+            def handle_error(self, request: Any, client_address: Any) -> None:
+                """Say nothing of connections that their callers have reset."""
+
         ip, _, port = self.advice.partition(":")
-        server = http.server.ThreadingHTTPServer((ip, int(port)), Handler)
-        server.daemon_threads = True
+        server = Server((ip, int(port)), Handler)
         threading.Thread(target=server.serve_forever, daemon=True).start()
 
     def _admin(self, address: str, call: str, body: dict[str, Any]) -> Any:
@@ -366,12 +412,14 @@
     def workers_fault(self, kind: str, **options: Any) -> None:
         """Switch a fault of the workers on, or off with the kind clear."""
         self.note("workers fault", kind=kind, **options)
-        self._admin(self.workers_admin, "fault", {"kind": kind, **options})
+        for number in {-1, *self._alone}:
+            self._admin(self._worker_admin(number), "fault", {"kind": kind, **options})
 
     def change_worker(self, worker_id: str, do: str, **options: Any) -> None:
         """Crash, boot or drain a worker."""
         self.note("worker", worker=worker_id, do=do, **options)
-        self._admin(self.workers_admin, "worker", {"id": worker_id, "do": do, **options})
+        admin = self._worker_admin(self.worker_ids.index(worker_id))
+        self._admin(admin, "worker", {"id": worker_id, "do": do, **options})
 
     # Consumers.
 
@@ -440,11 +488,10 @@
 
     def history(self) -> list[dict[str, Any]]:
         """Return what the workers have recorded so far."""
-        path = self.folder / "workers.jsonl"
-        if not path.exists():
-            return []
-        lines = path.read_bytes().split(b"\n")[:-1]
-        return [json.loads(line) for line in lines if line]
+        lines: list[bytes] = []
+        for path in self.folder.glob("worker*.jsonl"):
+            lines += path.read_bytes().split(b"\n")[:-1]
+        return sorted((json.loads(line) for line in lines if line), key=lambda e: float(e["t"]))
 
     def write_record(self, path: Path, findings: list[str]) -> None:
         """Write what was sent, answered and run, and what broke the rule."""
