--- a/review/kit.py
+++ b/review/kit.py
@@ -29,7 +29,7 @@
 
 ROOT = Path(__file__).resolve().parent.parent
 HOST, SERVICE = "queue.example", "compute"
-PREFIX, ADVISED_PREFIX = "/work/", "/advised/"  # of the queues without and with advice
+PREFIX, ADVISED_PREFIX = "/jobs/", "/advised/"  # of the queues without and with advice
 MAX_ATTEMPTS = 4
 DEADLINE_MS = 3_000
 ADVICE_VALIDITY_MS = 3_000
