--- a/review/harness.py
+++ b/review/harness.py
@@ -37,7 +37,7 @@
 __all__ = ["CannotRun", "Fleet", "find_twice", "main", "now_ms", "runs_of", "web"]
 
 HOST = "queue.example"
-PREFIX = "/work/"
+PREFIX = "/jobs/"
 SERVICE = "compute"
 QUEUE = "work"
 START_LIMIT_S = 30.0
