Raise the fencing token of calls once a worker is known to have rebooted

Cause: a lease extension that the earlier boot did not answer may be carried out by the later boot up to 12 s after it was sent, as both have the same ID and the calls the same token. So the runs of a lost later boot were held back for 12 s and a lease from then on. Class: a wait for what a party might still do, where the protocol offers a way to rule it out.

Change: each later boot that an owner learns of gets calls with a higher token (the token of the term in the high bits, the number of reboots that this owner has seen in the low ones). By the protocol, a worker does nothing for a lower token than it has seen. Once the boot has answered such a call, what an earlier call may have given it is a lease that began before. A refusal ("fence") of a call that was meant for an earlier boot no longer counts as a later owner.

--- a/src/greengagewood/internal/cells/bootlife.py
+++ b/src/greengagewood/internal/cells/bootlife.py
@@ -101,7 +101,7 @@
                 )
 
     def _add(self, info: WorkerInfo, now_ms: int) -> Boot:
-        boot = Boot(info, now_ms)
+        boot = Boot(info, now_ms, fencing_token=self._term.fencing_token)
         self._term.boots[info.worker_id] = boot
         return boot
 
@@ -157,7 +157,8 @@
         boot.worker.closed_to_starts = boot.worker.stored_empty = False
         if info.address != boot.info.address:
             boot.worker.registered = False  # the record has the former address
-        rebooted = Boot(info, now_ms, boot.worker)
+        term.reboot_count += 1
+        rebooted = Boot(info, now_ms, boot.worker, fencing_token=term.fencing_token)
         rebooted.late_deadline_ms = max(boot.latest_deadline_ms, boot.late_deadline_ms)
         if boot.unlisted_runs(term.confirmed_ms):  # a late start may still reach the new boot
             rebooted.inherited = boot.inherited
--- a/src/greengagewood/internal/cells/boots.py
+++ b/src/greengagewood/internal/cells/boots.py
@@ -138,6 +138,8 @@
     # When orders of this owner have certainly expired that were meant for earlier boots.
     late_orders_expiry_ms: int = 0
     late_deadline_ms: int = 0  # the latest deadline of those orders, whichever clock it is on
+    fencing_token: int = 0  # of the calls that are meant for this boot
+    has_seen_token: bool = False  # whether it has answered one, so it does nothing for a lower one
     inherited: tuple[InheritedRuns, ...] = ()  # empty once it has been adopted
     # The same and the time before it, while another worker answers at the recorded address.
     inherited_aside: tuple[tuple[InheritedRuns, ...], int] | None = None
@@ -371,6 +373,18 @@
         if clock_ms > self.late_deadline_ms:  # it refuses them, and its lease is longer
             self.late_orders_expiry_ms = 0
 
+    def note_token_seen(self, now_ms: int, lease_ms: int) -> None:
+        """Record that it has answered a call with its fencing token.
+
+        It carries out no order that was meant for an earlier boot any more, so the longest lease
+        that one may have given began before now.
+        """
+        if not self.has_seen_token:
+            self.has_seen_token = True
+            self.late_orders_expiry_ms = min(
+                self.late_orders_expiry_ms, now_ms + longest_ms(lease_ms)
+            )
+
     def shows_clock(self, clock_ms: int | None, sent_ms: int, now_ms: int) -> bool:
         """Return whether a reading, made after `sent_ms` and before `now_ms`, is of this boot.
 
--- a/src/greengagewood/internal/cells/lists.py
+++ b/src/greengagewood/internal/cells/lists.py
@@ -71,6 +71,8 @@
 
     def _note_answer(self, boot: Boot, reply: LeaseReply, sent_ms: int, now_ms: int) -> None:
         boot.note_clock(reply.clock_ms, sent_ms, now_ms)
+        if sent_ms > boot.added_ms:
+            boot.note_token_seen(now_ms, self._term.limits.lease_ms)
         if boot.unresponsive:
             if not boot.worker.registered:
                 self._term.registration_due = True
--- a/src/greengagewood/internal/cells/runner.py
+++ b/src/greengagewood/internal/cells/runner.py
@@ -275,7 +275,7 @@
                 run.number,
                 order.payload,
                 order.deadline_ms,
-                self.token,
+                boot.fencing_token,
                 order.checkpoint,
                 run.ticket,
             )
@@ -290,7 +290,7 @@
             self.cell.note_wrong_boot(boot, monotonic_ms(), info.address)
         else:
             outcome = reply.reason or "accepted"
-            self._check_fencing(reply)
+            self._check_fencing(boot, reply)
             self._carry_out_all(
                 self.cell.handle_start_reply(
                     boot, run, reply.reason, monotonic_ms(), reply.clock_ms
@@ -310,8 +310,12 @@
             outcome=outcome,
         )
 
-    def _check_fencing(self, reply: OrderReply) -> None:
-        if reply.reason == "fence":
+    def _check_fencing(self, boot: Boot, reply: OrderReply) -> None:
+        """Give up the ownership if a worker has seen the token of a later owner.
+
+        A call that was meant for an earlier boot is refused for the sake of the present one.
+        """
+        if reply.reason == "fence" and self.cell.boots.get(boot.name) is boot:
             _log.warning("fenced_by_worker", token=self.token)
             self._ownership.note_fenced()
 
@@ -321,9 +325,9 @@
         outcome = "unanswered"
         try:
             reply = await self._ports.workers.stop(
-                info, order.task_id, order.run_number, self.token
+                info, order.task_id, order.run_number, order.boot.fencing_token
             )
-            self._check_fencing(reply)
+            self._check_fencing(order.boot, reply)
             outcome = reply.reason or "accepted"
             if not reply.reason:
                 self.cell.note_stop_accepted(order.boot, order.run, monotonic_ms())
@@ -355,9 +359,9 @@
                 order.run.task.id,
                 order.run.number,
                 order.speed_percent,
-                self.token,
+                order.boot.fencing_token,
             )
-            self._check_fencing(reply)
+            self._check_fencing(order.boot, reply)
         except (WorkerCallFailed, WrongBoot):
             order.run.speed_percent = previous_percent  # the next reading leads to a new order
             order.boot.invalidate_slack()
@@ -428,7 +432,7 @@
             wait_ms = max(0, LEASE_WAIT_MS - (sent_ms - boot.last_answer_ms))
         try:
             reply = await self._ports.workers.extend_lease(
-                info, deadline_ms, self.token, acknowledged, wait_ms
+                info, deadline_ms, boot.fencing_token, acknowledged, wait_ms
             )
         except WorkerCallFailed as exc:
             self._metrics.count("hold_failures")
@@ -441,7 +445,7 @@
             await asyncio.sleep(FAILED_LEASE_PAUSE_S)
             return
         if not isinstance(reply, LeaseReply):
-            self._check_fencing(reply)
+            self._check_fencing(boot, reply)
             self.cell.note_lease_refused(boot, monotonic_ms())
             await asyncio.sleep(FAILED_LEASE_PAUSE_S)
             return
--- a/src/greengagewood/internal/cells/term.py
+++ b/src/greengagewood/internal/cells/term.py
@@ -12,7 +12,9 @@
 from greengagewood.internal.cells.stops import StopPlanner
 from greengagewood.internal.jobs.book import JobBook, Run, Task
 
-__all__ = ["CellLimits", "EventSink", "Term"]
+__all__ = ["FENCING_TOKENS_PER_TERM", "CellLimits", "EventSink", "Term"]
+
+FENCING_TOKENS_PER_TERM = 1 << 20
 
 EventSink = Callable[[str, dict[str, object]], None]
 
@@ -50,6 +52,7 @@
     last_adoption_ms: int = 0  # when a boot was last adopted
     registration_due: bool = False  # whether to store the registered workers anew
     registration_stored: bool = False  # whether this owner has stored a record of them
+    reboot_count: int = 0  # later boots of workers that this owner has seen
     # Tasks whose runs were lost with a boot, and when; they wait for a confirmed read.
     unconfirmed_losses: dict[Task, int] = field(default_factory=dict)
 
@@ -58,6 +61,15 @@
         """Return when the last read was sent that has confirmed the ownership."""
         return self.planner.confirmed_ms
 
+    @property
+    def fencing_token(self) -> int:
+        """Return the fencing token of calls to a boot that is found now.
+
+        It is higher than those of calls to earlier boots and of earlier owners. A worker does
+        nothing for a lower token than it has seen.
+        """
+        return self.token * FENCING_TOKENS_PER_TERM + self.reboot_count
+
     def emit(self, event: str, fields: dict[str, object]) -> None:
         """Report an event."""
         self.on_event(event, fields)
