Keep the time left of workers that an owner has never heard in its first record

Callers saw: a long-running task without a run for 12.1 s if the owner was killed after its first record, while the worker of the task had left before.

Cause: the record of an owner says until when runs may go on only for a silent worker or at a planned stop. For a worker that left before the owner's term, and so never answered it, the record dropped the time that the record before had, and the next owner counted 11.12 s anew.

Change: the time is stored for each boot that the owner has not adopted, as it has no lease of that owner. If such a worker answers after all, the record is stored anew before its lease is extended. A worker now ceases to be limited when the record without the limit is stored, not when it is collected: an extension could otherwise be sent while the stored record still had the limit.

Before: test_an_owner_that_is_killed_after_its_first_record_prolongs_no_wait[0] and [1] fail.

--- a/src/greengagewood/internal/cells/changes.py
+++ b/src/greengagewood/internal/cells/changes.py
@@ -9,7 +9,7 @@
 from greengagewood.internal.cells.boots import Boot
 from greengagewood.internal.cells.forecast import LoadObserver
 from greengagewood.internal.cells.orders import Changes
-from greengagewood.internal.cells.registration import registration_record
+from greengagewood.internal.cells.registration import has_limited_lease, registration_record
 from greengagewood.internal.cells.term import Term
 from greengagewood.internal.jobs.records import Forecast, Progress, Record, RegisteredWorkers
 
@@ -40,6 +40,7 @@
                 urgent = urgent or job.is_final or not job.maybe_started_stored
         book.changed_jobs.clear()
         registered: tuple[Boot, ...] = ()
+        unlimited: tuple[Boot, ...] = ()
         if term.registration_due or releasing:
             term.registration_due = False
             record, registered = registration_record(
@@ -47,6 +48,8 @@
             )
             records.append(record)
             urgent = True
+            if not releasing:
+                unlimited = tuple(b for b in term.boots.values() if not has_limited_lease(b))
         forecast = None if releasing else self._load.due_record(now_ms)
         if forecast is not None:
             self._report_saturation(forecast)
@@ -58,7 +61,7 @@
         }
         if not records and not end_sequences:
             return None
-        return Changes(tuple(records), end_sequences, registered, urgent)
+        return Changes(tuple(records), end_sequences, registered, unlimited, urgent)
 
     def _report_saturation(self, forecast: Forecast) -> None:
         """Report the services of which best-effort tasks begin or cease to wait for long."""
@@ -98,6 +101,8 @@
                 worker = term.boots[boot.name].worker
                 worker.registered = True
                 worker.lease_limited = False
+        for boot in changes.unlimited_boots:
+            boot.worker.lease_limited = False
         term.planner.request_replan()
 
     def note_unconfirmed(self, changes: Changes) -> None:
--- a/src/greengagewood/internal/cells/lists.py
+++ b/src/greengagewood/internal/cells/lists.py
@@ -73,9 +73,10 @@
         boot.note_clock(reply.clock_ms, sent_ms, now_ms)
         if sent_ms > boot.added_ms:
             boot.note_token_seen(now_ms, self._term.limits.lease_ms)
+        # Until it is stored anew, nothing is started there, or its lease is not extended.
+        if (boot.unresponsive and not boot.worker.registered) or boot.worker.lease_limited:
+            self._term.registration_due = True
         if boot.unresponsive:
-            if not boot.worker.registered:
-                self._term.registration_due = True
             self._term.emit("worker_answers", {"worker": boot.name})
         boot.transition("listed")
         boot.last_answer_ms = now_ms
--- a/src/greengagewood/internal/cells/orders.py
+++ b/src/greengagewood/internal/cells/orders.py
@@ -65,13 +65,15 @@
 class Changes:
     """Records to store and, by boot, the sequence number of the last run end that they cover.
 
-    `registered_boots` are those of the workers that a `RegisteredWorkers` record among them names.
+    `registered_boots` are those of the workers that a `RegisteredWorkers` record among them names,
+    and `unlimited_boots` those of which it does not say when their runs are over.
     With `urgent`, the records must be stored without delay.
     """
 
     records: tuple[Record, ...]
     end_sequences: dict[Boot, int]
     registered_boots: tuple[Boot, ...]
+    unlimited_boots: tuple[Boot, ...]
     urgent: bool
 
 
--- a/src/greengagewood/internal/cells/registration.py
+++ b/src/greengagewood/internal/cells/registration.py
@@ -30,7 +30,13 @@
     TaskId,
 )
 
-__all__ = ["inherit_runs", "is_record_outdated", "registration_record", "tasks_held_back"]
+__all__ = [
+    "has_limited_lease",
+    "inherit_runs",
+    "is_record_outdated",
+    "registration_record",
+    "tasks_held_back",
+]
 
 # A worker that answers again is stored anew before the next start, so short silences don't count.
 CLOSED_AFTER_SILENCE_MS = 3_000
@@ -56,6 +62,14 @@
     return closed and is_empty and not boot.worker.stored_empty
 
 
+def has_limited_lease(boot: Boot) -> bool:
+    """Return whether the record says when the runs on a worker that takes no starts are over.
+
+    A boot that this owner has not adopted has no lease of it.
+    """
+    return boot.unresponsive or not boot.adopted
+
+
 def registration_record(
     boots: Iterable[Boot],
     book: JobBook,
@@ -78,8 +92,9 @@
         possible_runs = None
         if boot.worker.closed_to_starts or releasing:
             boot.worker.registered = False
-            boot.worker.lease_limited = boot.unresponsive or releasing
-            possible_runs = _possible_runs(boot, maybe_running, now_ms, lease_ms)
+            limited = releasing or has_limited_lease(boot)
+            boot.worker.lease_limited |= limited
+            possible_runs = _possible_runs(boot, maybe_running, now_ms, lease_ms, limited)
             boot.worker.stored_empty = not possible_runs
             if boot.worker.closed_to_starts and not possible_runs:
                 continue
@@ -101,6 +116,7 @@
     maybe_running: Callable[[], tuple[TaskId, ...] | None],
     now_ms: int,
     lease_ms: int,
+    limited: bool,
 ) -> tuple[PossibleRuns, ...]:
     late = {
         run
@@ -120,8 +136,7 @@
         tasks = maybe_running() if known is None else tuple(sorted(known))
         groups.append((tasks, inherited.expiry_ms - now_ms))
     return tuple(
-        PossibleRuns(tasks, remaining_ms if boot.worker.lease_limited else None)
-        for tasks, remaining_ms in groups
+        PossibleRuns(tasks, remaining_ms if limited else None) for tasks, remaining_ms in groups
     )
 
 
