Report on how many workers a waiting task would find room

task_waits named only the worker with the most free CPU, which does not tell whether a task waits for CPU or memory, nor whether there is a place for it but for ordinary tasks. It now says on how many workers enough CPU and memory is free (cpu_on, memory_on) and on how many the task would fit beside long-running tasks alone (places).

No decision changes.

--- a/src/greengagewood/internal/cells/waits.py
+++ b/src/greengagewood/internal/cells/waits.py
@@ -8,7 +8,7 @@
 
 from collections.abc import Iterator, Sequence
 
-from greengagewood.internal.cells.boots import Boot
+from greengagewood.internal.cells.boots import Boot, Resources
 from greengagewood.internal.cells.placement import leaves_headroom, meets_constraints
 from greengagewood.internal.cells.planner import Planner
 from greengagewood.internal.jobs.book import JobBook, Task
@@ -85,6 +85,9 @@
         "widest": widest.name if widest is not None else None,
         "widest_cpu": _free_cpu_millis(widest) if widest is not None else None,
         "widest_memory_mb": _free_memory_mb(widest) if widest is not None else None,
+        "cpu_on": sum(_free_cpu_millis(boot) >= spec.cpu_millis for boot in boots),
+        "memory_on": sum(_free_memory_mb(boot) >= spec.memory_mb for boot in boots),
+        "places": sum(_fits_beside_long_running(boot, task) for boot in boots),
         "last_start": last.task.id if last is not None else None,
         "last_start_ago_ms": now_ms - last.started_ms if last is not None else None,
     }
@@ -98,6 +101,22 @@
     return boot.info.memory_mb - boot.allocated.memory_mb
 
 
+def _fits_beside_long_running(boot: Boot, task: Task) -> bool:
+    """Return whether a task fits a worker if no other than long-running tasks run there."""
+    spec = task.step.spec
+    used = Resources()
+    for run in boot.runs.values():
+        if run.task.step.spec.long_running:
+            used.add(run.task.step.spec)
+    used.add(spec)
+    return (
+        used.cpu_millis <= boot.info.cpu_millis
+        and used.memory_mb <= boot.info.memory_mb
+        and used.accelerators <= boot.info.accelerators
+        and meets_constraints(boot, task.step)
+    )
+
+
 def _reason(task: Task, boots: Sequence[Boot], now_ms: int) -> str:
     """Return the first condition for a start that does not hold."""
     if task.not_before_ms > now_ms:
