Take back the deadline of a lease extension that was not sent

Cause: the deadline of an extension counted from when it was prepared. While connections to a worker that has left are refused, one is prepared each 0.25 s until the worker counts as silent, and each prolonged the wait, though nothing was sent.

Change: if no connection could be opened, the deadline is taken back, unless a start has raised it since.

Before: the new test_the_wait_counts_from_the_last_extension_that_was_sent fails (run without the change in bootlife.py).

--- a/src/greengagewood/internal/cells/bootlife.py
+++ b/src/greengagewood/internal/cells/bootlife.py
@@ -240,7 +240,9 @@
     def note_lease_failure(self, boot: Boot, now_ms: int, was_sent: bool) -> None:
         """Record that a boot did not answer a lease extension, which may not have been sent."""
         boot.lease_call_failed = True
-        if boot.lease_pending_ms and was_sent:
+        if not was_sent:
+            boot.note_extension_not_sent()
+        elif boot.lease_pending_ms:
             boot.worker.lease_unanswered_ms = boot.lease_pending_ms
         boot.lease_pending_ms = 0
         self._term.crashes.note_failed_call(boot, now_ms)
--- a/src/greengagewood/internal/cells/boots.py
+++ b/src/greengagewood/internal/cells/boots.py
@@ -134,6 +134,8 @@
     clock_read_ms: int | None = None  # when its clock was last read
     clock_asked_ms: int = 0  # when the call was sent whose answer had that reading
     latest_deadline_ms: int = 0  # the latest deadline that this owner gave it, on its own clock
+    # The same before and with the lease extension whose answer is pending.
+    pending_deadlines_ms: tuple[int, int] | None = None
     earlier_orders_expiry_ms: int = 0  # when orders of earlier owners have certainly expired
     # When orders of this owner have certainly expired that were meant for earlier boots.
     late_orders_expiry_ms: int = 0
@@ -404,6 +406,21 @@
             return None
         return self.clock_ms + (now_ms - self.clock_read_ms) + duration_ms
 
+    def note_extension(self, deadline_ms: int, now_ms: int) -> None:
+        """Record that a lease extension with a deadline on its clock is about to be sent."""
+        latest_ms = max(self.latest_deadline_ms, deadline_ms)
+        self.pending_deadlines_ms = self.latest_deadline_ms, latest_ms
+        self.latest_deadline_ms = latest_ms
+        self.worker.lease_sent_ms = self.lease_pending_ms = now_ms
+
+    def note_extension_not_sent(self) -> None:
+        """Take back the deadline of the pending lease extension, as it was certainly not sent."""
+        if self.pending_deadlines_ms is not None:
+            before_ms, latest_ms = self.pending_deadlines_ms
+            if self.latest_deadline_ms == latest_ms:  # no start has raised it since
+                self.latest_deadline_ms = before_ms
+            self.pending_deadlines_ms = None
+
     def has_passed(self, deadline_ms: int, now_ms: int) -> bool:
         """Return whether a time on the worker's clock has certainly passed."""
         if self.clock_read_ms is None or now_ms < self.clock_read_ms:
--- a/src/greengagewood/internal/cells/cell.py
+++ b/src/greengagewood/internal/cells/cell.py
@@ -235,14 +235,13 @@
         After a call without an answer another boot may receive the next one, whose ends have other
         sequence numbers, so none is acknowledged.
         """
-        deadline = None
+        deadline = boot.pending_deadlines_ms = None
         # What an earlier owner has started may go on unlisted until the boot is adopted.
         may_extend = extend and self.term.registration_stored and not boot.worker.lease_limited
         if boot.adopted and not boot.unresponsive and may_extend:
             deadline = boot.deadline_in(self.term.limits.lease_ms, now_ms)
         if deadline is not None:
-            boot.latest_deadline_ms = max(boot.latest_deadline_ms, deadline)
-            boot.worker.lease_sent_ms = boot.lease_pending_ms = now_ms
+            boot.note_extension(deadline, now_ms)
         return deadline, 0 if boot.lease_call_failed else boot.acknowledged_sequence
 
     def handle_lease_reply(
--- a/tests/cover/test_late_calls.py
+++ b/tests/cover/test_late_calls.py
@@ -433,3 +433,37 @@
         harness.answer_lease("w0")
         assert start_orders(harness.plan(0)) == []
         assert task.run is start.run
+
+
+class TestExtensionsThatWereNotSent:
+    """Lease extensions for which no connection could be opened."""
+
+    def test_the_wait_counts_from_the_last_extension_that_was_sent(self) -> None:
+        """Guards against a wait that each refused connection prolongs."""
+        harness = BootHarness("w0", "w1")
+        harness.submit(LASTING)
+        (start,) = harness.accept_starts()
+        boot = start.boot
+        harness.extend(boot.name)
+        listed = RunningTask(start.run.task.id, start.run.number, "", 100, 0)
+        harness.answer_lease(boot.name, listed)
+        sent_ms = harness.now_ms
+        while start.run.state == "running" and harness.now_ms < sent_ms + RESTART_MS:
+            harness.now_ms += 250
+            harness.extend(boot.name)
+            harness.cell.note_lease_failure(boot, harness.now_ms, was_sent=False)
+            harness.cell.note_confirmed(harness.now_ms)
+            harness.cell.plan(harness.now_ms, harness.now_ms)
+        lease_ms = longest_ms(LIMITS.lease_ms)
+        assert lease_ms < harness.now_ms - sent_ms <= lease_ms + 500
+
+    def test_a_call_without_extension_takes_back_no_earlier_one(self) -> None:
+        """Guards against a second run beside one whose lease goes on."""
+        harness = BootHarness("w0", "w1")
+        boot = harness.cell.boots["w0"]
+        harness.extend("w0")
+        harness.answer_lease("w0")
+        deadline_ms = boot.latest_deadline_ms
+        harness.cell.prepare_lease_extension(boot, harness.now_ms, False)
+        harness.cell.note_lease_failure(boot, harness.now_ms, was_sent=False)
+        assert boot.latest_deadline_ms == deadline_ms > 0
