Keep places for long-running tasks that have lost their runs

Cause: a task was placed only where it fitted at that moment. In a full service narrower tasks take each gap before it is wide enough, and rank before it. A worker that drains had all its long-running tasks stopped if one of them fitted elsewhere. Class: starvation of wide requests by narrow ones, as nothing is reserved.

Change: cells/places.py keeps a place, on one worker each, for the tasks that have lost their runs and fit beside the long-running runs, then for those whose workers drain. Nothing else starts in a place. Other runs in it that remain after 1.5 s, or once the task has been without a run for 4 s, are stopped, those that lose the least work first. A run on a worker that drains is stopped once its own place is free. A task that fits nowhere holds back nothing.

--- a/src/greengagewood/internal/cells/bootlife.py
+++ b/src/greengagewood/internal/cells/bootlife.py
@@ -337,6 +337,8 @@
         for run in lost:
             term.end_run(boot, run, "lost", now_ms)
             answered_ms = boot.last_answer_ms
+            if answered_ms is not None:
+                run.task.idle_since_ms = max(answered_ms, run.accepted_ms or answered_ms)
             term.emit(
                 "run_lost",
                 {
--- a/src/greengagewood/internal/cells/boots.py
+++ b/src/greengagewood/internal/cells/boots.py
@@ -158,7 +158,8 @@
     refusal_backoff_ms: int = 0
     refusals_apply: bool = False  # whether `refused_until_ms` was ahead at the last plan
     best_effort_cpu_millis: int = 0
-    long_running_cpu_millis: int = 0
+    long_running: Resources = field(default_factory=Resources)  # what long-running runs hold of it
+    kept: Resources = field(default_factory=Resources)  # for tasks that have a place, see `places`
     # Forecast slack by serving image, less what best-effort runs take; discarded like `admissions`
     # when the runs or their speeds change.
     remaining_slack: dict[str, float] | None = None
@@ -292,17 +293,27 @@
     def _change_allocation(self, spec: StepSpec, sign: int) -> None:
         self.invalidate_slack()
         if spec.long_running:
-            self.long_running_cpu_millis += sign * spec.cpu_millis
+            self.long_running.add(spec, sign)
         if spec.best_effort:
             self.best_effort_cpu_millis += sign * spec.cpu_millis
         self.allocated.add(spec, sign)
 
     def fits(self, spec: StepSpec) -> bool:
-        """Return whether one task of the step fits into the resources that are not allocated.
+        """Return whether one task of the step fits into the resources that nothing else needs.
 
         The CPU of best-effort tasks is not limited here, but nothing fits a worker that is over its
         capacity or has no CPU.
         """
+        cpu_millis = 0 if spec.best_effort else spec.cpu_millis
+        return (
+            self.has_room(spec)
+            and cpu_millis <= self.free_cpu_millis
+            and spec.memory_mb <= self.free_memory_mb
+            and spec.accelerators <= self.free_accelerators
+        )
+
+    def has_room(self, spec: StepSpec) -> bool:
+        """Return whether one task of the step fits beside the runs, in a place that may be kept."""
         info = self.info
         if spec.cpu_millis and info.cpu_millis <= 0:
             return False
@@ -314,6 +325,21 @@
             and not self.would_refuse(spec, 1)
         )
 
+    @property
+    def free_cpu_millis(self) -> int:
+        """Return the CPU that is neither allocated nor kept; negative if a place is not free."""
+        return self.info.cpu_millis - self.allocated.cpu_millis - self.kept.cpu_millis
+
+    @property
+    def free_memory_mb(self) -> int:
+        """Return the memory that is neither allocated nor kept."""
+        return self.info.memory_mb - self.allocated.memory_mb - self.kept.memory_mb
+
+    @property
+    def free_accelerators(self) -> int:
+        """Return the accelerators that are neither allocated nor kept."""
+        return self.info.accelerators - self.allocated.accelerators - self.kept.accelerators
+
     def would_refuse(self, spec: StepSpec, count: int) -> bool:
         """Return whether the worker has lately refused as much as with more tasks of the step."""
         if not self.refusals_apply:
--- a/src/greengagewood/internal/cells/placement.py
+++ b/src/greengagewood/internal/cells/placement.py
@@ -60,7 +60,7 @@
 
 def idle_cpu_millis(worker: Boot) -> float:
     """Estimate how much CPU of the worker no task uses."""
-    unused_millis = worker.long_running_cpu_millis * (1 - LONG_RUNNING_USE_SHARE)
+    unused_millis = worker.long_running.cpu_millis * (1 - LONG_RUNNING_USE_SHARE)
     return (
         worker.info.cpu_millis
         - worker.allocated.cpu_millis
@@ -204,7 +204,7 @@
         return None
     off_data_rack = float(spec.data_rack not in ("", worker.info.rack))
     # Workers without long-running tasks are kept for images that would disturb those on any other.
-    without_long_running = float(not worker.long_running_cpu_millis)
+    without_long_running = float(not worker.long_running.cpu_millis)
     return (
         float(worker.cold),
         100.0 - admission.speed_percent,
@@ -236,7 +236,7 @@
     """
     if task.last_run_ended_ms:
         return True
-    committed_millis = sum(w.long_running_cpu_millis for w in workers) + task.step.spec.cpu_millis
+    committed_millis = sum(w.long_running.cpu_millis for w in workers) + task.step.spec.cpu_millis
     total_millis = sum(worker.info.cpu_millis for worker in workers)
     return committed_millis <= total_millis * (1 - HEADROOM_SHARE)
 
@@ -300,14 +300,13 @@
     spec = step.spec
     if not worker.fits(spec):  # also if it lacks a resource that the tasks don't request
         return 0
-    info = worker.info
     limits = [spec.task_count]
     if spec.cpu_millis and not spec.best_effort:
-        limits.append((info.cpu_millis - worker.allocated.cpu_millis) // spec.cpu_millis)
+        limits.append(worker.free_cpu_millis // spec.cpu_millis)
     if spec.memory_mb:
-        limits.append((info.memory_mb - worker.allocated.memory_mb) // spec.memory_mb)
+        limits.append(worker.free_memory_mb // spec.memory_mb)
     if spec.accelerators:
-        limits.append((info.accelerators - worker.allocated.accelerators) // spec.accelerators)
+        limits.append(worker.free_accelerators // spec.accelerators)
     if spec.max_per_instance:
         limits.append(spec.max_per_instance - step.runs_by_worker.get(worker.name, 0))
     count = max(0, min(limits))
--- a/src/greengagewood/internal/cells/planner.py
+++ b/src/greengagewood/internal/cells/planner.py
@@ -20,9 +20,11 @@
     is_mostly_uncommitted,
     leaves_headroom,
     make_worker_chooser,
+    meets_constraints,
     place_gang,
     workers_for_trial,
 )
+from greengagewood.internal.cells.places import Places
 from greengagewood.internal.cells.runtimes import RunTimes
 from greengagewood.internal.cells.tails import MIN_SPEED_PERCENT, TailLatencyModel
 from greengagewood.internal.cells.value import JobValues
@@ -118,6 +120,7 @@
         self.run_times = RunTimes()
         self.copies = CopyPolicy(self.run_times)
         self.values = JobValues(book)
+        self.places = Places(book, boots)
         self.queues: dict[str, Queue] = {}
         self.directory_read_ms: int | None = None  # when the last complete read of it was sent
         self.evacuations: Evacuations | None = None  # None until they are known
@@ -276,6 +279,7 @@
             boot.prepare_plan(now_ms)
             if self.may_start_on(boot, now_ms):
                 by_service.setdefault(boot.info.service, []).append(boot)
+        orders.extend(self._place_lost(by_service, max_starts, now_ms))
         last_ms = self._best_effort_placed_ms
         place_best_effort = last_ms is None or now_ms - last_ms >= BEST_EFFORT_INTERVAL_MS
         if place_best_effort:
@@ -324,6 +328,29 @@
                 break
         return orders
 
+    def _place_lost(
+        self, by_service: dict[str, list[Boot]], max_starts: int, now_ms: int
+    ) -> list[Order]:
+        """Start tasks that have lost their runs in their places; keep places for the others."""
+        self.places.update(by_service, lambda step: self.queue_of(step.job), now_ms)
+        if self.places:
+            self.request_replan()
+        orders: list[Order] = []
+        for task, boot in self.places.waiting():
+            queue = self.queue_of(task.step.job)
+            if (
+                len(orders) < max_starts
+                and boot in by_service.get(queue.service, ())
+                and boot.has_room(task.step.spec)
+                and meets_constraints(boot, task.step)
+                and task.not_before_ms <= now_ms
+                and self._start_window_ms(queue, now_ms) >= MIN_START_WINDOW_MS
+                and self._may_start(task.step.job)
+            ):
+                self.places.give_up(task)
+                orders.append(self._start(task, boot, now_ms, task.start_count + 1))
+        return orders
+
     def _count_undisturbed(self, by_service: dict[str, list[Boot]], now_ms: int) -> None:
         if self._counted_ms is not None and now_ms - self._counted_ms < COUNT_INTERVAL_MS:
             return
--- a/src/greengagewood/internal/cells/stops.py
+++ b/src/greengagewood/internal/cells/stops.py
@@ -92,6 +92,7 @@
         due: list[_DueStop] = []
         due_on_silent: list[_DueStop] = []
         open_stops = open_to_silent = 0
+        making_room = self._planner.places.runs_to_stop(now_ms)
         for boot in self._boots.values():
             if boot.unresponsive:
                 open_to_silent += sum(_open_stops(run, now_ms) for run in boot.runs.values())
@@ -102,6 +103,8 @@
             for run in boot.runs.values():
                 open_stops += _open_stops(run, now_ms)
                 reason = self._stop_reason(boot, run, now_ms)
+                if not reason and run in making_room:
+                    reason = "makes_room"
                 if not reason or not _may_send_stop(run, now_ms):
                     continue
                 if reason in BULK_REASONS:
@@ -167,11 +170,7 @@
             return "stands_still"
         if self._should_move(boot, run, now_ms):
             return "moves"
-        if (
-            boot.info.draining
-            and run.task.step.spec.long_running
-            and self._fits_elsewhere(run, now_ms)
-        ):
+        if boot.info.draining and self._planner.places.may_move(run):
             return "worker_leaves"
         return ""
 
@@ -229,13 +228,6 @@
             self._full_speed[key] = tuple(islice(found, 2))
         return self._full_speed[key]
 
-    def _fits_elsewhere(self, run: Run, now_ms: int) -> bool:
-        return any(
-            self._planner.may_start_on(other, now_ms) and other.fits(run.task.step.spec)
-            for other in self._boots.values()
-            if other.info.service == self._planner.queue_of(run.task.step.job).service
-        )
-
 
 def _open_stops(run: Run, now_ms: int) -> int:
     """Return how many calls to stop a run have not ended."""
--- a/src/greengagewood/internal/jobs/book.py
+++ b/src/greengagewood/internal/jobs/book.py
@@ -104,7 +104,8 @@
     start_count: int = 0  # starts by this owner
     failed_workers: tuple[str, ...] = ()
     not_before_ms: int = 0
-    last_run_ended_ms: int = 0  # 0 if no run is known to have ended
+    last_run_ended_ms: int = 0  # when it was known that its last run has ended; 0 without one
+    idle_since_ms: int = 0  # the same, or earlier if the worker may have ended the run before
     crashes: tuple[PlacedRun, ...] = ()  # the runs that may have crashed their worker
     trial: PlacedRun | None = None  # the run that may crash its worker now
     late_start: Run | None = None  # an unanswered start that binds it to one boot, see `latestarts`
@@ -363,7 +364,7 @@
         if task.maybe_running:
             task.maybe_running = False
             if task.step.job.maybe_started:
-                task.last_run_ended_ms = now_ms  # it may have run until now
+                task.last_run_ended_ms = task.idle_since_ms = now_ms  # it may have run until now
             self.maybe_running_tasks.pop(task, None)
             self.mark_waiting(task)
 
@@ -419,7 +420,7 @@
         else:
             return
         task.step.job.active_run_count -= 1
-        task.last_run_ended_ms = now_ms
+        task.last_run_ended_ms = task.idle_since_ms = now_ms
         for counts, key in (
             (task.step.runs_by_worker, run.worker_id),
             (task.step.runs_by_rack, run.rack),
--- a/tests/common/eventorder.py
+++ b/tests/common/eventorder.py
@@ -945,7 +945,7 @@
             if (allocated, shared_cpu_millis["best_effort"], shared_cpu_millis["long_running"]) != (
                 worker.allocated,
                 worker.best_effort_cpu_millis,
-                worker.long_running_cpu_millis,
+                worker.long_running.cpu_millis,
             ):
                 raise Violation(f"the allocation of {worker.name} is not that of its runs")
 
