Read the directory more often while long-running tasks wait for room

So the room that is left is that of workers that the owner does not know yet: one registers each 0.5 to 1 s, and the directory was read each 0.5 s.

Change: it is read each 0.15 s while a task that has lost its run has no place, as Places.is_short tells.

--- a/src/greengagewood/internal/cells/runner.py
+++ b/src/greengagewood/internal/cells/runner.py
@@ -68,6 +68,8 @@
 # The usual wait is shorter, as changes are stored every COMMIT_INTERVAL_S.
 MAX_STORE_WAIT_S = 0.16
 DIRECTORY_INTERVAL_S = 0.5
+# While long-running tasks wait for room, which new workers bring.
+SHORT_DIRECTORY_INTERVAL_S = 0.15
 MAX_PLAN_INTERVAL_S = 0.05
 MIN_PLAN_INTERVAL_S = 0.01  # so that run ends that arrive together lead to one plan
 COMMIT_INTERVAL_S = 0.15
@@ -405,7 +407,8 @@
             self._metrics.gauge("evacuated_workers", self.cell.evacuated_worker_count)
             self._plan_wakeup.set()
         self._update_lease_tasks()  # without the directory, too: for the recorded workers
-        await asyncio.sleep(DIRECTORY_INTERVAL_S)
+        is_short = self.cell.planner.places.is_short
+        await asyncio.sleep(SHORT_DIRECTORY_INTERVAL_S if is_short else DIRECTORY_INTERVAL_S)
 
     def _update_lease_tasks(self) -> None:
         """Run one loop for each current worker, to extend its lease."""
