Mend what the review of places and unsent extensions found

Shown by its tests, which are in test_places.py and test_late_calls.py now, and failed on:

- TWICE: an extension that was not sent took back the deadline of a start sent meanwhile, as the start's deadline is the earlier one.
Starts raise the deadline that is kept for that case.
A task with such a start gets a place only where it may run.
- LOST: a place was kept beside a gang, which is never stopped for it.
- LOST: tasks without places (advice, best effort, no CPU) did not leave a worker that drains.
They do if they fit elsewhere, one for each worker and scan.
- Runs were stopped while nothing could be started.
- The same runs were stopped again and again.
Those of the lowest priority go first, then those of tasks that were started least often.
- One start more than the window allowed.

test_room.py gets a test by Hypothesis: no task waits for over 3 s while there is a place for it beside long-running tasks, and no place is kept that no task needs.

--- a/src/greengagewood/internal/cells/boots.py
+++ b/src/greengagewood/internal/cells/boots.py
@@ -34,6 +34,7 @@
     "Resources",
     "Worker",
     "longest_ms",
+    "outlasts_places",
 ]
 
 UNRESPONSIVE_AFTER_MS = 1_500  # no run is started on a worker that has not answered for longer
@@ -95,6 +96,11 @@
     expiry_ms: int
 
 
+def outlasts_places(spec: StepSpec) -> bool:
+    """Return whether a run is not stopped for the sake of another task, see `places`."""
+    return spec.long_running or spec.gang
+
+
 def longest_ms(duration_ms: int) -> int:
     """Return how long a duration on the slowest clock of a worker takes on the owner's."""
     return math.ceil(duration_ms / MIN_CLOCK_RATE)
@@ -134,8 +140,8 @@
     clock_read_ms: int | None = None  # when its clock was last read
     clock_asked_ms: int = 0  # when the call was sent whose answer had that reading
     latest_deadline_ms: int = 0  # the latest deadline that this owner gave it, on its own clock
-    # The same before and with the lease extension whose answer is pending.
-    pending_deadlines_ms: tuple[int, int] | None = None
+    # The same without the lease extension whose answer is pending.
+    deadline_if_not_sent_ms: int | None = None
     earlier_orders_expiry_ms: int = 0  # when orders of earlier owners have certainly expired
     # When orders of this owner have certainly expired that were meant for earlier boots.
     late_orders_expiry_ms: int = 0
@@ -160,6 +166,7 @@
     best_effort_cpu_millis: int = 0
     long_running: Resources = field(default_factory=Resources)  # what long-running runs hold of it
     kept: Resources = field(default_factory=Resources)  # for tasks that have a place, see `places`
+    lasting: Resources = field(default_factory=Resources)  # of runs that no place makes way
     # Forecast slack by serving image, less what best-effort runs take; discarded like `admissions`
     # when the runs or their speeds change.
     remaining_slack: dict[str, float] | None = None
@@ -294,6 +301,8 @@
         self.invalidate_slack()
         if spec.long_running:
             self.long_running.add(spec, sign)
+        if outlasts_places(spec):
+            self.lasting.add(spec, sign)
         if spec.best_effort:
             self.best_effort_cpu_millis += sign * spec.cpu_millis
         self.allocated.add(spec, sign)
@@ -434,18 +443,22 @@
 
     def note_extension(self, deadline_ms: int, now_ms: int) -> None:
         """Record that a lease extension with a deadline on its clock is about to be sent."""
-        latest_ms = max(self.latest_deadline_ms, deadline_ms)
-        self.pending_deadlines_ms = self.latest_deadline_ms, latest_ms
-        self.latest_deadline_ms = latest_ms
+        self.deadline_if_not_sent_ms = self.latest_deadline_ms
+        self.latest_deadline_ms = max(self.latest_deadline_ms, deadline_ms)
         self.worker.lease_sent_ms = self.lease_pending_ms = now_ms
 
+    def note_start(self, deadline_ms: int, now_ms: int) -> None:
+        """Record that a start with a deadline on its clock is about to be sent."""
+        self.latest_deadline_ms = max(self.latest_deadline_ms, deadline_ms)
+        if self.deadline_if_not_sent_ms is not None:
+            self.deadline_if_not_sent_ms = max(self.deadline_if_not_sent_ms, deadline_ms)
+        self.worker.lease_sent_ms = now_ms
+
     def note_extension_not_sent(self) -> None:
         """Take back the deadline of the pending lease extension, as it was certainly not sent."""
-        if self.pending_deadlines_ms is not None:
-            before_ms, latest_ms = self.pending_deadlines_ms
-            if self.latest_deadline_ms == latest_ms:  # no start has raised it since
-                self.latest_deadline_ms = before_ms
-            self.pending_deadlines_ms = None
+        if self.deadline_if_not_sent_ms is not None:
+            self.latest_deadline_ms = self.deadline_if_not_sent_ms
+            self.deadline_if_not_sent_ms = None
 
     def has_passed(self, deadline_ms: int, now_ms: int) -> bool:
         """Return whether a time on the worker's clock has certainly passed."""
--- a/src/greengagewood/internal/cells/cell.py
+++ b/src/greengagewood/internal/cells/cell.py
@@ -235,7 +235,7 @@
         After a call without an answer another boot may receive the next one, whose ends have other
         sequence numbers, so none is acknowledged.
         """
-        deadline = boot.pending_deadlines_ms = None
+        deadline = boot.deadline_if_not_sent_ms = None
         # What an earlier owner has started may go on unlisted until the boot is adopted.
         may_extend = extend and self.term.registration_stored and not boot.worker.lease_limited
         if boot.adopted and not boot.unresponsive and may_extend:
--- a/src/greengagewood/internal/cells/places.py
+++ b/src/greengagewood/internal/cells/places.py
@@ -12,18 +12,23 @@
 
 from __future__ import annotations
 
+from bisect import bisect_left, insort
 from collections import Counter
-from collections.abc import Callable, Iterable, Iterator, Mapping, Sequence
+from collections.abc import Callable, Iterator, Mapping, Sequence
 from dataclasses import dataclass
+from itertools import islice
 
-from greengagewood.internal.cells.boots import Boot, Resources
+from greengagewood.internal.cells.boots import Boot, Resources, outlasts_places
 from greengagewood.internal.cells.placement import meets_constraints
 from greengagewood.internal.jobs.book import JobBook, Run, Step, Task
 from greengagewood.internal.jobs.model import Queue, StepSpec
 
-__all__ = ["Places"]
+__all__ = ["Places", "needs_place"]
 
 UPDATE_INTERVAL_MS = 50
+MAX_CANDIDATES = 24  # workers that are compared for one place, the tightest fits first
+MAX_PLACED = 64  # tasks for which one update seeks a place; the next goes on
+MAX_MOVES = 16  # places that are not free for which one update seeks a free one
 # Other runs in a place are stopped once it was kept for the first time, or the task was without a
 # run for the second. The platform allows 9 s without a run, of which 6.2 s may pass until the end
 # of a run is known, and 3 s while there is a place.
@@ -50,6 +55,7 @@
         self._boots = boots
         self._places: dict[Task, _Place] = {}
         self._updated_ms: int | None = None
+        self.is_short = False  # whether a task that has lost its run has no place
 
     def __len__(self) -> int:
         return len(self._places)
@@ -59,10 +65,10 @@
         place = self._places.get(task)
         return place.boot if place is not None else None
 
-    def may_move(self, run: Run) -> bool:
+    def is_free_for(self, run: Run) -> bool:
         """Return whether the task of a run has a free place, beside those that others move to."""
         place = self._places.get(run.task)
-        if place is None or place.boot is run.boot:
+        if place is None:
             return False
         boot = place.boot
         awaited = Resources()
@@ -99,56 +105,93 @@
         waiting = list(self._waiting_tasks(queue_of))
         wanted = dict.fromkeys((*waiting, *self._leaving_tasks(queue_of)))
         usable = {boot for boots in by_service.values() for boot in boots}
-        is_short = any(task not in self._places for task in waiting)
+        self.is_short = any(task not in self._places for task in waiting)
         for task, place in list(self._places.items()):
             if (
                 task not in wanted
                 or place.boot not in usable
                 or not _holds(place)
-                or (is_short and not _is_awaited(place))
+                or (self.is_short and not _is_awaited(place))
             ):
                 self.give_up(task)
-        unplaceable: dict[str, list[StepSpec]] = {}
+        needy: dict[str, list[Task]] = {}
+        for task in wanted:
+            held = self._places.get(task)
+            if held is None or not held.free:
+                needy.setdefault(queue_of(task.step).service, []).append(task)
+        for service, tasks in needy.items():
+            self._place_all(tasks, by_service.get(service, ()), now_ms)
+        self.is_short = any(task not in self._places for task in waiting)
+
+    def _place_all(self, tasks: list[Task], boots: Sequence[Boot], now_ms: int) -> None:
+        """Keep places for tasks of one service that have none, or none that is free."""
         counts = Counter((place.boot, task.step) for task, place in self._places.items())
-        for task in sorted(wanted, key=_order):
+        rooms = _Rooms(boots, _room_millis)
+        free = _Rooms(boots, lambda boot: boot.free_cpu_millis)
+        unplaceable: list[StepSpec] = []
+        unplaceable_steps: set[Step] = set()
+        placed = moved = 0
+        for task in sorted(tasks, key=_order):
             spec = task.step.spec
-            service = queue_of(task.step).service
-            if any(_reaches(spec, other) for other in unplaceable.get(service, ())):
-                continue
             former = self._places.get(task)
-            if former is not None and former.free:
-                continue
-            boot = _best_boot(task, by_service.get(service, ()), counts, former)
-            if boot is None:
-                if former is None and not spec.max_per_instance and not spec.required_label:
-                    unplaceable.setdefault(service, []).append(spec)
-                continue
-            if former is not None:
-                counts[former.boot, task.step] -= 1
-                self.give_up(task)
-            self._places[task] = _Place(task, boot, now_ms)
-            counts[boot, task.step] += 1
-            boot.kept.add(spec)
+            if former is None:
+                if any(_reaches(spec, other) for other in unplaceable):
+                    continue
+                if task.step in unplaceable_steps and task.late_start is None:
+                    continue
+                boot = _best_boot(task, rooms, counts)
+                if boot is None and task.late_start is None:
+                    unplaceable_steps.add(task.step)
+                    if not spec.max_per_instance and not spec.required_label:
+                        unplaceable = [other for other in unplaceable if not _reaches(other, spec)]
+                        unplaceable.append(spec)
+                placed += boot is not None
+            else:
+                moved += 1
+                boot = _best_boot(task, free, counts) if moved <= MAX_MOVES else None
+                if boot is not None and (boot is former.boot or not boot.fits(spec)):
+                    boot = None
+            if boot is not None:
+                if former is not None:
+                    counts[former.boot, task.step] -= 1
+                    self.give_up(task)
+                self._places[task] = _Place(task, boot, now_ms)
+                counts[boot, task.step] += 1
+                boot.kept.add(spec)
+                rooms.update(boot)
+                free.update(boot)
+            if placed >= MAX_PLACED:
+                break
 
     def _waiting_tasks(self, queue_of: Callable[[Step], Queue]) -> Iterator[Task]:
         """Yield the tasks that have lost their runs and may be started anywhere."""
         for step in self._book.waiting_steps:
-            if _needs_place(step, queue_of):
+            if needs_place(step, queue_of(step)):
                 for task in step.waiting_tasks:
-                    if task.last_run_ended_ms and not task.crashes and task.late_start is None:
+                    if task.last_run_ended_ms and not task.crashes:
                         yield task
 
     def _leaving_tasks(self, queue_of: Callable[[Step], Queue]) -> Iterator[Task]:
         """Yield the tasks whose workers drain."""
         for boot in self._boots.values():
-            if not boot.info.draining or not boot.long_running.cpu_millis:
+            if not boot.info.draining:
                 continue
             for run in boot.runs.values():
                 task = run.task
-                if task.run is run and not task.end_state and _needs_place(task.step, queue_of):
+                if (
+                    task.run is run
+                    and run.state in ("running", "stopping")
+                    and not task.end_state
+                    and needs_place(task.step, queue_of(task.step))
+                ):
                     yield task
 
-    def runs_to_stop(self, now_ms: int) -> set[Run]:
+    def runs_to_stop(
+        self,
+        may_start_on: Callable[[Boot], bool],
+        queue_of: Callable[[Step], Queue],
+        now_ms: int,
+    ) -> set[Run]:
         """Return the runs to stop, so that the places that are due become free."""
         due: dict[Boot, list[_Place]] = {}
         for task, place in self._places.items():
@@ -156,7 +199,12 @@
                 due_ms = min(place.since_ms + LONGEST_KEPT_MS, task.idle_since_ms + LONGEST_IDLE_MS)
                 if now_ms >= due_ms:
                     due.setdefault(place.boot, []).append(place)
-        return {run for boot, places in due.items() for run in _runs_in(boot, places, now_ms)}
+        return {
+            run
+            for boot, places in due.items()
+            if may_start_on(boot)
+            for run in _runs_in(boot, places, queue_of, now_ms)
+        }
 
 
 def _is_awaited(place: _Place) -> bool:
@@ -165,7 +213,7 @@
     return run is None or run.state == "stopping"
 
 
-def _needs_place(step: Step, queue_of: Callable[[Step], Queue]) -> bool:
+def needs_place(step: Step, queue: Queue) -> bool:
     """Return whether places are kept for the tasks of a step.
 
     They are not where the advice service decides on the workers, nor for gangs.
@@ -173,7 +221,7 @@
     spec = step.spec
     if not spec.long_running or spec.best_effort or spec.gang or step.job.is_final:
         return False
-    return not queue_of(step).decision_ms
+    return not queue.decision_ms
 
 
 def _order(task: Task) -> tuple[bool, int, int, int]:
@@ -191,13 +239,20 @@
 
 
 def _holds(place: _Place) -> bool:
-    """Return whether the task still fits its place beside the long-running runs."""
+    """Return whether the task still fits its place beside the runs that are not stopped for it."""
     boot = place.boot
-    return _is_within(boot, boot.long_running, boot.kept) and meets_constraints(
-        boot, place.task.step
+    return (
+        _is_within(boot, boot.lasting, boot.kept)
+        and boot.may_start(place.task)
+        and meets_constraints(boot, place.task.step)
     )
 
 
+def _room_millis(boot: Boot) -> int:
+    """Return the CPU that neither a place nor a run needs that is not stopped for one."""
+    return boot.info.cpu_millis - boot.lasting.cpu_millis - boot.kept.cpu_millis
+
+
 def _is_within(boot: Boot, *amounts: Resources) -> bool:
     """Return whether a worker has as much as some amounts together."""
     info = boot.info
@@ -208,42 +263,59 @@
     )
 
 
-def _best_boot(
-    task: Task, boots: Iterable[Boot], counts: Counter[tuple[Boot, Step]], place: _Place | None
-) -> Boot | None:
-    """Return the boot where the least must become free for the task, the tightest one first.
+class _Rooms:
+    """Boots in the order of an amount of CPU that they have."""
 
-    A task that has a place gets another only where all of it is free.
-    """
+    def __init__(self, boots: Sequence[Boot], room_of: Callable[[Boot], int]) -> None:
+        self._room_of = room_of
+        self._order = sorted((room_of(boot), number) for number, boot in enumerate(boots))
+        self._entries = {boots[number]: (room, number) for room, number in self._order}
+        self._boots = boots
+
+    def at_least(self, millis: int) -> Iterator[Boot]:
+        """Yield the boots that have so much, the tightest first."""
+        for index in range(bisect_left(self._order, (millis, 0)), len(self._order)):
+            yield self._boots[self._order[index][1]]
+
+    def update(self, boot: Boot) -> None:
+        """Put a boot in its place again after its room has changed."""
+        entry = self._entries[boot]
+        del self._order[bisect_left(self._order, entry)]
+        self._entries[boot] = entry = self._room_of(boot), entry[1]
+        insort(self._order, entry)
+
+
+def _best_boot(task: Task, rooms: _Rooms, counts: Counter[tuple[Boot, Step]]) -> Boot | None:
+    """Return the boot where the least must become free for the task, of the tightest ones."""
     step = task.step
     spec = step.spec
     need = Resources()
     need.add(spec)
-    best: tuple[int, int, Boot] | None = None
-    for boot in boots:
-        if place is not None and (place.boot is boot or not boot.fits(spec)):
-            continue
-        left_millis = boot.info.cpu_millis - boot.long_running.cpu_millis - boot.kept.cpu_millis
-        if left_millis < spec.cpu_millis:
-            continue
-        used_millis = boot.allocated.cpu_millis + boot.kept.cpu_millis + spec.cpu_millis
-        missing_millis = max(0, used_millis - boot.info.cpu_millis)
-        if best is not None and (missing_millis, left_millis) >= best[:2]:
-            continue
-        if not _is_within(boot, boot.long_running, boot.kept, need):
-            continue
-        kept_here = counts[boot, step]
-        if not meets_constraints(boot, step) or (
-            spec.max_per_instance
-            and step.runs_by_worker.get(boot.name, 0) + kept_here >= spec.max_per_instance
-        ):
-            continue
-        best = missing_millis, left_millis, boot
-    return best[2] if best is not None else None
 
+    def is_eligible(boot: Boot) -> bool:
+        limit = spec.max_per_instance
+        return (
+            _is_within(boot, boot.lasting, boot.kept, need)
+            and boot.may_start(task)
+            and meets_constraints(boot, step)
+            and not (limit and step.runs_by_worker.get(boot.name, 0) + counts[boot, step] >= limit)
+        )
 
-def _runs_in(boot: Boot, places: Sequence[_Place], now_ms: int) -> list[Run]:
-    """Return the runs to stop for some places on a worker: those that lose the least work."""
+    def missing_millis(boot: Boot) -> int:
+        return max(0, spec.cpu_millis - boot.free_cpu_millis)
+
+    eligible = filter(is_eligible, rooms.at_least(spec.cpu_millis))
+    return min(islice(eligible, MAX_CANDIDATES), key=missing_millis, default=None)
+
+
+def _runs_in(
+    boot: Boot, places: Sequence[_Place], queue_of: Callable[[Step], Queue], now_ms: int
+) -> list[Run]:
+    """Return the runs to stop for some places on a worker.
+
+    Those of the lowest priority come first, then those of tasks that were started least often, so
+    that none is stopped again and again, then those that lose the least work.
+    """
     over = Resources(
         boot.allocated.cpu_millis - boot.info.cpu_millis,
         boot.allocated.memory_mb - boot.info.memory_mb,
@@ -256,15 +328,17 @@
         spec = run.task.step.spec
         if run.state == "stopping":
             over.add(spec, -1)
-        elif run.state == "running" and not spec.long_running and not spec.gang:
+        elif run.state == "running" and not outlasts_places(spec):
             candidates.append(run)
 
-    def lost_work(run: Run) -> tuple[bool, int]:
+    def cost(run: Run) -> tuple[int, int, bool, int]:
+        step = run.task.step
         elapsed_ms = now_ms - (run.accepted_ms or now_ms)
-        return not run.task.step.spec.checkpointing, elapsed_ms
+        priority = queue_of(step).priority
+        return -priority, run.task.start_count, not step.spec.checkpointing, elapsed_ms
 
     stops = []
-    for run in sorted(candidates, key=lost_work):
+    for run in sorted(candidates, key=cost):
         spec = run.task.step.spec
         if (
             (over.cpu_millis > 0 and spec.cpu_millis and not spec.best_effort)
--- a/src/greengagewood/internal/cells/planner.py
+++ b/src/greengagewood/internal/cells/planner.py
@@ -29,7 +29,7 @@
 from greengagewood.internal.cells.tails import MIN_SPEED_PERCENT, TailLatencyModel
 from greengagewood.internal.cells.value import JobValues
 from greengagewood.internal.evacuation import Evacuations
-from greengagewood.internal.jobs.book import Job, JobBook, Step, Task
+from greengagewood.internal.jobs.book import Job, JobBook, Run, Step, Task
 from greengagewood.internal.jobs.model import Queue, StepSpec
 from greengagewood.internal.ports import Permit
 
@@ -312,6 +312,9 @@
             return step_rank[0], few_starts and step not in starving_steps, step_rank
 
         for step in sorted(steps, key=rank):
+            if len(orders) >= max_starts:
+                self.request_replan()
+                break
             queue = self.queue_of(step.job)
             boots = by_service.get(queue.service, [])
             starving = step in starving_steps
@@ -323,16 +326,13 @@
             orders.extend(step_orders)
             if unplaced and not starving:
                 unplaceable.add(queue.service, step)
-            if len(orders) >= max_starts:
-                self.request_replan()
-                break
         return orders
 
     def _place_lost(
         self, by_service: dict[str, list[Boot]], max_starts: int, now_ms: int
     ) -> list[Order]:
         """Start tasks that have lost their runs in their places; keep places for the others."""
-        self.places.update(by_service, lambda step: self.queue_of(step.job), now_ms)
+        self.places.update(by_service, self._queue_of_step, now_ms)
         if self.places:
             self.request_replan()
         orders: list[Order] = []
@@ -342,6 +342,8 @@
                 len(orders) < max_starts
                 and boot in by_service.get(queue.service, ())
                 and boot.has_room(task.step.spec)
+                and boot.may_start(task)
+                and not task.crashes
                 and meets_constraints(boot, task.step)
                 and task.not_before_ms <= now_ms
                 and self._start_window_ms(queue, now_ms) >= MIN_START_WINDOW_MS
@@ -351,6 +353,26 @@
                 orders.append(self._start(task, boot, now_ms, task.start_count + 1))
         return orders
 
+    def may_move(self, run: Run, now_ms: int) -> bool:
+        """Return whether a run may be stopped, as its task can be started in its place at once."""
+        boot = self.places.boot_of(run.task)
+        return (
+            boot is not None
+            and self.may_start_on(boot, now_ms)
+            and self._start_window_ms(self.queue_of(run.task.step.job), now_ms)
+            >= MIN_START_WINDOW_MS
+            and self.places.is_free_for(run)
+        )
+
+    def runs_to_stop(self, now_ms: int) -> set[Run]:
+        """Return the runs that hold places which must become free now."""
+        return self.places.runs_to_stop(
+            lambda boot: self.may_start_on(boot, now_ms), self._queue_of_step, now_ms
+        )
+
+    def _queue_of_step(self, step: Step) -> Queue:
+        return self.queue_of(step.job)
+
     def _count_undisturbed(self, by_service: dict[str, list[Boot]], now_ms: int) -> None:
         if self._counted_ms is not None and now_ms - self._counted_ms < COUNT_INTERVAL_MS:
             return
@@ -578,7 +600,6 @@
             self._book.note_trial(task, boot.placed_run(run))
         if task.crashes and not task.step.spec.gang:
             boot.trial = run
-        boot.latest_deadline_ms = max(boot.latest_deadline_ms, deadline)
-        boot.worker.lease_sent_ms = now_ms
+        boot.note_start(deadline, now_ms)
         payload = task.step.job.submission.spec.payload
         return StartRun(boot, run, payload, deadline, task.checkpoint)
--- a/src/greengagewood/internal/cells/stops.py
+++ b/src/greengagewood/internal/cells/stops.py
@@ -30,6 +30,8 @@
 
 from greengagewood.internal.cells.boots import Boot
 from greengagewood.internal.cells.orders import StopRun
+from greengagewood.internal.cells.placement import meets_constraints
+from greengagewood.internal.cells.places import needs_place
 from greengagewood.internal.cells.planner import Planner
 from greengagewood.internal.jobs.book import Run
 from greengagewood.internal.jobs.records import TaskId
@@ -67,6 +69,7 @@
         self._held_back = False  # whether stops wait for others to end
         # By service, image and size of a best-effort task, during one scan.
         self._full_speed: dict[tuple[str, str, int, int, int], tuple[Boot, ...]] = {}
+        self._destinations: set[Boot] = set()  # that runs without places move to, during one scan
         # When a run of an unknown task was last sent a stop, by worker, task and run number.
         self._unknown_run_stop_sent_ms: dict[tuple[str, TaskId, int], int] = {}
 
@@ -88,11 +91,12 @@
         """Scan for runs to stop; return the stops to send now."""
         self._last_scan_ms = now_ms
         self._full_speed.clear()
+        self._destinations.clear()
         orders: list[StopRun] = []
         due: list[_DueStop] = []
         due_on_silent: list[_DueStop] = []
         open_stops = open_to_silent = 0
-        making_room = self._planner.places.runs_to_stop(now_ms)
+        making_room = self._planner.runs_to_stop(now_ms)
         for boot in self._boots.values():
             if boot.unresponsive:
                 open_to_silent += sum(_open_stops(run, now_ms) for run in boot.runs.values())
@@ -170,10 +174,31 @@
             return "stands_still"
         if self._should_move(boot, run, now_ms):
             return "moves"
-        if boot.info.draining and self._planner.places.may_move(run):
-            return "worker_leaves"
+        if boot.info.draining and run.task.step.spec.long_running:
+            return "worker_leaves" if self._may_leave(run, now_ms) else ""
         return ""
 
+    def _may_leave(self, run: Run, now_ms: int) -> bool:
+        """Return whether the task of a run on a worker that drains can be started elsewhere.
+
+        Where no places are kept, one scan counts on each worker once.
+        """
+        step = run.task.step
+        queue = self._planner.queue_of(step.job)
+        if needs_place(step, queue):
+            return self._planner.may_move(run, now_ms)
+        for boot in self._boots.values():
+            if (
+                boot.info.service == queue.service
+                and boot not in self._destinations
+                and self._planner.may_start_on(boot, now_ms)
+                and boot.fits(step.spec)
+                and meets_constraints(boot, step)
+            ):
+                self._destinations.add(boot)
+                return True
+        return False
+
     def _is_stuck(self, run: Run) -> bool:
         """Return whether the worker has listed a run for long without any progress.
 
--- a/tests/common/eventorder.py
+++ b/tests/common/eventorder.py
@@ -643,7 +643,8 @@
             elif isinstance(reply, LeaseReply):
                 self._issue(owner, cell.handle_lease_reply(worker, reply, call.sent_ms, now_ms))
             elif reply != "fence":
-                cell.note_lease_failure(worker, now_ms)
+                never_carried_out = call.arrived and call.clock_ms is None
+                cell.note_lease_failure(worker, now_ms, was_sent=not never_carried_out)
         elif reply == "wrong_boot":
             cell.note_wrong_boot(worker, now_ms, call.info.address)
             if isinstance(order, StartRun):
--- a/tests/cover/test_late_calls.py
+++ b/tests/cover/test_late_calls.py
@@ -457,6 +457,17 @@
         lease_ms = longest_ms(LIMITS.lease_ms)
         assert lease_ms < harness.now_ms - sent_ms <= lease_ms + 500
 
+    def test_the_lease_of_a_start_that_was_sent_meanwhile_counts(self) -> None:
+        """Guards against a second run beside one whose start has extended the lease."""
+        harness = BootHarness("w0", "w1")
+        for name in harness.worker_infos:
+            harness.answer_lease(name)
+            harness.extend(name)
+        harness.submit(LASTING)
+        (start,) = harness.accept_starts()
+        harness.cell.note_lease_failure(start.boot, harness.now_ms, was_sent=False)
+        assert start.boot.latest_deadline_ms >= start.deadline_ms
+
     def test_a_call_without_extension_takes_back_no_earlier_one(self) -> None:
         """Guards against a second run beside one whose lease goes on."""
         harness = BootHarness("w0", "w1")
--- /dev/null
+++ b/tests/cover/test_places.py
@@ -0,0 +1,229 @@
+"""Places that are kept for long-running tasks: what they must not do, and what they cost."""
+
+from __future__ import annotations
+
+import dataclasses
+import time
+from collections import Counter
+
+import pytest
+from msgspec.structs import replace
+
+from greengagewood.internal.cells.orders import RequestAdvice, StartRun, StopRun
+from greengagewood.internal.jobs.book import Task
+from greengagewood.internal.jobs.model import Queue, StepSpec
+from greengagewood.internal.ports import Permit, RunEnd, RunningTask
+from tests.common.desk import QUEUE, CellHarness, start_orders
+
+LASTING = StepSpec(1, cpu_millis=1_000, long_running=True)
+JOB = "0" * 16
+OTHER_JOB = "f" * 16
+LONGEST_WAIT_MS = 9_000
+LONGEST_UPDATE_MS = 50
+
+
+def _answer(harness: CellHarness, *names: str) -> None:
+    """Let workers list their runs."""
+    for name in names or harness.worker_infos:
+        runs = [run for run in harness.cell.boots[name].runs.values() if run.accepted_ms]
+        harness.answer_lease(name, *(RunningTask(r.task.id, r.number, "", 100, 0) for r in runs))
+
+
+def _drain(harness: CellHarness, name: str) -> None:
+    infos = harness.worker_infos
+    infos[name] = dataclasses.replace(infos[name], draining=True)
+    harness.cell.set_workers(infos, harness.now_ms)
+
+
+def _lose(harness: CellHarness, spec: StepSpec, job: str = JOB) -> Task:
+    """Add a task that has just lost its run."""
+    harness.submit(spec, job=job)
+    task = harness.cell.book.jobs[job].occurrences[0][0].tasks[0]
+    task.last_run_ended_ms = task.idle_since_ms = harness.now_ms
+    return task
+
+
+def _fill(harness: CellHarness, count: int, cpu_millis: int) -> None:
+    for number in range(count):
+        spec = StepSpec(1, cpu_millis=cpu_millis, estimate_ms=90_000)
+        harness.submit(spec, job=f"{number + 1:016x}")
+    _answer(harness)
+    assert len(harness.start()) >= count
+
+
+def _wait_of(harness: CellHarness, task: Task, unanswered: int = 0) -> int:
+    """Return how long a task has no run; its first `unanswered` starts get no answer."""
+    since_ms = harness.now_ms
+    sequences: Counter[str] = Counter()
+    stops: list[StopRun] = []
+    lost: list[tuple[StartRun, int]] = []
+    progress = 1
+    while harness.now_ms - since_ms <= LONGEST_WAIT_MS:
+        progress = progress % 98 + 1
+        for name, boot in harness.cell.boots.items():
+            ends = []
+            for order in stops:
+                if order.boot is boot and order.run is not None and order.run.state == "stopping":
+                    sequences[name] += 1
+                    end = (sequences[name], order.task_id, order.run_number, "stopped", "")
+                    ends.append(RunEnd(*end))
+            over = {end.task_id for end in ends}
+            runs = [r for r in boot.runs.values() if r.accepted_ms and r.task.id not in over]
+            listed = [RunningTask(r.task.id, r.number, "", progress, 0) for r in runs]
+            harness.answer_lease(name, *listed, ends=tuple(ends))
+        for start, sent_ms in list(lost):
+            if harness.now_ms - sent_ms >= 1_000:
+                harness.cell.note_start_unanswered(start.run, harness.now_ms)
+                lost.remove((start, sent_ms))
+        harness.read_orders()
+        stops = []
+        for order in harness.plan(60):
+            if isinstance(order, StopRun):
+                stops.append(order)
+                if order.run is not None and order.run.state == "unconfirmed":
+                    harness.accept_stop(order.run)
+            elif isinstance(order, StartRun) and order.run.task is task and unanswered:
+                unanswered -= 1
+                lost.append((order, harness.now_ms))
+            elif isinstance(order, StartRun):
+                harness.cell.handle_start_reply(order.boot, order.run, "", harness.now_ms)
+        if task.run is not None and task.run.accepted_ms is not None:
+            break
+    return harness.now_ms - since_ms
+
+
+class TestStarts:
+    """Guard against starts that no other road to a start allows."""
+
+    def test_a_place_does_not_bypass_a_late_start(self) -> None:
+        harness = CellHarness("w0", "w1", "w2")
+        harness.submit(LASTING)
+        start = harness.start_unanswered()
+        name = start.boot.name
+        others = [other for other in harness.worker_infos if other != name]
+        _drain(harness, name)
+        for _ in range(3):
+            _answer(harness, *others)
+            harness.plan(10)
+        harness.now_ms += 2_000
+        _answer(harness, *others)
+        harness.plan(60)
+        harness.answer_lease(name)
+        assert start.run.task.late_start is start.run
+        assert start_orders(harness.plan(5)) == []
+
+    def test_no_more_runs_are_started_than_the_window_allows(self) -> None:
+        harness = CellHarness("w0", "w1")
+        _lose(harness, replace(LASTING, task_count=2))
+        for task in harness.cell.book.jobs[JOB].occurrences[0][0].tasks:
+            task.last_run_ended_ms = task.idle_since_ms = harness.now_ms
+        harness.submit(StepSpec(4, cpu_millis=1_000), job=OTHER_JOB)
+        harness.now_ms += 600
+        _answer(harness)
+        harness.cell.note_confirmed(harness.now_ms)
+        assert len(start_orders(harness.cell.planner.plan(harness.now_ms, 2))) <= 2
+
+
+class TestStops:
+    """Guard against runs that are stopped though nothing can be started instead."""
+
+    def test_no_run_is_stopped_while_starts_are_suspended(self) -> None:
+        harness = CellHarness("w0", "w1")
+        harness.submit(LASTING)
+        harness.now_ms += 500
+        _answer(harness)
+        (start,) = harness.start()
+        name = start.boot.name
+        (other,) = set(harness.worker_infos) - {name}
+        harness.submit(StepSpec(1, cpu_millis=64_000, estimate_ms=60_000), job=OTHER_JOB)
+        _answer(harness)
+        (filler,) = harness.start()
+        _drain(harness, name)
+        harness.now_ms += 60
+        _answer(harness)
+        harness.plan(60)
+        harness.now_ms += 9_100
+        harness.cell.set_workers(harness.worker_infos, harness.now_ms, harness.now_ms)
+        assert not harness.cell.planner.evacuations_known
+        _answer(harness, name)
+        end = RunEnd(1, filler.run.task.id, filler.run.number, "done", "")
+        harness.answer_lease(other, ends=(end,))
+        harness.now_ms += 110
+        assert [order for order in harness.plan(10) if isinstance(order, StopRun)] == []
+
+
+class TestWaits:
+    """Guard against a task that waits though other runs could be stopped for it."""
+
+    def test_a_place_is_not_kept_where_only_a_gang_could_make_room(self) -> None:
+        harness = CellHarness("w0", "w1")
+        gang = StepSpec(1, cpu_millis=61_000, estimate_ms=90_000, gang=True)
+        harness.submit(gang, job=OTHER_JOB)
+        _answer(harness)
+        harness.start()
+        _fill(harness, 16, 4_000)
+        task = _lose(harness, replace(LASTING, cpu_millis=8_000))
+        assert _wait_of(harness, task) < LONGEST_WAIT_MS
+
+    def test_a_task_that_is_bound_by_a_late_start_gets_a_place_there(self) -> None:
+        harness = CellHarness("w0", "w1")
+        _fill(harness, 32, 4_000)
+        task = _lose(harness, replace(LASTING, cpu_millis=8_000))
+        assert _wait_of(harness, task, unanswered=1) < LONGEST_WAIT_MS
+
+    @pytest.mark.parametrize(
+        ("spec", "queue"),
+        [
+            (LASTING, replace(QUEUE, name="advised", decision_ms=30)),
+            (replace(LASTING, best_effort=True, checkpointing=True), QUEUE),
+            (StepSpec(1, memory_mb=1_000, long_running=True), QUEUE),
+        ],
+        ids=["advice", "best-effort", "no-cpu"],
+    )
+    def test_a_task_leaves_a_worker_that_drains(self, spec: StepSpec, queue: Queue) -> None:
+        harness = CellHarness("w0", "w1")
+        harness.submit(spec, queue=queue)
+        harness.now_ms += 500
+        _answer(harness)
+        orders = harness.plan()
+        for order in orders:
+            if isinstance(order, RequestAdvice):
+                permit = Permit("t", harness.now_ms + 60_000)
+                permits = dict.fromkeys(order.worker_ids, permit)
+                harness.cell.planner.note_permits(order.step, permits)
+                orders = harness.plan()
+        (start,) = start_orders(orders)
+        harness.cell.handle_start_reply(start.boot, start.run, "", harness.now_ms, None)
+        harness.now_ms += 10
+        _answer(harness)
+        _drain(harness, start.boot.name)
+        stops = []
+        for _ in range(10):
+            harness.now_ms += 50
+            harness.read_orders()
+            _answer(harness)
+            stops += [order for order in harness.plan(60) if isinstance(order, StopRun)]
+        assert stops
+
+
+class TestCost:
+    """Guard against an owner that seeks places for so long that its heartbeats are late."""
+
+    @pytest.mark.parametrize(("workers", "lost"), [(350, 350), (2_500, 2_000)])
+    def test_an_update_of_places_is_bounded(self, workers: int, lost: int) -> None:
+        harness = CellHarness(*(f"w{number}" for number in range(workers)))
+        for number in range(lost):
+            spec = replace(LASTING, cpu_millis=12_000 + number % 40 * 50)
+            _lose(harness, spec, f"{number:016x}")
+        planner = harness.cell.planner
+        by_service = {"svc": list(harness.cell.boots.values())}
+        for boot in harness.cell.boots.values():  # nothing is free
+            boot.allocated.cpu_millis = boot.info.cpu_millis
+        times_ms = []
+        for _ in range(5):
+            harness.now_ms += 60
+            begun = time.process_time()
+            planner.places.update(by_service, lambda s: planner.queue_of(s.job), harness.now_ms)
+            times_ms.append(1_000 * (time.process_time() - begun))
+        assert planner.places
+        assert min(times_ms) < LONGEST_UPDATE_MS
--- a/tests/cover/test_room.py
+++ b/tests/cover/test_room.py
@@ -6,6 +6,8 @@
 from dataclasses import replace
 
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from greengagewood.internal.cells.orders import StartRun, StopRun
 from greengagewood.internal.jobs.book import Run, Task
@@ -93,6 +95,7 @@
         infos = self.harness.worker_infos
         infos[name] = replace(infos[name], draining=True)
         self.harness.cell.set_workers(infos, self.harness.now_ms)
+        self.harness.read_orders()  # from the same store as the directory
 
     def end_on(self, name: str) -> None:
         """Let a worker end all its runs, and leave."""
@@ -111,9 +114,9 @@
         return self.harness.now_ms - since_ms
 
 
-def _run_lasting_tasks(service: _FullService, count: int) -> list[Task]:
+def _run_lasting_tasks(service: _FullService, *specs: StepSpec) -> list[Task]:
     """Start long-running tasks on the first workers, then fill all workers with narrow tasks."""
-    tasks = [service.submit(LASTING) for _ in range(count)]
+    tasks = [service.submit(spec) for spec in specs]
     service.waiting = 0
     for _ in range(12):
         service.tick()
@@ -132,7 +135,7 @@
         self, run_ms: int
     ) -> None:
         service = _FullService(5, run_ms)
-        (task,) = _run_lasting_tasks(service, 1)
+        (task,) = _run_lasting_tasks(service, LASTING)
         assert task.run is not None
         left = task.run.worker_id
         service.drain(left)
@@ -142,7 +145,7 @@
 
     def test_all_tasks_of_a_worker_that_left_run_again_while_narrow_tasks_arrive(self) -> None:
         service = _FullService(6, 2_000)
-        tasks = _run_lasting_tasks(service, 4)
+        tasks = _run_lasting_tasks(service, *[LASTING] * 4)
         left = {task.run.worker_id for task in tasks if task.run is not None}
         assert len(left) == 1
         for name in left:
@@ -170,12 +173,70 @@
         assert sorted(workers) == sorted([left, left, room])
 
 
+def _has_place(service: _FullService, task: Task) -> bool:
+    """Return whether a task fits a worker that takes starts, beside its long-running runs."""
+    spec = task.step.spec
+    for boot in service.harness.cell.boots.values():
+        specs = [run.task.step.spec for run in boot.runs.values()]
+        used_millis = sum(other.cpu_millis for other in specs if other.long_running)
+        if not boot.info.draining and used_millis + spec.cpu_millis <= boot.info.cpu_millis:
+            return True
+    return False
+
+
+def _may_need_place(task: Task) -> bool:
+    """Return whether a task has lost its run, or may lose it with its worker."""
+    boot = task.run.boot if task.run is not None else None
+    return bool(task.last_run_ended_ms) if boot is None else boot.info.draining
+
+
+class TestRandomServices:
+    """Guard against a place that stays unused, or kept for nothing."""
+
+    @settings(max_examples=25, deadline=None)
+    @given(
+        workers=st.integers(3, 6),
+        run_ms=st.sampled_from((300, 2_000, 20_000)),
+        narrow_millis=st.integers(1_000, 9_000),
+        sizes=st.lists(st.integers(5_000, 16_000), min_size=1, max_size=8),
+        drains=st.lists(st.integers(5, 120), min_size=1, max_size=2, unique=True),
+        linger=st.integers(0, 60),
+    )
+    def test_no_task_waits_for_long_while_there_is_a_place_for_it(
+        self,
+        workers: int,
+        run_ms: int,
+        narrow_millis: int,
+        sizes: list[int],
+        drains: list[int],
+        linger: int,
+    ) -> None:
+        service = _FullService(workers, run_ms, cpu_millis=narrow_millis)
+        specs = [StepSpec(1, cpu_millis=n, memory_mb=8_000, long_running=True) for n in sizes]
+        tasks = _run_lasting_tasks(service, *specs)
+        owed_ms = dict.fromkeys(tasks, 0)
+        names = [f"w{number}" for number in range(workers)]
+        for tick in range(260):
+            for number, at in enumerate(drains):
+                if tick == at:
+                    service.drain(names[number])
+                if tick == at + linger:
+                    service.end_on(names[number])
+            service.tick()
+            for task in tasks:
+                waits = task.last_run_ended_ms and task.run is None and _has_place(service, task)
+                owed_ms[task] = owed_ms[task] + TICK_MS if waits else 0
+                assert owed_ms[task] <= 3_000
+        kept_millis = sum(boot.kept.cpu_millis for boot in service.harness.cell.boots.values())
+        assert kept_millis <= sum(t.step.spec.cpu_millis for t in tasks if _may_need_place(t))
+
+
 class TestWaitReports:
     """Guard against a wait of a long-running task of which the log does not tell the reason."""
 
     def test_a_task_that_fits_no_worker_is_reported_each_two_seconds(self) -> None:
         service = _FullService(2, 60_000)
-        (task,) = _run_lasting_tasks(service, 1)
+        (task,) = _run_lasting_tasks(service, LASTING)
         assert task.run is not None
         for name in list(service.harness.cell.boots):
             service.drain(name)
