--- a/src/greengagewood/internal/cells/term.py
+++ b/src/greengagewood/internal/cells/term.py
@@ -65,8 +65,9 @@
     def fencing_token(self) -> int:
         """Return the fencing token of calls to a boot that is found now.
 
-        It is higher than those of calls to earlier boots and of earlier owners. A worker does
-        nothing for a lower token than it has seen.
+        It is higher than those of calls to earlier boots of the same worker, unless that was
+        forgotten meanwhile, and of earlier owners. A worker does nothing for a lower token than it
+        has seen.
         """
         return self.token * FENCING_TOKENS_PER_TERM + self.reboot_count
 
