Refuse answers of the store that do not say whether more follows

An answer to log-read that is cut off before the end of the log counted as one that reaches it: the owner was confirmed, and a job behind it was unknown (410). A page of log-newest without items that says `more` counted as the last one: the jobs and workers behind it counted as deleted.

Cause: without the end, LogPage.end_offset is -1, which any offset reaches; that is meant for a topic without records. A page without items ended the load, as there is no key to continue after.

Change: both are StoreUnavailable, as other unreadable answers are, and the caller reads again.

Before: the new test of such answers fails (both kinds were read as complete). After: it passes; keys are loaded in full at 499, 500, 501, 1,000 and 1,001, as they were before.

--- a/src/greengagewood/platform/store.py
+++ b/src/greengagewood/platform/store.py
@@ -107,8 +107,10 @@
                 raise StoreUnavailable(f"unreadable answer: {exc}") from exc
             end = page.end if end is None else end
             entries.extend(_log_entry(item, self._max_value_bytes) for item in page.items)
-            if not page.more or not page.items:
+            if not page.more:
                 return LogPage(tuple(entries), end)
+            if not page.items:  # the keys that follow are not known, so they would count as deleted
+                raise StoreUnavailable("log-newest: a page without items is not the last one")
             # The next page starts after this key; the store names the parameter depends-on.
             continue_after = {"depends-on": page.items[-1].key}
 
@@ -124,8 +126,10 @@
         body = await self._get("log-read", query, wait_ms)
         if body is None:
             return LogPage((), start)
+        if len(body) < _READ_HEADER.size:  # it does not say whether the log has further records
+            raise StoreUnavailable("log-read: an answer without the end of the log")
         entries = _parse_records(body, start, self._max_value_bytes)
-        end = _READ_HEADER.unpack_from(body)[0] if len(body) >= _READ_HEADER.size else -1
+        end = _READ_HEADER.unpack_from(body)[0]
         return LogPage(entries, start + len(entries), end)
 
     async def _get(self, call: str, query: dict[str, str], wait_ms: int) -> bytes | None:
--- a/tests/cover/test_odd_entries.py
+++ b/tests/cover/test_odd_entries.py
@@ -634,6 +634,26 @@
             page = await self._load(b'{"items":[' + items + b'],"more":false,"end":3}')
             assert {"w0", "w1"} <= {entry.key for entry in page.entries if entry.value == b"v"}
 
+    @pytest.mark.parametrize("count", [499, 500, 501, 1_000, 1_001])
+    async def test_all_keys_are_loaded_however_many_pages_they_fill(self, count: int) -> None:
+        """Guards against a first page of keys that is taken for all of them."""
+        stub = StoreStub()
+        for number in range(count):
+            stub.append(f"w{number:04}", _entry())
+        async with running_store(stub) as session:
+            log = KeyedLog(session, stub.address, "keyed.x")
+            assert len((await log.load()).entries) == count
+            assert len(await StoreDirectory(log).refresh()) == count
+
+    async def test_a_page_that_lacks_what_it_announces_is_no_answer(self) -> None:
+        """Guards against jobs or a claim that count as missing, as an answer was cut short."""
+        with pytest.raises(StoreUnavailable):
+            await self._load(b'{"items":[],"more":true,"end":3}')
+        for body in (b"", bytes(15)):
+            async with _answering(200, body) as address, Session(1) as session:
+                with pytest.raises(StoreUnavailable):
+                    await KeyedLog(session, address, "keyed.x").read(3, 0)
+
     async def test_the_newest_records_of_a_topic_with_a_limit_are_not_kept_whole(self) -> None:
         stub = StoreStub()
         stub.append("w0", _entry())
