Keep what is left of an occurrence as running sums

Cause: each plan ranks each waiting step by the unfinished work of its occurrence, which was summed over all steps each time, and looked for the job's longest path among all steps. A plan of 10,000 steps took 2.2 s, so that no heartbeat was stored in time. Likewise each end of a step looked at all steps and all occurrences of its job, and each progress record at all tasks of finished occurrences. Class: work that grows with the square of a job's size.

Change: an occurrence keeps its unfinished work and number of steps, a step the number of its unfinished dependencies and the steps that depend on it, a job its longest path and the part of its progress record about finished occurrences.

A plan is still not bounded.

--- a/devtools/bench.py
+++ b/devtools/bench.py
@@ -20,6 +20,7 @@
     "takeover",
     "replay",
     "placement",
+    "plans",
     "decisions",
     "gateway",
     "capacity",
--- a/src/greengagewood/internal/cells/value.py
+++ b/src/greengagewood/internal/cells/value.py
@@ -41,7 +41,7 @@
 
         `step` is the step of which tasks wait or run.
         """
-        objective_ms = objective_of(queue, max(job.critical_paths_ms, default=0))
+        objective_ms = objective_of(queue, job.longest_path_ms)
         age_ms = now_ms - job.arrived_ms
         if age_ms + job.critical_paths_ms[step] <= objective_ms:
             return 0
--- a/src/greengagewood/internal/jobs/book.py
+++ b/src/greengagewood/internal/jobs/book.py
@@ -123,10 +123,20 @@
     waiting_tasks: dict[Task, None] = field(default_factory=dict)
     ready: bool = False
     unfinished_count: int = 0
+    later_steps: list[Step] = field(default_factory=list)  # those that depend on it
+    unfinished_dependencies: int = 0  # steps that it depends on and that are not done
     runs_by_worker: Counter[str] = field(default_factory=Counter)
     runs_by_rack: Counter[str] = field(default_factory=Counter)
 
 
+@dataclass(slots=True, eq=False)
+class Remainder:
+    """What is left of an occurrence that is not finished, kept as running sums."""
+
+    step_count: int
+    cpu_ms: int  # estimated
+
+
 @dataclass(slots=True, eq=False)
 class Job:
     """One job."""
@@ -135,10 +145,14 @@
     arrived_ms: int  # when it was added to the book
     log_offset: int  # of its submission
     critical_paths_ms: tuple[int, ...]  # by step, see `critical_path_lengths`
+    longest_path_ms: int  # the longest of them
     total_cpu_ms: int  # estimated work of one occurrence
     state: str = "queued"
     occurrences: dict[int, list[Step]] = field(default_factory=dict)
     finished_occurrences: set[int] = field(default_factory=set)
+    remainders: dict[int, Remainder] = field(default_factory=dict)  # of opened occurrences
+    # The part of the progress record about finished occurrences, which does not change any more.
+    finished_done: list[tuple[int, int, bytes]] = field(default_factory=list)
     active_run_count: int = 0  # runs attached to its tasks
     maybe_started: bool = False  # whether any of its tasks may have been started
     maybe_started_stored: bool = False  # whether a stored progress record says so
@@ -212,7 +226,9 @@
             return None
         steps = submission.spec.steps
         total_cpu_ms = total_work_cpu_ms(steps)
-        job = Job(submission, now_ms, offset, critical_path_lengths(steps), total_cpu_ms)
+        paths_ms = critical_path_lengths(steps)
+        longest_path_ms = max(paths_ms, default=0)
+        job = Job(submission, now_ms, offset, paths_ms, longest_path_ms, total_cpu_ms)
         job.maybe_inherited = maybe_running
         self.jobs[submission.job_id] = job
         if progress is not None:
@@ -243,7 +259,12 @@
                 Task(TaskId(job.id, number, index, i), step) for i in range(spec.task_count)
             ]
             steps.append(step)
+        for step in steps:
+            step.unfinished_dependencies = len(step.spec.depends_on)
+            for earlier in step.spec.depends_on:
+                steps[earlier].later_steps.append(step)
         job.occurrences[number] = steps
+        job.remainders[number] = Remainder(len(steps), job.total_cpu_ms)
         for step in steps:
             if maybe_running:
                 for task in step.tasks:
@@ -322,15 +343,13 @@
 
     def remaining_cpu_ms(self, job: Job, occurrence: int) -> int:
         """Return the unfinished work of an occurrence in CPU milliseconds."""
-        return sum(
-            _work_cpu_ms(step.spec, step.unfinished_count) for step in job.occurrences[occurrence]
-        )
+        remainder = job.remainders.get(occurrence)
+        return remainder.cpu_ms if remainder is not None else 0
 
     # Readiness.
 
     def _update_ready(self, step: Step) -> None:
-        steps = step.job.occurrences[step.occurrence]
-        if step.ready or any(steps[earlier].unfinished_count for earlier in step.spec.depends_on):
+        if step.ready or step.unfinished_dependencies:
             return
         step.ready = True
         for task in step.tasks:
@@ -436,16 +455,35 @@
         step = task.step
         ended = step.tasks if step.spec.gang else [task]
         newly_done = [t for t in ended if not t.end_state]
+        if not newly_done:
+            return newly_done
         for member in newly_done:
             member.end_state = "done"
             member.checkpoint = ""
-            step.unfinished_count -= 1
             self.unmark_waiting(member)
             if member.maybe_running:
                 member.maybe_running = False
                 self.maybe_running_tasks.pop(member, None)
+        remainder = step.job.remainders[step.occurrence]
+        remainder.cpu_ms -= _work_cpu_ms(step.spec, step.unfinished_count)
+        step.unfinished_count -= len(newly_done)
+        remainder.cpu_ms += _work_cpu_ms(step.spec, step.unfinished_count)
+        if not step.unfinished_count:
+            remainder.step_count -= 1
+            for later in step.later_steps:
+                later.unfinished_dependencies -= 1
+            if not remainder.step_count:
+                self._note_finished(step.job, step.occurrence)
         return newly_done
 
+    @staticmethod
+    def _note_finished(job: Job, occurrence: int) -> None:
+        del job.remainders[occurrence]
+        job.finished_occurrences.add(occurrence)
+        job.finished_done.extend(
+            (occurrence, step.number, _done_bitmap(step)) for step in job.occurrences[occurrence]
+        )
+
     def note_task_done(self, task: Task, now_ms: int) -> None:
         """Record that a task has succeeded."""
         if not self._mark_done(task):
@@ -454,7 +492,7 @@
         job = step.job
         self.changed_jobs[job.id] = None
         if step.unfinished_count == 0:
-            for later in job.occurrences[step.occurrence]:
+            for later in step.later_steps:
                 self._update_ready(later)
             self._update_finished(job, now_ms)
 
@@ -525,9 +563,6 @@
                     member.checkpoint = checkpoint
 
     def _update_finished(self, job: Job, now_ms: int = 0) -> None:
-        for number, steps in list(job.occurrences.items()):
-            if all(step.unfinished_count == 0 for step in steps):
-                job.finished_occurrences.add(number)
         needed = max(1, job.submission.spec.occurrences)
         if len(job.finished_occurrences) >= needed and not job.is_final:
             self.end_job(job, "completed", now_ms)
@@ -558,16 +593,13 @@
         """Return the progress record of a job, to be stored."""
         if job.is_final:
             return Progress(job.id, job.state, ended_ms=wall_ms)
-        done = []
+        done = list(job.finished_done)
         unfinished = []
-        for number, steps in job.occurrences.items():
-            for step in steps:
-                if (
-                    step.unfinished_count < step.spec.task_count
-                    or number in job.finished_occurrences
-                ):
+        for number in job.remainders:
+            for step in job.occurrences[number]:
+                if step.unfinished_count < step.spec.task_count:
                     done.append((number, step.number, _done_bitmap(step)))
-                for task in step.tasks:
+                for task in step.tasks if step.unfinished_count else ():
                     if not task.end_state and (
                         task.failed_runs or task.checkpoint or task.crashes or task.trial
                     ):
