Open past occurrences of timed jobs in batches, the first due first

Cause: each plan opened all occurrences that are due, and tried those that were opened or had finished again.

Change: of each job, occurrences of up to 400 tasks are open before any of their tasks has a run, and a plan opens up to 400 tasks, of all jobs in the order in which they are due. Occurrences of a job that have not begun wait for the same, so more of them would start no earlier; one that an earlier owner's run holds back does not count. Finished occurrences cost a plan, a forecast and the end of the job nothing; they still take memory and room in the progress record.

The new tests of TestPastOccurrences pass; they need the new limit, so they do not run on the old code.

--- a/src/greengagewood/internal/cells/adoption.py
+++ b/src/greengagewood/internal/cells/adoption.py
@@ -63,7 +63,9 @@
                 },
             )
         for task in list(term.book.maybe_running_tasks):
-            if task.id not in held_back:
+            if task.id in held_back:
+                term.book.note_held_back(task)
+            else:
                 term.book.note_not_running(task, now_ms)
 
     def _report(self, unresolved: list[Boot], now_ms: int) -> None:
--- a/src/greengagewood/internal/cells/cell.py
+++ b/src/greengagewood/internal/cells/cell.py
@@ -415,15 +415,8 @@
         return orders
 
     def _open_due_occurrences(self, wall_ms: int) -> None:
-        """Open the occurrences of timed jobs whose time has come."""
-        for job in list(self.book.timed_jobs.values()):
-            spec = job.submission.spec
-            count = max(1, spec.occurrences)
-            due = 1 + (wall_ms - spec.first_due_ms) // max(1, spec.interval_ms)
-            if wall_ms < spec.first_due_ms:
-                continue
-            for number in range(min(count, due)):
-                self.book.open_occurrence(job, number, self.term.adopting and job.maybe_inherited)
+        """Open a batch of the occurrences of timed jobs whose time has come."""
+        self.book.open_due_occurrences(wall_ms, self.term.adopting)
 
     def _report_suspension(self, now_ms: int) -> None:
         """Report when starts begin or cease to wait for a read of the evacuation orders."""
--- a/src/greengagewood/internal/cells/forecast.py
+++ b/src/greengagewood/internal/cells/forecast.py
@@ -320,7 +320,7 @@
             queue = self.planner.queue_of(job)
             if queue.service not in saturated:
                 continue
-            for steps in job.occurrences.values():
+            for steps in map(job.occurrences.__getitem__, job.remainders):
                 cpu_ms = sum(map(_remaining_cpu_ms, steps))
                 if not cpu_ms:
                     continue
--- a/src/greengagewood/internal/jobs/book.py
+++ b/src/greengagewood/internal/jobs/book.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import heapq
 from collections import Counter
 from collections.abc import Iterator
 from dataclasses import dataclass, field
@@ -29,6 +30,8 @@
 __all__ = ["FINAL_STATES", "Job", "JobBook", "Run", "Step", "Task"]
 
 RUN_CHART = load_chart("run")
+# At a time by a plan, and of a job ahead of its starts. A plan starts at most 200 tasks.
+MAX_TASKS_OPENED = 400
 FINAL_STATES = frozenset({"completed", "failed", "cancelled"})
 
 
@@ -147,9 +150,13 @@
     critical_paths_ms: tuple[int, ...]  # by step, see `critical_path_lengths`
     longest_path_ms: int  # the longest of them
     total_cpu_ms: int  # estimated work of one occurrence
+    task_count: int  # of one occurrence
     state: str = "queued"
     occurrences: dict[int, list[Step]] = field(default_factory=dict)
     finished_occurrences: set[int] = field(default_factory=set)
+    next_occurrence: int = 0  # lower ones were opened
+    # Opened occurrences of which no task has had a run or is held back by an earlier owner's.
+    unstarted_occurrences: set[int] = field(default_factory=set)
     remainders: dict[int, Remainder] = field(default_factory=dict)  # of opened occurrences
     # The part of the progress record about finished occurrences, which does not change any more.
     finished_done: list[tuple[int, int, bytes]] = field(default_factory=list)
@@ -165,11 +172,32 @@
         """Return the job's ID."""
         return self.submission.job_id
 
+    @property
+    def next_due_ms(self) -> int | None:
+        """Return when the first occurrence that was not opened is due; None if there is none."""
+        spec = self.submission.spec
+        count = max(1, spec.occurrences)
+        while self.next_occurrence < count and self.next_occurrence in self.occurrences:
+            self.next_occurrence += 1
+        if self.next_occurrence >= count:
+            return None
+        return spec.first_due_ms + self.next_occurrence * max(1, spec.interval_ms)
+
     @property
     def is_final(self) -> bool:
         """Return whether the job has ended, so that none of its tasks may be started."""
         return self.state in FINAL_STATES
 
+    @property
+    def may_open_occurrence(self) -> bool:
+        """Return whether less than a batch of its occurrences is open and not started."""
+        return len(self.unstarted_occurrences) * self.task_count < MAX_TASKS_OPENED
+
+    def unfinished_steps(self) -> Iterator[Step]:
+        """Yield every step of the opened occurrences that are not finished."""
+        for number in self.remainders:
+            yield from self.occurrences[number]
+
     def opened_tasks(self) -> Iterator[Task]:
         """Yield every task of the occurrences whose tasks were created."""
         for steps in self.occurrences.values():
@@ -228,7 +256,8 @@
         total_cpu_ms = total_work_cpu_ms(steps)
         paths_ms = critical_path_lengths(steps)
         longest_path_ms = max(paths_ms, default=0)
-        job = Job(submission, now_ms, offset, paths_ms, longest_path_ms, total_cpu_ms)
+        task_count = sum(step.task_count for step in steps)
+        job = Job(submission, now_ms, offset, paths_ms, longest_path_ms, total_cpu_ms, task_count)
         job.maybe_inherited = maybe_running
         self.jobs[submission.job_id] = job
         if progress is not None:
@@ -264,6 +293,7 @@
             for earlier in step.spec.depends_on:
                 steps[earlier].later_steps.append(step)
         job.occurrences[number] = steps
+        job.unstarted_occurrences.add(number)
         job.remainders[number] = Remainder(len(steps), job.total_cpu_ms)
         for step in steps:
             if maybe_running:
@@ -286,6 +316,7 @@
                 TaskId(job.id, stored.occurrence, stored.step, stored.number)
             )
             if unfinished is not None:
+                job.unstarted_occurrences.discard(stored.occurrence)
                 unfinished.failed_runs = frozenset(stored.failed_runs)
                 unfinished.checkpoint = stored.checkpoint
                 unfinished.crashes = stored.crashes
@@ -303,11 +334,10 @@
         if job is None:
             return
         self.timed_jobs.pop(job_id, None)
-        for task in job.opened_tasks():
-            self.maybe_running_tasks.pop(task, None)
-        for steps in job.occurrences.values():
-            for step in steps:
-                self.waiting_steps.pop(step, None)
+        for step in job.unfinished_steps():
+            self.waiting_steps.pop(step, None)
+            for task in step.tasks:
+                self.maybe_running_tasks.pop(task, None)
 
     def find_task(self, task_id: TaskId) -> Task | None:
         """Return a task, or None if its job is not known or its occurrence was not opened."""
@@ -346,6 +376,27 @@
         remainder = job.remainders.get(occurrence)
         return remainder.cpu_ms if remainder is not None else 0
 
+    def open_due_occurrences(self, wall_ms: int, adopting: bool) -> None:
+        """Open occurrences of timed jobs that are due, the first due first.
+
+        Of each job only a batch is open before any of its tasks is started: the next calls open
+        the others. All that have not begun wait for the same, so more would not start earlier.
+        """
+        due = []
+        for order, job in enumerate(self.timed_jobs.values()):
+            due_ms = job.next_due_ms
+            if due_ms is not None and due_ms <= wall_ms and job.may_open_occurrence:
+                due.append((due_ms, order, job))
+        heapq.heapify(due)
+        opened_tasks = 0
+        while due and opened_tasks < MAX_TASKS_OPENED:
+            due_ms, order, job = heapq.heappop(due)
+            self.open_occurrence(job, job.next_occurrence, adopting and job.maybe_inherited)
+            opened_tasks += job.task_count
+            next_due_ms = job.next_due_ms
+            if next_due_ms is not None and next_due_ms <= wall_ms and job.may_open_occurrence:
+                heapq.heappush(due, (next_due_ms, order, job))
+
     # Readiness.
 
     def _update_ready(self, step: Step) -> None:
@@ -378,6 +429,10 @@
         self.maybe_running_tasks[task] = None
         self.unmark_waiting(task)
 
+    def note_held_back(self, task: Task) -> None:
+        """Record that a task may not be started yet, though others of its job may be."""
+        task.step.job.unstarted_occurrences.discard(task.step.occurrence)
+
     def note_not_running(self, task: Task, now_ms: int) -> None:
         """Record that no run by an earlier owner can be going on, so the task may be started."""
         if task.maybe_running:
@@ -411,6 +466,7 @@
             task.copy = run
             task.was_copied = True
         task.step.job.active_run_count += 1
+        task.step.job.unstarted_occurrences.discard(task.step.occurrence)
         task.step.runs_by_worker[worker_id] += 1
         task.step.runs_by_rack[rack] += 1
         self.note_maybe_started(task.step.job)
@@ -464,6 +520,7 @@
             if member.maybe_running:
                 member.maybe_running = False
                 self.maybe_running_tasks.pop(member, None)
+        step.job.unstarted_occurrences.discard(step.occurrence)
         remainder = step.job.remainders[step.occurrence]
         remainder.cpu_ms -= _work_cpu_ms(step.spec, step.unfinished_count)
         step.unfinished_count -= len(newly_done)
@@ -574,10 +631,11 @@
         job.state = state
         self.changed_jobs[job.id] = None
         self.timed_jobs.pop(job.id, None)
-        for task in job.opened_tasks():
-            self.unmark_waiting(task)
-            if task.maybe_running and task.end_state:
-                self.maybe_running_tasks.pop(task, None)
+        for step in job.unfinished_steps():
+            for task in step.tasks:
+                self.unmark_waiting(task)
+                if task.maybe_running and task.end_state:
+                    self.maybe_running_tasks.pop(task, None)
 
     def cancel(self, job_id: str, now_ms: int) -> Job | None:
         """Cancel a job; return None if it is not known or had ended already."""
--- a/tests/cover/test_plan_cost.py
+++ b/tests/cover/test_plan_cost.py
@@ -10,10 +10,11 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from greengagewood.internal.jobs.book import JobBook, Step
+from greengagewood.internal.jobs.book import MAX_TASKS_OPENED, Job, JobBook, Step
 from greengagewood.internal.jobs.model import JobSpec, StepSpec
 from greengagewood.internal.jobs.records import Submission
-from tests.common.desk import QUEUE, CellHarness
+from greengagewood.internal.ports import RunEnd
+from tests.common.desk import QUEUE, CellHarness, start_orders
 
 JOB_ID = "0" * 16
 FEW, MANY = 50, 500
@@ -101,6 +102,83 @@
         assert _growth(calls) == 1
 
 
+def _add_timed(harness: CellHarness, job: str, first_due_ms: int, count: int, tasks: int) -> None:
+    steps = (StepSpec(tasks, cpu_millis=1_000),)
+    spec = JobSpec("p", steps, first_due_ms, occurrences=count, interval_ms=1_000)
+    harness.cell.add_job(Submission(job, QUEUE, spec, 0), None, True, harness.now_ms)
+
+
+class TestPastOccurrences:
+    """Guard against plans that open all occurrences which a late job has missed."""
+
+    FIRST_MS, COUNT = -86_400_000, 86_400
+
+    def test_a_plan_opens_a_batch_and_the_next_ones_the_others(self) -> None:
+        # All 86,400 in one plan stalled each owner beyond its time-out.
+        harness = CellHarness("w0")
+        _add_timed(harness, JOB_ID, self.FIRST_MS, self.COUNT, 2)
+        job = harness.cell.book.jobs[JOB_ID]
+        started: list[int] = []
+        while len(started) < 1_000:
+            opened = len(job.occurrences)
+            harness.now_ms += 10
+            orders = start_orders(harness.cell.plan(harness.now_ms, harness.now_ms))
+            assert orders
+            assert len(job.occurrences) - opened <= MAX_TASKS_OPENED
+            assert len(job.unstarted_occurrences) <= MAX_TASKS_OPENED
+            for order in orders:
+                started.append(order.run.task.id.occurrence)
+                harness.cell.handle_start_reply(order.boot, order.run, "", harness.now_ms)
+            runs = [(order.run.task.id, order.run.number) for order in orders]
+            sequence = harness.cell.boots["w0"].last_end_sequence
+            ends = [RunEnd(sequence + n, *run, "done", "") for n, run in enumerate(runs, 1)]
+            harness.answer_lease("w0", ends=tuple(ends))
+            harness.store_changes()
+        assert started == sorted(started)
+
+    def test_occurrences_of_all_jobs_open_in_the_order_in_which_they_are_due(self) -> None:
+        # A late job of many occurrences must not keep those of others back.
+        harness = CellHarness("w0")
+        _add_timed(harness, "1" * 16, -10_000, 5, MAX_TASKS_OPENED // 4)
+        _add_timed(harness, "2" * 16, -9_500, 5, MAX_TASKS_OPENED // 4)
+        opened = []
+        open_occurrence = harness.cell.book.open_occurrence
+
+        def note(job: Job, number: int, maybe_running: bool = False) -> None:
+            opened.append((job.id[0], number))
+            open_occurrence(job, number, maybe_running)
+
+        harness.cell.book.open_occurrence = note  # type: ignore[method-assign]
+        for _ in range(2):
+            harness.cell.book.open_due_occurrences(harness.now_ms, False)
+        assert opened == [(job, number) for number in range(4) for job in "12"]
+
+    def test_a_plan_costs_the_same_whatever_has_finished(self) -> None:
+        def calls(count: int) -> int:
+            harness = CellHarness("w0")
+            _add_timed(harness, JOB_ID, -1_000 * MANY, count, 1)
+            book = harness.cell.book
+            for number in range(count - 1):
+                book.open_occurrence(book.jobs[JOB_ID], number)
+            _end_all(book)
+            harness.plan()
+            return _count_calls(lambda: harness.cell.plan(harness.now_ms, harness.now_ms))
+
+        assert _growth(calls) == 1
+
+    def test_a_job_with_occurrences_that_are_held_back_opens_others(self) -> None:
+        # An earlier owner's runs on a silent worker must not hold back occurrences without any.
+        book = _book(StepSpec(2), occurrences=self.COUNT, first_due_ms=1, interval_ms=1)
+        job = book.jobs[JOB_ID]
+        job.maybe_inherited = True
+        for _ in range(3):
+            opened = len(job.occurrences)
+            book.open_due_occurrences(self.COUNT, True)
+            assert len(job.occurrences) - opened == MAX_TASKS_OPENED // 2
+            for task in book.maybe_running_tasks:
+                book.note_held_back(task)
+
+
 class TestRunningSums:
     """Guard against a sum that is kept while tasks end and differs from what it stands for."""
 
