Plan in slices of 10 ms, and give the loop back between them

Cause: a plan ranked and placed all steps that wait in one call. Its cost grows with their number now, but nothing bounded it.

Change: `Cell.plan` takes a callable that says whether there is time left; the decisions still read no clock. A pass over the waiting steps is kept until all of them are ranked, then placed by rank, over as many calls as that takes, and the runner makes the next call after 10 ms. Steps that no longer wait are left out, and those that begin to wait belong to the next pass. Without a limit of time the orders are the same as before.

--- a/devtools/benches/plans.py
+++ b/devtools/benches/plans.py
@@ -10,6 +10,7 @@
 
 from devtools.bench import Bound, Result
 from greengagewood.internal.cells.cell import Cell, CellLimits
+from greengagewood.internal.cells.runner import PLAN_SLICE_MS
 from greengagewood.internal.evacuation import Evacuations
 from greengagewood.internal.jobs.model import MAX_STEPS, JobSpec, Queue, StepSpec
 from greengagewood.internal.jobs.records import Submission
@@ -22,6 +23,7 @@
 WORKERS = 4
 WORKER_CPU_MILLIS = 64_000
 MAX_GROWTH_EXPONENT = 1.15
+MAX_HOLD_MS = 50
 QUEUE = Queue("q", "svc", 0, 3, 2.0, 1_000)
 
 
@@ -48,31 +50,45 @@
     return cell
 
 
-def _longest_plan_ms(step_count: int, best_effort: bool) -> float:
-    """Return the processor time of the longest of several calls of `plan`."""
+def _longest_ms(step_count: int, best_effort: bool) -> tuple[float, float]:
+    """Return the processor time of the longest of several plans, and of their longest slice."""
     cell = _build_cell(step_count, best_effort)
-    longest_ms = 0.0
+    longest_plan_s = longest_slice_s = 0.0
     for number in range(PLANS):
         now_ms = 100 * (number + 1)
         cell.planner.request_replan()
-        started_s = time.process_time()
-        cell.plan(now_ms, now_ms)
-        longest_ms = max(longest_ms, (time.process_time() - started_s) * 1000)
-    return longest_ms
+        plan_s = 0.0
+        while not plan_s or cell.is_plan_unfinished:
+            slice_s = _plan_slice(cell, now_ms)
+            longest_slice_s = max(longest_slice_s, slice_s)
+            plan_s += slice_s
+        longest_plan_s = max(longest_plan_s, plan_s)
+    return longest_plan_s * 1000, longest_slice_s * 1000
+
+
+def _plan_slice(cell: Cell, now_ms: int) -> float:
+    started_s = time.process_time()
+    end_s = started_s + PLAN_SLICE_MS / 1000
+    cell.plan(now_ms, now_ms, has_time=lambda: time.process_time() < end_s)
+    return time.process_time() - started_s
 
 
 def run() -> Result:
     """Measure plans at each number of steps."""
     rows = tuple(
-        (count, _longest_plan_ms(count, False), _longest_plan_ms(count, True))
-        for count in STEP_COUNTS
+        (count, *_longest_ms(count, False), *_longest_ms(count, True)) for count in STEP_COUNTS
     )
     bounds = []
-    for column, name in ((1, "batch"), (2, "best effort")):
+    for column, name in ((1, "batch"), (3, "best effort")):
         exponent = math.log(rows[-1][column] / rows[0][column]) / math.log(
             STEP_COUNTS[-1] / STEP_COUNTS[0]
         )
         kept = exponent <= MAX_GROWTH_EXPONENT
         target = f"at most {MAX_GROWTH_EXPONENT}"
         bounds.append(Bound(f"exponent of its growth with steps, {name}", target, exponent, kept))
-    return Result("plans", ("steps", "batch ms", "best effort ms"), rows, tuple(bounds))
+    longest_ms = max(max(row[2], row[4]) for row in rows)
+    bounds.append(
+        Bound("longest slice", f"below {MAX_HOLD_MS} ms", longest_ms, longest_ms < MAX_HOLD_MS)
+    )
+    columns = ("steps", "batch ms", "longest slice ms", "best effort ms", "longest slice ms")
+    return Result("plans", columns, rows, tuple(bounds))
--- a/src/greengagewood/internal/cells/cell.py
+++ b/src/greengagewood/internal/cells/cell.py
@@ -19,7 +19,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 from greengagewood.internal.cells.adoption import Adoption
 from greengagewood.internal.cells.answers import boot_of_answer
@@ -352,8 +352,17 @@
         self._report_overdue_runs(now_ms)
         return list(self.term.stops.plan(now_ms))
 
-    def plan(self, now_ms: int, wall_ms: int, max_starts: int = MAX_STARTS_PER_PLAN) -> list[Order]:
-        """Return the orders to send now; what may not start yet is left to a later plan."""
+    def plan(
+        self,
+        now_ms: int,
+        wall_ms: int,
+        max_starts: int = MAX_STARTS_PER_PLAN,
+        has_time: Callable[[], bool] = lambda: True,
+    ) -> list[Order]:
+        """Return the orders to send now; what may not start yet is left to a later plan.
+
+        So is what is not ranked or placed when `has_time` returns False, see `is_plan_unfinished`.
+        """
         self._lives.confirm_losses()
         self._lives.end_expired(now_ms)
         if self.term.late_starts.forget_expired(self.term.confirmed_ms):
@@ -367,7 +376,7 @@
             self._copies_due = False
             orders.extend(self._plan_copies(now_ms, max_starts))
         max_starts -= sum(isinstance(order, StartRun) for order in orders)
-        starts = self.planner.plan(now_ms, max_starts)
+        starts = self.planner.plan(now_ms, max_starts, has_time)
         if len(starts) >= max_starts:
             self._load.note_short_plan(now_ms)
         orders.extend(starts)
@@ -376,6 +385,11 @@
             self.term.emit("task_waits", fields)
         return orders
 
+    @property
+    def is_plan_unfinished(self) -> bool:
+        """Return whether the last plan was cut short, so that the next should follow soon."""
+        return self.planner.is_unfinished
+
     def _report_overdue_runs(self, now_ms: int) -> None:
         """Report the runs that go on long after their jobs have ended."""
         for boot, run in self.term.stops.overdue_runs(now_ms):
--- a/src/greengagewood/internal/cells/planner.py
+++ b/src/greengagewood/internal/cells/planner.py
@@ -8,7 +8,9 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+import heapq
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, field
 
 from greengagewood.internal.cells.boots import Boot
 from greengagewood.internal.cells.copies import CopyPolicy, Straggler
@@ -64,6 +66,9 @@
 # CPUs are uncommitted.
 STARVING_AFTER_MS = 3_000
 FEW_STARTS_PER_PLAN = 32  # with fewer, the owner is short of processor time, not of room
+STEPS_PER_TIME_CHECK = 64  # ranked between two questions whether time is left
+
+Rank = tuple[int, bool, tuple[int, int, int, int, str, float]]
 
 
 class _UnplaceableSteps:
@@ -101,6 +106,20 @@
             self._specs_by_group.setdefault(self._group(service, step), []).append(step.spec)
 
 
+@dataclass(slots=True, eq=False)
+class _Pass:
+    """One pass over the steps that waited when it began, which may take several plans."""
+
+    steps: list[Step]
+    first_arrivals_ms: dict[str, int]  # see `Planner._rank`
+    starving_steps: set[Step]
+    few_starts: bool
+    # Steps that were ranked and not placed yet, and their numbers in `steps`; a heap once all are.
+    ranked: list[tuple[Rank, int, Step]] = field(default_factory=list)
+    ranked_count: int = 0
+    unplaceable: _UnplaceableSteps = field(default_factory=_UnplaceableSteps)
+
+
 class Planner:
     """Place the waiting tasks of a cell during one term of ownership.
 
@@ -134,6 +153,7 @@
         self._advice_pending: set[Step] = set()
         self._advice_retry_ms: dict[Step, int] = {}  # when the advice service may be asked again
         self._planned_version = -1
+        self._pass: _Pass | None = None  # that has not ended yet
         self._best_effort_placed_ms: int | None = None
         self._counted_ms: int | None = None  # see COUNT_INTERVAL_MS
 
@@ -150,17 +170,29 @@
         """Make the next call of `plan` place tasks, even if no further task has begun to wait."""
         self._planned_version = -1
 
-    def plan(self, now_ms: int, max_starts: int) -> list[Order]:
+    @property
+    def is_unfinished(self) -> bool:
+        """Return whether the last plan had no time left for all steps, so that the next goes on."""
+        return self._pass is not None
+
+    def plan(
+        self, now_ms: int, max_starts: int, has_time: Callable[[], bool] = lambda: True
+    ) -> list[Order]:
         """Return the orders to send now; none if nothing has changed since the last plan.
 
-        A gang is started as a whole, even if it has more tasks than `max_starts`.
+        A gang is started as a whole, even if it has more tasks than `max_starts`. Once `has_time`
+        returns False, the other steps are left to the next call.
         """
-        if self._book.waiting_version == self._planned_version or max_starts <= 0:
-            return []
-        if not self.evacuations_known:
+        if max_starts <= 0 or not self.evacuations_known:
+            if self._pass is not None:  # its ranks would be out of date
+                self._pass = None
+                self.request_replan()
             return []
-        self._planned_version = self._book.waiting_version
-        return self._place(now_ms, max_starts)
+        if self._pass is None:
+            if self._book.waiting_version == self._planned_version:
+                return []
+            self._planned_version = self._book.waiting_version
+        return self._place(now_ms, max_starts, has_time)
 
     @property
     def evacuations_known(self) -> bool:
@@ -272,61 +304,100 @@
         """Discard the permit that a worker has refused."""
         self._permits.get(step, {}).pop(worker_id, None)
 
-    def _place(self, now_ms: int, max_starts: int) -> list[Order]:
-        orders: list[Order] = []
+    def _place(self, now_ms: int, max_starts: int, has_time: Callable[[], bool]) -> list[Order]:
         by_service: dict[str, list[Boot]] = {}
         for boot in self._boots.values():
             boot.prepare_plan(now_ms)
             if self.may_start_on(boot, now_ms):
                 by_service.setdefault(boot.info.service, []).append(boot)
-        orders.extend(self._place_lost(by_service, max_starts, now_ms))
+        orders = self._place_lost(by_service, max_starts, now_ms)
+        current = self._pass or self._begin_pass(by_service, max_starts, now_ms)
+        self._pass = None  # not kept after an error
+        if not self._rank_steps(current, now_ms, has_time) or not self._place_ranked(
+            current, by_service, orders, max_starts, now_ms, has_time
+        ):
+            self._pass = current
+        return orders
+
+    def _begin_pass(self, by_service: dict[str, list[Boot]], max_starts: int, now_ms: int) -> _Pass:
         last_ms = self._best_effort_placed_ms
         place_best_effort = last_ms is None or now_ms - last_ms >= BEST_EFFORT_INTERVAL_MS
         if place_best_effort:
             self._best_effort_placed_ms = now_ms
             self._count_undisturbed(by_service, now_ms)
-        steps = [
-            step
-            for step in self._book.waiting_steps
-            if place_best_effort or not step.spec.best_effort
-        ]
-        delayed = {step for step in steps if self._awaits_grouping(step, now_ms)}
-        if delayed:
-            self.request_replan()
-            steps = [step for step in steps if step not in delayed]
-        unplaceable = _UnplaceableSteps()
+        steps: list[Step] = []
         first_arrivals_ms: dict[str, int] = {}
-        for step in steps:
-            if step.spec.long_running:
+        for step in self._book.waiting_steps:
+            spec = step.spec
+            if spec.best_effort and not place_best_effort:
+                continue
+            if spec.long_running:
+                if self._awaits_grouping(step, now_ms):
+                    self.request_replan()
+                    continue
                 arrived_ms = step.job.arrived_ms
-                first_arrivals_ms[step.spec.image] = min(
-                    arrived_ms, first_arrivals_ms.get(step.spec.image, arrived_ms)
+                first_arrivals_ms[spec.image] = min(
+                    arrived_ms, first_arrivals_ms.get(spec.image, arrived_ms)
                 )
+            steps.append(step)
         starving_steps = self._starving_steps(steps, by_service, now_ms)
         # Each starving step gets a single task. If only few tasks may start, the others would leave
         # them none, so they come first within their priority.
         few_starts = max_starts < FEW_STARTS_PER_PLAN
-
-        def rank(step: Step) -> tuple[int, bool, tuple[int, int, int, int, str, float]]:
-            step_rank = self._rank(step, first_arrivals_ms, now_ms)
-            return step_rank[0], few_starts and step not in starving_steps, step_rank
-
-        for step in sorted(steps, key=rank):
+        return _Pass(steps, first_arrivals_ms, starving_steps, few_starts)
+
+    def _rank_steps(self, current: _Pass, now_ms: int, has_time: Callable[[], bool]) -> bool:
+        """Rank steps while there is time; return whether all are ranked."""
+        steps = current.steps
+        while current.ranked_count < len(steps):
+            first = current.ranked_count
+            current.ranked_count = min(first + STEPS_PER_TIME_CHECK, len(steps))
+            for number in range(first, current.ranked_count):
+                step = steps[number]
+                if step not in self._book.waiting_steps:
+                    continue
+                rank = self._rank(step, current.first_arrivals_ms, now_ms)
+                not_first = current.few_starts and step not in current.starving_steps
+                current.ranked.append(((rank[0], not_first, rank), number, step))
+            if current.ranked_count == len(steps):
+                heapq.heapify(current.ranked)
+            if not has_time():
+                return False
+        return True
+
+    def _place_ranked(
+        self,
+        current: _Pass,
+        by_service: dict[str, list[Boot]],
+        orders: list[Order],
+        max_starts: int,
+        now_ms: int,
+        has_time: Callable[[], bool],
+    ) -> bool:
+        """Place the steps of a pass by their rank while there is time; add to the orders.
+
+        Return whether the pass has ended.
+        """
+        while current.ranked:
+            step = heapq.heappop(current.ranked)[2]
+            if step not in self._book.waiting_steps:
+                continue  # a step may end, or its job, while a pass takes several plans
             queue = self.queue_of(step.job)
             boots = by_service.get(queue.service, [])
-            starving = step in starving_steps
-            if not starving and unplaceable.rules_out(queue.service, step):
-                continue
-            step_orders, unplaced = self._place_step(
-                step, boots, starving, now_ms, max_starts - len(orders)
-            )
-            orders.extend(step_orders)
-            if unplaced and not starving:
-                unplaceable.add(queue.service, step)
-            if len(orders) >= max_starts:
-                self.request_replan()
-                break
-        return orders
+            starving = step in current.starving_steps
+            if starving or not current.unplaceable.rules_out(queue.service, step):
+                step_orders, unplaced = self._place_step(
+                    step, boots, starving, now_ms, max_starts - len(orders)
+                )
+                orders.extend(step_orders)
+                if unplaced and not starving:
+                    current.unplaceable.add(queue.service, step)
+                if len(orders) >= max_starts:
+                    self.request_replan()
+                    break
+            if current.ranked and not has_time():
+                return False
+        return True
 
     def _place_lost(
         self, by_service: dict[str, list[Boot]], max_starts: int, now_ms: int
--- a/src/greengagewood/internal/cells/runner.py
+++ b/src/greengagewood/internal/cells/runner.py
@@ -69,6 +69,7 @@
 MAX_STORE_WAIT_S = 0.16
 DIRECTORY_INTERVAL_S = 0.5
 MAX_PLAN_INTERVAL_S = 0.05
+PLAN_SLICE_MS = 10  # heartbeats, leases and stops go on between the slices of a long plan
 MIN_PLAN_INTERVAL_S = 0.01  # so that run ends that arrive together lead to one plan
 COMMIT_INTERVAL_S = 0.15
 STORE_RETRY_PAUSE_S = 0.1
@@ -237,9 +238,19 @@
             if stops:  # a plan may take long, so they are sent before it
                 await asyncio.sleep(0)
         if self._may_send_orders() and not self._releasing:
-            self._carry_out_all(self.cell.plan(monotonic_ms(), wall_ms(), self._start_window.room))
+            now_ms = monotonic_ms()
+            self._carry_out_all(
+                self.cell.plan(
+                    now_ms,
+                    wall_ms(),
+                    self._start_window.room,
+                    lambda: monotonic_ms() < now_ms + PLAN_SLICE_MS,
+                )
+            )
         if self.cell.has_urgent_changes:
             self._urgent_changes.set()
+        if self.cell.is_plan_unfinished:
+            return
         with suppress(TimeoutError):
             async with asyncio.timeout(MAX_PLAN_INTERVAL_S):
                 await self._plan_wakeup.wait()
--- a/tests/cover/test_plan_cost.py
+++ b/tests/cover/test_plan_cost.py
@@ -10,6 +10,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from greengagewood.internal.cells.orders import StartRun
+from greengagewood.internal.cells.planner import STEPS_PER_TIME_CHECK
 from greengagewood.internal.jobs.book import MAX_TASKS_OPENED, Job, JobBook, Step
 from greengagewood.internal.jobs.model import JobSpec, StepSpec
 from greengagewood.internal.jobs.records import Submission
@@ -179,6 +181,95 @@
                 book.note_held_back(task)
 
 
+class TestSlices:
+    """Guard against a plan that holds the owner's loop until every step is ranked and placed."""
+
+    @staticmethod
+    def _submit_mixed(harness: CellHarness, jobs: int) -> None:
+        for job in range(jobs):
+            steps = (
+                StepSpec(
+                    1 + number % 3,
+                    cpu_millis=1_000 * (1 + (7 * number + job) % 9),
+                    estimate_ms=100 * (1 + number % 5),
+                    best_effort=number % 4 == 3,
+                )
+                for number in range(3 * STEPS_PER_TIME_CHECK)
+            )
+            harness.submit(*steps, job=f"{job:016x}")
+
+    @staticmethod
+    def _plan_in_slices(harness: CellHarness) -> list[list[StartRun]]:
+        """Plan with as little time as can be until all is placed; return the starts of each call.
+
+        The clock stands still.
+        """
+        slices = []
+        while True:
+            orders = harness.cell.plan(harness.now_ms, harness.now_ms, 200, lambda: False)
+            slices.append(start_orders(orders))
+            if not harness.cell.is_plan_unfinished:
+                return slices
+
+    def test_slices_start_the_same_in_the_same_order_as_one_plan(self) -> None:
+        starts = []
+        for in_slices in (False, True):
+            harness = CellHarness("w0", "w1", "w2")
+            self._submit_mixed(harness, 3)
+            harness.now_ms += 10
+            if in_slices:
+                slices = self._plan_in_slices(harness)
+                assert not any(slices[:8])  # all are ranked before any is placed
+                assert max(map(len, slices)) <= 3  # of one step
+                orders = [order for orders in slices for order in orders]
+            else:
+                orders = start_orders(
+                    harness.cell.plan(harness.now_ms, harness.now_ms, 200, lambda: True)
+                )
+            starts.append([(order.run.task.id, order.boot.name) for order in orders])
+        assert len(starts[0]) > 20
+        assert starts[0] == starts[1]
+
+    def test_a_job_that_is_cancelled_between_slices_is_not_started(self) -> None:
+        harness = CellHarness("w0")
+        self._submit_mixed(harness, 2)
+        harness.now_ms += 10
+        harness.cell.plan(harness.now_ms, harness.now_ms, 200, lambda: False)
+        harness.cell.cancel("0" * 15 + "1", harness.now_ms)
+        starts = [order for orders in self._plan_in_slices(harness) for order in orders]
+        assert {order.run.task.id.job_id for order in starts} == {"0" * 16}
+
+    def test_a_job_that_comes_between_slices_starts_after_the_next_ranking(self) -> None:
+        # Ten jobs of 1,000 steps must not keep a small job from a worker with room for it.
+        harness = CellHarness("w0")
+        wide = StepSpec(1, cpu_millis=65_000, estimate_ms=500)
+        harness.submit(*[wide] * (4 * STEPS_PER_TIME_CHECK), job="1" * 16)
+        harness.cell.plan(harness.now_ms, harness.now_ms, 200, lambda: False)
+        assert harness.cell.is_plan_unfinished
+        harness.submit(StepSpec(1, cpu_millis=1_000), job="2" * 16)
+        starts = []
+        for _ in range(2):
+            starts += [o for orders in self._plan_in_slices(harness) for o in orders]
+        assert [order.run.task.id.job_id for order in starts] == ["2" * 16]
+
+    def test_a_plan_that_was_cut_short_begins_anew_after_a_plan_without_starts(self) -> None:
+        # Otherwise its steps would wait until something changes.
+        harness = CellHarness("w0")
+        self._submit_mixed(harness, 1)
+        harness.cell.plan(harness.now_ms, harness.now_ms, 200, lambda: False)
+        harness.cell.plan(harness.now_ms, harness.now_ms, 0, lambda: False)
+        assert not harness.cell.is_plan_unfinished
+        assert any(self._plan_in_slices(harness))
+
+    def test_nothing_is_planned_again_after_slices_if_nothing_changes(self) -> None:
+        harness = CellHarness("w0")
+        harness.submit(*[StepSpec(1, cpu_millis=65_000)] * (2 * STEPS_PER_TIME_CHECK))
+        harness.store_changes()
+        self._plan_in_slices(harness)
+        harness.cell.plan(harness.now_ms, harness.now_ms, 200, lambda: False)
+        assert not harness.cell.is_plan_unfinished
+
+
 class TestRunningSums:
     """Guard against a sum that is kept while tasks end and differs from what it stands for."""
 
