Measure what holds the event loop of an owner

Change: of each second, the longest time for which one step of the owner held the loop goes into the histogram loop_held_seconds by step, and from 50 ms on a warning loop_held names the step. The steps are the taking up of stored jobs, plans, stops, lists of workers, the directory, the collection of changes and their encoding. What else runs in the loop, such as callers' requests, is not measured.

--- a/src/greengagewood/internal/cells/runner.py
+++ b/src/greengagewood/internal/cells/runner.py
@@ -31,6 +31,7 @@
 from greengagewood.internal.cells.window import StartWindow
 from greengagewood.internal.clock import monotonic_ms, wall_ms
 from greengagewood.internal.evacuation import Evacuations
+from greengagewood.internal.holds import LoopHolds
 from greengagewood.internal.jobs.records import (
     Cancellation,
     Forecast,
@@ -100,6 +101,7 @@
         self.token = token
         self._status_retention_ms = status_retention_ms
         self._metrics = metrics
+        self._holds = LoopHolds(metrics)
         self._ownership = ownership
         self._may_send_orders = may_send_orders
         self._sequence = 1  # number of the last append; the claim was the first of the term
@@ -131,8 +133,9 @@
     def start(self) -> None:
         """Add the stored jobs to the cell and start the loops that run it."""
         now_ms = monotonic_ms()
-        for job_id in self._ledger.jobs:
-            self._take_up_job(job_id, now_ms)
+        with self._holds.measure("take_up"):
+            for job_id in self._ledger.jobs:
+                self._take_up_job(job_id, now_ms)
         self.cell.set_registered_workers(
             self._ledger.registered_workers, self._ledger.registered_workers_read_ms, now_ms
         )
@@ -233,20 +236,21 @@
     async def _plan_once(self) -> None:
         await asyncio.sleep(MIN_PLAN_INTERVAL_S)
         if self._may_send_orders() and not self._releasing:
-            stops = self.cell.plan_stops(monotonic_ms())
-            self._carry_out_all(stops)
+            with self._holds.measure("stops"):
+                stops = self.cell.plan_stops(monotonic_ms())
+                self._carry_out_all(stops)
             if stops:  # a plan may take long, so they are sent before it
                 await asyncio.sleep(0)
         if self._may_send_orders() and not self._releasing:
             now_ms = monotonic_ms()
-            self._carry_out_all(
-                self.cell.plan(
+            with self._holds.measure("plan"):
+                orders = self.cell.plan(
                     now_ms,
                     wall_ms(),
                     self._start_window.room,
                     lambda: monotonic_ms() < now_ms + PLAN_SLICE_MS,
                 )
-            )
+                self._carry_out_all(orders)
         if self.cell.has_urgent_changes:
             self._urgent_changes.set()
         if self.cell.is_plan_unfinished:
@@ -412,7 +416,8 @@
             self._metrics.count("directory_failures")
             self.cell.note_directory_unavailable()
         else:
-            self.cell.set_workers(listed, monotonic_ms(), sent_ms)
+            with self._holds.measure("directory"):
+                self.cell.set_workers(listed, monotonic_ms(), sent_ms)
             self._metrics.gauge("evacuated_workers", self.cell.evacuated_worker_count)
             self._plan_wakeup.set()
         self._update_lease_tasks()  # without the directory, too: for the recorded workers
@@ -460,7 +465,9 @@
             self.cell.note_lease_refused(boot, monotonic_ms())
             await asyncio.sleep(FAILED_LEASE_PAUSE_S)
             return
-        self._carry_out_all(self.cell.handle_lease_reply(boot, reply, sent_ms, monotonic_ms()))
+        with self._holds.measure("list"):
+            orders = self.cell.handle_lease_reply(boot, reply, sent_ms, monotonic_ms())
+            self._carry_out_all(orders)
         if boot not in self.cell.boots.values():
             self._update_lease_tasks()
         if boot.last_end_sequence > previous_end:
@@ -489,7 +496,8 @@
         if self._released or not self._ownership.is_read_recent(monotonic_ms()):
             await asyncio.sleep(COMMIT_INTERVAL_S)
             return
-        changes = self.cell.collect_changes(wall_ms(), monotonic_ms())
+        with self._holds.measure("changes"):
+            changes = self.cell.collect_changes(wall_ms(), monotonic_ms())
         if changes is not None and changes.records:
             await self._store(changes)
         elif changes is not None:
@@ -537,7 +545,8 @@
 
         Followers read the append as a heartbeat.
         """
-        entries = [(key_of(record), encode_record(record)) for record in records]
+        with self._holds.measure("encode"):
+            entries = [(key_of(record), encode_record(record)) for record in records]
         sent_ms = monotonic_ms()  # any of the tries may be the one that is stored
         stored = await self._append_entries(entries)
         if stored:
