Add up counts until the metrics are read

Cause: the metrics library takes about 10 us of processor time for each addition to a counter, and an owner counts twice for each stop.

Change: counts are added up in a dictionary and passed to the library when the metrics are rendered.

--- a/src/greengagewood/internal/metrics.py
+++ b/src/greengagewood/internal/metrics.py
@@ -19,15 +19,23 @@
         self._counters: dict[str, Counter] = {}
         self._gauges: dict[str, Gauge] = {}
         self._histograms: dict[str, Histogram] = {}
+        # What is to be added to counters. The library takes 10 us to add, as much as 3 % of a call.
+        self._uncounted: dict[tuple[str, tuple[tuple[str, str], ...]], float] = {}
 
     def count(self, name: str, amount: float = 1, **labels: str) -> None:
         """Add to a counter."""
-        counter = self._counters.get(name)
-        if counter is None:
-            full_name = f"{NAME_PREFIX}{name}_total"
-            counter = Counter(full_name, name.replace("_", " "), registry=self._registry)
-            self._counters[name] = counter
-        counter.add(labels, amount)
+        key = (name, tuple(labels.items()))
+        self._uncounted[key] = self._uncounted.get(key, 0) + amount
+
+    def _add_counts(self) -> None:
+        for (name, labels), amount in self._uncounted.items():
+            counter = self._counters.get(name)
+            if counter is None:
+                full_name = f"{NAME_PREFIX}{name}_total"
+                counter = Counter(full_name, name.replace("_", " "), registry=self._registry)
+                self._counters[name] = counter
+            counter.add(dict(labels), amount)
+        self._uncounted.clear()
 
     def gauge(self, name: str, value: float, **labels: str) -> None:
         """Set a gauge."""
@@ -52,5 +60,6 @@
 
     def render(self) -> tuple[bytes, dict[str, str]]:
         """Return all metrics as text, and the HTTP headers for it."""
+        self._add_counts()
         content, headers = render(self._registry, [])
         return content, dict(headers)
