Collect garbage less often in entry instances

Cause: with Python's default thresholds the garbage collector visits all objects of a cell many times a second while calls go out.

What callers saw: 8,000 tasks of a cancelled job ran on for longer.

Change: thresholds of 20,000, 20 and 20 in ggw-entry.

Pauses in which the loop is held get rarer, too.

--- a/src/greengagewood/platform/program.py
+++ b/src/greengagewood/platform/program.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import gc
 import os
 import signal
 import sys
@@ -41,6 +42,9 @@
 MAX_CONNECTIONS_PER_WORKER = 12  # a worker accepts 64, which all instances share
 MAX_CONNECTIONS_TO_STORE = 8
 LISTEN_BACKLOG = 1024
+# Python's defaults (700, 10, 10) have the garbage collector visit every task of a cell many times a
+# second while calls go out, which takes a sixth of the processor time with 8,000 tasks.
+COLLECTION_THRESHOLDS = (20_000, 20, 20)
 
 Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 
@@ -139,6 +143,7 @@
         exit_with_usage_error(f"{PROGRAM}: {loaded.err_value}")
     cfg = loaded.ok_value
     set_up_logs(PROGRAM, cfg.instance, cfg.log_level)
+    gc.set_threshold(*COLLECTION_THRESHOLDS)
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
         runner.run(_run_instance(cfg))
 
