Call workers without a generator for each call

Cause: each call to a worker went through an asynchronous generator and made its own object of time-outs.

What callers saw: part of the time that the stops of 8,000 cancelled tasks take.

Change: Session.post_for_body sends a request and reads the answer in one coroutine. It closes idle connections after a call without an answer as before. The time-outs of calls are kept.

--- a/src/greengagewood/platform/wire.py
+++ b/src/greengagewood/platform/wire.py
@@ -5,6 +5,7 @@
 import time
 from collections.abc import AsyncIterator
 from contextlib import AbstractAsyncContextManager, asynccontextmanager
+from functools import lru_cache
 from typing import Annotated, Any, TypeVar
 
 import aiohttp
@@ -75,6 +76,19 @@
         """Send a POST request, like `aiohttp.ClientSession`."""
         return self._request("POST", url, options)
 
+    async def post_for_body(self, url: str, **options: Any) -> tuple[int, bytes]:
+        """Send a POST request; return the status and the body of the answer.
+
+        Calls come by the thousand this way, each in less processor time than with `post`.
+        """
+        sent_s = time.monotonic()
+        try:
+            async with self._client.post(url, **options) as resp:
+                return resp.status, await resp.read()
+        except TimeoutError as exc:
+            self._note_timeout(exc, url, sent_s)
+            raise
+
     @asynccontextmanager
     async def _request(
         self, method: str, url: str, options: dict[str, Any]
@@ -83,12 +97,14 @@
         try:
             async with self._client.request(method, url, **options) as resp:
                 yield resp
-        except aiohttp.ConnectionTimeoutError:
-            raise  # it has used no idle connection
-        except TimeoutError:
-            self._connector.close_idle(url.split("/", 3)[2], sent_s)
+        except TimeoutError as exc:
+            self._note_timeout(exc, url, sent_s)
             raise
 
+    def _note_timeout(self, exc: TimeoutError, url: str, sent_s: float) -> None:
+        if not isinstance(exc, aiohttp.ConnectionTimeoutError):  # that has used no idle connection
+            self._connector.close_idle(url.split("/", 3)[2], sent_s)
+
     async def close(self) -> None:
         """Close all connections."""
         await self._client.close()
@@ -100,6 +116,7 @@
         await self.close()
 
 
+@lru_cache
 def call_timeout(total_s: float) -> aiohttp.ClientTimeout:
     """Return the timeouts of one call."""
     return aiohttp.ClientTimeout(total=total_s, sock_connect=min(total_s, CONNECT_TIMEOUT_S))
--- a/src/greengagewood/platform/workers.py
+++ b/src/greengagewood/platform/workers.py
@@ -118,19 +118,18 @@
         headers = {"Content-Type": "application/json", "X-Expected-Instance": worker.worker_id}
         url = f"http://{worker.address}{CALL_PATH}{call}"
         try:
-            async with self._session.post(
+            status, body = await self._session.post_for_body(
                 url, data=encode(order), headers=headers, timeout=call_timeout(timeout_s)
-            ) as resp:
-                body = await resp.read()
+            )
         except _CONNECT_ERRORS as exc:
             raise WorkerUnreachable(f"{call}: {exc!r}"[:MAX_ERROR_LENGTH]) from exc
         except Exception as exc:
             # An odd address, ID or answer makes the HTTP client raise errors of many types, and any
             # that leaves here would fail the loop of the worker instead of counting as silence.
             raise WorkerCallFailed(f"{call}: {exc!r}"[:MAX_ERROR_LENGTH]) from exc
-        if resp.status == 421:
+        if status == 421:
             raise WrongBoot(worker.worker_id)
-        return resp.status, body
+        return status, body
 
 
 def _order_reply(call: str, status: int, body: bytes) -> OrderReply:
