Send the stops of many runs as fast as they are answered

Cause: at most 64 stops were under way, and each few that ended led to a scan of all runs, to a plan, and to lists of all runs by workers that answer at once while runs end. Each scan also looked for runs that outlive their job, and 2 s after the cancellation logged a line for each of 8,000. An end compared itself with all runs of its worker. Of a whole core, about a fifth went into the stops themselves.

Change: the window of starts limits stops, too. It begins with 64, doubles with each round until an answer is late, and begins anew with each burst. What has no room is kept in order: runs that were sent none, the oldest cancellation, workers by turns. A call that ends makes room for the next one without a scan or a plan. While stops wait, runs are scanned every 400 ms, a worker lists its runs at most every 400 ms, and accepted stops and the ends that follow are counted but not logged one by one. A scan reports 20 runs at most that outlive their jobs. Runs of ended jobs cost less in lists, and names of tasks are parsed once.

Tests: three in test_many_cancellations; the first needs the new call, so it was shown with the parts of the change taken back one by one: no sends between scans, order of cancellations, turns, lines, doubling. Each is caught.

--- a/src/greengagewood/internal/cells/boots.py
+++ b/src/greengagewood/internal/cells/boots.py
@@ -150,6 +150,7 @@
     lease_pending_ms: int = 0  # when a lease extension was sent whose answer is pending, or 0
     lease_call_failed: bool = False  # whether the last lease extension was not answered
     runs: dict[tuple[Task, int], Run] = field(default_factory=dict)  # by task and run number
+    unexpected_run_count: int = 0  # of `runs`, those of placeholder tasks
     allocated: Resources = field(default_factory=Resources)  # without the CPU of best-effort runs
     # Allocations that the worker has refused for lack of resources. Until `refused_until_ms`, no
     # run is placed that would reach one of them; afterwards that is tried again.
@@ -275,12 +276,14 @@
         if key in self.runs:
             return
         self.runs[key] = run
+        self.unexpected_run_count += run.task.end_state == "unexpected"
         run.boot = self
         self._change_allocation(run.task.step.spec, 1)
 
     def remove_run(self, run: Run) -> None:
         """Free the resources of a run that is over."""
         if self.runs.pop((run.task, run.number), None) is not None:
+            self.unexpected_run_count -= run.task.end_state == "unexpected"
             self._change_allocation(run.task.step.spec, -1)
         if self.trial is run:
             self.trial = None
--- a/src/greengagewood/internal/cells/cell.py
+++ b/src/greengagewood/internal/cells/cell.py
@@ -334,10 +334,12 @@
         if run.stop_answered_ms is None:
             run.stop_answered_ms = now_ms
 
-    def note_stop_ended(self, run: Run | None) -> None:
+    def note_stop_ended(
+        self, run: Run | None, sent_ms: int | None = None, now_ms: int = 0, answered: bool = True
+    ) -> None:
         """Record that a call to stop a run has ended, with or without an answer."""
         if run is not None:
-            self.term.stops.note_stop_ended(run)
+            self.term.stops.note_stop_ended(run, sent_ms, now_ms, answered)
 
     # Orders.
 
@@ -352,6 +354,15 @@
         self._report_overdue_runs(now_ms)
         return list(self.term.stops.plan(now_ms))
 
+    @property
+    def holds_back_stops(self) -> bool:
+        """Return whether stops wait for room, so that the processor is better used for them."""
+        return self.term.stops.holds_back
+
+    def send_held_back_stops(self, now_ms: int) -> list[Order]:
+        """Return the stops for which calls that have ended have made room."""
+        return list(self.term.stops.send_held_back(now_ms))
+
     def plan(self, now_ms: int, wall_ms: int, max_starts: int = MAX_STARTS_PER_PLAN) -> list[Order]:
         """Return the orders to send now; what may not start yet is left to a later plan."""
         self._lives.confirm_losses()
--- a/src/greengagewood/internal/cells/lists.py
+++ b/src/greengagewood/internal/cells/lists.py
@@ -118,6 +118,10 @@
             run.note_accepted(now_ms)
             run.resumed = True
             boot.add_run(run)
+        elif run.state in ("running", "stopping") and run.outlived and job.is_final:
+            term.crashes.forget_undecided(run)
+            run.listed_ms = now_ms  # nothing else counts, and thousands of these may be listed
+            return True
         elif run.state in ("starting", "unconfirmed"):
             run.transition("accepted")
             run.note_accepted(now_ms)
@@ -203,7 +207,7 @@
         term = self._term
         unexpected = [
             run
-            for run in boot.runs.values()
+            for run in (boot.runs.values() if boot.unexpected_run_count else ())
             if run.task.end_state == "unexpected"
             and (run.task.id, run.number) == (end.task_id, end.run_number)
         ]
--- a/src/greengagewood/internal/cells/runner.py
+++ b/src/greengagewood/internal/cells/runner.py
@@ -67,6 +67,9 @@
 # only once they are stored, or after this time: the next steps of jobs wait for ends that follow.
 # The usual wait is shorter, as changes are stored every COMMIT_INTERVAL_S.
 MAX_STORE_WAIT_S = 0.16
+# Between two lists of a worker while stops wait for room: a list of 1,000 runs takes as much
+# processor time as 30 stops, and its worker answers it at once, as runs end all the time.
+HELD_BACK_LIST_PAUSE_S = 0.4
 DIRECTORY_INTERVAL_S = 0.5
 MAX_PLAN_INTERVAL_S = 0.05
 MIN_PLAN_INTERVAL_S = 0.01  # so that run ends that arrive together lead to one plan
@@ -115,6 +118,7 @@
         self._released = False  # whether nothing may be sent or stored any more but the release
         self._retries_end_ms = math.inf
         self._start_window = StartWindow()
+        self._unlogged_stops = 0  # accepted since the last `stop` line, while others waited
         self.cell = Cell(
             limits,
             token,
@@ -208,6 +212,8 @@
 
     def _record_event(self, event: str, fields: dict[str, object]) -> None:
         self._metrics.count("cell_events", event=event)
+        if event == "run_ended" and fields["how"] == "stopped" and self.cell.holds_back_stops:
+            return  # as for the stops
         _log.info(event, token=self.token, **fields)
 
     def _spawn(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
@@ -257,6 +263,7 @@
                 await self._start_run(order)
             case StopRun():
                 await self._stop_run(order)
+                return  # no plan follows: the resources are free once the end is listed
             case ThrottleRun():
                 await self._throttle_run(order)
             case RequestAdvice():
@@ -336,8 +343,14 @@
         except WrongBoot:
             self.cell.note_wrong_boot(order.boot, monotonic_ms(), info.address)
         finally:
-            self.cell.note_stop_ended(order.run)
+            answered = outcome != "unanswered"
+            self.cell.note_stop_ended(order.run, sent_ms, monotonic_ms(), answered)
         self._metrics.count("stops", reason=order.reason, outcome=outcome)
+        if self._may_send_orders() and not self._releasing:
+            self._carry_out_all(self.cell.send_held_back_stops(monotonic_ms()))
+        if outcome == "accepted" and self.cell.holds_back_stops:
+            self._unlogged_stops += 1  # a line takes an eighth of the processor time of a stop
+            return
         _log.info(
             "stop",
             token=self.token,
@@ -347,7 +360,9 @@
             reason=order.reason,
             answered_ms=monotonic_ms() - sent_ms,
             outcome=outcome,
+            unlogged=self._unlogged_stops,
         )
+        self._unlogged_stops = 0
 
     async def _throttle_run(self, order: ThrottleRun) -> None:
         previous_percent = order.run.speed_percent
@@ -454,6 +469,7 @@
             self._update_lease_tasks()
         if boot.last_end_sequence > previous_end:
             self._plan_wakeup.set()
+        await self._wait_for_stops()
         if boot.last_end_sequence > boot.acknowledged_sequence:
             await self._wait_until_stored(boot, boot.last_end_sequence)
         elif not boot.adopted:  # its list can't be read in full
@@ -461,6 +477,12 @@
         elif monotonic_ms() - sent_ms < wait_ms // 2:
             await asyncio.sleep(REPEATED_LEASE_PAUSE_S)
 
+    async def _wait_for_stops(self) -> None:
+        """Wait until no stops wait for room any more, or the next poll is due."""
+        deadline_ms = monotonic_ms() + HELD_BACK_LIST_PAUSE_S * 1000
+        while self.cell.holds_back_stops and monotonic_ms() < deadline_ms:
+            await asyncio.sleep(REPEATED_LEASE_PAUSE_S)
+
     async def _wait_until_stored(self, boot: Boot, sequence: int) -> None:
         """Wait until run ends of a worker may be acknowledged, or the next poll is due."""
         with suppress(TimeoutError):
--- a/src/greengagewood/internal/cells/stops.py
+++ b/src/greengagewood/internal/cells/stops.py
@@ -13,9 +13,11 @@
 A stop may be lost, so it is repeated until the run is over. Until then the resources of the run
 stay allocated, see `Cell`.
 
-Each call needs processor time of the owner, and one that times out as much as any other. So no more
-stops are under way than an owner with little processor time can send in time: if many runs lose
-their jobs at once, those that were never sent a stop go first, and the others wait for a place.
+Each call needs processor time of the owner, and one that times out as much as any other. So the
+stops under way are limited by how fast they are answered, see `window`: if many runs lose their
+jobs at once, those that were never sent a stop go first, those of the oldest cancellation before
+others and by turns to all workers. The others wait for room. Each call that ends makes room for the
+next one without a scan, as a scan of many runs costs as much as many stops.
 
 A worker that does not answer lease extensions may still carry out a stop. So the runs that nothing
 waits for are stopped there too, a few at a time: calls without an answer hold connections that the
@@ -26,11 +28,13 @@
 
 from __future__ import annotations
 
+from collections import deque
 from itertools import islice
 
 from greengagewood.internal.cells.boots import Boot
 from greengagewood.internal.cells.orders import StopRun
 from greengagewood.internal.cells.planner import Planner
+from greengagewood.internal.cells.window import StartWindow
 from greengagewood.internal.jobs.book import Run
 from greengagewood.internal.jobs.records import TaskId
 from greengagewood.internal.ports import RunningTask
@@ -38,10 +42,10 @@
 __all__ = ["StopPlanner"]
 
 _DueStop = tuple[Boot, Run, str]  # the run, the boot that holds it, and the reason
+_Rank = tuple[int, int, int]  # when last sent a stop, when it lost its job, and its turn
 
 REPEAT_INTERVAL_MS = 400
 SILENT_REPEAT_INTERVAL_MS = 1_000  # by then a call without an answer has ended
-MAX_OPEN_STOPS = 64  # at a time to all workers that answer
 MAX_OPEN_STOPS_TO_SILENT = 128  # at a time to all workers that don't; most of them time out
 MAX_STOPS_TO_SILENT = 8  # at a time to one worker; an owner opens 12 connections to each
 CALL_TIMEOUT_MS = 1_000  # a call has ended by then
@@ -49,7 +53,10 @@
 SLOW_SPEED_PERCENT = 60  # a run limited to this or less may be moved to run at full speed
 MOVE_DELAY_MS = 450  # how long a run must have been slow before it is moved: about one reading
 MOVE_INTERVAL_MS = 150  # between two moves, each of which costs a stop and a start
+# While stops wait for room: the runs that have to be stopped are known, and a scan takes long.
+HELD_BACK_SCAN_INTERVAL_MS = 400
 REMAINING_REPORT_MS = 2_000  # a run that goes on for this long after its job's end is reported
+MAX_REPORTS_PER_SCAN = 20  # a line takes as long as a third of a stop
 MISSING_AFTER_MS = 5_000  # time without being listed after which a run is stopped
 # Many runs may have one of these reasons at once.
 BULK_REASONS = frozenset({"again", "job_over"})
@@ -64,7 +71,9 @@
         self._planner = planner
         self._last_scan_ms: int | None = None  # None requests a scan by the next plan
         self._next_move_ms = 0  # no run is moved before this time
-        self._held_back = False  # whether stops wait for others to end
+        self._window = StartWindow(doubles=True)  # of the calls to workers that answer
+        self._held_back: deque[_DueStop] = deque()  # stops that wait for room, the first one first
+        self._held_back_from_silent = False  # whether stops to silent workers wait for others
         # By service, image and size of a best-effort task, during one scan.
         self._full_speed: dict[tuple[str, str, int, int, int], tuple[Boot, ...]] = {}
         # When a run of an unknown task was last sent a stop, by worker, task and run number.
@@ -76,65 +85,96 @@
 
     def is_scan_due(self, now_ms: int) -> bool:
         """Return whether to scan for runs to stop."""
-        return self._last_scan_ms is None or now_ms - self._last_scan_ms >= SCAN_INTERVAL_MS
+        interval_ms = HELD_BACK_SCAN_INTERVAL_MS if self._held_back else SCAN_INTERVAL_MS
+        return self._last_scan_ms is None or now_ms - self._last_scan_ms >= interval_ms
 
-    def note_stop_ended(self, run: Run) -> None:
-        """Record that a call to stop a run has ended, which may leave its place to another."""
+    def note_stop_ended(
+        self, run: Run, sent_ms: int | None = None, now_ms: int = 0, answered: bool = True
+    ) -> None:
+        """Record that a call to stop a run, sent at `sent_ms` if known, has ended."""
         run.open_stops = max(0, run.open_stops - 1)
-        if self._held_back:
+        if self._held_back_from_silent:
             self.request_scan()
+        boot = self._boots.get(run.worker_id)
+        if sent_ms is not None and boot is not None and not boot.unresponsive:
+            self._window.note_done(sent_ms, now_ms, answered)
 
     def plan(self, now_ms: int) -> list[StopRun]:
         """Scan for runs to stop; return the stops to send now."""
         self._last_scan_ms = now_ms
         self._full_speed.clear()
         orders: list[StopRun] = []
-        due: list[_DueStop] = []
-        due_on_silent: list[_DueStop] = []
+        due: list[tuple[_Rank, _DueStop]] = []
+        due_on_silent: list[tuple[_Rank, _DueStop]] = []
         open_stops = open_to_silent = 0
         making_room = self._planner.places.runs_to_stop(now_ms)
         for boot in self._boots.values():
             if boot.unresponsive:
                 open_to_silent += sum(_open_stops(run, now_ms) for run in boot.runs.values())
-                due_on_silent.extend(
-                    (boot, run, "job_over") for run in _due_on_silent(boot, now_ms)
-                )
+                for turn, run in enumerate(_due_on_silent(boot, now_ms)):
+                    due_on_silent.append((_rank(run, turn, now_ms), (boot, run, "job_over")))
                 continue
+            turn = 0
             for run in boot.runs.values():
-                open_stops += _open_stops(run, now_ms)
+                if run.open_stops:
+                    open_stops += _open_stops(run, now_ms)
                 reason = self._stop_reason(boot, run, now_ms)
                 if not reason and run in making_room:
                     reason = "makes_room"
                 if not reason or not _may_send_stop(run, now_ms):
                     continue
                 if reason in BULK_REASONS:
-                    due.append((boot, run, reason))
+                    due.append((_rank(run, turn, now_ms), (boot, run, reason)))
+                    turn += 1
                 else:
+                    open_stops += 1
                     orders.append(_stop(boot, run, reason, now_ms))
-        self._held_back = False
-        orders.extend(self._fill_places(due, MAX_OPEN_STOPS - open_stops, now_ms))
-        silent_places = MAX_OPEN_STOPS_TO_SILENT - open_to_silent
-        orders.extend(self._fill_places(due_on_silent, silent_places, now_ms))
+        if not due and not open_stops:
+            self._window = StartWindow(doubles=True)  # what the last burst met may have changed
+        self._window.in_flight = open_stops  # the ends of some calls are not noted
+        if len(due) > self._window.room:
+            due.sort(key=lambda stop: stop[0])
+        self._held_back = deque(stop for _, stop in due)
+        orders.extend(self.send_held_back(now_ms))
+        places = max(0, MAX_OPEN_STOPS_TO_SILENT - open_to_silent)
+        self._held_back_from_silent = len(due_on_silent) > places
+        due_on_silent.sort(key=lambda stop: stop[0])
+        orders.extend(_stop(*stop, now_ms) for _, stop in due_on_silent[:places])
         return orders
 
-    def _fill_places(self, due: list[_DueStop], places: int, now_ms: int) -> list[StopRun]:
-        """Return the stops for which there are places, those that have waited longest first."""
-        places = max(0, places)
-        if len(due) > places:
-            self._held_back = True
-            due = sorted(due, key=lambda stop: stop[1].stop_sent_ms or 0)[:places]
-        return [_stop(boot, run, reason, now_ms) for boot, run, reason in due]
+    @property
+    def holds_back(self) -> bool:
+        """Return whether stops wait for room."""
+        return bool(self._held_back)
+
+    def send_held_back(self, now_ms: int) -> list[StopRun]:
+        """Return the stops that have waited for room and may be sent now."""
+        orders = []
+        while self._held_back and self._window.room:
+            boot, run, reason = self._held_back.popleft()
+            if (
+                self._boots.get(boot.name) is boot
+                and not boot.unresponsive
+                and boot.runs.get((run.task, run.number)) is run
+                and _may_send_stop(run, now_ms)
+            ):
+                self._window.note_sent()
+                orders.append(_stop(boot, run, reason, now_ms))
+        return orders
 
     def overdue_runs(self, now_ms: int) -> list[tuple[Boot, Run]]:
         """Return the runs to report now, as they go on long after the end of their jobs."""
-        overdue = []
+        overdue: list[tuple[Boot, Run]] = []
         for boot in self._boots.values():
             for run in boot.runs.values():
                 if not run.task.step.job.is_final:
                     continue
                 if run.unwanted_since_ms is None:
                     run.unwanted_since_ms = run.reported_ms = now_ms
-                elif now_ms - run.reported_ms >= REMAINING_REPORT_MS:
+                elif (
+                    now_ms - run.reported_ms >= REMAINING_REPORT_MS
+                    and len(overdue) < MAX_REPORTS_PER_SCAN
+                ):
                     run.reported_ms = now_ms
                     overdue.append((boot, run))
         return overdue
@@ -235,6 +275,11 @@
     return run.open_stops if sent_ms is not None and now_ms - sent_ms <= CALL_TIMEOUT_MS else 0
 
 
+def _rank(run: Run, turn: int, now_ms: int) -> _Rank:
+    since_ms = now_ms if run.unwanted_since_ms is None else run.unwanted_since_ms
+    return (run.stop_sent_ms or 0, since_ms, turn)
+
+
 def _is_unwanted(run: Run) -> bool:
     return run.task.step.job.is_final or bool(run.task.end_state)
 
--- a/src/greengagewood/internal/cells/window.py
+++ b/src/greengagewood/internal/cells/window.py
@@ -5,7 +5,9 @@
 follow cost as much again, and the owner stays overloaded after the load has gone. A start that the
 window has no room for is not sent, so its task waits and nothing has to be stopped.
 
-The limit rises by one for each round of answers in time, and falls by a share when one is late.
+The limit rises by one for each round of answers in time, and falls by a share when one is late. A
+window that `doubles` rises by one for each answer in time until the first one that is late, for
+bursts that are over within seconds. Stops use such a window, too.
 """
 
 from __future__ import annotations
@@ -22,8 +24,9 @@
 class StartWindow:
     """Count the starts in flight, and adapt their limit; times are in ms of one monotonic clock."""
 
-    def __init__(self) -> None:
+    def __init__(self, doubles: bool = False) -> None:
         self.limit = INITIAL_LIMIT
+        self._doubles = doubles
         self.in_flight = 0
         self._last_decrease_ms: int | None = None
         self._last_in_time_ms: int | None = None  # when a start was last answered in time
@@ -49,7 +52,7 @@
     def _note_answered(self, sent_ms: int, now_ms: int) -> None:
         if now_ms - sent_ms <= LATE_ANSWER_MS:
             self._last_in_time_ms = now_ms
-            self.limit = min(MAX_LIMIT, self.limit + 1 / self.limit)
+            self.limit = min(MAX_LIMIT, self.limit + (1 if self._doubles else 1 / self.limit))
         else:
             self._decrease(sent_ms, now_ms)
 
@@ -57,4 +60,5 @@
         # The starts that were sent before the last decrease say nothing about the present limit.
         if self._last_decrease_ms is None or sent_ms >= self._last_decrease_ms:
             self._last_decrease_ms = now_ms
+            self._doubles = False
             self.limit = max(MIN_LIMIT, self.limit * DECREASE_FACTOR)
--- a/src/greengagewood/platform/runlists.py
+++ b/src/greengagewood/platform/runlists.py
@@ -14,6 +14,7 @@
 import json
 import re
 from collections import OrderedDict
+from functools import lru_cache
 from typing import Annotated, Any
 
 import msgspec
@@ -32,6 +33,8 @@
 MAX_INTEGER_DIGITS = 20
 MAX_ROWS_NOTED = 2_000  # of all workers together; an older one is reported again
 MAX_REPORTED_LENGTH = 100
+# Each list names every run of a worker anew; that many tasks can run at once in one cell.
+MAX_TASK_NAMES_KEPT = 20_000
 MAX_ROW_KEY_LENGTH = 300
 # Stands for the task of an end that does not name one.
 NO_TASK = TaskId("", 0, 0, 0)
@@ -73,6 +76,7 @@
     return f"{task.job_id}.{task.occurrence}.{task.step}.{task.number}"
 
 
+@lru_cache(maxsize=MAX_TASK_NAMES_KEPT)
 def parse_task_name(name: str) -> TaskId:
     """Parse a name written by `format_task_name`; raise ValueError."""
     match = _TASK_NAME.fullmatch(name)
--- a/tests/cover/test_many_cancellations.py
+++ b/tests/cover/test_many_cancellations.py
@@ -12,6 +12,8 @@
 
 from greengagewood.internal.cells.orders import StopRun
 from greengagewood.internal.cells.runner import Ports
+from greengagewood.internal.cells.stops import HELD_BACK_SCAN_INTERVAL_MS, MAX_REPORTS_PER_SCAN
+from greengagewood.internal.cells.window import INITIAL_LIMIT
 from greengagewood.internal.entry import EntryInstance
 from greengagewood.internal.jobs.model import JobSpec, StepSpec
 from greengagewood.internal.jobs.records import TaskId
@@ -166,3 +168,77 @@
             stops = [order for order in harness.plan(50) if isinstance(order, StopRun)]
             stopped |= {stop.task_id.number for stop in stops}
         assert len(stopped) == 24
+
+    def test_the_stops_of_thousands_of_runs_go_out_without_a_scan_for_each_batch(self) -> None:
+        """Guards against an owner that scans all runs again for each few stops that are answered.
+
+        A scan of 8,000 runs takes the processor time of 60 stops.
+        """
+        harness = CellHarness("w0", "w1")
+        harness.submit(StepSpec(2_000, cpu_millis=50, memory_mb=20, estimate_ms=200_000))
+        for _ in range(8):
+            harness.start(100)
+            harness.answer_leases()
+        cell = harness.cell
+        assert sum(len(boot.runs) for boot in cell.boots.values()) == 2_000
+        cell.cancel(JOB, harness.now_ms)
+        now_ms = harness.now_ms
+        open_stops = [order for order in cell.plan_stops(now_ms) if isinstance(order, StopRun)]
+        assert {order.boot.name for order in open_stops} == {"w0", "w1"}  # by turns
+        stopped: Counter[TaskId] = Counter()
+        most = 0
+        while open_stops:
+            most = max(most, len(open_stops))
+            stopped.update(order.task_id for order in open_stops)
+            following: list[StopRun] = []
+            for order in open_stops:
+                cell.note_stop_ended(order.run, now_ms, now_ms + 20)
+                following.extend(
+                    order
+                    for order in cell.send_held_back_stops(now_ms + 20)
+                    if isinstance(order, StopRun)
+                )
+            now_ms += 20
+            open_stops = following
+        assert now_ms - harness.now_ms < HELD_BACK_SCAN_INTERVAL_MS
+        assert len(stopped) == 2_000 and set(stopped.values()) == {1}
+        assert most > 2 * INITIAL_LIMIT
+
+    def test_stops_of_an_older_cancellation_go_first(self) -> None:
+        """Guards against a late cancellation whose stops go out before those of an earlier one."""
+        harness = CellHarness("w0", "w1")
+        jobs = ["1" * 16, "0" * 16]
+        spec = msgspec.structs.replace(LASTING, cpu_millis=50, task_count=300)
+        for job in jobs:
+            harness.submit(spec, job=job)
+        for _ in range(5):
+            harness.start(500)
+        harness.answer_leases()
+        cell = harness.cell
+        cell.cancel(jobs[1], harness.now_ms)
+        first = cell.plan_stops(harness.now_ms)
+        cell.cancel(jobs[0], harness.now_ms + 50)
+        assert cell.plan_stops(harness.now_ms + 50) == []  # there is no room
+        sent = [order for order in first if isinstance(order, StopRun)]
+        ended = 0
+        while ended < 300:
+            cell.note_stop_ended(sent[ended].run, harness.now_ms, harness.now_ms + 60)
+            more = cell.send_held_back_stops(harness.now_ms + 60)
+            sent.extend(order for order in more if isinstance(order, StopRun))
+            ended += 1
+        assert {order.task_id.job_id for order in sent[:300]} == {jobs[1]}
+        assert {order.task_id.job_id for order in sent[300:]} == {jobs[0]}
+
+    def test_few_lines_are_logged_at_once_of_runs_that_outlive_their_job(self) -> None:
+        """Guards against thousands of log lines in one scan, which delay the stops."""
+        harness = CellHarness("w0")
+        harness.submit(msgspec.structs.replace(LASTING, cpu_millis=50, task_count=500))
+        for _ in range(4):
+            harness.start(500)
+        harness.answer_leases()
+        events: list[str] = []
+        harness.cell.on_event = lambda event, fields: events.append(event)
+        harness.cell.cancel(JOB, harness.now_ms)
+        harness.cell.plan_stops(harness.now_ms)
+        harness.cell.plan_stops(harness.now_ms + 2_100)
+        assert events.count("run_outlives_job") == MAX_REPORTS_PER_SCAN
