Ask the advice service about every worker that has room, in turn

Cause: each request named the first 30 workers with room, in an order that never changes, and the answer left no trace of the workers without a ticket. A step that is permitted on none of the 30 was asked about again at once, without an end. A valid permit for a full worker also kept the others from being asked about. Class: a bounded answer is taken for the whole.

Change: cells/permits.py keeps for each step which boots are permitted and which are refused. If no task of a step can be started with the valid permits, the workers with room are asked about in turn: those whose permit has expired, then unknown ones, 30 in the first request and up to 100, the limit of the page, in those that follow. A refused boot is asked about again only once all are known, after a pause of 4 s that doubles to 60 s. Permits belong to a boot, so a new boot is asked about at once.

--- a/src/greengagewood/internal/cells/cell.py
+++ b/src/greengagewood/internal/cells/cell.py
@@ -302,7 +302,7 @@
         elif reason == "unreachable":
             boot.backoff_until_ms = max(boot.backoff_until_ms, now_ms + FIRST_WORKER_BACKOFF_MS)
         elif reason == "ticket":
-            self.planner.note_permit_refused(run.task.step, boot.name)
+            self.planner.note_permit_refused(run.task.step, boot)
         elif reason == "room":
             boot.backoff_until_ms = max(boot.backoff_until_ms, now_ms + REFUSAL_DELAY_MS)
             boot.note_room_refused(
--- a/src/greengagewood/internal/cells/planner.py
+++ b/src/greengagewood/internal/cells/planner.py
@@ -12,7 +12,8 @@
 
 from greengagewood.internal.cells.boots import Boot
 from greengagewood.internal.cells.copies import CopyPolicy, Straggler
-from greengagewood.internal.cells.orders import Order, RequestAdvice, StartRun
+from greengagewood.internal.cells.orders import Order, StartRun
+from greengagewood.internal.cells.permits import Permits
 from greengagewood.internal.cells.placement import (
     LONGEST_TRIAL_WAIT_MS,
     choose_worker,
@@ -41,9 +42,6 @@
 # due to show it, which may be a little late.
 CAPACITY_VALIDITY_MS = 2_700
 RUN_NUMBERS_PER_TERM = 1 << 20
-ADVICE_RETRY_DELAY_MS = 300
-PERMIT_MARGIN_MS = 300  # time for a start to reach its worker before the permit expires
-MAX_WORKERS_PER_ADVICE_REQUEST = 30  # the answer takes time for each worker in a request
 MAX_TASK_CPU_MILLIS = 1_000_000_000  # divisor that scales sizes to below 1, to break ties only
 
 # Time between placements of best-effort tasks, so that a backlog of them does not delay others.
@@ -130,9 +128,7 @@
         self._token = token
         self._settled_offset = settled_offset
         self._claim_offset = claim_offset
-        self._permits: dict[Step, dict[str, Permit]] = {}
-        self._advice_pending: set[Step] = set()
-        self._advice_retry_ms: dict[Step, int] = {}  # when the advice service may be asked again
+        self._permits = Permits()
         self._planned_version = -1
         self._best_effort_placed_ms: int | None = None
         self._counted_ms: int | None = None  # see COUNT_INTERVAL_MS
@@ -155,11 +151,14 @@
 
         A gang is started as a whole, even if it has more tasks than `max_starts`.
         """
+        if self._permits.is_due(now_ms):
+            self.request_replan()
         if self._book.waiting_version == self._planned_version or max_starts <= 0:
             return []
         if not self.evacuations_known:
             return []
         self._planned_version = self._book.waiting_version
+        self._permits.begin_plan()
         return self._place(now_ms, max_starts)
 
     @property
@@ -256,21 +255,19 @@
         budgets[queue.service] -= spec.cpu_millis
         return self._start(task, boot, now_ms, task.start_count + 1)
 
-    def note_permits(self, step: Step, permits: dict[str, Permit]) -> None:
+    def note_permits(self, step: Step, permits: dict[str, Permit], now_ms: int) -> None:
         """Record the permits that the advice service gave for a step, by worker."""
-        self._permits.setdefault(step, {}).update(permits)
-        self._advice_pending.discard(step)
+        self._permits.note_answer(step, permits, now_ms)
         self.request_replan()
 
     def note_advice_failed(self, step: Step, now_ms: int) -> None:
         """Record that the advice service gave no answer; a later plan asks it again."""
-        self._advice_pending.discard(step)
-        self._advice_retry_ms[step] = now_ms + ADVICE_RETRY_DELAY_MS
+        self._permits.note_failure(step, now_ms)
         self.request_replan()
 
-    def note_permit_refused(self, step: Step, worker_id: str) -> None:
+    def note_permit_refused(self, step: Step, boot: Boot) -> None:
         """Discard the permit that a worker has refused."""
-        self._permits.get(step, {}).pop(worker_id, None)
+        self._permits.note_refused(step, boot)
 
     def _place(self, now_ms: int, max_starts: int) -> list[Order]:
         orders: list[Order] = []
@@ -423,19 +420,26 @@
     ) -> tuple[list[Order], bool]:
         """Return the orders for a step, and whether one of its tasks could not be placed."""
         queue = self.queue_of(step.job)
-        orders: list[Order] = []
         if self._start_window_ms(queue, now_ms) < MIN_START_WINDOW_MS:
-            return orders, False
-        if queue.decision_ms:
-            orders.extend(self._ask_advice(step, boots, now_ms))
-            permits = self._permits.get(step, {})
-            boots = [
-                w
-                for w in boots
-                if w.name in permits and permits[w.name].expires_ms - PERMIT_MARGIN_MS > now_ms
-            ]
+            return [], False
+        if not queue.decision_ms:
+            return self._place_tasks(step, boots, starving, now_ms, max_starts)
+        permitted = self._permits.permitted(step, boots, now_ms)
+        orders, unplaced = self._place_tasks(step, permitted, starving, now_ms, max_starts)
+        if orders:
+            if step.waiting_tasks:
+                self.request_replan()  # the permits may be enough for no more of them
+        elif any(task.not_before_ms <= now_ms for task in step.waiting_tasks):
+            orders.extend(self._permits.request(step, boots, now_ms))
+        return orders, unplaced
+
+    def _place_tasks(
+        self, step: Step, boots: list[Boot], starving: bool, now_ms: int, max_starts: int
+    ) -> tuple[list[Order], bool]:
+        """Return the starts of a step's tasks, and whether one of them could not be placed."""
+        orders: list[Order] = []
         if step.spec.gang:
-            return [*orders, *self._place_gang(step, boots, now_ms)], False
+            return [*self._place_gang(step, boots, now_ms)], False
         choose = make_worker_chooser(step, boots, self.tail_model, starving)
         for task in sorted(step.waiting_tasks, key=lambda task: -task.last_run_ended_ms):
             if task.not_before_ms > now_ms:
@@ -523,26 +527,6 @@
         self._settled_offset = max(self._settled_offset, min([log_end, *unsettled_offsets]))
         return self._settled_offset
 
-    def _ask_advice(self, step: Step, boots: list[Boot], now_ms: int) -> list[Order]:
-        if step in self._advice_pending:
-            return []
-        if now_ms < self._advice_retry_ms.get(step, now_ms):
-            self.request_replan()
-            return []
-        valid_permits = {
-            name
-            for name, permit in self._permits.get(step, {}).items()
-            if permit.expires_ms - 2 * PERMIT_MARGIN_MS > now_ms
-        }
-        if valid_permits:
-            return []
-        fitting = sorted((w for w in boots if w.fits(step.spec)), key=lambda w: w.cold)
-        candidates = [boot.name for boot in fitting[:MAX_WORKERS_PER_ADVICE_REQUEST]]
-        if not candidates:
-            return []
-        self._advice_pending.add(step)
-        return [RequestAdvice(step, tuple(candidates))]
-
     def _start_window_ms(self, queue: Queue, now_ms: int) -> int:
         """Return how long a start may take to reach its worker.
 
@@ -565,8 +549,7 @@
         run = self._book.attach_run(
             task, number, boot.name, boot.info.rack, "starting", now_ms, deadline
         )
-        permit = self._permits.get(task.step, {}).get(boot.name)
-        run.ticket = permit.ticket if permit else ""
+        run.ticket = self._permits.present(task.step, boot)
         run.resumed = bool(task.checkpoint)
         if task.step.spec.best_effort:
             run.initial_speed_percent = (
--- a/src/greengagewood/internal/cells/runner.py
+++ b/src/greengagewood/internal/cells/runner.py
@@ -389,7 +389,7 @@
             _log.info("advice_unavailable", job=step.job.id, step=step.number, error=str(exc))
             self.cell.planner.note_advice_failed(step, monotonic_ms())
         else:
-            self.cell.planner.note_permits(step, permits)
+            self.cell.planner.note_permits(step, permits, monotonic_ms())
 
     # Workers.
 
--- a/tests/common/eventorder.py
+++ b/tests/common/eventorder.py
@@ -549,7 +549,7 @@
             planner.note_advice_failed(order.step, self.now_ms)
             return
         permit = Permit("t", self.now_ms + self.rng.choice((500, 3_000)))
-        planner.note_permits(order.step, dict.fromkeys(order.worker_ids, permit))
+        planner.note_permits(order.step, dict.fromkeys(order.worker_ids, permit), self.now_ms)
 
     def _extend_leases(self, owner: Owner) -> None:
         if not owner.may_send(self.now_ms):
