Limit the calls to the advice service by its answers

Cause: the owner asked for all waiting steps at once. The service handles one call at a time, also those that were given up, so each call timed out after 2 s before its turn and was repeated 0.3 s later. Class: calls to a serial service are repeated without regard to what waits there.

Change: window.py has one window for calls of any kind, with settings for starts (as before) and for advice: 2 to 12 calls in flight, one more for each round answered within 500 ms, half after a late answer, a time-out or 429. A call's time-out is 2 s, half as much again after each round of time-outs up to 16 s, plus the estimated handling of it and the calls before it, with those given up. After a failure there is a pause of 0.3 to 2 s, with jitter; a Retry-After of up to 30 s holds. Each plan chooses anew which waiting steps are asked about: by rank, and every second one by age, so that no step waits behind better ranked ones for ever. A call that ends by an unexpected error no longer leaves its step waiting for the answer.

test_window.py names the settings where it named constants; its checks are the same.

The call's time-out still counts from when it was sent, and so does the validity of a permit. The calls of other cells of the same process are not counted among those that wait before a call.

--- a/src/greengagewood/internal/cells/orders.py
+++ b/src/greengagewood/internal/cells/orders.py
@@ -56,6 +56,7 @@
 
     step: Step
     worker_ids: tuple[str, ...]
+    timeout_ms: int
 
 
 Order = StartRun | StopRun | ThrottleRun | RequestAdvice
--- a/src/greengagewood/internal/cells/planner.py
+++ b/src/greengagewood/internal/cells/planner.py
@@ -32,7 +32,7 @@
 from greengagewood.internal.evacuation import Evacuations
 from greengagewood.internal.jobs.book import Job, JobBook, Step, Task
 from greengagewood.internal.jobs.model import Queue, StepSpec
-from greengagewood.internal.ports import Permit
+from greengagewood.internal.ports import AdviceUnavailable, Permit
 
 __all__ = ["Planner"]
 
@@ -128,7 +128,7 @@
         self._token = token
         self._settled_offset = settled_offset
         self._claim_offset = claim_offset
-        self._permits = Permits()
+        self._permits = Permits(token)
         self._planned_version = -1
         self._best_effort_placed_ms: int | None = None
         self._counted_ms: int | None = None  # see COUNT_INTERVAL_MS
@@ -159,7 +159,9 @@
             return []
         self._planned_version = self._book.waiting_version
         self._permits.begin_plan()
-        return self._place(now_ms, max_starts)
+        orders = self._place(now_ms, max_starts)
+        orders.extend(self._permits.requests(now_ms))
+        return orders
 
     @property
     def evacuations_known(self) -> bool:
@@ -260,9 +262,9 @@
         self._permits.note_answer(step, permits, now_ms)
         self.request_replan()
 
-    def note_advice_failed(self, step: Step, now_ms: int) -> None:
+    def note_advice_failed(self, step: Step, now_ms: int, failure: AdviceUnavailable) -> None:
         """Record that the advice service gave no answer; a later plan asks it again."""
-        self._permits.note_failure(step, now_ms)
+        self._permits.note_failure(step, now_ms, failure)
         self.request_replan()
 
     def note_permit_refused(self, step: Step, boot: Boot) -> None:
@@ -430,7 +432,7 @@
             if step.waiting_tasks:
                 self.request_replan()  # the permits may be enough for no more of them
         elif any(task.not_before_ms <= now_ms for task in step.waiting_tasks):
-            orders.extend(self._permits.request(step, boots, now_ms))
+            self._permits.note_need(step, boots, queue.decision_ms, now_ms)
         return orders, unplaced
 
     def _place_tasks(
--- a/src/greengagewood/internal/cells/runner.py
+++ b/src/greengagewood/internal/cells/runner.py
@@ -28,7 +28,7 @@
     start_fields,
 )
 from greengagewood.internal.cells.ownership import HEARTBEAT_INTERVAL_MS, OwnershipView
-from greengagewood.internal.cells.window import StartWindow
+from greengagewood.internal.cells.window import START_WINDOW, CallWindow
 from greengagewood.internal.clock import monotonic_ms, wall_ms
 from greengagewood.internal.evacuation import Evacuations
 from greengagewood.internal.jobs.records import (
@@ -114,7 +114,7 @@
         self._releasing = False  # whether nothing may be started any more
         self._released = False  # whether nothing may be sent or stored any more but the release
         self._retries_end_ms = math.inf
-        self._start_window = StartWindow()
+        self._start_window = CallWindow(START_WINDOW)
         self.cell = Cell(
             limits,
             token,
@@ -377,19 +377,28 @@
 
     async def _ask_advice(self, order: RequestAdvice) -> None:
         step = order.step
-        if self._ports.advice is None:
-            _log.warning("no_advice_service", job=step.job.id, step=step.number)
-            self.cell.planner.note_advice_failed(step, monotonic_ms())
-            return
+        planner = self.cell.planner
+        failure: AdviceUnavailable | None = AdviceUnavailable("unexpected error")
         try:
+            if self._ports.advice is None:
+                _log.warning("no_advice_service", job=step.job.id, step=step.number)
+                return
             permits = await self._ports.advice.request_permits(
-                step.job.id, step.occurrence, step.number, order.worker_ids
+                step.job.id,
+                step.occurrence,
+                step.number,
+                order.worker_ids,
+                order.timeout_ms / 1000,
             )
         except AdviceUnavailable as exc:
             _log.info("advice_unavailable", job=step.job.id, step=step.number, error=str(exc))
-            self.cell.planner.note_advice_failed(step, monotonic_ms())
+            failure = exc
         else:
-            self.cell.planner.note_permits(step, permits, monotonic_ms())
+            failure = None
+            planner.note_permits(step, permits, monotonic_ms())
+        finally:  # after an unexpected error, too, the call is no longer under way
+            if failure is not None:
+                planner.note_advice_failed(step, monotonic_ms(), failure)
 
     # Workers.
 
--- a/src/greengagewood/internal/ports.py
+++ b/src/greengagewood/internal/ports.py
@@ -73,7 +73,19 @@
 
 
 class AdviceUnavailable(Exception):
-    """Raised when the advice service rejects calls for now, or did not answer."""
+    """Raised when the advice service rejects calls for now, or did not answer.
+
+    `busy` says that it has rejected the call because others wait, and `timed_out` that the call may
+    still be waiting there. No call is welcome for `retry_after_ms`.
+    """
+
+    def __init__(
+        self, message: str, busy: bool = False, timed_out: bool = False, retry_after_ms: int = 0
+    ) -> None:
+        super().__init__(message)
+        self.busy = busy
+        self.timed_out = timed_out
+        self.retry_after_ms = retry_after_ms
 
 
 @dataclass(frozen=True, slots=True)
@@ -292,11 +304,11 @@
     """Service of the platform that decides which workers may run a step."""
 
     async def request_permits(
-        self, job: str, occurrence: int, step: int, workers: Sequence[str]
+        self, job: str, occurrence: int, step: int, workers: Sequence[str], timeout_s: float
     ) -> dict[str, Permit]:
         """Return a permit for each of the workers that may run the step.
 
-        Raise AdviceUnavailable.
+        Raise AdviceUnavailable, at the latest after `timeout_s`.
         """
 
 
--- a/tests/common/eventorder.py
+++ b/tests/common/eventorder.py
@@ -27,7 +27,14 @@
 from greengagewood.internal.evacuation import Evacuations
 from greengagewood.internal.jobs.model import JobSpec, Queue, StepSpec
 from greengagewood.internal.jobs.records import Progress, RegisteredWorkers, Submission, TaskId
-from greengagewood.internal.ports import LeaseReply, Permit, RunEnd, RunningTask, WorkerInfo
+from greengagewood.internal.ports import (
+    AdviceUnavailable,
+    LeaseReply,
+    Permit,
+    RunEnd,
+    RunningTask,
+    WorkerInfo,
+)
 from tests.common.desk import LIMITS
 
 __all__ = ["Violation", "World"]
@@ -546,7 +553,7 @@
     def _advise(self, owner: Owner, order: RequestAdvice) -> None:
         planner = owner.cell.planner
         if self.calm_since_ms is None and self.rng.random() < 0.3:
-            planner.note_advice_failed(order.step, self.now_ms)
+            planner.note_advice_failed(order.step, self.now_ms, AdviceUnavailable("drawn"))
             return
         permit = Permit("t", self.now_ms + self.rng.choice((500, 3_000)))
         planner.note_permits(order.step, dict.fromkeys(order.worker_ids, permit), self.now_ms)
--- a/tests/cover/test_advice.py
+++ b/tests/cover/test_advice.py
@@ -2,55 +2,123 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections import deque
-from collections.abc import Callable, Iterable
+from collections.abc import Awaitable, Callable, Iterable
+from dataclasses import dataclass
 
 import pytest
+from aiohttp import web
 
 from greengagewood.internal.cells.orders import RequestAdvice, StartRun
 from greengagewood.internal.cells.permits import (
     FIRST_RECHECK_PAUSE_MS,
+    MAX_TIMEOUT_MS,
     MAX_WORKERS_PER_REQUEST,
     PERMIT_MARGIN_MS,
 )
+from greengagewood.internal.cells.planner import Planner
 from greengagewood.internal.jobs.model import Queue, StepSpec
-from greengagewood.internal.ports import Permit
+from greengagewood.internal.ports import AdviceUnavailable, Permit
+from greengagewood.platform.advice import MAX_RETRY_AFTER_MS, HttpAdvice
+from greengagewood.platform.wire import Session
 from tests.common.desk import CellHarness
 
 ADVISED = Queue("advised", "svc", 1, 3, 2.0, 1_000, decision_ms=40)
 VALIDITY_MS = 4_000
-PLAN_INTERVAL_MS = 50
+MAX_WAITING = 32
+PLAN_INTERVAL_MS = 20
 LEASE_INTERVAL_MS = 400
 STEP = StepSpec(1, cpu_millis=1_000)
 
 
-def _documented_ms(order: RequestAdvice) -> int:
-    return 40 + 2 * len(order.worker_ids)
+@dataclass
+class _Call:
+    order: RequestAdvice
+    sent_ms: int
+    handling_ms: int
+    lost: bool
+    open: bool = True  # whether the caller waits for it
+
+
+class _Service:
+    """Answers one call at a time, in turn, and also handles the calls that were given up.
+
+    A call takes `call_ms` for its number of workers; its answer is lost if `is_lost` says so at the
+    time when it is sent.
+    """
+
+    def __init__(
+        self, call_ms: Callable[[int], int], is_lost: Callable[[int], bool], validity_ms: int
+    ) -> None:
+        self._call_ms = call_ms
+        self._is_lost = is_lost
+        self._validity_ms = validity_ms
+        self._waiting: deque[_Call] = deque()
+        self._open: list[_Call] = []
+        self._free_ms = 0  # when it has handled all calls before the first one that waits
+        self.permitted: set[str] = set()
+        self.calls: list[tuple[int, RequestAdvice]] = []
+        self.answered: list[int] = []  # when
+        self.failures: list[tuple[int, str]] = []
+
+    def send(self, planner: Planner, order: RequestAdvice, now_ms: int) -> None:
+        self.calls.append((now_ms, order))
+        if len(self._waiting) > MAX_WAITING:
+            self._fail(planner, order, now_ms, AdviceUnavailable("busy", busy=True))
+            return
+        if not self._waiting:
+            self._free_ms = max(self._free_ms, now_ms)
+        handling_ms = self._call_ms(len(order.worker_ids))
+        call = _Call(order, now_ms, handling_ms, self._is_lost(now_ms))
+        self._waiting.append(call)
+        self._open.append(call)
+
+    def run(self, planner: Planner, now_ms: int) -> None:
+        """Give up the calls that have timed out, and answer those that are handled by now."""
+        for call in self._open:
+            if call.open and now_ms - call.sent_ms >= call.order.timeout_ms:
+                call.open = False
+                self._fail(planner, call.order, now_ms, AdviceUnavailable("late", timed_out=True))
+        while self._waiting and self._free_ms + self._waiting[0].handling_ms <= now_ms:
+            call = self._waiting.popleft()
+            self._free_ms += call.handling_ms
+            if call.open and not call.lost:
+                call.open = False
+                self.answered.append(now_ms)
+                permit = Permit("t", call.sent_ms + self._validity_ms)
+                allowed = {n: permit for n in call.order.worker_ids if n in self.permitted}
+                planner.note_permits(call.order.step, allowed, now_ms)
+        self._open = [call for call in self._open if call.open]
+
+    def _fail(
+        self, planner: Planner, order: RequestAdvice, now_ms: int, failure: AdviceUnavailable
+    ) -> None:
+        self.failures.append((now_ms, str(failure)))
+        planner.note_advice_failed(order.step, now_ms, failure)
+
+
+def _documented_ms(workers: int) -> int:
+    return 40 + 2 * workers
 
 
 class _Site:
-    """A cell with workers, and a service that answers one call at a time, in virtual time."""
+    """A cell with workers and an advice service, in virtual time."""
 
     def __init__(
         self,
         workers: int,
         permitted: Iterable[int],
-        call_ms: Callable[[RequestAdvice], int] = _documented_ms,
+        call_ms: Callable[[int], int] = _documented_ms,
+        is_lost: Callable[[int], bool] = lambda now_ms: False,
         validity_ms: int = VALIDITY_MS,
     ) -> None:
         self.harness = CellHarness(*(f"w{number:03}" for number in range(workers)))
-        self.permitted = {f"w{number:03}" for number in permitted}
-        self.calls: list[tuple[int, RequestAdvice]] = []
+        self.service = _Service(call_ms, is_lost, validity_ms)
+        self.service.permitted = {f"w{number:03}" for number in permitted}
         self.starts: list[tuple[int, StartRun]] = []
-        self._call_ms = call_ms
-        self._validity_ms = validity_ms
-        self._waiting: deque[tuple[int, int, RequestAdvice]] = deque()  # sent, answered
         self._leases_ms = self.harness.now_ms
 
-    @property
-    def planner(self):
-        return self.harness.cell.planner
-
     def submit(self, *steps: StepSpec, number: int = 0) -> None:
         self.harness.submit(*steps, job=f"{number:016x}", queue=ADVISED)
 
@@ -64,21 +132,22 @@
         harness = self.harness
         for order in harness.plan(PLAN_INTERVAL_MS - 1):
             if isinstance(order, RequestAdvice):
-                self.calls.append((harness.now_ms, order))
-                idle_ms = max([harness.now_ms, *(call[1] for call in self._waiting)])
-                call = harness.now_ms, idle_ms + self._call_ms(order), order
-                self._waiting.append(call)
+                self.service.send(harness.cell.planner, order, harness.now_ms)
             elif isinstance(order, StartRun):
                 self.starts.append((harness.now_ms, order))
                 harness.cell.handle_start_reply(order.boot, order.run, "", harness.now_ms, None)
         if harness.now_ms - self._leases_ms >= LEASE_INTERVAL_MS:
             self._leases_ms = harness.now_ms
             harness.answer_leases()
-        while self._waiting and self._waiting[0][1] <= harness.now_ms:
-            sent_ms, _, order = self._waiting.popleft()
-            permit = Permit("t", sent_ms + self._validity_ms)
-            allowed = {name: permit for name in order.worker_ids if name in self.permitted}
-            self.planner.note_permits(order.step, allowed, harness.now_ms)
+        self.service.run(harness.cell.planner, harness.now_ms)
+
+    @property
+    def calls(self) -> list[tuple[int, RequestAdvice]]:
+        return self.service.calls
+
+    @property
+    def started_jobs(self) -> set[str]:
+        return {order.run.task.step.job.id for _, order in self.starts}
 
     def asked_about(self) -> list[str]:
         return [name for _, order in self.calls for name in order.worker_ids]
@@ -120,7 +189,7 @@
         site = _Site(40, [])
         site.submit(STEP)
         site.run(1_000)
-        site.permitted.add("w007")
+        site.service.permitted.add("w007")
         site.run(FIRST_RECHECK_PAUSE_MS + 1_000)
         assert len(site.starts) == 1
 
@@ -128,7 +197,7 @@
         site = _Site(1, [])
         site.submit(STEP)
         site.run(1_000)
-        site.permitted.add("w000")
+        site.service.permitted.add("w000")
         site.harness.reboot("w000", 2)
         site.run(2_500)
         assert len(site.starts) == 1
@@ -149,3 +218,138 @@
         site.submit(STEP)
         site.run(10_000)
         assert not site.starts and len(site.calls) <= 10_000 // 300
+
+
+class TestCallsUnderWay:
+    """Guard against calls that are given up before their turn, so that none is answered in time."""
+
+    def test_a_burst_of_jobs_is_advised_at_the_rate_of_the_service(self) -> None:
+        site = _Site(24, range(24))
+        begin_ms = site.harness.now_ms
+        arrivals_ms = {number: begin_ms + number * 1_000 / 31 for number in range(124)}
+        pending = dict(arrivals_ms)
+        while site.harness.now_ms < begin_ms + 14_000:
+            for number in [n for n, at_ms in pending.items() if at_ms <= site.harness.now_ms]:
+                del pending[number]
+                site.submit(STEP, number=number)
+            site.step()
+        assert not site.service.failures
+        assert len(site.started_jobs) == len(arrivals_ms)
+        assert site.service.answered[-1] - begin_ms <= 124 * _documented_ms(24) / 0.9
+
+    def test_an_outage_leads_to_few_calls_and_the_service_is_used_soon_after_it(self) -> None:
+        outage_ms = 8_000
+        site = _Site(24, range(24), is_lost=lambda now_ms: now_ms < 100_000 + outage_ms)
+        for number in range(60):
+            site.submit(STEP, number=number)
+        site.run(outage_ms)
+        assert len(site.calls) <= 8
+        site.run(MAX_TIMEOUT_MS // 2)
+        assert site.started_jobs
+        site.run(60 * _documented_ms(24) * 10 // 9)
+        assert len(site.started_jobs) == 60
+
+    def test_a_service_that_is_slower_than_the_first_timeout_is_waited_for(self) -> None:
+        site = _Site(24, range(24), call_ms=lambda workers: 3_000, validity_ms=20_000)
+        for number in range(5):
+            site.submit(STEP, number=number)
+        site.run(45_000)
+        assert len(site.started_jobs) == 5
+
+    def test_no_call_is_sent_for_jobs_that_have_ended(self) -> None:
+        site = _Site(24, range(24))
+        for number in range(60):
+            site.submit(STEP, number=number)
+        site.run(200)
+        for number in range(60):
+            site.harness.cell.cancel(f"{number:016x}", site.harness.now_ms)
+        sent = len(site.calls)
+        site.run(2_000)
+        assert len(site.calls) == sent
+
+    def test_a_step_that_ranks_last_is_asked_about_while_others_arrive(self) -> None:
+        site = _Site(24, range(24))
+        site.submit(StepSpec(8, cpu_millis=1_000, estimate_ms=60_000), number=10_000)
+        for number in range(200):
+            site.submit(STEP, number=number)
+            site.run(40)
+        assert f"{10_000:016x}" in site.started_jobs
+
+    def test_retry_after_holds(self) -> None:
+        site = _Site(24, range(24))
+        planner = site.harness.cell.planner
+        site.submit(STEP)
+        (order,) = [o for o in site.harness.plan() if isinstance(o, RequestAdvice)]
+        failure = AdviceUnavailable("busy", busy=True, retry_after_ms=5_000)
+        planner.note_advice_failed(order.step, site.harness.now_ms, failure)
+        site.submit(STEP, number=1)
+        site.run(4_900)
+        assert not site.calls
+        site.run(2_000)
+        assert len(site.started_jobs) == 2
+
+    def test_a_call_that_always_fails_does_not_hold_up_the_others(self) -> None:
+        site = _Site(24, range(24))
+        for number in range(20):
+            site.submit(STEP, number=number)
+        send = site.service.send
+
+        def send_unless_bad(planner: Planner, order: RequestAdvice, now_ms: int) -> None:
+            if order.step.job.id == "0" * 16:
+                planner.note_advice_failed(order.step, now_ms, AdviceUnavailable("status 500"))
+            else:
+                send(planner, order, now_ms)
+
+        site.service.send = send_unless_bad  # type: ignore[method-assign]
+        site.run(6_000)
+        assert len(site.started_jobs) == 19
+
+
+class TestHttpAdvice:
+    """Guard against a call that is given up before its turn, and a pause that is not kept."""
+
+    @pytest.mark.parametrize(
+        ("status", "retry_after", "busy", "retry_after_ms"),
+        [
+            (429, "2", True, 2_000),
+            (429, "", True, 0),
+            (429, "soon", True, 0),
+            (429, "9" * 40, True, MAX_RETRY_AFTER_MS),
+            (503, "1", False, 1_000),
+        ],
+    )
+    def test_a_rejection_tells_what_it_asks_for(
+        self, status: int, retry_after: str, busy: bool, retry_after_ms: int
+    ) -> None:
+        async def handle(req: web.BaseRequest) -> web.StreamResponse:
+            return web.Response(status=status, headers={"Retry-After": retry_after})
+
+        failure = asyncio.run(_fail_to_ask(handle, 2.0))
+        assert (failure.busy, failure.retry_after_ms) == (busy, retry_after_ms)
+        assert not failure.timed_out
+
+    def test_a_call_is_given_up_after_its_own_timeout(self) -> None:
+        async def handle(req: web.BaseRequest) -> web.StreamResponse:
+            await asyncio.sleep(0.5)
+            return web.json_response({"allowed": [], "validity-ms": 1})
+
+        failure = asyncio.run(_fail_to_ask(handle, 0.1))
+        assert failure.timed_out and not failure.busy
+
+
+async def _fail_to_ask(
+    handle: Callable[[web.BaseRequest], Awaitable[web.StreamResponse]], timeout_s: float
+) -> AdviceUnavailable:
+    """Return the error of a call to a server with this handler."""
+    runner = web.ServerRunner(web.Server(handle, access_log=None))
+    await runner.setup()
+    try:
+        site = web.TCPSite(runner, "127.0.0.1", 0)
+        await site.start()
+        async with Session(1) as session:
+            with pytest.raises(AdviceUnavailable) as raised:
+                address = f"127.0.0.1:{runner.addresses[0][1]}"
+                await HttpAdvice(session, address).request_permits("j", 0, 0, ["w0"], timeout_s)
+        return raised.value
+    finally:
+        await runner.cleanup()
--- a/tests/cover/test_odd_entries.py
+++ b/tests/cover/test_odd_entries.py
@@ -832,7 +832,7 @@
         async def scenario() -> None:
             async with _answering(200, body) as address, Session(1) as session:
                 with suppress(AdviceUnavailable):
-                    await HttpAdvice(session, address).request_permits("j", 0, 0, ["w0"])
+                    await HttpAdvice(session, address).request_permits("j", 0, 0, ["w0"], 2.0)
 
         asyncio.run(scenario())
 
--- a/tests/cover/test_window.py
+++ b/tests/cover/test_window.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from greengagewood.internal.cells.window import LATE_ANSWER_MS, MIN_LIMIT, StartWindow
+from greengagewood.internal.cells.window import START_WINDOW, CallWindow
 
 TICK_MS = 5
 ORDER_TIMEOUT_MS = 1_000
@@ -30,7 +30,7 @@
     """
 
     orders_per_s: float
-    window: StartWindow | None
+    window: CallWindow | None
     waiting: float = 0.0
     queue: deque[_Order] = field(default_factory=deque)
     unanswered: deque[_Order] = field(default_factory=deque)  # starts, the oldest first
@@ -85,7 +85,7 @@
     @pytest.mark.parametrize("orders_per_s", [40, 80, 400, 800])
     def test_throughput_returns_after_a_burst_at_any_size(self, orders_per_s: int) -> None:
         calm_per_s = 0.6 * orders_per_s
-        owner = _Owner(orders_per_s, StartWindow()).run(3 * orders_per_s, calm_per_s)
+        owner = _Owner(orders_per_s, CallWindow(START_WINDOW)).run(3 * orders_per_s, calm_per_s)
         recovered = [took for when, took in owner.answers_ms if when > BURST_MS + RECOVERY_MS]
         assert recovered and max(recovered) <= ORDER_TIMEOUT_MS
         assert owner.answered_per_s(BURST_MS + RECOVERY_MS) >= calm_per_s
@@ -97,7 +97,7 @@
         assert owner.answered_per_s(BURST_MS + RECOVERY_MS) < 0.5 * calm_per_s
 
     def test_one_silent_worker_does_not_lower_the_limit(self) -> None:
-        window = StartWindow()
+        window = CallWindow(START_WINDOW)
         limit = window.limit
         for now_ms in range(0, 3_000, 20):
             window.note_sent()
@@ -107,12 +107,12 @@
         assert window.limit > limit and window.in_flight == 0
 
     def test_late_answers_lower_the_limit_once_a_round_and_not_below_its_minimum(self) -> None:
-        window = StartWindow()
+        window = CallWindow(START_WINDOW)
         limit = window.limit
         for _ in range(10):
             window.note_sent()
-            window.note_done(0, LATE_ANSWER_MS + 1, True)
+            window.note_done(0, START_WINDOW.late_answer_ms + 1, True)
         assert 0.5 * limit < window.limit < limit
         for sent_ms in range(1_000, 100_000, 1_000):
-            window.note_done(sent_ms, sent_ms + LATE_ANSWER_MS + 1, True)
-        assert window.limit == MIN_LIMIT
+            window.note_done(sent_ms, sent_ms + START_WINDOW.late_answer_ms + 1, True)
+        assert window.limit == START_WINDOW.min_limit
