--- a/tests/cover/test_advice.py
+++ b/tests/cover/test_advice.py
@@ -9,6 +9,8 @@
 
 import pytest
 from aiohttp import web
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from greengagewood.internal.cells.orders import RequestAdvice, StartRun
 from greengagewood.internal.cells.permits import (
@@ -305,6 +307,46 @@
         assert len(site.started_jobs) == 19
 
 
+class TestAnyService:
+    """Guard against a job that is not started while a worker that may run it is idle."""
+
+    @settings(deadline=None)
+    @given(
+        workers=st.sampled_from([1, 5, 31, 140]),
+        jobs=st.integers(1, 8),
+        call_ms=st.integers(1, 1_500),
+        slow_ms=st.lists(st.integers(0, 4_000), max_size=8),
+        lost_ms=st.lists(st.tuples(st.integers(0, 5_000), st.integers(1, 2_000)), max_size=3),
+        data=st.data(),
+    )
+    def test_each_job_with_a_permitted_worker_starts(
+        self,
+        workers: int,
+        jobs: int,
+        call_ms: int,
+        slow_ms: list[int],
+        lost_ms: list[tuple[int, int]],
+        data: st.DataObject,
+    ) -> None:
+        permitted = data.draw(st.sets(st.integers(0, workers - 1), min_size=1, max_size=5))
+        extra_ms = iter(slow_ms)
+        site = _Site(
+            workers,
+            permitted,
+            call_ms=lambda _: call_ms + next(extra_ms, 0),
+            is_lost=lambda at: any(a <= at - 100_000 < a + length for a, length in lost_ms),
+            validity_ms=4_000 + 4 * call_ms,
+        )
+        for number in range(jobs):
+            site.submit(STEP, number=number)
+        calls = jobs * (1 + -(-max(0, workers - 30) // 100))
+        # Losses end after 7 s; a time-out and a pause follow, and calls that were given up.
+        bound_ms = 7_000 + 16_000 + sum(slow_ms) + 2 * (calls + 12) * (call_ms + PLAN_INTERVAL_MS)
+        while len(site.started_jobs) < jobs and site.harness.now_ms < 100_000 + bound_ms:
+            site.step()
+        assert len(site.started_jobs) == jobs
+
+
 class TestHttpAdvice:
     """Guard against a call that is given up before its turn, and a pause that is not kept."""
 
