--- a/src/greengagewood/internal/cells/stops.py
+++ b/src/greengagewood/internal/cells/stops.py
@@ -36,7 +36,7 @@
 from greengagewood.internal.cells.placement import meets_constraints
 from greengagewood.internal.cells.places import needs_place
 from greengagewood.internal.cells.planner import Planner
-from greengagewood.internal.cells.window import StartWindow
+from greengagewood.internal.cells.window import STOP_WINDOW, CallWindow
 from greengagewood.internal.jobs.book import Run
 from greengagewood.internal.jobs.records import TaskId
 from greengagewood.internal.ports import RunningTask
@@ -73,7 +73,7 @@
         self._planner = planner
         self._last_scan_ms: int | None = None  # None requests a scan by the next plan
         self._next_move_ms = 0  # no run is moved before this time
-        self._window = StartWindow(doubles=True)  # of the calls to workers that answer
+        self._window = CallWindow(STOP_WINDOW)  # of the calls to workers that answer
         self._held_back: deque[_DueStop] = deque()  # stops that wait for room, the first one first
         self._held_back_from_silent = False  # whether stops to silent workers wait for others
         # By service, image and size of a best-effort task, during one scan.
@@ -134,7 +134,7 @@
                     open_stops += 1
                     orders.append(_stop(boot, run, reason, now_ms))
         if not due and not open_stops:
-            self._window = StartWindow(doubles=True)  # what the last burst met may have changed
+            self._window = CallWindow(STOP_WINDOW)  # what the last burst met may have changed
         self._window.in_flight = open_stops  # the ends of some calls are not noted
         if len(due) > self._window.room:
             due.sort(key=lambda stop: stop[0])
--- a/tests/cover/test_many_cancellations.py
+++ b/tests/cover/test_many_cancellations.py
@@ -13,7 +13,7 @@
 from greengagewood.internal.cells.orders import StopRun
 from greengagewood.internal.cells.runner import Ports
 from greengagewood.internal.cells.stops import HELD_BACK_SCAN_INTERVAL_MS, MAX_REPORTS_PER_SCAN
-from greengagewood.internal.cells.window import INITIAL_LIMIT
+from greengagewood.internal.cells.window import STOP_WINDOW
 from greengagewood.internal.entry import EntryInstance
 from greengagewood.internal.jobs.model import JobSpec, StepSpec
 from greengagewood.internal.jobs.records import TaskId
@@ -202,7 +202,7 @@
             open_stops = following
         assert now_ms - harness.now_ms < HELD_BACK_SCAN_INTERVAL_MS
         assert len(stopped) == 2_000 and set(stopped.values()) == {1}
-        assert most > 2 * INITIAL_LIMIT
+        assert most > 2 * STOP_WINDOW.initial_limit
 
     def test_stops_of_an_older_cancellation_go_first(self) -> None:
         """Guards against a late cancellation whose stops go out before those of an earlier one."""
--- a/tests/cover/test_places.py
+++ b/tests/cover/test_places.py
@@ -190,7 +190,7 @@
             if isinstance(order, RequestAdvice):
                 permit = Permit("t", harness.now_ms + 60_000)
                 permits = dict.fromkeys(order.worker_ids, permit)
-                harness.cell.planner.note_permits(order.step, permits)
+                harness.cell.planner.note_permits(order.step, permits, harness.now_ms)
                 orders = harness.plan()
         (start,) = start_orders(orders)
         harness.cell.handle_start_reply(start.boot, start.run, "", harness.now_ms, None)
