Send the requests for advice once for each pass over the waiting steps

After each slice of a pass only its own steps were considered, and the needs of the others that the window had no room for were dropped. Found by the author of the requests, reading the merge; no test showed it.

--- a/src/greengagewood/internal/cells/planner.py
+++ b/src/greengagewood/internal/cells/planner.py
@@ -192,7 +192,8 @@
             self._planned_version = self._book.waiting_version
             self._permits.begin_plan()
         orders = self._place(now_ms, max_starts, has_time)
-        orders.extend(self._permits.requests(now_ms))
+        if self._pass is None:
+            orders.extend(self._permits.requests(now_ms))
         return orders
 
     @property
