--- a/src/greengagewood/internal/cells/planner.py
+++ b/src/greengagewood/internal/cells/planner.py
@@ -10,11 +10,11 @@
 
 import heapq
 from collections.abc import Callable, Iterator
-from dataclasses import dataclass, field
 
 from greengagewood.internal.cells.boots import Boot
 from greengagewood.internal.cells.copies import CopyPolicy, Straggler
 from greengagewood.internal.cells.orders import Order, StartRun
+from greengagewood.internal.cells.passes import Pass
 from greengagewood.internal.cells.permits import Permits
 from greengagewood.internal.cells.placement import (
     LONGEST_TRIAL_WAIT_MS,
@@ -66,57 +66,6 @@
 FEW_STARTS_PER_PLAN = 32  # with fewer, the owner is short of processor time, not of room
 STEPS_PER_TIME_CHECK = 64  # ranked between two questions whether time is left
 
-Rank = tuple[int, bool, tuple[int, int, int, int, str, float]]
-
-
-class _UnplaceableSteps:
-    """The steps that one plan could not place, to skip other steps that need at least as much."""
-
-    def __init__(self) -> None:
-        self._specs_by_group: dict[tuple[str, str, str, bool, bool], list[StepSpec]] = {}
-
-    @staticmethod
-    def _group(service: str, step: Step) -> tuple[str, str, str, bool, bool]:
-        """Return what two steps must have in common to be compared by size."""
-        spec = step.spec
-        # Only long-running tasks that never ran must leave headroom, see `leaves_headroom`.
-        has_run = spec.long_running and any(task.last_run_ended_ms for task in step.waiting_tasks)
-        # Cold workers take the first task of a job beyond the share of others.
-        unstarted = spec.best_effort and not step.job.active_run_count
-        image = spec.image if spec.best_effort else ""
-        return service, image, spec.required_label, has_run, unstarted
-
-    def rules_out(self, service: str, step: Step) -> bool:
-        """Return whether a step that needs no more than this one could not be placed."""
-        spec = step.spec
-        return any(
-            spec.cpu_millis >= other.cpu_millis
-            and spec.memory_mb >= other.memory_mb
-            and spec.accelerators >= other.accelerators
-            and (spec.long_running or not other.long_running)
-            and spec.best_effort == other.best_effort
-            for other in self._specs_by_group.get(self._group(service, step), ())
-        )
-
-    def add(self, service: str, step: Step) -> None:
-        """Record that a step could not be placed, unless its limit or permits may be the reason."""
-        if not step.spec.max_per_instance and not step.job.submission.queue.decision_ms:
-            self._specs_by_group.setdefault(self._group(service, step), []).append(step.spec)
-
-
-@dataclass(slots=True, eq=False)
-class _Pass:
-    """One pass over the steps that waited when it began, which may take several plans."""
-
-    steps: list[Step]
-    first_arrivals_ms: dict[str, int]  # see `Planner._rank`
-    starving_steps: set[Step]
-    few_starts: bool
-    # Steps that were ranked and not placed yet, and their numbers in `steps`; a heap once all are.
-    ranked: list[tuple[Rank, int, Step]] = field(default_factory=list)
-    ranked_count: int = 0
-    unplaceable: _UnplaceableSteps = field(default_factory=_UnplaceableSteps)
-
 
 class Planner:
     """Place the waiting tasks of a cell during one term of ownership.
@@ -149,7 +98,7 @@
         self._claim_offset = claim_offset
         self._permits = Permits(token)
         self._planned_version = -1
-        self._pass: _Pass | None = None  # that has not ended yet
+        self._pass: Pass | None = None  # that has not ended yet
         self._best_effort_placed_ms: int | None = None
         self._counted_ms: int | None = None  # see COUNT_INTERVAL_MS
 
@@ -319,7 +268,7 @@
             self._pass = current
         return orders
 
-    def _begin_pass(self, by_service: dict[str, list[Boot]], max_starts: int, now_ms: int) -> _Pass:
+    def _begin_pass(self, by_service: dict[str, list[Boot]], max_starts: int, now_ms: int) -> Pass:
         last_ms = self._best_effort_placed_ms
         place_best_effort = last_ms is None or now_ms - last_ms >= BEST_EFFORT_INTERVAL_MS
         if place_best_effort:
@@ -344,9 +293,9 @@
         # Each starving step gets a single task. If only few tasks may start, the others would leave
         # them none, so they come first within their priority.
         few_starts = max_starts < FEW_STARTS_PER_PLAN
-        return _Pass(steps, first_arrivals_ms, starving_steps, few_starts)
+        return Pass(steps, first_arrivals_ms, starving_steps, few_starts)
 
-    def _rank_steps(self, current: _Pass, now_ms: int, has_time: Callable[[], bool]) -> bool:
+    def _rank_steps(self, current: Pass, now_ms: int, has_time: Callable[[], bool]) -> bool:
         """Rank steps while there is time; return whether all are ranked."""
         steps = current.steps
         while current.ranked_count < len(steps):
@@ -367,7 +316,7 @@
 
     def _place_ranked(
         self,
-        current: _Pass,
+        current: Pass,
         by_service: dict[str, list[Boot]],
         orders: list[Order],
         max_starts: int,
