Count the time of an adoption as time without a run

Cause: such a task counted as without a run from when it was ruled out, though no worker that answers has listed it since the term began.

Change: it counts from the beginning of the term. The new test of test_places.py fails without it.

--- a/src/greengagewood/internal/cells/adoption.py
+++ b/src/greengagewood/internal/cells/adoption.py
@@ -21,6 +21,7 @@
 
     def __init__(self, term: Term, now_ms: int) -> None:
         self._term = term
+        self._begun_ms = now_ms
         self._report_ms = now_ms + REPORT_DELAY_MS
 
     def adopt(self, boot: Boot, run_count: int, now_ms: int) -> None:
@@ -66,7 +67,8 @@
             if task.id in held_back:
                 term.book.note_held_back(task)
             else:
-                term.book.note_not_running(task, now_ms)
+                # No worker that answers has listed it since the term began.
+                term.book.note_not_running(task, now_ms, self._begun_ms)
 
     def _report(self, unresolved: list[Boot], now_ms: int) -> None:
         """Report the workers that the adoption waits for, if it has taken long."""
--- a/src/greengagewood/internal/jobs/book.py
+++ b/src/greengagewood/internal/jobs/book.py
@@ -433,12 +433,16 @@
         """Record that a task may not be started yet, though others of its job may be."""
         task.step.job.unstarted_occurrences.discard(task.step.occurrence)
 
-    def note_not_running(self, task: Task, now_ms: int) -> None:
-        """Record that no run by an earlier owner can be going on, so the task may be started."""
+    def note_not_running(self, task: Task, now_ms: int, idle_since_ms: int | None = None) -> None:
+        """Record that no run by an earlier owner can be going on, so the task may be started.
+
+        A run may have ended at `idle_since_ms` already, by default now.
+        """
         if task.maybe_running:
             task.maybe_running = False
             if task.step.job.maybe_started:
-                task.last_run_ended_ms = task.idle_since_ms = now_ms  # it may have run until now
+                task.last_run_ended_ms = now_ms  # it may have run until now
+                task.idle_since_ms = now_ms if idle_since_ms is None else idle_since_ms
             self.maybe_running_tasks.pop(task, None)
             self.mark_waiting(task)
 
--- a/tests/cover/test_places.py
+++ b/tests/cover/test_places.py
@@ -206,6 +206,26 @@
         assert stops
 
 
+class TestNewOwners:
+    """Guard against a task that waits anew because its owner has changed."""
+
+    def test_the_time_that_an_adoption_took_counts(self) -> None:
+        harness = CellHarness("w0")
+        begun_ms = harness.now_ms
+        harness.submit(LASTING)
+        book = harness.cell.book
+        (task,) = book.jobs[JOB].opened_tasks()
+        book.note_maybe_started(task.step.job)
+        book.note_maybe_running(task)
+        harness.now_ms += 5_000
+        harness.read_orders()
+        _answer(harness)
+        harness.cell.note_confirmed(harness.now_ms + 1)
+        harness.cell.plan(harness.now_ms, harness.now_ms)
+        assert not task.maybe_running
+        assert task.idle_since_ms == begun_ms
+
+
 class TestCost:
     """Guard against an owner that seeks places for so long that its heartbeats are late."""
 
