--- a/tests/cover/test_stale_answers.py
+++ b/tests/cover/test_stale_answers.py
@@ -211,7 +211,7 @@
     ) -> None:
         """Guards against runs of cancelled jobs that go on because another job cannot be placed."""
 
-        def fail(planner: Planner, now_ms: int, max_starts: int) -> list[Order]:
+        def fail(planner: Planner, now_ms: int, max_starts: int, has_time: object) -> list[Order]:
             raise ValueError("a job that cannot be placed")
 
         async def plan_repeatedly() -> None:
