Check the room of a worker once, and compare sizes of steps in one place

Places, the reports of waits and the planner's unplaceable steps each had a comparison of amounts of their own, and the reports summed up long-running runs that the boot already counts.

Change: Boot.fits and has_room share one comparison; has_capacity_for and StepSpec.reaches serve all. No decision changes.

--- a/src/greengagewood/internal/cells/boots.py
+++ b/src/greengagewood/internal/cells/boots.py
@@ -73,6 +73,9 @@
         )
 
 
+NOTHING = Resources()
+
+
 @dataclass(frozen=True, slots=True)
 class Admission:
     """The speed at which one more best-effort task may start beside a worker's serving tasks.
@@ -168,7 +171,7 @@
     best_effort_cpu_millis: int = 0
     long_running: Resources = field(default_factory=Resources)  # what long-running runs hold of it
     kept: Resources = field(default_factory=Resources)  # for tasks that have a place, see `places`
-    lasting: Resources = field(default_factory=Resources)  # of runs that no place makes way
+    lasting: Resources = field(default_factory=Resources)  # of runs not stopped for places
     # Forecast slack by serving image, less what best-effort runs take; discarded like `admissions`
     # when the runs or their speeds change.
     remaining_slack: dict[str, float] | None = None
@@ -317,27 +320,34 @@
         The CPU of best-effort tasks is not limited here, but nothing fits a worker that is over its
         capacity or has no CPU.
         """
-        cpu_millis = 0 if spec.best_effort else spec.cpu_millis
-        return (
-            self.has_room(spec)
-            and cpu_millis <= self.free_cpu_millis
-            and spec.memory_mb <= self.free_memory_mb
-            and spec.accelerators <= self.free_accelerators
-        )
+        return self._fits_beside(spec, self.kept)
 
     def has_room(self, spec: StepSpec) -> bool:
         """Return whether one task of the step fits beside the runs, in a place that may be kept."""
+        return self._fits_beside(spec, NOTHING)
+
+    def _fits_beside(self, spec: StepSpec, kept: Resources) -> bool:
         info = self.info
         if spec.cpu_millis and info.cpu_millis <= 0:
             return False
         cpu_millis = 0 if spec.best_effort else spec.cpu_millis
         return (
-            self.allocated.cpu_millis + cpu_millis <= info.cpu_millis
-            and self.allocated.memory_mb + spec.memory_mb <= info.memory_mb
-            and self.allocated.accelerators + spec.accelerators <= info.accelerators
+            self.allocated.cpu_millis + kept.cpu_millis + cpu_millis <= info.cpu_millis
+            and self.allocated.memory_mb + kept.memory_mb + spec.memory_mb <= info.memory_mb
+            and self.allocated.accelerators + kept.accelerators + spec.accelerators
+            <= info.accelerators
             and not self.would_refuse(spec, 1)
         )
 
+    def has_capacity_for(self, *amounts: Resources) -> bool:
+        """Return whether the worker has as much as some amounts together, whatever runs there."""
+        info = self.info
+        return (
+            sum(amount.cpu_millis for amount in amounts) <= info.cpu_millis
+            and sum(amount.memory_mb for amount in amounts) <= info.memory_mb
+            and sum(amount.accelerators for amount in amounts) <= info.accelerators
+        )
+
     @property
     def free_cpu_millis(self) -> int:
         """Return the CPU that is neither allocated nor kept; negative if a place is not free."""
--- a/src/greengagewood/internal/cells/passes.py
+++ b/src/greengagewood/internal/cells/passes.py
@@ -33,9 +33,7 @@
         """Return whether a step that needs no more than this one could not be placed."""
         spec = step.spec
         return any(
-            spec.cpu_millis >= other.cpu_millis
-            and spec.memory_mb >= other.memory_mb
-            and spec.accelerators >= other.accelerators
+            spec.reaches(other)
             and (spec.long_running or not other.long_running)
             and spec.best_effort == other.best_effort
             for other in self._specs_by_group.get(self._group(service, step), ())
--- a/src/greengagewood/internal/cells/places.py
+++ b/src/greengagewood/internal/cells/places.py
@@ -76,7 +76,7 @@
             if other.boot is boot and other is not place and _is_awaited(other):
                 awaited.add(other.task.step.spec)
         awaited.add(run.task.step.spec)
-        return _is_within(boot, boot.allocated, awaited) and place.free
+        return boot.has_capacity_for(boot.allocated, awaited) and place.free
 
     def waiting(self) -> list[tuple[Task, Boot]]:
         """Return the tasks without a run that have a place in which nothing else runs."""
@@ -135,7 +135,7 @@
             spec = task.step.spec
             former = self._places.get(task)
             if former is None:
-                if any(_reaches(spec, other) for other in unplaceable):
+                if any(spec.reaches(other) for other in unplaceable):
                     continue
                 if task.step in unplaceable_steps and task.late_start is None:
                     continue
@@ -143,7 +143,7 @@
                 if boot is None and task.late_start is None:
                     unplaceable_steps.add(task.step)
                     if not spec.max_per_instance and not spec.required_label:
-                        unplaceable = [other for other in unplaceable if not _reaches(other, spec)]
+                        unplaceable = [other for other in unplaceable if not other.reaches(spec)]
                         unplaceable.append(spec)
                 placed += boot is not None
             else:
@@ -229,20 +229,11 @@
     return task.run is not None, -spec.cpu_millis, -spec.memory_mb, task.idle_since_ms
 
 
-def _reaches(spec: StepSpec, other: StepSpec) -> bool:
-    """Return whether a task needs no less than another."""
-    return (
-        spec.cpu_millis >= other.cpu_millis
-        and spec.memory_mb >= other.memory_mb
-        and spec.accelerators >= other.accelerators
-    )
-
-
 def _holds(place: _Place) -> bool:
     """Return whether the task still fits its place beside the runs that are not stopped for it."""
     boot = place.boot
     return (
-        _is_within(boot, boot.lasting, boot.kept)
+        boot.has_capacity_for(boot.lasting, boot.kept)
         and boot.may_start(place.task)
         and meets_constraints(boot, place.task.step)
     )
@@ -253,16 +244,6 @@
     return boot.info.cpu_millis - boot.lasting.cpu_millis - boot.kept.cpu_millis
 
 
-def _is_within(boot: Boot, *amounts: Resources) -> bool:
-    """Return whether a worker has as much as some amounts together."""
-    info = boot.info
-    return (
-        sum(amount.cpu_millis for amount in amounts) <= info.cpu_millis
-        and sum(amount.memory_mb for amount in amounts) <= info.memory_mb
-        and sum(amount.accelerators for amount in amounts) <= info.accelerators
-    )
-
-
 class _Rooms:
     """Boots in the order of an amount of CPU that they have."""
 
@@ -295,7 +276,7 @@
     def is_eligible(boot: Boot) -> bool:
         limit = spec.max_per_instance
         return (
-            _is_within(boot, boot.lasting, boot.kept, need)
+            boot.has_capacity_for(boot.lasting, boot.kept, need)
             and boot.may_start(task)
             and meets_constraints(boot, step)
             and not (limit and step.runs_by_worker.get(boot.name, 0) + counts[boot, step] >= limit)
--- a/src/greengagewood/internal/cells/waits.py
+++ b/src/greengagewood/internal/cells/waits.py
@@ -103,18 +103,9 @@
 
 def _fits_beside_long_running(boot: Boot, task: Task) -> bool:
     """Return whether a task fits a worker if no other than long-running tasks run there."""
-    spec = task.step.spec
-    used = Resources()
-    for run in boot.runs.values():
-        if run.task.step.spec.long_running:
-            used.add(run.task.step.spec)
-    used.add(spec)
-    return (
-        used.cpu_millis <= boot.info.cpu_millis
-        and used.memory_mb <= boot.info.memory_mb
-        and used.accelerators <= boot.info.accelerators
-        and meets_constraints(boot, task.step)
-    )
+    need = Resources()
+    need.add(task.step.spec)
+    return boot.has_capacity_for(boot.long_running, need) and meets_constraints(boot, task.step)
 
 
 def _reason(task: Task, boots: Sequence[Boot], now_ms: int) -> str:
--- a/src/greengagewood/internal/jobs/model.py
+++ b/src/greengagewood/internal/jobs/model.py
@@ -47,6 +47,14 @@
     best_effort: bool = False
     max_unavailable: int = 0
 
+    def reaches(self, other: StepSpec) -> bool:
+        """Return whether a task needs no less than one of the other step."""
+        return (
+            self.cpu_millis >= other.cpu_millis
+            and self.memory_mb >= other.memory_mb
+            and self.accelerators >= other.accelerators
+        )
+
 
 class JobSpec(msgspec.Struct, frozen=True, omit_defaults=True, array_like=True):
     """A job. With `occurrences` above 0 it runs that many times, due at fixed intervals.
