Seek free places in turn, among the workers that are free

Callers would see: a long-running task that stays on a draining worker until that leaves, though another worker has room for it (LOST follows as the run ends).

One update seeks a free place for 16 tasks, always the largest ones, so smaller ones behind 16 that find none were never looked at. For each it compared the 24 tightest workers by free CPU, of which all may lack memory, and never another.

Ruled out: tasks without a run, which are also placed by the ordinary plan.

Change: the 16 are those for which none was sought for longest, and only workers on which the task fits are compared.

Before: test_a_task_leaves_a_worker_though_many_larger_ones_find_no_free_place and ..though_many_others_have_no_memory_left fail. After: they pass, and 113 tests of test_places, test_room, test_handover and test_owner_changes.

--- a/src/greengagewood/internal/cells/places.py
+++ b/src/greengagewood/internal/cells/places.py
@@ -16,6 +16,7 @@
 from collections import Counter
 from collections.abc import Callable, Iterator, Mapping, Sequence
 from dataclasses import dataclass
+from heapq import nsmallest
 from itertools import islice
 
 from greengagewood.internal.cells.boots import Boot, Resources, outlasts_places
@@ -41,6 +42,7 @@
     task: Task
     boot: Boot
     since_ms: int
+    sought_ms: int = 0  # when a free place was last sought instead
 
     @property
     def free(self) -> bool:
@@ -130,8 +132,13 @@
         free = _Rooms(boots, lambda boot: boot.free_cpu_millis)
         unplaceable: list[StepSpec] = []
         unplaceable_steps: set[Step] = set()
-        placed = moved = 0
-        for task in sorted(tasks, key=_order):
+        placed = 0
+        tasks = sorted(tasks, key=_order)
+        # Those for which none was sought for longest, so that none waits for as long as others
+        # find no other place.
+        held = (task for task in tasks if task in self._places)
+        movable = set(nsmallest(MAX_MOVES, held, key=lambda task: self._places[task].sought_ms))
+        for task in tasks:
             spec = task.step.spec
             former = self._places.get(task)
             if former is None:
@@ -147,10 +154,10 @@
                         unplaceable.append(spec)
                 placed += boot is not None
             else:
-                moved += 1
-                boot = _best_boot(task, free, counts) if moved <= MAX_MOVES else None
-                if boot is not None and (boot is former.boot or not boot.fits(spec)):
-                    boot = None
+                if task not in movable:
+                    continue
+                former.sought_ms = now_ms
+                boot = _best_boot(task, free, counts, only_free=True)
             if boot is not None:
                 if former is not None:
                     counts[former.boot, task.step] -= 1
@@ -266,7 +273,12 @@
         insort(self._order, entry)
 
 
-def _best_boot(task: Task, rooms: _Rooms, counts: Counter[tuple[Boot, Step]]) -> Boot | None:
+def _best_boot(
+    task: Task,
+    rooms: _Rooms,
+    counts: Counter[tuple[Boot, Step]],
+    only_free: bool = False,
+) -> Boot | None:
     """Return the boot where the least must become free for the task, of the tightest ones."""
     step = task.step
     spec = step.spec
@@ -279,6 +291,7 @@
             boot.has_capacity_for(boot.lasting, boot.kept, need)
             and boot.may_start(task)
             and meets_constraints(boot, step)
+            and (not only_free or boot.fits(spec))
             and not (limit and step.runs_by_worker.get(boot.name, 0) + counts[boot, step] >= limit)
         )
 
--- a/tests/cover/test_places.py
+++ b/tests/cover/test_places.py
@@ -13,13 +13,14 @@
 from greengagewood.internal.jobs.book import Task
 from greengagewood.internal.jobs.model import Queue, StepSpec
 from greengagewood.internal.ports import Permit, RunEnd, RunningTask
-from tests.common.desk import QUEUE, CellHarness, start_orders
+from tests.common.desk import QUEUE, CellHarness, make_worker_info, start_orders
 
 LASTING = StepSpec(1, cpu_millis=1_000, long_running=True)
 JOB = "0" * 16
 OTHER_JOB = "f" * 16
 LONGEST_WAIT_MS = 9_000
 LONGEST_UPDATE_MS = 50
+LONGEST_MOVE_MS = 600  # until a task is moved to room that has come free
 
 
 def _answer(harness: CellHarness, *names: str) -> None:
@@ -43,9 +44,37 @@
     return task
 
 
-def _fill(harness: CellHarness, count: int, cpu_millis: int) -> None:
+def _join(harness: CellHarness, *names: str, cpu_millis: int = 64_000) -> None:
+    for name in names:
+        info = dataclasses.replace(make_worker_info(name), cpu_millis=cpu_millis)
+        harness.worker_infos[name] = info
+    harness.cell.set_workers(harness.worker_infos, harness.now_ms)
+
+
+def _start_on(harness: CellHarness, name: str, *specs: StepSpec) -> list[Task]:
+    """Start long-running tasks on the only worker."""
+    for number, spec in enumerate(specs):
+        harness.submit(spec, job=f"{100 + number:016x}")
+    harness.now_ms += 500
+    _answer(harness, name)
+    tasks = [order.run.task for order in harness.start()]
+    assert len(tasks) == sum(spec.task_count for spec in specs)
+    return sorted(tasks, key=lambda task: task.id)
+
+
+def _let_pass(harness: CellHarness, elapsed_ms: int) -> list[StopRun]:
+    """Let time pass in which workers list their runs; return the stops of runs."""
+    stops = []
+    for _ in range(elapsed_ms // 60):
+        harness.read_orders()
+        _answer(harness)
+        stops += [order for order in harness.plan(60) if isinstance(order, StopRun)]
+    return stops
+
+
+def _fill(harness: CellHarness, count: int, cpu_millis: int, memory_mb: int = 0) -> None:
     for number in range(count):
-        spec = StepSpec(1, cpu_millis=cpu_millis, estimate_ms=90_000)
+        spec = StepSpec(1, cpu_millis=cpu_millis, memory_mb=memory_mb, estimate_ms=90_000)
         harness.submit(spec, job=f"{number + 1:016x}")
     _answer(harness)
     assert len(harness.start()) >= count
@@ -197,13 +226,32 @@
         harness.now_ms += 10
         _answer(harness)
         _drain(harness, start.boot.name)
-        stops = []
-        for _ in range(10):
-            harness.now_ms += 50
-            harness.read_orders()
-            _answer(harness)
-            stops += [order for order in harness.plan(60) if isinstance(order, StopRun)]
-        assert stops
+        assert _let_pass(harness, 600)
+
+    def test_a_task_leaves_a_worker_though_many_larger_ones_find_no_free_place(self) -> None:
+        # One update seeks free places for a few of the tasks.
+        harness = CellHarness("d")
+        large = replace(LASTING, task_count=18, cpu_millis=2_500)
+        small = _start_on(harness, "d", large, replace(LASTING, cpu_millis=2_000))[-1]
+        _join(harness, *(f"w{number:02}" for number in range(20)))
+        _fill(harness, 20, 62_500)
+        _drain(harness, "d")
+        _let_pass(harness, 300)
+        assert len(harness.cell.planner.places) == 19
+        _join(harness, "x", cpu_millis=2_200)
+        assert small in {order.run.task for order in _let_pass(harness, LONGEST_MOVE_MS)}
+
+    def test_a_task_leaves_a_worker_though_many_others_have_no_memory_left(self) -> None:
+        # One update compares a few of the workers with as much CPU as the task needs.
+        harness = CellHarness("d")
+        (task,) = _start_on(harness, "d", replace(LASTING, cpu_millis=10_000, memory_mb=1_000))
+        _join(harness, *(f"w{number:02}" for number in range(30)))
+        _fill(harness, 30, 50_000, 256_000)
+        _drain(harness, "d")
+        _let_pass(harness, 300)
+        assert len(harness.cell.planner.places) == 1
+        _join(harness, "x")
+        assert task in {order.run.task for order in _let_pass(harness, LONGEST_MOVE_MS)}
 
 
 class TestNewOwners:
