Take a progress record that can't be read for one that is there

Callers would see: a task that runs twice, or again after its end.

A new owner takes a job below the settled offset without a progress record for one that was never started. A record that can't be decoded (of another version, or damaged on its way) counted as none.

Change: the ledger keeps that such a record was read, and the tasks of its job may be running. What the record said of ends stays unknown.

Before: test_a_job_whose_progress_can_not_be_read_may_have_been_started fails. After: it passes.

--- a/src/greengagewood/internal/cells/ledger.py
+++ b/src/greengagewood/internal/cells/ledger.py
@@ -13,6 +13,7 @@
 from greengagewood.internal.clock import monotonic_ms
 from greengagewood.internal.jobs.book import FINAL_STATES
 from greengagewood.internal.jobs.records import (
+    PROGRESS_PREFIX,
     Cancellation,
     Forecast,
     Ownership,
@@ -44,6 +45,7 @@
     submission_offset: int = -1
     last_submission_offset: int = -1
     progress: Progress | None = None  # without details once the job has ended
+    has_unreadable_progress: bool = False
     cancelled: bool = False
 
     @property
@@ -99,6 +101,9 @@
             record = decode_record(entry.value)
         except RecordError:
             self.unreadable_count += 1
+            if entry.key.startswith(PROGRESS_PREFIX):
+                job_id = entry.key.removeprefix(PROGRESS_PREFIX)
+                self.jobs.setdefault(job_id, StoredJob()).has_unreadable_progress = True
             return None
         if isinstance(record, Forecast) and entry.offset != self.forecast_offset:
             self.forecast_since_ms = since_ms
--- a/src/greengagewood/internal/cells/runner.py
+++ b/src/greengagewood/internal/cells/runner.py
@@ -175,7 +175,8 @@
             # if it is below the settled offset and has no progress record. That owner may have read
             # only the latest of several submissions.
             settled = stored.last_submission_offset < self._ledger.ownership.settled_offset
-            unrecorded = stored.progress is None and settled
+            has_progress = stored.progress is not None or stored.has_unreadable_progress
+            unrecorded = settled and not has_progress
             never_started = unrecorded or offset > self._ledger.claim_offset
             self.cell.add_job(submission, stored.progress, never_started, now_ms, offset)
         if stored.cancelled:
--- a/src/greengagewood/internal/jobs/records.py
+++ b/src/greengagewood/internal/jobs/records.py
@@ -14,6 +14,7 @@
 from greengagewood.internal.jobs.model import JobSpec, Queue
 
 __all__ = [
+    "PROGRESS_PREFIX",
     "REGISTERED_WORKERS_KEY",
     "Cancellation",
     "DensityBand",
@@ -212,6 +213,7 @@
 _decoder: msgspec.msgpack.Decoder[Record] = msgspec.msgpack.Decoder(Record)
 _encoder = msgspec.msgpack.Encoder()
 
+PROGRESS_PREFIX = "p"  # followed by the ID of the job
 OWNERSHIP_KEY = "o"
 REGISTERED_WORKERS_KEY = "w"
 FORECAST_KEY = "f"
@@ -225,7 +227,7 @@
         case Cancellation():
             return f"c{record.job_id}"
         case Progress():
-            return f"p{record.job_id}"
+            return f"{PROGRESS_PREFIX}{record.job_id}"
         case Ownership():
             return OWNERSHIP_KEY
         case RegisteredWorkers():
--- a/tests/cover/test_stale_answers.py
+++ b/tests/cover/test_stale_answers.py
@@ -124,12 +124,14 @@
     """A job that was stored at offset 4 by one append, and at 9 by another."""
 
     @staticmethod
-    def _add_as_new_owner(settled_offset: int, claim_offset: int) -> bool:
+    def _add_as_new_owner(settled_offset: int, claim_offset: int, *others: LogEntry) -> bool:
         """Return whether a new owner rules out that an earlier one has started the job."""
         ledger = Ledger()
         submission = make_submission(JOB)
         ledger.apply(_entry(4, submission))
         ledger.apply(_entry(9, submission))
+        for entry in others:
+            ledger.apply(entry)
         claim = Ownership(2, "n0", settled_offset=settled_offset)
         ledger.apply(_entry(claim_offset, claim))
         ledger.next_offset = 12
@@ -148,6 +150,11 @@
     def test_a_job_below_the_settled_offset_was_never_started(self) -> None:
         assert self._add_as_new_owner(settled_offset=10, claim_offset=11)
 
+    def test_a_job_whose_progress_can_not_be_read_may_have_been_started(self) -> None:
+        """Guards against a second run: the job has a progress record, so it may be running."""
+        unreadable = LogEntry(10, key_of(Progress(JOB, "running")), b"\xc1")
+        assert not self._add_as_new_owner(11, 11, unreadable)
+
 
 class TestUnexpectedErrors:
     """An error in one job of many, of which the log names the place."""
