Refuse an empty answer of the log before its end in ggwctl

Operators would see: ggwctl takes an older document or order for the newest one, or reports that an append failed that is stored.

Publisher.read took an answer without records for the end of the stream, whatever end the answer told.

Change: LogUnavailable, as for any other read that fails.

Before: test_an_empty_answer_before_the_end_of_the_stream_is_no_end fails; the other new tests passed before. After: all pass.

--- a/src/greengagewood/internal/ctl/publish.py
+++ b/src/greengagewood/internal/ctl/publish.py
@@ -125,10 +125,12 @@
             for stored in batch.records:
                 cursor = stored.offset + 1
                 state.apply(stored)
-            reached_end = cursor >= batch.end_offset or not batch.records
+            reached_end = cursor >= batch.end_offset
             state.orders.note_read(cursor - 1, reached_end)
             if reached_end:
                 return state
+            if not batch.records:  # the newest document or order may be among those missing
+                raise LogUnavailable(f"no records from offset {cursor} on, before the end")
 
     async def accepted(self, stage: str) -> AcceptedConfig | None:
         """Return the accepted configuration of a stage; raise LogUnavailable."""
--- a/tests/cover/test_config.py
+++ b/tests/cover/test_config.py
@@ -4,14 +4,20 @@
 from unittest import mock
 
 import aiohttp
+import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from greengagewood.internal.confighistory import ConfigHistory
 from greengagewood.internal.ctl.publish import Publisher
 from greengagewood.internal.document import document_digest
-from greengagewood.internal.native.logservice import LogService
-from greengagewood.internal.records import ConfigPublished
+from greengagewood.internal.native.logservice import LogService, LogUnavailable, StreamBatch
+from greengagewood.internal.records import (
+    ConfigPublished,
+    EvacuationOrdered,
+    StoredRecord,
+    encode_record,
+)
 from greengagewood.internal.settings import Address
 from greengagewood.internal.standin.log import LogFaults
 from tests.common.system import example_document, system
@@ -110,6 +116,39 @@
             assert history.accepted.digest == document_digest(TEXTS[1])
 
 
+class _ShortLog:
+    """A log that returns at most some records of a stream, and none from `gap` on."""
+
+    def __init__(self, records, gap=None):
+        self.records = records
+        self.gap = gap
+
+    async def read(self, cursors, wait_ms, max_records):
+        (stream, cursor), *_ = cursors.items()
+        end = len(self.records) + 1
+        upto = min(cursor + max_records, end, end if self.gap is None else self.gap)
+        stored = (
+            StoredRecord(offset, str(offset), encode_record(self.records[offset - 1]))
+            for offset in range(cursor, upto)
+        )
+        return {stream: StreamBatch(1, end, tuple(stored))}
+
+
+class TestPublisherReads:
+    """Guard against an older document or order that is taken for the newest one."""
+
+    @pytest.mark.parametrize("count", [999, 1_000, 1_001, 2_500])
+    async def test_all_records_are_read_however_many_answers_they_fill(self, count):
+        orders = [EvacuationOrdered("pd-forli", i % 2 == 0, "a", i) for i in range(count)]
+        state = await Publisher(_ShortLog(orders), "padana").read("production")
+        assert state.orders.newest("pd-forli").offset == count
+
+    async def test_an_empty_answer_before_the_end_of_the_stream_is_no_end(self):
+        orders = [EvacuationOrdered("pd-forli", i % 2 == 0, "a", i) for i in range(9)]
+        with pytest.raises(LogUnavailable):
+            await Publisher(_ShortLog(orders, gap=5), "padana").read("production")
+
+
 class TestPropagation:
     async def test_a_keeper_that_starts_while_the_log_is_down_fetches_from_a_peer(self):
         async with system(roles=("keeper",), instances=3) as cluster:
--- a/tests/cover/test_odd_entries.py
+++ b/tests/cover/test_odd_entries.py
@@ -645,6 +645,31 @@
             assert len((await log.load()).entries) == count
             assert len(await StoreDirectory(log).refresh()) == count
 
+    async def test_a_read_that_is_full_does_not_reach_the_end_of_the_log(self) -> None:
+        """Guards against a confirmed ownership, as a later claim is on the next page in bytes."""
+        stub = StoreStub()
+        for _ in range(3):
+            stub.append("k", bytes(600_000))
+        async with running_store(stub) as session:
+            log = KeyedLog(session, stub.address, "keyed.x")
+            offset, reached = 0, []
+            while len(reached) < 2 or not reached[-1]:
+                page = await log.read(offset, 0)
+                offset = page.next_offset
+                reached.append(page.reaches_end)
+        assert offset == 3
+        assert reached[:-1] == [False] * (len(reached) - 1)
+
+    async def test_a_topic_that_is_missing_once_removes_no_worker(self) -> None:
+        """Guards against workers that count as gone as a read finds no topic."""
+        stub = StoreStub()
+        stub.append("w0", _entry())
+        async with running_store(stub) as session:
+            directory = StoreDirectory(KeyedLog(session, stub.address, "keyed.x"))
+            await directory.refresh()
+            stub.statuses = [404]
+            assert set(await directory.refresh()) == {"w0"}
+
     async def test_a_page_that_lacks_what_it_announces_is_no_answer(self) -> None:
         """Guards against jobs or a claim that count as missing, as an answer was cut short."""
         with pytest.raises(StoreUnavailable):
