Limit the calls that set the speed of runs by their answers

Owners of a busy cell would be slow: each reading of a service that is over its target led to a call for every best-effort run beside it, whatever was in flight.

Starts, stops and advice had a window.

Change: the same window for speed limits. What has no room is not sent; the next reading of the worker leads to a new order, as after a call that fails.

--- a/src/greengagewood/internal/cells/runner.py
+++ b/src/greengagewood/internal/cells/runner.py
@@ -122,6 +122,7 @@
         self._released = False  # whether nothing may be sent or stored any more but the release
         self._retries_end_ms = math.inf
         self._start_window = CallWindow(START_WINDOW)
+        self._throttle_window = CallWindow(START_WINDOW)
         self._unlogged_stops = 0  # accepted since the last `stop` line, while others waited
         self.cell = Cell(
             limits,
@@ -272,6 +273,10 @@
         for order in orders if not self._released else ():
             if isinstance(order, StartRun):
                 self._start_window.note_sent()
+            elif isinstance(order, ThrottleRun):
+                if not self._throttle_window.room:
+                    continue  # the next reading leads to a new order
+                self._throttle_window.note_sent()
             self._calls[self._spawn(self._carry_out(order))] = order
 
     async def _carry_out(self, order: Order) -> None:
@@ -382,6 +387,8 @@
         self._unlogged_stops = 0
 
     async def _throttle_run(self, order: ThrottleRun) -> None:
+        sent_ms = monotonic_ms()
+        answered = False
         previous_percent = order.run.speed_percent
         order.run.speed_percent = order.speed_percent
         order.boot.invalidate_slack()
@@ -393,10 +400,14 @@
                 order.speed_percent,
                 order.boot.fencing_token,
             )
+            answered = True
             self._check_fencing(order.boot, reply)
-        except (WorkerCallFailed, WrongBoot):
+        except (WorkerCallFailed, WrongBoot) as exc:
+            answered = isinstance(exc, WrongBoot)
             order.run.speed_percent = previous_percent  # the next reading leads to a new order
             order.boot.invalidate_slack()
+        finally:
+            self._throttle_window.note_done(sent_ms, monotonic_ms(), answered)
         self._metrics.count("paces")
         _log.debug(
             "pace",
--- a/tests/cover/test_window.py
+++ b/tests/cover/test_window.py
@@ -2,12 +2,21 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections import deque
 from dataclasses import dataclass, field
 
 import pytest
 
+from greengagewood.internal.cells.ledger import Ledger
+from greengagewood.internal.cells.orders import ThrottleRun
+from greengagewood.internal.cells.ownership import OwnershipView
+from greengagewood.internal.cells.runner import CellRunner, Ports
 from greengagewood.internal.cells.window import START_WINDOW, CallWindow
+from greengagewood.internal.jobs.model import StepSpec
+from greengagewood.internal.metrics import Metrics
+from greengagewood.internal.ports import OrderReply, WorkerCallFailed
+from tests.common.desk import LIMITS, CellHarness
 
 TICK_MS = 5
 ORDER_TIMEOUT_MS = 1_000
@@ -116,3 +125,55 @@
         for sent_ms in range(1_000, 100_000, 1_000):
             window.note_done(sent_ms, sent_ms + START_WINDOW.late_answer_ms + 1, True)
         assert window.limit == START_WINDOW.min_limit
+
+
+class _SlowWorkers:
+    """Workers that answer speed limits after some time, or not at all."""
+
+    def __init__(self, answers: bool) -> None:
+        self.answers = answers
+        self.in_flight = self.most_in_flight = 0
+
+    async def throttle(self, *args: object) -> OrderReply:
+        self.in_flight += 1
+        self.most_in_flight = max(self.in_flight, self.most_in_flight)
+        await asyncio.sleep(0.01)
+        self.in_flight -= 1
+        if not self.answers:
+            raise WorkerCallFailed("no answer")
+        return OrderReply("", None)
+
+
+class TestSpeedLimits:
+    """Guard against an owner whose processor is used up by calls that limit the speed of runs."""
+
+    @pytest.mark.parametrize("answers", [True, False])
+    async def test_no_more_calls_are_in_flight_than_are_answered_in_time(
+        self, answers: bool
+    ) -> None:
+        harness = CellHarness(*(f"w{number}" for number in range(20)))
+        harness.submit(StepSpec(600, cpu_millis=1_000, best_effort=True, checkpointing=True))
+        runs = [order.run for _ in range(20) for order in harness.start(60)]
+        assert len(runs) == 600
+        workers = _SlowWorkers(answers)
+        ports = Ports(None, None, workers, None)  # type: ignore[arg-type]
+        ownership = OwnershipView("n0", 5_000, 0)
+        runner = CellRunner(
+            ports, Ledger(), LIMITS, 1, 0, Metrics(), ownership, may_send_orders=lambda: True
+        )
+        for _ in range(3):
+            workers.most_in_flight = 0
+            limits = [
+                ThrottleRun(harness.cell.boots[run.worker_id], run, 50)
+                for run in runs
+                if run.speed_percent != 50
+            ]
+            runner._carry_out_all(limits)
+            await asyncio.sleep(0.2)
+        limited = sum(run.speed_percent == 50 for run in runs)
+        if answers:
+            assert START_WINDOW.initial_limit <= workers.most_in_flight <= START_WINDOW.max_limit
+            assert limited >= 3 * START_WINDOW.initial_limit
+        else:
+            assert workers.most_in_flight <= START_WINDOW.initial_limit / 2
+            assert not limited
