--- a/tests/cover/test_owner_changes.py
+++ b/tests/cover/test_owner_changes.py
@@ -470,6 +470,9 @@
         await self._sleep_until(after_s)
         self._sim.platform.restart(self.worker)
 
+    async def wait(self, after_s: float) -> None:
+        await self._sleep_until(after_s)
+
     def cut_off(self) -> None:
         links = {(instance, self.worker) for instance in self._sim.instances}
         self._sim.platform.faults.cut_links.update(links)
@@ -578,6 +581,32 @@
 
         run_simulation(CellSimulation(1), script)
 
+    @pytest.mark.parametrize("change", ["none", "planned stop", "unused claim"])
+    def test_the_wait_for_the_start_of_a_lost_worker_ends(
+        self, change: str, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Guards against a task that waits longer, as owners change, than its start may take."""
+
+        async def script(sim: CellSimulation) -> None:
+            start = await _lose_first_start(sim, monkeypatch, crashes=True, wait_s=0.8)
+            if change != "none":
+                first = sim.owner()
+                assert first is not None
+                await sim.instances[first].release_cell()
+                await sim.kill_instance(first)
+            if change == "unused claim":
+                while (second := sim.owner()) is None:
+                    await asyncio.sleep(0.002)
+                await sim.instances[second].release_cell()
+                await sim.kill_instance(second)
+            await start.wait(17.0)
+            assert not sim.platform.running_tasks()
+            await start.wait(21.0)
+            assert len(sim.platform.running_tasks()) == 3
+            assert sim.platform.violations == []
+
+        run_simulation(CellSimulation(1), script)
+
     def test_the_task_waits_only_until_the_start_cannot_arrive_any_more(
         self, monkeypatch: pytest.MonkeyPatch
     ) -> None:
