End the runs of a worker that drained and left, as its entry shows it

Cause: the end of a run that ends as its worker leaves was known only once the lease of the worker was over, 6.2 s later. Class: a wait for the longest that could be true, though the platform has told what is.

Ruled out: refused connections as a sign, since those to a worker that has left time out (a play with logs of calls and entries). Any removed entry as a sign, since that of a silent worker is removed, too, after three reports that are missing.

Change: the directory keeps since when each entry may have been as it is. If an entry that says that its worker drains is removed within two report intervals of its last change, the worker has left. What ran there is over, but for starts without an answer, which a later boot may carry out; the tasks start again after a read that confirms the owner. Possible runs of earlier owners end in the same way; the record says which of them are such starts. The directory is read at once when a call to a worker that drains has failed, and an owner that stops waits for it.

--- a/devtools/soak/deployment.py
+++ b/devtools/soak/deployment.py
@@ -37,6 +37,7 @@
 WALL_OFFSET_MS = (time.time() - time.monotonic()) * 1000
 STOP_MS, DRAIN_STAY_MS = 300, 6_000
 BOUNDS = {"lease_ms": 6_000, "grace_s": 6, "status_s": 600}
+REPORT_INTERVAL_MS = 1_500  # between two heartbeats of a worker
 FRONTEND_PORT, READY_PORT, ADMIN_PORT = 17001, 17002, 17003
 STANDIN_ADMIN_PORT = 17101
 # The proxy holds orders as well; together they stay below the 12 s that the platform allows.
@@ -256,6 +257,7 @@
             "store": self.store,
             "advice": self.advice,
             "bounds": BOUNDS,
+            "worker_report_interval_ms": REPORT_INTERVAL_MS,
         }
 
     def store_settings(self, record: str) -> dict[str, Any]:
@@ -277,7 +279,7 @@
             "record": record,
             "seed": seed,
             "lease_ms": BOUNDS["lease_ms"],
-            "heartbeat_ms": 1_500,
+            "heartbeat_ms": REPORT_INTERVAL_MS,
             "stop_ms": STOP_MS,
             "drain_ms": DRAIN_STAY_MS,
             "max_order_delay_ms": MAX_ORDER_DELAY_MS,
--- a/src/greengagewood/internal/cells/bootlife.py
+++ b/src/greengagewood/internal/cells/bootlife.py
@@ -203,7 +203,9 @@
             return
         for task in tasks:
             self._term.book.note_maybe_running(task)
-        runs = InheritedRuns(frozenset(task.id for task in tasks), self._earlier_starts_expiry_ms)
+        runs = InheritedRuns(
+            frozenset(task.id for task in tasks), self._earlier_starts_expiry_ms, True
+        )
         rebooted.inherited = (*rebooted.inherited, runs)
         rebooted.earlier_orders_expiry_ms = max(rebooted.earlier_orders_expiry_ms, runs.expiry_ms)
 
@@ -280,6 +282,30 @@
             boot.set_aside()
         boot.clock_read_ms = None
 
+    def note_departed(self, name: str, now_ms: int) -> None:
+        """Record that a worker has drained and left, so what ran there is over.
+
+        Starts without an answer may still be carried out by a later boot of the worker.
+        """
+        term = self._term
+        boot = term.boots.get(name)
+        if boot is None or boot.worker.in_directory:
+            return
+        silent_ms = None if boot.last_answer_ms is None else now_ms - boot.last_answer_ms
+        term.emit("worker_left", {"worker": name, "runs": len(boot.runs), "silent_ms": silent_ms})
+        self._hold_back_lost_tasks(boot, now_ms)
+        self._mark_runs_lost(boot, now_ms, "left")
+        boot.transition("left")
+        boot.adopted_ms = None
+        boot.inherited = tuple(
+            runs for runs in boot.inherited if runs.tasks is None or runs.may_start_later
+        )
+        boot.latest_deadline_ms = 0
+        boot.earlier_orders_expiry_ms = max((r.expiry_ms for r in boot.inherited), default=0)
+        # The tasks that earlier owners ran there wait for a confirmation, as those of this one do.
+        term.last_adoption_ms = now_ms
+        term.registration_due |= is_record_outdated(boot, now_ms)
+
     def end_expired(self, now_ms: int) -> None:
         """End the runs of boots that do not answer and whose leases have certainly expired."""
         for boot in list(self._term.boots.values()):
@@ -329,7 +355,7 @@
             run
             for run in boot.runs.values()
             # A later boot may have the run, or may still carry out its start.
-            if reason != "lapsed"
+            if reason not in ("lapsed", "left")
             or term.confirmed_ms > later_boot_expiry_ms(boot, run, term.limits.lease_ms)
         ]
         if lost and reason == "lapsed":
--- a/src/greengagewood/internal/cells/boots.py
+++ b/src/greengagewood/internal/cells/boots.py
@@ -41,7 +41,7 @@
 MIN_CLOCK_RATE = 0.98  # by the platform's documentation, a worker's clock may run 2% slow
 MAX_ORDER_DELAY_MS = 12_000  # a worker carries out an order at most this long after it was sent
 BOOT_CHART = load_chart("boot")
-UNRESPONSIVE_STATES = frozenset({"silent", "lapsed", "replaced", "gone"})
+UNRESPONSIVE_STATES = frozenset({"silent", "lapsed", "departed", "replaced", "gone"})
 # Share of its CPU that a worker gives to tasks when it was just started; it rises until it is warm.
 INITIAL_WARM_SHARE = 0.5
 
@@ -92,11 +92,13 @@
 class InheritedRuns:
     """Tasks that earlier owners may have started on a worker; None if it may be any.
 
-    Their runs are over after `expiry_ms`, on the owner's monotonic clock.
+    Their runs are over after `expiry_ms`, on the owner's monotonic clock. Those that
+    `may_start_later` are starts without an answer, which a later boot of the worker may carry out.
     """
 
     tasks: frozenset[TaskId] | None
     expiry_ms: int
+    may_start_later: bool = False
 
 
 def outlasts_places(spec: StepSpec) -> bool:
@@ -220,6 +222,11 @@
         """Return whether it does not answer."""
         return self.state in UNRESPONSIVE_STATES
 
+    @property
+    def is_leaving(self) -> bool:
+        """Return whether it drains and did not answer, but the directory still lists it."""
+        return self.info.draining and self.worker.in_directory and self.lease_call_failed
+
     def placed_run(self, run: Run) -> PlacedRun:
         """Return a run with this boot, as it is stored."""
         info = self.info
--- a/src/greengagewood/internal/cells/cell.py
+++ b/src/greengagewood/internal/cells/cell.py
@@ -193,6 +193,11 @@
                     {"domain": domain, "offset": evacuations.offset, "read_age_ms": read_age_ms},
                 )
 
+    @property
+    def awaits_departures(self) -> bool:
+        """Return whether a worker that drains has not answered, so it may just have left."""
+        return any(boot.is_leaving for boot in self.boots.values())
+
     @property
     def evacuated_worker_count(self) -> int:
         """Return how many workers of the directory are in evacuated domains."""
@@ -211,6 +216,12 @@
         self._lives.set_listed(listed, now_ms)
         self.planner.request_replan()
 
+    def note_departed(self, names: Iterable[str], now_ms: int) -> None:
+        """Record that workers have left, which the last directory that was read does not list."""
+        for name in names:
+            self._lives.note_departed(name, now_ms)
+        self.planner.request_replan()
+
     def note_directory_unavailable(self) -> None:
         """Record that the directory can't be read, so the first record is stored without it."""
         if not self.term.registration_stored:
--- a/src/greengagewood/internal/cells/handover.py
+++ b/src/greengagewood/internal/cells/handover.py
@@ -76,6 +76,8 @@
     """Return whether the next lists of a worker may show that it can leave without harm."""
     if not boot.info.draining or boot.unresponsive or not boot.worker.in_directory:
         return False
+    if boot.is_leaving:
+        return bool(boot.runs)
     if not boot.adopted:
         return bool(boot.unlisted_runs(now_ms))
     return any(run.stop_sent_ms is not None for run in boot.runs.values())
--- a/src/greengagewood/internal/cells/registration.py
+++ b/src/greengagewood/internal/cells/registration.py
@@ -101,7 +101,7 @@
             remaining_entries -= sum(len(runs.tasks or ()) for runs in possible_runs)
             if remaining_entries < 0:
                 possible_runs = tuple(
-                    PossibleRuns(None, runs.expire_in_ms) for runs in possible_runs
+                    PossibleRuns(None, runs.expire_in_ms, True) for runs in possible_runs
                 )
         else:
             open_boots.append(boot)
@@ -124,19 +124,21 @@
         if later_boot_expiry_ms(boot, run, lease_ms) > now_ms
     }
     listed = {run for run in boot.runs.values() if run not in late}
-    groups: list[tuple[tuple[TaskId, ...] | None, int]] = []  # tasks, and the time left
+    groups: list[tuple[tuple[TaskId, ...] | None, int, bool]] = []  # see PossibleRuns
     if listed:
-        groups.append((_task_ids(listed), boot.remaining_order_ms(now_ms)))
+        groups.append((_task_ids(listed), boot.remaining_order_ms(now_ms), False))
     if late:
         expiry_ms = max(later_boot_expiry_ms(boot, run, lease_ms) for run in late)
         remaining_ms = max(expiry_ms - now_ms, boot.remaining_order_ms(now_ms))
-        groups.append((_task_ids(late), remaining_ms))
+        groups.append((_task_ids(late), remaining_ms, True))
     for inherited in boot.unlisted_runs(now_ms):
         known = inherited.tasks
         tasks = maybe_running() if known is None else tuple(sorted(known))
-        groups.append((tasks, inherited.expiry_ms - now_ms))
+        may_start_later = inherited.may_start_later or known is None
+        groups.append((tasks, inherited.expiry_ms - now_ms, may_start_later))
     return tuple(
-        PossibleRuns(tasks, remaining_ms if limited else None) for tasks, remaining_ms in groups
+        PossibleRuns(tasks, remaining_ms if limited else None, may_start_later)
+        for tasks, remaining_ms, may_start_later in groups
     )
 
 
@@ -188,6 +190,7 @@
                     if runs.expire_in_ms is None
                     else read_ms + longest_ms(runs.expire_in_ms) + 1
                 ),
+                runs.may_start_later,
             )
             for runs in stored.possible_runs
         )
--- a/src/greengagewood/internal/cells/runner.py
+++ b/src/greengagewood/internal/cells/runner.py
@@ -71,7 +71,7 @@
 # processor time as 30 stops, and its worker answers it at once, as runs end all the time.
 HELD_BACK_LIST_PAUSE_S = 0.4
 DIRECTORY_INTERVAL_S = 0.5
-# While long-running tasks wait for room, which new workers bring.
+# While long-running tasks wait for room, which new workers bring, or a worker may have left.
 SHORT_DIRECTORY_INTERVAL_S = 0.15
 MAX_PLAN_INTERVAL_S = 0.05
 PLAN_SLICE_MS = 10  # heartbeats, leases and stops go on between the slices of a long plan
@@ -113,6 +113,7 @@
         self._append_lock = asyncio.Lock()
         self._plan_wakeup = asyncio.Event()
         self._urgent_changes = asyncio.Event()
+        self._directory_wakeup = asyncio.Event()  # ends the pause before the next read of it
         self._changes_stored = asyncio.Event()  # replaced each time that it is set
         self._tasks: set[asyncio.Task[None]] = set()
         self._calls: dict[asyncio.Task[None], Order] = {}  # the orders that are being carried out
@@ -455,11 +456,16 @@
         else:
             with self._holds.measure("directory"):
                 self.cell.set_workers(listed, monotonic_ms(), sent_ms)
+                self.cell.note_departed(self._ports.directory.take_departed(), monotonic_ms())
             self._metrics.gauge("evacuated_workers", self.cell.evacuated_worker_count)
             self._plan_wakeup.set()
         self._update_lease_tasks()  # without the directory, too: for the recorded workers
-        is_short = self.cell.planner.places.is_short
-        await asyncio.sleep(SHORT_DIRECTORY_INTERVAL_S if is_short else DIRECTORY_INTERVAL_S)
+        self._directory_wakeup.clear()
+        await asyncio.sleep(SHORT_DIRECTORY_INTERVAL_S)
+        if not self.cell.planner.places.is_short and not self.cell.awaits_departures:
+            with suppress(TimeoutError):
+                async with asyncio.timeout(DIRECTORY_INTERVAL_S - SHORT_DIRECTORY_INTERVAL_S):
+                    await self._directory_wakeup.wait()
 
     def _update_lease_tasks(self) -> None:
         """Run one loop for each current worker, to extend its lease."""
@@ -492,6 +498,8 @@
             self._metrics.count("hold_failures")
             was_sent = not isinstance(exc, WorkerUnreachable)
             self.cell.note_lease_failure(boot, monotonic_ms(), was_sent)
+            if boot.is_leaving:
+                self._directory_wakeup.set()
             await asyncio.sleep(FAILED_LEASE_PAUSE_S)
             return
         except WrongBoot:
--- a/src/greengagewood/internal/jobs/records.py
+++ b/src/greengagewood/internal/jobs/records.py
@@ -115,11 +115,13 @@
     """Tasks that may run on a worker; None if it may be any.
 
     With `expire_in_ms`, the runs are over this long after the record was appended, since the owner
-    extends no lease of the worker.
+    extends no lease of the worker. Those that `may_start_later` may be carried out by a later boot
+    of the worker, too, as starts that were not answered.
     """
 
     tasks: tuple[TaskId, ...] | None
     expire_in_ms: int | None = None
+    may_start_later: bool = False
 
 
 class RegisteredWorker(msgspec.Struct, frozen=True, array_like=True, omit_defaults=True):
--- a/src/greengagewood/internal/ports.py
+++ b/src/greengagewood/internal/ports.py
@@ -192,6 +192,9 @@
         Raise StoreUnavailable.
         """
 
+    def take_departed(self) -> set[str]:
+        """Return the workers that have certainly left, as seen since the last call of this."""
+
 
 @dataclass(frozen=True, slots=True)
 class RunningTask:
--- a/src/greengagewood/platform/directory.py
+++ b/src/greengagewood/platform/directory.py
@@ -10,6 +10,7 @@
 import msgspec
 from msgspec import Meta
 
+from greengagewood.internal.clock import monotonic_ms
 from greengagewood.internal.logs import Log
 from greengagewood.internal.ports import (
     LogEntry,
@@ -137,16 +138,26 @@
 
 
 class StoreDirectory:
-    """Keep a list of the workers up to date by reading new entries of their topic."""
+    """Keep a list of the workers up to date by reading new entries of their topic.
 
-    def __init__(self, topic: KeyedLog) -> None:
+    The store removes the entry of a worker that has left, and that of one that was silent for three
+    intervals of `report_interval_ms`. A worker that drains changes its entry with each report. So
+    if such an entry is removed within two intervals of its last change, the worker has left.
+    """
+
+    def __init__(self, topic: KeyedLog, report_interval_ms: int = 0) -> None:
         self._topic = topic
         self._next_offset: int | None = None
         self._workers: dict[str, WorkerInfo] = {}
+        self._removed_early_ms = 2 * report_interval_ms
+        self._read_sent_ms: int | None = None  # when the last read to the end was sent
+        self._written_after_ms: dict[str, int] = {}  # bound of the last change, by worker
+        self._departed: set[str] = set()
         self.unreadable_entries: Counter[str] = Counter()
 
     async def refresh(self) -> dict[str, WorkerInfo]:
         """Return the listed workers by ID; raise StoreUnavailable."""
+        sent_ms = monotonic_ms()
         if self._next_offset is not None:
             try:
                 await self._read_to_end(self._next_offset)
@@ -155,9 +166,17 @@
         if self._next_offset is None:
             page = await self._topic.load()
             self._workers.clear()
+            self._written_after_ms.clear()
+            self._read_sent_ms = None  # the entries may have been written at any time before
             self._apply_page(page)
+        self._read_sent_ms = sent_ms
         return dict(self._workers)
 
+    def take_departed(self) -> set[str]:
+        """Return the workers that have certainly left, as seen since the last call of this."""
+        departed, self._departed = self._departed, set()
+        return departed
+
     async def _read_to_end(self, start: int) -> None:
         while True:
             page = await self._topic.read(start, 0)
@@ -174,16 +193,28 @@
         self._next_offset = page.next_offset
 
     def _apply(self, entry: LogEntry) -> None:
-        invalid: _InvalidEntry | None = None
-        if entry.value:
-            try:
-                self._workers[entry.key] = _read_entry(entry.key, entry.value)
-                return
-            except _InvalidEntry as exc:
-                invalid = exc
-        self._workers.pop(entry.key, None)
-        if invalid is not None:
-            self._note_invalid(entry, invalid)
+        key = entry.key
+        former = self._workers.pop(key, None)
+        written_after_ms = self._written_after_ms.pop(key, None)
+        if not entry.value:
+            if former is not None and former.draining and self._is_recent(written_after_ms):
+                self._departed.add(key)
+            return
+        try:
+            self._workers[key] = _read_entry(key, entry.value)
+        except _InvalidEntry as exc:
+            self._note_invalid(entry, exc)
+            return
+        self._departed.discard(key)  # another boot has the same ID
+        if self._read_sent_ms is not None:
+            self._written_after_ms[key] = self._read_sent_ms
+
+    def _is_recent(self, written_after_ms: int | None) -> bool:
+        """Return whether an entry that was removed now would still be there without its worker."""
+        return (
+            written_after_ms is not None
+            and monotonic_ms() - written_after_ms < self._removed_early_ms
+        )
 
     def _note_invalid(self, entry: LogEntry, invalid: _InvalidEntry) -> None:
         self.unreadable_entries[entry.key] += 1
--- a/src/greengagewood/platform/program.py
+++ b/src/greengagewood/platform/program.py
@@ -71,7 +71,10 @@
     worker_session = Session(MAX_CONNECTIONS_PER_WORKER)
     ports = Ports(
         KeyedLog(store_session, cfg.store, CELL_TOPIC),
-        StoreDirectory(KeyedLog(store_session, cfg.store, WORKERS_TOPIC, MAX_ENTRY_BYTES)),
+        StoreDirectory(
+            KeyedLog(store_session, cfg.store, WORKERS_TOPIC, MAX_ENTRY_BYTES),
+            cfg.worker_report_interval_ms,
+        ),
         HttpWorkers(worker_session),
         HttpAdvice(worker_session, cfg.advice) if cfg.advice else None,
     )
--- a/tests/common/plant.py
+++ b/tests/common/plant.py
@@ -323,6 +323,7 @@
         self.config = config
         self.workers: dict[str, SimWorker] = {}
         self.violations: list[str] = []
+        self.left: set[str] = set()  # workers that have drained and left
         self.done: set[TaskId] = set()
         self.acknowledged_tasks: set[TaskId] = set()
         self.failures: Counter[TaskId] = Counter()
@@ -385,10 +386,15 @@
         worker.ends.clear()
 
     def drain(self, name: str) -> None:
-        """Let a worker announce that it leaves; `crash` makes it leave."""
+        """Let a worker announce that it leaves."""
         worker = self.workers[name]
         worker.info = replace(worker.info, draining=True)
 
+    def leave(self, name: str) -> None:
+        """Let a worker that drains leave for good, and the directory remove its entry."""
+        self.crash(name)
+        self.left.add(name)
+
     def evacuate(self, *domains: str) -> None:
         """Store orders that nothing is started in some failure domains."""
         for domain in domains:
@@ -416,6 +422,7 @@
 
     def restart(self, name: str) -> None:
         self.disturbed_ms = monotonic_ms()
+        self.left.discard(name)
         old_worker = self.workers[name]
         worker_info = replace(old_worker.info, boot_time_ms=int(monotonic_ms()) + 1)
         self.workers[name] = SimWorker(worker_info, self, monotonic_ms())
@@ -753,6 +760,10 @@
 
     platform: SimPlatform
     instance: str
+    followed_since_ms: int | None = None  # when the entries were first read
+    read_ms: int = 0
+    drained: set[str] = field(default_factory=set)  # workers that drained at the last read
+    departed: set[str] = field(default_factory=set)
 
     async def refresh(self) -> dict[str, WorkerInfo]:
         faults = self.platform.faults
@@ -762,11 +773,28 @@
             await asyncio.sleep(STORE_LATENCY_S)
             raise StoreUnavailable("store unreachable")
         await asyncio.sleep(STORE_LATENCY_S)
-        return {
+        listed = {
             name: worker.info
             for name, worker in self.platform.workers.items()
             if worker.up and name not in faults.unlisted_workers
         }
+        self._note_read(listed)
+        return listed
+
+    def _note_read(self, listed: dict[str, WorkerInfo]) -> None:
+        """Note which workers have left, as far as the times of their reports show it."""
+        now_ms = monotonic_ms()
+        if self.followed_since_ms is None:
+            self.followed_since_ms = now_ms
+        was_read_lately = now_ms - self.read_ms < HEARTBEAT_INTERVAL_S * 1000
+        if was_read_lately and now_ms - self.followed_since_ms > HEARTBEAT_INTERVAL_S * 1000:
+            self.departed |= self.drained & self.platform.left - set(listed)
+        self.drained = {name for name, info in listed.items() if info.draining}
+        self.read_ms = now_ms
+
+    def take_departed(self) -> set[str]:
+        departed, self.departed = self.departed, set()
+        return departed
 
 
 @dataclass
--- a/tests/common/virtualsoak.py
+++ b/tests/common/virtualsoak.py
@@ -320,6 +320,7 @@
         match do:
             case "boot" if not self.platform.workers[name].up:
                 del self.platform.workers[name]
+                self.platform.left.discard(name)
                 self.platform.add_worker(new_id or name, ms or 0)
             case "crash" | "gone":
                 self.platform.shut_down(name, "crashed" if do == "crash" else "gone")
@@ -333,6 +334,7 @@
         await asyncio.sleep(stay_s)
         if self.platform.workers.get(name) is worker and worker.up:
             self.platform.shut_down(name, "gone")
+            self.platform.left.add(name)
 
     # Faults in force.
 
--- a/tests/cover/test_odd_entries.py
+++ b/tests/cover/test_odd_entries.py
@@ -454,7 +454,7 @@
     entries: dict[str, bytes] = field(default_factory=dict)
 
     def make_directory(self, name: str) -> SimDirectory:
-        return _OddDirectory(self.platform, name, self.entries)
+        return _OddDirectory(self.platform, name, entries=self.entries)
 
 
 async def _change_owner(sim: CellSimulation) -> float:
