Keep places for tasks in the order in which they lost their runs

Cause: places went to the largest of all waiting tasks. While workers leave and join, there is always a larger one, and always a place that is kept for it and not free yet, in which the small one would fit. And a worker that joins gave its room to other tasks, as places were sought each 50 ms only: reports show a free worker of 64 CPUs with the reason rank.

Ruled out: that places are reported too late, or capacity that the owner does not see. The field places of task_waits counts those that are kept for other tasks, too.

Change: tasks that have lost their runs get places by the second in which they did, and within a second the largest first. Places are sought at once when a worker has become usable while a task has none.

Before: test_a_small_task_does_not_wait_for_as_long_as_larger_ones_lose_their_runs fails, also with either half of the change alone. After: it passes.

--- a/src/greengagewood/internal/cells/places.py
+++ b/src/greengagewood/internal/cells/places.py
@@ -6,7 +6,9 @@
 end; those that remain after some time are stopped.
 
 Only a task for which there is a place gets one, so a task that fits nowhere holds back nothing.
-Tasks without a run come before those whose workers drain, and large ones before small ones. This
+Tasks without a run come before those whose workers drain, in the order in which they have lost
+their runs: while workers leave and join, a place comes free every moment, and each task is owed one
+of them in time. Of those that lost their runs together, large ones come before small ones. This
 module does no I/O and reads no clock.
 """
 
@@ -27,6 +29,7 @@
 __all__ = ["Places", "needs_place"]
 
 UPDATE_INTERVAL_MS = 50
+ORDER_INTERVAL_MS = 1_000  # tasks that lose their runs within it are ordered by their sizes
 MAX_CANDIDATES = 24  # workers that are compared for one place, the tightest fits first
 MAX_PLACED = 64  # tasks for which one update seeks a place; the next goes on
 MAX_MOVES = 16  # places that are not free for which one update seeks a free one
@@ -57,6 +60,7 @@
         self._boots = boots
         self._places: dict[Task, _Place] = {}
         self._updated_ms: int | None = None
+        self._usable: set[Boot] = set()  # boots on which places could be kept by the last update
         self.is_short = False  # whether a task that has lost its run has no place
 
     def __len__(self) -> int:
@@ -101,12 +105,15 @@
         now_ms: int,
     ) -> None:
         """Keep places on the usable boots, by service, for the tasks that need one now."""
-        if self._updated_ms is not None and now_ms - self._updated_ms < UPDATE_INTERVAL_MS:
+        usable = {boot for boots in by_service.values() for boot in boots}
+        has_new = not usable <= self._usable  # whose room other tasks would take before the next
+        is_recent = self._updated_ms is not None and now_ms - self._updated_ms < UPDATE_INTERVAL_MS
+        if is_recent and not (self.is_short and has_new):
             return
         self._updated_ms = now_ms
+        self._usable = usable
         waiting = list(self._waiting_tasks(queue_of))
         wanted = dict.fromkeys((*waiting, *self._leaving_tasks(queue_of)))
-        usable = {boot for boots in by_service.values() for boot in boots}
         self.is_short = any(task not in self._places for task in waiting)
         for task, place in list(self._places.items()):
             if (
@@ -231,9 +238,12 @@
     return not queue.decision_ms
 
 
-def _order(task: Task) -> tuple[bool, int, int, int]:
+def _order(task: Task) -> tuple[bool, int, int, int, int]:
+    """Return the sort key of a task: without a run first, of these by the time without one."""
     spec = task.step.spec
-    return task.run is not None, -spec.cpu_millis, -spec.memory_mb, task.idle_since_ms
+    lost_at = 0 if task.run is not None else task.idle_since_ms // ORDER_INTERVAL_MS
+    sizes = -spec.cpu_millis, -spec.memory_mb
+    return task.run is not None, lost_at, *sizes, task.idle_since_ms
 
 
 def _holds(place: _Place) -> bool:
--- a/tests/cover/test_places.py
+++ b/tests/cover/test_places.py
@@ -62,13 +62,16 @@
     return sorted(tasks, key=lambda task: task.id)
 
 
-def _let_pass(harness: CellHarness, elapsed_ms: int) -> list[StopRun]:
+def _let_pass(harness: CellHarness, elapsed_ms: int, accept: bool = False) -> list[StopRun]:
     """Let time pass in which workers list their runs; return the stops of runs."""
     stops = []
     for _ in range(elapsed_ms // 60):
         harness.read_orders()
         _answer(harness)
-        stops += [order for order in harness.plan(60) if isinstance(order, StopRun)]
+        orders = harness.plan(60)
+        stops += [order for order in orders if isinstance(order, StopRun)]
+        for start in start_orders(orders) if accept else ():
+            harness.cell.handle_start_reply(start.boot, start.run, "", harness.now_ms, None)
     return stops
 
 
@@ -253,6 +256,24 @@
         _join(harness, "x")
         assert task in {order.run.task for order in _let_pass(harness, LONGEST_MOVE_MS)}
 
+    def test_a_small_task_does_not_wait_for_as_long_as_larger_ones_lose_their_runs(self) -> None:
+        # Each worker that joins has room for two of the larger tasks, and for nothing beside them.
+        harness = CellHarness("w0")
+        harness.submit(StepSpec(1, cpu_millis=64_000, estimate_ms=90_000, gang=True), job=OTHER_JOB)
+        assert len(harness.start()) == 1  # no place is kept beside a gang
+        small = _lose(harness, LASTING)
+        large = replace(LASTING, cpu_millis=8_000)
+        for number in range(6):
+            _lose(harness, large, f"{100 + number:016x}")
+        for number in range(LONGEST_WAIT_MS // 720):
+            _join(harness, f"x{number}", cpu_millis=16_000)
+            for task in (0, 1):
+                _lose(harness, large, f"{200 + 2 * number + task:016x}")
+            _let_pass(harness, 720, accept=True)
+            if small.run is not None:
+                break
+        assert small.run is not None
+
 
 class TestNewOwners:
     """Guard against a task that waits anew because its owner has changed."""
