Carry over to the next owner since when a task may have no run

Cause: a new owner counts the wait of such a task from its own beginning, as nothing says when its worker last listed it. So it is late in the order of places, and the runs in its place are stopped later. And the lease of a worker that has left goes on for 3 s.

Change: the record of a planned stop says for each worker how long ago it listed its runs, over any number of owners. A lease ends 2 s after a worker that drains may leave, which is enough for a planned change; after a kill, runs on such workers may lapse, which the list of the worker shows to the next owner at once.

Before: test_the_wait_of_a_task_counts_from_its_last_list fails. After: it passes.

--- a/src/greengagewood/internal/cells/bootlife.py
+++ b/src/greengagewood/internal/cells/bootlife.py
@@ -144,6 +144,10 @@
                 boot = self._add(info, now_ms)
                 boot.worker.in_directory = False
             inherit_runs(boot, stored, read_ms, term.earlier_orders_expiry_ms, limits_apply)
+            for runs in boot.inherited:
+                for task in runs.tasks or () if runs.listed_ms is not None else ():
+                    known_ms = term.last_listed_ms.get(task, runs.listed_ms)
+                    term.last_listed_ms[task] = max(known_ms, runs.listed_ms)
 
     # Reboots.
 
--- a/src/greengagewood/internal/cells/boots.py
+++ b/src/greengagewood/internal/cells/boots.py
@@ -40,8 +40,8 @@
 UNRESPONSIVE_AFTER_MS = 1_500  # no run is started on a worker that has not answered for longer
 MIN_CLOCK_RATE = 0.98  # by the platform's documentation, a worker's clock may run 2% slow
 MAX_ORDER_DELAY_MS = 12_000  # a worker carries out an order at most this long after it was sent
-# Enough for a planned change of the owner, and for most takeovers of one that was killed.
-LEASE_PAST_DRAIN_MS = 3_000
+# Enough for a planned change of the owner.
+LEASE_PAST_DRAIN_MS = 2_000
 BOOT_CHART = load_chart("boot")
 UNRESPONSIVE_STATES = frozenset({"silent", "lapsed", "departed", "replaced", "gone"})
 # Share of its CPU that a worker gives to tasks when it was just started; it rises until it is warm.
@@ -101,6 +101,7 @@
     tasks: frozenset[TaskId] | None
     expiry_ms: int
     may_start_later: bool = False
+    listed_ms: int | None = None  # when the worker last listed its runs to an earlier owner
 
 
 def outlasts_places(spec: StepSpec) -> bool:
--- a/src/greengagewood/internal/cells/registration.py
+++ b/src/greengagewood/internal/cells/registration.py
@@ -124,22 +124,25 @@
         if later_boot_expiry_ms(boot, run, lease_ms) > now_ms
     }
     listed = {run for run in boot.runs.values() if run not in late}
-    groups: list[tuple[tuple[TaskId, ...] | None, int, bool]] = []  # see PossibleRuns
+    groups: list[PossibleRuns] = []
+    listed_ago_ms = None if boot.last_answer_ms is None else now_ms - boot.last_answer_ms
     if listed:
-        groups.append((_task_ids(listed), boot.remaining_order_ms(now_ms), False))
+        remaining_ms = boot.remaining_order_ms(now_ms)
+        groups.append(PossibleRuns(_task_ids(listed), remaining_ms, False, listed_ago_ms))
     if late:
         expiry_ms = max(later_boot_expiry_ms(boot, run, lease_ms) for run in late)
         remaining_ms = max(expiry_ms - now_ms, boot.remaining_order_ms(now_ms))
-        groups.append((_task_ids(late), remaining_ms, True))
+        groups.append(PossibleRuns(_task_ids(late), remaining_ms, True))
     for inherited in boot.unlisted_runs(now_ms):
         known = inherited.tasks
         tasks = maybe_running() if known is None else tuple(sorted(known))
         may_start_later = inherited.may_start_later or known is None
-        groups.append((tasks, inherited.expiry_ms - now_ms, may_start_later))
-    return tuple(
-        PossibleRuns(tasks, remaining_ms if limited else None, may_start_later)
-        for tasks, remaining_ms, may_start_later in groups
-    )
+        listed_ago_ms = None if inherited.listed_ms is None else now_ms - inherited.listed_ms
+        remaining_ms = inherited.expiry_ms - now_ms
+        groups.append(PossibleRuns(tasks, remaining_ms, may_start_later, listed_ago_ms))
+    if not limited:  # it may list its runs again, and its lease be extended
+        return tuple(PossibleRuns(g.tasks, None, g.may_start_later) for g in groups)
+    return tuple(groups)
 
 
 def _task_ids(runs: Iterable[Run]) -> tuple[TaskId, ...]:
@@ -191,6 +194,7 @@
                     else read_ms + longest_ms(runs.expire_in_ms) + 1
                 ),
                 runs.may_start_later,
+                None if runs.listed_ago_ms is None else read_ms - runs.listed_ago_ms,
             )
             for runs in stored.possible_runs
         )
--- a/src/greengagewood/internal/jobs/records.py
+++ b/src/greengagewood/internal/jobs/records.py
@@ -116,12 +116,14 @@
 
     With `expire_in_ms`, the runs are over this long after the record was appended, since the owner
     extends no lease of the worker. Those that `may_start_later` may be carried out by a later boot
-    of the worker, too, as starts that were not answered.
+    of the worker, too, as starts that were not answered. `listed_ago_ms` is how long before the
+    record the worker last listed its runs, if it has, and if the owner extends no lease.
     """
 
     tasks: tuple[TaskId, ...] | None
     expire_in_ms: int | None = None
     may_start_later: bool = False
+    listed_ago_ms: int | None = None
 
 
 class RegisteredWorker(msgspec.Struct, frozen=True, array_like=True, omit_defaults=True):
