Let a stopped owner tell the next one which workers leave

Cause: only who has read an entry for some time can tell why it is removed. A worker that leaves between two owners, or within the first 1.5 s of one, is seen to leave by nobody, so the lease decides, which is long if the worker drains for a short time only.

That a worker has left is a fact and no decision, so any instance may store it. It counts once the directory shows the owner the same, and not for a worker that a later record of registered workers names without its boot.

--- a/src/greengagewood/internal/cells/bootlife.py
+++ b/src/greengagewood/internal/cells/bootlife.py
@@ -39,6 +39,8 @@
     def __init__(self, term: Term) -> None:
         self._term = term
         self._directory_unread = True
+        # Boot times of workers that have left, as far as the directory still listed them.
+        self._departed: dict[str, int] = {}
         # When every start of earlier owners is over that a later boot of a worker may carry out.
         self._earlier_starts_expiry_ms = term.earlier_orders_expiry_ms + MAX_ORDER_DELAY_MS
 
@@ -61,6 +63,10 @@
                 self.reboot(boot, info, now_ms)
             elif relation == "same":  # else the directory lags behind what the boot has said
                 self._update(boot, info, now_ms)
+        for name in [name for name in self._departed if name not in listed]:
+            if name in term.boots:
+                term.boots[name].worker.in_directory = False
+            self.note_departed(name, self._departed[name], now_ms)
         for name, boot in list(term.boots.items()):
             in_directory = name in listed and compare_boots(boot.info, listed[name]) != "earlier"
             boot.worker.in_directory = in_directory
@@ -145,7 +151,9 @@
                 boot.worker.in_directory = False
             inherit_runs(boot, stored, read_ms, term.earlier_orders_expiry_ms, limits_apply)
             for runs in boot.inherited:
-                for task in runs.tasks or () if runs.listed_ms is not None else ():
+                if runs.listed_ms is None:
+                    continue
+                for task in runs.tasks or ():
                     known_ms = term.last_listed_ms.get(task, runs.listed_ms)
                     term.last_listed_ms[task] = max(known_ms, runs.listed_ms)
 
@@ -286,14 +294,20 @@
             boot.set_aside()
         boot.clock_read_ms = None
 
-    def note_departed(self, name: str, now_ms: int) -> None:
+    def note_departed(self, name: str, boot_time_ms: int, now_ms: int) -> None:
         """Record that a worker has drained and left, so what ran there is over.
 
         Starts without an answer may still be carried out by a later boot of the worker.
         """
         term = self._term
+        self._departed.pop(name, None)
         boot = term.boots.get(name)
-        if boot is None or boot.worker.in_directory:
+        if boot is None or boot.state == "departed":
+            return
+        if boot_time_ms and boot.info.boot_time_ms not in (boot_time_ms, 0):
+            return
+        if boot.worker.in_directory:  # by a read before it left
+            self._departed[name] = boot_time_ms
             return
         silent_ms = None if boot.last_answer_ms is None else now_ms - boot.last_answer_ms
         term.emit("worker_left", {"worker": name, "runs": len(boot.runs), "silent_ms": silent_ms})
--- a/src/greengagewood/internal/cells/cell.py
+++ b/src/greengagewood/internal/cells/cell.py
@@ -19,7 +19,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 
 from greengagewood.internal.cells.adoption import Adoption
 from greengagewood.internal.cells.answers import boot_of_answer
@@ -216,10 +216,13 @@
         self._lives.set_listed(listed, now_ms)
         self.planner.request_replan()
 
-    def note_departed(self, names: Iterable[str], now_ms: int) -> None:
-        """Record that workers have left, which the last directory that was read does not list."""
-        for name in names:
-            self._lives.note_departed(name, now_ms)
+    def note_departed(self, boot_times_ms: Mapping[str, int], now_ms: int) -> None:
+        """Record that workers have left that had these boot times.
+
+        It counts once the directory has been read without them.
+        """
+        for name, boot_time_ms in boot_times_ms.items():
+            self._lives.note_departed(name, boot_time_ms, now_ms)
         self.planner.request_replan()
 
     def note_directory_unavailable(self) -> None:
--- a/src/greengagewood/internal/cells/ledger.py
+++ b/src/greengagewood/internal/cells/ledger.py
@@ -15,6 +15,7 @@
 from greengagewood.internal.jobs.records import (
     PROGRESS_PREFIX,
     Cancellation,
+    Departures,
     Forecast,
     Ownership,
     Progress,
@@ -76,6 +77,8 @@
         self.registered_workers = RegisteredWorkers(())
         self.registered_workers_offset = -1
         self.registered_workers_read_ms = 0  # when the record was first read
+        # Workers that have left since the registered workers were stored, and their boot times.
+        self.departed: dict[str, int] = {}
         self.forecast: Forecast | None = None
         self.forecast_offset = -1
         self.forecast_since_ms: int | None = None  # when it was stored at the earliest, if known
@@ -138,9 +141,12 @@
                     self.ownership = record
             case RegisteredWorkers():
                 self.registered_workers = record
+                self.departed.clear()
                 if offset != self.registered_workers_offset:
                     self.registered_workers_offset = offset
                     self.registered_workers_read_ms = monotonic_ms()
+            case Departures():
+                self.departed.update(record.workers)
             case Forecast():
                 self.forecast = record
                 self.forecast_offset = offset
--- a/src/greengagewood/internal/cells/runner.py
+++ b/src/greengagewood/internal/cells/runner.py
@@ -34,6 +34,7 @@
 from greengagewood.internal.holds import LoopHolds
 from greengagewood.internal.jobs.records import (
     Cancellation,
+    Departures,
     Forecast,
     Ownership,
     Record,
@@ -146,6 +147,7 @@
         self.cell.set_registered_workers(
             self._ledger.registered_workers, self._ledger.registered_workers_read_ms, now_ms
         )
+        self.cell.note_departed(self._ledger.departed, now_ms)
         for name, step in {
             "directory": self._refresh_directory,
             "plan": self._plan_once,
@@ -202,6 +204,9 @@
         if isinstance(record, Submission | Cancellation):
             self._take_up_job(record.job_id, monotonic_ms())
             self._plan_wakeup.set()
+        elif isinstance(record, Departures):
+            self.cell.note_departed(dict(record.workers), monotonic_ms())
+            self._plan_wakeup.set()
 
     def set_evacuations(self, evacuations: Evacuations) -> None:
         """Pass orders that were read to the cell, and plan soon."""
@@ -652,6 +657,27 @@
         if not stored:
             _log.warning("not_released", token=self.token)
 
+    async def report_departures(self) -> None:
+        """Tell the next owner which workers leave, until none drains that drained under this one.
+
+        Only who has seen an entry change for some time can tell why it is removed.
+        """
+        directory = self._ports.directory
+        drains = True
+        while drains:
+            await asyncio.sleep(SHORT_DIRECTORY_INTERVAL_S)
+            try:
+                listed = await directory.refresh()
+            except StoreUnavailable:
+                continue
+            drains = any(info.draining for info in listed.values())
+            if departed := directory.take_departed():
+                record = Departures(tuple(sorted(departed.items())))
+                entries = [(key_of(record), encode_record(record))]
+                while (await self._ports.store.append(entries)).outcome is not Outcome.DONE:
+                    await asyncio.sleep(STORE_RETRY_PAUSE_S)
+                _log.info("departures_reported", token=self.token, workers=len(departed))
+
     async def _delete_expired_jobs(self) -> None:
         await asyncio.sleep(DELETION_INTERVAL_S)
         job_ids = self._ledger.ended_before(
--- a/src/greengagewood/internal/entry/node.py
+++ b/src/greengagewood/internal/entry/node.py
@@ -138,6 +138,7 @@
         if runner is not None:
             await runner.release()
             await self._end_term("stopping")
+            self._tasks.append(asyncio.ensure_future(runner.report_departures()))
         else:
             await self._release_unused_claim()
 
--- a/src/greengagewood/internal/jobs/records.py
+++ b/src/greengagewood/internal/jobs/records.py
@@ -18,6 +18,7 @@
     "REGISTERED_WORKERS_KEY",
     "Cancellation",
     "DensityBand",
+    "Departures",
     "Forecast",
     "Ownership",
     "PlacedRun",
@@ -152,6 +153,15 @@
     token: int = 0
 
 
+class Departures(_Record, frozen=True):
+    """Workers that have drained and left, with the boot time of each.
+
+    Any instance may store what it has seen of this.
+    """
+
+    workers: tuple[tuple[str, int], ...]
+
+
 class Ownership(_Record, frozen=True):
     """Ownership of the cell, as the owner claims, renews or releases it.
 
@@ -212,7 +222,9 @@
     services: tuple[ServiceForecast, ...] = ()
 
 
-Record = Submission | Cancellation | Progress | Ownership | RegisteredWorkers | Forecast
+Record = (
+    Submission | Cancellation | Progress | Ownership | RegisteredWorkers | Departures | Forecast
+)
 
 _decoder: msgspec.msgpack.Decoder[Record] = msgspec.msgpack.Decoder(Record)
 _encoder = msgspec.msgpack.Encoder()
@@ -220,6 +232,7 @@
 PROGRESS_PREFIX = "p"  # followed by the ID of the job
 OWNERSHIP_KEY = "o"
 REGISTERED_WORKERS_KEY = "w"
+DEPARTURES_KEY = "d"
 FORECAST_KEY = "f"
 
 
@@ -236,6 +249,8 @@
             return OWNERSHIP_KEY
         case RegisteredWorkers():
             return REGISTERED_WORKERS_KEY
+        case Departures():
+            return DEPARTURES_KEY
         case Forecast():
             return FORECAST_KEY
 
--- a/src/greengagewood/internal/ports.py
+++ b/src/greengagewood/internal/ports.py
@@ -192,8 +192,11 @@
         Raise StoreUnavailable.
         """
 
-    def take_departed(self) -> set[str]:
-        """Return the workers that have certainly left, as seen since the last call of this."""
+    def take_departed(self) -> dict[str, int]:
+        """Return the workers that have certainly left, as seen since the last call of this.
+
+        The values are the boot times of the boots that have left.
+        """
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/greengagewood/platform/directory.py
+++ b/src/greengagewood/platform/directory.py
@@ -152,7 +152,7 @@
         self._removed_early_ms = 2 * report_interval_ms
         self._read_sent_ms: int | None = None  # when the last read to the end was sent
         self._written_after_ms: dict[str, int] = {}  # bound of the last change, by worker
-        self._departed: set[str] = set()
+        self._departed: dict[str, int] = {}
         self.unreadable_entries: Counter[str] = Counter()
 
     async def refresh(self) -> dict[str, WorkerInfo]:
@@ -172,9 +172,12 @@
         self._read_sent_ms = sent_ms
         return dict(self._workers)
 
-    def take_departed(self) -> set[str]:
-        """Return the workers that have certainly left, as seen since the last call of this."""
-        departed, self._departed = self._departed, set()
+    def take_departed(self) -> dict[str, int]:
+        """Return the workers that have certainly left, as seen since the last call of this.
+
+        The values are the boot times of the boots that have left.
+        """
+        departed, self._departed = self._departed, {}
         return departed
 
     async def _read_to_end(self, start: int) -> None:
@@ -198,14 +201,14 @@
         written_after_ms = self._written_after_ms.pop(key, None)
         if not entry.value:
             if former is not None and former.draining and self._is_recent(written_after_ms):
-                self._departed.add(key)
+                self._departed[key] = former.boot_time_ms
             return
         try:
             self._workers[key] = _read_entry(key, entry.value)
         except _InvalidEntry as exc:
             self._note_invalid(entry, exc)
             return
-        self._departed.discard(key)  # another boot has the same ID
+        self._departed.pop(key, None)  # another boot has the same ID
         if self._read_sent_ms is not None:
             self._written_after_ms[key] = self._read_sent_ms
 
--- a/tests/common/plant.py
+++ b/tests/common/plant.py
@@ -763,7 +763,7 @@
     followed_since_ms: int | None = None  # when the entries were first read
     read_ms: int = 0
     drained: set[str] = field(default_factory=set)  # workers that drained at the last read
-    departed: set[str] = field(default_factory=set)
+    departed: dict[str, int] = field(default_factory=dict)
 
     async def refresh(self) -> dict[str, WorkerInfo]:
         faults = self.platform.faults
@@ -788,12 +788,13 @@
             self.followed_since_ms = now_ms
         was_read_lately = now_ms - self.read_ms < HEARTBEAT_INTERVAL_S * 1000
         if was_read_lately and now_ms - self.followed_since_ms > HEARTBEAT_INTERVAL_S * 1000:
-            self.departed |= self.drained & self.platform.left - set(listed)
+            for name in self.drained & self.platform.left - set(listed):
+                self.departed[name] = self.platform.workers[name].info.boot_time_ms
         self.drained = {name for name, info in listed.items() if info.draining}
         self.read_ms = now_ms
 
-    def take_departed(self) -> set[str]:
-        departed, self.departed = self.departed, set()
+    def take_departed(self) -> dict[str, int]:
+        departed, self.departed = self.departed, {}
         return departed
 
 
--- a/tests/cover/test_departures.py
+++ b/tests/cover/test_departures.py
@@ -101,7 +101,7 @@
                 await reader.let_pass(seconds)
 
         run_in_virtual_time(scenario())
-        return reader.directory.take_departed()
+        return set(reader.directory.take_departed())
 
     def test_a_worker_that_drains_and_leaves_between_two_reports_has_left(self) -> None:
         drain = ("ready", 1.5), ("draining", 1.5), ("draining", 1.0)
@@ -151,7 +151,7 @@
     """Let the directory show that a worker has left."""
     del harness.worker_infos[name]
     harness.cell.set_workers(harness.worker_infos, harness.now_ms)
-    harness.cell.note_departed({name}, harness.now_ms)
+    harness.cell.note_departed({name: 1}, harness.now_ms)
     harness.read_orders()
 
 
@@ -183,10 +183,29 @@
         harness = CellHarness("w0", "w1")
         name = _start(harness)
         _drain(harness, name)
-        harness.cell.note_departed({name}, harness.now_ms)
+        harness.cell.note_departed({name: 1}, harness.now_ms)
         assert harness.cell.boots[name].adopted
         assert harness.cell.boots[name].runs
 
+    def test_a_departure_that_is_told_before_the_directory_shows_it_counts_then(self) -> None:
+        harness = CellHarness("w0", "w1")
+        name = _start(harness)
+        _drain(harness, name)
+        harness.cell.note_departed({name: 1}, harness.now_ms)
+        del harness.worker_infos[name]
+        harness.cell.set_workers(harness.worker_infos, harness.now_ms)
+        assert not harness.cell.boots[name].runs
+
+    def test_a_departure_of_another_boot_says_nothing(self) -> None:
+        harness = CellHarness("w0", "w1")
+        name = _start(harness)
+        _drain(harness, name)
+        harness.cell.note_departed({name: 2}, harness.now_ms)
+        del harness.worker_infos[name]
+        harness.cell.set_workers(harness.worker_infos, harness.now_ms)
+        harness.cell.note_departed({name: 2}, harness.now_ms)
+        assert harness.cell.boots[name].runs
+
     def test_a_start_without_an_answer_is_waited_for(self) -> None:
         """A later boot under the same ID may carry it out."""
         harness = CellHarness("w0", "w1")
@@ -398,3 +417,27 @@
             assert sim.platform.violations == []
 
         run_simulation(CellSimulation(1, worker_count=3), script)
+
+    @pytest.mark.parametrize("changes", [1, 2])
+    def test_the_same_while_there_is_no_owner(self, changes: int) -> None:
+        async def stop_owner(sim: CellSimulation) -> None:
+            while (owner := sim.owner()) is None:
+                await asyncio.sleep(0.01)
+            await sim.instances[owner].release_cell()
+            stopped.append(owner)
+
+        stopped: list[str] = []
+
+        async def script(sim: CellSimulation) -> None:
+            name = await _one_task_on_each_worker(sim)
+            await asyncio.sleep(2)
+            await stop_owner(sim)
+            sim.platform.leave(name)
+            sim.platform.add_worker("new")
+            for _ in range(changes - 1):
+                await stop_owner(sim)
+            assert await _gap_s(sim) < MAX_GAP_S
+            assert sim.platform.violations == []
+            assert len(stopped) == changes
+
+        run_simulation(CellSimulation(1, worker_count=3), script)
