Report what a service owes long-running tasks beside its capacity

The reports of waits name one worker each and count usable workers only. So they can't tell a service that is over its capacity from one whose new workers stand empty, nor whether a worker was known late or used late.

Change: service_room beside task_waits (capacity, what lasting runs hold, what lost and new tasks need, the widest gap, why workers are unusable); worker_adopted says since when the worker is known, and its own clock. No decision changes.

--- a/src/greengagewood/internal/cells/adoption.py
+++ b/src/greengagewood/internal/cells/adoption.py
@@ -35,7 +35,15 @@
             bounds_ms.append(boot.earlier_orders_expiry_ms)
         boot.earlier_orders_expiry_ms = min(bounds_ms) if term.token > 1 else 0
         boot.inherited = ()
-        term.emit("worker_adopted", {"worker": boot.name, "runs": run_count})
+        term.emit(
+            "worker_adopted",
+            {
+                "worker": boot.name,
+                "runs": run_count,
+                "known_ms": now_ms - boot.added_ms,
+                "clock_ms": boot.clock_ms,
+            },
+        )
 
     def finish(self, now_ms: int) -> None:
         """Mark the tasks as not running that no run of an earlier owner can go on with unlisted.
--- a/src/greengagewood/internal/cells/cell.py
+++ b/src/greengagewood/internal/cells/cell.py
@@ -407,8 +407,8 @@
             self._load.note_short_plan(now_ms)
         orders.extend(starts)
         self._load.sample(self.boots.values(), now_ms)
-        for fields in self._waits.due(now_ms):
-            self.term.emit("task_waits", fields)
+        for event, fields in self._waits.due(now_ms):
+            self.term.emit(event, fields)
         return orders
 
     @property
--- a/src/greengagewood/internal/cells/waits.py
+++ b/src/greengagewood/internal/cells/waits.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Iterator, Sequence
 
 from greengagewood.internal.cells.boots import Boot, Resources
@@ -28,8 +29,8 @@
         self._planner = planner
         self._reported_ms: int | None = None
 
-    def due(self, now_ms: int) -> Iterator[dict[str, object]]:
-        """Yield the fields of the reports that are due, those of the longest waits first."""
+    def due(self, now_ms: int) -> Iterator[tuple[str, dict[str, object]]]:
+        """Yield the events that are due with their fields, those of the longest waits first."""
         if self._reported_ms is None:
             self._reported_ms = now_ms
         if now_ms - self._reported_ms < REPORT_INTERVAL_MS:
@@ -54,9 +55,53 @@
         usable = self._usable_boots(now_ms) if waiting else {}
         for task in waiting[:MAX_REPORTS]:
             boots = usable.get(self._planner.queue_of(task.step.job).service, [])
-            yield _describe(task, boots, now_ms) | {"unreported": unreported}
+            yield "task_waits", _describe(task, boots, now_ms) | {"unreported": unreported}
         if held:
-            yield {"task": held[0].id, "reason": "adoption", "unreported": len(held) - 1}
+            fields = {"task": held[0].id, "reason": "adoption", "unreported": len(held) - 1}
+            yield "task_waits", fields
+        for service in {self._planner.queue_of(task.step.job).service for task in waiting}:
+            yield "service_room", self._describe_service(service, usable.get(service, []), now_ms)
+
+    def _describe_service(
+        self, service: str, usable: Sequence[Boot], now_ms: int
+    ) -> dict[str, object]:
+        """Return what long-running tasks hold, and what they wait for, of a service's capacity."""
+        lost, new = Resources(), Resources()
+        lost_count = new_count = oldest_ms = 0
+        for step in self._book.waiting_steps:
+            if not step.spec.long_running or self._planner.queue_of(step.job).service != service:
+                continue
+            for task in step.waiting_tasks:
+                if task.last_run_ended_ms:
+                    lost.add(step.spec)
+                    lost_count += 1
+                    oldest_ms = max(oldest_ms, now_ms - task.idle_since_ms)
+                else:
+                    new.add(step.spec)
+                    new_count += 1
+        gaps = [max(0, boot.info.cpu_millis - boot.lasting.cpu_millis) for boot in usable]
+        unusable = Counter(
+            _why_unusable(boot, now_ms)
+            for boot in self._boots.values()
+            if boot.info.service == service and not self._planner.may_start_on(boot, now_ms)
+        )
+        return {
+            "service": service,
+            "usable_workers": len(usable),
+            "unusable_workers": dict(unusable),
+            "cpu": sum(boot.info.cpu_millis for boot in usable),
+            "lasting_cpu": sum(boot.lasting.cpu_millis for boot in usable),
+            "other_cpu": sum(
+                boot.allocated.cpu_millis - boot.lasting.cpu_millis for boot in usable
+            ),
+            "kept_cpu": sum(boot.kept.cpu_millis for boot in usable),
+            "widest_gap": max(gaps, default=0),
+            "lost_tasks": lost_count,
+            "lost_cpu": lost.cpu_millis,
+            "longest_ms": oldest_ms,
+            "new_tasks": new_count,
+            "new_cpu": new.cpu_millis,
+        }
 
     def _usable_boots(self, now_ms: int) -> dict[str, list[Boot]]:
         """Return the boots on which runs may be started now, by service."""
@@ -67,6 +112,19 @@
         return usable
 
 
+def _why_unusable(boot: Boot, now_ms: int) -> str:
+    """Return the first condition for starts on a worker that does not hold."""
+    if not boot.worker.in_directory:
+        return "unlisted"
+    if boot.info.draining:
+        return "draining"
+    if not boot.adopted or not boot.worker.registered:
+        return "new"
+    if boot.state != "listed":
+        return "silent"
+    return "backoff" if now_ms < boot.backoff_until_ms else "other"
+
+
 def _describe(task: Task, boots: Sequence[Boot], now_ms: int) -> dict[str, object]:
     spec = task.step.spec
     widest = max(boots, key=_free_cpu_millis, default=None)
--- a/tests/cover/test_room.py
+++ b/tests/cover/test_room.py
@@ -5,6 +5,7 @@
 import heapq
 from dataclasses import replace
 
+import msgspec
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -246,3 +247,21 @@
         reports = [fields for name, fields in service.events if name == "task_waits"]
         assert [fields["reason"] for fields in reports] == ["no_worker"] * len(reports)
         assert len(reports) == 2
+
+    def test_what_a_service_owes_is_reported_beside_its_capacity(self) -> None:
+        service = _FullService(2, 60_000)
+        half = msgspec.structs.replace(LASTING, cpu_millis=40_000)
+        tasks = _run_lasting_tasks(service, half, half)
+        left, right = (task.run.worker_id for task in tasks if task.run is not None)
+        service.drain(left)
+        service.end_on(left)
+        service.submit(half)
+        for _ in range(100):
+            service.tick()
+        room = next(fields for name, fields in service.events if name == "service_room")
+        assert room["usable_workers"] == 1
+        assert room["unusable_workers"] == {"draining": 1}
+        assert (room["lost_tasks"], room["lost_cpu"]) == (1, half.cpu_millis)
+        assert (room["new_tasks"], room["new_cpu"]) == (1, half.cpu_millis)
+        assert room["lasting_cpu"] == half.cpu_millis
+        assert room["widest_gap"] == service.harness.worker_infos[right].cpu_millis - 40_000
