--- a/src/greengagewood/internal/cells/adoption.py
+++ b/src/greengagewood/internal/cells/adoption.py
@@ -41,7 +41,7 @@
                 "worker": boot.name,
                 "runs": run_count,
                 "known_ms": now_ms - boot.added_ms,
-                "clock_ms": boot.clock_ms,
+                "boot_time_ms": boot.info.boot_time_ms,
             },
         )
 
