Carry over to the next owner in which order tasks have lost their runs

Cause: tasks wait in the order in which they lost their runs, and the record of a planned stop tells that of tasks whose workers still count as possible only. A task whose loss the owner already knew begins to wait anew with the next owner, behind larger ones. Class: a bound that begins anew with each change of owner.

Ruled out: the time of the last list alone, which covers no task whose loss is known. Progress records, as a loss changes none of them.

Change: the record of registered workers says how long long-running tasks have had no run, the longest first, within the record's limit of tasks. It settles an order only, so a wrong time can delay a task, but start none twice.

Before: test_tasks_without_a_run_keep_their_order_over_planned_changes fails for 1 and 3 changes. After: it passes.

--- a/src/greengagewood/internal/cells/adoption.py
+++ b/src/greengagewood/internal/cells/adoption.py
@@ -75,8 +75,8 @@
                 term.book.note_held_back(task)
             else:
                 # No worker that answers has listed it since the term began.
-                listed_ms = term.last_listed_ms.get(task.id, self._begun_ms)
-                term.book.note_not_running(task, now_ms, min(self._begun_ms, listed_ms))
+                idle_since_ms = term.idle_since_ms.get(task.id, self._begun_ms)
+                term.book.note_not_running(task, now_ms, min(self._begun_ms, idle_since_ms))
 
     def _report(self, unresolved: list[Boot], now_ms: int) -> None:
         """Report the workers that the adoption waits for, if it has taken long."""
--- a/src/greengagewood/internal/cells/bootlife.py
+++ b/src/greengagewood/internal/cells/bootlife.py
@@ -130,6 +130,9 @@
         """
         term = self._term
         limits_apply = registered.token == term.last_ordering_token
+        if limits_apply:
+            for task, idle_ms in registered.idle_ms:
+                term.idle_since_ms[task] = read_ms - idle_ms
         for stored in registered.workers:
             boot = term.boots.get(stored.worker_id)
             if boot is None:
@@ -154,8 +157,8 @@
                 if runs.listed_ms is None:
                     continue
                 for task in runs.tasks or ():
-                    known_ms = term.last_listed_ms.get(task, runs.listed_ms)
-                    term.last_listed_ms[task] = max(known_ms, runs.listed_ms)
+                    known_ms = term.idle_since_ms.get(task, runs.listed_ms)
+                    term.idle_since_ms[task] = max(known_ms, runs.listed_ms)
 
     # Reboots.
 
--- a/src/greengagewood/internal/cells/changes.py
+++ b/src/greengagewood/internal/cells/changes.py
@@ -44,7 +44,13 @@
         if term.registration_due or releasing:
             term.registration_due = False
             record, registered = registration_record(
-                term.boots.values(), book, term.token, now_ms, term.limits.lease_ms, releasing
+                term.boots.values(),
+                book,
+                term.token,
+                now_ms,
+                term.limits.lease_ms,
+                releasing,
+                term.idle_since_ms,
             )
             records.append(record)
             urgent = True
--- a/src/greengagewood/internal/cells/registration.py
+++ b/src/greengagewood/internal/cells/registration.py
@@ -17,8 +17,9 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator, Mapping
 from functools import cache
+from heapq import nsmallest
 
 from greengagewood.internal.cells.answers import later_boot_expiry_ms
 from greengagewood.internal.cells.boots import Boot, InheritedRuns, longest_ms
@@ -77,10 +78,12 @@
     now_ms: int,
     lease_ms: int,
     releasing: bool,
+    inherited_since_ms: Mapping[TaskId, int],
 ) -> tuple[RegisteredWorkers, tuple[Boot, ...]]:
     """Return the record to store, and the workers on which runs may be started once it is stored.
 
-    With `releasing`, the owner sends no orders from now on.
+    With `releasing`, the owner sends no orders from now on. `inherited_since_ms` tells since when
+    tasks that an earlier owner may have started had no run.
     """
     entries = []
     open_boots = []
@@ -108,7 +111,27 @@
         entries.append(
             RegisteredWorker(boot.name, boot.info.address, boot.info.service, possible_runs)
         )
-    return RegisteredWorkers(tuple(entries), token), tuple(open_boots)
+    idle = _longest_idle(book, inherited_since_ms, now_ms, max(0, remaining_entries))
+    return RegisteredWorkers(tuple(entries), token, idle), tuple(open_boots)
+
+
+def _longest_idle(
+    book: JobBook, inherited_since_ms: Mapping[TaskId, int], now_ms: int, limit: int
+) -> tuple[tuple[TaskId, int], ...]:
+    """Return how long long-running tasks have had no run, the longest first."""
+    since_ms = {
+        task.id: task.idle_since_ms
+        for step in book.waiting_steps
+        if step.spec.long_running
+        for task in step.waiting_tasks
+        if task.last_run_ended_ms
+    }
+    for task in book.maybe_running_tasks:
+        inherited_ms = inherited_since_ms.get(task.id)
+        if inherited_ms is not None and task.step.spec.long_running:
+            since_ms[task.id] = inherited_ms
+    longest = nsmallest(limit, since_ms.items(), key=lambda item: (item[1], item[0]))
+    return tuple((task, max(0, now_ms - since)) for task, since in longest)
 
 
 def _possible_runs(
--- a/src/greengagewood/internal/cells/term.py
+++ b/src/greengagewood/internal/cells/term.py
@@ -54,8 +54,8 @@
     registration_due: bool = False  # whether to store the registered workers anew
     registration_stored: bool = False  # whether this owner has stored a record of them
     reboot_count: int = 0  # later boots of workers that this owner has seen
-    # When tasks were last listed to an earlier owner that may still have runs.
-    last_listed_ms: dict[TaskId, int] = field(default_factory=dict)
+    # Since when tasks that an earlier owner may have started had no run, as far as that is known.
+    idle_since_ms: dict[TaskId, int] = field(default_factory=dict)
     # Tasks whose runs were lost with a boot, and when; they wait for a confirmed read.
     unconfirmed_losses: dict[Task, int] = field(default_factory=dict)
 
--- a/src/greengagewood/internal/jobs/records.py
+++ b/src/greengagewood/internal/jobs/records.py
@@ -147,10 +147,14 @@
 
     What it says of a worker's possible runs binds the owner with the fencing token `token`, until
     that owner stores a newer record. It holds on while later owners send no orders.
+
+    `idle_ms` tells how long long-running tasks that have lost their runs had none, as far as it is
+    known. It settles in which order they are started, and nothing else.
     """
 
     workers: tuple[RegisteredWorker, ...]
     token: int = 0
+    idle_ms: tuple[tuple[TaskId, int], ...] = ()
 
 
 class Departures(_Record, frozen=True):
--- a/tests/cover/test_carried_limits.py
+++ b/tests/cover/test_carried_limits.py
@@ -422,7 +422,7 @@
         cell = Cell(LIMITS, 5, now_ms, last_ordering_token=3)
         cell.set_registered_workers(RegisteredWorkers((stored,), 3), now_ms - 500, now_ms)
         record, open_boots = registration_record(
-            cell.boots.values(), cell.book, 5, now_ms, LIMITS.lease_ms, True
+            cell.boots.values(), cell.book, 5, now_ms, LIMITS.lease_ms, True, {}
         )
         assert open_boots == ()
         ((runs,),) = [worker.possible_runs or () for worker in record.workers]
--- a/tests/cover/test_departures.py
+++ b/tests/cover/test_departures.py
@@ -13,6 +13,7 @@
 from greengagewood.internal.cells.registration import registration_record
 from greengagewood.internal.clock import monotonic_ms
 from greengagewood.internal.jobs.model import JobSpec, StepSpec
+from greengagewood.internal.jobs.records import RegisteredWorkers
 from greengagewood.internal.ports import LogEntry, LogPage, StoreUnavailable
 from greengagewood.platform.directory import StoreDirectory
 from tests.common.desk import LIMITS, CellHarness, start_orders
@@ -258,7 +259,7 @@
         """Return an owner that has read the record of a planned stop."""
         cell = harness.cell
         record, _ = registration_record(
-            cell.boots.values(), cell.book, 1, harness.now_ms, 6_000, releasing=True
+            cell.boots.values(), cell.book, 1, harness.now_ms, 6_000, True, {}
         )
         successor = CellHarness()
         successor.now_ms = harness.now_ms
@@ -300,6 +301,39 @@
         assert not task.maybe_running
         assert task.idle_since_ms == listed_ms
 
+    @pytest.mark.parametrize("owners", [1, 3])
+    def test_tasks_without_a_run_keep_their_order_over_planned_changes(self, owners: int) -> None:
+        """Guards against a task that waits anew for each that lost its run after it."""
+        harness = CellHarness("w0")
+        since_ms = {}
+        for number in range(3):
+            job = f"{number:016x}"
+            harness.submit(LASTING, job=job)
+            book = harness.cell.book
+            (task,) = book.jobs[job].opened_tasks()
+            book.note_maybe_started(book.jobs[job])
+            task.last_run_ended_ms = task.idle_since_ms = since_ms[task.id] = harness.now_ms
+            harness.now_ms += 2_000
+        submissions = [job.submission for job in harness.cell.book.jobs.values()]
+        for token in range(1, owners + 1):
+            changes = harness.cell.collect_changes(harness.now_ms, harness.now_ms, True)
+            assert changes is not None
+            (record,) = (r for r in changes.records if isinstance(r, RegisteredWorkers))
+            harness.now_ms += 500
+            harness.cell = Cell(LIMITS, token + 1, harness.now_ms, last_ordering_token=token)
+            harness.cell.set_registered_workers(record, harness.now_ms - 500, harness.now_ms)
+            book = harness.cell.book
+            for submission in submissions:
+                harness.cell.add_job(submission, None, False, harness.now_ms)
+                book.note_maybe_started(book.jobs[submission.job_id])
+        harness.cell.set_workers(harness.worker_infos, harness.now_ms)
+        harness.read_orders()
+        harness.store_changes()
+        harness.answer_lease("w0")
+        harness.plan()
+        tasks = [task for job in book.jobs.values() for task in job.opened_tasks()]
+        assert {task.id: task.idle_since_ms for task in tasks} == since_ms
+
     def test_a_start_without_an_answer_on_a_worker_that_left_is_not(self) -> None:
         harness = CellHarness("w0", "w1")
         harness.submit(LASTING)
