Apply departures of workers only after the directory was read

Callers would see: a task that runs twice, if its worker has left, come back under its ID and taken the task again, and the owner then changes.

Cause: an instance stores a Departures record without a condition, so it may be appended late, after a suspension of that instance or by a call without an answer. A new owner applies it at its start. Then no worker counts as listed, and a worker that is known by the record alone has no boot time, so the departure of one boot ends the runs of the next.

Change: departures wait for the first read of the directory, as those of listed workers do. The boot that it lists is compared with the one that has left.

Evidence: test_no_task_runs_twice_after_a_late_record_of_a_departure (virtual time: "started while running elsewhere") and test_a_departure_of_an_earlier_boot_ends_no_runs_of_one_that_is_listed fail before, and pass after. Without the late record the first one passes before, too. Open: the same if the entry of the later boot is missing as well, since the record of registered workers names no boot.

--- a/src/greengagewood/internal/cells/bootlife.py
+++ b/src/greengagewood/internal/cells/bootlife.py
@@ -53,6 +53,7 @@
     def set_listed(self, listed: dict[str, WorkerInfo], now_ms: int) -> None:
         """Apply the entries of the directory."""
         term = self._term
+        is_first_read, self._directory_unread = self._directory_unread, False
         for name, info in listed.items():
             boot = term.boots.get(name)
             if boot is None:
@@ -79,10 +80,9 @@
             ):
                 self._remove(boot)
         # The first record of a term replaces that of the earlier owner, which no longer applies.
-        term.registration_due |= self._directory_unread or any(
+        term.registration_due |= is_first_read or any(
             is_record_outdated(boot, now_ms) for boot in term.boots.values()
         )
-        self._directory_unread = False
         self._update_slow(now_ms)
 
     def _update_slow(self, now_ms: int) -> None:
@@ -309,7 +309,8 @@
             return
         if boot_time_ms and boot.info.boot_time_ms not in (boot_time_ms, 0):
             return
-        if boot.worker.in_directory:  # by a read before it left
+        # The directory was not read yet, or before it left. It may show a later boot.
+        if boot.worker.in_directory or self._directory_unread:
             self._departed[name] = boot_time_ms
             return
         silent_ms = None if boot.last_answer_ms is None else now_ms - boot.last_answer_ms
--- /dev/null
+++ b/tests/cover/test_departures_and_later_boots.py
@@ -0,0 +1,139 @@
+"""Workers that have left: what a later boot, a late record or a late call may make untrue."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import replace
+
+from greengagewood.internal.cells.cell import Cell
+from greengagewood.internal.cells.registration import registration_record
+from greengagewood.internal.jobs.records import (
+    Departures,
+    RegisteredWorkers,
+    encode_record,
+    key_of,
+)
+from tests.common.desk import LIMITS, CellHarness, make_worker_info, start_orders
+from tests.common.drive import CellSimulation, run_simulation
+from tests.cover.test_departures import (
+    LASTING,
+    _one_task_on_each_worker,
+)
+
+JOB = "0" * 16
+MAX_RECORD_BYTES = 262_144
+
+
+def _drain(harness: CellHarness, name: str, leaving_in_ms: int | None = None) -> None:
+    infos = harness.worker_infos
+    infos[name] = replace(infos[name], draining=True, leaving_in_ms=leaving_in_ms)
+    harness.cell.set_workers(infos, harness.now_ms)
+    harness.read_orders()
+
+
+def _leave(harness: CellHarness, name: str) -> None:
+    del harness.worker_infos[name]
+    harness.cell.set_workers(harness.worker_infos, harness.now_ms)
+    harness.cell.note_departed({name: 1}, harness.now_ms)
+    harness.read_orders()
+
+
+def _start(harness: CellHarness) -> str:
+    harness.submit(LASTING)
+    harness.now_ms += 500
+    harness.answer_leases()
+    (order,) = harness.start()
+    harness.now_ms += 10
+    harness.answer_leases()
+    return order.boot.name
+
+
+def _stored(harness: CellHarness, token: int, releasing: bool = True) -> RegisteredWorkers:
+    record, _ = registration_record(
+        harness.cell.boots.values(),
+        harness.cell.book,
+        token,
+        harness.now_ms,
+        LIMITS.lease_ms,
+        releasing,
+        {},
+    )
+    return record
+
+
+def _successor(harness: CellHarness, record: RegisteredWorkers) -> CellHarness:
+    """Return an owner that has read a record, but not yet the directory."""
+    successor = CellHarness()
+    successor.now_ms = harness.now_ms
+    successor.worker_infos = dict(harness.worker_infos)
+    successor.cell = Cell(
+        LIMITS, record.token + 1, harness.now_ms, last_ordering_token=record.token
+    )
+    successor.cell.set_registered_workers(record, harness.now_ms, harness.now_ms)
+    return successor
+
+
+def _add_started_job(harness: CellHarness, earlier: CellHarness) -> None:
+    book = harness.cell.book
+    submission = earlier.cell.book.jobs[JOB].submission
+    harness.cell.add_job(submission, None, False, harness.now_ms)
+    book.note_maybe_started(book.jobs[JOB])
+
+
+class TestLateRecords:
+    """Guard against a record of a departure that is appended after a later boot was registered."""
+
+    @staticmethod
+    def _starts_after_departure(listed_boot_ms: int | None) -> list:
+        """Return what a new owner starts while the boot that it reads of does not answer."""
+        harness = CellHarness("w0", "w1")
+        name = _start(harness)
+        successor = _successor(harness, _stored(harness, 1))
+        if listed_boot_ms is None:
+            del successor.worker_infos[name]
+        else:
+            successor.worker_infos[name] = make_worker_info(name, listed_boot_ms)
+        _add_started_job(successor, harness)
+        successor.cell.note_departed({name: 1}, successor.now_ms)
+        successor.cell.set_workers(successor.worker_infos, successor.now_ms)
+        successor.read_orders()
+        successor.store_changes()
+        (other,) = {"w0", "w1"} - {name}
+        successor.answer_lease(other)
+        return start_orders([*successor.plan(60), *successor.plan(60)])
+
+    def test_a_departure_of_an_earlier_boot_ends_no_runs_of_one_that_is_listed(self) -> None:
+        assert self._starts_after_departure(2) == []
+
+    def test_no_task_runs_twice_after_a_late_record_of_a_departure(self) -> None:
+        async def stop_owner(sim: CellSimulation) -> None:
+            while (owner := sim.owner()) is None:
+                await asyncio.sleep(0.01)
+            await sim.instances[owner].release_cell()
+            await sim.kill_instance(owner)
+
+        async def script(sim: CellSimulation) -> None:
+            platform = sim.platform
+            name = await _one_task_on_each_worker(sim)
+            first_boot_ms = platform.workers[name].info.boot_time_ms
+            await asyncio.sleep(2)
+            await stop_owner(sim)
+            platform.leave(name)
+            await asyncio.sleep(0.5)
+            platform.restart(name)
+            later = platform.workers[name]
+            later.info = replace(later.info, draining=False)
+            while len(platform.running_tasks()) < sim.worker_count:
+                await asyncio.sleep(0.01)
+            await asyncio.sleep(3)
+            platform.add_worker("new")
+            await asyncio.sleep(1)
+            await stop_owner(sim)
+            # The first owner was suspended before it could store what it had read.
+            record = Departures(((name, first_boot_ms),))
+            platform.store.append_records([(key_of(record), encode_record(record))])
+            platform.faults.cut_links = {(instance, name) for instance in sim.instances}
+            await asyncio.sleep(5)
+            assert platform.violations == []
+
+        run_simulation(CellSimulation(1, worker_count=3), script)
