Count calls under way to a worker that has left for its next boot

Callers would see: a task that runs twice, if its worker leaves, comes back under its ID and is lost again soon after that.

Once the worker counts as having left, no deadline of it counts any more. So the worker is forgotten before the call has failed, and its next boot gets no higher token; and if it is not forgotten, the first list of the next boot ends the wait for such a call. Either way the owner takes the lease of the next boot to be shorter than it may be.

Change: a pending extension counts as one without an answer, as at a reboot, and the latest deadline stays known for the comparison with the clock of the next boot.

Evidence: test_a_worker_that_left_is_not_forgotten_while_a_call_is_under_way and test_a_late_extension_counts_for_the_boot_after_one_that_left[True] fail before, and pass after; the same without a departure ([False]) passes before.

--- a/src/greengagewood/internal/cells/bootlife.py
+++ b/src/greengagewood/internal/cells/bootlife.py
@@ -322,6 +322,10 @@
         boot.inherited = tuple(
             runs for runs in boot.inherited if runs.tasks is None or runs.may_start_later
         )
+        # A call that is under way, or had no answer, may reach a later boot.
+        if boot.lease_pending_ms:
+            boot.worker.lease_unanswered_ms = boot.lease_pending_ms
+        boot.late_deadline_ms = max(boot.late_deadline_ms, boot.latest_deadline_ms)
         boot.latest_deadline_ms = 0
         boot.earlier_orders_expiry_ms = max((r.expiry_ms for r in boot.inherited), default=0)
         # The tasks that earlier owners ran there wait for a confirmation, as those of this one do.
--- a/tests/cover/test_departures_and_later_boots.py
+++ b/tests/cover/test_departures_and_later_boots.py
@@ -5,6 +5,8 @@
 import asyncio
 from dataclasses import replace
 
+import pytest
+
 from greengagewood.internal.cells.cell import Cell
 from greengagewood.internal.cells.registration import registration_record
 from greengagewood.internal.jobs.records import (
@@ -13,6 +15,7 @@
     encode_record,
     key_of,
 )
+from greengagewood.internal.ports import LeaseReply
 from tests.common.desk import LIMITS, CellHarness, make_worker_info, start_orders
 from tests.common.drive import CellSimulation, run_simulation
 from tests.cover.test_departures import (
@@ -137,3 +140,52 @@
             assert platform.violations == []
 
         run_simulation(CellSimulation(1, worker_count=3), script)
+
+
+class TestLateCalls:
+    """Guard against a lease extension without an answer that reaches the next boot."""
+
+    def test_a_worker_that_left_is_not_forgotten_while_a_call_is_under_way(self) -> None:
+        harness = CellHarness("w0", "w1")
+        name = _start(harness)
+        boot = harness.cell.boots[name]
+        _drain(harness, name, 3_000)
+        deadline_ms, _ = harness.cell.prepare_lease_extension(boot, harness.now_ms)
+        assert deadline_ms is not None
+        token = boot.fencing_token
+        harness.now_ms += 100
+        _leave(harness, name)
+        harness.now_ms += 150
+        harness.cell.note_confirmed(harness.now_ms)
+        harness.cell.plan(harness.now_ms, harness.now_ms)
+        harness.cell.set_workers(harness.worker_infos, harness.now_ms)
+        harness.now_ms += 150
+        harness.cell.note_confirmed(harness.now_ms)
+        harness.cell.plan(harness.now_ms, harness.now_ms)
+        harness.cell.note_lease_failure(boot, harness.now_ms)
+        harness.worker_infos[name] = make_worker_info(name, 2)
+        harness.cell.set_workers(harness.worker_infos, harness.now_ms)
+        later = harness.cell.boots[name]
+        assert later.info.boot_time_ms == 2
+        assert later.fencing_token > token
+        assert later.late_orders_expiry_ms > harness.now_ms
+
+    @pytest.mark.parametrize("leaves", [False, True])
+    def test_a_late_extension_counts_for_the_boot_after_one_that_left(self, leaves: bool) -> None:
+        harness = CellHarness("w0", "w1")
+        name = _start(harness)
+        boot = harness.cell.boots[name]
+        _drain(harness, name, 3_000)
+        assert harness.cell.prepare_lease_extension(boot, harness.now_ms)[0] is not None
+        harness.now_ms += 300
+        harness.cell.note_lease_failure(boot, harness.now_ms)
+        if leaves:
+            _leave(harness, name)
+        harness.now_ms += 100
+        harness.reboot(name, 2)
+        later = harness.cell.boots[name]
+        harness.now_ms += 100
+        # The clock of the later boot is behind that of the earlier one.
+        reply = LeaseReply(1_000, 2, (), ())
+        harness.cell.handle_lease_reply(later, reply, harness.now_ms - 1, harness.now_ms)
+        assert not later.orders_expired(harness.now_ms + 5_000)
