Keep a worker that has left while a start may reach its next boot

Callers would see: a task that runs twice, if its worker has ruled out a start without an answer, leaves, comes back under its ID, and the owner changes within the 18 s in which that start counts.

Cause: a worker without runs is forgotten once its orders have expired. A start that it has ruled out is no run, so the record that is stored then no longer names its task, and the next owner starts it elsewhere while the next boot may still carry the start out. For a worker that is silent this takes 6 s; for one that has left no time at all.

Change: a worker is forgotten only once no such start of it counts any more.

Evidence: test_a_ruled_out_start_stays_in_the_record_once_its_worker_has_left[True] fails before, and passes after; [False] (the worker drains and stays) passes before.

--- a/src/greengagewood/internal/cells/bootlife.py
+++ b/src/greengagewood/internal/cells/bootlife.py
@@ -74,7 +74,7 @@
             if (
                 not in_directory
                 and boot.unresponsive
-                and not boot.runs
+                and not (boot.runs or boot.ruled_out)
                 and boot.orders_expired(term.confirmed_ms)
                 and boot.worker.may_be_forgotten(now_ms)
             ):
@@ -341,11 +341,12 @@
             boot.transition("expired")
             boot.adopted_ms = None
             worker = boot.worker
-            if not worker.in_directory and not boot.runs and worker.may_be_forgotten(now_ms):
+            is_empty = not (boot.runs or boot.ruled_out)
+            if not worker.in_directory and is_empty and worker.may_be_forgotten(now_ms):
                 self._remove(boot)
 
     def _remove(self, boot: Boot) -> None:
-        """Remove a boot that has no runs."""
+        """Remove a boot that has no runs and no starts that a later boot may carry out."""
         term = self._term
         boot.transition("removed")
         del term.boots[boot.name]
--- a/tests/cover/test_departures_and_later_boots.py
+++ b/tests/cover/test_departures_and_later_boots.py
@@ -189,3 +189,34 @@
         reply = LeaseReply(1_000, 2, (), ())
         harness.cell.handle_lease_reply(later, reply, harness.now_ms - 1, harness.now_ms)
         assert not later.orders_expired(harness.now_ms + 5_000)
+
+    @pytest.mark.parametrize("leaves", [False, True])
+    def test_a_ruled_out_start_stays_in_the_record_once_its_worker_has_left(
+        self, leaves: bool
+    ) -> None:
+        harness = CellHarness("w0", "w1")
+        harness.submit(LASTING)
+        harness.now_ms += 500
+        harness.answer_leases()
+        order = harness.start_unanswered()
+        name = order.boot.name
+        harness.accept_stop(order.run)
+        harness.now_ms += 10
+        harness.answer_lease(name)
+        assert order.run in harness.cell.boots[name].ruled_out
+        _drain(harness, name)
+        harness.plan()
+        if leaves:
+            _leave(harness, name)
+        harness.plan(150)
+        harness.cell.set_workers(harness.worker_infos, harness.now_ms)
+        harness.plan(150)
+        harness.cell.set_workers(harness.worker_infos, harness.now_ms)
+        record = _stored(harness, 1, releasing=False)
+        named = {
+            task
+            for worker in record.workers
+            for runs in worker.possible_runs or ()
+            for task in runs.tasks or ()
+        }
+        assert order.run.task.id in named
