Take no list from before a departure for a worker that is present

Callers would see: a long-running task without a run for up to 6 s more than its worker's departure takes.

Cause: an answer that is under way as the owner learns that its worker has left makes the worker count as listed again. It is adopted anew, and the run in the list goes on for the owner until the lease is over, 6.12 s later if there was an earlier owner. A departure is told only once.

Change: of a list that was requested before the departure was known, only the ends count.

Evidence: test_a_run_that_was_listed_before_the_departure_does_not_go_on fails before, and passes after. test_an_end_that_was_listed_before_the_departure_counts passes before and after.

--- a/src/greengagewood/internal/cells/bootlife.py
+++ b/src/greengagewood/internal/cells/bootlife.py
@@ -318,6 +318,7 @@
         self._hold_back_lost_tasks(boot, now_ms)
         self._mark_runs_lost(boot, now_ms, "left")
         boot.transition("left")
+        boot.departed_ms = now_ms
         boot.adopted_ms = None
         boot.inherited = tuple(
             runs for runs in boot.inherited if runs.tasks is None or runs.may_start_later
--- a/src/greengagewood/internal/cells/boots.py
+++ b/src/greengagewood/internal/cells/boots.py
@@ -203,6 +203,7 @@
     cold: bool = False  # whether `cold_until_ms` was ahead at the last plan
     warm_share: float = 1.0  # share of its CPU that best-effort tasks may use beside others
     leaves_ms: int = 0  # before this, it does not leave, if it drains
+    departed_ms: int = 0  # when it was known that it had left
 
     def __post_init__(self) -> None:
         self._note_cold(self.info, self.added_ms)
--- a/src/greengagewood/internal/cells/lists.py
+++ b/src/greengagewood/internal/cells/lists.py
@@ -55,11 +55,15 @@
                 return self.handle(rebooted, reply, sent_ms, now_ms)
             # Without it, the ends of a later boot would be taken for those that this one lists.
             boot.info = listed_boot
-        self._note_answer(boot, reply, sent_ms, now_ms)
+        has_left = boot.state == "departed" and sent_ms <= boot.departed_ms
+        if not has_left:
+            self._note_answer(boot, reply, sent_ms, now_ms)
         for end in reply.ended:
             if end.sequence > boot.last_end_sequence:
                 boot.last_end_sequence = end.sequence
                 self._handle_end(boot, end, now_ms)
+        if has_left:
+            return []  # what it lists as running ended as it left
         orders, listed_keys = self._match_all(boot, reply, now_ms)
         self._end_unlisted(boot, reply, listed_keys, sent_ms, now_ms)
         term = self._term
--- a/tests/cover/test_departures_and_later_boots.py
+++ b/tests/cover/test_departures_and_later_boots.py
@@ -7,15 +7,17 @@
 
 import pytest
 
+from greengagewood.internal.cells.boots import Boot
 from greengagewood.internal.cells.cell import Cell
 from greengagewood.internal.cells.registration import registration_record
 from greengagewood.internal.jobs.records import (
     Departures,
     RegisteredWorkers,
+    TaskId,
     encode_record,
     key_of,
 )
-from greengagewood.internal.ports import LeaseReply
+from greengagewood.internal.ports import LeaseReply, RunEnd, RunningTask
 from tests.common.desk import LIMITS, CellHarness, make_worker_info, start_orders
 from tests.common.drive import CellSimulation, run_simulation
 from tests.cover.test_departures import (
@@ -220,3 +222,31 @@
             for task in runs.tasks or ()
         }
         assert order.run.task.id in named
+
+
+class TestListsReadLate:
+    """Guard against a list from before a departure that makes its worker count as present again."""
+
+    @staticmethod
+    def _answer_late(harness: CellHarness, *ends: RunEnd) -> Boot:
+        """Let a worker leave before an answer of it is processed; return the worker."""
+        name = _start(harness)
+        boot = harness.cell.boots[name]
+        (run,) = boot.runs.values()
+        _drain(harness, name)
+        _leave(harness, name)
+        runs = () if ends else (RunningTask(run.task.id, run.number, "", 10, 0),)
+        reply = LeaseReply(harness.now_ms - 90_000, 1, runs, ends)
+        harness.cell.handle_lease_reply(boot, reply, harness.now_ms - 100, harness.now_ms + 5)
+        return boot
+
+    def test_a_run_that_was_listed_before_the_departure_does_not_go_on(self) -> None:
+        boot = self._answer_late(CellHarness("w0", "w1"))
+        assert boot.unresponsive
+        assert not boot.runs
+
+    def test_an_end_that_was_listed_before_the_departure_counts(self) -> None:
+        harness = CellHarness("w0", "w1")
+        self._answer_late(harness, RunEnd(1, TaskId(JOB, 0, 0, 0), 1, "failed", ""))
+        (task,) = harness.cell.book.jobs[JOB].opened_tasks()
+        assert task.failed_workers
