Conclude no departure from an entry that another writer may have written

Callers would see: a task that runs twice, if its worker is cut off from the store and runs on, and another writer changes its entry shortly before it is removed.

Cause: the store removes the entry of a silent worker after three report intervals. A change of the entry within the last two counted as a report of the worker, whoever made it: an entry without a boot time, or with another service or address, was taken for one that says that it drains.

Change: an entry counts as a report only if its service, address, failure domain and boot time are those of the entry before it, and a departure only if the entry has a boot time.

Evidence: test_an_entry_of_another_writer_does_not_show_that_the_worker_left fails for all three entries before, and passes after. An entry that differs in nothing but its state can't be told apart.

--- a/src/greengagewood/platform/directory.py
+++ b/src/greengagewood/platform/directory.py
@@ -107,6 +107,11 @@
     )
 
 
+def _identity(info: WorkerInfo) -> tuple[str, str, str, int]:
+    """Return what one boot of a worker never changes in its entry."""
+    return info.service, info.address, info.failure_domain, info.boot_time_ms
+
+
 def _is_address(address: str) -> bool:
     """Return whether this is the IPv4 address and the port of one machine."""
     host, _, port = address.partition(":")
@@ -200,16 +205,23 @@
         former = self._workers.pop(key, None)
         written_after_ms = self._written_after_ms.pop(key, None)
         if not entry.value:
-            if former is not None and former.draining and self._is_recent(written_after_ms):
+            if (
+                former is not None
+                and former.draining
+                and former.boot_time_ms  # else another writer wrote the entry
+                and self._is_recent(written_after_ms)
+            ):
                 self._departed[key] = former.boot_time_ms
             return
         try:
-            self._workers[key] = _read_entry(key, entry.value)
+            info = self._workers[key] = _read_entry(key, entry.value)
         except _InvalidEntry as exc:
             self._note_invalid(entry, exc)
             return
         self._departed.pop(key, None)  # another boot has the same ID
-        if self._read_sent_ms is not None:
+        # An entry that another writer may have written does not show that the worker is not silent.
+        by_worker = former is None or _identity(former) == _identity(info)
+        if by_worker and self._read_sent_ms is not None:
             self._written_after_ms[key] = self._read_sent_ms
 
     def _is_recent(self, written_after_ms: int | None) -> bool:
--- a/tests/cover/test_departures_and_later_boots.py
+++ b/tests/cover/test_departures_and_later_boots.py
@@ -18,11 +18,16 @@
     key_of,
 )
 from greengagewood.internal.ports import LeaseReply, RunEnd, RunningTask
+from greengagewood.platform.directory import StoreDirectory
 from tests.common.desk import LIMITS, CellHarness, make_worker_info, start_orders
 from tests.common.drive import CellSimulation, run_simulation
+from tests.common.virtualtime import run_in_virtual_time
 from tests.cover.test_departures import (
     LASTING,
+    REPORT_INTERVAL_MS,
+    SILENCE_MS,
     _one_task_on_each_worker,
+    _Topic,
 )
 
 JOB = "0" * 16
@@ -250,3 +255,35 @@
         self._answer_late(harness, RunEnd(1, TaskId(JOB, 0, 0, 0), 1, "failed", ""))
         (task,) = harness.cell.book.jobs[JOB].opened_tasks()
         assert task.failed_workers
+
+
+class TestEntries:
+    """Guard against entries of other writers that make a silent worker count as gone."""
+
+    @pytest.mark.parametrize(
+        "foreign",
+        [
+            {"state": "draining", "born": 0},
+            {"state": "draining", "service": "unknown"},
+            {"state": "draining", "address": "10.0.0.9:80"},
+        ],
+    )
+    def test_an_entry_of_another_writer_does_not_show_that_the_worker_left(
+        self, foreign: dict[str, object]
+    ) -> None:
+        topic = _Topic()
+        directory = StoreDirectory(topic, REPORT_INTERVAL_MS)  # type: ignore[arg-type]
+
+        async def scenario() -> None:
+            topic.write("w0", "ready")
+            await directory.refresh()
+            await asyncio.sleep(SILENCE_MS / 1000 - 1)
+            await directory.refresh()
+            topic.write("w0", **{"state": "ready", **foreign})
+            await directory.refresh()
+            await asyncio.sleep(1)
+            topic.remove("w0")  # since the worker has been silent for three intervals
+            await directory.refresh()
+
+        run_in_virtual_time(scenario())
+        assert directory.take_departed() == {}
