Order departures and registered workers by their offsets

Callers would see: a task that waits for the lease of a worker that has left, if its owner was started since; or one that runs twice, if the worker has come back under its ID.

Cause: a departure counts until a record of registered workers is read, in the order of reading. A load returns records by their keys, so it loses a newer departure; and two reads under way at once return the same records twice, so the second one loses a newer departure, or brings back one from before the registered workers.

Change: the ledger compares the offsets of the two.

Evidence: test_a_departure_counts_if_it_is_newer_than_the_registered_workers fails for 4 of 8 orders before, and passes after.

--- a/src/greengagewood/internal/cells/ledger.py
+++ b/src/greengagewood/internal/cells/ledger.py
@@ -79,6 +79,7 @@
         self.registered_workers_read_ms = 0  # when the record was first read
         # Workers that have left since the registered workers were stored, and their boot times.
         self.departed: dict[str, int] = {}
+        self._departures_offset = -1
         self.forecast: Forecast | None = None
         self.forecast_offset = -1
         self.forecast_since_ms: int | None = None  # when it was stored at the earliest, if known
@@ -141,12 +142,15 @@
                     self.ownership = record
             case RegisteredWorkers():
                 self.registered_workers = record
-                self.departed.clear()
+                if offset > self._departures_offset:
+                    self.departed.clear()
                 if offset != self.registered_workers_offset:
                     self.registered_workers_offset = offset
                     self.registered_workers_read_ms = monotonic_ms()
             case Departures():
-                self.departed.update(record.workers)
+                if offset > self.registered_workers_offset:
+                    self.departed.update(record.workers)
+                    self._departures_offset = offset
             case Forecast():
                 self.forecast = record
                 self.forecast_offset = offset
--- a/tests/cover/test_departures_and_later_boots.py
+++ b/tests/cover/test_departures_and_later_boots.py
@@ -9,15 +9,17 @@
 
 from greengagewood.internal.cells.boots import Boot
 from greengagewood.internal.cells.cell import Cell
+from greengagewood.internal.cells.ledger import Ledger
 from greengagewood.internal.cells.registration import registration_record
 from greengagewood.internal.jobs.records import (
     Departures,
+    RegisteredWorker,
     RegisteredWorkers,
     TaskId,
     encode_record,
     key_of,
 )
-from greengagewood.internal.ports import LeaseReply, RunEnd, RunningTask
+from greengagewood.internal.ports import LeaseReply, LogEntry, RunEnd, RunningTask
 from greengagewood.platform.directory import StoreDirectory
 from tests.common.desk import LIMITS, CellHarness, make_worker_info, start_orders
 from tests.common.drive import CellSimulation, run_simulation
@@ -287,3 +289,27 @@
 
         run_in_virtual_time(scenario())
         assert directory.take_departed() == {}
+
+
+class TestLedgers:
+    """Guard against departures that are lost, or come back, by the order of the read records."""
+
+    WORKERS = RegisteredWorkers((RegisteredWorker("w0", "10.0.0.1:80", "svc"),), 1)
+    DEPARTURES = Departures((("w0", 1),))
+
+    @pytest.mark.parametrize("order", [(0, 1), (1, 0), (0, 1, 0), (0, 1, 0, 1)])
+    @pytest.mark.parametrize("is_departure_newer", [True, False])
+    def test_a_departure_counts_if_it_is_newer_than_the_registered_workers(
+        self, order: tuple[int, ...], is_departure_newer: bool
+    ) -> None:
+        records = [self.WORKERS, self.DEPARTURES]
+        if not is_departure_newer:
+            records.reverse()
+        entries = [
+            LogEntry(offset, key_of(record), encode_record(record))
+            for offset, record in enumerate(records)
+        ]
+        ledger = Ledger()
+        for number in order:  # a load returns them by key, and two reads may return the same
+            ledger.apply(entries[number])
+        assert ledger.departed == ({"w0": 1} if is_departure_newer else {})
