Report departures that are read while the release is stored

Callers would see: long-running tasks without a run for over 6 s, if their worker leaves while its owner stops and the store takes long for the record of the release.

Cause: the owner goes on reading the directory until the release is stored. What it reads then is in neither record: that of the release was collected before, and departures that its own cell has taken are not reported afterwards.

Change: once nothing but the release may be stored, departures are left to report_departures.

Evidence: test_a_departure_that_the_record_of_the_release_lacks_is_reported[0.1] fails before (6.22 s), and passes after; the three later departures pass before.

--- a/src/greengagewood/internal/cells/runner.py
+++ b/src/greengagewood/internal/cells/runner.py
@@ -461,7 +461,9 @@
         else:
             with self._holds.measure("directory"):
                 self.cell.set_workers(listed, monotonic_ms(), sent_ms)
-                self.cell.note_departed(self._ports.directory.take_departed(), monotonic_ms())
+                if not self._released:  # else they are left to `report_departures`
+                    departed = self._ports.directory.take_departed()
+                    self.cell.note_departed(departed, monotonic_ms())
             self._metrics.gauge("evacuated_workers", self.cell.evacuated_worker_count)
             self._plan_wakeup.set()
         self._update_lease_tasks()  # without the directory, too: for the recorded workers
--- a/tests/cover/test_departures_and_later_boots.py
+++ b/tests/cover/test_departures_and_later_boots.py
@@ -26,8 +26,10 @@
 from tests.common.virtualtime import run_in_virtual_time
 from tests.cover.test_departures import (
     LASTING,
+    MAX_GAP_S,
     REPORT_INTERVAL_MS,
     SILENCE_MS,
+    _gap_s,
     _one_task_on_each_worker,
     _Topic,
 )
@@ -313,3 +315,30 @@
         for number in order:  # a load returns them by key, and two reads may return the same
             ledger.apply(entries[number])
         assert ledger.departed == ({"w0": 1} if is_departure_newer else {})
+
+
+class TestReleases:
+    """Guard against departures that an owner reads while its release is being stored."""
+
+    @pytest.mark.parametrize("leaves_after_s", [0.1, 0.3, 0.5, 0.7])
+    def test_a_departure_that_the_record_of_the_release_lacks_is_reported(
+        self, leaves_after_s: float
+    ) -> None:
+        async def script(sim: CellSimulation) -> None:
+            platform = sim.platform
+            name = await _one_task_on_each_worker(sim)
+            worker = platform.workers[name]
+            worker.info = replace(worker.info, leaving_in_ms=9_000)
+            await asyncio.sleep(2)
+            owner = sim.owner()
+            assert owner is not None
+            platform.faults.store_delays_s[owner] = 0.5
+            stopping = asyncio.ensure_future(sim.instances[owner].release_cell())
+            await asyncio.sleep(leaves_after_s)
+            platform.leave(name)
+            platform.add_worker("new")
+            await stopping
+            assert await _gap_s(sim) < MAX_GAP_S
+            assert platform.violations == []
+
+        run_simulation(CellSimulation(1, worker_count=3), script)
