Bound what the record of registered workers says of waits

Callers would see: nothing is started at all, if 2,500 workers are registered and thousands of long-running tasks wait: the store refuses a record of more than 262,144 bytes, and an owner starts nothing before its record is stored.

Cause: the record carries over how long up to 5,000 tasks have waited, 27 bytes each, beside 2,500 workers of 40 to 54 bytes.

Change: it names the 1,000 tasks that have waited longest.

Evidence: test_many_workers_and_waiting_tasks_fit_into_one_record: 278,097 bytes before (a service name of 17 letters; 251,766 with 9), and passes after.

--- a/src/greengagewood/internal/cells/registration.py
+++ b/src/greengagewood/internal/cells/registration.py
@@ -43,6 +43,7 @@
 CLOSED_AFTER_SILENCE_MS = 3_000
 # Keeps the record well below the size that the store accepts; any further worker may run any task.
 MAX_STORED_TASKS = 5_000
+MAX_STORED_WAITS = 1_000  # more than are started before the order of the others has changed
 
 
 def _is_closed(boot: Boot, now_ms: int) -> bool:
@@ -111,7 +112,9 @@
         entries.append(
             RegisteredWorker(boot.name, boot.info.address, boot.info.service, possible_runs)
         )
-    idle = _longest_idle(book, inherited_since_ms, now_ms, max(0, remaining_entries))
+    idle = _longest_idle(
+        book, inherited_since_ms, now_ms, min(max(0, remaining_entries), MAX_STORED_WAITS)
+    )
     return RegisteredWorkers(tuple(entries), token, idle), tuple(open_boots)
 
 
--- a/tests/cover/test_departures_and_later_boots.py
+++ b/tests/cover/test_departures_and_later_boots.py
@@ -11,6 +11,7 @@
 from greengagewood.internal.cells.cell import Cell
 from greengagewood.internal.cells.ledger import Ledger
 from greengagewood.internal.cells.registration import registration_record
+from greengagewood.internal.jobs.model import StepSpec
 from greengagewood.internal.jobs.records import (
     Departures,
     RegisteredWorker,
@@ -342,3 +343,28 @@
             assert platform.violations == []
 
         run_simulation(CellSimulation(1, worker_count=3), script)
+
+
+class TestSizes:
+    """Guard against a record of registered workers that the store refuses."""
+
+    def test_many_workers_and_waiting_tasks_fit_into_one_record(self) -> None:
+        harness = CellHarness()
+        harness.worker_infos = {
+            name: replace(
+                make_worker_info(name), address="10.214.164.143:18569", service="orderdesk-service"
+            )
+            for name in (f"i-{number:010x}" for number in range(2_500))
+        }
+        harness.cell.set_workers(harness.worker_infos, harness.now_ms)
+        for number in range(5):
+            job = f"{number:016x}"
+            harness.submit(StepSpec(1_000, cpu_millis=1_000, long_running=True), job=job)
+            harness.cell.book.note_maybe_started(harness.cell.book.jobs[job])
+            for task in harness.cell.book.jobs[job].opened_tasks():
+                task.last_run_ended_ms = task.idle_since_ms = harness.now_ms
+        harness.now_ms += 100_000
+        record = _stored(harness, 1)
+        assert isinstance(record.workers, tuple)
+        assert all(isinstance(task, TaskId) for task, _ in record.idle_ms)
+        assert len(encode_record(record)) <= MAX_RECORD_BYTES
