Keep the record of registered workers below the size that the store accepts

Callers would see: a planned stop that stores no release, so that 2,500 workers have to be adopted as after a kill, and then an owner that can't store its own record.

Cause: a record with 5,000 tasks on 2,500 workers has 272,131 bytes if the name of the service has 17 letters (244,264 in a record like it with 9), and the store accepts 262,144.

Change: it names 4,000 tasks. A worker beyond them may run any task, as before.

Evidence: test_many_workers_and_their_tasks_fit_into_one_record fails before, and passes after. The names of services and workers have no bound, so a longer one may still exceed it.

--- a/src/greengagewood/internal/cells/registration.py
+++ b/src/greengagewood/internal/cells/registration.py
@@ -42,7 +42,7 @@
 # A worker that answers again is stored anew before the next start, so short silences don't count.
 CLOSED_AFTER_SILENCE_MS = 3_000
 # Keeps the record well below the size that the store accepts; any further worker may run any task.
-MAX_STORED_TASKS = 5_000
+MAX_STORED_TASKS = 4_000
 MAX_STORED_WAITS = 1_000  # more than are started before the order of the others has changed
 
 
--- a/tests/cover/test_departures_and_later_boots.py
+++ b/tests/cover/test_departures_and_later_boots.py
@@ -368,3 +368,23 @@
         assert isinstance(record.workers, tuple)
         assert all(isinstance(task, TaskId) for task, _ in record.idle_ms)
         assert len(encode_record(record)) <= MAX_RECORD_BYTES
+
+    def test_many_workers_and_their_tasks_fit_into_one_record(self) -> None:
+        harness = CellHarness()
+        names = [f"i-{number:010x}" for number in range(2_500)]
+        for name in names:
+            info = make_worker_info(name)
+            info = replace(info, address="10.214.164.143:18569", service="orderdesk-service")
+            harness.worker_infos[name] = info
+        harness.cell.set_workers(harness.worker_infos, harness.now_ms)
+        book = harness.cell.book
+        harness.submit(StepSpec(5_000, cpu_millis=1_000, long_running=True))
+        for number, task in enumerate(list(book.jobs[JOB].opened_tasks())):
+            boot = harness.cell.boots[names[number // 2]]
+            run = book.attach_run(task, 1, boot.name, "r0", "running", harness.now_ms)
+            run.note_accepted(harness.now_ms)
+            run.accepted_by_clock = True
+            boot.add_run(run)
+            boot.last_answer_ms = harness.now_ms
+        harness.now_ms += 100_000
+        assert len(encode_record(_stored(harness, 1))) <= MAX_RECORD_BYTES
