Add failing tests of departures and records without a boot time

A record of registered workers names no boot, so what it, or a late Departures record, says of one boot is applied to the next; and an adopted worker forgets which starts of earlier owners a later boot may carry out.

--- a/tests/cover/test_departures_and_later_boots.py
+++ b/tests/cover/test_departures_and_later_boots.py
@@ -120,6 +120,9 @@
     def test_a_departure_of_an_earlier_boot_ends_no_runs_of_one_that_is_listed(self) -> None:
         assert self._starts_after_departure(2) == []
 
+    def test_a_departure_of_an_earlier_boot_ends_no_runs_of_one_that_is_not_listed(self) -> None:
+        assert self._starts_after_departure(None) == []
+
     def test_no_task_runs_twice_after_a_late_record_of_a_departure(self) -> None:
         async def stop_owner(sim: CellSimulation) -> None:
             while (owner := sim.owner()) is None:
@@ -234,6 +237,62 @@
         assert order.run.task.id in named
 
 
+class TestAdoptedWorkers:
+    """Guard against bounds of earlier owners that are applied to a later boot of a worker."""
+
+    def test_a_record_of_an_earlier_boot_does_not_shorten_the_lease_of_an_adopted_one(self) -> None:
+        """A lease extension of the earlier owner may have reached the later boot."""
+        harness = CellHarness("w0", "w1")
+        name = _start(harness)
+        harness.now_ms += 4_000
+        harness.answer_leases()
+        _drain(harness, name)
+        harness.cell.prepare_lease_extension(harness.cell.boots[name], harness.now_ms)
+        successor = _successor(harness, _stored(harness, 1))
+        successor.worker_infos[name] = make_worker_info(name, 2)
+        successor.cell.set_workers(successor.worker_infos, successor.now_ms)
+        successor.read_orders()
+        successor.store_changes()
+        successor.now_ms += 500
+        successor.answer_lease(name)
+        boot = successor.cell.boots[name]
+        assert boot.adopted
+        assert not boot.orders_expired(successor.now_ms + 5_000)
+
+    def test_a_late_start_of_an_earlier_owner_holds_its_task_back_once_the_worker_left(
+        self,
+    ) -> None:
+        """The next boot may carry it out, though another run of the task was there since."""
+        harness = CellHarness("w0", "w1")
+        harness.submit(LASTING)
+        harness.now_ms += 500
+        harness.answer_leases()
+        late = harness.start_unanswered()
+        name = late.boot.name
+        harness.accept_stop(late.run)
+        harness.now_ms += 10
+        harness.answer_leases()
+        (order,) = harness.start()
+        assert order.boot.name == name
+        harness.now_ms += 10
+        harness.answer_leases()
+        successor = _successor(harness, _stored(harness, 1))
+        _add_started_job(successor, harness)
+        successor.cell.set_workers(successor.worker_infos, successor.now_ms)
+        successor.read_orders()
+        successor.store_changes()
+        listed = RunningTask(order.run.task.id, order.run.number, "", 10, 0)
+        successor.answer_lease(name, listed)
+        successor.plan(20)
+        _drain(successor, name)
+        _leave(successor, name)
+        (other,) = successor.worker_infos
+        for _ in range(5):
+            successor.read_orders()
+            successor.answer_lease(other)
+            assert start_orders(successor.plan(98)) == []
+
+
 class TestListsReadLate:
     """Guard against a list from before a departure that makes its worker count as present again."""
 
