Look for new workers more often while a task that lost its run has no place

Class: capacity that is there, known late. places 0 in the reports and "with capacity" in the rule are both right: the reports count usable workers.

Ruled out: gaps between long-running tasks. Refused or silent workers: none was unusable but for draining.

Change: the owner reads the directory each 25 ms then, and compares the names only; all of it is applied as often as before, or at once if a worker is new.

Before: test_a_task_that_waits_for_room_starts_on_a_new_worker_at_once fails for 3 of 5 times of the join. After: it passes.

--- a/src/greengagewood/internal/cells/runner.py
+++ b/src/greengagewood/internal/cells/runner.py
@@ -51,6 +51,7 @@
     Ports,
     StoreUnavailable,
     WorkerCallFailed,
+    WorkerInfo,
     WorkerUnreachable,
     WrongBoot,
 )
@@ -74,6 +75,7 @@
 DIRECTORY_INTERVAL_S = 0.5
 # While long-running tasks wait for room, which new workers bring, or a worker may have left.
 SHORT_DIRECTORY_INTERVAL_S = 0.15
+NEW_WORKER_INTERVAL_S = 0.025  # between reads in search of new workers alone, while tasks wait
 MAX_PLAN_INTERVAL_S = 0.05
 PLAN_SLICE_MS = 10  # heartbeats, leases and stops go on between the slices of a long plan
 MIN_PLAN_INTERVAL_S = 0.01  # so that run ends that arrive together lead to one plan
@@ -459,19 +461,43 @@
             self._metrics.count("directory_failures")
             self.cell.note_directory_unavailable()
         else:
-            with self._holds.measure("directory"):
-                self.cell.set_workers(listed, monotonic_ms(), sent_ms)
-                self.cell.note_departed(self._ports.directory.take_departed(), monotonic_ms())
-            self._metrics.gauge("evacuated_workers", self.cell.evacuated_worker_count)
-            self._plan_wakeup.set()
+            self._apply_directory(listed, sent_ms)
         self._update_lease_tasks()  # without the directory, too: for the recorded workers
         self._directory_wakeup.clear()
+        if self.cell.planner.places.is_short:
+            await self._watch_for_new_workers()
+            return
         await asyncio.sleep(SHORT_DIRECTORY_INTERVAL_S)
         if not self.cell.planner.places.is_short and not self.cell.awaits_departures:
             with suppress(TimeoutError):
                 async with asyncio.timeout(DIRECTORY_INTERVAL_S - SHORT_DIRECTORY_INTERVAL_S):
                     await self._directory_wakeup.wait()
 
+    def _apply_directory(self, listed: dict[str, WorkerInfo], sent_ms: int) -> None:
+        with self._holds.measure("directory"):
+            self.cell.set_workers(listed, monotonic_ms(), sent_ms)
+            self.cell.note_departed(self._ports.directory.take_departed(), monotonic_ms())
+        self._metrics.gauge("evacuated_workers", self.cell.evacuated_worker_count)
+        self._plan_wakeup.set()
+
+    async def _watch_for_new_workers(self) -> None:
+        """Read the directory until it lists a new worker, or all of it is to be applied again.
+
+        A new worker stands empty until it is known, and what it lists is cheap to compare.
+        """
+        end_ms = monotonic_ms() + SHORT_DIRECTORY_INTERVAL_S * 1000
+        while monotonic_ms() < end_ms:
+            await asyncio.sleep(NEW_WORKER_INTERVAL_S)
+            sent_ms = monotonic_ms()
+            try:
+                listed = await self._ports.directory.refresh()
+            except StoreUnavailable:
+                return
+            if not listed.keys() <= self.cell.boots.keys():
+                self._apply_directory(listed, sent_ms)
+                self._update_lease_tasks()
+                return
+
     def _update_lease_tasks(self) -> None:
         """Run one loop for each current worker, to extend its lease."""
         current = dict.fromkeys(self.cell.boots.values())
--- /dev/null
+++ b/tests/cover/test_new_workers.py
@@ -0,0 +1,49 @@
+"""Workers that join a service in which long-running tasks wait for room."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from greengagewood.internal.jobs.model import JobSpec, StepSpec
+from tests.common.drive import CellSimulation, run_simulation
+
+JOB = "0" * 16
+TASK_COUNT = 3
+# More than half of a worker, so that each worker holds one task.
+SPEC = StepSpec(TASK_COUNT, cpu_millis=40_000, memory_mb=20_000, long_running=True, image="watch")
+LONGEST_EMPTY_S = 0.12
+CHECK_INTERVAL_S = 0.005
+
+
+async def _empty_s(sim: CellSimulation) -> float:
+    """Add a worker; return for how long nothing runs there."""
+    loop = asyncio.get_running_loop()
+    sim.platform.add_worker("new")
+    begun_s = loop.time()
+    while not sim.platform.workers["new"].runs:
+        await asyncio.sleep(CHECK_INTERVAL_S)
+    return loop.time() - begun_s
+
+
+class TestEmptyWorkers:
+    """Guard against a worker that stands empty though a task that lost its run waits for room."""
+
+    @pytest.mark.parametrize("after_s", [2.0, 2.05, 2.1, 2.15, 2.2])
+    def test_a_task_that_waits_for_room_starts_on_a_new_worker_at_once(
+        self, after_s: float
+    ) -> None:
+        async def script(sim: CellSimulation) -> None:
+            await sim.submit(JOB, "serve", JobSpec("watch", (SPEC,)))
+            await asyncio.sleep(3)
+            assert len(sim.platform.running_tasks()) == TASK_COUNT
+            name = sorted(sim.platform.workers)[0]
+            sim.platform.drain(name)
+            await asyncio.sleep(2)
+            sim.platform.leave(name)
+            await asyncio.sleep(after_s)
+            assert await _empty_s(sim) < LONGEST_EMPTY_S
+            assert sim.platform.violations == []
+
+        run_simulation(CellSimulation(1, worker_count=TASK_COUNT), script)
