Carry over the order of tasks whose loss is not confirmed yet

Callers would see: long-running tasks that wait for longer than others which lost their runs after them, if their owner stops just after their workers have left.

Cause: a task whose run is lost waits for a read that confirms the owner, and until then is neither among the waiting tasks nor among the possible runs of a worker. So the record of a planned stop says nothing of it, and the next owner counts its wait from its own beginning.

Change: the record names such tasks, too.

Evidence: test_tasks_whose_loss_is_not_confirmed_keep_their_order fails before, and passes after.

--- a/src/greengagewood/internal/cells/changes.py
+++ b/src/greengagewood/internal/cells/changes.py
@@ -51,6 +51,7 @@
                 term.limits.lease_ms,
                 releasing,
                 term.idle_since_ms,
+                term.unconfirmed_losses,
             )
             records.append(record)
             urgent = True
--- a/src/greengagewood/internal/cells/registration.py
+++ b/src/greengagewood/internal/cells/registration.py
@@ -23,7 +23,7 @@
 
 from greengagewood.internal.cells.answers import later_boot_expiry_ms
 from greengagewood.internal.cells.boots import Boot, InheritedRuns, longest_ms
-from greengagewood.internal.jobs.book import Job, JobBook, Run
+from greengagewood.internal.jobs.book import Job, JobBook, Run, Task
 from greengagewood.internal.jobs.records import (
     PossibleRuns,
     RegisteredWorker,
@@ -80,11 +80,13 @@
     lease_ms: int,
     releasing: bool,
     inherited_since_ms: Mapping[TaskId, int],
+    unconfirmed_losses: Iterable[Task] = (),
 ) -> tuple[RegisteredWorkers, tuple[Boot, ...]]:
     """Return the record to store, and the workers on which runs may be started once it is stored.
 
     With `releasing`, the owner sends no orders from now on. `inherited_since_ms` tells since when
-    tasks that an earlier owner may have started had no run.
+    tasks that an earlier owner may have started had no run; those of `unconfirmed_losses` wait for
+    a read that confirms the owner.
     """
     entries = []
     open_boots = []
@@ -113,21 +115,29 @@
             RegisteredWorker(boot.name, boot.info.address, boot.info.service, possible_runs)
         )
     idle = _longest_idle(
-        book, inherited_since_ms, now_ms, min(max(0, remaining_entries), MAX_STORED_WAITS)
+        book,
+        inherited_since_ms,
+        unconfirmed_losses,
+        now_ms,
+        min(max(0, remaining_entries), MAX_STORED_WAITS),
     )
     return RegisteredWorkers(tuple(entries), token, idle), tuple(open_boots)
 
 
 def _longest_idle(
-    book: JobBook, inherited_since_ms: Mapping[TaskId, int], now_ms: int, limit: int
+    book: JobBook,
+    inherited_since_ms: Mapping[TaskId, int],
+    unconfirmed_losses: Iterable[Task],
+    now_ms: int,
+    limit: int,
 ) -> tuple[tuple[TaskId, int], ...]:
     """Return how long long-running tasks have had no run, the longest first."""
+    steps = (step for step in book.waiting_steps if step.spec.long_running)
+    waiting = (task for step in steps for task in step.waiting_tasks)
     since_ms = {
         task.id: task.idle_since_ms
-        for step in book.waiting_steps
-        if step.spec.long_running
-        for task in step.waiting_tasks
-        if task.last_run_ended_ms
+        for task in (*waiting, *unconfirmed_losses)
+        if task.step.spec.long_running and task.last_run_ended_ms and task.run is None
     }
     for task in book.maybe_running_tasks:
         inherited_ms = inherited_since_ms.get(task.id)
--- a/tests/cover/test_departures_and_later_boots.py
+++ b/tests/cover/test_departures_and_later_boots.py
@@ -404,6 +404,22 @@
         run_simulation(CellSimulation(1, worker_count=3), script)
 
 
+class TestOrder:
+    """Guard against a task that waits anew because its owner stopped just after its worker left."""
+
+    def test_tasks_whose_loss_is_not_confirmed_keep_their_order(self) -> None:
+        harness = CellHarness("w0", "w1")
+        name = _start(harness)
+        listed_ms = harness.now_ms
+        _drain(harness, name)
+        harness.now_ms += 700
+        _leave(harness, name)
+        changes = harness.cell.collect_changes(harness.now_ms, harness.now_ms, True)
+        assert changes is not None
+        (record,) = (r for r in changes.records if isinstance(r, RegisteredWorkers))
+        assert record.idle_ms == ((TaskId(JOB, 0, 0, 0), harness.now_ms - listed_ms),)
+
+
 class TestSizes:
     """Guard against a record of registered workers that the store refuses."""
 
