--- a/src/greengagewood/internal/cells/runner.py
+++ b/src/greengagewood/internal/cells/runner.py
@@ -458,6 +458,7 @@
 
     async def _refresh_directory(self) -> None:
         sent_ms = monotonic_ms()
+        listed: dict[str, WorkerInfo] | None = None
         try:
             listed = await self._ports.directory.refresh()
         except StoreUnavailable:
@@ -467,7 +468,7 @@
             self._apply_directory(listed, sent_ms)
         self._update_lease_tasks()  # without the directory, too: for the recorded workers
         self._directory_wakeup.clear()
-        if self.cell.planner.places.is_short:
+        if listed is not None and self.cell.planner.places.is_short:
             await self._watch_for_new_workers()
             return
         await asyncio.sleep(SHORT_DIRECTORY_INTERVAL_S)
@@ -497,6 +498,7 @@
             try:
                 listed = await self._ports.directory.refresh()
             except StoreUnavailable:
+                await asyncio.sleep(SHORT_DIRECTORY_INTERVAL_S)
                 return
             if not listed.keys() <= self.cell.boots.keys():
                 self._apply_directory(listed, sent_ms)
--- /dev/null
+++ b/tests/cover/test_new_workers_and_outages.py
@@ -0,0 +1,50 @@
+"""What the search for new workers costs while the store refuses the reads of the directory."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from greengagewood.internal.jobs.model import JobSpec
+from greengagewood.internal.ports import StoreUnavailable, WorkerInfo
+from tests.common.drive import CellSimulation, run_simulation
+from tests.common.plant import SimDirectory
+from tests.cover.test_new_workers import JOB, SPEC, TASK_COUNT
+
+MAX_REFUSED_READS_PER_S = 10  # the platform prices refused calls
+
+
+class TestRefusedReads:
+    """Guard against an owner that repeats refused reads without a pause while tasks wait."""
+
+    def test_refused_reads_of_the_directory_are_not_repeated_at_once(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        refused = 0
+        refresh = SimDirectory.refresh
+
+        async def count_refused(directory: SimDirectory) -> dict[str, WorkerInfo]:
+            nonlocal refused
+            try:
+                return await refresh(directory)
+            except StoreUnavailable:
+                refused += 1
+                raise
+
+        monkeypatch.setattr(SimDirectory, "refresh", count_refused)
+
+        async def script(sim: CellSimulation) -> None:
+            await sim.submit(JOB, "serve", JobSpec("watch", (SPEC,)))
+            await asyncio.sleep(3)
+            assert len(sim.platform.running_tasks()) == TASK_COUNT
+            name = sorted(sim.platform.workers)[0]
+            sim.platform.drain(name)
+            await asyncio.sleep(2)
+            sim.platform.leave(name)
+            await asyncio.sleep(2)
+            sim.platform.faults.directory_unreadable_to = set(sim.instances)
+            await asyncio.sleep(2)
+            assert refused <= 2 * MAX_REFUSED_READS_PER_S
+
+        run_simulation(CellSimulation(1, worker_count=TASK_COUNT), script)
