Look for known workers that bring room as often as for new ones

Cause: while a task has no place, the directory is read each 25 ms, but only an unknown name is acted upon. A worker that is known, and is up again, listed again or larger, stands empty for up to 0.17 s, as new ones did before.

Change: a later boot, an entry that is back and more capacity count, too.

Evidence: test_a_task_that_waits_for_room_starts_there_at_once (bound 0.08 s) fails for 18 of 21 cases before, and passes after. The comparison of 2,500 entries takes 0.35 ms, that of the names alone 0.14 ms.

--- a/src/greengagewood/internal/cells/cell.py
+++ b/src/greengagewood/internal/cells/cell.py
@@ -22,7 +22,7 @@
 from collections.abc import Callable, Iterable, Mapping
 
 from greengagewood.internal.cells.adoption import Adoption
-from greengagewood.internal.cells.answers import boot_of_answer
+from greengagewood.internal.cells.answers import boot_of_answer, compare_boots
 from greengagewood.internal.cells.bootlife import BootLives
 from greengagewood.internal.cells.boots import Boot, longest_ms
 from greengagewood.internal.cells.changes import ChangeLog
@@ -221,6 +221,25 @@
         self._lives.set_listed(listed, now_ms)
         self.planner.request_replan()
 
+    def lists_new_room(self, listed: Mapping[str, WorkerInfo]) -> bool:
+        """Return whether the directory lists a worker, or capacity, that is not known yet."""
+        for name, info in listed.items():
+            boot = self.boots.get(name)
+            if boot is None:
+                return True
+            if info is boot.info and boot.worker.in_directory:
+                continue
+            relation = compare_boots(boot.info, info)
+            if relation == "later" or (relation == "same" and not boot.worker.in_directory):
+                return True
+            if relation == "same" and (
+                info.cpu_millis > boot.info.cpu_millis
+                or info.memory_mb > boot.info.memory_mb
+                or info.accelerators > boot.info.accelerators
+            ):
+                return True
+        return False
+
     def note_departed(self, boot_times_ms: Mapping[str, int], now_ms: int) -> None:
         """Record that workers have left that had these boot times.
 
--- a/src/greengagewood/internal/cells/runner.py
+++ b/src/greengagewood/internal/cells/runner.py
@@ -487,7 +487,7 @@
         self._plan_wakeup.set()
 
     async def _watch_for_new_workers(self) -> None:
-        """Read the directory until it lists a new worker, or all of it is to be applied again.
+        """Read the directory until it lists new room, or all of it is to be applied again.
 
         A new worker stands empty until it is known, and what it lists is cheap to compare.
         """
@@ -500,7 +500,7 @@
             except StoreUnavailable:
                 await asyncio.sleep(SHORT_DIRECTORY_INTERVAL_S)
                 return
-            if not listed.keys() <= self.cell.boots.keys():
+            if self.cell.lists_new_room(listed):
                 self._apply_directory(listed, sent_ms)
                 self._update_lease_tasks()
                 return
--- a/tests/cover/test_new_workers.py
+++ b/tests/cover/test_new_workers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import replace
 
 import pytest
 
@@ -47,3 +48,49 @@
             assert sim.platform.violations == []
 
         run_simulation(CellSimulation(1, worker_count=TASK_COUNT), script)
+
+
+class TestWorkersThatAreBack:
+    """Guard against known workers that stand empty though a task that lost its run waits."""
+
+    @pytest.mark.parametrize("kind", ["rebooted", "listed again", "grown"])
+    @pytest.mark.parametrize("after_s", [2.0, 2.026, 2.04, 2.05, 2.1, 2.15, 2.2])
+    def test_a_task_that_waits_for_room_starts_there_at_once(
+        self, kind: str, after_s: float
+    ) -> None:
+        async def script(sim: CellSimulation) -> None:
+            platform = sim.platform
+            await sim.submit(JOB, "serve", JobSpec("watch", (SPEC,)))
+            await asyncio.sleep(3)
+            platform.add_worker("spare")
+            spare = platform.workers["spare"]
+            size = spare.capacity
+            await asyncio.sleep(1)
+            match kind:
+                case "rebooted":
+                    platform.crash("spare")
+                case "listed again":
+                    platform.faults.unlisted_workers = {"spare"}
+                case "grown":
+                    spare.capacity = (SPEC.cpu_millis // 2, size[1])
+                    spare.info = replace(spare.info, cpu_millis=spare.capacity[0])
+            await asyncio.sleep(1)
+            platform.drain("w0")
+            await asyncio.sleep(2)
+            platform.leave("w0")
+            await asyncio.sleep(after_s)
+            match kind:
+                case "rebooted":
+                    platform.restart("spare")
+                case "listed again":
+                    platform.faults.unlisted_workers = set()
+                case "grown":
+                    spare.capacity = size
+                    spare.info = replace(spare.info, cpu_millis=size[0])
+            begun_s = asyncio.get_running_loop().time()
+            while not platform.workers["spare"].runs:
+                await asyncio.sleep(CHECK_INTERVAL_S)
+            assert asyncio.get_running_loop().time() - begun_s < LONGEST_EMPTY_S
+            assert platform.violations == []
+
+        run_simulation(CellSimulation(1, worker_count=TASK_COUNT), script)
