Start the task of a step first that has waited longest

Callers would see: long-running tasks of a queue with advice without a run for as long as others of their step lose theirs.

Cause: no places are kept for such tasks, so the order within their step decides, and there the task came first whose last run ended last.

Change: tasks that have run come first as before, and of these the one that has been without a run for longest.

Evidence: test_the_task_that_has_waited_longest_starts_first fails before, and passes after.

--- a/src/greengagewood/internal/cells/planner.py
+++ b/src/greengagewood/internal/cells/planner.py
@@ -486,7 +486,7 @@
         if step.spec.gang:
             return [*self._place_gang(step, boots, now_ms)], False
         choose = make_worker_chooser(step, boots, self.tail_model, starving)
-        for task in sorted(step.waiting_tasks, key=lambda task: -task.last_run_ended_ms):
+        for task in sorted(step.waiting_tasks, key=_longest_idle_first):
             if task.not_before_ms > now_ms:
                 self.request_replan()
                 continue
@@ -609,3 +609,8 @@
         boot.note_start(deadline, now_ms)
         payload = task.step.job.submission.spec.payload
         return StartRun(boot, run, payload, deadline, task.checkpoint)
+
+
+def _longest_idle_first(task: Task) -> tuple[bool, int]:
+    """Return the sort key of a waiting task: those that have run come first."""
+    return not task.last_run_ended_ms, task.idle_since_ms
