--- a/src/greengagewood/internal/cells/bootlife.py
+++ b/src/greengagewood/internal/cells/bootlife.py
@@ -53,6 +53,7 @@
     def set_listed(self, listed: dict[str, WorkerInfo], now_ms: int) -> None:
         """Apply the entries of the directory."""
         term = self._term
+        is_first_read, self._directory_unread = self._directory_unread, False
         for name, info in listed.items():
             boot = term.boots.get(name)
             if boot is None:
@@ -73,16 +74,15 @@
             if (
                 not in_directory
                 and boot.unresponsive
-                and not boot.runs
+                and not (boot.runs or boot.ruled_out)
                 and boot.orders_expired(term.confirmed_ms)
                 and boot.worker.may_be_forgotten(now_ms)
             ):
                 self._remove(boot)
         # The first record of a term replaces that of the earlier owner, which no longer applies.
-        term.registration_due |= self._directory_unread or any(
+        term.registration_due |= is_first_read or any(
             is_record_outdated(boot, now_ms) for boot in term.boots.values()
         )
-        self._directory_unread = False
         self._update_slow(now_ms)
 
     def _update_slow(self, now_ms: int) -> None:
@@ -309,7 +309,8 @@
             return
         if boot_time_ms and boot.info.boot_time_ms not in (boot_time_ms, 0):
             return
-        if boot.worker.in_directory:  # by a read before it left
+        # The directory was not read yet, or before it left. It may show a later boot.
+        if boot.worker.in_directory or self._directory_unread:
             self._departed[name] = boot_time_ms
             return
         silent_ms = None if boot.last_answer_ms is None else now_ms - boot.last_answer_ms
@@ -317,10 +318,15 @@
         self._hold_back_lost_tasks(boot, now_ms)
         self._mark_runs_lost(boot, now_ms, "left")
         boot.transition("left")
+        boot.departed_ms = now_ms
         boot.adopted_ms = None
         boot.inherited = tuple(
             runs for runs in boot.inherited if runs.tasks is None or runs.may_start_later
         )
+        # A call that is under way, or had no answer, may reach a later boot.
+        if boot.lease_pending_ms:
+            boot.worker.lease_unanswered_ms = boot.lease_pending_ms
+        boot.late_deadline_ms = max(boot.late_deadline_ms, boot.latest_deadline_ms)
         boot.latest_deadline_ms = 0
         boot.earlier_orders_expiry_ms = max((r.expiry_ms for r in boot.inherited), default=0)
         # The tasks that earlier owners ran there wait for a confirmation, as those of this one do.
@@ -336,11 +342,12 @@
             boot.transition("expired")
             boot.adopted_ms = None
             worker = boot.worker
-            if not worker.in_directory and not boot.runs and worker.may_be_forgotten(now_ms):
+            is_empty = not (boot.runs or boot.ruled_out)
+            if not worker.in_directory and is_empty and worker.may_be_forgotten(now_ms):
                 self._remove(boot)
 
     def _remove(self, boot: Boot) -> None:
-        """Remove a boot that has no runs."""
+        """Remove a boot that has no runs and no starts that a later boot may carry out."""
         term = self._term
         boot.transition("removed")
         del term.boots[boot.name]
--- a/src/greengagewood/internal/cells/runner.py
+++ b/src/greengagewood/internal/cells/runner.py
@@ -458,6 +458,7 @@
 
     async def _refresh_directory(self) -> None:
         sent_ms = monotonic_ms()
+        listed: dict[str, WorkerInfo] | None = None
         try:
             listed = await self._ports.directory.refresh()
         except StoreUnavailable:
@@ -467,7 +468,7 @@
             self._apply_directory(listed, sent_ms)
         self._update_lease_tasks()  # without the directory, too: for the recorded workers
         self._directory_wakeup.clear()
-        if self.cell.planner.places.is_short:
+        if listed is not None and self.cell.planner.places.is_short:
             await self._watch_for_new_workers()
             return
         await asyncio.sleep(SHORT_DIRECTORY_INTERVAL_S)
@@ -479,12 +480,14 @@
     def _apply_directory(self, listed: dict[str, WorkerInfo], sent_ms: int) -> None:
         with self._holds.measure("directory"):
             self.cell.set_workers(listed, monotonic_ms(), sent_ms)
-            self.cell.note_departed(self._ports.directory.take_departed(), monotonic_ms())
+            if not self._released:  # else they are left to `report_departures`
+                departed = self._ports.directory.take_departed()
+                self.cell.note_departed(departed, monotonic_ms())
         self._metrics.gauge("evacuated_workers", self.cell.evacuated_worker_count)
         self._plan_wakeup.set()
 
     async def _watch_for_new_workers(self) -> None:
-        """Read the directory until it lists a new worker, or all of it is to be applied again.
+        """Read the directory until it lists new room, or all of it is to be applied again.
 
         A new worker stands empty until it is known, and what it lists is cheap to compare.
         """
@@ -495,8 +498,9 @@
             try:
                 listed = await self._ports.directory.refresh()
             except StoreUnavailable:
+                await asyncio.sleep(SHORT_DIRECTORY_INTERVAL_S)
                 return
-            if not listed.keys() <= self.cell.boots.keys():
+            if self.cell.lists_new_room(listed):
                 self._apply_directory(listed, sent_ms)
                 self._update_lease_tasks()
                 return
