Keep places for tasks that may have crashed their worker

Cause: places are kept only for tasks that are not suspected. After 1 s a suspected task may be started beside others, but without a place no gap ever is wide enough for it.

Ruled out: the search for a quiet worker, which ends after 1 s (a test of that bound is added; it held before), and the trial of one task at a time, which ends 0.5 s after the start of the first.

Change: once a suspected task may be started beside others, and no other suspect of its job is being tried, it gets a place as any other task that has lost its run. One of a job is still tried at a time, and its worker takes nothing else until the outcome is known. What may run elsewhere is asked as before (Boot.may_start), so nothing is started earlier than its last run allows.

--- a/src/greengagewood/internal/cells/placement.py
+++ b/src/greengagewood/internal/cells/placement.py
@@ -26,8 +26,10 @@
     "choose_worker",
     "idle_cpu_millis",
     "is_mostly_uncommitted",
+    "is_other_tried",
     "leaves_headroom",
     "make_worker_chooser",
+    "may_be_tried_anywhere",
     "meets_constraints",
     "place_gang",
     "workers_for_trial",
@@ -215,6 +217,18 @@
     )
 
 
+def is_other_tried(task: Task) -> bool:
+    """Return whether another suspect of a task's job runs, none of which was cleared yet."""
+    job = task.step.job
+    return not job.had_cleared and any(other.run for other in job.suspects)
+
+
+def may_be_tried_anywhere(task: Task, now_ms: int) -> bool:
+    """Return whether a suspected task without a run may be started beside other runs."""
+    waited_ms = now_ms - task.last_run_ended_ms
+    return waited_ms > LONGEST_TRIAL_WAIT_MS and not is_other_tried(task)
+
+
 def workers_for_trial(task: Task, workers: Sequence[Boot], waited_ms: int) -> Sequence[Boot]:
     """Return the workers on which a suspected task may be tried, see `crashes`."""
     free = [worker for worker in workers if worker.trial is None]
--- a/src/greengagewood/internal/cells/places.py
+++ b/src/greengagewood/internal/cells/places.py
@@ -22,7 +22,7 @@
 from itertools import islice
 
 from greengagewood.internal.cells.boots import Boot, Resources, outlasts_places
-from greengagewood.internal.cells.placement import meets_constraints
+from greengagewood.internal.cells.placement import may_be_tried_anywhere, meets_constraints
 from greengagewood.internal.jobs.book import JobBook, Run, Step, Task
 from greengagewood.internal.jobs.model import Queue, StepSpec
 
@@ -112,7 +112,7 @@
             return
         self._updated_ms = now_ms
         self._usable = usable
-        waiting = list(self._waiting_tasks(queue_of))
+        waiting = list(self._waiting_tasks(queue_of, now_ms))
         wanted = dict.fromkeys((*waiting, *self._leaving_tasks(queue_of)))
         self.is_short = any(task not in self._places for task in waiting)
         for task, place in list(self._places.items()):
@@ -177,12 +177,13 @@
             if placed >= MAX_PLACED:
                 break
 
-    def _waiting_tasks(self, queue_of: Callable[[Step], Queue]) -> Iterator[Task]:
+    def _waiting_tasks(self, queue_of: Callable[[Step], Queue], now_ms: int) -> Iterator[Task]:
         """Yield the tasks that have lost their runs and may be started anywhere."""
         for step in self._book.waiting_steps:
             if needs_place(step, queue_of(step)):
                 for task in step.waiting_tasks:
-                    if task.last_run_ended_ms and not task.crashes:
+                    is_free = not task.crashes or may_be_tried_anywhere(task, now_ms)
+                    if task.last_run_ended_ms and is_free:
                         yield task
 
     def _leaving_tasks(self, queue_of: Callable[[Step], Queue]) -> Iterator[Task]:
--- a/src/greengagewood/internal/cells/planner.py
+++ b/src/greengagewood/internal/cells/planner.py
@@ -21,8 +21,10 @@
     choose_worker,
     idle_cpu_millis,
     is_mostly_uncommitted,
+    is_other_tried,
     leaves_headroom,
     make_worker_chooser,
+    may_be_tried_anywhere,
     meets_constraints,
     place_gang,
     workers_for_trial,
@@ -363,7 +365,7 @@
                 and boot in by_service.get(queue.service, ())
                 and boot.has_room(task.step.spec)
                 and boot.may_start(task)
-                and not task.crashes
+                and (not task.crashes or may_be_tried_anywhere(task, now_ms))
                 and meets_constraints(boot, task.step)
                 and task.not_before_ms <= now_ms
                 and self._start_window_ms(queue, now_ms) >= MIN_START_WINDOW_MS
@@ -523,8 +525,7 @@
         waited_ms = now_ms - task.last_run_ended_ms
         if waited_ms <= LONGEST_TRIAL_WAIT_MS:
             self.request_replan()
-        job = task.step.job
-        if not job.had_cleared and any(other.run for other in job.suspects):
+        if is_other_tried(task):
             return None
         candidates = workers_for_trial(task, boots, waited_ms)
         return choose_worker(task, candidates, self.tail_model, starving)
--- a/tests/cover/test_crashes.py
+++ b/tests/cover/test_crashes.py
@@ -492,6 +492,36 @@
         _answer_all(harness)
         assert not trial.run.task.crashes and trial.boot.trial is None
 
+    def test_a_suspected_task_waits_for_a_second_for_a_worker_without_recent_starts(self) -> None:
+        """Guards against a task that waits as long as starts on all workers go on."""
+        harness = _harness("w0", "w1")
+        harness.submit(StepSpec(1, cpu_millis=1_000, long_running=True))
+        (start,) = start_orders(harness.plan(500))
+        _accept(harness, start)
+        harness.cell.book.note_crash(start.run.task, _crash(7, "a"))
+        lost_ms = harness.now_ms
+        harness.answer_lease(
+            start.boot.name, ends=(RunEnd(1, start.run.task.id, start.run.number, "stopped", ""),)
+        )
+        task = start.run.task
+        for number in range(40):
+            # Each takes all the room beside the suspected task on one worker, in turn.
+            harness.submit(StepSpec(2, cpu_millis=40_000), job=f"{number + 1:016x}")
+            for order in start_orders(harness.plan(50)):
+                _accept(harness, order)
+            if task.run is not None:
+                break
+            others = [run for boot in harness.cell.boots.values() for run in boot.runs.values()]
+            assert others and not any(run.outlived for run in others)
+            for sequence, boot in enumerate(harness.cell.boots.values()):
+                runs = list(boot.runs.values())
+                ends = tuple(
+                    RunEnd(2 * number + 2 + sequence, run.task.id, run.number, "done", "")
+                    for run in runs
+                )
+                harness.answer_lease(boot.name, ends=ends)
+        assert 1_000 < harness.now_ms - lost_ms < 1_200
+
     def test_a_suspected_task_bound_to_a_boot_is_started_alone(self) -> None:
         """Guards against a trial beside a run that is suspected as well if the worker crashes."""
         harness = _harness("w0", "w1")
--- a/tests/cover/test_room.py
+++ b/tests/cover/test_room.py
@@ -144,6 +144,27 @@
         assert task.run is None
         assert service.wait_of(task) < LONGEST_WAIT_MS
 
+    @pytest.mark.parametrize("run_ms", [600, 3_000, 20_000])
+    def test_tasks_that_may_have_crashed_their_worker_run_again_while_narrow_tasks_arrive(
+        self, run_ms: int
+    ) -> None:
+        """Guards against suspected tasks without places, for which no gap is ever wide enough."""
+        service = _FullService(5, run_ms)
+        (first,) = _run_lasting_tasks(service, msgspec.structs.replace(LASTING, task_count=3))
+        tasks = first.step.tasks
+        for task in tasks:
+            assert task.run is not None and task.run.boot is not None
+            suspected = task.run.boot.placed_run(task.run)
+            service.harness.cell.book.note_crash(task, suspected)
+        (left,) = {task.run.worker_id for task in tasks if task.run is not None}
+        service.drain(left)
+        service.end_on(left)
+        waits = [service.wait_of(task) for task in tasks]
+        assert sum(waits) < LONGEST_WAIT_MS
+        for _ in range(20):
+            service.tick()
+        assert not first.step.job.suspects
+
     def test_all_tasks_of_a_worker_that_left_run_again_while_narrow_tasks_arrive(self) -> None:
         service = _FullService(6, 2_000)
         tasks = _run_lasting_tasks(service, *[LASTING] * 4)
