Count starts that a worker refuses together once

Callers see: tasks wait for up to 8 s although a worker takes starts again. A worker that answers 429 or 503 to four starts of one plan gets no start for 8 s, as if it had refused four attempts in a row. On a worker of long-running tasks each refusal doubles the wait for good, hours apart too.

Cause: each refusal doubles the backoff, even of starts that were under way together, and only a run that ends with success resets it. A long-running task never ends so.

Ruled out: refusals for lack of room, which have a backoff of their own with both properties.

Change: backoffs after refused starts and after failed runs are counted apart. Refusals of one attempt count once, and an accepted start resets theirs; failed runs count as before, so a worker that accepts starts and fails each run is still passed over ever longer.

Before: test_starts_that_are_refused_together_count_once (8,008 ms, now under 1,200) and test_refusals_between_accepted_starts_do_not_add_up (2,028 ms at the second refusal) fail. test_a_worker_that_goes_on_refusing_is_tried_ever_more_rarely held before.

--- a/src/greengagewood/internal/cells/boots.py
+++ b/src/greengagewood/internal/cells/boots.py
@@ -29,6 +29,7 @@
     "MIN_CLOCK_RATE",
     "UNRESPONSIVE_AFTER_MS",
     "Admission",
+    "Backoff",
     "Boot",
     "InheritedRuns",
     "Resources",
@@ -114,6 +115,19 @@
     return math.ceil(duration_ms / MIN_CLOCK_RATE)
 
 
+@dataclass(slots=True)
+class Backoff:
+    """A time without starts, which is longer each time; `length_ms` is 0 to begin anew."""
+
+    length_ms: int = 0
+    until_ms: int = 0
+
+    def begin(self, now_ms: int, first_ms: int, longest_ms: int) -> None:
+        """Begin a time that is twice as long as the last one."""
+        self.length_ms = min(longest_ms, self.length_ms * 2 or first_ms)
+        self.until_ms = now_ms + self.length_ms
+
+
 @dataclass(slots=True, eq=False)
 class Worker:
     """What holds for a worker whichever of its boots is up; times are of the owner's clock."""
@@ -184,8 +198,9 @@
     admissions: dict[tuple[str, int, bool], Admission] = field(default_factory=dict)
     last_end_sequence: int = 0  # of the run ends that it has listed
     acknowledged_sequence: int = 0  # run ends up to this one are stored
-    backoff_until_ms: int = 0
-    backoff_ms: int = 0  # length of the last backoff; 0 after a success
+    not_before_ms: int = 0  # of a start, after one that did not fit, or was not sent
+    refusing: Backoff = field(default_factory=Backoff)  # starts, whatever its room
+    failing: Backoff = field(default_factory=Backoff)  # runs
     # Whether each of the latest runs succeeded, the newest last.
     recent_outcomes: deque[bool] = field(default_factory=lambda: deque(maxlen=8))
     # Share of its CPU that each best-effort image used in the last reading.
@@ -256,7 +271,8 @@
             and self.worker.registered
             and self.worker.in_directory
             and not self.info.draining
-            and now_ms >= self.backoff_until_ms
+            and now_ms >= self.not_before_ms
+            and not self.backs_off(now_ms)
             and self.last_answer_ms is not None
             and now_ms - self.last_answer_ms <= UNRESPONSIVE_AFTER_MS
         )
@@ -412,8 +428,12 @@
             self.refused_until_ms = now_ms + self.refusal_backoff_ms
         self.refusals_apply = True
 
-    def note_room_granted(self) -> None:
-        """Forget the refusals if the accepted runs reach what the worker had refused."""
+    def note_start_accepted(self) -> None:
+        """Forget the refusals that a start which was just accepted shows to be out of date.
+
+        Those for lack of resources are, if the accepted runs reach what the worker had refused.
+        """
+        self.refusing.length_ms = 0
         if not self.refused_allocations:
             return
         accepted = Resources()
@@ -541,10 +561,18 @@
         """Record whether a run succeeded."""
         self.recent_outcomes.append(succeeded)
         if succeeded:
-            self.backoff_ms = 0
+            self.failing.length_ms = 0
 
-    def back_off(self, now_ms: int, first_ms: int, longest_ms: int) -> None:
+    def back_off_after_failures(self, now_ms: int, first_ms: int, longest_ms: int) -> None:
         """Place no run here for a time that doubles until a run succeeds."""
-        self.backoff_ms = min(longest_ms, self.backoff_ms * 2 or first_ms)
-        self.backoff_until_ms = now_ms + self.backoff_ms
+        self.failing.begin(now_ms, first_ms, longest_ms)
         self.recent_outcomes.clear()
+
+    def back_off_after_refusal(self, now_ms: int, first_ms: int, longest_ms: int) -> None:
+        """Place no run here for a time that doubles until a start is accepted."""
+        if now_ms >= self.refusing.until_ms:  # not another start of the same attempt
+            self.refusing.begin(now_ms, first_ms, longest_ms)
+
+    def backs_off(self, now_ms: int) -> bool:
+        """Return whether no run is placed here as runs have failed, or starts were refused."""
+        return now_ms < max(self.refusing.until_ms, self.failing.until_ms)
--- a/src/greengagewood/internal/cells/cell.py
+++ b/src/greengagewood/internal/cells/cell.py
@@ -303,7 +303,7 @@
                 run.transition("accepted")
             run.note_accepted(now_ms)
             run.accepted_by_clock = boot.shows_clock(clock_ms, run.started_ms, now_ms)
-            boot.note_room_granted()
+            boot.note_start_accepted()
             self.book.note_started(run.task.step.job)
             if run.initial_speed_percent < run.speed_percent:
                 return [ThrottleRun(boot, run, run.initial_speed_percent)]
@@ -313,13 +313,13 @@
         self.term.end_run(boot, run, "refused", now_ms)
         run.task.not_before_ms = now_ms + REFUSAL_DELAY_MS
         if reason in ("unhealthy", "invalid"):
-            boot.back_off(now_ms, FIRST_WORKER_BACKOFF_MS, LONGEST_WORKER_BACKOFF_MS)
+            boot.back_off_after_refusal(now_ms, FIRST_WORKER_BACKOFF_MS, LONGEST_WORKER_BACKOFF_MS)
         elif reason == "unreachable":
-            boot.backoff_until_ms = max(boot.backoff_until_ms, now_ms + FIRST_WORKER_BACKOFF_MS)
+            boot.not_before_ms = max(boot.not_before_ms, now_ms + FIRST_WORKER_BACKOFF_MS)
         elif reason == "ticket":
             self.planner.note_permit_refused(run.task.step, boot)
         elif reason == "room":
-            boot.backoff_until_ms = max(boot.backoff_until_ms, now_ms + REFUSAL_DELAY_MS)
+            boot.not_before_ms = max(boot.not_before_ms, now_ms + REFUSAL_DELAY_MS)
             boot.note_room_refused(
                 run.task.step.spec, now_ms, FIRST_REFUSAL_BACKOFF_MS, LONGEST_REFUSAL_BACKOFF_MS
             )
--- a/src/greengagewood/internal/cells/lists.py
+++ b/src/greengagewood/internal/cells/lists.py
@@ -273,8 +273,8 @@
         if sum(not ok for ok in boot.recent_outcomes) >= FAILURES_BEFORE_BACKOFF and not any(
             boot.recent_outcomes
         ):
-            boot.back_off(now_ms, FIRST_WORKER_BACKOFF_MS, LONGEST_WORKER_BACKOFF_MS)
-            term.emit("worker_shunned", {"worker": boot.name, "for_ms": boot.backoff_ms})
+            boot.back_off_after_failures(now_ms, FIRST_WORKER_BACKOFF_MS, LONGEST_WORKER_BACKOFF_MS)
+            term.emit("worker_shunned", {"worker": boot.name, "for_ms": boot.failing.length_ms})
         task.failed_workers = (*task.failed_workers, boot.name)[-4:]
         attempts = term.planner.queue_of(task.step.job).max_attempts
         term.book.note_run_failed(task, end.run_number, attempts, now_ms)
--- a/src/greengagewood/internal/cells/waits.py
+++ b/src/greengagewood/internal/cells/waits.py
@@ -122,7 +122,8 @@
         return "new"
     if boot.state != "listed":
         return "silent"
-    return "backoff" if now_ms < boot.backoff_until_ms else "other"
+    waits = now_ms < boot.not_before_ms or boot.backs_off(now_ms)
+    return "backoff" if waits else "other"
 
 
 def _describe(task: Task, boots: Sequence[Boot], now_ms: int) -> dict[str, object]:
--- a/tests/cover/test_cell.py
+++ b/tests/cover/test_cell.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import replace
+from itertools import pairwise
 from typing import Any
 
 import pytest
@@ -284,3 +285,53 @@
         if worker.has_passed(deadline_ms, read_ms + elapsed_ms):
             assert 100 * 50_000 + 98 * elapsed_ms > 100 * deadline_ms
         assert 98 * longest_ms(duration_ms) >= 100 * duration_ms
+
+
+class TestBackoffs:
+    """Guard against a worker that is passed over for longer than it gives reason to."""
+
+    @staticmethod
+    def _refuse_starts(harness: CellHarness, count: int) -> int:
+        """Let the only worker refuse some starts at once; return when."""
+        starts = start_orders(harness.plan())
+        assert len(starts) == count
+        for start in starts:
+            harness.cell.handle_start_reply(start.boot, start.run, "unhealthy", harness.now_ms)
+        return harness.now_ms
+
+    @staticmethod
+    def _ms_until_start(harness: CellHarness, since_ms: int) -> int:
+        for _ in range(200):
+            harness.answer_leases()
+            if harness.start(50):
+                break
+        return harness.now_ms - since_ms
+
+    def test_starts_that_are_refused_together_count_once(self) -> None:
+        harness = CellHarness("w0")
+        harness.submit(StepSpec(4, cpu_millis=1_000))
+        refused_ms = self._refuse_starts(harness, 4)
+        assert self._ms_until_start(harness, refused_ms) < 1_200
+
+    def test_refusals_between_accepted_starts_do_not_add_up(self) -> None:
+        """Guards against a worker of long-running tasks, where no run ever succeeds."""
+        harness = CellHarness("w0")
+        for number in range(5):
+            job = f"{number:016x}"
+            harness.submit(StepSpec(1, cpu_millis=1_000, long_running=True), job=job)
+            harness.now_ms += 10_000
+            harness.answer_leases()
+            refused_ms = self._refuse_starts(harness, 1)
+            assert self._ms_until_start(harness, refused_ms) < 1_200
+
+    def test_a_worker_that_goes_on_refusing_is_tried_ever_more_rarely(self) -> None:
+        harness = CellHarness("w0")
+        harness.submit(StepSpec(1, cpu_millis=1_000))
+        refused_ms = []
+        for _ in range(800):
+            harness.answer_leases()
+            for start in start_orders(harness.plan(50)):
+                harness.cell.handle_start_reply(start.boot, start.run, "unhealthy", harness.now_ms)
+                refused_ms.append(harness.now_ms)
+        waits = [later - earlier for earlier, later in pairwise(refused_ms)]
+        assert [wait // 1_000 for wait in waits[:5]] == [1, 2, 4, 8, 8]
