Start long-running tasks that lost their runs during long backoffs

Callers see: a long-running task has no run for 8 s although workers have taken starts, or have run tasks without failures, for as long. If all workers of its service have failed runs or refused starts, it waits until the first backoff is over. The platform allows 3 s.

Cause: a backoff of up to 8 s excludes a worker for every task. Its use is to spare the attempts of jobs, of which a long-running task has no limit.

Ruled out: a shorter backoff for all tasks. A worker on which each run fails would use up the attempts of four times as many ordinary tasks.

Change: for a task with a place, a worker is usable 2 s after its backoff began. It is chosen only where no other has a place for the task, is never preferred to a place that is not free yet, and no running task of a draining worker moves there. What the last run may still do is asked as before (Boot.may_start); a backoff says nothing of it.

--- a/src/greengagewood/internal/cells/boots.py
+++ b/src/greengagewood/internal/cells/boots.py
@@ -43,6 +43,8 @@
 MAX_ORDER_DELAY_MS = 12_000  # a worker carries out an order at most this long after it was sent
 # Enough for a planned change of the owner.
 LEASE_PAST_DRAIN_MS = 2_000
+# The platform allows a long-running task 3 s without a run while a worker has capacity for it.
+LONGEST_BACKOFF_FOR_LOST_MS = 2_000
 BOOT_CHART = load_chart("boot")
 UNRESPONSIVE_STATES = frozenset({"silent", "lapsed", "departed", "replaced", "gone"})
 # Share of its CPU that a worker gives to tasks when it was just started; it rises until it is warm.
@@ -121,11 +123,13 @@
 
     length_ms: int = 0
     until_ms: int = 0
+    lost_until_ms: int = 0  # the same for tasks that have lost their runs
 
     def begin(self, now_ms: int, first_ms: int, longest_ms: int) -> None:
         """Begin a time that is twice as long as the last one."""
         self.length_ms = min(longest_ms, self.length_ms * 2 or first_ms)
         self.until_ms = now_ms + self.length_ms
+        self.lost_until_ms = now_ms + min(LONGEST_BACKOFF_FOR_LOST_MS, self.length_ms)
 
 
 @dataclass(slots=True, eq=False)
@@ -201,6 +205,7 @@
     not_before_ms: int = 0  # of a start, after one that did not fit, or was not sent
     refusing: Backoff = field(default_factory=Backoff)  # starts, whatever its room
     failing: Backoff = field(default_factory=Backoff)  # runs
+    backed_off: bool = False  # whether either was going on at the last plan
     # Whether each of the latest runs succeeded, the newest last.
     recent_outcomes: deque[bool] = field(default_factory=lambda: deque(maxlen=8))
     # Share of its CPU that each best-effort image used in the last reading.
@@ -260,10 +265,11 @@
             late in self.ruled_out and all(other is not task for other, _ in self.runs)
         )
 
-    def is_usable(self, now_ms: int) -> bool:
+    def is_usable(self, now_ms: int, for_lost: bool = False) -> bool:
         """Return whether runs may be placed here now.
 
-        A worker that has not answered lately is excluded: it may have rebooted.
+        A worker that has not answered lately is excluded: it may have rebooted. After failures it
+        is excluded for less time for long-running tasks that have lost their runs (`for_lost`).
         """
         return (
             self.adopted
@@ -272,7 +278,7 @@
             and self.worker.in_directory
             and not self.info.draining
             and now_ms >= self.not_before_ms
-            and not self.backs_off(now_ms)
+            and not self.backs_off(now_ms, for_lost)
             and self.last_answer_ms is not None
             and now_ms - self.last_answer_ms <= UNRESPONSIVE_AFTER_MS
         )
@@ -444,7 +450,8 @@
             self._forget_refusals()
 
     def prepare_plan(self, now_ms: int) -> None:
-        """Decide whether the refusals still exclude runs, and how warm the worker is."""
+        """Decide whether refusals and failures still exclude runs, and how warm the worker is."""
+        self.backed_off = self.backs_off(now_ms)
         self.refusals_apply = now_ms < self.refused_until_ms
         self.cold = self.is_cold(now_ms)
         self.warm_share = 1.0
@@ -573,6 +580,8 @@
         if now_ms >= self.refusing.until_ms:  # not another start of the same attempt
             self.refusing.begin(now_ms, first_ms, longest_ms)
 
-    def backs_off(self, now_ms: int) -> bool:
+    def backs_off(self, now_ms: int, for_lost: bool = False) -> bool:
         """Return whether no run is placed here as runs have failed, or starts were refused."""
+        if for_lost:
+            return now_ms < max(self.refusing.lost_until_ms, self.failing.lost_until_ms)
         return now_ms < max(self.refusing.until_ms, self.failing.until_ms)
--- a/src/greengagewood/internal/cells/places.py
+++ b/src/greengagewood/internal/cells/places.py
@@ -290,7 +290,11 @@
     counts: Counter[tuple[Boot, Step]],
     only_free: bool = False,
 ) -> Boot | None:
-    """Return the boot where the least must become free for the task, of the tightest ones."""
+    """Return the boot where the least must become free for the task, of the tightest ones.
+
+    One that has failed runs or refused starts lately comes last. It is none for a task that runs,
+    or has a place elsewhere.
+    """
     step = task.step
     spec = step.spec
     need = Resources()
@@ -303,14 +307,15 @@
             and boot.may_start(task)
             and meets_constraints(boot, step)
             and (not only_free or boot.fits(spec))
+            and not (boot.backed_off and (only_free or task.run is not None))
             and not (limit and step.runs_by_worker.get(boot.name, 0) + counts[boot, step] >= limit)
         )
 
-    def missing_millis(boot: Boot) -> int:
-        return max(0, spec.cpu_millis - boot.free_cpu_millis)
+    def cost(boot: Boot) -> tuple[bool, int]:
+        return boot.backed_off, max(0, spec.cpu_millis - boot.free_cpu_millis)
 
     eligible = filter(is_eligible, rooms.at_least(spec.cpu_millis))
-    return min(islice(eligible, MAX_CANDIDATES), key=missing_millis, default=None)
+    return min(islice(eligible, MAX_CANDIDATES), key=cost, default=None)
 
 
 def _runs_in(
--- a/src/greengagewood/internal/cells/planner.py
+++ b/src/greengagewood/internal/cells/planner.py
@@ -159,15 +159,15 @@
         """Return whether nothing may be started on the worker by an evacuation order."""
         return self.evacuations is not None and boot.info.failure_domain in self.evacuations.domains
 
-    def may_start_on(self, boot: Boot, now_ms: int) -> bool:
-        """Return whether runs may be started on the worker now.
+    def may_start_on(self, boot: Boot, now_ms: int, for_lost: bool = False) -> bool:
+        """Return whether runs may be started on the worker now, see `Boot.is_usable`.
 
         A boot that was adopted after the last confirmed read may have replaced one that had
         accepted the token of a later owner.
         """
         return (
             self.evacuations_known
-            and boot.is_usable(now_ms)
+            and boot.is_usable(now_ms, for_lost)
             and (boot.adopted_ms or 0) < self.confirmed_ms
             and not self.is_evacuated(boot)
         )
@@ -257,11 +257,14 @@
 
     def _place(self, now_ms: int, max_starts: int, has_time: Callable[[], bool]) -> list[Order]:
         by_service: dict[str, list[Boot]] = {}
+        for_lost: dict[str, list[Boot]] = {}  # the same and those that others are kept from
         for boot in self._boots.values():
             boot.prepare_plan(now_ms)
-            if self.may_start_on(boot, now_ms):
-                by_service.setdefault(boot.info.service, []).append(boot)
-        orders = self._place_lost(by_service, max_starts, now_ms)
+            if self.may_start_on(boot, now_ms, for_lost=True):
+                for_lost.setdefault(boot.info.service, []).append(boot)
+                if not boot.backed_off:
+                    by_service.setdefault(boot.info.service, []).append(boot)
+        orders = self._place_lost(for_lost, max_starts, now_ms)
         current = self._pass or self._begin_pass(by_service, max_starts, now_ms)
         self._pass = None  # not kept after an error
         if not self._rank_steps(current, now_ms, has_time) or not self._place_ranked(
@@ -389,7 +392,9 @@
     def runs_to_stop(self, now_ms: int) -> set[Run]:
         """Return the runs that hold places which must become free now."""
         return self.places.runs_to_stop(
-            lambda boot: self.may_start_on(boot, now_ms), self._queue_of_step, now_ms
+            lambda boot: self.may_start_on(boot, now_ms, for_lost=True),
+            self._queue_of_step,
+            now_ms,
         )
 
     def _queue_of_step(self, step: Step) -> Queue:
--- a/tests/cover/test_cell.py
+++ b/tests/cover/test_cell.py
@@ -13,6 +13,7 @@
 from greengagewood.internal.cells.boots import Boot, longest_ms
 from greengagewood.internal.cells.orders import StartRun, StopRun
 from greengagewood.internal.cells.planner import Planner
+from greengagewood.internal.jobs.book import Run
 from greengagewood.internal.jobs.model import StepSpec
 from greengagewood.internal.jobs.records import RegisteredWorker, RegisteredWorkers, TaskId
 from greengagewood.internal.ports import LeaseReply, RunEnd, RunningTask
@@ -335,3 +336,49 @@
                 refused_ms.append(harness.now_ms)
         waits = [later - earlier for earlier, later in pairwise(refused_ms)]
         assert [wait // 1_000 for wait in waits[:5]] == [1, 2, 4, 8, 8]
+
+    @pytest.mark.parametrize("failing", [False, True])
+    def test_a_long_running_task_that_has_lost_its_run_waits_for_two_seconds_at_most(
+        self, failing: bool
+    ) -> None:
+        """Guards against a wait that outlasts the trouble of all workers of a service."""
+        harness = CellHarness("w0", "w1")
+        harness.submit(StepSpec(1, cpu_millis=1_000, long_running=True))
+        (first,) = harness.start(500)
+        sequences = dict.fromkeys(harness.worker_infos, 0)
+
+        def end(run: Run) -> None:
+            sequences[run.worker_id] += 1
+            ended = RunEnd(sequences[run.worker_id], run.task.id, run.number, "failed", "")
+            harness.answer_lease(run.worker_id, ends=(ended,))
+
+        end(first.run)
+        started_ms = [harness.now_ms]
+        for _ in range(1_200):
+            harness.answer_leases()
+            for order in start_orders(harness.plan(50)):
+                started_ms.append(harness.now_ms)
+                reason = "" if failing else "unhealthy"
+                harness.cell.handle_start_reply(order.boot, order.run, reason, harness.now_ms)
+                harness.now_ms += 10
+                if failing:
+                    end(order.run)
+        assert max(later - earlier for earlier, later in pairwise(started_ms)) < 2_200
+        assert all(boot.backs_off(harness.now_ms) for boot in harness.cell.boots.values())
+        harness.submit(StepSpec(1, cpu_millis=1_000), job="1" * 16)
+        starts = start_orders(harness.plan(50))
+        assert all(order.run.task.step.spec.long_running for order in starts)
+
+    def test_a_lost_run_is_replaced_on_a_worker_without_failures_if_there_is_one(self) -> None:
+        harness = CellHarness("w0", "w1", "w2")
+        harness.submit(StepSpec(1, cpu_millis=1_000, long_running=True))
+        (first,) = harness.start(500)
+        others = [boot for boot in harness.cell.boots.values() if boot is not first.boot]
+        others[0].back_off_after_failures(harness.now_ms, 8_000, 8_000)
+        harness.now_ms += 3_000
+        harness.answer_leases()
+        ended = RunEnd(1, first.run.task.id, first.run.number, "stopped", "")
+        harness.resize(first.boot.name, 0)
+        harness.answer_lease(first.boot.name, ends=(ended,))
+        (again,) = harness.start(50)
+        assert others[0].backs_off(harness.now_ms) and again.boot is others[1]
