Keep the turn of a task whose start was refused

Callers see: a long-running task that has lost its run waits behind others that lost theirs later, for as long as starts of it are refused or not sent.

Cause: a start that is over counts as a run that has ended, also one that no worker has carried out. So each refusal sets the time since which the task has no run to now. That time settles the order in which places are given and when the runs in one are stopped.

Ruled out: the time for which reports and trials count (last_run_ended_ms), which is left as it is. Whether a task may be started rests on neither.

Change: a run that no worker is known to have carried out does not change that time, unless the task never ran. The loss of a boot never makes it later.

Before: test_a_task_whose_start_is_refused_keeps_its_turn fails: of two tasks that lost their runs 0.5 s apart, the later one is started. After: it passes.

--- a/src/greengagewood/internal/cells/bootlife.py
+++ b/src/greengagewood/internal/cells/bootlife.py
@@ -385,7 +385,8 @@
             term.end_run(boot, run, "lost", now_ms)
             answered_ms = boot.last_answer_ms
             if answered_ms is not None:
-                run.task.idle_since_ms = max(answered_ms, run.accepted_ms or answered_ms)
+                known_ms = max(answered_ms, run.accepted_ms or answered_ms)
+                run.task.idle_since_ms = min(run.task.idle_since_ms, known_ms)
             term.emit(
                 "run_lost",
                 {
--- a/src/greengagewood/internal/jobs/book.py
+++ b/src/greengagewood/internal/jobs/book.py
@@ -499,7 +499,9 @@
         else:
             return
         task.step.job.active_run_count -= 1
-        task.last_run_ended_ms = task.idle_since_ms = now_ms
+        if run.was_carried_out or not task.last_run_ended_ms:  # else it had no run meanwhile
+            task.idle_since_ms = now_ms
+        task.last_run_ended_ms = now_ms
         for counts, key in (
             (task.step.runs_by_worker, run.worker_id),
             (task.step.runs_by_rack, run.rack),
--- a/tests/cover/test_room.py
+++ b/tests/cover/test_room.py
@@ -14,7 +14,7 @@
 from greengagewood.internal.jobs.book import Run, Task
 from greengagewood.internal.jobs.model import StepSpec
 from greengagewood.internal.ports import RunEnd, RunningTask
-from tests.common.desk import CellHarness
+from tests.common.desk import CellHarness, start_orders
 
 TICK_MS = 50
 LONGEST_WAIT_MS = 9_000  # what the platform allows from the end of a run to the next start
@@ -195,6 +195,45 @@
         assert sorted(workers) == sorted([left, left, room])
 
 
+class TestRefusedStarts:
+    """Guard against a refused start that counts as a run of its task."""
+
+    def test_a_task_whose_start_is_refused_keeps_its_turn(self) -> None:
+        harness = CellHarness("w0", "w1", "w2")
+        for name in harness.worker_infos:
+            harness.resize(name, 40_000)
+        wide = StepSpec(1, cpu_millis=30_000, long_running=True)
+        for job in ("a" * 16, "b" * 16):
+            harness.submit(wide, job=job)
+        first, second = harness.start(500)
+
+        def lose(start: StartRun) -> None:
+            """End a run, and take all capacity from its worker."""
+            harness.resize(start.boot.name, 0)
+            ended = RunEnd(1, start.run.task.id, start.run.number, "stopped", "")
+            harness.answer_lease(start.boot.name, ends=(ended,))
+
+        def next_starts(until_ms: int) -> list[StartRun]:
+            """Return the next starts, which must be sent before a time."""
+            while not (starts := start_orders(harness.plan(50))):
+                assert harness.now_ms < until_ms
+                harness.answer_leases()
+            return starts
+
+        harness.now_ms = lost_ms = 101_000
+        harness.answer_leases()
+        lose(first)
+        (refused,) = next_starts(lost_ms + 200)
+        harness.cell.handle_start_reply(refused.boot, refused.run, "unhealthy", harness.now_ms)
+        harness.now_ms = lost_ms + 500
+        lose(second)
+        (refused,) = next_starts(lost_ms + 1_500)
+        harness.now_ms = lost_ms + 1_600
+        harness.cell.handle_start_reply(refused.boot, refused.run, "unhealthy", harness.now_ms)
+        (start,) = next_starts(lost_ms + 4_000)
+        assert [refused.run.task, start.run.task] == [first.run.task] * 2
+
+
 def _has_place(service: _FullService, task: Task) -> bool:
     """Return whether a task fits a worker that takes starts, beside its long-running runs."""
     spec = task.step.spec
