Test that a task that has run in this term needs no headroom

The table of waits had no test of this row. It holds: a long-running task whose worker lost its capacity is started at once on a worker that has room, but not the headroom for it, also if it may have crashed the first one; a task that never ran is not.

Shown to fail when leaves_headroom makes no difference for tasks that have run (the case suspected, which starts outside of places), and when places ask for headroom (the other).

--- a/tests/cover/test_cell.py
+++ b/tests/cover/test_cell.py
@@ -205,6 +205,22 @@
         assert start_orders(harness.plan()) == []
         assert not harness.cell.book.jobs["0" * 16].maybe_started
 
+    @pytest.mark.parametrize("suspected", [False, True])
+    def test_a_task_that_has_run_in_this_term_needs_no_headroom(self, suspected: bool) -> None:
+        """Guards against a task that never runs again as the other workers of its service left."""
+        harness = CellHarness("w0", "w1")
+        harness.submit(StepSpec(1, cpu_millis=60_000, long_running=True))
+        (first,) = harness.start(500)
+        if suspected:
+            harness.cell.book.note_crash(first.run.task, first.boot.placed_run(first.run))
+        harness.resize(first.boot.name, 0)
+        ended = RunEnd(1, first.run.task.id, first.run.number, "stopped", "")
+        harness.answer_lease(first.boot.name, ends=(ended,))
+        (again,) = harness.start(50)
+        assert again.run.task is first.run.task
+        harness.submit(StepSpec(1, cpu_millis=1_000, long_running=True), job="1" * 16)
+        assert harness.start(1_000) == []  # which has never run
+
 
 class TestMoves:
     """Best-effort runs that were slowed down."""
