Test that a lost run does not wait for tasks of a higher priority

The table of waits gave the rank of a task in a full service as a wait without bound, with no test for a task that has run. Such a task has a place, and places are given before any step is ranked, so the rank holds back only gangs and tasks of which the advice service decides.

--- a/tests/cover/test_room.py
+++ b/tests/cover/test_room.py
@@ -14,7 +14,7 @@
 from greengagewood.internal.jobs.book import Run, Task
 from greengagewood.internal.jobs.model import StepSpec
 from greengagewood.internal.ports import RunEnd, RunningTask
-from tests.common.desk import CellHarness, start_orders
+from tests.common.desk import QUEUE, CellHarness, start_orders
 
 TICK_MS = 50
 LONGEST_WAIT_MS = 9_000  # what the platform allows from the end of a run to the next start
@@ -31,6 +31,7 @@
         self.run_ms = run_ms
         self.narrow = StepSpec(1, cpu_millis=cpu_millis, memory_mb=4_000, estimate_ms=run_ms)
         self.waiting = waiting
+        self.lasting_queue = QUEUE
         self.events: list[tuple[str, dict[str, object]]] = []
         self.stopped: list[StopRun] = []
         self.harness.cell.on_event = lambda name, fields: self.events.append((name, fields))
@@ -41,7 +42,8 @@
     def submit(self, *steps: StepSpec) -> Task:
         self._job_count += 1
         job = f"{self._job_count:016x}"
-        self.harness.submit(*steps, job=job)
+        queue = self.lasting_queue if steps[0].long_running else QUEUE
+        self.harness.submit(*steps, job=job, queue=queue)
         return self.harness.cell.book.jobs[job].occurrences[0][0].tasks[0]
 
     def _accept(self, order: StartRun) -> None:
@@ -165,6 +167,20 @@
             service.tick()
         assert not first.step.job.suspects
 
+    @pytest.mark.parametrize("run_ms", [600, 20_000])
+    def test_a_task_that_lost_its_run_does_not_wait_for_tasks_of_a_higher_priority(
+        self, run_ms: int
+    ) -> None:
+        """Guards against a rank behind work that never ends in a full service."""
+        service = _FullService(5, run_ms)
+        service.lasting_queue = msgspec.structs.replace(QUEUE, name="low", priority=5)
+        tasks = _run_lasting_tasks(service, LASTING)
+        left = {task.run.worker_id for task in tasks if task.run is not None}.pop()
+        service.drain(left)
+        service.end_on(left)
+        assert len(service.harness.cell.book.waiting_steps) >= service.waiting
+        assert service.wait_of(tasks[0]) < LONGEST_WAIT_MS
+
     def test_all_tasks_of_a_worker_that_left_run_again_while_narrow_tasks_arrive(self) -> None:
         service = _FullService(6, 2_000)
         tasks = _run_lasting_tasks(service, *[LASTING] * 4)
