Test that a lost run does not wait for best-effort tasks that are paused

The table of waits had no test of speed limits. Best-effort runs with a limit of 0 never end and hold the memory of every worker; a long-running task that has lost its run is started within 3 s all the same, as the runs in its place are stopped.

--- a/tests/cover/test_room.py
+++ b/tests/cover/test_room.py
@@ -181,6 +181,33 @@
         assert len(service.harness.cell.book.waiting_steps) >= service.waiting
         assert service.wait_of(tasks[0]) < LONGEST_WAIT_MS
 
+    def test_a_task_that_lost_its_run_does_not_wait_for_best_effort_tasks_that_are_paused(
+        self,
+    ) -> None:
+        """Guards against runs that a speed limit keeps from ending, and that hold the memory."""
+        service = _FullService(3, 60_000, waiting=0)
+        task = service.submit(LASTING)
+        for _ in range(12):
+            service.tick()
+        fill = StepSpec(
+            4, cpu_millis=1_000, memory_mb=62_500, estimate_ms=600, image="f", best_effort=True
+        )
+        for _ in range(4):
+            service.submit(fill)
+        for _ in range(60):
+            service.tick()
+        runs = [run for boot in service.harness.cell.boots.values() for run in boot.runs.values()]
+        paused = [run for run in runs if run.task.step.spec.best_effort]
+        for run in paused:
+            run.speed_percent = 0
+        assert task.run is not None
+        left = task.run.worker_id
+        for name, boot in service.harness.cell.boots.items():
+            assert name == left or boot.free_memory_mb < LASTING.memory_mb
+        service.drain(left)
+        service.end_on(left)
+        assert service.wait_of(task) < 3_000
+
     def test_all_tasks_of_a_worker_that_left_run_again_while_narrow_tasks_arrive(self) -> None:
         service = _FullService(6, 2_000)
         tasks = _run_lasting_tasks(service, *[LASTING] * 4)
