--- a/tests/cover/test_room.py
+++ b/tests/cover/test_room.py
@@ -14,7 +14,7 @@
 from greengagewood.internal.jobs.book import Run, Task
 from greengagewood.internal.jobs.model import StepSpec
 from greengagewood.internal.ports import RunEnd, RunningTask
-from tests.common.desk import CellHarness
+from tests.common.desk import QUEUE, CellHarness, start_orders
 
 TICK_MS = 50
 LONGEST_WAIT_MS = 9_000  # what the platform allows from the end of a run to the next start
@@ -31,6 +31,7 @@
         self.run_ms = run_ms
         self.narrow = StepSpec(1, cpu_millis=cpu_millis, memory_mb=4_000, estimate_ms=run_ms)
         self.waiting = waiting
+        self.lasting_queue = QUEUE
         self.events: list[tuple[str, dict[str, object]]] = []
         self.stopped: list[StopRun] = []
         self.harness.cell.on_event = lambda name, fields: self.events.append((name, fields))
@@ -41,7 +42,8 @@
     def submit(self, *steps: StepSpec) -> Task:
         self._job_count += 1
         job = f"{self._job_count:016x}"
-        self.harness.submit(*steps, job=job)
+        queue = self.lasting_queue if steps[0].long_running else QUEUE
+        self.harness.submit(*steps, job=job, queue=queue)
         return self.harness.cell.book.jobs[job].occurrences[0][0].tasks[0]
 
     def _accept(self, order: StartRun) -> None:
@@ -144,6 +146,68 @@
         assert task.run is None
         assert service.wait_of(task) < LONGEST_WAIT_MS
 
+    @pytest.mark.parametrize("run_ms", [600, 3_000, 20_000])
+    def test_tasks_that_may_have_crashed_their_worker_run_again_while_narrow_tasks_arrive(
+        self, run_ms: int
+    ) -> None:
+        """Guards against suspected tasks without places, for which no gap is ever wide enough."""
+        service = _FullService(5, run_ms)
+        (first,) = _run_lasting_tasks(service, msgspec.structs.replace(LASTING, task_count=3))
+        tasks = first.step.tasks
+        for task in tasks:
+            assert task.run is not None and task.run.boot is not None
+            suspected = task.run.boot.placed_run(task.run)
+            service.harness.cell.book.note_crash(task, suspected)
+        (left,) = {task.run.worker_id for task in tasks if task.run is not None}
+        service.drain(left)
+        service.end_on(left)
+        waits = [service.wait_of(task) for task in tasks]
+        assert sum(waits) < LONGEST_WAIT_MS
+        for _ in range(20):
+            service.tick()
+        assert not first.step.job.suspects
+
+    @pytest.mark.parametrize("run_ms", [600, 20_000])
+    def test_a_task_that_lost_its_run_does_not_wait_for_tasks_of_a_higher_priority(
+        self, run_ms: int
+    ) -> None:
+        """Guards against a rank behind work that never ends in a full service."""
+        service = _FullService(5, run_ms)
+        service.lasting_queue = msgspec.structs.replace(QUEUE, name="low", priority=5)
+        tasks = _run_lasting_tasks(service, LASTING)
+        left = {task.run.worker_id for task in tasks if task.run is not None}.pop()
+        service.drain(left)
+        service.end_on(left)
+        assert len(service.harness.cell.book.waiting_steps) >= service.waiting
+        assert service.wait_of(tasks[0]) < LONGEST_WAIT_MS
+
+    def test_a_task_that_lost_its_run_does_not_wait_for_best_effort_tasks_that_are_paused(
+        self,
+    ) -> None:
+        """Guards against runs that a speed limit keeps from ending, and that hold the memory."""
+        service = _FullService(3, 60_000, waiting=0)
+        task = service.submit(LASTING)
+        for _ in range(12):
+            service.tick()
+        fill = StepSpec(
+            4, cpu_millis=1_000, memory_mb=62_500, estimate_ms=600, image="f", best_effort=True
+        )
+        for _ in range(4):
+            service.submit(fill)
+        for _ in range(60):
+            service.tick()
+        runs = [run for boot in service.harness.cell.boots.values() for run in boot.runs.values()]
+        paused = [run for run in runs if run.task.step.spec.best_effort]
+        for run in paused:
+            run.speed_percent = 0
+        assert task.run is not None
+        left = task.run.worker_id
+        for name, boot in service.harness.cell.boots.items():
+            assert name == left or boot.free_memory_mb < LASTING.memory_mb
+        service.drain(left)
+        service.end_on(left)
+        assert service.wait_of(task) < 3_000
+
     def test_all_tasks_of_a_worker_that_left_run_again_while_narrow_tasks_arrive(self) -> None:
         service = _FullService(6, 2_000)
         tasks = _run_lasting_tasks(service, *[LASTING] * 4)
@@ -174,6 +238,45 @@
         assert sorted(workers) == sorted([left, left, room])
 
 
+class TestRefusedStarts:
+    """Guard against a refused start that counts as a run of its task."""
+
+    def test_a_task_whose_start_is_refused_keeps_its_turn(self) -> None:
+        harness = CellHarness("w0", "w1", "w2")
+        for name in harness.worker_infos:
+            harness.resize(name, 40_000)
+        wide = StepSpec(1, cpu_millis=30_000, long_running=True)
+        for job in ("a" * 16, "b" * 16):
+            harness.submit(wide, job=job)
+        first, second = harness.start(500)
+
+        def lose(start: StartRun) -> None:
+            """End a run, and take all capacity from its worker."""
+            harness.resize(start.boot.name, 0)
+            ended = RunEnd(1, start.run.task.id, start.run.number, "stopped", "")
+            harness.answer_lease(start.boot.name, ends=(ended,))
+
+        def next_starts(until_ms: int) -> list[StartRun]:
+            """Return the next starts, which must be sent before a time."""
+            while not (starts := start_orders(harness.plan(50))):
+                assert harness.now_ms < until_ms
+                harness.answer_leases()
+            return starts
+
+        harness.now_ms = lost_ms = 101_000
+        harness.answer_leases()
+        lose(first)
+        (refused,) = next_starts(lost_ms + 200)
+        harness.cell.handle_start_reply(refused.boot, refused.run, "unhealthy", harness.now_ms)
+        harness.now_ms = lost_ms + 500
+        lose(second)
+        (refused,) = next_starts(lost_ms + 1_500)
+        harness.now_ms = lost_ms + 1_600
+        harness.cell.handle_start_reply(refused.boot, refused.run, "unhealthy", harness.now_ms)
+        (start,) = next_starts(lost_ms + 4_000)
+        assert [refused.run.task, start.run.task] == [first.run.task] * 2
+
+
 def _has_place(service: _FullService, task: Task) -> bool:
     """Return whether a task fits a worker that takes starts, beside its long-running runs."""
     spec = task.step.spec
