--- a/tests/cover/test_cell.py
+++ b/tests/cover/test_cell.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import replace
+from itertools import pairwise
 from typing import Any
 
 import pytest
@@ -12,6 +13,7 @@
 from greengagewood.internal.cells.boots import Boot, longest_ms
 from greengagewood.internal.cells.orders import StartRun, StopRun
 from greengagewood.internal.cells.planner import Planner
+from greengagewood.internal.jobs.book import Run
 from greengagewood.internal.jobs.model import StepSpec
 from greengagewood.internal.jobs.records import RegisteredWorker, RegisteredWorkers, TaskId
 from greengagewood.internal.ports import LeaseReply, RunEnd, RunningTask
@@ -203,6 +205,22 @@
         assert start_orders(harness.plan()) == []
         assert not harness.cell.book.jobs["0" * 16].maybe_started
 
+    @pytest.mark.parametrize("suspected", [False, True])
+    def test_a_task_that_has_run_in_this_term_needs_no_headroom(self, suspected: bool) -> None:
+        """Guards against a task that never runs again as the other workers of its service left."""
+        harness = CellHarness("w0", "w1")
+        harness.submit(StepSpec(1, cpu_millis=60_000, long_running=True))
+        (first,) = harness.start(500)
+        if suspected:
+            harness.cell.book.note_crash(first.run.task, first.boot.placed_run(first.run))
+        harness.resize(first.boot.name, 0)
+        ended = RunEnd(1, first.run.task.id, first.run.number, "stopped", "")
+        harness.answer_lease(first.boot.name, ends=(ended,))
+        (again,) = harness.start(50)
+        assert again.run.task is first.run.task
+        harness.submit(StepSpec(1, cpu_millis=1_000, long_running=True), job="1" * 16)
+        assert harness.start(1_000) == []  # which has never run
+
 
 class TestMoves:
     """Best-effort runs that were slowed down."""
@@ -284,3 +302,99 @@
         if worker.has_passed(deadline_ms, read_ms + elapsed_ms):
             assert 100 * 50_000 + 98 * elapsed_ms > 100 * deadline_ms
         assert 98 * longest_ms(duration_ms) >= 100 * duration_ms
+
+
+class TestBackoffs:
+    """Guard against a worker that is passed over for longer than it gives reason to."""
+
+    @staticmethod
+    def _refuse_starts(harness: CellHarness, count: int) -> int:
+        """Let the only worker refuse some starts at once; return when."""
+        starts = start_orders(harness.plan())
+        assert len(starts) == count
+        for start in starts:
+            harness.cell.handle_start_reply(start.boot, start.run, "unhealthy", harness.now_ms)
+        return harness.now_ms
+
+    @staticmethod
+    def _ms_until_start(harness: CellHarness, since_ms: int) -> int:
+        for _ in range(200):
+            harness.answer_leases()
+            if harness.start(50):
+                break
+        return harness.now_ms - since_ms
+
+    def test_starts_that_are_refused_together_count_once(self) -> None:
+        harness = CellHarness("w0")
+        harness.submit(StepSpec(4, cpu_millis=1_000))
+        refused_ms = self._refuse_starts(harness, 4)
+        assert self._ms_until_start(harness, refused_ms) < 1_200
+
+    def test_refusals_between_accepted_starts_do_not_add_up(self) -> None:
+        """Guards against a worker of long-running tasks, where no run ever succeeds."""
+        harness = CellHarness("w0")
+        for number in range(5):
+            job = f"{number:016x}"
+            harness.submit(StepSpec(1, cpu_millis=1_000, long_running=True), job=job)
+            harness.now_ms += 10_000
+            harness.answer_leases()
+            refused_ms = self._refuse_starts(harness, 1)
+            assert self._ms_until_start(harness, refused_ms) < 1_200
+
+    def test_a_worker_that_goes_on_refusing_is_tried_ever_more_rarely(self) -> None:
+        harness = CellHarness("w0")
+        harness.submit(StepSpec(1, cpu_millis=1_000))
+        refused_ms = []
+        for _ in range(800):
+            harness.answer_leases()
+            for start in start_orders(harness.plan(50)):
+                harness.cell.handle_start_reply(start.boot, start.run, "unhealthy", harness.now_ms)
+                refused_ms.append(harness.now_ms)
+        waits = [later - earlier for earlier, later in pairwise(refused_ms)]
+        assert [wait // 1_000 for wait in waits[:5]] == [1, 2, 4, 8, 8]
+
+    @pytest.mark.parametrize("failing", [False, True])
+    def test_a_long_running_task_that_has_lost_its_run_waits_for_two_seconds_at_most(
+        self, failing: bool
+    ) -> None:
+        """Guards against a wait that outlasts the trouble of all workers of a service."""
+        harness = CellHarness("w0", "w1")
+        harness.submit(StepSpec(1, cpu_millis=1_000, long_running=True))
+        (first,) = harness.start(500)
+        sequences = dict.fromkeys(harness.worker_infos, 0)
+
+        def end(run: Run) -> None:
+            sequences[run.worker_id] += 1
+            ended = RunEnd(sequences[run.worker_id], run.task.id, run.number, "failed", "")
+            harness.answer_lease(run.worker_id, ends=(ended,))
+
+        end(first.run)
+        started_ms = [harness.now_ms]
+        for _ in range(1_200):
+            harness.answer_leases()
+            for order in start_orders(harness.plan(50)):
+                started_ms.append(harness.now_ms)
+                reason = "" if failing else "unhealthy"
+                harness.cell.handle_start_reply(order.boot, order.run, reason, harness.now_ms)
+                harness.now_ms += 10
+                if failing:
+                    end(order.run)
+        assert max(later - earlier for earlier, later in pairwise(started_ms)) < 2_200
+        assert all(boot.backs_off(harness.now_ms) for boot in harness.cell.boots.values())
+        harness.submit(StepSpec(1, cpu_millis=1_000), job="1" * 16)
+        starts = start_orders(harness.plan(50))
+        assert all(order.run.task.step.spec.long_running for order in starts)
+
+    def test_a_lost_run_is_replaced_on_a_worker_without_failures_if_there_is_one(self) -> None:
+        harness = CellHarness("w0", "w1", "w2")
+        harness.submit(StepSpec(1, cpu_millis=1_000, long_running=True))
+        (first,) = harness.start(500)
+        others = [boot for boot in harness.cell.boots.values() if boot is not first.boot]
+        others[0].back_off_after_failures(harness.now_ms, 8_000, 8_000)
+        harness.now_ms += 3_000
+        harness.answer_leases()
+        ended = RunEnd(1, first.run.task.id, first.run.number, "stopped", "")
+        harness.resize(first.boot.name, 0)
+        harness.answer_lease(first.boot.name, ends=(ended,))
+        (again,) = harness.start(50)
+        assert others[0].backs_off(harness.now_ms) and again.boot is others[1]
