Hold back tasks that a late start may reach once their worker has left

Callers would see: a task that runs twice, if its worker leaves after a change of the owner, comes back under its ID, and carries out a start of the earlier owner that had no answer.

Cause: an owner that adopts a worker forgets which starts of earlier owners its next boot may carry out. If the worker reboots, the tasks that it ran are held back for them; if it leaves, they were started elsewhere at once.

Only starts that the record of a planned stop names are known.

--- a/src/greengagewood/internal/cells/adoption.py
+++ b/src/greengagewood/internal/cells/adoption.py
@@ -35,6 +35,10 @@
             # A record says, or bounds, when the lease of this boot is over.
             bounds_ms.append(boot.earlier_orders_expiry_ms)
         boot.earlier_orders_expiry_ms = min(bounds_ms) if term.token > 1 else 0
+        if boot.inherited:
+            boot.late_inherited = tuple(
+                runs for runs in boot.inherited if runs.may_start_later and runs.tasks is not None
+            )
         boot.inherited = ()
         term.emit(
             "worker_adopted",
--- a/src/greengagewood/internal/cells/bootlife.py
+++ b/src/greengagewood/internal/cells/bootlife.py
@@ -317,12 +317,14 @@
         silent_ms = None if boot.last_answer_ms is None else now_ms - boot.last_answer_ms
         term.emit("worker_left", {"worker": name, "runs": len(boot.runs), "silent_ms": silent_ms})
         self._hold_back_lost_tasks(boot, now_ms)
+        late_runs = self._hold_back_late_starts(boot)
         self._mark_runs_lost(boot, now_ms, "left")
         boot.transition("left")
         boot.departed_ms = now_ms
         boot.adopted_ms = None
-        boot.inherited = tuple(
-            runs for runs in boot.inherited if runs.tasks is None or runs.may_start_later
+        boot.inherited = (
+            *(runs for runs in boot.inherited if runs.tasks is None or runs.may_start_later),
+            *late_runs,
         )
         # A call that is under way, or had no answer, may reach a later boot.
         if boot.lease_pending_ms:
@@ -334,6 +336,20 @@
         term.last_adoption_ms = now_ms
         term.registration_due |= is_record_outdated(boot, now_ms)
 
+    def _hold_back_late_starts(self, boot: Boot) -> tuple[InheritedRuns, ...]:
+        """Hold back the tasks of a boot that its next one may start for an earlier owner.
+
+        Return those starts.
+        """
+        confirmed_ms = self._term.confirmed_ms
+        late_runs = tuple(runs for runs in boot.late_inherited if confirmed_ms <= runs.expiry_ms)
+        tasks = {task for runs in late_runs for task in runs.tasks or ()}
+        for run in boot.runs.values():
+            task = run.task
+            if task.id in tasks and task.run is run and not task.end_state:
+                self._term.book.note_maybe_running(task)
+        return late_runs
+
     def end_expired(self, now_ms: int) -> None:
         """End the runs of boots that do not answer and whose leases have certainly expired."""
         for boot in list(self._term.boots.values()):
--- a/src/greengagewood/internal/cells/boots.py
+++ b/src/greengagewood/internal/cells/boots.py
@@ -175,7 +175,9 @@
     fencing_token: int = 0  # of the calls that are meant for this boot
     has_seen_token: bool = False  # whether it has answered one, so it does nothing for a lower one
     inherited: tuple[InheritedRuns, ...] = ()  # empty once it has been adopted
-    # The same and the time before it, while another worker answers at the recorded address.
+    # Starts of earlier owners that its next boot may carry out, as they were when it was adopted.
+    late_inherited: tuple[InheritedRuns, ...] = ()
+    # `inherited` and the time before it, while another worker answers at the recorded address.
     inherited_aside: tuple[tuple[InheritedRuns, ...], int] | None = None
     last_answer_ms: int | None = None
     list_requested_ms: int = 0  # when the last list that it answered was requested
