Group no long-running tasks again that may have run for another owner

Callers see: a long-running gang that has lost its run waits 0.4 s longer with each change of the owner. So do tasks that may have crashed their worker, and those of which the advice service decides. The others start in their places, which the delay does not touch.

Cause: the delay for tasks that arrive together counts from when an owner takes up the job.

Change: a step of which a task may have run does not wait for others.

Before: test_a_task_that_may_have_run_does_not_wait_for_others_again fails for a gang; for single tasks it held before. After: both pass.

--- a/src/greengagewood/internal/cells/planner.py
+++ b/src/greengagewood/internal/cells/planner.py
@@ -408,8 +408,15 @@
 
     @staticmethod
     def _awaits_grouping(step: Step, now_ms: int) -> bool:
-        """Return whether a long-running step still waits for others, to be placed with them."""
-        return step.spec.long_running and now_ms - step.job.arrived_ms < GROUPING_DELAY_MS
+        """Return whether a long-running step still waits for others, to be placed with them.
+
+        One that has run does not wait again when a later owner takes up its job.
+        """
+        return (
+            step.spec.long_running
+            and now_ms - step.job.arrived_ms < GROUPING_DELAY_MS
+            and not any(task.last_run_ended_ms for task in step.waiting_tasks)
+        )
 
     def _starving_steps(
         self, steps: list[Step], by_service: dict[str, list[Boot]], now_ms: int
--- a/tests/cover/test_carried_limits.py
+++ b/tests/cover/test_carried_limits.py
@@ -15,6 +15,7 @@
 
 from greengagewood.internal.cells.cell import Cell
 from greengagewood.internal.cells.ownership import OwnershipView
+from greengagewood.internal.cells.planner import GROUPING_DELAY_MS
 from greengagewood.internal.cells.registration import registration_record
 from greengagewood.internal.clock import monotonic_ms
 from greengagewood.internal.evacuation import Evacuations
@@ -31,7 +32,14 @@
     key_of,
 )
 from greengagewood.internal.ports import LeaseReply, LogEntry, LogPage, RunEnd
-from tests.common.desk import LIMITS, QUEUE, make_worker_info, start_orders, store_changes
+from tests.common.desk import (
+    LIMITS,
+    QUEUE,
+    CellHarness,
+    make_worker_info,
+    start_orders,
+    store_changes,
+)
 from tests.common.drive import CellSimulation, long_running_job, run_simulation, short_job
 from tests.common.eventorder import RESTART_MS
 from tests.common.ownerrows import OwnerRows
@@ -330,6 +338,23 @@
         assert len(start_orders(orders)) == 1
 
 
+class TestGrouping:
+    """Long-running tasks that arrive together are placed together, shortly after they arrived."""
+
+    @pytest.mark.parametrize("gang", [False, True])
+    def test_a_task_that_may_have_run_does_not_wait_for_others_again(self, gang: bool) -> None:
+        """Guards against a wait that begins anew with each owner."""
+        harness = CellHarness("w0", "w1")
+        spec = StepSpec(2, cpu_millis=1_000, long_running=True, gang=gang)
+        submission = Submission(JOB, QUEUE, JobSpec("p", (spec,)), 0)
+        harness.cell.add_job(submission, Progress(JOB, "running"), False, harness.now_ms)
+        harness.submit(spec, job="1" * 16)
+        started = [order.run.task.id.job_id for order in harness.start(10)]
+        assert started == [JOB, JOB]
+        started = [order.run.task.id.job_id for order in harness.start(GROUPING_DELAY_MS)]
+        assert started == ["1" * 16] * 2
+
+
 class TestLeasesAtTheStart:
     """Runs whose leases a new owner must extend within 6 s, though it has not stored its record."""
 
