Test how long a lost worker's tasks wait if its owner is killed

So the wait is known to exceed the 9 s of the platform's rule; the test bounds it by the parts of the table, and checks that no task of a worker that is only cut off runs twice.

--- a/tests/cover/test_owner_changes.py
+++ b/tests/cover/test_owner_changes.py
@@ -9,7 +9,7 @@
 import pytest
 
 from greengagewood.internal.cells import registration
-from greengagewood.internal.cells.boots import Boot
+from greengagewood.internal.cells.boots import Boot, longest_ms
 from greengagewood.internal.cells.cell import Cell
 from greengagewood.internal.cells.ownership import OwnershipView
 from greengagewood.internal.cells.runner import CellRunner
@@ -44,11 +44,14 @@
     store_changes,
 )
 from tests.common.drive import CellSimulation, long_running_job, run_simulation, short_job
-from tests.common.plant import SimStoreClient, SimWorker, SimWorkerLink
+from tests.common.plant import LEASE_MS, SimStoreClient, SimWorker, SimWorkerLink
 
 # By the platform's rules, a long-running task must run again within this time of its last run.
 MAX_GAP_MS = 9_000
 DRAIN_S = 2.1
+# From the last heartbeat of an owner that is killed until all its orders are over.
+ORDERS_HOLD_MS = LIMITS.confirmation_timeout_ms + longest_ms(LEASE_MS)
+SLACK_MS = 700  # a heartbeat that is due, the reads that confirm the ownership, and a plan
 
 
 async def _replace_workers(sim: CellSimulation, interval_s: float) -> None:
@@ -788,6 +791,57 @@
 
         run_simulation(CellSimulation(4), script)
 
+    @pytest.mark.parametrize("cut_from", ["none", "all", "followers"])
+    @pytest.mark.parametrize("silent_s", [0.0, 2.5, 3.5])
+    def test_the_wait_is_bounded_if_the_owner_is_killed_soon_after(
+        self, silent_s: float, cut_from: str
+    ) -> None:
+        """Guards against a wait that grows, and against a run beside that of a worker cut off.
+
+        The record of a silent worker is stored 3 s after its last answer.
+        """
+
+        async def script(sim: CellSimulation) -> None:
+            tasks, lost = await _run_long_running_tasks(sim)
+            owner = sim.owner()
+            assert owner is not None
+            since_ms = monotonic_ms()
+            if cut_from == "none":
+                sim.platform.crash(lost)
+            else:
+                cut = (name for name in sim.instances if cut_from == "all" or name != owner)
+                sim.platform.faults.cut_links.update((name, lost) for name in cut)
+            await asyncio.sleep(silent_s)
+            await sim.kill_instance(owner)
+            await _wait_until_elsewhere(sim, tasks, lost)
+            is_recorded = silent_s > 3 and cut_from != "followers"
+            bound_ms = silent_s * 1000 + ORDERS_HOLD_MS + SLACK_MS
+            assert monotonic_ms() - since_ms <= (MAX_GAP_MS if is_recorded else bound_ms)
+            assert sim.platform.violations == []
+
+        run_simulation(CellSimulation(0), script)
+
+
+async def _run_long_running_tasks(sim: CellSimulation) -> tuple[set[TaskId], str]:
+    """Start tasks that last; return them, and a worker that runs some of them."""
+    await sim.submit("0" * 16, "serve", long_running_job())
+    await asyncio.sleep(3)
+    tasks = sim.platform.running_tasks()
+    assert len(tasks) == 3
+    return tasks, next(name for name, worker in sim.platform.workers.items() if worker.runs)
+
+
+async def _wait_until_elsewhere(sim: CellSimulation, tasks: set[TaskId], lost: str) -> None:
+    """Wait until all tasks run on other workers than one that was lost, for 30 s at most."""
+
+    def running() -> set[TaskId]:
+        others = [w for n, w in sim.platform.workers.items() if w.up and n != lost]
+        return {task for worker in others for task in worker.runs}
+
+    async with asyncio.timeout(30):
+        while running() != tasks:
+            await asyncio.sleep(0.02)
+
 
 async def _change_owners_at_random(sim: CellSimulation) -> None:
     """Stop and kill owners while workers drain, leave or are cut off, and check every run."""
