--- a/tests/cover/test_owner_changes.py
+++ b/tests/cover/test_owner_changes.py
@@ -821,6 +821,33 @@
 
         run_simulation(CellSimulation(0), script)
 
+    @pytest.mark.parametrize("cut_off", [False, True])
+    @pytest.mark.parametrize("age_s", [0.0, 4.0, 8.0])
+    def test_a_process_that_loads_the_record_of_a_planned_stop_waits_for_one_lease(
+        self, age_s: float, cut_off: bool
+    ) -> None:
+        """Guards against a longer wait, and against a shorter one by a clock of another machine."""
+
+        async def script(sim: CellSimulation) -> None:
+            tasks, lost = await _run_long_running_tasks(sim)
+            owner = sim.owner()
+            assert owner is not None
+            await sim.instances[owner].release_cell()
+            for name in list(sim.instances):
+                await sim.kill_instance(name)
+            if cut_off:
+                sim.platform.faults.cut_links.add(("n0", lost))
+            else:
+                sim.platform.crash(lost)
+            await asyncio.sleep(age_s)
+            since_ms = monotonic_ms()
+            sim.start_instance("n0")
+            await _wait_until_elsewhere(sim, tasks, lost)
+            assert monotonic_ms() - since_ms <= longest_ms(LEASE_MS) + SLACK_MS
+            assert sim.platform.violations == []
+
+        run_simulation(CellSimulation(0), script)
+
 
 async def _run_long_running_tasks(sim: CellSimulation) -> tuple[set[TaskId], str]:
     """Start tasks that last; return them, and a worker that runs some of them."""
