Wait for orders of an owner whose record of workers is unreadable

Callers could see: a task that runs twice.

Cause: an instance that can't decode a record of registered workers, as another version stored it, knows that its owner may have sent orders, but goes on counting from the last heartbeat of the owner before. If the owner ends before its next heartbeat, a successor starts tasks up to that much too early: 1.5 s or more, if it had stored its claim long before.

Ruled out: an owner with a later heartbeat, which counts anew. A load, which applies the record before the heartbeats.

Change: after such a record, an instance counts from its own claim until it reads the next heartbeat.

Before: test_orders_of_an_owner_whose_record_is_unreadable_are_waited_for fails (2,000 in place of at least 5,000). After: it passes.

--- a/src/greengagewood/internal/cells/ownership.py
+++ b/src/greengagewood/internal/cells/ownership.py
@@ -153,8 +153,12 @@
             self._ordering_heartbeat_ms = now_ms
 
     def note_unreadable_registration(self) -> None:
-        """Record that the newest RegisteredWorkers record can't be decoded, whoever stored it."""
+        """Record that the newest RegisteredWorkers record can't be decoded, whoever stored it.
+
+        Until its next heartbeat, the last one that was read does not limit that owner's orders.
+        """
         self._registered_token = None
+        self._ordering_heartbeat_ms = None
 
     def note_stored(self, token: int, sent_ms: int, now_ms: int) -> None:
         """Record that a heartbeat of the term with this token, first sent at `sent_ms`, is stored.
--- a/tests/cover/test_carried_limits.py
+++ b/tests/cover/test_carried_limits.py
@@ -153,6 +153,18 @@
 
         run_simulation(CellSimulation(1), script)
 
+    def test_orders_of_an_owner_whose_record_is_unreadable_are_waited_for(self) -> None:
+        """Guards against a second run beside one that an owner started after the unread record."""
+        view = OwnershipView("me", LIMITS.confirmation_timeout_ms, 0)
+        view.note_record(_owner_record(3, 2), 1_000)
+        view.note_record(RegisteredWorkers((), 3), 2_000)
+        view.note_record(_owner_record(4, 3), 3_000)
+        view.note_read(3_000, 3_000)
+        view.note_unreadable_registration()  # of owner 4, which ends before its next heartbeat
+        view.note_read(5_000, 5_000)
+        view.note_record(view.make_claim(6_000), 6_100)
+        assert view.earlier_heartbeat_ms >= 5_000
+
 
 class TestClaimsReadOutOfOrder:
     """Pages that two reads of one instance return in any order, and claims that are repeated."""
