Extend leases sooner at a planned change of owner beside a slow store

Callers saw all long-running tasks of a cell end at once at a planned change of owner while the store took 0.9 s a call.

Cause: three waits between the last lease extension of the owner that stops and the first one of the next owner, none of which is needed. - The release waited for an append that was under way, and the leases ran meanwhile: 0.4 s in the test, a whole append at worst. - The next owner waited up to 0.3 s for a read of its own after its claim was stored, though the read that waits for records had shown the claim already. - Until its record was stored it sent lists that the workers hold for 0.45 s, so the first extension waited for their answers. Class: a wait for something other than the event that matters.

Ruled out: the directory (read in 4 ms here); a record that is stored along with the claim.

Change: an owner that stops extends leases until the append of its release can be sent. Then it cancels all calls and only after that collects the record, so the record still knows every lease. No other record can be stored after the release. A claim counts as soon as any read shows it. Before the record is stored, a list is asked for without a wait on the worker, at most each 0.45 s, and leases are extended as soon as the record is stored. No owner sends a start or an extension earlier than before in terms of its record.

--- a/src/greengagewood/internal/cells/runner.py
+++ b/src/greengagewood/internal/cells/runner.py
@@ -121,6 +121,7 @@
         self._lease_tasks: dict[Boot, asyncio.Task[None]] = {}
         self._stopping = False
         self._releasing = False  # whether nothing may be started any more
+        self._release_queued = False  # whether the next append is that of the release
         self._released = False  # whether nothing may be sent or stored any more but the release
         self._retries_end_ms = math.inf
         self._start_window = CallWindow(START_WINDOW)
@@ -483,6 +484,9 @@
             self._lease_tasks.pop(boot).cancel()
 
     async def _extend_lease(self, boot: Boot) -> None:
+        if boot.adopted and not self.cell.term.registration_stored:
+            # A call that the worker may hold would delay the first lease extension.
+            await self._wait_for_changes_stored(LEASE_WAIT_MS / 1000)
         if self._released or not self._may_send_orders():
             await asyncio.sleep(REPEATED_LEASE_PAUSE_S)
             return
@@ -493,7 +497,7 @@
         previous_end = boot.last_end_sequence
         info = boot.info
         wait_ms = 0
-        if boot.adopted and boot.last_answer_ms is not None:
+        if boot.last_answer_ms is not None and boot.adopted and self.cell.term.registration_stored:
             wait_ms = max(0, LEASE_WAIT_MS - (sent_ms - boot.last_answer_ms))
         try:
             reply = await self._ports.workers.extend_lease(
@@ -537,6 +541,12 @@
         while self.cell.holds_back_stops and monotonic_ms() < deadline_ms:
             await asyncio.sleep(REPEATED_LEASE_PAUSE_S)
 
+    async def _wait_for_changes_stored(self, limit_s: float) -> None:
+        """Wait until changes are stored, or for `limit_s`."""
+        with suppress(TimeoutError):
+            async with asyncio.timeout(limit_s):
+                await self._changes_stored.wait()
+
     async def _wait_until_stored(self, boot: Boot, sequence: int) -> None:
         """Wait until run ends of a worker may be acknowledged, or the next poll is due."""
         with suppress(TimeoutError):
@@ -550,8 +560,11 @@
     async def _commit_once(self) -> None:
         if not self.cell.has_urgent_changes:
             await self._wait_for_urgent_changes()
-        # A record after the release record would supersede that.
-        if self._released or not self._ownership.is_read_recent(monotonic_ms()):
+        if (
+            self._released
+            or self._release_queued
+            or not self._ownership.is_read_recent(monotonic_ms())
+        ):
             await asyncio.sleep(COMMIT_INTERVAL_S)
             return
         with self._holds.measure("changes"):
@@ -603,8 +616,7 @@
 
         Followers read the append as a heartbeat.
         """
-        with self._holds.measure("encode"):
-            entries = [(key_of(record), encode_record(record)) for record in records]
+        entries = self._encode(records)
         sent_ms = monotonic_ms()  # any of the tries may be the one that is stored
         stored = await self._append_entries(entries)
         if stored:
@@ -612,13 +624,20 @@
             self._ownership.note_stored(self.token, sent_ms, self._last_heartbeat_ms)
         return stored
 
+    def _encode(self, records: list[Record]) -> list[tuple[str, bytes]]:
+        with self._holds.measure("encode"):
+            return [(key_of(record), encode_record(record)) for record in records]
+
     async def _append_entries(self, entries: list[tuple[str, bytes]]) -> bool:
         async with self._append_lock:  # the store takes sequence numbers only in order
-            self._sequence += 1
-            return await self._append_with_retries(entries, self._sequence)
-
-    async def _append_with_retries(self, entries: list[tuple[str, bytes]], sequence: int) -> bool:
-        """Append entries under one sequence number, until the outcome is certain."""
+            if self._released:
+                return False  # a record after the release record would supersede that
+            return await self._append_with_retries(entries)
+
+    async def _append_with_retries(self, entries: list[tuple[str, bytes]]) -> bool:
+        """Append entries under the next sequence number, until the outcome is certain."""
+        self._sequence += 1
+        sequence = self._sequence
         while not self._stopping and monotonic_ms() < self._retries_end_ms:
             result = await self._ports.store.append_fenced(entries, self.token, sequence)
             if result.outcome is Outcome.DONE:
@@ -636,7 +655,8 @@
         """Store the last changes and release the cell, so that another instance can claim it.
 
         Nothing is started from now on, and nothing is sent once the changes are collected: the next
-        owner may act as soon as it reads them.
+        owner may act as soon as it reads them. Until the append that is under way has ended, leases
+        are extended, as the runs must go on until the next owner extends them.
         """
         self._releasing = True
         # A call of the store that times out as it is cancelled may return instead, so the time-out
@@ -649,11 +669,14 @@
                     self._calls.values, self.cell.boots.values, self._may_send_orders
                 )
                 _log.info("handed_over", token=self.token, **asdict(handover))
-                self._released = True
-                await cancel_all([*self._calls, *self._lease_tasks.values()])
-                changes = self.cell.collect_changes(wall_ms(), monotonic_ms(), releasing=True)
-                records = list(changes.records) if changes else []
-                stored = await self._append([*records, self._ownership_record(True)])
+                self._release_queued = True
+                async with self._append_lock:
+                    self._released = True
+                    await cancel_all([*self._calls, *self._lease_tasks.values()])
+                    changes = self.cell.collect_changes(wall_ms(), monotonic_ms(), releasing=True)
+                    records = list(changes.records) if changes else []
+                    entries = self._encode([*records, self._ownership_record(True)])
+                    stored = await self._append_with_retries(entries)
         if not stored:
             _log.warning("not_released", token=self.token)
 
--- a/src/greengagewood/internal/entry/node.py
+++ b/src/greengagewood/internal/entry/node.py
@@ -67,6 +67,7 @@
 # Even a slow store answers a read within this time; without an answer, the old state is used.
 REFRESH_TIMEOUT_S = 0.3
 OWNERSHIP_INTERVAL_S = 0.05
+CLAIM_CHECK_INTERVAL_S = 0.01
 # Far more jobs than one instance gets in the minutes in which their callers may repeat them.
 MAX_MAYBE_STORED = 10_000
 
@@ -443,12 +444,26 @@
             case Outcome.REFUSED:
                 self._ownership.note_claim_failed()
             case Outcome.DONE:  # several claims may get this answer; the log shows which one won
-                try:
-                    await self._read_to_end(REFRESH_TIMEOUT_S)
-                except StoreUnavailable as exc:
-                    _log.info("claim_unconfirmed", token=claim.token, error=str(exc))
+                await self._confirm_claim(claim.token)
         self._read_wakeup.set()
 
+    async def _confirm_claim(self, token: int) -> None:
+        """Read the log until it shows who won a claim, or for `REFRESH_TIMEOUT_S`.
+
+        The read that waits for records may show it before one that is sent now.
+        """
+        read = asyncio.ensure_future(self._read_to_end(REFRESH_TIMEOUT_S))
+        read.add_done_callback(_retrieve_exception)
+        try:
+            while not read.done() and self._ownership.state == "claiming":
+                await asyncio.wait({read}, timeout=CLAIM_CHECK_INTERVAL_S)
+            if read.done():
+                read.result()
+        except StoreUnavailable as exc:
+            _log.info("claim_unconfirmed", token=token, error=str(exc))
+        finally:
+            read.cancel()
+
     async def _release_unused_claim(self) -> None:
         """Release a cell that was claimed but of which no term has begun here."""
         token = self._ownership.token
--- a/tests/cover/test_carried_limits.py
+++ b/tests/cover/test_carried_limits.py
@@ -20,6 +20,7 @@
 from greengagewood.internal.evacuation import Evacuations
 from greengagewood.internal.jobs.model import JobSpec, StepSpec
 from greengagewood.internal.jobs.records import (
+    REGISTERED_WORKERS_KEY,
     Ownership,
     PossibleRuns,
     Progress,
@@ -30,11 +31,21 @@
     encode_record,
     key_of,
 )
-from greengagewood.internal.ports import LeaseReply, LogEntry, LogPage, RunEnd
+from greengagewood.internal.ports import (
+    AppendResult,
+    LeaseReply,
+    LogEntry,
+    LogPage,
+    OrderReply,
+    RunEnd,
+    RunListPage,
+    WorkerInfo,
+)
 from tests.common.desk import LIMITS, QUEUE, make_worker_info, start_orders, store_changes
 from tests.common.drive import CellSimulation, long_running_job, run_simulation, short_job
 from tests.common.eventorder import RESTART_MS
 from tests.common.ownerrows import OwnerRows
+from tests.common.plant import SimStoreClient, SimWorkerLink
 
 FIRST, LAST = map(int, os.environ.get("GGW_OWNER_ROW_SEEDS", "0:8").split(":"))
 STEPS = 1_500
@@ -366,6 +377,99 @@
         """Guards against leases that wait for a record, which waits for the directory."""
         assert self._lost_runs(planned, 0.0, reads_directory=False) == 0
 
+    @staticmethod
+    def _calls_of_a_planned_change(
+        patch: pytest.MonkeyPatch, store_delay_s: float
+    ) -> tuple[dict[str, int], dict[str, int]]:
+        """Return when events of a planned change of owner occurred beside a slow store.
+
+        The owner stops as it has just sent an append.
+
+        The second result is when each worker got the last lease extension of the first owner.
+        """
+        times: dict[str, int] = {}
+        last: dict[str, int] = {}
+        first = ""
+
+        def note(event: str) -> None:
+            times.setdefault(event, monotonic_ms())
+
+        async def append_fenced(
+            client: SimStoreClient, entries: Any, token: int, sequence: int
+        ) -> AppendResult:
+            keys = [key for key, _ in entries]
+            if client.instance == first and REGISTERED_WORKERS_KEY in keys:
+                note("release_sent")
+            result = await real_append(client, entries, token, sequence)
+            if first and client.instance != first and REGISTERED_WORKERS_KEY in keys:
+                note("record_stored")
+            return result
+
+        async def extend_lease(
+            link: SimWorkerLink, info: WorkerInfo, deadline_ms: int | None, *args: Any
+        ) -> RunListPage | OrderReply:
+            if deadline_ms is not None and first in ("", link.instance):
+                last[info.worker_id] = monotonic_ms()
+            elif deadline_ms is not None:
+                note(f"{info.worker_id} extended")
+            return await real_extend(link, info, deadline_ms, *args)
+
+        async def script(sim: CellSimulation) -> None:
+            nonlocal first
+            await sim.submit(JOB, "serve", long_running_job())
+            await asyncio.sleep(2)
+            faults = sim.platform.faults
+            faults.store_delays_s.update(dict.fromkeys(sim.instances, store_delay_s))
+            await asyncio.sleep(1)
+            owner = sim.owner()
+            assert owner is not None
+            runner = sim.instances[owner]._runner
+            assert runner is not None
+            for under_way in (False, True):  # so that the release waits for a whole append
+                while runner._append_lock.locked() != under_way:
+                    await asyncio.sleep(0.001)
+            first = owner
+            await sim.instances[first].release_cell()
+            await sim.kill_instance(first)
+            while (second := sim.owner()) is None:
+                await asyncio.sleep(0.001)
+            note("claim_read")
+            while sim.instances[second]._runner is None:
+                await asyncio.sleep(0.001)
+            note("term_started")
+            await asyncio.sleep(5)
+
+        real_append, real_extend = SimStoreClient.append_fenced, SimWorkerLink.extend_lease
+        patch.setattr(SimStoreClient, "append_fenced", append_fenced)
+        patch.setattr(SimWorkerLink, "extend_lease", extend_lease)
+        run_simulation(CellSimulation(0), script)
+        return times, last
+
+    def test_leases_are_extended_until_the_release_is_sent(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Guards against leases that run while the release waits for an append under way."""
+        times, last = self._calls_of_a_planned_change(monkeypatch, 0.9)
+        assert len(last) == 6
+        assert all(times["release_sent"] - at_ms <= 500 for at_ms in last.values())
+        assert all(at_ms <= times["release_sent"] for at_ms in last.values())
+
+    def test_a_term_begins_as_soon_as_any_read_shows_the_claim(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Guards against a term that waits for a read of its own, which takes long."""
+        times, _ = self._calls_of_a_planned_change(monkeypatch, 0.9)
+        assert times["term_started"] - times["claim_read"] <= 100
+
+    def test_leases_are_extended_as_soon_as_the_record_is_stored(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Guards against first lease extensions that wait for calls that the workers hold."""
+        times, last = self._calls_of_a_planned_change(monkeypatch, 0.9)
+        assert len(last) == 6
+        for name in last:
+            assert 0 <= times[f"{name} extended"] - times["record_stored"] <= 20
+
     @pytest.mark.parametrize("store_delay_s", [0.3, 0.6, 0.9, 1.2])
     @pytest.mark.parametrize("planned", [False, True])
     def test_runs_go_on_beside_a_slow_store(self, planned: bool, store_delay_s: float) -> None:
