Count from the load if a loaded claim ends the orders of earlier owners

Callers see: a long-running task of a lost worker waits for 13.1 s from when a new process has started, if the claim that it loads was never used and no other instance is left.

Cause: an instance that has read no heartbeat of an owner with orders counts from its own claim, which comes 1.4 s after the load or later.

Ruled out: a start or lease extension after the load. An owner sends them for 5 s after the last read that showed no other claim. Such a read was sent before the unused claim was stored, so before the load, whether or not heartbeats limit that owner's orders. An owner that stored its record after its claim counts as one with orders, as before, whatever the order of the records.

Change: an instance whose first records name a claim without orders counts from then on. An instance that has read any record of an owner with orders counts as before.

Before: test_an_unused_claim_that_a_new_process_loads_ends_the_orders_before_it (3,100 in place of 1,000) and, in virtual time, test_a_new_process_waits_for_no_more_than_the_orders_ before_an_unused_claim (13,080 and 12,640 ms; bound 11,823) fail. After: they pass, without a second run of a task whose worker is only cut off.

--- a/src/greengagewood/internal/cells/ownership.py
+++ b/src/greengagewood/internal/cells/ownership.py
@@ -63,6 +63,7 @@
         # The same of the last owner that may have started runs or extended leases; None if that
         # owner's heartbeats don't limit its orders.
         self._ordering_heartbeat_ms: int | None = None
+        self._has_read_ordering = False  # whether any record of such an owner's term was read
         # Of the owner that stored the newest RegisteredWorkers record; None if it is unreadable.
         self._registered_token: int | None = 0
         self._owner_since_ms = 0  # when the newest token was first seen
@@ -119,9 +120,15 @@
 
     def _note_heartbeat(self, now_ms: int) -> None:
         self._heartbeat_ms = now_ms
+        if not self.current.token:
+            return
         if self._may_have_ordered:
+            self._has_read_ordering = True
             limited = self.current.heartbeats_limit_orders
             self._ordering_heartbeat_ms = now_ms if limited else None
+        elif not self._has_read_ordering and self._ordering_heartbeat_ms is None:
+            # The reads that confirmed earlier owners were sent before this claim was stored.
+            self._ordering_heartbeat_ms = now_ms
 
     @property
     def _may_have_ordered(self) -> bool:
--- a/tests/cover/test_carried_limits.py
+++ b/tests/cover/test_carried_limits.py
@@ -13,6 +13,7 @@
 
 import pytest
 
+from greengagewood.internal.cells.boots import longest_ms
 from greengagewood.internal.cells.cell import Cell
 from greengagewood.internal.cells.ownership import OwnershipView
 from greengagewood.internal.cells.planner import GROUPING_DELAY_MS
@@ -112,6 +113,68 @@
 
         run_simulation(CellSimulation(2), script)
 
+    @pytest.mark.parametrize("registered_first", [False, True])
+    def test_an_unused_claim_that_a_new_process_loads_ends_the_orders_before_it(
+        self, registered_first: bool
+    ) -> None:
+        """Guards against a wait that counts from the process's own claim, seconds later."""
+        view = OwnershipView("me", LIMITS.confirmation_timeout_ms, 0)
+        records = [_owner_record(4, 3), RegisteredWorkers((), 3), Progress(JOB, "running")]
+        view.note_load(1_000)
+        for record in reversed(records) if registered_first else records:
+            view.note_record(record, 1_000)
+        view.note_read(1_000, 1_000)
+        claim = view.make_claim(3_000)
+        assert claim.last_ordering_token == 3
+        view.note_record(claim, 3_100)
+        assert view.earlier_heartbeat_ms == 1_000
+
+    @pytest.mark.parametrize("limited", [False, True])
+    def test_an_owner_that_was_loaded_before_its_record_is_waited_for(self, limited: bool) -> None:
+        """Guards against a second run beside one of the loaded owner."""
+        view = OwnershipView("me", LIMITS.confirmation_timeout_ms, 0)
+        record = _owner_record(4, 3)
+        record = Ownership(4, record.owner, False, 0, 0, limited, 3)
+        for known in (record, RegisteredWorkers((), 3)):
+            view.note_record(known, 1_000)
+        view.note_read(1_000, 1_000)
+        view.note_record(RegisteredWorkers((), 4), 2_000)
+        view.note_read(2_000, 2_000)
+        view.note_record(view.make_claim(5_000), 5_100)
+        assert view.earlier_heartbeat_ms == (2_000 if limited else 5_100)
+
+    @pytest.mark.parametrize("cut_off", [False, True])
+    def test_a_new_process_waits_for_no_more_than_the_orders_before_an_unused_claim(
+        self, cut_off: bool
+    ) -> None:
+        """Guards against a longer wait, and against a run beside that of a worker cut off."""
+
+        async def script(sim: CellSimulation) -> None:
+            await sim.submit(JOB, "serve", long_running_job())
+            await asyncio.sleep(2)
+            tasks = sim.platform.running_tasks()
+            lost = next(name for name, worker in sim.platform.workers.items() if worker.runs)
+            first = sim.owner()
+            assert first is not None
+            if cut_off:
+                sim.platform.faults.cut_links.add(("new", lost))
+            else:
+                sim.platform.crash(lost)
+            await sim.kill_instance(first)
+            await _end_unused_claim(sim, False)
+            for name in list(sim.instances):
+                await sim.kill_instance(name)
+            loaded_ms = monotonic_ms()
+            sim.start_instance("new")
+            async with asyncio.timeout(30):
+                while {task for name, task, _ in _runs(sim) if name != lost} != tasks:
+                    await asyncio.sleep(0.02)
+            hold_ms = LIMITS.confirmation_timeout_ms + longest_ms(LIMITS.lease_ms)
+            assert monotonic_ms() - loaded_ms <= hold_ms + 700
+            assert sim.platform.violations == []
+
+        run_simulation(CellSimulation(0), script)
+
     def test_the_same_records_in_any_order_name_the_same_owner(self) -> None:
         """Guards against limits of an owner that a later owner may have exceeded."""
         records = (
