Start tasks without headroom that a silent worker may have run

Callers see: a long-running task never runs again in a service without headroom if its owner is killed between the first start of its job and the progress record of that, and the worker of the run is lost as well. The time between the two is one write to the store, up to seconds if the store is slow.

Cause: a new owner takes a task for one that never ran if its job has no progress record.

Ruled out: to count every such task as one that may have run. It would free long-running jobs that arrive while there is no owner of the headroom that short tasks need.

Change: a task without a progress record counts as one that may have run if a worker that did not list its runs may have run it. This settles headroom, places and their order only; when the task may be started is asked as before.

Before: test_a_task_of_a_silent_worker_needs_none_though_its_job_has_no_progress_record fails for a silent worker (no start within 13 s); that a task needs headroom if every worker answers held before. Remains: a worker that reboots in the same moment, and so lists nothing.

--- a/src/greengagewood/internal/cells/adoption.py
+++ b/src/greengagewood/internal/cells/adoption.py
@@ -9,6 +9,7 @@
 from greengagewood.internal.cells.boots import Boot, longest_ms
 from greengagewood.internal.cells.registration import tasks_held_back
 from greengagewood.internal.cells.term import Term
+from greengagewood.internal.jobs.records import TaskId
 
 __all__ = ["Adoption"]
 
@@ -23,6 +24,8 @@
         self._term = term
         self._begun_ms = now_ms
         self._report_ms = now_ms + REPORT_DELAY_MS
+        # Tasks that workers may have run which did not list their runs; None for any.
+        self._unlisted_tasks: set[TaskId] | None = set()
 
     def adopt(self, boot: Boot, run_count: int, now_ms: int) -> None:
         """Record that a boot has accepted this owner's token and listed its runs."""
@@ -58,6 +61,7 @@
         unresolved = [b for b in term.boots.values() if b.unlisted_runs(confirmed_ms)]
         if unresolved:
             self._report(unresolved, now_ms)
+            self._note_unlisted(unresolved)
         held_back = tasks_held_back(unresolved, confirmed_ms)
         if held_back is None or term.last_adoption_ms >= confirmed_ms:
             return
@@ -76,7 +80,19 @@
             else:
                 # No worker that answers has listed it since the term began.
                 idle_since_ms = term.idle_since_ms.get(task.id, self._begun_ms)
-                term.book.note_not_running(task, now_ms, min(self._begun_ms, idle_since_ms))
+                may_have_run = self._unlisted_tasks is None or task.id in self._unlisted_tasks
+                term.book.note_not_running(
+                    task, now_ms, min(self._begun_ms, idle_since_ms), may_have_run
+                )
+
+    def _note_unlisted(self, unresolved: list[Boot]) -> None:
+        """Note which tasks the unresolved workers that don't answer may have run."""
+        silent = [boot for boot in unresolved if boot.unresponsive]
+        tasks = tasks_held_back(silent, self._term.confirmed_ms)
+        if tasks is None or self._unlisted_tasks is None:
+            self._unlisted_tasks = None
+        else:
+            self._unlisted_tasks |= tasks
 
     def _report(self, unresolved: list[Boot], now_ms: int) -> None:
         """Report the workers that the adoption waits for, if it has taken long."""
--- a/src/greengagewood/internal/jobs/book.py
+++ b/src/greengagewood/internal/jobs/book.py
@@ -433,14 +433,22 @@
         """Record that a task may not be started yet, though others of its job may be."""
         task.step.job.unstarted_occurrences.discard(task.step.occurrence)
 
-    def note_not_running(self, task: Task, now_ms: int, idle_since_ms: int | None = None) -> None:
+    def note_not_running(
+        self,
+        task: Task,
+        now_ms: int,
+        idle_since_ms: int | None = None,
+        may_have_run: bool = False,
+    ) -> None:
         """Record that no run by an earlier owner can be going on, so the task may be started.
 
-        A run may have ended at `idle_since_ms` already, by default now.
+        A run may have ended at `idle_since_ms` already, by default now. An earlier owner that ended
+        soon after it started the first task of a job has stored no progress of that job. So with
+        `may_have_run`, the task may also have run if there is none.
         """
         if task.maybe_running:
             task.maybe_running = False
-            if task.step.job.maybe_started:
+            if task.step.job.maybe_started or may_have_run:
                 task.last_run_ended_ms = now_ms  # it may have run until now
                 task.idle_since_ms = now_ms if idle_since_ms is None else idle_since_ms
             self.maybe_running_tasks.pop(task, None)
--- a/tests/cover/test_carried_limits.py
+++ b/tests/cover/test_carried_limits.py
@@ -9,6 +9,7 @@
 import os
 import random
 from collections.abc import Iterator
+from dataclasses import replace
 from typing import Any
 
 import pytest
@@ -412,6 +413,40 @@
         orders += cell.plan(now_ms + 1_002, now_ms + 1_002)
         assert len(start_orders(orders)) == 1
 
+    @pytest.mark.parametrize("silent", [False, True])
+    def test_a_task_of_a_silent_worker_needs_none_though_its_job_has_no_progress_record(
+        self, silent: bool
+    ) -> None:
+        """Guards against a task that never runs again as its owner ended right after the start.
+
+        If every worker answers, a run that was lost would have to be one of a worker that has
+        rebooted meanwhile. So a task of a job that has just arrived counts as one that never ran.
+        """
+        now_ms = 100_000
+        cell = Cell(LIMITS, 5, now_ms, last_ordering_token=4)
+        spec = JobSpec("p", (StepSpec(1, cpu_millis=60_000, long_running=True),))
+        cell.add_job(Submission(JOB, QUEUE, spec, 0), None, False, now_ms)
+        names = ("w0", "w1")
+        stored = tuple(RegisteredWorker(name, "10.0.0.1:80", "svc") for name in names)
+        cell.set_registered_workers(RegisteredWorkers(stored, 4), now_ms, now_ms)
+        infos = {"w1": make_worker_info("w1")}
+        if not silent:
+            infos["w0"] = replace(make_worker_info("w0"), cpu_millis=0)
+        starts = []
+        for _ in range(130):
+            now_ms += 100
+            cell.set_workers(infos, now_ms)
+            cell.set_evacuations(Evacuations(frozenset(), 0, now_ms), now_ms)
+            for name in infos:
+                reply = LeaseReply(now_ms - 90_000, 1, (), ())
+                cell.handle_lease_reply(cell.boots[name], reply, now_ms - 1, now_ms)
+            if silent and "w0" in cell.boots:
+                cell.note_lease_failure(cell.boots["w0"], now_ms)
+            cell.note_confirmed(now_ms)
+            store_changes(cell, now_ms)
+            starts.extend(start_orders(cell.plan(now_ms, now_ms)))
+        assert len(starts) == silent
+
 
 class TestGrouping:
     """Long-running tasks that arrive together are placed together, shortly after they arrived."""
