Claim a released cell by the read that shows the release

Callers saw all long-running tasks of a cell end at once at a planned change of owner while the store took 1.2 s a call.

Cause: three more calls of the store stood in series between the last lease extension of the owner that stops and the first one of the next owner. - The release was not stored: its time-out of 1.5 s was over while its append, which had waited for another one, was under way. So others waited for missed heartbeats, 1.4 s and a read. - Once the release is read, a claim waited for another read, sent after the delay of the claim. - Once the claim is stored, the term waited for a read that had been sent before it and ended just too early, or for the one after that. Meanwhile the claim timed out and was sent again. Class: a step that waits for a check which the next step makes anyway.

Ruled out: to store the record of registered workers with the claim. An owner that ends right after its claim could then not be told from one that has extended leases.

Change: the time-out of a release is 2.5 s. An instance whose release took longer than the margin of its grace time takes that off the time for requests in progress, so it still ends in time; before, 1.5 s could exceed the grace time by 0.5 s. A released cell is claimed without another read, as the store appends a claim only where the read has shown the end of the log, and refuses it if anything was stored since; a claim is repeated only after another read. Without a release, a read that is sent once the heartbeat is overdue must still show none. A read that waits for records is sent beside each claim. It confirms the ownership up to when it was sent, as any other.

--- a/src/greengagewood/internal/cells/ownership.py
+++ b/src/greengagewood/internal/cells/ownership.py
@@ -4,7 +4,8 @@
 where the claimant has read up to. So one of two concurrent claims wins, and the store itself
 refuses later writes with a lower token. The owner writes a heartbeat at least every
 `HEARTBEAT_INTERVAL_MS`: any record that only an owner writes is one, but a deletion is not. A
-follower claims the cell when its reads of the log have shown no heartbeat for `OWNER_TIMEOUT_MS`.
+follower claims the cell when its reads of the log have shown no heartbeat for `OWNER_TIMEOUT_MS`. A
+cell that was released it claims by the read that shows the release.
 Instances don't ask each other: an owner that reaches the store is alive, whatever else it can
 reach.
 
@@ -39,6 +40,9 @@
 HEARTBEAT_INTERVAL_MS = 500
 OWNER_TIMEOUT_MS = 1_400  # more than two missed heartbeats and a slow reply of the store
 CLAIM_TIMEOUT_MS = 2_000
+# Of a read that shows a cell without an owner: enough for one that waits for records at a store
+# that takes 1.2 s a call, and then for the delay of the claim.
+MAX_VACANT_READ_AGE_MS = 2_500
 TAKEOVER_CPU_RATIO = 2  # with this many times the owner's CPU, a takeover is worth the pause
 SMALLER_INSTANCE_DELAY_MS = 500  # enough for an instance with more CPU to read and claim first
 MIN_OWNER_AGE_MS = 1_000  # a younger live owner is not replaced: others may still claim or stop
@@ -210,12 +214,25 @@
         if self.state != "following" or self.shutting_down or self._read_sent_ms is None:
             return False
         claim_due_ms = self.claim_due_ms
-        if now_ms - self._read_sent_ms > OWNER_TIMEOUT_MS or claim_due_ms is None:
+        if claim_due_ms is None:
             return False
-        if not self.vacant and self._should_replace_live_owner(now_ms):
+        read_age_ms = now_ms - self._read_sent_ms
+        if self.vacant:
+            # The store refuses a claim if anything was stored since the read, so no other read is
+            # due before it, only before another claim.
+            read_lately = read_age_ms <= MAX_VACANT_READ_AGE_MS
+            return read_lately and now_ms >= claim_due_ms and not self._read_before_claim
+        if read_age_ms > OWNER_TIMEOUT_MS:
+            return False
+        if self._should_replace_live_owner(now_ms):
             return True
         return self._read_sent_ms >= claim_due_ms
 
+    @property
+    def _read_before_claim(self) -> bool:
+        """Return whether the last answered read was sent before the last claim."""
+        return self._read_sent_ms is None or self._read_sent_ms < self._claim_sent_ms
+
     @property
     def vacant(self) -> bool:
         """Return whether the cell never had an owner, or its last owner has released it."""
--- a/src/greengagewood/internal/cells/runner.py
+++ b/src/greengagewood/internal/cells/runner.py
@@ -81,7 +81,9 @@
 STORE_RETRY_PAUSE_S = 0.1
 DELETION_INTERVAL_S = 10.0
 DELETION_MARGIN_MS = 60_000  # wall clocks differ, and callers may ask late
-RELEASE_TIMEOUT_S = 1.5
+# Enough for the append that is under way and that of the release beside a store that takes 1.2 s a
+# call. Others claim the cell meanwhile if they miss its heartbeats.
+RELEASE_TIMEOUT_S = 2.5
 
 _log = Log("cell")
 
--- a/src/greengagewood/internal/entry/node.py
+++ b/src/greengagewood/internal/entry/node.py
@@ -68,6 +68,7 @@
 REFRESH_TIMEOUT_S = 0.3
 OWNERSHIP_INTERVAL_S = 0.05
 CLAIM_CHECK_INTERVAL_S = 0.01
+CLAIM_READ_TIMEOUT_S = 2.0  # as long as a claim that is not answered may still be stored
 # Far more jobs than one instance gets in the minutes in which their callers may repeat them.
 MAX_MAYBE_STORED = 10_000
 
@@ -270,8 +271,11 @@
         self._refresh, self._refresh_sent_ms = refresh, monotonic_ms()
         return refresh
 
-    async def _read_to_end(self, timeout_s: float) -> None:
-        """Read the records that were appended to the store since the last read."""
+    async def _read_to_end(self, timeout_s: float, wait_ms: int = 0) -> None:
+        """Read the records that were appended to the store since the last read.
+
+        The store holds the read for up to `wait_ms` if there are none.
+        """
         if not self._loaded:
             raise StoreUnavailable("the store has not been read yet")
         sent_ms = monotonic_ms()
@@ -279,7 +283,7 @@
         try:
             async with asyncio.timeout(timeout_s):
                 while True:
-                    page = await self._ports.store.read(self.ledger.next_offset, 0)
+                    page = await self._ports.store.read(self.ledger.next_offset, wait_ms)
                     self._apply_page(page, self._last_read_ms)
                     if page.reaches_end:
                         break
@@ -432,25 +436,31 @@
         expected_end = self.ledger.next_offset
         heartbeat_age_ms = self._ownership.heartbeat_age_ms(now_ms)
         entry = (key_of(claim), encode_record(claim))
-        result = await self._ports.store.claim(entry, expected_end, claim.token)
-        _log.info(
-            "claim",
-            token=claim.token,
-            at=expected_end,
-            outcome=result.outcome.value,
-            heartbeat_age_ms=heartbeat_age_ms,
-        )
-        match result.outcome:
-            case Outcome.REFUSED:
-                self._ownership.note_claim_failed()
-            case Outcome.DONE:  # several claims may get this answer; the log shows which one won
-                await self._confirm_claim(claim.token)
+        # It waits for records, so it shows the claim as soon as that is stored.
+        read = asyncio.ensure_future(self._read_to_end(CLAIM_READ_TIMEOUT_S, READ_LONG_POLL_MS))
+        read.add_done_callback(_retrieve_exception)
+        try:
+            result = await self._ports.store.claim(entry, expected_end, claim.token)
+            _log.info(
+                "claim",
+                token=claim.token,
+                at=expected_end,
+                outcome=result.outcome.value,
+                heartbeat_age_ms=heartbeat_age_ms,
+            )
+            match result.outcome:
+                case Outcome.REFUSED:
+                    self._ownership.note_claim_failed()
+                case Outcome.DONE:  # several claims may get this answer; the log shows who won
+                    await self._confirm_claim(claim.token)
+        finally:
+            read.cancel()
         self._read_wakeup.set()
 
     async def _confirm_claim(self, token: int) -> None:
         """Read the log until it shows who won a claim, or for `REFRESH_TIMEOUT_S`.
 
-        The read that waits for records may show it before one that is sent now.
+        The reads that wait for records may show it before one that is sent now.
         """
         read = asyncio.ensure_future(self._read_to_end(REFRESH_TIMEOUT_S))
         read.add_done_callback(_retrieve_exception)
--- a/src/greengagewood/platform/program.py
+++ b/src/greengagewood/platform/program.py
@@ -14,6 +14,7 @@
 from result import Err
 
 from greengagewood.internal.cells.runner import Ports
+from greengagewood.internal.clock import monotonic_ms
 from greengagewood.internal.connections import ConnectionGuard
 from greengagewood.internal.entry import EntryInstance, EntrySettings
 from greengagewood.internal.httplistener import HttpListener
@@ -38,7 +39,8 @@
 OPERATOR_TOPIC = "keyed.op"
 # The load balancer checks readiness every second, and removes an instance after two failed checks.
 DEREGISTRATION_S = 2.6
-SHUTDOWN_MARGIN_S = 1.0  # part of the grace time kept for closing sockets and connections
+SHUTDOWN_MARGIN_S = 1.0  # part of the grace time kept for the release and for closing connections
+CLOSING_TIME_S = 0.3  # of that, for closing sockets and connections
 MAX_CONNECTIONS_PER_WORKER = 12  # a worker accepts 64, which all instances share
 MAX_CONNECTIONS_TO_STORE = 8
 LISTEN_BACKLOG = 1024
@@ -97,8 +99,9 @@
     await stop_requested.wait()
     _log.info("stopping")
     frontend.draining = True
+    stopping_ms = monotonic_ms()
     await instance.release_cell()
-    await _drain(caller_listener, cfg.bounds.grace_s)
+    await _drain(caller_listener, cfg.bounds.grace_s, (monotonic_ms() - stopping_ms) / 1000)
     for listener in listeners:
         await listener.close()
     await instance.stop()
@@ -107,8 +110,12 @@
     _log.info("stopped")
 
 
-async def _drain(listener: HttpListener, grace_s: float) -> None:
-    """Wait until the load balancer sends no more requests and every connection is idle."""
+async def _drain(listener: HttpListener, grace_s: float, elapsed_s: float) -> None:
+    """Wait until the load balancer sends no more requests and every connection is idle.
+
+    A release of the cell that took long leaves less of the grace time.
+    """
+    grace_s -= max(0.0, elapsed_s - SHUTDOWN_MARGIN_S + CLOSING_TIME_S)
     await asyncio.sleep(min(DEREGISTRATION_S, grace_s / 2))
     await listener.stop_accepting()
     if not await listener.wait_until_idle(max(0.0, grace_s - DEREGISTRATION_S - SHUTDOWN_MARGIN_S)):
--- a/tests/cover/test_owner_view.py
+++ b/tests/cover/test_owner_view.py
@@ -73,6 +73,33 @@
         view.note_read(1, 1)
         assert view.should_claim(1)
 
+    def test_a_released_cell_is_claimed_by_the_read_that_shows_the_release(self) -> None:
+        """Guards against one more call of a slow store before each claim."""
+        view = _view(200)
+        view.note_record(Ownership(3, "other", released=True), 1_300)
+        view.note_read(100, 1_300)
+        assert not view.should_claim(1_499)
+        assert view.should_claim(1_500)
+
+    def test_a_released_cell_is_not_claimed_by_an_instance_that_cannot_read(self) -> None:
+        """Guards against an owner that is suspended at once, as its reads fail."""
+        view = _view(200)
+        view.note_record(Ownership(3, "other", released=True), 10)
+        view.note_read(5, 10)
+        assert view.should_claim(1_000)
+        assert not view.should_claim(3_000)
+
+    def test_a_claim_is_repeated_only_after_another_read(self) -> None:
+        """Guards against claims that the store refuses, as the log has gone on."""
+        view = _view()
+        view.note_record(Ownership(3, "other", released=True), 10)
+        view.note_read(5, 10)
+        view.make_claim(20)
+        view.note_claim_failed()
+        assert not view.should_claim(1_200)
+        view.note_read(1_000, 1_200)
+        assert view.should_claim(1_200)
+
     def test_the_claim_in_the_log_wins(self) -> None:
         view = _view()
         view.make_claim(0)
