End the search for new workers where none joins

Callers see nothing; the platform prices calls.

Change: the search goes on for 5 s from when tasks begin to wait for room, and from each new worker. Then the directory is read each 0.15 s, as before.

Before: test_the_search_for_new_workers_ends_where_none_joins fails (over 10 reads a second).

--- a/src/greengagewood/internal/cells/runner.py
+++ b/src/greengagewood/internal/cells/runner.py
@@ -76,6 +76,7 @@
 # While long-running tasks wait for room, which new workers bring, or a worker may have left.
 SHORT_DIRECTORY_INTERVAL_S = 0.15
 NEW_WORKER_INTERVAL_S = 0.025  # between reads in search of new workers alone, while tasks wait
+NEW_WORKER_SEARCH_MS = 5_000  # since tasks began to wait, or there was the last new worker
 MAX_PLAN_INTERVAL_S = 0.05
 PLAN_SLICE_MS = 10  # heartbeats, leases and stops go on between the slices of a long plan
 MIN_PLAN_INTERVAL_S = 0.01  # so that run ends that arrive together lead to one plan
@@ -121,6 +122,7 @@
         self._plan_wakeup = asyncio.Event()
         self._urgent_changes = asyncio.Event()
         self._directory_wakeup = asyncio.Event()  # ends the pause before the next read of it
+        self._new_worker_search_end_ms: int | None = None  # None while no task waits for room
         self._changes_stored = asyncio.Event()  # replaced each time that it is set
         self._tasks: set[asyncio.Task[None]] = set()
         self._calls: dict[asyncio.Task[None], Order] = {}  # the orders that are being carried out
@@ -468,11 +470,12 @@
             self._metrics.count("directory_failures")
             self.cell.note_directory_unavailable()
         else:
+            self._update_new_worker_search(listed)
             self._apply_directory(listed, sent_ms)
         self._update_lease_tasks()  # without the directory, too: for the recorded workers
         self._directory_wakeup.clear()
-        if listed is not None and self.cell.planner.places.is_short:
-            await self._watch_for_new_workers()
+        if listed is not None and monotonic_ms() < (self._new_worker_search_end_ms or 0):
+            await self._search_for_new_workers()
             return
         await asyncio.sleep(SHORT_DIRECTORY_INTERVAL_S)
         if not self.cell.planner.places.is_short and not self.cell.awaits_departures:
@@ -489,7 +492,14 @@
         self._metrics.gauge("evacuated_workers", self.cell.evacuated_worker_count)
         self._plan_wakeup.set()
 
-    async def _watch_for_new_workers(self) -> None:
+    def _update_new_worker_search(self, listed: dict[str, WorkerInfo]) -> None:
+        """Decide until when to search for new workers; they rarely come alone."""
+        if not self.cell.planner.places.is_short:
+            self._new_worker_search_end_ms = None
+        elif self._new_worker_search_end_ms is None or self.cell.lists_new_room(listed):
+            self._new_worker_search_end_ms = monotonic_ms() + NEW_WORKER_SEARCH_MS
+
+    async def _search_for_new_workers(self) -> None:
         """Read the directory until it lists new room, or all of it is to be applied again.
 
         A new worker stands empty until it is known, and what it lists is cheap to compare.
@@ -504,6 +514,7 @@
                 await asyncio.sleep(SHORT_DIRECTORY_INTERVAL_S)
                 return
             if self.cell.lists_new_room(listed):
+                self._update_new_worker_search(listed)
                 self._apply_directory(listed, sent_ms)
                 self._update_lease_tasks()
                 return
--- a/tests/cover/test_new_workers_and_outages.py
+++ b/tests/cover/test_new_workers_and_outages.py
@@ -1,4 +1,4 @@
-"""What the search for new workers costs while the store refuses the reads of the directory."""
+"""What the search for new workers costs while none joins, or the store refuses the reads."""
 
 from __future__ import annotations
 
@@ -13,6 +13,7 @@
 from tests.cover.test_new_workers import JOB, SPEC, TASK_COUNT
 
 MAX_REFUSED_READS_PER_S = 10  # the platform prices refused calls
+MAX_READS_PER_S = 10  # the platform prices calls
 
 
 class TestRefusedReads:
@@ -48,3 +49,36 @@
             assert refused <= 2 * MAX_REFUSED_READS_PER_S
 
         run_simulation(CellSimulation(1, worker_count=TASK_COUNT), script)
+
+
+class TestSearch:
+    """Guard against an owner that reads the directory without end while a task fits nowhere."""
+
+    def test_the_search_for_new_workers_ends_where_none_joins(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        reads = 0
+        refresh = SimDirectory.refresh
+
+        async def count(directory: SimDirectory) -> dict[str, WorkerInfo]:
+            nonlocal reads
+            reads += 1
+            return await refresh(directory)
+
+        monkeypatch.setattr(SimDirectory, "refresh", count)
+
+        async def script(sim: CellSimulation) -> None:
+            nonlocal reads
+            await sim.submit(JOB, "serve", JobSpec("watch", (SPEC,)))
+            await asyncio.sleep(3)
+            name = sorted(sim.platform.workers)[0]
+            sim.platform.drain(name)
+            await asyncio.sleep(2)
+            sim.platform.leave(name)
+            await asyncio.sleep(7)
+            reads = 0
+            await asyncio.sleep(2)
+            assert reads <= 2 * MAX_READS_PER_S
+            assert len(sim.platform.running_tasks()) == TASK_COUNT - 1
+
+        run_simulation(CellSimulation(1, worker_count=TASK_COUNT), script)
