Wait for a claim under way when a native scheduler stops

Callers saw the jobs of a cell stand still until the other schedulers suspected the owner (3 s by default), if a scheduler stopped while its claim was under way: once the claim was stored, the cell had an owner that was gone.

Cause: `Scheduler.stop` waited only for cells that it knew to own, by their epoch, which is set when the claim is read back. Class: a state in between was taken for its beginning.

Ruled out: the owner itself. It releases the cell as soon as it reads its claim, if it is still asked to plan.

Change: the stop waits for claims under way, too, within the same 5 s: until the claim is read back and released, or is lost, or its append fails.

Remains: a claim whose append was reported as failed, but is stored later, is released only if it is read back before the stop ends.

Measured: test_ownership, test_native_owner_cut_off, test_native_evacuation, test_native_cancel_roads, test_callers_border and test_workers_border: 65 passed. test_native_owner_changes: 2 passed, 1 failed as before.

--- a/src/greengagewood/internal/owner.py
+++ b/src/greengagewood/internal/owner.py
@@ -279,6 +279,11 @@
         self._release_requested = True
         self._release_append_due = True
 
+    @property
+    def may_own(self) -> bool:
+        """Return whether this scheduler owns the cell, or has a claim of it under way."""
+        return bool(self.epoch) or self.state == "claiming"
+
     # Decisions.
 
     def plan(self, now_ms: int, view: ClusterView) -> list[Command]:
--- a/src/greengagewood/internal/scheduler.py
+++ b/src/greengagewood/internal/scheduler.py
@@ -110,16 +110,19 @@
             self._loops.append(asyncio.ensure_future(loop()))
 
     async def stop(self) -> None:
-        """Release every cell, so that another scheduler can claim it at once, and close."""
+        """Release every cell, so that another scheduler can claim it at once, and close.
+
+        A claim that is under way is awaited, as its cell has no other owner once it is stored.
+        """
         for owner in self._owners.values():
             owner.release()
         try:
             async with asyncio.timeout(RELEASE_TIMEOUT_S):
-                while any(owner.epoch for owner in self._owners.values()):
+                while any(owner.may_own for owner in self._owners.values()):
                     await asyncio.sleep(TICK_INTERVAL_S)
         except TimeoutError:
             _log.warning(
-                "cells not released", cells=[c for c, o in self._owners.items() if o.epoch]
+                "cells not released", cells=[c for c, o in self._owners.items() if o.may_own]
             )
         for loop in self._loops:
             loop.cancel()
