--- a/src/greengagewood/internal/cells/waits.py
+++ b/src/greengagewood/internal/cells/waits.py
@@ -59,7 +59,7 @@
         if held:
             fields = {"task": held[0].id, "reason": "adoption", "unreported": len(held) - 1}
             yield "task_waits", fields
-        for service in {self._planner.queue_of(task.step.job).service for task in waiting}:
+        for service in sorted({self._planner.queue_of(task.step.job).service for task in waiting}):
             yield "service_room", self._describe_service(service, usable.get(service, []), now_ms)
 
     def _describe_service(
