Share the steps of the tests of new workers

Four tests started one task on each worker and let one worker leave, each with its own copy. start_tasks, lose_worker and _empty_s serve all of them. The assertions stay; two tests now check, too, that all tasks have started.

--- a/tests/cover/test_new_workers.py
+++ b/tests/cover/test_new_workers.py
@@ -18,12 +18,25 @@
 CHECK_INTERVAL_S = 0.005
 
 
-async def _empty_s(sim: CellSimulation) -> float:
-    """Add a worker; return for how long nothing runs there."""
+async def start_tasks(sim: CellSimulation) -> None:
+    """Start one task on each worker."""
+    await sim.submit(JOB, "serve", JobSpec("watch", (SPEC,)))
+    await asyncio.sleep(3)
+    assert len(sim.platform.running_tasks()) == TASK_COUNT
+
+
+async def lose_worker(sim: CellSimulation) -> None:
+    """Let a worker drain and leave, so that its task waits for room."""
+    sim.platform.drain("w0")
+    await asyncio.sleep(2)
+    sim.platform.leave("w0")
+
+
+async def _empty_s(sim: CellSimulation, name: str) -> float:
+    """Return for how long nothing runs on a worker from now on."""
     loop = asyncio.get_running_loop()
-    sim.platform.add_worker("new")
     begun_s = loop.time()
-    while not sim.platform.workers["new"].runs:
+    while not sim.platform.workers[name].runs:
         await asyncio.sleep(CHECK_INTERVAL_S)
     return loop.time() - begun_s
 
@@ -36,15 +49,11 @@
         self, after_s: float
     ) -> None:
         async def script(sim: CellSimulation) -> None:
-            await sim.submit(JOB, "serve", JobSpec("watch", (SPEC,)))
-            await asyncio.sleep(3)
-            assert len(sim.platform.running_tasks()) == TASK_COUNT
-            name = sorted(sim.platform.workers)[0]
-            sim.platform.drain(name)
-            await asyncio.sleep(2)
-            sim.platform.leave(name)
+            await start_tasks(sim)
+            await lose_worker(sim)
             await asyncio.sleep(after_s)
-            assert await _empty_s(sim) < LONGEST_EMPTY_S
+            sim.platform.add_worker("new")
+            assert await _empty_s(sim, "new") < LONGEST_EMPTY_S
             assert sim.platform.violations == []
 
         run_simulation(CellSimulation(1, worker_count=TASK_COUNT), script)
@@ -60,8 +69,7 @@
     ) -> None:
         async def script(sim: CellSimulation) -> None:
             platform = sim.platform
-            await sim.submit(JOB, "serve", JobSpec("watch", (SPEC,)))
-            await asyncio.sleep(3)
+            await start_tasks(sim)
             platform.add_worker("spare")
             spare = platform.workers["spare"]
             size = spare.capacity
@@ -75,9 +83,7 @@
                     spare.capacity = (SPEC.cpu_millis // 2, size[1])
                     spare.info = replace(spare.info, cpu_millis=spare.capacity[0])
             await asyncio.sleep(1)
-            platform.drain("w0")
-            await asyncio.sleep(2)
-            platform.leave("w0")
+            await lose_worker(sim)
             await asyncio.sleep(after_s)
             match kind:
                 case "rebooted":
@@ -87,10 +93,7 @@
                 case "grown":
                     spare.capacity = size
                     spare.info = replace(spare.info, cpu_millis=size[0])
-            begun_s = asyncio.get_running_loop().time()
-            while not platform.workers["spare"].runs:
-                await asyncio.sleep(CHECK_INTERVAL_S)
-            assert asyncio.get_running_loop().time() - begun_s < LONGEST_EMPTY_S
+            assert await _empty_s(sim, "spare") < LONGEST_EMPTY_S
             assert platform.violations == []
 
         run_simulation(CellSimulation(1, worker_count=TASK_COUNT), script)
--- a/tests/cover/test_new_workers_and_outages.py
+++ b/tests/cover/test_new_workers_and_outages.py
@@ -6,11 +6,10 @@
 
 import pytest
 
-from greengagewood.internal.jobs.model import JobSpec
 from greengagewood.internal.ports import StoreUnavailable, WorkerInfo
 from tests.common.drive import CellSimulation, run_simulation
 from tests.common.plant import SimDirectory
-from tests.cover.test_new_workers import JOB, SPEC, TASK_COUNT
+from tests.cover.test_new_workers import TASK_COUNT, lose_worker, start_tasks
 
 MAX_REFUSED_READS_PER_S = 10  # the platform prices refused calls
 MAX_READS_PER_S = 10  # the platform prices calls
@@ -36,13 +35,8 @@
         monkeypatch.setattr(SimDirectory, "refresh", count_refused)
 
         async def script(sim: CellSimulation) -> None:
-            await sim.submit(JOB, "serve", JobSpec("watch", (SPEC,)))
-            await asyncio.sleep(3)
-            assert len(sim.platform.running_tasks()) == TASK_COUNT
-            name = sorted(sim.platform.workers)[0]
-            sim.platform.drain(name)
-            await asyncio.sleep(2)
-            sim.platform.leave(name)
+            await start_tasks(sim)
+            await lose_worker(sim)
             await asyncio.sleep(2)
             sim.platform.faults.directory_unreadable_to = set(sim.instances)
             await asyncio.sleep(2)
@@ -69,12 +63,8 @@
 
         async def script(sim: CellSimulation) -> None:
             nonlocal reads
-            await sim.submit(JOB, "serve", JobSpec("watch", (SPEC,)))
-            await asyncio.sleep(3)
-            name = sorted(sim.platform.workers)[0]
-            sim.platform.drain(name)
-            await asyncio.sleep(2)
-            sim.platform.leave(name)
+            await start_tasks(sim)
+            await lose_worker(sim)
             await asyncio.sleep(7)
             reads = 0
             await asyncio.sleep(2)
