--- a/review/entry_lab.py
+++ b/review/entry_lab.py
@@ -1,7 +1,7 @@
 """Run ggw-entry instances beside the project's stand-ins, as processes on loopback addresses.
 
 The instances are started with the command and the settings template of `deploy/system.toml`. Each
-reaches the store through a proxy of its own, so that one instance can lose the store alone.
+reaches the store through a proxy of its own, so that the store can treat one of them differently.
 """
 
 from __future__ import annotations
@@ -71,7 +71,7 @@
 
 
 class StoreLink:
-    """A TCP proxy between one instance and the store, which can go silent.
+    """A TCP proxy between one instance and the store.
 
     It connects from the address of the instance, by which the stand-in of the store tells its
     callers apart.
@@ -79,7 +79,6 @@
 
     def __init__(self, listen: str, target: str, source: str) -> None:
         self._listen, self._target, self._source = listen, target, source
-        self.silent = False  # whether neither calls nor answers pass
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task[None]] = set()
 
@@ -105,9 +104,8 @@
     async def _forward(self, source: asyncio.StreamReader, sink: asyncio.StreamWriter) -> None:
         with contextlib.suppress(OSError):
             while data := await source.read(65_536):
-                if not self.silent:
-                    sink.write(data)
-                    await sink.drain()
+                sink.write(data)
+                await sink.drain()
         sink.close()
 
     async def close(self) -> None:
@@ -359,16 +357,6 @@
             events.extend(_lines(path))
         return sorted(events, key=lambda event: float(event["t"]))
 
-    def processor_seconds(self) -> dict[str, float]:
-        """Return the processor time that each process has used."""
-        ticks = os.sysconf("SC_CLK_TCK")
-        used = {}
-        for name, process in self.processes.items():
-            fields = Path(f"/proc/{process.pid}/stat").read_text(encoding="utf-8")
-            user, system = fields.rpartition(")")[2].split()[11:13]
-            used[name] = round((int(user) + int(system)) / ticks, 1)
-        return used
-
     def logs(self, event: str) -> list[dict[str, Any]]:
         """Return the log lines of all instances with this event."""
         found = []
