Review case 11: waiting tasks take the memory of every owner over its limit

Cause: JobBook.open_occurrence creates an object of about 330 bytes for each task of each job at once, and nothing bounds how many a cell holds. 60 jobs of 20,000 tasks that can never start take 400 MB; the sheets' machines have 300 MB, and each next owner takes up the same jobs.

The cases are numbered by gravity: the lasting tasks that fail are case 12 now, the withdrawn job case 13.

--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Builds what the scripts of cases 11 and 12 start: the project's stand-ins and those of this review.
+# Builds what the scripts of cases 11 to 13 start: the project's stand-ins and those of this review.
 # They need the dependencies that the build of deploy/system.toml puts into target/deps, no others.
 set -euo pipefail
 cd "$(dirname "$0")/.."
