--- a/review/entry_lab.py
+++ b/review/entry_lab.py
@@ -28,7 +28,7 @@
 
 ROOT = Path(__file__).resolve().parent.parent
 HOST = "queue.example"
-PREFIX = "/work/"
+PREFIX = "/conv-check/"
 SERVICE = "compute"
 STORE_PORT, STORE_ADMIN_PORT, WORKER_PORT = 8169, 8170, 8300
 FRONTEND_PORT, READY_PORT, CONTROL_PORT = 8161, 8167, 8166
