Report the room of a service beside jobs that have nothing running

Change: service_room is also written while a job has had nothing running at two looks 2 s apart, with the number of such jobs (idle_jobs).

--- a/src/greengagewood/internal/cells/waits.py
+++ b/src/greengagewood/internal/cells/waits.py
@@ -1,7 +1,8 @@
-"""Tell what long-running tasks that have lost their runs wait for.
+"""Tell what long-running tasks that have lost their runs, and jobs without any run, wait for.
 
 The load: workers leave a full service, and their long-running tasks have to be started elsewhere
-within seconds. This module does no I/O and reads no clock, and decides nothing.
+within seconds; or tasks that always fail take the room, or the workers, of other jobs. This module
+does no I/O and reads no clock, and decides nothing.
 """
 
 from __future__ import annotations
@@ -12,7 +13,7 @@
 from greengagewood.internal.cells.boots import Boot, Resources
 from greengagewood.internal.cells.placement import leaves_headroom, meets_constraints
 from greengagewood.internal.cells.planner import Planner
-from greengagewood.internal.jobs.book import JobBook, Task
+from greengagewood.internal.jobs.book import Job, JobBook, Task
 
 __all__ = ["REPORT_INTERVAL_MS", "WaitReports"]
 
@@ -28,6 +29,7 @@
         self._boots = boots
         self._planner = planner
         self._reported_ms: int | None = None
+        self._idle_jobs: dict[Job, None] = {}  # that waited without a run at the last report
 
     def due(self, now_ms: int) -> Iterator[tuple[str, dict[str, object]]]:
         """Yield the events that are due with their fields, those of the longest waits first."""
@@ -52,15 +54,32 @@
         ]
         waiting.sort(key=lambda task: task.last_run_ended_ms)
         unreported = max(0, len(waiting) - MAX_REPORTS)
-        usable = self._usable_boots(now_ms) if waiting else {}
+        idle_jobs = self._find_idle_jobs(now_ms)
+        # A job may have no run for a moment between two steps.
+        idle = [job for job in idle_jobs if job in self._idle_jobs]
+        self._idle_jobs = idle_jobs
+        usable = self._usable_boots(now_ms) if waiting or idle else {}
         for task in waiting[:MAX_REPORTS]:
             boots = usable.get(self._planner.queue_of(task.step.job).service, [])
             yield "task_waits", _describe(task, boots, now_ms) | {"unreported": unreported}
         if held:
             fields = {"task": held[0].id, "reason": "adoption", "unreported": len(held) - 1}
             yield "task_waits", fields
-        for service in sorted({self._planner.queue_of(task.step.job).service for task in waiting}):
-            yield "service_room", self._describe_service(service, usable.get(service, []), now_ms)
+        idle_counts = Counter(self._planner.queue_of(job).service for job in idle)
+        services = {self._planner.queue_of(task.step.job).service for task in waiting}
+        for service in sorted(services.union(idle_counts)):
+            room = self._describe_service(service, usable.get(service, []), now_ms)
+            yield "service_room", room | {"idle_jobs": idle_counts[service]}
+
+    def _find_idle_jobs(self, now_ms: int) -> dict[Job, None]:
+        """Return the jobs of which nothing runs and tasks wait that are not long-running."""
+        return {
+            step.job: None
+            for step in self._book.waiting_steps
+            if not step.spec.long_running
+            and not step.job.active_run_count
+            and now_ms - step.job.arrived_ms >= REPORT_INTERVAL_MS
+        }
 
     def _describe_service(
         self, service: str, usable: Sequence[Boot], now_ms: int
--- a/tests/cover/test_room.py
+++ b/tests/cover/test_room.py
@@ -368,3 +368,14 @@
         assert (room["new_tasks"], room["new_cpu"]) == (1, half.cpu_millis)
         assert room["lasting_cpu"] == half.cpu_millis
         assert room["widest_gap"] == service.harness.worker_infos[right].cpu_millis - 40_000
+
+    def test_a_job_that_has_nothing_running_is_reported_beside_the_room(self) -> None:
+        service = _FullService(1, 60_000, waiting=0)
+        for boot in service.harness.cell.boots.values():
+            boot.back_off_after_failures(service.harness.now_ms, 60_000, 60_000)
+        service.submit(service.narrow)
+        for _ in range(140):
+            service.tick()
+        reports = [fields for name, fields in service.events if name == "service_room"]
+        assert [room["idle_jobs"] for room in reports] == [1, 1]
+        assert reports[0]["unusable_workers"] == {"backoff": 1}
