Tell steps that always fail from workers that fail all they start

Cause: a failed run counts against its worker, whoever is at fault. Three failures close a worker for 1 s, doubling to 8 s, so that failing tasks, restarted at once and for ever, kept 23 or 24 of 24 workers closed. Ruled out: that room kept for the tasks alone holds the jobs back (hardly any worker is usable), and the rate of starts (61 a second).

Change: a step that fails on several workers, for as long as a success takes, without one, is broken: its failures count against no worker. Long-running tasks that fail soon after each start are restarted after up to 2 s, hold no place meanwhile, and the next owner knows of it.

test_cell.py asserted that one failing long-running task closes every worker for ordinary tasks, which is the fault. Its bound of 2 s and what it says of closed workers stay; the workers are now closed by the test itself.

--- a/src/greengagewood/internal/cells/adoption.py
+++ b/src/greengagewood/internal/cells/adoption.py
@@ -84,11 +84,13 @@
                 term.book.note_held_back(task)
             else:
                 # No worker that answers has listed it since the term began.
-                idle_since_ms = term.idle_since_ms.get(task.id, self._begun_ms)
+                known_ms = term.idle_since_ms.get(task.id)
+                idle_since_ms = self._begun_ms if known_ms is None else known_ms
                 may_have_run = self._unlisted_tasks is None or task.id in self._unlisted_tasks
                 term.book.note_not_running(
                     task, now_ms, min(self._begun_ms, idle_since_ms), may_have_run
                 )
+                term.failures.resume_delay(task, known_ms, self._begun_ms)
 
     def _note_unlisted(self, unresolved: list[Boot]) -> None:
         """Note which tasks the unresolved workers that don't answer may have run."""
--- a/src/greengagewood/internal/cells/boots.py
+++ b/src/greengagewood/internal/cells/boots.py
@@ -18,6 +18,7 @@
 from collections import deque
 from dataclasses import dataclass, field, replace
 
+from greengagewood.internal.attribution import FailureHistory
 from greengagewood.internal.chart import load_chart
 from greengagewood.internal.jobs.book import Run, Task
 from greengagewood.internal.jobs.model import StepSpec
@@ -208,8 +209,11 @@
     refusing: Backoff = field(default_factory=Backoff)  # starts, whatever its room
     failing: Backoff = field(default_factory=Backoff)  # runs
     backed_off: bool = False  # whether either was going on at the last plan
-    # Whether each of the latest runs succeeded, the newest last.
-    recent_outcomes: deque[bool] = field(default_factory=lambda: deque(maxlen=8))
+    # Of the latest runs, the newest last: the failures of a step, or None if the run succeeded.
+    recent_outcomes: deque[FailureHistory[Boot] | None] = field(
+        default_factory=lambda: deque(maxlen=8)
+    )
+    closed_by: tuple[FailureHistory[Boot], ...] = ()  # the failures for which it last backed off
     # Share of its CPU that each best-effort image used in the last reading.
     best_effort_shares: dict[str, float] = field(default_factory=dict)
     min_slack: float = 0.0  # the lowest slack of its serving tasks in the last reading
@@ -573,17 +577,42 @@
 
     # Failures.
 
-    def note_outcome(self, succeeded: bool) -> None:
-        """Record whether a run succeeded."""
-        self.recent_outcomes.append(succeeded)
-        if succeeded:
-            self.failing.length_ms = 0
+    def note_success(self) -> None:
+        """Record that a run has succeeded."""
+        self.recent_outcomes.append(None)
+        self.failing.length_ms = 0
+
+    def note_failure(self, failures: FailureHistory[Boot]) -> None:
+        """Record that a run has failed, with the failures of its step."""
+        self.recent_outcomes.append(failures)
+
+    def failures_since_success(self) -> tuple[FailureHistory[Boot], ...]:
+        """Return the latest failures; none if there is a success among the latest outcomes."""
+        failures = tuple(outcome for outcome in self.recent_outcomes if outcome is not None)
+        return failures if len(failures) == len(self.recent_outcomes) else ()
 
     def back_off_after_failures(self, now_ms: int, first_ms: int, longest_ms: int) -> None:
         """Place no run here for a time that doubles until a run succeeds."""
         self.failing.begin(now_ms, first_ms, longest_ms)
+        self.closed_by = self.failures_since_success()
         self.recent_outcomes.clear()
 
+    def withdraw_failures(self, failures: FailureHistory[Boot], needed: int) -> bool:
+        """Forget the failures of a step that fails on every worker.
+
+        Return whether this ends a backoff, as less than `needed` other failures have led to it.
+        """
+        kept: list[FailureHistory[Boot] | None]
+        kept = [outcome for outcome in self.recent_outcomes if outcome is not failures]
+        others = [other for other in self.closed_by if other is not failures]
+        ends = len(others) < min(needed, len(self.closed_by))
+        self.closed_by = () if ends else tuple(others)
+        if ends:
+            self.failing = Backoff()
+            kept = [*others, *kept]
+        self.recent_outcomes = deque(kept, self.recent_outcomes.maxlen)
+        return ends
+
     def back_off_after_refusal(self, now_ms: int, first_ms: int, longest_ms: int) -> None:
         """Place no run here for a time that doubles until a start is accepted."""
         if now_ms >= self.refusing.until_ms:  # not another start of the same attempt
--- a/src/greengagewood/internal/cells/cell.py
+++ b/src/greengagewood/internal/cells/cell.py
@@ -27,13 +27,14 @@
 from greengagewood.internal.cells.boots import Boot, longest_ms
 from greengagewood.internal.cells.changes import ChangeLog
 from greengagewood.internal.cells.crashes import CrashTracker
-from greengagewood.internal.cells.forecast import LoadObserver
-from greengagewood.internal.cells.latestarts import LateStarts
-from greengagewood.internal.cells.lists import (
+from greengagewood.internal.cells.failures import (
     FIRST_WORKER_BACKOFF_MS,
     LONGEST_WORKER_BACKOFF_MS,
-    RunLists,
+    FailureTracker,
 )
+from greengagewood.internal.cells.forecast import LoadObserver
+from greengagewood.internal.cells.latestarts import LateStarts
+from greengagewood.internal.cells.lists import RunLists
 from greengagewood.internal.cells.orders import (
     Changes,
     Order,
@@ -90,14 +91,18 @@
             + limits.confirmation_timeout_ms
             + longest_ms(limits.lease_ms)
         )
+        failures = FailureTracker(
+            self.book, self.boots, lambda event, fields: self.term.emit(event, fields)
+        )
         self.term = Term(
             limits,
             token,
             self.book,
             self.boots,
             self.planner,
-            StopPlanner(self.boots, self.planner),
+            StopPlanner(self.boots, self.planner, failures),
             CrashTracker(self.book, lambda event, fields: self.term.emit(event, fields)),
+            failures,
             LateStarts(limits.lease_ms),
             earlier_orders_expiry_ms,
             token - 1 if last_ordering_token is None else last_ordering_token,
@@ -335,8 +340,10 @@
         if run is run.task.copy:
             run.task.was_copied = False  # another worker may take it
         self.term.end_run(boot, run, "refused", now_ms)
-        run.task.not_before_ms = now_ms + REFUSAL_DELAY_MS
-        if reason in ("unhealthy", "invalid"):
+        run.task.not_before_ms = max(run.task.not_before_ms, now_ms + REFUSAL_DELAY_MS)
+        if reason == "unhealthy" or (
+            reason == "invalid" and self.term.failures.note_invalid_start(boot, run, now_ms)
+        ):
             boot.back_off_after_refusal(now_ms, FIRST_WORKER_BACKOFF_MS, LONGEST_WORKER_BACKOFF_MS)
         elif reason == "unreachable":
             boot.not_before_ms = max(boot.not_before_ms, now_ms + FIRST_WORKER_BACKOFF_MS)
--- a/src/greengagewood/internal/cells/lists.py
+++ b/src/greengagewood/internal/cells/lists.py
@@ -25,10 +25,6 @@
 
 __all__ = ["RunLists"]
 
-FIRST_WORKER_BACKOFF_MS = 1_000  # each backoff is twice as long as the last, until a success
-LONGEST_WORKER_BACKOFF_MS = 8_000
-FAILURES_BEFORE_BACKOFF = 3  # among a worker's last eight outcomes, with no success among them
-
 
 class RunLists:
     """The lists that the boots of a cell's workers send in answer to lease extensions."""
@@ -143,6 +139,8 @@
         run.listed_ms = now_ms
         if not run.outlived and outlives(run, boot, now_ms):
             term.crashes.handle_outlived(boot, run)
+        if task.step.spec.long_running:
+            term.failures.note_listed(boot, run, now_ms)
         if run is not task.copy:  # a copy may be behind the first run
             term.book.note_checkpoint(task, listed_run.checkpoint)
         if not listed_run.measured:
@@ -244,13 +242,13 @@
         step = task.step
         self._report_end(boot, end)
         if end.result == "done" and not step.spec.long_running:
-            boot.note_outcome(True)
+            term.failures.note_success(boot, task, run, now_ms)
             term.book.note_task_done(task, now_ms)
             return
         if task.end_state or step.job.is_final:
             return
         if end.result == "failed":
-            self._handle_failed(boot, task, end, now_ms)
+            self._handle_failed(boot, task, run, end, now_ms)
         if not task.maybe_running:
             term.queue_again(task)
 
@@ -271,15 +269,11 @@
             {"task": task.id, "run": run.number, "worker": run.worker_id},
         )
 
-    def _handle_failed(self, boot: Boot, task: Task, end: RunEnd, now_ms: int) -> None:
+    def _handle_failed(
+        self, boot: Boot, task: Task, run: Run | None, end: RunEnd, now_ms: int
+    ) -> None:
         term = self._term
-        boot.note_outcome(False)
-        if sum(not ok for ok in boot.recent_outcomes) >= FAILURES_BEFORE_BACKOFF and not any(
-            boot.recent_outcomes
-        ):
-            boot.back_off_after_failures(now_ms, FIRST_WORKER_BACKOFF_MS, LONGEST_WORKER_BACKOFF_MS)
-            term.emit("worker_shunned", {"worker": boot.name, "for_ms": boot.failing.length_ms})
-        task.failed_workers = (*task.failed_workers, boot.name)[-4:]
+        term.failures.note_failed_run(boot, task, run, now_ms)
         attempts = term.planner.queue_of(task.step.job).max_attempts
         term.book.note_run_failed(task, end.run_number, attempts, now_ms)
         if task.step.job.state == "failed":
--- a/src/greengagewood/internal/cells/places.py
+++ b/src/greengagewood/internal/cells/places.py
@@ -62,6 +62,7 @@
         self._updated_ms: int | None = None
         self._usable: set[Boot] = set()  # boots on which places could be kept by the last update
         self.is_short = False  # whether a task that has lost its run has no place
+        self.has_delayed = False  # whether a task that has lost its run is not to be started yet
 
     def __len__(self) -> int:
         return len(self._places)
@@ -178,12 +179,20 @@
                 break
 
     def _waiting_tasks(self, queue_of: Callable[[Step], Queue], now_ms: int) -> Iterator[Task]:
-        """Yield the tasks that have lost their runs and may be started anywhere."""
+        """Yield the tasks that have lost their runs and may be started anywhere now.
+
+        No place is kept for one that fails at each start while it waits for the next one.
+        """
+        self.has_delayed = False
         for step in self._book.waiting_steps:
             if needs_place(step, queue_of(step)):
                 for task in step.waiting_tasks:
                     is_free = not task.crashes or may_be_tried_anywhere(task, now_ms)
-                    if task.last_run_ended_ms and is_free:
+                    if not task.last_run_ended_ms or not is_free:
+                        continue
+                    if task.delayed_until_ms > now_ms:
+                        self.has_delayed = True
+                    else:
                         yield task
 
     def _leaving_tasks(self, queue_of: Callable[[Step], Queue]) -> Iterator[Task]:
@@ -211,7 +220,8 @@
         due: dict[Boot, list[_Place]] = {}
         for task, place in self._places.items():
             if task.run is None and not place.free:
-                due_ms = min(place.since_ms + LONGEST_KEPT_MS, task.idle_since_ms + LONGEST_IDLE_MS)
+                idle_ms = task.startable_since_ms + LONGEST_IDLE_MS
+                due_ms = min(place.since_ms + LONGEST_KEPT_MS, idle_ms)
                 if now_ms >= due_ms:
                     due.setdefault(place.boot, []).append(place)
         return {
@@ -242,9 +252,9 @@
 def _order(task: Task) -> tuple[bool, int, int, int, int]:
     """Return the sort key of a task: without a run first, of these by the time without one."""
     spec = task.step.spec
-    lost_at = 0 if task.run is not None else task.idle_since_ms // ORDER_INTERVAL_MS
+    lost_at = 0 if task.run is not None else task.startable_since_ms // ORDER_INTERVAL_MS
     sizes = -spec.cpu_millis, -spec.memory_mb
-    return task.run is not None, lost_at, *sizes, task.idle_since_ms
+    return task.run is not None, lost_at, *sizes, task.startable_since_ms
 
 
 def _holds(place: _Place) -> bool:
@@ -292,7 +302,8 @@
 ) -> Boot | None:
     """Return the boot where the least must become free for the task, of the tightest ones.
 
-    One that has failed runs or refused starts lately comes last. It is none for a task that runs,
+    One that has failed runs or refused starts lately comes last, and before it one on which the
+    task has failed. It is none for a task that runs,
     or has a place elsewhere.
     """
     step = task.step
@@ -311,8 +322,9 @@
             and not (limit and step.runs_by_worker.get(boot.name, 0) + counts[boot, step] >= limit)
         )
 
-    def cost(boot: Boot) -> tuple[bool, int]:
-        return boot.backed_off, max(0, spec.cpu_millis - boot.free_cpu_millis)
+    def cost(boot: Boot) -> tuple[bool, bool, int]:
+        has_failed = boot.name in task.failed_workers
+        return boot.backed_off, has_failed, max(0, spec.cpu_millis - boot.free_cpu_millis)
 
     eligible = filter(is_eligible, rooms.at_least(spec.cpu_millis))
     return min(islice(eligible, MAX_CANDIDATES), key=cost, default=None)
--- a/src/greengagewood/internal/cells/planner.py
+++ b/src/greengagewood/internal/cells/planner.py
@@ -358,7 +358,7 @@
     ) -> list[Order]:
         """Start tasks that have lost their runs in their places; keep places for the others."""
         self.places.update(by_service, self._queue_of_step, now_ms)
-        if self.places:
+        if self.places or self.places.has_delayed:
             self.request_replan()
         orders: list[Order] = []
         for task, boot in self.places.waiting():
@@ -626,4 +626,4 @@
 
 def _longest_idle_first(task: Task) -> tuple[bool, int]:
     """Return the sort key of a waiting task: those that have run come first."""
-    return not task.last_run_ended_ms, task.idle_since_ms
+    return not task.last_run_ended_ms, task.startable_since_ms
--- a/src/greengagewood/internal/cells/stops.py
+++ b/src/greengagewood/internal/cells/stops.py
@@ -32,6 +32,7 @@
 from itertools import islice
 
 from greengagewood.internal.cells.boots import Boot
+from greengagewood.internal.cells.failures import FailureTracker
 from greengagewood.internal.cells.orders import StopRun
 from greengagewood.internal.cells.placement import meets_constraints
 from greengagewood.internal.cells.places import needs_place
@@ -68,9 +69,10 @@
 class StopPlanner:
     """The stops of one term of ownership."""
 
-    def __init__(self, boots: dict[str, Boot], planner: Planner) -> None:
+    def __init__(self, boots: dict[str, Boot], planner: Planner, failures: FailureTracker) -> None:
         self._boots = boots
         self._planner = planner
+        self._failures = failures
         self._last_scan_ms: int | None = None  # None requests a scan by the next plan
         self._next_move_ms = 0  # no run is moved before this time
         self._window = CallWindow(STOP_WINDOW)  # of the calls to workers that answer
@@ -209,8 +211,7 @@
         if _is_missing(boot, run):
             return "not_listed"
         if self._is_stuck(run):
-            run.task.failed_workers = (*run.task.failed_workers, boot.name)[-4:]
-            boot.note_outcome(False)
+            self._failures.note_stuck_run(boot, run, now_ms)
             return "stands_still"
         if self._should_move(boot, run, now_ms):
             return "moves"
--- a/src/greengagewood/internal/cells/term.py
+++ b/src/greengagewood/internal/cells/term.py
@@ -7,6 +7,7 @@
 
 from greengagewood.internal.cells.boots import Boot
 from greengagewood.internal.cells.crashes import CrashTracker
+from greengagewood.internal.cells.failures import FailureTracker
 from greengagewood.internal.cells.latestarts import LateStarts
 from greengagewood.internal.cells.planner import Planner
 from greengagewood.internal.cells.stops import StopPlanner
@@ -44,6 +45,7 @@
     planner: Planner
     stops: StopPlanner
     crashes: CrashTracker
+    failures: FailureTracker
     late_starts: LateStarts
     # When every lease and order of earlier owners has certainly expired.
     earlier_orders_expiry_ms: int
--- a/src/greengagewood/internal/jobs/book.py
+++ b/src/greengagewood/internal/jobs/book.py
@@ -14,6 +14,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from greengagewood.internal.attribution import FailureHistory
 from greengagewood.internal.chart import load_chart
 from greengagewood.internal.jobs.model import StepSpec
 from greengagewood.internal.jobs.records import (
@@ -27,11 +28,13 @@
 if TYPE_CHECKING:
     from greengagewood.internal.cells.boots import Boot
 
-__all__ = ["FINAL_STATES", "Job", "JobBook", "Run", "Step", "Task"]
+__all__ = ["FAILED_STARTS_STORED", "FINAL_STATES", "Job", "JobBook", "Run", "Step", "Task"]
 
 RUN_CHART = load_chart("run")
 # At a time by a plan, and of a job ahead of its starts. A plan starts at most 200 tasks.
 MAX_TASKS_OPENED = 400
+# A task with as many failed starts in a row waits as long as any, and only that is stored.
+FAILED_STARTS_STORED = 5
 FINAL_STATES = frozenset({"completed", "failed", "cancelled"})
 
 
@@ -62,6 +65,7 @@
     progress_percent: int = 0  # as last listed by the worker
     progress_changed_ms: int = 0  # when `progress_percent` last changed
     listed_ms: int = 0  # when the worker last listed it
+    lasted: bool = False  # of a long-running task: whether it has gone on for some time
     resumed: bool = False  # whether part of its work may have been done before this owner counts it
     work_ms: float = 0.0  # time at full speed that it has run, see `cells.runtimes`
     work_counted_ms: int | None = None  # up to when `work_ms` counts
@@ -107,12 +111,26 @@
     start_count: int = 0  # starts by this owner
     failed_workers: tuple[str, ...] = ()
     not_before_ms: int = 0
+    # Starts in a row that have failed soon, or were refused as invalid, and until when the task
+    # waits for that reason; see `cells.failures`.
+    failed_starts: int = 0
+    delayed_until_ms: int = 0
     last_run_ended_ms: int = 0  # when it was known that its last run has ended; 0 without one
     idle_since_ms: int = 0  # the same, or earlier if the worker may have ended the run before
     crashes: tuple[PlacedRun, ...] = ()  # the runs that may have crashed their worker
     trial: PlacedRun | None = None  # the run that may crash its worker now
     late_start: Run | None = None  # an unanswered start that binds it to one boot, see `latestarts`
 
+    @property
+    def stored_failed_starts(self) -> int:
+        """Return the failed starts that its progress record tells of."""
+        return FAILED_STARTS_STORED if self.failed_starts >= FAILED_STARTS_STORED else 0
+
+    @property
+    def startable_since_ms(self) -> int:
+        """Return since when it has been without a run that it could have had."""
+        return max(self.idle_since_ms, self.delayed_until_ms)
+
 
 @dataclass(slots=True, eq=False)
 class Step:
@@ -130,6 +148,7 @@
     unfinished_dependencies: int = 0  # steps that it depends on and that are not done
     runs_by_worker: Counter[str] = field(default_factory=Counter)
     runs_by_rack: Counter[str] = field(default_factory=Counter)
+    failures: FailureHistory[Boot] | None = None  # of its runs; None before the first one
 
 
 @dataclass(slots=True, eq=False)
@@ -321,6 +340,7 @@
                 unfinished.checkpoint = stored.checkpoint
                 unfinished.crashes = stored.crashes
                 unfinished.trial = stored.trial
+                unfinished.failed_starts = stored.failed_starts
                 if stored.crashes:
                     job.suspects[unfinished] = None
         for steps in list(job.occurrences.values()):
@@ -582,6 +602,17 @@
         if len(task.failed_runs) >= max_attempts:
             self.give_up(task, now_ms)
 
+    def note_failed_starts(self, task: Task, count: int) -> None:
+        """Record how many starts of a task in a row have failed soon."""
+        stored, task.failed_starts = task.stored_failed_starts, count
+        if task.stored_failed_starts != stored:
+            self.changed_jobs[task.step.job.id] = None
+
+    def delay_restart(self, task: Task, until_ms: int) -> None:
+        """Start a task that fails at each start no earlier than `until_ms`."""
+        task.delayed_until_ms = until_ms
+        task.not_before_ms = max(task.not_before_ms, until_ms)
+
     def note_crash(self, task: Task, run: PlacedRun) -> None:
         """Record that a run of the task may have crashed its worker; a boot crashes once."""
         boot = (run.worker_id, run.address, run.boot_time_ms)
@@ -673,7 +704,11 @@
                     done.append((number, step.number, _done_bitmap(step)))
                 for task in step.tasks if step.unfinished_count else ():
                     if not task.end_state and (
-                        task.failed_runs or task.checkpoint or task.crashes or task.trial
+                        task.failed_runs
+                        or task.checkpoint
+                        or task.crashes
+                        or task.trial
+                        or task.stored_failed_starts
                     ):
                         unfinished.append(
                             TaskProgress(
@@ -684,6 +719,7 @@
                                 task.checkpoint,
                                 task.crashes,
                                 task.trial,
+                                task.stored_failed_starts,
                             )
                         )
         return Progress(job.id, job.state, tuple(done), tuple(unfinished))
--- a/src/greengagewood/internal/jobs/records.py
+++ b/src/greengagewood/internal/jobs/records.py
@@ -85,7 +85,8 @@
     """Numbers of the failed runs and newest checkpoint of a task that has not ended.
 
     `crashes` lists the runs that may have crashed their worker. `trial` is a run that may do so
-    now: it was started after such a crash, or its worker does not answer.
+    now: it was started after such a crash, or its worker does not answer. `failed_starts` counts
+    the starts in a row that have failed soon, if they are many.
     """
 
     occurrence: int
@@ -95,6 +96,7 @@
     checkpoint: str = ""
     crashes: tuple[PlacedRun, ...] = ()
     trial: PlacedRun | None = None
+    failed_starts: int = 0
 
 
 class Progress(_Record, frozen=True):
--- a/tests/cover/test_cell.py
+++ b/tests/cover/test_cell.py
@@ -379,6 +379,8 @@
                 harness.now_ms += 10
                 if failing:
                     end(order.run)
+                    for boot in harness.cell.boots.values():
+                        boot.back_off_after_failures(harness.now_ms, 1_000, 8_000)
         assert max(later - earlier for earlier, later in pairwise(started_ms)) < 2_200
         assert all(boot.backs_off(harness.now_ms) for boot in harness.cell.boots.values())
         harness.submit(StepSpec(1, cpu_millis=1_000), job="1" * 16)
