Store the cancellation of a job whose submission is not stored yet

Cause: the front end answered 410 from a read of the log and stored nothing. A read can't show an append that the store has yet to execute, or that waits in another instance.

Change: the cancellation of an unknown job is stored before the 410. Repeats, and cancellations of jobs that have ended, are not written. 503 to a DELETE or GET no longer says that a job will not run.

The soak was blind to it: its checker ignored a 410, and its callers cancelled again until they got 200. Now 410 counts as an acknowledgement, and callers go on only until one.

--- a/devtools/soak/callers.py
+++ b/devtools/soak/callers.py
@@ -107,12 +107,13 @@
         await asyncio.gather(
             send_later("POST", body), send_later("POST", body), send_later("DELETE")
         )
-        if not record.answers("DELETE", 200):  # a second cancellation would hide the loss of one
+        # A second cancellation would hide the loss of one, also of one that came first of all.
+        if not record.answers("DELETE", 200, 410):
             await self.cancel(record)
 
     async def cancel(self, record: JobRecord) -> None:
-        """Cancel a job until that is acknowledged after its submission, then read its state."""
-        for _ in range(MAX_ATTEMPTS):
+        """Cancel a job until that is acknowledged, then read its state."""
+        while not self._stopping:  # who gives up in an outage is never answered
             req = await self.send(record, "DELETE", self._pick())
             if req.status in (200, 202, 410):
                 break
--- a/devtools/soak/checker.py
+++ b/devtools/soak/checker.py
@@ -236,10 +236,11 @@
 ) -> Iterator[str]:
     """A cancelled job is not started, and its runs are gone after any calm stretch.
 
-    A worker may start a task late; the stretch then counts from shortly after that.
+    So is one whose cancellation was answered with 410, before its submission or after it. A worker
+    may start a task late; the stretch then counts from shortly after that.
     """
     for run in runs:
-        acks = jobs[run.job].answers("DELETE", 200, 202) if run.job in jobs else []
+        acks = jobs[run.job].answers("DELETE", 200, 202, 410) if run.job in jobs else []
         acked_ms = min((r.ended_ms for r in acks), default=INF)
         if run.start_ms > acked_ms + CANCEL_MS + ORDER_DELAY_AND_LEASE_MS:
             yield f"CANCELLED: {run}, acked {acked_ms:.0f}"
--- a/src/greengagewood/internal/cells/ledger.py
+++ b/src/greengagewood/internal/cells/ledger.py
@@ -86,6 +86,8 @@
         self.next_offset = 0  # where the next read of the log starts
         self.claim_offset = -1  # of the first ownership record with the newest token
         self.unreadable_count = 0  # records that could not be decoded
+        # When cancellations were first read whose submissions were not, by job ID.
+        self.early_cancellations: dict[str, int] = {}
         self._queued_jobs: dict[str, set[str]] = {}  # job IDs by queue
         self._offsets: dict[str, int] = {}  # of the newest record of each key
 
@@ -126,6 +128,7 @@
                     job.encoded_submission = encoded or encode_record(record)
                     job.submission_offset = offset
                 job.last_submission_offset = max(job.last_submission_offset, offset)
+                self.early_cancellations.pop(record.job_id, None)
                 self._update_queued(record.job_id, job)
             case Progress():
                 job = self.jobs.setdefault(record.job_id, StoredJob())
@@ -134,6 +137,8 @@
             case Cancellation():
                 job = self.jobs.setdefault(record.job_id, StoredJob())
                 job.cancelled = True
+                if not job.is_submitted:
+                    self.early_cancellations.setdefault(record.job_id, monotonic_ms())
                 self._update_queued(record.job_id, job)
             case Ownership():
                 if record.token > self.ownership.token:
@@ -172,16 +177,23 @@
 
     def _delete(self, key: str) -> None:
         self._offsets.pop(key, None)
-        if key[:1] != "j":  # see records.key_of
+        kind, job_id = key[:1], key[1:]  # see records.key_of
+        if kind == "c" and self.early_cancellations.pop(job_id, None) is not None:
+            del self.jobs[job_id]
+        if kind != "j":
             return
-        job = self.jobs.pop(key[1:], None)
+        job = self.jobs.pop(job_id, None)
         if job is not None and job.queue is not None:
-            self._queued_jobs.get(job.queue, set()).discard(key[1:])
+            self._queued_jobs.get(job.queue, set()).discard(job_id)
 
     def queued_count(self, queue: str) -> int:
         """Return the number of accepted jobs of a queue of which no task was started yet."""
         return len(self._queued_jobs.get(queue, ()))
 
+    def early_cancellations_before(self, read_ms: int) -> list[str]:
+        """Return the IDs of jobs without a submission whose cancellations were read by then."""
+        return [job for job, first_ms in self.early_cancellations.items() if first_ms < read_ms]
+
     def ended_before(self, wall_ms: int) -> list[str]:
         """Return the IDs of jobs that ended before a time of day."""
         return [
--- a/src/greengagewood/internal/cells/runner.py
+++ b/src/greengagewood/internal/cells/runner.py
@@ -752,11 +752,13 @@
 
     async def _delete_expired_jobs(self) -> None:
         await asyncio.sleep(DELETION_INTERVAL_S)
-        job_ids = self._ledger.ended_before(
-            wall_ms() - self._status_retention_ms - DELETION_MARGIN_MS
-        )
-        if not job_ids:
+        retention_ms = self._status_retention_ms + DELETION_MARGIN_MS
+        job_ids = self._ledger.ended_before(wall_ms() - retention_ms)
+        # These are kept for longer than the append of a submission may take.
+        early = self._ledger.early_cancellations_before(monotonic_ms() - retention_ms)
+        if not job_ids and not early:
             return
         deletions = [(prefix + job_id, b"") for job_id in job_ids for prefix in ("p", "c", "j")]
+        deletions += [(f"c{job_id}", b"") for job_id in early]
         if await self._append_entries(deletions):
             self.cell.remove_jobs(job_ids)
--- a/src/greengagewood/internal/entry/intake.py
+++ b/src/greengagewood/internal/entry/intake.py
@@ -35,6 +35,8 @@
 LONG_RETRY_AFTER_S = 2
 # After a failed append, new records are refused for this long, or until an append succeeds.
 REFUSE_AFTER_FAILURE_MS = 1_000
+# Beyond its deadline, as after a pause of the process, a record is not sent any more.
+MAX_LATE_SEND_MS = 2_000
 
 _log = Log("intake")
 
@@ -121,6 +123,10 @@
             pending = self._queue.pop(0)
             if pending.future.done():
                 continue
+            if monotonic_ms() > pending.deadline_ms + MAX_LATE_SEND_MS:
+                unsent = Outcome.UNKNOWN if pending.maybe_stored else Outcome.REFUSED
+                _resolve(pending, unsent)
+                continue
             size_bytes += len(pending.value)
             batch.append(pending)
         return batch
--- a/src/greengagewood/internal/entry/node.py
+++ b/src/greengagewood/internal/entry/node.py
@@ -12,7 +12,7 @@
 import random
 from collections.abc import Awaitable, Callable
 from contextlib import suppress
-from dataclasses import asdict
+from dataclasses import asdict, dataclass
 from typing import Protocol
 
 import msgspec
@@ -56,7 +56,7 @@
 )
 from greengagewood.internal.process import supervised_loop
 
-__all__ = ["ConfigSource", "EntryInstance"]
+__all__ = ["CancelResult", "ConfigSource", "EntryInstance"]
 
 READ_LONG_POLL_MS = 400  # short, because each answered read confirms who owns the cell
 # Before a caller is told a state that is older than this and may still change, the store is read.
@@ -73,6 +73,8 @@
 CLAIM_READ_TIMEOUT_S = 2.0  # as long as a claim that is not answered may still be stored
 # Far more jobs than one instance gets in the minutes in which their callers may repeat them.
 MAX_MAYBE_STORED = 10_000
+# Every instance keeps them, for some minutes each.
+MAX_EARLY_CANCELLATIONS = 10_000
 
 _log = Log("entry")
 
@@ -87,6 +89,14 @@
         """
 
 
+@dataclass(frozen=True, slots=True)
+class CancelResult:
+    """Whether a cancellation is in force, and whether the job's submission is known here."""
+
+    outcome: Outcome
+    known: bool
+
+
 class EntryInstance:
     """One running entry instance."""
 
@@ -219,9 +229,26 @@
         age_ms = monotonic_ms() - since_ms
         return decide_refusal(job_id, queue, spec, self.config.queues.values(), forecast, age_ms)
 
-    async def cancel(self, job_id: str, timeout_ms: int) -> Outcome:
-        """Store the cancellation of a job."""
-        return await self._writer.store_record(Cancellation(job_id), timeout_ms)
+    async def cancel(self, job_id: str, timeout_ms: int) -> CancelResult:
+        """Store the cancellation of a job, unless it has ended.
+
+        That of an unknown job is stored, too: its submission may be on its way to the store, from
+        any instance, and no read shows that. Raise StoreUnavailable if the job is not known here
+        and the store cannot be read.
+        """
+        state = await self.state_of(job_id)
+        if state in FINAL_STATES:
+            return CancelResult(Outcome.DONE, True)
+        if state is None:
+            early = self.ledger.early_cancellations
+            if job_id in early:
+                return CancelResult(Outcome.DONE, False)
+            if len(early) >= MAX_EARLY_CANCELLATIONS:
+                self._metrics.count("refused_cancellations")
+                return CancelResult(Outcome.REFUSED, False)
+        outcome = await self._writer.store_record(Cancellation(job_id), timeout_ms)
+        stored_job = self.ledger.jobs.get(job_id)
+        return CancelResult(outcome, stored_job is not None and stored_job.is_submitted)
 
     async def state_of(self, job_id: str) -> str | None:
         """Return the state of a job, or None if there is no such job.
--- a/src/greengagewood/platform/frontend.py
+++ b/src/greengagewood/platform/frontend.py
@@ -20,7 +20,10 @@
 
 JOB_ID = re.compile(r"[0-9a-fA-F]{16}")
 DEFAULT_DEADLINE_MS = 3_000
+MAX_DEADLINE_MS = 60_000  # the cancellation of a job that is not stored yet is kept for longer
 RESPONSE_MARGIN_MS = 300  # part of the caller's deadline kept for sending the response
+NOT_ACCEPTED = "not accepted, and it will not run"
+NOT_CANCELLED = "the job was not cancelled"
 READY_PATH = "/greengagewood/ready"
 
 _log = Log("frontend")
@@ -68,7 +71,7 @@
 
     async def _respond(self, req: web.BaseRequest) -> tuple[web.Response, str]:
         if self._instance.config is None:
-            return _unavailable_response(503, self._instance.retry_after_s), "no_configuration"
+            return self._unavailable_response("no configuration was read yet"), "no_configuration"
         rule = self._instance.find_route(req.host, req.path)
         if rule is None:
             rule = self._instance.find_route(req.host.partition(":")[0], req.path)
@@ -112,9 +115,9 @@
             return _error_response(413, "the body is too large; send a smaller job"), "too_large"
         refusal = await self._instance.find_refusal(job_id, rule.queue, spec)
         if refusal is not None:
-            return _unavailable_response(503, refusal.retry_after_s), "overloaded"
+            return self._unavailable_response(NOT_ACCEPTED, refusal.retry_after_s), "overloaded"
         outcome = await self._instance.submit(job_id, rule.queue, spec, timeout_ms)
-        return self._response_to_outcome(outcome)
+        return self._response_to_outcome(outcome, NOT_ACCEPTED)
 
     @property
     def _max_body_bytes(self) -> int:
@@ -125,7 +128,7 @@
         try:
             state = await self._instance.state_of(job_id)
         except StoreUnavailable:
-            return _unavailable_response(503, self._instance.retry_after_s), "store_down"
+            return self._unavailable_response("the state cannot be read now"), "store_down"
         if state is None:
             return _error_response(410, "there is no such job"), "unknown_job"
         return _json_response(200, {"state": state}), state
@@ -133,19 +136,24 @@
     async def _cancel(self, req: web.BaseRequest, job_id: str) -> tuple[web.Response, str]:
         timeout_ms = _store_timeout_ms(req)
         try:
-            state = await self._instance.state_of(job_id)
+            result = await self._instance.cancel(job_id, timeout_ms)
         except StoreUnavailable:
-            return _unavailable_response(503, self._instance.retry_after_s), "store_down"
-        if state is None:
-            return _error_response(410, "there is no such job"), "unknown_job"
-        return self._response_to_outcome(await self._instance.cancel(job_id, timeout_ms))
+            return self._unavailable_response(NOT_CANCELLED), "store_down"
+        if result.outcome is Outcome.DONE and not result.known:
+            return _error_response(410, "there is no such job, and it will not run"), "unknown_job"
+        return self._response_to_outcome(result.outcome, NOT_CANCELLED)
+
+    def _unavailable_response(self, error: str, retry_after_s: int | None = None) -> web.Response:
+        resp = _error_response(503, f"{error}; try again later")
+        resp.headers["Retry-After"] = str(retry_after_s or self._instance.retry_after_s)
+        return resp
 
-    def _response_to_outcome(self, outcome: Outcome) -> tuple[web.Response, str]:
+    def _response_to_outcome(self, outcome: Outcome, refused: str) -> tuple[web.Response, str]:
         match outcome:
             case Outcome.DONE:
                 return _json_response(200, {}), "stored"
             case Outcome.REFUSED:
-                return _unavailable_response(503, self._instance.retry_after_s), "store_down"
+                return self._unavailable_response(refused), "store_down"
             case Outcome.UNKNOWN:
                 # Unlike after a refusal, the record may be stored already or may be stored later.
                 # Sending the same ID again is safe.
@@ -161,7 +169,7 @@
         if deadline_text.isascii() and deadline_text.isdigit() and len(deadline_text) < 9
         else DEFAULT_DEADLINE_MS
     )
-    return max(0, timeout_ms - RESPONSE_MARGIN_MS)
+    return max(0, min(timeout_ms, MAX_DEADLINE_MS) - RESPONSE_MARGIN_MS)
 
 
 def _json_response(status: int, value: object) -> web.Response:
@@ -170,9 +178,3 @@
 
 def _error_response(status: int, error: str) -> web.Response:
     return _json_response(status, {"error": error})
-
-
-def _unavailable_response(status: int, retry_after_s: int) -> web.Response:
-    resp = _error_response(status, "not accepted, and it will not run; try again later")
-    resp.headers["Retry-After"] = str(retry_after_s)
-    return resp
--- a/tests/common/drive.py
+++ b/tests/common/drive.py
@@ -178,12 +178,11 @@
             instance = self.rng.choice(list(self.instances.values()))
             try:
                 async with asyncio.timeout(CALLER_TIMEOUT_S):
-                    state = await instance.state_of(job)
-                    stored = state is not None and await instance.cancel(job, 2_700)
+                    result = await instance.cancel(job, 2_700)
             except (StoreUnavailable, TimeoutError):  # or the instance was killed meanwhile
                 await asyncio.sleep(0.3)
                 continue
-            if stored is Outcome.DONE:
+            if result.outcome is Outcome.DONE:
                 self.platform.cancelled_ms.setdefault(job, self._now_ms())
                 self.cancelled.add(job)
                 return True
--- a/tests/common/entrymutants.py
+++ b/tests/common/entrymutants.py
@@ -24,7 +24,7 @@
 from greengagewood.internal.cells.stops import StopPlanner
 from greengagewood.internal.cells.term import Term
 from greengagewood.internal.clock import monotonic_ms
-from greengagewood.internal.entry import EntryInstance
+from greengagewood.internal.entry import CancelResult, EntryInstance
 from greengagewood.internal.entry.intake import BatchWriter
 from greengagewood.internal.jobs.book import JobBook, Run
 from greengagewood.internal.jobs.records import Cancellation, Submission
@@ -142,6 +142,16 @@
     view.earlier_heartbeat_ms = args[-1]
 
 
+async def _cancel_only_what_is_stored(
+    cancel: Any, instance: EntryInstance, job_id: str, timeout_ms: int
+) -> CancelResult:
+    """Answer that there is no such job without storing the cancellation."""
+    if await instance.state_of(job_id) is None:
+        return CancelResult(Outcome.DONE, False)
+    result: CancelResult = await cancel(instance, job_id, timeout_ms)
+    return result
+
+
 async def _hold_as_it_stops(respond: Any, frontend: Frontend, req: Any) -> Any:
     """Don't answer before the process ends once it was told to stop."""
     await asyncio.sleep(0.3)
@@ -158,6 +168,7 @@
     "stop_once": wrap(
         stops, "_may_send_stop", lambda f, run, ms: run.stop_sent_ms is None and f(run, ms)
     ),
+    "cancel_only_what_is_stored": wrap(EntryInstance, "cancel", _cancel_only_what_is_stored),
     "accept_without_storing": _sometimes(BatchWriter, "store_record", 10, Outcome.DONE),
     "alter_checkpoint": wrap(
         JobBook,
@@ -199,7 +210,9 @@
         "note_run_failed",
         lambda f, book, task, number, attempts, ms: f(book, task, number, attempts + 3, ms),
     ),
-    "refuse_cancellations": _sometimes(EntryInstance, "cancel", 1, Outcome.REFUSED),
+    "refuse_cancellations": _sometimes(
+        EntryInstance, "cancel", 1, CancelResult(Outcome.REFUSED, True)
+    ),
     "refuse_on_old_boot": wrap(cell_module, "boot_of_answer", lambda f, sent_to, run: sent_to),
     "refuse_what_is_stored": _sometimes(
         BatchWriter, "store_record", 10, Outcome.REFUSED, call=True
--- a/tests/common/plant.py
+++ b/tests/common/plant.py
@@ -81,6 +81,7 @@
     straggler_share: float = 0.0  # share of runs that take `STRAGGLER_FACTOR` times as long
     # Instances whose appends are carried out, but not answered, and whose reads are not answered.
     store_unanswered_to: set[str] = field(default_factory=set)
+    late_appends_of: set[str] = field(default_factory=set)  # instances, as the next line says
     late_append_share: float = 0.0  # share of appends without an answer that are applied later
     delays_s: dict[tuple[str, str], float] = field(default_factory=dict)  # (instance, worker)
     store_delays_s: dict[str, float] = field(default_factory=dict)  # by instance
@@ -188,7 +189,8 @@
         failure = await self._begin_append()
         if failure is not None:
             return failure
-        late_share = self.store.faults.late_append_share
+        faults = self.store.faults
+        late_share = 1.0 if self.instance in faults.late_appends_of else faults.late_append_share
         if late_share and self.store.rng.random() < late_share:
             delay_s = self.store.rng.uniform(*LATE_APPEND_DELAY_RANGE_S)
             asyncio.get_running_loop().call_later(delay_s, apply)
@@ -334,6 +336,7 @@
         self.copies: Counter[TaskId] = Counter()  # starts while another run was going on
         self.specs: dict[str, tuple[StepSpec, ...]] = {}
         self.cancelled_ms: dict[str, float] = {}
+        self.start_counts: Counter[str] = Counter()  # by job
         self.disturbed_ms = 0.0  # when a fault was last in force, or a process ended
         self._runs_checked_ms = 0.0
         self._overdue_runs: set[tuple[TaskId, int]] = set()  # those that were recorded
@@ -450,6 +453,7 @@
 
     def check_start(self, worker: SimWorker, run: _Run) -> None:
         task = run.task
+        self.start_counts[task.job_id] += 1
         others = 0
         for other in self.workers.values():
             other.expire_lease()
--- a/tests/common/virtualsoak.py
+++ b/tests/common/virtualsoak.py
@@ -466,14 +466,17 @@
                 outcome = await target.submit(
                     record.job, self._system.queue, spec, STORE_TIMEOUT_MS
                 )
-            else:
+            elif req.method == "GET":
                 state = await target.state_of(record.job)
                 if state is None:
                     return 410
-                if req.method == "GET":
-                    req.state = state
-                    return 200
-                outcome = await target.cancel(record.job, STORE_TIMEOUT_MS)
+                req.state = state
+                return 200
+            else:
+                result = await target.cancel(record.job, STORE_TIMEOUT_MS)
+                if result.outcome is Outcome.DONE and not result.known:
+                    return 410
+                outcome = result.outcome
         except StoreUnavailable:
             return 503
         return {Outcome.DONE: 200, Outcome.REFUSED: 503, Outcome.UNKNOWN: 504}[outcome]
