Count the tasks of a broken native job as one against a worker

Change: once a job has failed six times on three workers (or all) since one of its tasks last succeeded, its tasks count as one, and say nothing of a worker on probation. The bounds are those of internal/attribution.py.

Not shown with processes.

--- a/src/greengagewood/internal/attribution.py
+++ b/src/greengagewood/internal/attribution.py
@@ -11,7 +11,7 @@
 from collections import deque
 from typing import Generic, TypeVar
 
-__all__ = ["FailureHistory"]
+__all__ = ["BROKEN_AFTER_FAILURES", "BROKEN_ON_WORKERS", "FailureHistory"]
 
 W = TypeVar("W")
 
--- a/src/greengagewood/internal/owner.py
+++ b/src/greengagewood/internal/owner.py
@@ -67,6 +67,7 @@
     WorkersChanged,
 )
 from greengagewood.internal.snapshotplan import SnapshotPlan
+from greengagewood.internal.suspicion import is_broken
 from greengagewood.internal.tailguard import Mitigation, TailLatencyController
 from greengagewood.internal.taskbook import ENDED_STATES, TASK_CHART, Job, Task, TaskBook
 from greengagewood.internal.workerstate import (
@@ -607,6 +608,7 @@
                 other_worker.to_stop.add((task.name, task.attempt))
         task.attempt = ended.attempt
         self.placer.failure_tracker.record_task_success(worker.name, self._last_reply_ms)
+        task.job.recent_failures.clear()
         self.book.transition(task, "found_ended")
         self.book.record_end(task, ended.detail)
 
@@ -643,11 +645,16 @@
             self.book.record_end(task, detail)
 
     def _record_attempt_failure(self, task: Task, attempt: int, worker: str) -> None:
-        if self.placer.failure_tracker.record_task_failure(worker, task.name, self._last_reply_ms):
-            self._emit("quarantined", worker=worker)
         if worker not in task.failed_on:
             task.failed_on += (worker,)
-        task.job.failed_on.add(worker)
+        job = task.job
+        job.failed_on.add(worker)
+        job.recent_failures[worker] += 1
+        broken_job = job.name if is_broken(job.recent_failures, len(self.workers)) else ""
+        if self.placer.failure_tracker.record_task_failure(
+            worker, task.name, self._last_reply_ms, broken_job
+        ):
+            self._emit("quarantined", worker=worker)
         self.book.record_outcome(TaskOutcome(task.name, attempt, "attempt_failed", worker))
         if len(task.failed_on) >= self._max_failures(task):
             self.book.transition(task, "give_up")
--- a/src/greengagewood/internal/suspicion.py
+++ b/src/greengagewood/internal/suspicion.py
@@ -5,19 +5,31 @@
 doubles with each quarantine. It is then on probation: it gets one task at a time until one
 succeeds. A task counts each worker on which it failed once, so a faulty worker costs a task at
 most one of its attempts.
+
+The tasks of a job that fails everywhere count as one, and say nothing of a worker on probation: a
+broken job of many tasks must not take all workers from the others.
 """
 
 from __future__ import annotations
 
+from collections import Counter
 from dataclasses import dataclass, field
 
-__all__ = ["WorkerFailureTracker"]
+from greengagewood.internal.attribution import BROKEN_AFTER_FAILURES, BROKEN_ON_WORKERS
+
+__all__ = ["WorkerFailureTracker", "is_broken"]
 
 FAILURES_TO_QUARANTINE = 3
 QUARANTINE_BASE_MS = 30_000
 QUARANTINE_MAX_MS = 900_000
 
 
+def is_broken(failures: Counter[str], worker_count: int) -> bool:
+    """Return whether a job with these failures by worker, and no success, fails on every worker."""
+    needed = min(BROKEN_ON_WORKERS, worker_count)
+    return len(failures) >= needed and failures.total() >= BROKEN_AFTER_FAILURES
+
+
 @dataclass
 class _WorkerRecord:
     failed_tasks: set[str] = field(default_factory=set)
@@ -40,10 +52,17 @@
         if not self.is_quarantined(worker, now_ms):
             self._records.pop(worker, None)
 
-    def record_task_failure(self, worker: str, task: str, now_ms: int) -> bool:
-        """Record that a task failed on a worker; return whether this quarantines the worker."""
+    def record_task_failure(
+        self, worker: str, task: str, now_ms: int, broken_job: str = ""
+    ) -> bool:
+        """Record that a task failed on a worker; return whether this quarantines the worker.
+
+        `broken_job` is the task's job if that fails on every worker.
+        """
         record = self._records.setdefault(worker, _WorkerRecord())
-        record.failed_tasks.add(task)
+        if broken_job and record.on_probation:
+            return False
+        record.failed_tasks.add(broken_job or task)
         threshold = 1 if record.on_probation else FAILURES_TO_QUARANTINE
         if len(record.failed_tasks) < threshold or record.quarantined_until_ms > now_ms:
             return False
--- a/src/greengagewood/internal/taskbook.py
+++ b/src/greengagewood/internal/taskbook.py
@@ -52,7 +52,8 @@
     `size` is what each of its tasks requests; `sequence` increases with each added job.
     `pending` names the tasks in state `pending` that may be placed, in the order in which they
     became so.
-    `wait_reason` says why they wait; it is shown to callers.
+    `wait_reason` says why they wait; it is shown to callers. `failed_on` names the workers on which
+    its tasks have failed; `recent_failures` counts their failures since one last succeeded.
     """
 
     logged: LoggedJob
@@ -64,6 +65,7 @@
     pending: dict[str, None] = field(default_factory=dict)
     wait_reason: str = ""
     failed_on: set[str] = field(default_factory=set)
+    recent_failures: Counter[str] = field(default_factory=Counter)  # by worker
 
     @property
     def name(self) -> str:
--- a/tests/cover/test_policy.py
+++ b/tests/cover/test_policy.py
@@ -4,6 +4,7 @@
 import math
 import random
 from collections import Counter
+from itertools import product
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -14,7 +15,11 @@
 from greengagewood.internal.placement import Resources
 from greengagewood.internal.rooms import FreeCapacityIndex, choose_by_full_scan
 from greengagewood.internal.routing import RoutingTable
-from greengagewood.internal.suspicion import FAILURES_TO_QUARANTINE, WorkerFailureTracker
+from greengagewood.internal.suspicion import (
+    FAILURES_TO_QUARANTINE,
+    WorkerFailureTracker,
+    is_broken,
+)
 from greengagewood.internal.tailguard import TailLatencyController
 from tests.common.faults import run_history
 from tests.common.world import DOCUMENT, World
@@ -215,6 +220,28 @@
         tracker.record_task_success("w", 40_000 + 900_000)
         assert not tracker.is_on_probation("w")
 
+    def test_a_broken_job_of_many_tasks_quarantines_few_workers(self):
+        """Guards against one job that takes all workers from the others."""
+        tracker = WorkerFailureTracker()
+        workers = [f"w{n}" for n in range(12)]
+        failures = Counter()
+        quarantined = set()
+        for at, (task, worker) in enumerate(product(range(24), workers)):
+            failures[worker] += 1
+            job = "j" if is_broken(failures, len(workers)) else ""
+            if tracker.record_task_failure(worker, f"j/{task}", at, job):
+                quarantined.add(worker)
+        assert not quarantined
+        tracker.record_task_failure("w11", "k/0", 500)
+        assert tracker.record_task_failure("w11", "l/0", 500)
+
+    def test_a_broken_job_does_not_prolong_a_probation(self):
+        tracker = WorkerFailureTracker()
+        for n in range(FAILURES_TO_QUARANTINE):
+            tracker.record_task_failure("w", f"t{n}", 1_000)
+        assert not tracker.record_task_failure("w", "j/1", 40_000, "j")
+        assert tracker.record_task_failure("w", "t9", 40_000)
+
     def test_repeated_failures_of_one_task_quarantine_no_worker(self):
         tracker = WorkerFailureTracker()
         assert not any(tracker.record_task_failure("w", "t", at) for at in range(20))
