Move no more tasks of a step at a time than it allows

Cause: nothing acted on max_unavailable. In the soak, a worker known by the stored record alone counts as draining, so its long-running tasks were moved though only its entry had lapsed (worker_leaves, in_directory False).

Change: a task at work, of a long-running step with a limit, is moved only while fewer others than the limit are not at work, unless the entry of its worker says that it drains.

--- a/src/greengagewood/internal/cells/bootlife.py
+++ b/src/greengagewood/internal/cells/bootlife.py
@@ -152,6 +152,7 @@
                 )
                 boot = self._add(info, now_ms)
                 boot.worker.in_directory = False
+                boot.is_known_by_record = True
             inherit_runs(boot, stored, read_ms, term.earlier_orders_expiry_ms, limits_apply)
             boot.recorded_boot_time_ms = stored.boot_time_ms
             for runs in boot.inherited:
--- a/src/greengagewood/internal/cells/boots.py
+++ b/src/greengagewood/internal/cells/boots.py
@@ -231,6 +231,9 @@
     leaves_ms: int = 0  # before this, it does not leave, if it drains
     departed_ms: int = 0  # when it was known that it had left
     recorded_boot_time_ms: int = 0  # of the boot that the record of an earlier owner names
+    is_known_by_record: bool = (
+        False  # whether only such a record names it, so it counts as draining
+    )
 
     def __post_init__(self) -> None:
         self._note_cold(self.info, self.added_ms)
@@ -321,6 +324,7 @@
         """Replace what the directory says of the worker."""
         old = self.info
         self.info = info
+        self.is_known_by_record = False
         if info.leaving_in_ms != old.leaving_in_ms:
             self.leaves_ms = now_ms + (info.leaving_in_ms or 0)
         if info.cold_ms != old.cold_ms:  # an entry that is read again says nothing new
--- a/src/greengagewood/internal/cells/stops.py
+++ b/src/greengagewood/internal/cells/stops.py
@@ -13,6 +13,9 @@
 A stop may be lost, so it is repeated until the run is over. Until then the resources of the run
 stay allocated, see `Cell`.
 
+A task of a step that limits how many of its tasks may be unavailable is not moved while as many
+others are not at work.
+
 Each call needs processor time of the owner, and one that times out as much as any other. So the
 stops under way are limited by how fast they are answered, see `window`: if many runs lose their
 jobs at once, those that were never sent a stop go first, those of the oldest cancellation before
@@ -38,7 +41,7 @@
 from greengagewood.internal.cells.places import needs_place
 from greengagewood.internal.cells.planner import Planner
 from greengagewood.internal.cells.window import STOP_WINDOW, CallWindow
-from greengagewood.internal.jobs.book import Run
+from greengagewood.internal.jobs.book import Run, Task
 from greengagewood.internal.jobs.records import TaskId
 from greengagewood.internal.ports import RunningTask
 
@@ -213,6 +216,8 @@
         if self._is_stuck(run):
             self._failures.note_stuck_run(boot, run, now_ms)
             return "stands_still"
+        if not _may_become_unavailable(boot, run):
+            return ""
         if self._should_move(boot, run, now_ms):
             return "moves"
         if boot.info.draining and run.task.step.spec.long_running:
@@ -295,6 +300,26 @@
         return self._full_speed[key]
 
 
+def _may_become_unavailable(boot: Boot, run: Run) -> bool:
+    """Return whether the limit of its step allows to stop a run that could go on.
+
+    A worker that drains takes its runs with it. Of one that is known by a record alone, only its
+    entry is missing, and it may be sound.
+    """
+    step = run.task.step
+    limit = step.spec.max_unavailable
+    is_leaving = boot.info.draining and not boot.is_known_by_record
+    if not limit or not step.spec.long_running or is_leaving or not _is_at_work(run.task):
+        return True
+    others = (task for task in step.tasks if task is not run.task and not task.end_state)
+    return sum(not _is_at_work(task) for task in others) < limit
+
+
+def _is_at_work(task: Task) -> bool:
+    run = task.run
+    return run is not None and run.state == "running" and run.progress_percent == 100
+
+
 def _open_stops(run: Run, now_ms: int) -> int:
     """Return how many calls to stop a run have not ended."""
     sent_ms = run.stop_sent_ms
