Compare run times as they were measured

Cause: ends of a step were compared with ends that were corrected by learned speeds, relative to a typical value up to 500 ms old. Thousands of ends in that time multiply the error, until speeds are 0 or overflow. Evidence: the new test, 8,000 ends on 2 to 24 sound workers, gives speeds of 0.0 or an OverflowError with the former code, without any fault of a platform.

Five tests of test_runtimes.py fail before, all pass now.

--- a/src/greengagewood/internal/cells/runtimes.py
+++ b/src/greengagewood/internal/cells/runtimes.py
@@ -10,6 +10,10 @@
 caller's estimate is kept as a histogram on a log scale whose samples decay slowly. A worker's speed
 is the median of how its last runs differ from those of other workers.
 
+What is learned of a worker must not act on what it is compared with before that has settled, or the
+errors add up with each end. So the ends of other workers are compared as they were measured, and
+the histograms take a worker's speed from a snapshot of all workers at one time.
+
 There is one `RunTimes` object for each term of ownership. A new owner has no history: it expects
 what callers have estimated, and takes all workers to be equally fast.
 
@@ -51,6 +55,7 @@
 MAX_STEPS = 512  # whose ends are kept for comparison
 TYPICAL_INTERVAL_MS = 500  # between two computations of the typical speed
 
+MAX_LOG_SPEED = 4.0  # of a worker, as a natural logarithm
 SLOW_SPEED = 0.67  # below this share of the median speed, a worker is clearly slow
 MAX_SLOW_SHARE = 0.25  # of a service's workers; if more are slow, there is little to choose
 
@@ -133,9 +138,12 @@
     def __init__(self) -> None:
         self._ratios: dict[Key, LogQuantiles] = {}
         self._votes: dict[tuple[str, bool], _Votes] = {}  # by worker, and whether best-effort
-        # Logarithms of the ratios of the last ends of a step, each with its worker.
+        # Logarithms of the measured ratios of the last ends of a step, each with its worker.
         self._siblings: OrderedDict[StepKey, deque[tuple[str, float]]] = OrderedDict()
         self._typical_slowness = 0.0
+        self._relative_slowness: dict[str, float] = (
+            {}
+        )  # of the workers, as it was computed with that
         self._typical_ms: int | None = None
 
     # Learning.
@@ -168,11 +176,10 @@
         self._update_typical(now_ms)
         ratios = self._ratios.setdefault(_key(run), LogQuantiles())
         self._vote(run, log_ratio, ratios, now_ms)
-        own_slowness = self._slowness(run.worker_id, now_ms) - self._typical_slowness
-        ratios.add(log_ratio - own_slowness)
+        ratios.add(log_ratio - self._relative_slowness.get(run.worker_id, 0.0))
         step = _step_key(run)
         ends = self._siblings.setdefault(step, deque(maxlen=MAX_SIBLINGS))
-        ends.append((run.worker_id, log_ratio - own_slowness))
+        ends.append((run.worker_id, log_ratio))
         self._siblings.move_to_end(step)
         if len(self._siblings) > MAX_STEPS:
             self._siblings.popitem(last=False)
@@ -196,6 +203,7 @@
         """Forget the speed of a worker that has left or rebooted."""
         self._votes.pop((worker, False), None)
         self._votes.pop((worker, True), None)
+        self._relative_slowness.pop(worker, None)
 
     # Run times.
 
@@ -238,8 +246,9 @@
     # Speeds of workers.
 
     def worker_speed(self, worker: str, now_ms: int) -> float:
-        """Return the speed of a worker relative to that of a typical one."""
-        return math.exp(self._typical_slowness - self._slowness(worker, now_ms))
+        """Return the speed of a worker relative to that of a typical one, within limits."""
+        log_speed = self._typical_slowness - self._slowness(worker, now_ms)
+        return math.exp(min(MAX_LOG_SPEED, max(-MAX_LOG_SPEED, log_speed)))
 
     def slow_workers(self, workers: Iterable[str], now_ms: int) -> set[str]:
         """Return the clearly slow ones of a service's workers, at most a quarter of them."""
@@ -263,12 +272,15 @@
         return self._typical_slowness
 
     def _update_typical(self, now_ms: int) -> None:
-        """Compute the median of all workers: if all have slowed down, tasks have become longer."""
+        """Compare all workers with their median: if all have slowed down, tasks are longer."""
         if self._typical_ms is not None and now_ms - self._typical_ms < TYPICAL_INTERVAL_MS:
             return
         self._typical_ms = now_ms
-        known = [self._slowness(worker, now_ms) for worker in {name for name, _ in self._votes}]
-        self._typical_slowness = median(known) if known else 0.0
+        known = {name: self._slowness(name, now_ms) for name in {name for name, _ in self._votes}}
+        self._typical_slowness = median(known.values()) if known else 0.0
+        self._relative_slowness = {
+            name: slowness - self._typical_slowness for name, slowness in known.items()
+        }
 
 
 def _key(run: Run) -> Key:
--- a/tests/cover/test_runtimes.py
+++ b/tests/cover/test_runtimes.py
@@ -363,6 +363,40 @@
         assert lab.run_times.slow_workers(["w0", "w7", "w6"], lab.now_ms) == set()
         assert lab.run_times.slow_workers([], lab.now_ms) == set()
 
+    @pytest.mark.parametrize("workers", [2, 3, 5, 24])
+    def test_thousands_of_ends_of_one_step_leave_the_speeds_as_they_are(self, workers: int) -> None:
+        """Guards against errors that add up with each end, until every plan fails."""
+        lab = Lab()
+        rng = random.Random(workers)
+        job = JobSpec("p", (StepSpec(8_000, cpu_millis=50, estimate_ms=700, image="i"),))
+        book = JobBook()
+        book.add(Submission("a" * 16, QUEUE, job, 0), None, False, lab.now_ms)
+        for number in range(8_000):
+            if number % 400 == 0:
+                lab.now_ms += 300
+            task = book.find_task(TaskId("a" * 16, 0, 0, number))
+            assert task is not None
+            worker = f"w{rng.randrange(workers)}"
+            work_ms = 1_000 * rng.uniform(0.85, 1.15)
+            run = book.attach_run(task, 1, worker, "r", "running", lab.now_ms)
+            run.note_accepted(lab.now_ms - round(work_ms))
+            lab.run_times.note_end(run, lab.now_ms)
+        speeds = [lab.speed(f"w{number}") for number in range(workers)]
+        assert min(speeds) > 0.6 and max(speeds) < 1.6
+        assert lab.expected_ms(700) == pytest.approx(1_000, rel=0.25)
+        other = lab.new_run("w0")
+        assert lab.run_times.remaining_ms(other, lab.now_ms) is not None
+
+    def test_no_speed_is_beyond_the_limits(self) -> None:
+        lab = Lab()
+        lab.end_on_all(6, 8)
+        for _ in range(5):
+            run = lab.new_run("w0")
+            run.note_accepted(lab.now_ms - 3_600_000)
+            lab.run_times.note_end(run, lab.now_ms)
+        assert 0.01 < lab.speed("w0") < 0.05
+        assert lab.run_times.remaining_ms(lab.new_run("w0"), lab.now_ms) is not None
+
     def test_a_reboot_or_departure_is_forgotten(self) -> None:
         lab = Lab()
         lab.end_on_all(6, 8)
