Keep progress records below the limit of the store

Cause: the progress record outgrew 262,144 bytes, the store refused it with 413, and the owner repeated the append for ever under the lock that its heartbeats need.

Change: a record has at most 200,000 bytes; the checkpoints of running tasks give way first. Finished occurrences become one number once they take half of that. An append has at most 1.5 MB. One refused as too large is not repeated.

--- a/src/greengagewood/internal/cells/changes.py
+++ b/src/greengagewood/internal/cells/changes.py
@@ -36,7 +36,10 @@
         for job_id in book.changed_jobs:
             job = book.jobs.get(job_id)
             if job is not None:
+                was_complete = not job.unstored_rows
                 records.append(book.progress_record(job, wall_ms))
+                if was_complete and job.unstored_rows:
+                    term.emit("progress_cut", {"job": job_id, "tasks": job.unstored_rows})
                 urgent = urgent or job.is_final or not job.maybe_started_stored
         book.changed_jobs.clear()
         registered: tuple[Boot, ...] = ()
--- a/src/greengagewood/internal/cells/runner.py
+++ b/src/greengagewood/internal/cells/runner.py
@@ -7,7 +7,7 @@
 
 import asyncio
 import math
-from collections.abc import Awaitable, Callable, Coroutine
+from collections.abc import Awaitable, Callable, Coroutine, Iterator
 from contextlib import suppress
 from dataclasses import asdict
 from typing import Any
@@ -88,9 +88,26 @@
 # call. Others claim the cell meanwhile if they miss its heartbeats.
 RELEASE_TIMEOUT_S = 2.5
 
+# Of one call, whose records the platform's store takes up to 2 MiB of.
+MAX_APPEND_BYTES = 1_500_000
+
 _log = Log("cell")
 
 
+def _split_entries(entries: list[tuple[str, bytes]]) -> Iterator[list[tuple[str, bytes]]]:
+    """Yield entries in batches of limited size."""
+    batch: list[tuple[str, bytes]] = []
+    size_bytes = 0
+    for entry in entries:
+        if batch and size_bytes + len(entry[1]) > MAX_APPEND_BYTES:
+            yield batch
+            batch, size_bytes = [], 0
+        batch.append(entry)
+        size_bytes += len(entry[0]) + len(entry[1])
+    if batch:
+        yield batch
+
+
 class CellRunner:
     """Run a cell during one term of ownership."""
 
@@ -684,6 +701,13 @@
             return await self._append_with_retries(entries)
 
     async def _append_with_retries(self, entries: list[tuple[str, bytes]]) -> bool:
+        """Append entries in their order, in as many calls as their size asks for."""
+        for batch in _split_entries(entries):
+            if not await self._append_batch(batch):
+                return False
+        return True
+
+    async def _append_batch(self, entries: list[tuple[str, bytes]]) -> bool:
         """Append entries under the next sequence number, until the outcome is certain."""
         self._sequence += 1
         sequence = self._sequence
@@ -696,6 +720,12 @@
                 self._ownership.note_fenced()
                 await asyncio.sleep(STORE_RETRY_PAUSE_S)
                 return False
+            if result.too_large:  # the store has not counted it, and would refuse it for ever
+                self._sequence -= 1
+                key, value = max(entries, key=lambda entry: len(entry[1]))
+                _log.warning("append_too_large", token=self.token, key=key, bytes=len(value))
+                await asyncio.sleep(STORE_RETRY_PAUSE_S)
+                return False
             self._metrics.count("append_retries", outcome=result.outcome.value)
             await asyncio.sleep(STORE_RETRY_PAUSE_S)
         return False
--- a/src/greengagewood/internal/jobs/book.py
+++ b/src/greengagewood/internal/jobs/book.py
@@ -35,6 +35,8 @@
 MAX_TASKS_OPENED = 400
 # A task with as many failed starts in a row waits as long as any, and only that is stored.
 FAILED_STARTS_STORED = 5
+# Of a progress record; the platform's store takes 262,144 bytes a record.
+MAX_PROGRESS_BYTES = 200_000
 FINAL_STATES = frozenset({"completed", "failed", "cancelled"})
 
 
@@ -179,6 +181,9 @@
     remainders: dict[int, Remainder] = field(default_factory=dict)  # of opened occurrences
     # The part of the progress record about finished occurrences, which does not change any more.
     finished_done: list[tuple[int, int, bytes]] = field(default_factory=list)
+    finished_bytes: int = 0  # an upper bound of the encoded size of that
+    finished_below: int = 0  # all lower occurrences are finished, and `finished_done` lacks them
+    unstored_rows: int = 0  # tasks left out of its last progress record
     active_run_count: int = 0  # runs attached to its tasks
     maybe_started: bool = False  # whether any of its tasks may have been started
     maybe_started_stored: bool = False  # whether a stored progress record says so
@@ -286,6 +291,9 @@
         if job.is_final:
             return job
         spec = submission.spec
+        if progress is not None and progress.finished_below:
+            job.finished_below = job.next_occurrence = progress.finished_below
+            job.finished_occurrences.update(range(progress.finished_below))
         if spec.occurrences or spec.first_due_ms:
             self.timed_jobs[job.id] = job
             for number in sorted(_recorded_occurrences(progress) if progress else ()):
@@ -571,9 +579,11 @@
     def _note_finished(job: Job, occurrence: int) -> None:
         del job.remainders[occurrence]
         job.finished_occurrences.add(occurrence)
-        job.finished_done.extend(
+        rows = [
             (occurrence, step.number, _done_bitmap(step)) for step in job.occurrences[occurrence]
-        )
+        ]
+        job.finished_done.extend(rows)
+        job.finished_bytes += sum(map(_done_bytes, rows))
 
     def note_task_done(self, task: Task, now_ms: int) -> None:
         """Record that a task has succeeded."""
@@ -692,37 +702,86 @@
 
     # Progress.
 
-    def progress_record(self, job: Job, wall_ms: int) -> Progress:
-        """Return the progress record of a job, to be stored."""
+    def progress_record(
+        self, job: Job, wall_ms: int, max_bytes: int = MAX_PROGRESS_BYTES
+    ) -> Progress:
+        """Return the progress record of a job, to be stored; it has about `max_bytes` at most.
+
+        If there are too many rows, those of running tasks are left out first: their workers list
+        the same checkpoints.
+        """
         if job.is_final:
             return Progress(job.id, job.state, ended_ms=wall_ms)
-        done = list(job.finished_done)
-        unfinished = []
+        _compact_finished(job, max_bytes // 2)
+        done: list[tuple[int, int, bytes]] = []
+        needed: list[TaskProgress] = []
+        spare: list[TaskProgress] = []
         for number in job.remainders:
             for step in job.occurrences[number]:
                 if step.unfinished_count < step.spec.task_count:
                     done.append((number, step.number, _done_bitmap(step)))
                 for task in step.tasks if step.unfinished_count else ():
-                    if not task.end_state and (
+                    if task.end_state:
+                        continue
+                    if (
                         task.failed_runs
-                        or task.checkpoint
                         or task.crashes
                         or task.trial
                         or task.stored_failed_starts
+                        or (task.checkpoint and task.run is None)
                     ):
-                        unfinished.append(
-                            TaskProgress(
-                                number,
-                                step.number,
-                                task.id.number,
-                                tuple(sorted(task.failed_runs)),
-                                task.checkpoint,
-                                task.crashes,
-                                task.trial,
-                                task.stored_failed_starts,
-                            )
-                        )
-        return Progress(job.id, job.state, tuple(done), tuple(unfinished))
+                        needed.append(_progress_row(number, step, task))
+                    elif task.checkpoint:
+                        spare.append(_progress_row(number, step, task))
+        left_bytes = max_bytes - job.finished_bytes - sum(map(_done_bytes, done))
+        stored: list[TaskProgress] = []
+        for row in (*needed, *spare):
+            left_bytes -= _row_bytes(row)
+            if left_bytes < 0:
+                break
+            stored.append(row)
+        job.unstored_rows = len(needed) + len(spare) - len(stored)
+        return Progress(
+            job.id,
+            job.state,
+            (*job.finished_done, *done),
+            tuple(stored),
+            finished_below=job.finished_below,
+        )
+
+
+def _compact_finished(job: Job, max_bytes: int) -> None:
+    """Keep the finished occurrences below the first other one as a single number."""
+    if job.finished_bytes <= max_bytes:
+        return
+    while job.finished_below in job.finished_occurrences:
+        job.finished_below += 1
+    job.finished_done = [row for row in job.finished_done if row[0] >= job.finished_below]
+    job.finished_bytes = sum(map(_done_bytes, job.finished_done))
+
+
+def _progress_row(occurrence: int, step: Step, task: Task) -> TaskProgress:
+    return TaskProgress(
+        occurrence,
+        step.number,
+        task.id.number,
+        tuple(sorted(task.failed_runs)),
+        task.checkpoint,
+        task.crashes,
+        task.trial,
+        task.stored_failed_starts,
+    )
+
+
+def _done_bytes(row: tuple[int, int, bytes]) -> int:
+    """Return an upper bound of the encoded size of a row of finished tasks."""
+    return 12 + len(row[2])
+
+
+def _row_bytes(row: TaskProgress) -> int:
+    """Return an upper bound of the encoded size of a row."""
+    placed = len(row.crashes) + (row.trial is not None)
+    return 24 + 9 * len(row.failed_runs) + len(row.checkpoint) + 96 * placed
 
 
 def _recorded_occurrences(progress: Progress) -> set[int]:
--- a/src/greengagewood/internal/jobs/records.py
+++ b/src/greengagewood/internal/jobs/records.py
@@ -104,7 +104,8 @@
 
     `done` lists (occurrence, step, bitmap): bit i of the bitmap, least significant bit first, is
     set if task i has succeeded. `tasks` lists other tasks with failed runs, a checkpoint or
-    crashes.
+    crashes; of a job of very many tasks it may lack some. All occurrences below `finished_below`
+    have succeeded, and `done` need not list them.
     """
 
     job_id: str
@@ -112,6 +113,7 @@
     done: tuple[tuple[int, int, bytes], ...] = ()
     tasks: tuple[TaskProgress, ...] = ()
     ended_ms: int = 0
+    finished_below: int = 0
 
 
 class PossibleRuns(msgspec.Struct, frozen=True, array_like=True):
--- a/src/greengagewood/internal/ports.py
+++ b/src/greengagewood/internal/ports.py
@@ -118,11 +118,15 @@
 
 @dataclass(frozen=True, slots=True)
 class AppendResult:
-    """Result of an append; `fenced` means that the store knows a newer owner's token."""
+    """Result of an append; `fenced` means that the store knows a newer owner's token.
+
+    One that is refused as `too_large` would be refused again.
+    """
 
     outcome: Outcome
     offset: int = -1
     fenced: bool = False
+    too_large: bool = False
 
 
 class JobStore(Protocol):
--- a/src/greengagewood/platform/store.py
+++ b/src/greengagewood/platform/store.py
@@ -189,7 +189,7 @@
         if resp.status not in REFUSAL_STATUSES:
             return AppendResult(Outcome.UNKNOWN)
         fenced = resp.status == 409 and _refusal_reason(body) == "fenced"
-        return AppendResult(Outcome.REFUSED, fenced=fenced)
+        return AppendResult(Outcome.REFUSED, fenced=fenced, too_large=resp.status == 413)
 
 
 def _producer_query(token: int, sequence: int) -> dict[str, str]:
