Limit the tasks that a cell holds

Cause: an owner holds each task of every job that has not ended, and nothing limits their number in a cell.

Change: a job is accepted only if four times its tasks fit below max_unfinished_tasks (a setting, 200,000); otherwise 503 with Retry-After. So large jobs are refused first, and small ones go on being accepted.

--- a/src/greengagewood/internal/cells/ledger.py
+++ b/src/greengagewood/internal/cells/ledger.py
@@ -47,6 +47,7 @@
     last_submission_offset: int = -1
     progress: Progress | None = None  # without details once the job has ended
     has_unreadable_progress: bool = False
+    task_count: int = 0  # of one occurrence
     cancelled: bool = False
 
     @property
@@ -88,6 +89,8 @@
         self.unreadable_count = 0  # records that could not be decoded
         # When cancellations were first read whose submissions were not, by job ID.
         self.early_cancellations: dict[str, int] = {}
+        self.unfinished_tasks = 0  # of one occurrence of each job that has not ended
+        self._unfinished_jobs: set[str] = set()  # that are counted in it
         self._queued_jobs: dict[str, set[str]] = {}  # job IDs by queue
         self._offsets: dict[str, int] = {}  # of the newest record of each key
 
@@ -127,6 +130,7 @@
                     job.queue = sys.intern(record.queue.name)
                     job.encoded_submission = encoded or encode_record(record)
                     job.submission_offset = offset
+                    job.task_count = sum(step.task_count for step in record.spec.steps)
                 job.last_submission_offset = max(job.last_submission_offset, offset)
                 self.early_cancellations.pop(record.job_id, None)
                 self._update_queued(record.job_id, job)
@@ -169,12 +173,22 @@
     def _update_queued(self, job_id: str, job: StoredJob) -> None:
         if job.queue is None:
             return
+        if job.state in FINAL_STATES:
+            self._note_ended(job_id, job)
+        elif job_id not in self._unfinished_jobs:
+            self._unfinished_jobs.add(job_id)
+            self.unfinished_tasks += job.task_count
         queued_jobs = self._queued_jobs.setdefault(job.queue, set())
         if job.state == "queued":
             queued_jobs.add(job_id)
         else:
             queued_jobs.discard(job_id)
 
+    def _note_ended(self, job_id: str, job: StoredJob) -> None:
+        if job_id in self._unfinished_jobs:
+            self._unfinished_jobs.discard(job_id)
+            self.unfinished_tasks -= job.task_count
+
     def _delete(self, key: str) -> None:
         self._offsets.pop(key, None)
         kind, job_id = key[:1], key[1:]  # see records.key_of
@@ -183,6 +197,8 @@
         if kind != "j":
             return
         job = self.jobs.pop(job_id, None)
+        if job is not None:
+            self._note_ended(job_id, job)
         if job is not None and job.queue is not None:
             self._queued_jobs.get(job.queue, set()).discard(job_id)
 
--- a/src/greengagewood/internal/entry/node.py
+++ b/src/greengagewood/internal/entry/node.py
@@ -23,7 +23,12 @@
 from greengagewood.internal.cells.runner import RELEASE_TIMEOUT_S, CellRunner, Ports
 from greengagewood.internal.clock import monotonic_ms, wall_ms
 from greengagewood.internal.entry.intake import MAX_READ_AGE_MS, BatchWriter
-from greengagewood.internal.entry.overload import Refusal, decide_refusal
+from greengagewood.internal.entry.overload import (
+    CapacityRefusal,
+    Refusal,
+    decide_capacity_refusal,
+    decide_refusal,
+)
 from greengagewood.internal.entry.readpace import (
     EAGER_AFTER_MS,
     READ_INTERVAL_MS,
@@ -73,6 +78,7 @@
 CLAIM_READ_TIMEOUT_S = 2.0  # as long as a claim that is not answered may still be stored
 # Far more jobs than one instance gets in the minutes in which their callers may repeat them.
 MAX_MAYBE_STORED = 10_000
+LARGE_JOB_TASKS = 1_000
 # Every instance keeps them, for some minutes each.
 MAX_EARLY_CANCELLATIONS = 10_000
 
@@ -195,24 +201,40 @@
             self._maybe_stored.pop(job_id, None)
         return outcome
 
-    async def find_refusal(self, job_id: str, queue: Queue, spec: JobSpec) -> Refusal | None:
+    async def find_refusal(
+        self, job_id: str, queue: Queue, spec: JobSpec
+    ) -> Refusal | CapacityRefusal | None:
         """Return why a job is refused in an overload, or None if it is to be stored.
 
-        Only a job of which certainly nothing is stored is refused, so the store is read first.
+        Only a job of which certainly nothing is stored is refused, so the store is read first. It
+        is also read before a large job is accepted, as others may have accepted many.
         """
-        if not self._cfg.refuse_hopeless_jobs or self._decide_refusal(job_id, queue, spec) is None:
+        is_large = sum(step.task_count for step in spec.steps) >= LARGE_JOB_TASKS
+        if not is_large and self._decide_any_refusal(job_id, queue, spec) is None:
             return None
         try:
             await self._read_to_end(REFRESH_TIMEOUT_S)
         except StoreUnavailable as exc:
             _log.debug("not_refused", job=job_id, error=str(exc))
             return None
-        refusal = self._decide_refusal(job_id, queue, spec)
+        refusal = self._decide_any_refusal(job_id, queue, spec)
         if refusal is not None:
-            self._metrics.count("refused_jobs", queue=queue.name, reason="overloaded")
-            _log.info("job_refused", job=job_id, queue=queue.name, **asdict(refusal))
+            reason = "no_room" if isinstance(refusal, CapacityRefusal) else "overloaded"
+            self._metrics.count("refused_jobs", queue=queue.name, reason=reason)
+            _log.info("job_refused", job=job_id, queue=queue.name, reason=reason, **asdict(refusal))
         return refusal
 
+    def _decide_any_refusal(
+        self, job_id: str, queue: Queue, spec: JobSpec
+    ) -> Refusal | CapacityRefusal | None:
+        if self._writer.store_down or job_id in self.ledger.jobs or job_id in self._maybe_stored:
+            return None
+        limit = self._cfg.max_unfinished_tasks
+        no_room = decide_capacity_refusal(spec, self.ledger.unfinished_tasks, limit)
+        if no_room is not None or not self._cfg.refuse_hopeless_jobs:
+            return no_room
+        return self._decide_refusal(job_id, queue, spec)
+
     def _decide_refusal(self, job_id: str, queue: Queue, spec: JobSpec) -> Refusal | None:
         forecast, since_ms = self.ledger.forecast, self.ledger.forecast_since_ms
         if (
@@ -221,9 +243,6 @@
             or forecast.token != self.ledger.ownership.token
             or self.ledger.ownership.released
             or self.config is None
-            or self._writer.store_down
-            or job_id in self.ledger.jobs
-            or job_id in self._maybe_stored
         ):
             return None
         age_ms = monotonic_ms() - since_ms
--- a/src/greengagewood/internal/entry/overload.py
+++ b/src/greengagewood/internal/entry/overload.py
@@ -1,8 +1,13 @@
-"""Decide whether to refuse a job of a caller because it would end too late to be worth anything.
+"""Decide whether to refuse a job of a caller, as it would be worth nothing or not fit the cell.
 
-This module does no I/O and reads no clock. It answers an overload: callers offer more best-effort
-work than the workers carry out. A job that certainly earns its caller nothing is refused at once,
-so that the caller can return when it would be in time. All other jobs are accepted.
+This module does no I/O and reads no clock. It answers two kinds of overload. An owner holds every
+task of the jobs that have not ended in memory, whether it can be started or not, and each instance
+may become the owner. So the tasks of a cell are limited. Large jobs are refused before small ones,
+so that a few of them don't keep all others out.
+
+The other kind: callers offer more best-effort work than the workers carry out. A job that certainly
+earns its caller nothing is refused at once, so that the caller can return when it would be in time.
+All other jobs are accepted.
 
 A caller that is refused in vain loses more than one whose job ends late. So every input in doubt
 speaks for the job: a forecast that is missing or old, a job or queue that it doesn't cover, and an
@@ -21,12 +26,21 @@
 from greengagewood.internal.jobs.model import JobSpec, Queue
 from greengagewood.internal.jobs.records import Forecast, ServiceForecast
 
-__all__ = ["MAX_FORECAST_AGE_MS", "Refusal", "decide_refusal"]
+__all__ = [
+    "MAX_FORECAST_AGE_MS",
+    "CapacityRefusal",
+    "Refusal",
+    "decide_capacity_refusal",
+    "decide_refusal",
+]
 
 MAX_FORECAST_AGE_MS = 3_000  # the owner writes one each second, and followers read twice a second
 FORECAST_MARGIN = 1.25  # by which the forecast end must exceed the time until which a job is worth
 MIN_RETRY_AFTER_S = 1
 MAX_RETRY_AFTER_S = 30
+FULL_RETRY_AFTER_S = 10
+# A job is accepted only if this many times its tasks still fit.
+ROOM_FACTOR = 4
 SPREAD = 2  # callers return between the forecast time and this many times as late
 
 
@@ -43,6 +57,26 @@
     forecast_age_ms: int
 
 
+@dataclass(frozen=True, slots=True)
+class CapacityRefusal:
+    """A refusal of a job as the cell has too many tasks of jobs that have not ended."""
+
+    retry_after_s: int
+    unfinished_tasks: int
+    job_tasks: int
+    limit: int
+
+
+def decide_capacity_refusal(
+    spec: JobSpec, unfinished_tasks: int, limit: int
+) -> CapacityRefusal | None:
+    """Return the refusal of a job for its tasks, or None if the cell can hold them."""
+    job_tasks = sum(step.task_count for step in spec.steps)
+    if unfinished_tasks + ROOM_FACTOR * job_tasks <= limit:
+        return None
+    return CapacityRefusal(FULL_RETRY_AFTER_S, unfinished_tasks, job_tasks, limit)
+
+
 def decide_refusal(
     job_id: str,
     queue: Queue,
--- a/src/greengagewood/internal/entry/settings.py
+++ b/src/greengagewood/internal/entry/settings.py
@@ -38,6 +38,8 @@
     cpu_share: Annotated[float, Meta(gt=0, le=1)] = 1.0  # usable share of the time of `cores`
     # Whether to refuse best-effort jobs that would end too late to be worth anything.
     refuse_hopeless_jobs: bool = False
+    # Tasks of jobs that have not ended, which every instance must be able to hold in memory.
+    max_unfinished_tasks: Annotated[int, Meta(ge=1_000, le=100_000_000)] = 200_000
     # Between two reports of a worker to the directory; 0 if that is not known.
     worker_report_interval_ms: Annotated[int, Meta(ge=0, le=3_600_000)] = 0
     log_level: Annotated[str, Meta(pattern=r"^(DEBUG|INFO|NOTICE|WARNING|ERROR)$")] = "INFO"
