Ask for the limit of unavailable tasks only where a run would be moved

Cause: reading the change again. Each scan asked it of every running task of a step with such a limit, which costs the square of the tasks of a step.

Change: it is asked once a run is slow, or its worker drains.

--- a/src/greengagewood/internal/cells/boots.py
+++ b/src/greengagewood/internal/cells/boots.py
@@ -231,9 +231,8 @@
     leaves_ms: int = 0  # before this, it does not leave, if it drains
     departed_ms: int = 0  # when it was known that it had left
     recorded_boot_time_ms: int = 0  # of the boot that the record of an earlier owner names
-    is_known_by_record: bool = (
-        False  # whether only such a record names it, so it counts as draining
-    )
+    # Whether only such a record names it, so that it counts as draining until its entry is read.
+    is_known_by_record: bool = False
 
     def __post_init__(self) -> None:
         self._note_cold(self.info, self.added_ms)
--- a/src/greengagewood/internal/cells/stops.py
+++ b/src/greengagewood/internal/cells/stops.py
@@ -216,12 +216,11 @@
         if self._is_stuck(run):
             self._failures.note_stuck_run(boot, run, now_ms)
             return "stands_still"
-        if not _may_become_unavailable(boot, run):
-            return ""
         if self._should_move(boot, run, now_ms):
             return "moves"
         if boot.info.draining and run.task.step.spec.long_running:
-            return "worker_leaves" if self._may_leave(run, now_ms) else ""
+            may_leave = _may_become_unavailable(boot, run) and self._may_leave(run, now_ms)
+            return "worker_leaves" if may_leave else ""
         return ""
 
     def _may_leave(self, run: Run, now_ms: int) -> bool:
@@ -281,6 +280,8 @@
             run.slow_since_ms = now_ms
         if now_ms - run.slow_since_ms < MOVE_DELAY_MS or now_ms < self._next_move_ms:
             return False
+        if not _may_become_unavailable(boot, run):
+            return False
         if all(other is boot for other in self._boots_at_full_speed(run, now_ms)):
             return False
         self._next_move_ms = now_ms + MOVE_INTERVAL_MS
