--- a/tests/common/plant.py
+++ b/tests/common/plant.py
@@ -75,6 +75,7 @@
     refused_lease_links: set[tuple[str, str]] = field(default_factory=set)
     unreadable_lease_links: set[tuple[str, str]] = field(default_factory=set)
     failing_workers: set[str] = field(default_factory=set)  # workers on which every run fails
+    failing_jobs: set[str] = field(default_factory=set)  # jobs of which every run fails soon
     directory_unreadable_to: set[str] = field(default_factory=set)  # instances
     orders_unreadable_to: set[str] = field(default_factory=set)  # instances
     crashing_tasks: set[TaskId] = field(default_factory=set)  # tasks that crash their workers
@@ -653,7 +654,10 @@
             worker.info.worker_id in self.platform.faults.failing_workers
             or self.platform.rng.random() < 0.01
         )
-        if not spec.long_running:
+        always_fails = task.job_id in faults.failing_jobs
+        if always_fails:
+            will_fail, work_ms = True, self.platform.rng.uniform(20, 400)
+        if always_fails or not spec.long_running:
             loop = asyncio.get_running_loop()
             loop.call_later(
                 work_ms / 1000, self._finish, worker, run, "failed" if will_fail else "done"
--- a/tests/cover/test_failures.py
+++ b/tests/cover/test_failures.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import asyncio
 import random
 from collections import Counter, defaultdict
 from collections.abc import Callable
 from itertools import pairwise
 
+import msgspec
 import pytest
 
 from greengagewood.internal.attribution import FailureHistory
@@ -17,6 +19,7 @@
 from greengagewood.internal.jobs.records import Progress, Submission, TaskId, TaskProgress
 from greengagewood.internal.ports import RunEnd, RunningTask
 from tests.common.desk import QUEUE, CellHarness, start_orders
+from tests.common.drive import CellSimulation, long_running_job, run_simulation, short_job
 
 TICK_MS = 50
 LONGEST_WAIT_MS = 3_000  # what the platform allows a job while there is room for it
@@ -267,6 +270,38 @@
         assert blamed <= 1
 
 
+class TestInstances:
+    """Guard against the same from the callers' side, while the owner changes."""
+
+    @pytest.mark.parametrize("changes", ["none", "kills"])
+    def test_short_jobs_end_beside_jobs_that_always_fail(self, changes: str) -> None:
+        async def script(sim: CellSimulation) -> None:
+            failing = [f"f{number:015x}" for number in range(8)]
+            sim.platform.faults.failing_jobs.update(failing)
+            spec = long_running_job()
+            step = msgspec.structs.replace(spec.steps[0], task_count=12)
+            for job in failing:
+                await sim.submit(job, "serve", JobSpec(spec.payload, (step,)))
+            jobs = {f"{number:016x}" for number in range(30)}
+            for number, job in enumerate(sorted(jobs)):
+                await sim.submit(job, "fast", short_job())
+                await asyncio.sleep(1)
+                if changes == "none":  # of two steps, each of which may wait
+                    limit_s = 2 * LONGEST_WAIT_MS / 1000
+                    assert await sim.wait_until_ended({job}, limit_s) == set()
+                if changes == "kills" and number % 10 == 5:
+                    owner = sim.owner()
+                    assert owner is not None
+                    await sim.kill_instance(owner)
+                    sim.start_instance(owner)
+            assert await sim.wait_until_ended(jobs, 12) == set()
+            assert sim.platform.violations == []
+            starts = max(sim.platform.start_counts[job] for job in failing)
+            assert 12 * 5 < starts < 12 * 60
+
+        run_simulation(CellSimulation(11), script)
+
+
 class TestWorkersThatFailAll:
     """Guard against a worker that fails all that it starts and goes on getting runs."""
 
