Count a task as available only once its run has settled

Cause: a task that goes on from a checkpoint is listed at 100 % at once. The checkpoint still has to be restored, so the task serves nobody yet.

Change: a task counts as available 1 s after its run was accepted.

Result: the new test fails without the wait.

--- a/src/greengagewood/internal/cells/stops.py
+++ b/src/greengagewood/internal/cells/stops.py
@@ -58,6 +58,7 @@
 SCAN_INTERVAL_MS = 100  # between two scans for runs to stop, unless an event requests one
 SLOW_SPEED_PERCENT = 60  # a run limited to this or less may be moved to run at full speed
 MOVE_DELAY_MS = 450  # how long a run must have been slow before it is moved: about one reading
+SETTLING_MS = 1_000  # from the start of a run until its task counts as available
 MOVE_INTERVAL_MS = 150  # between two moves, each of which costs a stop and a start
 # While stops wait for room: the runs that have to be stopped are known, and a scan takes long.
 HELD_BACK_SCAN_INTERVAL_MS = 400
@@ -219,7 +220,7 @@
         if self._should_move(boot, run, now_ms):
             return "moves"
         if boot.info.draining and run.task.step.spec.long_running:
-            may_leave = _may_become_unavailable(boot, run) and self._may_leave(run, now_ms)
+            may_leave = _may_become_unavailable(boot, run, now_ms) and self._may_leave(run, now_ms)
             return "worker_leaves" if may_leave else ""
         return ""
 
@@ -280,7 +281,7 @@
             run.slow_since_ms = now_ms
         if now_ms - run.slow_since_ms < MOVE_DELAY_MS or now_ms < self._next_move_ms:
             return False
-        if not _may_become_unavailable(boot, run):
+        if not _may_become_unavailable(boot, run, now_ms):
             return False
         if all(other is boot for other in self._boots_at_full_speed(run, now_ms)):
             return False
@@ -301,7 +302,7 @@
         return self._full_speed[key]
 
 
-def _may_become_unavailable(boot: Boot, run: Run) -> bool:
+def _may_become_unavailable(boot: Boot, run: Run, now_ms: int) -> bool:
     """Return whether the limit of its step allows to stop a run that could go on.
 
     A worker that drains takes its runs with it. Of one that is known by a record alone, only its
@@ -313,7 +314,7 @@
     if not limit or not step.spec.long_running or is_leaving or not _is_at_work(run.task):
         return True
     others = (task for task in step.tasks if task is not run.task and not task.end_state)
-    return sum(not _is_at_work(task) for task in others) < limit
+    return sum(not _has_settled(task, now_ms) for task in others) < limit
 
 
 def _is_at_work(task: Task) -> bool:
@@ -321,6 +322,20 @@
     return run is not None and run.state == "running" and run.progress_percent == 100
 
 
+def _has_settled(task: Task, now_ms: int) -> bool:
+    """Return whether a task is at work, and its run was not started just now.
+
+    One that goes on from a checkpoint may be listed at 100 % before that is restored.
+    """
+    run = task.run
+    return (
+        _is_at_work(task)
+        and run is not None
+        and run.accepted_ms is not None
+        and now_ms - run.accepted_ms >= SETTLING_MS
+    )
+
+
 def _open_stops(run: Run, now_ms: int) -> int:
     """Return how many calls to stop a run have not ended."""
     sent_ms = run.stop_sent_ms
--- a/tests/cover/test_availability.py
+++ b/tests/cover/test_availability.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import replace
+from itertools import pairwise
 
 import msgspec
 import pytest
@@ -37,17 +38,19 @@
     def __init__(self, *workers: str) -> None:
         self.harness = CellHarness(*workers)
         self.most_away = 0  # tasks at a time that were stopped and are not at work again
+        self.startup_ms = STARTUP_MS
         self.stops: list[StopRun] = []
+        self.stop_times: list[tuple[int, StopRun]] = []
         self._sequences = dict.fromkeys(workers, 0)
         self._away: set[object] = set()
         self._stopping: list[Run] = []
 
     def _percent(self, run: Run) -> int:
         started_ms = run.accepted_ms if run.accepted_ms is not None else self.harness.now_ms
-        return 100 if self.harness.now_ms - started_ms >= STARTUP_MS else 40
+        return 100 if self.harness.now_ms - started_ms >= self.startup_ms else 40
 
     def run_for(self, duration_ms: int, slow: bool = False) -> None:
-        """Let time pass; with `slow`, every run is slowed down for the sake of others."""
+        """Let time pass; with `slow`, the first run of each task is slowed down."""
         harness = self.harness
         end_ms = harness.now_ms + duration_ms
         while harness.now_ms < end_ms:
@@ -66,7 +69,8 @@
                         listed.append(RunningTask(run.task.id, run.number, "c", percent, 600))
                         if percent == 100:
                             self._away.discard(run.task)
-                        run.speed_percent = 10 if slow else 100
+                        is_first = run.number == run.task.start_count == 1
+                        run.speed_percent = 10 if slow and is_first else 100
                 harness.answer_lease(name, *listed, ends=tuple(ends))
             for order in harness.plan(TICK_MS):
                 if isinstance(order, StartRun):
@@ -74,6 +78,7 @@
                 elif isinstance(order, StopRun) and order.run is not None:
                     self._stopping.append(order.run)
                     self.stops.append(order)
+                    self.stop_times.append((harness.now_ms, order))
                     if self._percent(order.run) == 100:
                         self._away.add(order.run.task)
                         self.most_away = max(self.most_away, len(self._away))
@@ -91,6 +96,17 @@
         assert {stop.reason for stop in service.stops} <= {"moves", "again"}
         assert service.most_away == limit
 
+    def test_a_task_that_was_listed_at_work_at_once_is_given_time_to_settle(self) -> None:
+        """Guards against a checkpoint that counts as progress before it is restored."""
+        service = _Service("w0", "w1", "w2", "w3")
+        service.startup_ms = 0
+        service.harness.submit(FILLING)
+        service.run_for(2_000)
+        service.run_for(6_000, slow=True)
+        moves = [(at, stop.task_id) for at, stop in service.stop_times if stop.reason == "moves"]
+        gaps_ms = [later[0] - first[0] for first, later in pairwise(moves) if first[1] != later[1]]
+        assert len(gaps_ms) >= 2 and min(gaps_ms) >= 1_000
+
     def test_without_a_limit_they_are_moved_together(self) -> None:
         service = _Service("w0", "w1", "w2", "w3")
         service.harness.submit(msgspec.structs.replace(FILLING, max_unavailable=0))
